--- /dev/null
+++ b/packages/bench/src/index.ts
@@ -0,0 +1,2 @@
+/** Measurements of decisions, recovery and cost. */
+export {};
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,2 @@
+/** The command for operators. */
+export {};
--- /dev/null
+++ b/packages/core/src/errors.ts
@@ -0,0 +1,79 @@
+/**
+ * Errors of the whole system. One table holds every code and its message; each
+ * error carries the step and the peer at which it arose.
+ */
+import * as verror from 'verror';
+
+const messages = {
+  'bad-setting': (what: string) => what,
+  'bad-note': (what: string) => `the release note is refused: ${what}`,
+  'bad-request': (what: string) => `bad request: ${what}`,
+  'bad-frame': (what: string) => `bad frame: ${what}`,
+  'version-mismatch': (theirs: string, ours: string) =>
+    `the peer speaks version ${theirs}, this process version ${ours}; run the same release on both`,
+  'key-mismatch': () =>
+    'the peer has another key; set the same [links] key in both settings files',
+  'link-silent': (forMs: string) =>
+    `the connection made no progress for ${forMs} ms`,
+  'link-closed': () => 'the connection was closed',
+  'log-away': (what: string) => `the log service does not answer: ${what}`,
+  'log-below-oldest': (oldest: string) =>
+    `the log keeps records from offset ${oldest} on`,
+  'buffer-full': (limit: string) =>
+    `${limit} records are waiting for the log service`,
+  timeout: (afterMs: string) => `no answer after ${afterMs} ms`,
+  'port-in-use': (address: string) =>
+    `${address} is in use by another process; change the listen key or stop that process`,
+  'too-large': (limit: string) => `larger than the limit of ${limit} bytes`,
+  'not-owner': (shard: string) => `this process does not own ${shard}`,
+  invariant: (what: string) => `invariant violated: ${what}`,
+} as const;
+
+/** Every error code. */
+export type FaultCode = keyof typeof messages;
+
+/** Where an error arose. */
+export interface FaultOrigin {
+  /** The step that failed, such as `links.open`. */
+  readonly step: string;
+  /** The other side: a process name, VM id or address; `self` when there is none. */
+  readonly peer: string;
+  readonly cause?: unknown;
+}
+
+/** What `readFault` finds on an error. */
+export interface FaultInfo {
+  readonly code: FaultCode;
+  readonly step: string;
+  readonly peer: string;
+}
+
+/** Creates an error of the table with its origin. */
+export function createFault<Code extends FaultCode>(
+  code: Code,
+  origin: FaultOrigin,
+  ...args: Parameters<(typeof messages)[Code]>
+): Error {
+  const format: (...values: string[]) => string = messages[code];
+  const info: FaultInfo = { code, step: origin.step, peer: origin.peer };
+  const options: verror.Options = { name: 'Fault', info: { ...info } };
+  if (origin.cause instanceof Error) options.cause = origin.cause;
+  return new verror.default.VError(options, '%s', format(...args));
+}
+
+/** Reads code, step and peer of an error created here, also through causes. */
+export function readFault(error: unknown): FaultInfo | undefined {
+  if (!(error instanceof Error)) return undefined;
+  const info = verror.default.VError.info(error) as Partial<FaultInfo>;
+  if (info.code === undefined) return undefined;
+  return {
+    code: info.code,
+    step: info.step ?? 'unknown',
+    peer: info.peer ?? 'unknown',
+  };
+}
+
+/** Describes any thrown value in one line. */
+export function describeError(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
--- /dev/null
+++ b/packages/core/src/time/system.ts
@@ -0,0 +1,43 @@
+/** The timer service of a real process, on Node's timers and monotonic clock. */
+import type * as timers from './timers.js';
+
+/** Creates the timer service of a real process. Its timers don't keep the process alive. */
+export function createSystemTimers(): timers.TimerService {
+  return { readNow, readDate, subscribe };
+}
+
+function readNow(): number {
+  return performance.now();
+}
+
+function readDate(): number {
+  return Date.now();
+}
+
+function subscribe(
+  request: timers.TimerRequest,
+  onDue: (nowMs: number) => void,
+): timers.TimerSubscription {
+  let ended = false;
+  const fire = () => {
+    if (!ended) onDue(readNow());
+  };
+  if (request.repeat === 'periodic') {
+    const handle = setInterval(fire, request.delayMs);
+    handle.unref();
+    return {
+      end: () => {
+        ended = true;
+        clearInterval(handle);
+      },
+    };
+  }
+  const handle = setTimeout(fire, request.delayMs);
+  handle.unref();
+  return {
+    end: () => {
+      ended = true;
+      clearTimeout(handle);
+    },
+  };
+}
--- /dev/null
+++ b/packages/core/src/types/reasons.ts
@@ -0,0 +1,67 @@
+/**
+ * Compact reasons that decisions keep. `explain/` turns them into sentences.
+ */
+import type * as ids from './ids.js';
+
+/** The constraint that a filter checks, in the order in which filters run. */
+export type FilterName =
+  | 'size'
+  | 'location'
+  | 'quarantine'
+  | 'leaving'
+  | 'authority'
+  | 'cores'
+  | 'memory'
+  | 'gpus'
+  | 'racks';
+
+/** How many workers one filter removed. */
+export interface FilterCount {
+  readonly filter: FilterName;
+  readonly removed: number;
+}
+
+/** Why a task or request waits, was refused, moved or stopped. */
+export type Reason =
+  | {
+      readonly reason: 'no-candidate';
+      readonly total: number;
+      readonly counts: readonly FilterCount[];
+    }
+  | {
+      readonly reason: 'never-fits';
+      readonly total: number;
+      readonly counts: readonly FilterCount[];
+    }
+  | {
+      readonly reason: 'quota';
+      readonly team: ids.TeamName;
+      readonly resource: string;
+      readonly used: number;
+      readonly quota: number;
+    }
+  | { readonly reason: 'fair-share'; readonly ahead: number }
+  | {
+      readonly reason: 'expected-wait';
+      readonly expectedMs: number;
+      readonly limitMs: number;
+    }
+  | {
+      readonly reason: 'queue-full';
+      readonly length: number;
+      readonly limit: number;
+    }
+  | { readonly reason: 'no-owner'; readonly shard: ids.ShardName }
+  | { readonly reason: 'log-away'; readonly sinceMs: number }
+  | { readonly reason: 'preempted'; readonly by: ids.JobId }
+  | { readonly reason: 'worker-lost'; readonly worker: ids.VmId }
+  | {
+      readonly reason: 'waiting-for-lease';
+      readonly worker: ids.VmId;
+      readonly untilMs: number;
+    }
+  | { readonly reason: 'reserved-for-gang'; readonly job: ids.JobId }
+  | { readonly reason: 'unknown-service'; readonly service: ids.ServiceName }
+  | { readonly reason: 'deadline'; readonly waitedMs: number }
+  | { readonly reason: 'draining' }
+  | { readonly reason: 'cancelled'; readonly by: string };
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,2 @@
+/** The daemon that runs on every entry VM. */
+export {};
--- /dev/null
+++ b/packages/link/src/index.ts
@@ -0,0 +1,2 @@
+/** Framed connections between the processes of the system. */
+export {};
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,2 @@
+/** Clients for the platform: log, VM list, workers and backend servers. */
+export {};
--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,2 @@
+/** Stand-ins for the platform, and the replay of recorded traces. */
+export {};
