Add the interface of the scheduler of a workers shard

Cause: the daemon's worker loop and the decisions are written apart. Conclusion: both sides can be written and tested against it.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -5,6 +5,7 @@
 export type * as jobs from './types/job.js';
 export type * as reasons from './types/reasons.js';
 export type * as workers from './types/worker.js';
+export type * as scheduling from './types/scheduler.js';
 export * as requests from './types/request.js';
 export type * as records from './types/records.js';
 export * as messages from './types/messages.js';
