Add links, membership and ownership

Cause: processes need to know each other and agree through the log who decides. Change: framed connections with a keyed handshake, probes and jittered redial; peers' health from heartbeats; claims folded from the log, rendezvous ranks, holds after a pause and provisional owners while the log is away. Conclusion: other parts can be composed on top.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -22,3 +22,18 @@
 export { createSystemTimers } from './time/system.js';
 export { createVirtualTimers } from './time/virtual.js';
 export type { VirtualTimers } from './time/virtual.js';
+export { compareEpochs, formatEpoch } from './ownership/epochs.js';
+export { applyClaimRecord } from './ownership/claims.js';
+export type { Claim, ClaimTable } from './ownership/claims.js';
+export { rankCandidates } from './ownership/rank.js';
+export {
+  CLAIM_GRACE_MS,
+  CLAIM_RANK_WAIT_MS,
+  FOREIGN_CLAIM_AFTER_MS,
+  decideOwnership,
+} from './ownership/decide.js';
+export type {
+  OrphanTable,
+  OwnershipView,
+  WantedShard,
+} from './ownership/decide.js';
--- a/packages/core/src/types/messages.ts
+++ b/packages/core/src/types/messages.ts
@@ -12,13 +12,20 @@
 export interface Hello {
   readonly kind: 'hello';
   readonly version: number;
-  readonly key: string;
+  /** Random; the other side proves with it that it holds the key. */
+  readonly nonce: string;
   readonly name: ids.ProcessName;
   readonly instance: ids.InstanceId;
   readonly region: ids.RegionName;
   readonly availabilityZone: ids.AvailabilityZone;
 }
 
+/** Second message in both directions: HMAC of the other side's nonce under the shared key. */
+export interface Proof {
+  readonly kind: 'proof';
+  readonly proof: string;
+}
+
 /** Use of one team in one region. */
 export interface TeamUse {
   readonly team: ids.TeamName;
@@ -42,6 +49,8 @@
   /** Shards that this process decides for, with the epoch of each. */
   readonly shards: readonly OwnedShard[];
   readonly leaving: readonly ids.VmId[];
+  /** True while this process gets no answer from the log service. */
+  readonly logAway: boolean;
   /** What teams use in the workers shards that this process owns. */
   readonly teamUse: readonly TeamUse[];
 }
@@ -49,6 +58,8 @@
 /** Messages that need no answer. */
 export type Notice =
   | Heartbeat
+  /** The heartbeat last sent is still true. */
+  | { readonly kind: 'beat' }
   | { readonly kind: 'ping'; readonly seq: number }
   | { readonly kind: 'pong'; readonly seq: number }
   | {
