--- a/packages/core/src/time/virtual.ts
+++ b/packages/core/src/time/virtual.ts
@@ -6,6 +6,8 @@
 export interface VirtualTimers extends timers.TimerService {
   /** Moves the time forward and fires what becomes due, in order of time, then of subscription. */
   advance(byMs: number): void;
+  /** Moves the time forward at once, as a pause of the process does: each overdue timer fires one time, late. */
+  skip(byMs: number): void;
   /** Time of the next due timer, if any. */
   readNextDue(): number | undefined;
 }
@@ -77,11 +79,29 @@
     nowMs = targetMs;
   }
 
+  function skip(byMs: number): void {
+    nowMs += byMs;
+    const overdue: Entry[] = [];
+    for (;;) {
+      const next = readNextDue();
+      if (next === undefined || next > nowMs) break;
+      const entry = due.pop();
+      if (entry !== undefined) overdue.push(entry);
+    }
+    for (const entry of overdue) {
+      if (entry.ended) continue;
+      entry.dueMs = nowMs + Math.max(1, entry.request.delayMs);
+      if (entry.request.repeat === 'periodic') due.push(entry);
+      entry.onDue(nowMs);
+    }
+  }
+
   return {
     readNow: () => nowMs,
     readDate: () => nowMs,
     subscribe,
     advance,
+    skip,
     readNextDue,
   };
 }
--- /dev/null
+++ b/packages/daemon/test/ownership.test.ts
@@ -0,0 +1,351 @@
+/**
+ * Ownership under failure: a property test drives several processes through kills,
+ * pauses, cuts and log outages and checks that decisions for a shard never overlap
+ * for longer than the stated term, and that every shard has an owner again.
+ */
+import * as core from '@flamingoward/core';
+import * as fc from 'fast-check';
+import * as vitest from 'vitest';
+import * as ownership from '../src/ownership/ownership.js';
+import type * as types from '../src/types.js';
+import * as fakes from './fakes/context.js';
+import * as fakeLog from './fakes/log.js';
+
+const SHARDS = ['workers/r', 'service/quote@r', 'service/order@r'];
+const STEP_MS = 50;
+const DEAD_MS = 1_000;
+
+interface Process {
+  readonly name: string;
+  readonly timers: core.VirtualTimers;
+  readonly streams: fakeLog.FakeStreams;
+  readonly part: ownership.OwnershipPart;
+  state: 'running' | 'paused' | 'dead';
+  /** True: peers don't hear it and it hears no peer. */
+  isIsolated: boolean;
+  pausedForMs: number;
+}
+
+class Cell {
+  readonly log = new fakeLog.FakeLog();
+  readonly processes: Process[] = [];
+  nowMs = 0;
+  private readonly heard = new Map<string, Map<string, number>>();
+  private readonly heartbeats = new Map<string, core.messages.Heartbeat>();
+
+  add(name: string): void {
+    const timers = core.createVirtualTimers(this.nowMs);
+    const streams = fakeLog.createFakeStreams(this.log, timers);
+    const context = fakes.createFakeContext(name, timers);
+    const part = ownership.createOwnership({
+      context,
+      streams,
+      membership: this.createMembership(context.identity.instance, timers),
+      listShards: () => SHARDS.map((shard) => ({ shard, region: 'r' })),
+      mayOwn: () => true,
+    });
+    this.heard.set(context.identity.instance, new Map());
+    part.open();
+    this.processes.push({
+      name,
+      timers,
+      streams,
+      part,
+      state: 'running',
+      isIsolated: false,
+      pausedForMs: 0,
+    });
+  }
+
+  private createMembership(
+    self: string,
+    timers: core.TimerService,
+  ): types.Membership {
+    const listPeers = (): types.PeerView[] =>
+      [...(this.heard.get(self) ?? new Map<string, number>())].map(
+        ([instance, heardMs]) => ({
+          name: instance.slice(0, -2),
+          instance,
+          region: 'r',
+          availabilityZone: 'r-a',
+          heardMs,
+          health: timers.readNow() - heardMs >= DEAD_MS ? 'dead' : 'live',
+          heartbeat: this.heartbeats.get(`${self}<${instance}`)!,
+        }),
+      );
+    return {
+      readVms: () => [],
+      readPeers: listPeers,
+      listCandidates: () => [
+        ...listPeers()
+          .filter((peer) => peer.health !== 'dead')
+          .map((peer) => peer.instance),
+        self,
+      ],
+      changes: core.createSubject<'vms' | 'peers'>().stream,
+    };
+  }
+
+  private exchange(): void {
+    for (const from of this.processes) {
+      if (from.state !== 'running' || from.isIsolated) continue;
+      const instance = `${from.name}-i`;
+      const heartbeat: core.messages.Heartbeat = {
+        kind: 'heartbeat',
+        instance,
+        state: 'ready',
+        releaseOffset: 0,
+        claimsOffset: 0,
+        shards: from.part.listOwn(),
+        leaving: [],
+        logAway: from.streams.readAwaySince() !== undefined,
+        teamUse: [],
+      };
+      for (const to of this.processes) {
+        if (to === from || to.state !== 'running' || to.isIsolated) continue;
+        this.heard.get(`${to.name}-i`)!.set(instance, this.nowMs);
+        this.heartbeats.set(`${to.name}-i<${instance}`, heartbeat);
+      }
+    }
+  }
+
+  async step(): Promise<void> {
+    this.nowMs += STEP_MS;
+    if (this.nowMs % 250 === 0) this.exchange();
+    for (const process of this.processes) {
+      if (process.state === 'paused') process.pausedForMs += STEP_MS;
+      if (process.state !== 'running') continue;
+      process.streams.pump();
+      process.timers.advance(STEP_MS);
+    }
+    for (let turn = 0; turn < 4; turn += 1) await Promise.resolve();
+  }
+
+  /** A resumed process fires its timers at the new time before it reads anything. */
+  resume(process: Process): void {
+    if (process.state !== 'paused') return;
+    process.state = 'running';
+    // The whole pause passes at once for its clock; timers see the gap.
+    const gapMs = process.pausedForMs;
+    process.pausedForMs = 0;
+    process.streams.isPaused = true;
+    jumpClock(process.timers, gapMs);
+    process.streams.isPaused = false;
+  }
+
+  readDeciders(shard: string): Process[] {
+    return this.processes.filter(
+      (process) =>
+        process.state === 'running' &&
+        process.part.readEpoch(shard) !== undefined,
+    );
+  }
+}
+
+/** Node's timers skip missed periods: a pause shows as one late tick. */
+function jumpClock(timers: core.VirtualTimers, gapMs: number): void {
+  timers.skip(gapMs);
+}
+
+type Action =
+  | { readonly act: 'run'; readonly steps: number }
+  | {
+      readonly act:
+        'kill' | 'pause' | 'resume' | 'cut' | 'heal' | 'isolate' | 'join';
+      readonly who: number;
+    }
+  | {
+      readonly act: 'log-down' | 'log-up' | 'lose-reply';
+      readonly who: number;
+    };
+
+const actionArbitrary: fc.Arbitrary<Action> = fc.oneof(
+  {
+    weight: 5,
+    arbitrary: fc.record({
+      act: fc.constant('run' as const),
+      steps: fc.integer({ min: 1, max: 60 }),
+    }),
+  },
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      act: fc.constantFrom(
+        'kill' as const,
+        'pause' as const,
+        'resume' as const,
+        'cut' as const,
+        'heal' as const,
+        'isolate' as const,
+        'join' as const,
+      ),
+      who: fc.nat({ max: 5 }),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      act: fc.constantFrom(
+        'log-down' as const,
+        'log-up' as const,
+        'lose-reply' as const,
+      ),
+      who: fc.nat({ max: 5 }),
+    }),
+  },
+);
+
+function applyAction(
+  cell: Cell,
+  action: Exclude<Action, { act: 'run' }>,
+): void {
+  const process = cell.processes[action.who % cell.processes.length]!;
+  switch (action.act) {
+    case 'kill':
+      process.state = 'dead';
+      return;
+    case 'pause':
+      if (process.state === 'running') process.state = 'paused';
+      return;
+    case 'resume':
+      cell.resume(process);
+      return;
+    case 'cut':
+      process.streams.isCut = true;
+      return;
+    case 'isolate':
+      process.isIsolated = true;
+      process.streams.isCut = true;
+      return;
+    case 'heal':
+      process.isIsolated = false;
+      process.streams.isCut = false;
+      return;
+    case 'join':
+      if (cell.processes.length < 8)
+        cell.add(`p${String(cell.processes.length)}`);
+      return;
+    case 'log-down':
+      cell.log.isDown = true;
+      return;
+    case 'log-up':
+      cell.log.isDown = false;
+      return;
+    case 'lose-reply':
+      process.streams.loseReplies += 1;
+      return;
+  }
+}
+
+async function healAll(cell: Cell): Promise<void> {
+  cell.log.isDown = false;
+  for (const process of cell.processes) {
+    cell.resume(process);
+    process.isIsolated = false;
+    process.streams.isCut = false;
+  }
+  cell.add(`p${String(cell.processes.length)}`);
+  for (let step = 0; step < 400; step += 1) await cell.step();
+}
+
+vitest.test(
+  'decisions for a service shard overlap at most for the claim term, and every shard gets an owner again',
+  async () => {
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(actionArbitrary, { maxLength: 40, size: 'max' }),
+        async (actions) => {
+          const cell = new Cell();
+          for (const name of ['p0', 'p1', 'p2']) cell.add(name);
+          const overlapMs = new Map<string, number>();
+          const runStep = async () => {
+            await cell.step();
+            for (const shard of SHARDS.slice(1)) {
+              const deciders = cell.readDeciders(shard);
+              const total =
+                deciders.length > 1 ? (overlapMs.get(shard) ?? 0) + STEP_MS : 0;
+              overlapMs.set(shard, total);
+              vitest
+                .expect(total)
+                .toBeLessThanOrEqual(ownership.CLAIM_FRESH_MS);
+            }
+          };
+          for (const action of actions) {
+            if (action.act !== 'run') applyAction(cell, action);
+            else
+              for (let step = 0; step < action.steps; step += 1)
+                await runStep();
+          }
+          await healAll(cell);
+          for (const shard of SHARDS)
+            vitest.expect(cell.readDeciders(shard)).toHaveLength(1);
+          const epochs = cell.log
+            .read('claims')
+            .records.map((record) => record.offset);
+          vitest.expect(new Set(epochs).size).toBe(epochs.length);
+        },
+      ),
+      { seed: 20261204, numRuns: 150 },
+    );
+  },
+);
+
+vitest.test(
+  'a resumed owner decides nothing before it has read the newest claims',
+  async () => {
+    const cell = new Cell();
+    for (const name of ['p0', 'p1', 'p2']) cell.add(name);
+    for (let step = 0; step < 100; step += 1) await cell.step();
+    const owner = cell.readDeciders('workers/r')[0]!;
+    owner.state = 'paused';
+    for (let step = 0; step < 100; step += 1) await cell.step();
+    vitest.expect(cell.readDeciders('workers/r')).toHaveLength(1);
+    owner.streams.isCut = true;
+    cell.resume(owner);
+    vitest.expect(owner.part.readEpoch('workers/r')).toBeUndefined();
+    owner.streams.isCut = false;
+    for (let step = 0; step < 60; step += 1) await cell.step();
+    vitest.expect(owner.part.readEpoch('workers/r')).toBeUndefined();
+    vitest.expect(cell.readDeciders('workers/r')).toHaveLength(1);
+  },
+);
+
+vitest.test(
+  'a planned stop hands all shards over without waiting for the death term',
+  async () => {
+    const cell = new Cell();
+    for (const name of ['p0', 'p1', 'p2']) cell.add(name);
+    for (let step = 0; step < 100; step += 1) await cell.step();
+    const owner = cell.readDeciders('workers/r')[0]!;
+    await owner.part.releaseAll();
+    for (let step = 0; step < 12; step += 1) await cell.step();
+    const next = cell.readDeciders('workers/r');
+    vitest.expect(next).toHaveLength(1);
+    vitest.expect(next[0]!.name).not.toBe(owner.name);
+  },
+);
+
+vitest.test(
+  'without the log a dead owner of workers is replaced by a provisional one, which claims when the log is back',
+  async () => {
+    const cell = new Cell();
+    for (const name of ['p0', 'p1', 'p2']) cell.add(name);
+    for (let step = 0; step < 100; step += 1) await cell.step();
+    const owner = cell.readDeciders('workers/r')[0]!;
+    cell.log.isDown = true;
+    for (let step = 0; step < 10; step += 1) await cell.step();
+    owner.state = 'dead';
+    for (let step = 0; step < 80; step += 1) await cell.step();
+    const next = cell.readDeciders('workers/r');
+    vitest.expect(next).toHaveLength(1);
+    vitest.expect(next[0]!.part.readEpoch('workers/r')?.provisional).toBe(1);
+    cell.log.isDown = false;
+    for (let step = 0; step < 20; step += 1) await cell.step();
+    vitest
+      .expect(
+        cell.readDeciders('workers/r')[0]?.part.readEpoch('workers/r')
+          ?.provisional,
+      )
+      .toBe(0);
+  },
+);
