Add an error code for peers that do not answer

A worker, backend server or VM list that does not answer had no code of its own; log-away names the log service in its message. The table has peer-away now.

--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -17,6 +17,7 @@
     `the connection made no progress for ${forMs} ms`,
   'link-closed': () => 'the connection was closed',
   'log-away': (what: string) => `the log service does not answer: ${what}`,
+  'peer-away': (what: string) => `the peer does not answer: ${what}`,
   'log-below-oldest': (oldest: string) =>
     `the log keeps records from offset ${oldest} on`,
   'buffer-full': (limit: string) =>
