Add the log client, the streams and the stand-in log

The daemon needs group append and stream reading over the log service. The interfaces move from the daemon to the platform package, which implements them; the daemon re-exports them under the same names.

An append with a lost reply is retried under the same id, and reading the record back confirms it with the offset of its first copy.

--- a/packages/daemon/src/types.ts
+++ b/packages/daemon/src/types.ts
@@ -4,6 +4,14 @@
  */
 import type * as most from 'most';
 import type * as core from '@flamingoward/core';
+import type * as platform from '@flamingoward/platform';
+
+export type {
+  AppendOptions,
+  AppendOutcome,
+  StreamReader,
+  Streams,
+} from '@flamingoward/platform';
 
 /** Who this process is. */
 export interface ProcessIdentity {
@@ -60,53 +68,6 @@
   readonly metrics: Metrics;
 }
 
-/** What became of an append. */
-export type AppendOutcome =
-  | { readonly outcome: 'appended'; readonly offset: core.ids.Offset }
-  /** Certain: the record is not in the log and won't be. */
-  | {
-      readonly outcome: 'not-appended';
-      readonly reason: 'buffer-full' | 'log-away';
-    }
-  /** A reply was lost and the retries ended; the record may be in the log. */
-  | { readonly outcome: 'unknown' };
-
-/** How to append. */
-export interface AppendOptions {
-  /** `now` doesn't wait for a batch to fill. */
-  readonly flush: 'now' | 'grouped';
-  /** Stop retrying after this time; without it the append retries until it is certain. */
-  readonly giveUpMs?: number;
-}
-
-/** One stream as this process reads it. Repeated record ids are dropped. */
-export interface StreamReader<Body> {
-  /** Records in order, from the oldest kept; delivered synchronously one after another. */
-  readonly records: most.Stream<core.records.LogRecord<Body>>;
-  /** Offset of the next record to read. */
-  readNext(): core.ids.Offset;
-  /** Monotonic time when the last read that reached the head was sent; undefined before the first. */
-  readHeadMs(): number | undefined;
-  /** Resolves when all records below `offset` are delivered. */
-  waitFor(offset: core.ids.Offset): Promise<void>;
-  /** Fetches the head now and resolves when everything below it is delivered. Rejects with `log-away`. */
-  waitForHead(): Promise<void>;
-}
-
-/** The log's streams. */
-export interface Streams {
-  append(
-    stream: string,
-    body: unknown,
-    options: AppendOptions,
-  ): Promise<AppendOutcome>;
-  /** Returns the reader of a stream, the same one for each call; reading begins with the first call. */
-  open<Body>(stream: string): StreamReader<Body>;
-  /** Monotonic time since which the log hasn't answered; undefined while it answers. */
-  readAwaySince(): number | undefined;
-  close(): Promise<void>;
-}
-
 /** A peer as this process sees it. */
 export interface PeerView {
   readonly name: core.ids.ProcessName;
@@ -227,7 +188,7 @@
   cancel(
     job: core.ids.JobId,
     by: string,
-  ): Promise<AppendOutcome | { readonly outcome: 'unknown-job' }>;
+  ): Promise<platform.AppendOutcome | { readonly outcome: 'unknown-job' }>;
   read(job: core.ids.JobId): core.jobs.Job | undefined;
   list(): readonly core.jobs.Job[];
   /** States of the tasks, from the owner. */
--- /dev/null
+++ b/packages/platform/test/streams.test.ts
@@ -0,0 +1,164 @@
+/** Appends and reads through lost replies, outages and failing relays. */
+import * as vitest from 'vitest';
+import * as core from '@flamingoward/core';
+import * as platform from '@flamingoward/platform';
+import * as standins from '@flamingoward/standins';
+
+const timers = core.createSystemTimers();
+const cleanups: (() => Promise<void>)[] = [];
+
+vitest.afterEach(async () => {
+  for (const cleanup of cleanups.splice(0).reverse()) await cleanup();
+});
+
+async function startLog(retainRecords?: number) {
+  const service = new standins.LogStandin(retainRecords);
+  const address = await service.start();
+  cleanups.push(() => service.stop());
+  return { service, address };
+}
+
+function createStreams(
+  address: string,
+  options: Partial<platform.StreamsOptions> = {},
+) {
+  const log = platform.createLogClient({ address, timers });
+  const streams = platform.createStreams({ log, timers, ...options });
+  cleanups.push(() => streams.close());
+  return { log, streams };
+}
+
+function collect(reader: platform.StreamReader<number>): number[] {
+  const read: number[] = [];
+  void reader.records.observe((record) => read.push(record.body));
+  return read;
+}
+
+function readBodies(service: standins.LogStandin): unknown[] {
+  return service.read('jobs').map((record) => record.body);
+}
+
+vitest.test(
+  'a lost reply neither loses nor doubles a record as read',
+  async () => {
+    const { service, address } = await startLog();
+    const { streams } = createStreams(address);
+    const reader = streams.open<number>('jobs');
+    const read = collect(reader);
+    service.set({ loseReplies: 2 });
+    const outcomes = await Promise.all(
+      [1, 2, 3].map((body) =>
+        streams.append('jobs', body, { flush: 'grouped' }),
+      ),
+    );
+    await reader.waitForHead();
+    vitest.expect(read).toEqual([1, 2, 3]);
+    // The offsets are those under which readers see the records.
+    vitest
+      .expect(outcomes)
+      .toEqual([0, 1, 2].map((offset) => ({ outcome: 'appended', offset })));
+  },
+);
+
+vitest.test(
+  'without a reader, a retry after a lost reply repeats the same id',
+  async () => {
+    const { service, address } = await startLog();
+    const { streams } = createStreams(address);
+    service.set({ loseReplies: 1 });
+    await streams.append('jobs', 1, { flush: 'now' });
+    vitest.expect(readBodies(service)).toEqual([1, 1]);
+    const ids = service.read('jobs').map((record) => record.id);
+    vitest.expect(new Set(ids).size).toBe(1);
+  },
+);
+
+vitest.test(
+  'an outage fills a bounded buffer; what is refused is never appended, what is kept is appended',
+  async () => {
+    const { service, address } = await startLog();
+    const { streams } = createStreams(address, { bufferRecords: 10 });
+    service.set({ outage: true });
+    const kept = Array.from({ length: 10 }, (_, body) =>
+      streams.append('jobs', body, { flush: 'grouped' }),
+    );
+    vitest
+      .expect(await streams.append('jobs', 99, { flush: 'now' }))
+      .toEqual({ outcome: 'not-appended', reason: 'buffer-full' });
+    const other = await streams.append('claims', 1, {
+      flush: 'now',
+      giveUpMs: 300,
+    });
+    vitest
+      .expect(other)
+      .toEqual({ outcome: 'not-appended', reason: 'log-away' });
+    vitest.expect(streams.readAwaySince()).toBeDefined();
+    service.set({});
+    await Promise.all(kept);
+    vitest.expect(readBodies(service)).toEqual([0, 1, 2, 3, 4, 5, 6, 7, 8, 9]);
+    vitest.expect(service.read('claims')).toEqual([]);
+    vitest.expect(streams.readAwaySince()).toBeUndefined();
+  },
+);
+
+vitest.test(
+  'giving up after a lost reply is unknown, not a false refusal',
+  async () => {
+    const { service, address } = await startLog();
+    const { streams } = createStreams(address);
+    service.set({ silentRequests: 1 });
+    vitest
+      .expect(await streams.append('jobs', 1, { flush: 'now', giveUpMs: 100 }))
+      .toEqual({ outcome: 'unknown' });
+    // The record that was given up is not sent again with the next one.
+    await streams.append('jobs', 2, { flush: 'now' });
+    vitest.expect(readBodies(service)).toEqual([2]);
+  },
+);
+
+vitest.test('a reader below the oldest record restarts there', async () => {
+  const { service, address } = await startLog(3);
+  const { streams } = createStreams(address);
+  for (const body of [1, 2, 3, 4, 5])
+    await streams.append('jobs', body, { flush: 'now' });
+  const reader = streams.open<number>('jobs');
+  const read = collect(reader);
+  await reader.waitForHead();
+  vitest.expect(service.read('jobs')).toHaveLength(3);
+  vitest.expect(read).toEqual([3, 4, 5]);
+});
+
+vitest.test.each(['refuses', 'is silent', 'is stuck'] as const)(
+  'a relay that %s is replaced by the log',
+  async (fault) => {
+    const { address } = await startLog();
+    const relay: platform.RecordSource = {
+      readPage: async () => {
+        if (fault === 'refuses') throw new Error('refused');
+        if (fault === 'is silent') await new Promise(() => undefined);
+        return { oldest: 0, next: 0, records: [] };
+      },
+    };
+    const { streams } = createStreams(address, { chooseSource: () => relay });
+    const reader = streams.open<number>('jobs');
+    const read = collect(reader);
+    const outcome = await streams.append('jobs', 7, { flush: 'now' });
+    vitest.expect(outcome).toEqual({ outcome: 'appended', offset: 0 });
+    await reader.waitFor(1);
+    vitest.expect(read).toEqual([7]);
+  },
+);
+
+vitest.test(
+  'a silent connection is replaced and the append succeeds on a fresh one',
+  async () => {
+    const { service, address } = await startLog();
+    const { streams } = createStreams(address);
+    await streams.append('jobs', 1, { flush: 'now' });
+    service.set({ silentRequests: 1 });
+    vitest
+      .expect(await streams.append('jobs', 2, { flush: 'now' }))
+      .toEqual({ outcome: 'appended', offset: 1 });
+    vitest.expect(readBodies(service)).toEqual([1, 2]);
+  },
+);
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,2 +1,3 @@
 /** Stand-ins for the platform, and the replay of recorded traces. */
-export {};
+export { LogStandin } from './log.js';
+export type { LogAudit, LogControl } from './log.js';
