Add the settings file of a process

A process starts only with settings that were checked as a whole. The ini library merges repeated sections and keys silently, so the lines are split here and every repetition is a fault; the library decodes the values. A value that a comment sign would cut, a reserved name such as __proto__, a wrong unit, missing peers and two roles with one address are faults that name file, section, key and what is expected.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -22,3 +22,6 @@
 export { createSystemTimers } from './time/system.js';
 export { createVirtualTimers } from './time/virtual.js';
 export type { VirtualTimers } from './time/virtual.js';
+export { parseSettings, printSettings } from './settings/settings.js';
+export type { SettingsResult } from './settings/settings.js';
+export type * as settings from './settings/types.js';
--- /dev/null
+++ b/packages/core/src/settings/schema.ts
@@ -0,0 +1,109 @@
+/** What each key of a settings file may hold. */
+import * as net from 'node:net';
+import * as zod from 'zod';
+
+/** Shortest key that processes and operators present, in characters. */
+export const MIN_KEY_CHARACTERS = 16;
+
+/** True for names that stay one word in a log line and one part of a shard name. */
+export function isPlainName(text: string): boolean {
+  return /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/.test(text);
+}
+
+/** What `isPlainName` expects, for messages. */
+export const plainNameText =
+  'a name of at most 63 letters, digits, "-", "_" and "."';
+
+/** Splits `ip:port`; undefined when the text isn't one. */
+export function decodeAddress(
+  text: string,
+): { readonly host: string; readonly port: number } | undefined {
+  const match = /^(?:\[([0-9A-Fa-f:.]+)\]|([0-9.]+)):([1-9][0-9]{0,4})$/.exec(
+    text,
+  );
+  if (match === null) return undefined;
+  const host = match[1] ?? match[2] ?? '';
+  const port = Number(match[3]);
+  const family = match[1] === undefined ? 4 : 6;
+  return net.isIP(host) === family && port <= 65_535
+    ? { host, port }
+    : undefined;
+}
+
+const addressText = 'expected an ip:port such as 10.0.0.1:7001';
+
+const name = zod
+  .string(`the key is missing; expected ${plainNameText}`)
+  .refine(isPlainName, `expected ${plainNameText}`);
+
+const address = zod
+  .string(`the key is missing; ${addressText}`)
+  .refine((text) => decodeAddress(text) !== undefined, addressText);
+
+const keyText = `expected ${MIN_KEY_CHARACTERS} to 256 visible ASCII characters without spaces`;
+const key = zod
+  .string(`the key is missing; ${keyText}`)
+  .regex(new RegExp(`^[\\x21-\\x7e]{${MIN_KEY_CHARACTERS},256}$`), keyText);
+
+const urlText = 'expected a URL such as http://10.0.0.5:7300';
+const url = zod
+  .string(`the key is missing; ${urlText}`)
+  .refine(isBaseUrl, urlText)
+  .transform((text) => text.replace(/\/+$/, ''));
+
+function isBaseUrl(text: string): boolean {
+  if (!URL.canParse(text)) return false;
+  const parsed = new URL(text);
+  return (
+    /^https?:$/.test(parsed.protocol) &&
+    parsed.username === '' &&
+    parsed.search === '' &&
+    parsed.hash === ''
+  );
+}
+
+function readWhole(unit: string, least: number, most: number, preset: number) {
+  const text = `expected a whole number of ${unit} from ${least} to ${most}, without a unit`;
+  return zod
+    .string()
+    .refine(
+      (value) =>
+        /^[0-9]{1,15}$/.test(value) &&
+        Number(value) >= least &&
+        Number(value) <= most,
+      text,
+    )
+    .default(String(preset))
+    .transform(Number);
+}
+
+const levels = ['error', 'warn', 'info', 'debug'] as const;
+
+/** Sections and keys of a settings file, with defaults of the optional ones. */
+export const settingsSchema = zod.strictObject({
+  process: zod.strictObject({
+    name,
+    availability_zone: name,
+    region: name,
+    max_processes: readWhole('processes', 1, 64, 9),
+    stop_ms: readWhole('ms', 1_000, 600_000, 25_000),
+  }),
+  callers: zod.strictObject({ listen: address }),
+  operators: zod.strictObject({ listen: address, key }),
+  links: zod.strictObject({ listen: address, key }),
+  peers: zod.record(name, address),
+  platform: zod.strictObject({ log: url, vm_list: url }),
+  limits: zod.strictObject({
+    max_body_bytes: readWhole('bytes', 1_024, 67_108_864, 1_048_576),
+    max_frame_bytes: readWhole('bytes', 65_536, 16_777_216, 1_048_576),
+    append_buffer_records: readWhole('records', 10, 100_000, 1_000),
+  }),
+  log: zod.strictObject({
+    level: zod
+      .enum(levels, `expected one of ${levels.join(', ')}`)
+      .default('info'),
+  }),
+});
+
+/** A settings file whose keys are all of the right form. */
+export type CheckedFile = zod.infer<typeof settingsSchema>;
