--- a/packages/core/src/types/records.ts
+++ b/packages/core/src/types/records.ts
@@ -4,6 +4,7 @@
  */
 import type * as ids from './ids.js';
 import type * as job from './job.js';
+import type * as release from './release.js';
 
 /** A record as the log service returns it. */
 export interface LogRecord<Body> {
@@ -22,6 +23,9 @@
 }
 
 /** Stream `releases`. */
+export type ReleaseStreamRecord = ReleaseRecord | ReleaseSnapshotRecord;
+
+/** A published release note. */
 export interface ReleaseRecord {
   readonly type: 'release';
   /** The note as INI text; every process parses it itself. */
@@ -30,6 +34,32 @@
   readonly publishedMs: number;
 }
 
+/**
+ * The state after all records of stream `releases` below `upTo`. Any process writes
+ * it again from time to time, so that the state outlives the retention of the log.
+ * Readers that have read everything below `upTo` ignore it.
+ */
+export interface ReleaseSnapshotRecord {
+  readonly type: 'snapshot';
+  readonly upTo: ids.Offset;
+  readonly current: string;
+  /** Offset of the release in force, -1 before the first. */
+  readonly offset: ids.Offset;
+  readonly entries: readonly release.Entry[];
+  /** The last adopted releases, oldest first; each is the base of the next. */
+  readonly known: readonly release.KnownRelease[];
+  /** Texts of the last adopted releases, for the history only. */
+  readonly notes: readonly KeptNote[];
+}
+
+/** The text of an adopted release inside a snapshot. */
+export interface KeptNote {
+  readonly offset: ids.Offset;
+  readonly text: string;
+  readonly publisher: string;
+  readonly publishedMs: number;
+}
+
 /** Stream `claims`. */
 export type ClaimRecord =
   | {
--- a/packages/core/src/types/release.ts
+++ b/packages/core/src/types/release.ts
@@ -109,9 +109,19 @@
   readonly offset: ids.Offset;
   readonly note: ReleaseNote;
   readonly publisher: string;
+  /** Time of day at the publisher, in ms since 1970; for display only. */
+  readonly publishedMs?: number;
   readonly verdict: Verdict;
 }
 
+/** An adopted release, as far as later verdicts need it. */
+export interface KnownRelease {
+  readonly id: string;
+  readonly offset: ids.Offset;
+  /** Digest of the note's text; tells a repeat from another note with the same id. */
+  readonly digest: string;
+}
+
 /** The configuration in force, folded from the `releases` stream. */
 export interface ReleaseState {
   /** Id of the release in force, `none` before the first. */
