--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -37,3 +37,6 @@
   OwnershipView,
   WantedShard,
 } from './ownership/decide.js';
+export { parseSettings, printSettings } from './settings/settings.js';
+export type { SettingsResult } from './settings/settings.js';
+export type * as settings from './settings/types.js';
