Name asks by number and say which held tickets were sent

ticket.cancel names an ask by number, but ticket.ask carried none, so a holder could not cancel a waiting ask. ticket.ask now carries the number. A new owner bounds the slots that nobody reported by the busy slots of the backend server; for that it must know which reported tickets were sent, so tickets.held answers carry a flag. ticket.return tells a server that could not be reached (slot free at once) from an error after sending (slot counted until the term ends).

--- a/packages/core/src/types/messages.ts
+++ b/packages/core/src/types/messages.ts
@@ -55,7 +55,8 @@
       readonly kind: 'ticket.return';
       readonly ticket: string;
       readonly shard: ids.ShardName;
-      readonly result: 'ok' | 'error' | 'unused';
+      /** `error`: something may have been sent; `unreachable`: no connection, nothing sent. */
+      readonly result: 'ok' | 'error' | 'unreachable' | 'unused';
       readonly tookMs: number;
     }
   | {
@@ -68,10 +69,13 @@
 export type Question =
   | {
       readonly kind: 'ticket.ask';
+      /** Number that the asking process chose; `ticket.cancel` names it. */
+      readonly ask: number;
       readonly shard: ids.ShardName;
       readonly service: ids.ServiceName;
       readonly urgency: ids.Urgency;
       readonly team: ids.TeamName;
+      /** Longest time to wait for a ticket, in ms from the arrival of the question. */
       readonly deadlineMs: number;
       readonly avoid: readonly ids.VmId[];
     }
@@ -96,7 +100,7 @@
   | { readonly kind: 'ticket.answer'; readonly answer: request.TicketAnswer }
   | {
       readonly kind: 'tickets.held.answer';
-      readonly tickets: readonly request.Ticket[];
+      readonly tickets: readonly request.HeldTicket[];
     }
   | {
       readonly kind: 'job.detail.answer';
--- a/packages/core/src/types/request.ts
+++ b/packages/core/src/types/request.ts
@@ -31,6 +31,12 @@
   readonly termMs: number;
 }
 
+/** A ticket as its holder reports it to a new owner. */
+export interface HeldTicket extends Ticket {
+  /** True once the holder began to write the request to the backend server. */
+  readonly sent: boolean;
+}
+
 /** Answer to a ticket request. */
 export type TicketAnswer =
   | { readonly granted: true; readonly ticket: Ticket }
