Add the slot scheduler of a service shard and the fold of the keys stream

Requests need one queue per service and region that never uses more than the slots of a backend server, and a fold that names one winner per idempotency key.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -22,3 +22,9 @@
 export { createSystemTimers } from './time/system.js';
 export { createVirtualTimers } from './time/virtual.js';
 export type { VirtualTimers } from './time/virtual.js';
+export { createSlotScheduler } from './slots/scheduler.js';
+export { describeRequestReason } from './slots/reasons.js';
+export { defaultFloors } from './slots/types.js';
+export type * as slots from './slots/types.js';
+export { createKeyTable } from './keys/table.js';
+export type { KeyState, KeyTable, KeyTableOptions } from './keys/table.js';
--- /dev/null
+++ b/packages/core/src/slots/reasons.ts
@@ -0,0 +1,51 @@
+/** Sentences that say why a request waits or was refused. */
+import type * as reasons from '../types/reasons.js';
+
+/** Describes the reason of a waiting or refused request in one sentence. */
+export function describeRequestReason(reason: reasons.Reason): string {
+  switch (reason.reason) {
+    case 'no-candidate':
+    case 'never-fits':
+      return describeObstacles(reason.total, reason.counts);
+    case 'quota':
+      return `team ${reason.team} uses ${reason.used} of its ${reason.quota} ${reason.resource}`;
+    case 'fair-share':
+      return `${reason.ahead} teams with less use for their weight go first`;
+    case 'expected-wait':
+      return `the expected wait is ${Math.round(reason.expectedMs)} ms and the service allows ${Math.round(reason.limitMs)} ms`;
+    case 'queue-full':
+      return `${reason.length} requests wait already and the limit is ${reason.limit}`;
+    case 'no-owner':
+      return `no process decides for ${reason.shard} at the moment`;
+    case 'log-away':
+      return `the log service has not answered for ${Math.round(reason.sinceMs)} ms`;
+    case 'preempted':
+      return `job ${reason.by} is more urgent and took the place`;
+    case 'worker-lost':
+      return `worker ${reason.worker} was lost`;
+    case 'waiting-for-lease':
+      return `the lease on worker ${reason.worker} has to end first`;
+    case 'reserved-for-gang':
+      return `the capacity is reserved for gang job ${reason.job}`;
+    case 'unknown-service':
+      return `the release in force has no service ${reason.service}`;
+    case 'deadline':
+      return `no slot became free within ${Math.round(reason.waitedMs)} ms`;
+    case 'draining':
+      return 'this process is stopping and takes no new requests';
+    case 'cancelled':
+      return `cancelled by ${reason.by}`;
+  }
+}
+
+function describeObstacles(
+  total: number,
+  counts: readonly reasons.FilterCount[],
+): string {
+  if (total === 0) return 'the service has no backend server in this region';
+  const removed = counts
+    .filter((count) => count.removed > 0)
+    .map((count) => `${count.removed} ${count.filter}`)
+    .join(', ');
+  return `none of ${total} backend servers can be used (${removed === '' ? 'all busy' : removed})`;
+}
