--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -40,3 +40,9 @@
 export { parseSettings, printSettings } from './settings/settings.js';
 export type { SettingsResult } from './settings/settings.js';
 export type * as settings from './settings/types.js';
+export { createSlotScheduler } from './slots/scheduler.js';
+export { describeRequestReason } from './slots/reasons.js';
+export { defaultFloors } from './slots/types.js';
+export type * as slots from './slots/types.js';
+export { createKeyTable } from './keys/table.js';
+export type { KeyState, KeyTable, KeyTableOptions } from './keys/table.js';
