Add the authority over workers and the folds of jobs and tasks

The owner of a workers shard needs to know whether it may start tasks on a worker, and which jobs and task ends are durable. Both are pure folds: of the answers to sync calls, and of the streams jobs and tasks.<region>.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -22,3 +22,40 @@
 export { createSystemTimers } from './time/system.js';
 export { createVirtualTimers } from './time/virtual.js';
 export type { VirtualTimers } from './time/virtual.js';
+export {
+  AUTHORITY_TERM_MS,
+  LEASE_MARGIN_MS,
+  LEASE_TERM_MS,
+  applySessionReport,
+  compareEpochs,
+  compareSessions,
+  createAuthority,
+  isInventoryComplete,
+  readAuthority,
+  readLeaseEnd,
+} from './authority/authority.js';
+export type {
+  Authority,
+  AuthorityState,
+  SessionReport,
+  SessionReportResult,
+  WorkerKind,
+} from './authority/authority.js';
+export { decideJobEnd } from './jobs/end.js';
+export type { JobEnd } from './jobs/end.js';
+export { computeJobId, generateJobId } from './jobs/id.js';
+export {
+  applyJobRecord,
+  createJobTable,
+  dropEndedJobs,
+} from './jobs/jobTable.js';
+export type { JobChange, JobTable } from './jobs/jobTable.js';
+export {
+  applyTaskRecord,
+  createTaskTable,
+  dropTasks,
+  listTaskEnds,
+  readIntent,
+  readTaskEnd,
+} from './jobs/taskTable.js';
+export type { Intent, TaskTable } from './jobs/taskTable.js';
--- /dev/null
+++ b/packages/core/src/jobs/id.ts
@@ -0,0 +1,22 @@
+/** Identifiers of jobs. */
+import * as crypto from 'node:crypto';
+import type * as ids from '../types/ids.js';
+
+/** Characters of a job id after its prefix; 96 bits, so that ids don't collide. */
+const ID_CHARACTERS = 24;
+
+/**
+ * Computes the id of a job from its team and idempotency key, so that a repeated
+ * submission is the same job at every process.
+ */
+export function computeJobId(team: ids.TeamName, key: string): ids.JobId {
+  // The length separates team and key unambiguously.
+  const text = `${team.length}:${team}${key}`;
+  const hash = crypto.createHash('sha256').update(text).digest('hex');
+  return `j-${hash.slice(0, ID_CHARACTERS)}`;
+}
+
+/** Generates the id of a job without a key. */
+export function generateJobId(): ids.JobId {
+  return `j-${crypto.randomBytes(ID_CHARACTERS / 2).toString('hex')}`;
+}
--- /dev/null
+++ b/packages/core/src/jobs/taskTable.ts
@@ -0,0 +1,128 @@
+/**
+ * The stream `tasks.<region>` folded into a table: the durable ends of tasks and
+ * the intents of at-most-once tasks. One byte per task keeps large jobs small.
+ */
+import * as authority from '../authority/authority.js';
+import type * as ids from '../types/ids.js';
+import type * as job from '../types/job.js';
+import type * as records from '../types/records.js';
+import type * as scheduling from '../types/scheduler.js';
+
+/** Results in the order of their codes; code 0 means no end. */
+const results: readonly job.TaskResult[] = [
+  'done',
+  'failed',
+  'stopped',
+  'lost',
+  'unknown',
+];
+
+/** Index above which a record is taken for damaged. */
+const MAX_INDEX = 1_000_000;
+
+/** An attempt at an at-most-once task that may have been made. */
+export interface Intent {
+  readonly attempt: ids.AttemptId;
+  readonly epoch: ids.Epoch;
+}
+
+/** Durable progress of the tasks of one region. */
+export interface TaskTable {
+  readonly ends: Map<ids.JobId, Uint8Array>;
+  readonly intents: Map<ids.JobId, Map<number, Intent>>;
+}
+
+/** Creates an empty table. */
+export function createTaskTable(): TaskTable {
+  return { ends: new Map(), intents: new Map() };
+}
+
+/** Applies one record and returns the ends that are new. */
+export function applyTaskRecord(
+  table: TaskTable,
+  record: records.LogRecord<records.TaskRecord>,
+): readonly records.TaskEnd[] {
+  const body = record.body;
+  switch (body.type) {
+    case 'ends':
+      return body.ends.filter((end) => applyEnd(table, end));
+    case 'intent':
+      applyIntent(table, body);
+      return [];
+  }
+}
+
+/**
+ * The first end counts. An exception is `unknown`, which a later report of the
+ * attempt replaces; an at-most-once task isn't started again in either case.
+ */
+function applyEnd(table: TaskTable, end: records.TaskEnd): boolean {
+  if (end.index < 0 || end.index >= MAX_INDEX) return false;
+  const known = readTaskEnd(table, end.job, end.index);
+  if (known !== undefined && known !== 'unknown') return false;
+  const codes = ensureCodes(table, end.job, end.index);
+  codes[end.index] = results.indexOf(end.result) + 1;
+  return known === undefined;
+}
+
+function ensureCodes(table: TaskTable, id: ids.JobId, index: number): Uint8Array {
+  const codes = table.ends.get(id) ?? new Uint8Array(0);
+  if (index < codes.length) return codes;
+  const grown = new Uint8Array(Math.max(index + 1, codes.length * 2));
+  grown.set(codes);
+  table.ends.set(id, grown);
+  return grown;
+}
+
+function applyIntent(
+  table: TaskTable,
+  body: Extract<records.TaskRecord, { type: 'intent' }>,
+): void {
+  const intents = table.intents.get(body.job) ?? new Map<number, Intent>();
+  table.intents.set(body.job, intents);
+  const known = intents.get(body.index);
+  if (
+    known !== undefined &&
+    authority.compareEpochs(known.epoch, body.epoch) > 0
+  )
+    return;
+  intents.set(body.index, { attempt: body.attempt, epoch: body.epoch });
+}
+
+/** Reads the durable end of a task. */
+export function readTaskEnd(
+  table: TaskTable,
+  id: ids.JobId,
+  index: number,
+): job.TaskResult | undefined {
+  const code = table.ends.get(id)?.[index] ?? 0;
+  return code === 0 ? undefined : results[code - 1];
+}
+
+/** Lists the durable ends of a job. */
+export function listTaskEnds(
+  table: TaskTable,
+  id: ids.JobId,
+): readonly scheduling.EndedTask[] {
+  const ended: scheduling.EndedTask[] = [];
+  table.ends.get(id)?.forEach((code, index) => {
+    const result = results[code - 1];
+    if (result !== undefined) ended.push({ index, result });
+  });
+  return ended;
+}
+
+/** Reads the last intent of an at-most-once task. */
+export function readIntent(
+  table: TaskTable,
+  id: ids.JobId,
+  index: number,
+): Intent | undefined {
+  return table.intents.get(id)?.get(index);
+}
+
+/** Drops what is known about the tasks of a job. */
+export function dropTasks(table: TaskTable, id: ids.JobId): void {
+  table.ends.delete(id);
+  table.intents.delete(id);
+}
