--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -46,3 +46,40 @@
 export type * as slots from './slots/types.js';
 export { createKeyTable } from './keys/table.js';
 export type { KeyState, KeyTable, KeyTableOptions } from './keys/table.js';
+export {
+  AUTHORITY_TERM_MS,
+  LEASE_MARGIN_MS,
+  LEASE_TERM_MS,
+  applySessionReport,
+  compareEpochs,
+  compareSessions,
+  createAuthority,
+  isInventoryComplete,
+  readAuthority,
+  readLeaseEnd,
+} from './authority/authority.js';
+export type {
+  Authority,
+  AuthorityState,
+  SessionReport,
+  SessionReportResult,
+  WorkerKind,
+} from './authority/authority.js';
+export { decideJobEnd } from './jobs/end.js';
+export type { JobEnd } from './jobs/end.js';
+export { computeJobId, generateJobId } from './jobs/id.js';
+export {
+  applyJobRecord,
+  createJobTable,
+  dropEndedJobs,
+} from './jobs/jobTable.js';
+export type { JobChange, JobTable } from './jobs/jobTable.js';
+export {
+  applyTaskRecord,
+  createTaskTable,
+  dropTasks,
+  listTaskEnds,
+  readIntent,
+  readTaskEnd,
+} from './jobs/taskTable.js';
+export type { Intent, TaskTable } from './jobs/taskTable.js';
