Use one order of epochs and wait a second before provisional claims

Cause: the merge brought a second compareEpochs; and one failed call of the log marked it as away, after which an orphaned workers shard was claimed provisionally. Change: authority and job tables use ownership/epochs; provisional claims need 1 s without an answer.

--- a/packages/core/src/authority/authority.ts
+++ b/packages/core/src/authority/authority.ts
@@ -13,7 +13,7 @@
  * Neither kind can promise anything about a worker that doesn't answer: its leases
  * may still run, and only their end on the worker's clock frees the tasks.
  */
-import type * as ids from '../types/ids.js';
+import * as epochs from '../ownership/epochs.js';
 import type * as worker from '../types/worker.js';
 
 /** How long a start may be delayed after the answer that it is based on. */
@@ -87,17 +87,12 @@
     }
   | { readonly state: 'replaced'; readonly by: worker.SeenSession };
 
-/** Compares two epochs: by offset, then provisional. */
-export function compareEpochs(a: ids.Epoch, b: ids.Epoch): number {
-  return a.offset - b.offset || a.provisional - b.provisional;
-}
-
 /** Compares two sessions: by epoch, then instance. */
 export function compareSessions(
   a: worker.WorkerSession,
   b: worker.WorkerSession,
 ): number {
-  const order = compareEpochs(a.epoch, b.epoch);
+  const order = epochs.compareEpochs(a.epoch, b.epoch);
   if (order !== 0 || a.instance === b.instance) return order;
   return a.instance < b.instance ? -1 : 1;
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -51,7 +51,6 @@
   LEASE_MARGIN_MS,
   LEASE_TERM_MS,
   applySessionReport,
-  compareEpochs,
   compareSessions,
   createAuthority,
   isInventoryComplete,
--- a/packages/core/src/jobs/jobTable.ts
+++ b/packages/core/src/jobs/jobTable.ts
@@ -4,7 +4,7 @@
  * The table is changed in place, because a copy per record would cost a copy of
  * all jobs.
  */
-import * as authority from '../authority/authority.js';
+import * as epochs from '../ownership/epochs.js';
 import type * as ids from '../types/ids.js';
 import type * as job from '../types/job.js';
 import type * as records from '../types/records.js';
@@ -140,7 +140,7 @@
   const carried = body.job;
   const highest = table.epochs.get(carried.shard);
   // A replaced owner could bring back a job that the new owner ended.
-  if (highest !== undefined && authority.compareEpochs(body.epoch, highest) < 0)
+  if (highest !== undefined && epochs.compareEpochs(body.epoch, highest) < 0)
     return unchanged;
   noteEpoch(table, carried.shard, body.epoch);
   if (table.ended.has(carried.id)) return unchanged;
@@ -158,7 +158,7 @@
   epoch: ids.Epoch,
 ): void {
   const highest = table.epochs.get(shard);
-  if (highest === undefined || authority.compareEpochs(epoch, highest) > 0)
+  if (highest === undefined || epochs.compareEpochs(epoch, highest) > 0)
     table.epochs.set(shard, epoch);
 }
 
--- a/packages/core/src/jobs/taskTable.ts
+++ b/packages/core/src/jobs/taskTable.ts
@@ -2,7 +2,7 @@
  * The stream `tasks.<region>` folded into a table: the durable ends of tasks and
  * the intents of at-most-once tasks. One byte per task keeps large jobs small.
  */
-import * as authority from '../authority/authority.js';
+import * as epochs from '../ownership/epochs.js';
 import type * as ids from '../types/ids.js';
 import type * as job from '../types/job.js';
 import type * as records from '../types/records.js';
@@ -65,7 +65,11 @@
   return known === undefined;
 }
 
-function ensureCodes(table: TaskTable, id: ids.JobId, index: number): Uint8Array {
+function ensureCodes(
+  table: TaskTable,
+  id: ids.JobId,
+  index: number,
+): Uint8Array {
   const codes = table.ends.get(id) ?? new Uint8Array(0);
   if (index < codes.length) return codes;
   const grown = new Uint8Array(Math.max(index + 1, codes.length * 2));
@@ -81,10 +85,7 @@
   const intents = table.intents.get(body.job) ?? new Map<number, Intent>();
   table.intents.set(body.job, intents);
   const known = intents.get(body.index);
-  if (
-    known !== undefined &&
-    authority.compareEpochs(known.epoch, body.epoch) > 0
-  )
+  if (known !== undefined && epochs.compareEpochs(known.epoch, body.epoch) > 0)
     return;
   intents.set(body.index, { attempt: body.attempt, epoch: body.epoch });
 }
--- a/packages/daemon/src/ownership/ownership.ts
+++ b/packages/daemon/src/ownership/ownership.ts
@@ -25,6 +25,9 @@
 
 const CLAIM_GIVE_UP_MS = 3_000;
 
+/** Silence of the log from which on claims are provisional, in ms; one failed call isn't an outage. */
+const LOG_AWAY_MS = 1_000;
+
 /** A shard that should have an owner, and the region whose processes may own it. */
 export interface ShardPlan {
   readonly shard: core.ids.ShardName;
@@ -232,8 +235,9 @@
   }
 
   function claim(shard: core.ids.ShardName): void {
-    if (streams.readAwaySince() !== undefined) {
-      claimWithoutLog(shard);
+    const awaySince = streams.readAwaySince();
+    if (awaySince !== undefined) {
+      if (timers.readNow() - awaySince >= LOG_AWAY_MS) claimWithoutLog(shard);
       return;
     }
     pending.add(shard);
