--- a/packages/core/src/types/messages.ts
+++ b/packages/core/src/types/messages.ts
@@ -119,7 +119,10 @@
       readonly tasks: readonly job.TaskState[];
     }
   | { readonly kind: 'job.explain.answer'; readonly lines: readonly string[] }
-  | { readonly kind: 'stream.subscribe.answer'; readonly accepted: boolean }
+  | {
+      readonly kind: 'stream.page';
+      readonly page: records.RecordPage<unknown>;
+    }
   | {
       readonly kind: 'release.state.answer';
       readonly ready: boolean;
