--- a/packages/platform/src/line.ts
+++ b/packages/platform/src/line.ts
@@ -45,10 +45,6 @@
     return earlierBytes + (socket?.bytesWritten ?? 0);
   }
 
-  function isSocketEnded(): boolean {
-    return socket === undefined || socket.readableEnded || socket.destroyed;
-  }
-
   function run(
     request: types.HttpRequest,
     limits: Pick<types.HttpOptions, 'maxResponseBytes' | 'canSend'>,
@@ -87,7 +83,7 @@
         controller.abort(fault);
       },
       onResponseEnd() {
-        const fault = answer.check(isSocketEnded());
+        const fault = answer.check();
         if (fault === undefined) finish(answer.build());
         else fail(fault);
       },
@@ -124,7 +120,7 @@
 interface AnswerBuilder {
   begin(status: number, headers: types.HeaderFields): void;
   add(chunk: Buffer): Error | undefined;
-  check(socketEnded: boolean): Error | undefined;
+  check(): Error | undefined;
   build(): types.HttpResult;
 }
 
@@ -134,17 +130,15 @@
   let length = 0;
   const chunks: Buffer[] = [];
 
-  function checkFraming(socketEnded: boolean): Error | undefined {
+  function checkFraming(): Error | undefined {
     const declared = headers['content-length'];
     if (declared !== undefined) {
       if (Number(declared) === length) return undefined;
       return new Error(`the answer has ${length} of ${String(declared)} bytes`);
     }
-    // The parser reports a chunked answer as complete when the server closes the
-    // connection after `connection: close`, with or without the last chunk. With
-    // the last chunk, the end comes while the socket is still readable.
-    if (headers['transfer-encoding'] !== undefined && !socketEnded)
-      return undefined;
+    // The parser reports a missing last chunk itself.
+    if (headers['transfer-encoding'] !== undefined) return undefined;
+    // Nothing tells the end of this answer from a lost connection.
     return new Error('the answer ended with the connection');
   }
 
@@ -160,10 +154,10 @@
       chunks.push(chunk);
       return undefined;
     },
-    check(socketEnded) {
+    check() {
       if (status < 200) return new Error('the answer has no status');
       const bodiless = method === 'HEAD' || status === 204 || status === 304;
-      return bodiless ? undefined : checkFraming(socketEnded);
+      return bodiless ? undefined : checkFraming();
     },
     build: () => ({
       result: 'answered',
--- a/packages/platform/src/pool.ts
+++ b/packages/platform/src/pool.ts
@@ -24,6 +24,11 @@
     options: types.HttpOptions,
     step: string,
   ): Promise<types.HttpResult>;
+  /**
+   * Closes idle connections, and the others when their requests end; returns how
+   * many are in use. A later request opens connections again.
+   */
+  drain(): number;
   /** Destroys all connections; requests under way end as `uncertain` or `not-sent`. */
   close(): void;
 }
@@ -43,6 +48,7 @@
   const waiting: Call[] = [];
   const active = new Set<Call>();
   let opened = 0;
+  let draining = false;
   let closed = false;
 
   function takeLine(): lines.Line | undefined {
@@ -54,7 +60,7 @@
   }
 
   function returnLine(line: lines.Line, reusable: boolean): void {
-    if (reusable && !closed) idle.push(line);
+    if (reusable && !closed && !draining) idle.push(line);
     else {
       line.destroy();
       opened -= 1;
@@ -126,12 +132,22 @@
         },
       );
       limits.signal?.addEventListener('abort', cancel);
+      draining = false;
       waiting.push(call);
       if (closed || limits.signal?.aborted === true) cancel();
       else dispatchNext();
     });
   }
 
+  function drain(): number {
+    draining = true;
+    for (const line of idle.splice(0)) {
+      line.destroy();
+      opened -= 1;
+    }
+    return opened;
+  }
+
   function close(): void {
     closed = true;
     const cause = core.createFault('link-closed', {
@@ -139,11 +155,10 @@
       peer: options.address,
     });
     for (const call of [...waiting, ...active]) endCall(call, cause);
-    for (const line of idle.splice(0)) line.destroy();
-    opened = 0;
+    drain();
   }
 
-  return { send, close };
+  return { send, drain, close };
 }
 
 /**
@@ -156,7 +171,7 @@
   step: string,
   request: Omit<types.HttpRequest, 'headers' | 'body'> & {
     readonly body?: unknown;
-    readonly expect: number;
+    readonly expect: readonly number[];
   },
   timeoutMs: number,
 ): Promise<unknown> {
@@ -172,7 +187,7 @@
       { ...origin, cause: result.cause },
       result.result,
     );
-  if (result.status !== request.expect)
+  if (!request.expect.includes(result.status))
     throw core.createFault('peer-away', origin, `status ${result.status}`);
   return parseJson(result.body, origin);
 }
