Add the scheduler of a workers shard

The daemon needs a pure scheduler that queues, places and ends jobs. This first version places batch tasks, replicas of services and gangs through an index by free capacity, serves teams by weight inside each urgency, keeps floors and quotas, restarts lost tasks, quarantines failing workers and explains what waits. Preemption and reservations for gangs are not in it yet.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -22,3 +22,5 @@
 export { createSystemTimers } from './time/system.js';
 export { createVirtualTimers } from './time/virtual.js';
 export type { VirtualTimers } from './time/virtual.js';
+export { createScheduler } from './scheduler/scheduler.js';
+export { describeReason } from './explain/explain.js';
--- /dev/null
+++ b/packages/core/src/placement/filter.ts
@@ -0,0 +1,113 @@
+/**
+ * The filters in sequence, with a count of the workers that each removed. The hot
+ * path uses the index; this scan is for refusals and explanations.
+ */
+import type * as ids from '../types/ids.js';
+import type * as reasons from '../types/reasons.js';
+import type * as fleet from './fleet.js';
+import type * as rows from './rows.js';
+import * as vector from './vector.js';
+
+/** All filters in the order in which they run. */
+export const filterNames: readonly reasons.FilterName[] = [
+  'size',
+  'location',
+  'quarantine',
+  'leaving',
+  'authority',
+  'cores',
+  'memory',
+  'gpus',
+  'racks',
+];
+
+/** What the filters found. */
+export interface FilterResult {
+  readonly total: number;
+  readonly counts: readonly reasons.FilterCount[];
+  readonly left: number;
+}
+
+function findFilter(
+  worker: rows.WorkerRow,
+  shape: rows.Shape,
+  avoid: ReadonlySet<ids.VmId>,
+): reasons.FilterName | undefined {
+  const { size, availabilityZone } = shape;
+  if (!vector.isWithin(size, worker.size)) return 'size';
+  if (
+    availabilityZone !== undefined &&
+    availabilityZone !== worker.record.availabilityZone
+  )
+    return 'location';
+  if (worker.quarantined || avoid.has(worker.id)) return 'quarantine';
+  if (worker.record.state === 'leaving') return 'leaving';
+  if (!worker.usable) return 'authority';
+  if (size.cores > worker.open.cores) return 'cores';
+  if (size.memoryMb > worker.open.memoryMb) return 'memory';
+  if (size.gpus > worker.open.gpus) return 'gpus';
+  return undefined;
+}
+
+/** Runs the filters over all workers. */
+export function collectCounts(
+  table: fleet.Fleet,
+  shape: rows.Shape,
+  avoid: ReadonlySet<ids.VmId>,
+): FilterResult {
+  const removed = new Map<reasons.FilterName, number>();
+  let left = 0;
+  for (const worker of table.workers.values()) {
+    const filter = findFilter(worker, shape, avoid);
+    if (filter === undefined) left += 1;
+    else removed.set(filter, (removed.get(filter) ?? 0) + 1);
+  }
+  const counts = filterNames
+    .filter((filter) => removed.has(filter))
+    .map((filter) => ({ filter, removed: removed.get(filter) ?? 0 }));
+  return { total: table.workers.size, counts, left };
+}
+
+/** Result of the check whether a shape could ever run on the fleet. */
+export type EverFits =
+  | { readonly fits: true }
+  | {
+      readonly fits: false;
+      readonly counts: readonly reasons.FilterCount[];
+      readonly total: number;
+    };
+
+/**
+ * Checks a shape against the sizes of the fleet as if it were idle. The cost depends
+ * on the number of different sizes and racks, not on the workers.
+ */
+export function checkEverFits(table: fleet.Fleet, shape: rows.Shape): EverFits {
+  let total = 0;
+  let size = 0;
+  let location = 0;
+  const byRack = new Map<ids.RackName, number>();
+  for (const group of table.groups.values()) {
+    const fits = vector.countFits(shape.size, group.size);
+    for (const [rack, count] of group.racks) {
+      total += count;
+      if (fits === 0) size += count;
+      else if (
+        shape.availabilityZone !== undefined &&
+        shape.availabilityZone !== group.zone
+      )
+        location += count;
+      else byRack.set(rack, (byRack.get(rack) ?? 0) + fits * count);
+    }
+  }
+  const best = [...byRack.values()]
+    .sort((a, b) => b - a)
+    .slice(0, shape.maxRacks);
+  const members = best.reduce((sum, fits) => sum + fits, 0);
+  if (members >= shape.members) return { fits: true };
+  const counts: reasons.FilterCount[] = [];
+  if (size > 0) counts.push({ filter: 'size', removed: size });
+  if (location > 0) counts.push({ filter: 'location', removed: location });
+  if (byRack.size > 0)
+    counts.push({ filter: 'racks', removed: total - size - location });
+  return { fits: false, counts, total };
+}
--- /dev/null
+++ b/packages/core/src/queue/floors.ts
@@ -0,0 +1,123 @@
+/**
+ * Floors: the share of the fleet that each urgency keeps. A more urgent class leaves
+ * free what the others still need up to their floors. A less urgent one may use the
+ * floor of a more urgent one only with work that can be taken back.
+ */
+import * as ids from '../types/ids.js';
+import type * as release from '../types/release.js';
+import * as resources from '../types/resources.js';
+import type * as fleet from '../placement/fleet.js';
+import * as vector from '../placement/vector.js';
+import type * as queue from './queue.js';
+
+/** Use, demand and floor of one urgency at a tick. */
+export interface UrgencyUse {
+  readonly floor: number;
+  readonly used: vector.Amount;
+  /** Used in a way that can't be taken back. */
+  readonly kept: vector.Amount;
+  /** Wanted by waiting tasks that their teams' quotas allow. */
+  readonly wanted: vector.Amount;
+}
+
+/** Use of all urgencies. */
+export type FloorTable = Readonly<Record<ids.Urgency, UrgencyUse>>;
+
+const defaultFloors: Readonly<Record<ids.Urgency, number>> = {
+  urgent: 0.5,
+  normal: 0.2,
+  deferrable: 0.1,
+};
+
+/** Computes the floor of each urgency: the highest floor among its classes, scaled to at most 1 in sum. */
+export function computeFloors(
+  classes: readonly release.ClassEntry[],
+): Readonly<Record<ids.Urgency, number>> {
+  const floors = { ...defaultFloors };
+  for (const name of ids.urgencies) {
+    const own = classes.filter((entry) => entry.urgency === name);
+    // A release without a class of this urgency promises it nothing.
+    if (classes.length > 0)
+      floors[name] = Math.max(0, ...own.map((entry) => entry.floor));
+  }
+  const sum = floors.urgent + floors.normal + floors.deferrable;
+  if (sum <= 1) return floors;
+  for (const name of ids.urgencies) floors[name] /= sum;
+  return floors;
+}
+
+/** Builds the table from the queue; the cost is the number of teams. */
+export function buildFloorTable(
+  table: queue.Queue,
+  floors: Readonly<Record<ids.Urgency, number>>,
+  computeWanted: (team: queue.TeamQueue) => resources.Resources,
+): FloorTable {
+  function buildUse(name: ids.Urgency): UrgencyUse {
+    const use = {
+      floor: floors[name],
+      used: vector.createAmount(),
+      kept: vector.createAmount(),
+      wanted: vector.createAmount(),
+    };
+    for (const team of table.teams.get(name)?.values() ?? []) {
+      vector.addTo(use.used, team.used, 1);
+      vector.addTo(use.kept, team.kept, 1);
+      vector.addTo(use.wanted, computeWanted(team), 1);
+    }
+    return use;
+  }
+  return {
+    urgent: buildUse('urgent'),
+    normal: buildUse('normal'),
+    deferrable: buildUse('deferrable'),
+  };
+}
+
+function computeUnmet(
+  use: UrgencyUse,
+  name: resources.ResourceName,
+  total: number,
+): number {
+  const floor = use.floor * total;
+  return Math.max(0, Math.min(floor - use.used[name], use.wanted[name]));
+}
+
+/** A request for capacity of one urgency. */
+export interface FloorRequest {
+  readonly urgency: ids.Urgency;
+  readonly need: resources.Resources;
+  readonly times: number;
+  readonly reclaimable: boolean;
+}
+
+/** Tells whether a request leaves the floors of the other urgencies alone. */
+export function isAboveFloors(
+  request: FloorRequest,
+  table: FloorTable,
+  shard: fleet.Fleet,
+): boolean {
+  const own = ids.urgencies.indexOf(request.urgency);
+  for (const name of resources.resourceNames) {
+    const need = request.need[name] * request.times;
+    if (need === 0) continue;
+    const total = shard.total[name];
+    let unmet = 0;
+    let keptBelow = 0;
+    for (let at = ids.urgencies.length - 1; at >= 0; at -= 1) {
+      const other = ids.urgencies[at];
+      if (other === undefined) continue;
+      const use = table[other];
+      if (at > own) unmet += computeUnmet(use, name, total);
+      if (
+        at < own &&
+        !request.reclaimable &&
+        keptBelow + need > (1 - use.floor) * total
+      )
+        return false;
+      keptBelow += use.kept[name];
+    }
+    const free = total - shard.held[name];
+    if (unmet > 0 && free - need < unmet) return false;
+  }
+  return true;
+}
--- /dev/null
+++ b/packages/core/src/scheduler/ledger.ts
@@ -0,0 +1,61 @@
+/**
+ * Bookkeeping of what attempts hold, by worker, team and urgency. Capacity is held
+ * from the start command until the end of the attempt is known.
+ */
+import type * as resources from '../types/resources.js';
+import type * as placement from '../placement/rows.js';
+import * as vector from '../placement/vector.js';
+import * as states from './state.js';
+
+function addUse(
+  state: states.State,
+  attempt: placement.Attempt,
+  by: number,
+): void {
+  const team = state.queue.getTeam(attempt.urgency, attempt.team);
+  vector.addTo(team.used, attempt.held, by);
+  if (!attempt.reclaimable) vector.addTo(team.kept, attempt.held, by);
+  vector.addTo(states.getTeamUse(state, attempt.team), attempt.held, by);
+}
+
+/** Holds the capacity of an attempt. */
+export function addAttempt(
+  state: states.State,
+  attempt: placement.Attempt,
+): void {
+  state.attempts.set(attempt.id, attempt);
+  state.fleet.add(attempt);
+  addUse(state, attempt, 1);
+}
+
+/** Frees the capacity of an attempt. */
+export function dropAttempt(
+  state: states.State,
+  attempt: placement.Attempt,
+): void {
+  if (!state.attempts.delete(attempt.id)) return;
+  state.fleet.drop(attempt);
+  addUse(state, attempt, -1);
+}
+
+/** Changes what an attempt holds. */
+export function updateHeld(
+  state: states.State,
+  attempt: placement.Attempt,
+  held: resources.Resources,
+): void {
+  addUse(state, attempt, -1);
+  state.fleet.resize(attempt, held);
+  addUse(state, attempt, 1);
+}
+
+/** Changes who an attempt counts for, such as when its job becomes known. */
+export function moveAttempt(
+  state: states.State,
+  attempt: placement.Attempt,
+  owner: Pick<placement.Attempt, 'urgency' | 'team' | 'reclaimable'>,
+): void {
+  addUse(state, attempt, -1);
+  Object.assign(attempt, owner);
+  addUse(state, attempt, 1);
+}
