Add a reason for work that the floors exclude

Work that can't be taken back never starts when it needs more than the floors of more urgent classes leave, and no existing reason says so. The new reason names the urgency, the resource and both amounts.

--- a/packages/core/src/explain/explain.ts
+++ b/packages/core/src/explain/explain.ts
@@ -65,6 +65,11 @@
         `Capacity that is free now is kept for the floor of another urgency; ${reason.ahead} tasks wait in all.`,
         'It starts when its own share frees up, or when a release changes the floors.',
       ];
+    case 'floor':
+      return [
+        `Work that can't be taken back may use ${reason.left} ${reason.resource} here, because the rest is kept for ${reason.urgency} work; ${reason.needed} are needed.`,
+        'Make its class preemptible, lower the floor in a release, or declare less.',
+      ];
     case 'expected-wait':
       return [
         `The expected wait of ${Math.round(reason.expectedMs)} ms is longer than the limit of ${reason.limitMs} ms of its class.`,
--- a/packages/core/src/types/reasons.ts
+++ b/packages/core/src/types/reasons.ts
@@ -41,6 +41,14 @@
       readonly quota: number;
     }
   | { readonly reason: 'fair-share'; readonly ahead: number }
+  /** More than the share of the fleet that the floors of more urgent classes leave. */
+  | {
+      readonly reason: 'floor';
+      readonly urgency: ids.Urgency;
+      readonly resource: string;
+      readonly needed: number;
+      readonly left: number;
+    }
   | {
       readonly reason: 'expected-wait';
       readonly expectedMs: number;
