--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -82,3 +82,5 @@
   readTaskEnd,
 } from './jobs/taskTable.js';
 export type { Intent, TaskTable } from './jobs/taskTable.js';
+export { createScheduler } from './scheduler/scheduler.js';
+export { describeReason } from './explain/explain.js';
