Add release notes and the fold of the releases stream

A note is parsed with all its faults at once, checked against the release in force, and judged from the content of the log alone: adopted, repeat, conflict with the release it lost to, or invalid.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -25,3 +25,21 @@
 export { parseSettings, printSettings } from './settings/settings.js';
 export type { SettingsResult } from './settings/settings.js';
 export type * as settings from './settings/types.js';
+export { parseReleaseNote } from './release/note.js';
+export type { NoteResult } from './release/note.js';
+export { checkRelease, listEntries } from './release/check.js';
+export {
+  applyReleaseRecord,
+  applySnapshot,
+  buildSnapshot,
+  emptyReleaseLog,
+  isSnapshot,
+  noteGap,
+} from './release/log.js';
+export type { ReleaseLog } from './release/log.js';
+export {
+  describeDiff,
+  describeFault,
+  describeHistory,
+  describeVerdict,
+} from './release/describe.js';
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -1,19 +1,11 @@
 /** What each key of a settings file may hold. */
 import * as net from 'node:net';
 import * as zod from 'zod';
+import * as names from './names.js';
 
 /** Shortest key that processes and operators present, in characters. */
 export const MIN_KEY_CHARACTERS = 16;
 
-/** True for names that stay one word in a log line and one part of a shard name. */
-export function isPlainName(text: string): boolean {
-  return /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/.test(text);
-}
-
-/** What `isPlainName` expects, for messages. */
-export const plainNameText =
-  'a name of at most 63 letters, digits, "-", "_" and "."';
-
 /** Splits `ip:port`; undefined when the text isn't one. */
 export function decodeAddress(
   text: string,
@@ -33,8 +25,8 @@
 const addressText = 'expected an ip:port such as 10.0.0.1:7001';
 
 const name = zod
-  .string(`the key is missing; expected ${plainNameText}`)
-  .refine(isPlainName, `expected ${plainNameText}`);
+  .string(`the key is missing; expected ${names.plainNameText}`)
+  .refine(names.isPlainName, `expected ${names.plainNameText}`);
 
 const address = zod
   .string(`the key is missing; ${addressText}`)
--- a/packages/core/src/settings/settings.ts
+++ b/packages/core/src/settings/settings.ts
@@ -6,6 +6,7 @@
 import type * as zod from 'zod';
 import type * as releases from '../types/release.js';
 import * as ini from './ini.js';
+import * as names from './names.js';
 import * as schema from './schema.js';
 import type * as types from './types.js';
 
@@ -108,7 +109,7 @@
   if (issue.path.length === 1)
     return 'the section is missing; expected one line "name = ip:port" for each other process';
   return issue.code === 'invalid_key'
-    ? `expected ${schema.plainNameText}`
+    ? `expected ${names.plainNameText}`
     : issue.message;
 }
 
--- /dev/null
+++ b/packages/core/test/release.test.ts
@@ -0,0 +1,365 @@
+/** Release notes: all faults at once, verdicts from the log alone, and texts for people. */
+import * as fs from 'node:fs';
+import * as path from 'node:path';
+import * as fc from 'fast-check';
+import * as vitest from 'vitest';
+import * as core from '@flamingoward/core';
+
+type Body = core.records.ReleaseStreamRecord;
+type Record = core.records.LogRecord<Body>;
+
+function buildNote(id: string, base: string, body: string): string {
+  return `[release]\nid = ${id}\nbase = ${base}\ntitle = Note ${id}\n${body}`;
+}
+
+function buildRecord(offset: number, text: string): Record {
+  const body: Body = {
+    type: 'release',
+    text,
+    publisher: 'nadia',
+    publishedMs: 1_764_840_000_000,
+  };
+  return { offset, id: `r${offset}`, body };
+}
+
+function applyTexts(...texts: readonly string[]): core.ReleaseLog {
+  return texts
+    .map((text, offset) => buildRecord(offset, text))
+    .reduce(core.applyReleaseRecord, core.emptyReleaseLog);
+}
+
+function listVerdicts(log: core.ReleaseLog): string[] {
+  return log.state.history.map((item) =>
+    core.describeVerdict(item.verdict).join('; '),
+  );
+}
+
+function listFaults(text: string, log = core.emptyReleaseLog): string[] {
+  const parsed = core.parseReleaseNote(text, 'n.ini');
+  const faults =
+    'note' in parsed
+      ? core.checkRelease(log.state, parsed.note, 'n.ini')
+      : parsed.faults;
+  return faults.map(core.describeFault);
+}
+
+const first = buildNote(
+  '1',
+  'none',
+  `[added backend desk]
+slots = 8
+connections = 64
+[added service desk]
+idempotent = no
+urgency = urgent
+timeout_ms = 2000
+[added class cutting]
+urgency = normal
+floor = 0.7
+[added team roof]
+quota_cores = 32.5
+quota_memory_mb = 65536
+`,
+);
+const second = buildNote(
+  '2',
+  '1',
+  `[added service studio]
+idempotent = yes
+urgency = deferrable
+timeout_ms = 60000
+backend = desk
+[changed team roof]
+quota_cores = 64
+quota_gpus = 0
+[withdrawn class cutting]
+reason = the workshop cuts by itself now
+`,
+);
+
+vitest.test(
+  'all faults of a note are listed at once, each with its place',
+  () => {
+    const faults = listFaults(`[release]
+id = none
+base = 2026 x
+[added service a b]
+[removed service x]
+[added service desk]
+urgency = now
+timeout_ms = 2s
+idle = 1
+[changed team roof]
+[withdrawn team roof]
+[added service __proto__]
+urgency = urgent
+`);
+    vitest
+      .expect(faults.map((fault) => fault.split(': ').slice(1, -1).join(' ')))
+      .toEqual([
+        '[added service __proto__] line 12',
+        '[release] id',
+        '[release] base',
+        '[release] title',
+        '[added service a b]',
+        '[removed service x]',
+        '[added service desk] urgency',
+        '[added service desk] timeout_ms',
+        '[added service desk] idle',
+        '[added service desk] idempotent',
+        '[changed team roof]',
+        '[withdrawn team roof]',
+        '[withdrawn team roof] reason',
+      ]);
+  },
+);
+
+vitest.test(
+  'references, floors and existing names are checked on the base',
+  () => {
+    const log = applyTexts(first);
+    const check = (body: string) =>
+      listFaults(buildNote('2', '1', body), log).join('\n');
+    vitest
+      .expect(check('[withdrawn backend desk]\nreason = old\n'))
+      .toContain('[withdrawn backend desk]: service desk uses this backend');
+    vitest
+      .expect(check('[changed service desk]\nbackend = x\n'))
+      .toContain("[changed service desk] backend: backend x doesn't exist");
+    vitest
+      .expect(check('[added class c]\nurgency = normal\nfloor = 0.4\n'))
+      .toContain('floors of all normal classes add up to 1.1');
+    vitest
+      .expect(check('[added class c]\nurgency = normal\nfloor = 0.3\n'))
+      .toBe('');
+    vitest
+      .expect(
+        check('[added team roof]\nquota_cores = 1\nquota_memory_mb = 1\n'),
+      )
+      .toContain('team roof exists already');
+    vitest
+      .expect(check('[changed team valueOf]\nweight = 2\n'))
+      .toContain("team valueOf doesn't exist");
+    vitest
+      .expect(check('[changed team roof]\nweight = 0\n'))
+      .toContain('[changed team roof] weight: expected a number from 0.001');
+  },
+);
+
+vitest.test(
+  'verdicts: the first note on a base wins, repeats stay repeats',
+  () => {
+    const rival = second.replace('id = 2', 'id = 2b');
+    const log = applyTexts(
+      second,
+      first,
+      second,
+      rival,
+      second,
+      buildNote('1', '2', '[withdrawn team roof]\nreason = left\n'),
+      buildNote('3', '2', '[withdrawn team sea]\nreason = left\n'),
+      first.replace('8', '9'),
+      buildNote('3', '2', '[withdrawn team roof]\nreason = left\n'),
+    );
+    vitest
+      .expect(listVerdicts(log).map((line) => line.replace(/( first|;).*/, '')))
+      .toEqual([
+        'invalid',
+        'adopted',
+        'adopted',
+        'a conflict: release 2 was adopted',
+        'a repeat of the note adopted at offset 2',
+        'invalid',
+        'invalid',
+        'a conflict: release 1 was adopted',
+        'adopted',
+      ]);
+    vitest.expect(log.state.current).toBe('3');
+  },
+);
+
+vitest.test(
+  'the texts for people stay as the golden files have them',
+  async () => {
+    const before = applyTexts(first);
+    const parsed = core.parseReleaseNote(second, 'n.ini');
+    if (!('note' in parsed)) throw new Error('the note is refused');
+    const golden = path.join(import.meta.dirname, 'golden');
+    fs.mkdirSync(golden, { recursive: true });
+    const diff = core.describeDiff(before.state, parsed.note);
+    await vitest
+      .expect(`${diff.join('\n')}\n`)
+      .toMatchFileSnapshot(path.join(golden, 'diff.txt'));
+    const rival = buildNote(
+      '2b',
+      '1',
+      '[withdrawn team roof]\nreason = left\n',
+    );
+    const log = applyTexts(first, second, rival, '[release]\n');
+    const history = core.describeHistory(log.state);
+    await vitest
+      .expect(`${history.join('\n')}\n`)
+      .toMatchFileSnapshot(path.join(golden, 'history.txt'));
+  },
+);
+
+type Step =
+  | {
+      readonly op: 'note';
+      readonly back: number;
+      readonly team: number;
+      readonly action: number;
+    }
+  | { readonly op: 'again'; readonly which: number }
+  | { readonly op: 'snapshot'; readonly lag: number }
+  | { readonly op: 'junk' };
+
+const step: fc.Arbitrary<Step> = fc.oneof(
+  {
+    weight: 5,
+    arbitrary: fc.record({
+      op: fc.constant('note' as const),
+      back: fc.constantFrom(0, 0, 0, 0, 1, 2),
+      team: fc.nat(3),
+      action: fc.constantFrom(0, 0, 0, 1, 2),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      op: fc.constant('again' as const),
+      which: fc.nat(),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      op: fc.constant('snapshot' as const),
+      lag: fc.nat(6),
+    }),
+  },
+  { weight: 1, arbitrary: fc.constant({ op: 'junk' as const }) },
+);
+
+const actions = [
+  '[added team NAME]\nquota_cores = 1\nquota_memory_mb = 1\n',
+  '[changed team NAME]\nweight = 2\n',
+  '[withdrawn team NAME]\nreason = r\n',
+];
+
+/** Writes a log step by step; `folds[n]` is the fold of the first n records. */
+function writeLog(steps: readonly Step[]): {
+  records: Record[];
+  folds: core.ReleaseLog[];
+} {
+  const records: Record[] = [];
+  const folds = [core.emptyReleaseLog];
+  for (const one of steps) {
+    const offset = records.length;
+    const now = folds[offset]!;
+    let body: unknown = { type: 'later-version' };
+    if (one.op === 'note') {
+      const base =
+        ['none', ...now.known.map((known) => known.id)].at(-1 - one.back) ??
+        'other';
+      const change = actions[one.action]!.replace(
+        'NAME',
+        one.team < 2 ? `t${offset}` : `t${one.team}`,
+      );
+      body = buildRecord(
+        offset,
+        buildNote(`n${offset - (offset % 2)}`, base, change),
+      ).body;
+    }
+    if (one.op === 'again' && offset > 0)
+      body = records[one.which % offset]!.body;
+    if (one.op === 'snapshot')
+      body = core.buildSnapshot(folds[Math.max(0, offset - one.lag)]!);
+    const record: Record = { offset, id: `r${offset}`, body: body as Body };
+    records.push(record);
+    folds.push(core.applyReleaseRecord(now, record));
+  }
+  return { records, folds };
+}
+
+function readEntries(log: core.ReleaseLog): unknown {
+  const { current, offset } = log.state;
+  return {
+    current,
+    offset,
+    known: log.known,
+    entries: core.listEntries(log.state),
+  };
+}
+
+vitest.test(
+  'all readers of a log reach the same verdicts and never go back',
+  () => {
+    let covered = 0;
+    fc.assert(
+      fc.property(
+        fc.array(step, { minLength: 10, maxLength: 40 }),
+        fc.nat(20),
+        fc.array(fc.nat(5)),
+        fc.nat(40),
+        (steps, oldest, rereads, cut) => {
+          const { records, folds } = writeLog(steps);
+          const whole = folds.at(-1)!;
+          const verdicts = new Map(
+            whole.state.history.map((item) => [item.offset, item.verdict]),
+          );
+          const readUntil = Math.min(cut, records.length);
+          // One reader starts at the oldest record kept; the other stops reading at
+          // `readUntil` and goes on at the oldest one.
+          for (const begin of [core.emptyReleaseLog, folds[readUntil]!]) {
+            let log = begin;
+            const from = Math.max(oldest, begin.next);
+            if (begin.next > 0) log = core.noteGap(log, from);
+            for (const record of records.slice(from)) {
+              const back = rereads[record.offset % (rereads.length + 1)] ?? 0;
+              for (const again of records.slice(
+                Math.max(from, record.offset - back),
+                record.offset + 1,
+              )) {
+                const next = core.applyReleaseRecord(log, again);
+                vitest
+                  .expect(next.state.offset)
+                  .toBeGreaterThanOrEqual(log.state.offset);
+                log = next;
+              }
+              for (const item of log.state.history)
+                vitest.expect(item.verdict).toEqual(verdicts.get(item.offset));
+              if (log.reading.mode === 'complete')
+                vitest
+                  .expect(readEntries(log))
+                  .toEqual(readEntries(folds[record.offset + 1]!));
+            }
+            if (
+              from > begin.next &&
+              log.reading.mode === 'complete' &&
+              log.state.offset >= 0
+            )
+              covered += 1;
+          }
+        },
+      ),
+      { seed: 7, numRuns: 1_000 },
+    );
+    // Readers that had missed records and were completed by a snapshot.
+    vitest.expect(covered).toBeGreaterThan(100);
+  },
+);
+
+vitest.test(
+  'a snapshot with an older release never replaces a newer one',
+  () => {
+    const log = core.noteGap(applyTexts(first, second), 10);
+    const older = core.buildSnapshot(applyTexts(first))!;
+    const read = core.applyReleaseRecord(log, {
+      offset: 12,
+      id: 's',
+      body: { ...older, upTo: 11 },
+    });
+    vitest.expect(read.state.current).toBe('2');
+  },
+);
