Let readers report dropped records, and acceptance its times

A reader drops repeated record ids, so a step in the offsets doesn't tell that the log dropped records before they were read; an optional readSkipped says it.

--- a/packages/core/src/release/log.ts
+++ b/packages/core/src/release/log.ts
@@ -16,8 +16,8 @@
 /** How many records with their verdicts are kept for the history. */
 export const HISTORY_ITEMS = 500;
 
-/** Most characters of note texts in one snapshot. */
-export const SNAPSHOT_TEXT_CHARACTERS = 32_768;
+/** Most characters of note texts in one snapshot; the newest note always fits. */
+export const SNAPSHOT_TEXT_CHARACTERS = parser.MAX_NOTE_CHARACTERS;
 
 /** A record of the `releases` stream. */
 export type StreamRecord = records.LogRecord<records.ReleaseStreamRecord>;
--- a/packages/daemon/src/types.ts
+++ b/packages/daemon/src/types.ts
@@ -87,6 +87,8 @@
   readNext(): core.ids.Offset;
   /** Monotonic time when the last read that reached the head was sent; undefined before the first. */
   readHeadMs(): number | undefined;
+  /** Offset below which the log dropped records before this reader read them; undefined when none are missing. */
+  readSkipped?(): core.ids.Offset | undefined;
   /** Resolves when all records below `offset` are delivered. */
   waitFor(offset: core.ids.Offset): Promise<void>;
   /** Fetches the head now and resolves when everything below it is delivered. Rejects with `log-away`. */
@@ -216,6 +218,14 @@
   readonly without: readonly core.ids.ProcessName[];
   /** Time from publication until this process saw all of them in force, in ms. */
   readonly tookMs?: number;
+  /** Time from publication until this process saw it in force at each process. */
+  readonly times?: readonly AcceptanceTime[];
+}
+
+/** When one process had a release in force. */
+export interface AcceptanceTime {
+  readonly process: core.ids.ProcessName;
+  readonly tookMs: number;
 }
 
 /** Jobs as this process knows them. */
