Merge platform clients, scheduler parts and releases

Change: merged; the request reasons know the floor, readers tell which records had left the log's retention before they were read.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -84,3 +84,21 @@
 export type { Intent, TaskTable } from './jobs/taskTable.js';
 export { createScheduler } from './scheduler/scheduler.js';
 export { describeReason } from './explain/explain.js';
+export { parseReleaseNote } from './release/note.js';
+export type { NoteResult } from './release/note.js';
+export { checkRelease, listEntries } from './release/check.js';
+export {
+  applyReleaseRecord,
+  applySnapshot,
+  buildSnapshot,
+  emptyReleaseLog,
+  isSnapshot,
+  noteGap,
+} from './release/log.js';
+export type { ReleaseLog } from './release/log.js';
+export {
+  describeDiff,
+  describeFault,
+  describeHistory,
+  describeVerdict,
+} from './release/describe.js';
--- a/packages/core/src/slots/reasons.ts
+++ b/packages/core/src/slots/reasons.ts
@@ -11,6 +11,8 @@
       return `team ${reason.team} uses ${reason.used} of its ${reason.quota} ${reason.resource}`;
     case 'fair-share':
       return `${reason.ahead} teams with less use for their weight go first`;
+    case 'floor':
+      return `the share kept for ${reason.urgency} work leaves ${reason.left} ${reason.resource} of the ${reason.needed} needed`;
     case 'expected-wait':
       return `the expected wait is ${Math.round(reason.expectedMs)} ms and the service allows ${Math.round(reason.limitMs)} ms`;
     case 'queue-full':
--- a/packages/daemon/src/types.ts
+++ b/packages/daemon/src/types.ts
@@ -177,6 +177,14 @@
   readonly without: readonly core.ids.ProcessName[];
   /** Time from publication until this process saw all of them in force, in ms. */
   readonly tookMs?: number;
+  /** Time from publication until this process saw it in force at each process. */
+  readonly times?: readonly AcceptanceTime[];
+}
+
+/** When one process had a release in force. */
+export interface AcceptanceTime {
+  readonly process: core.ids.ProcessName;
+  readonly tookMs: number;
 }
 
 /** Jobs as this process knows them. */
--- a/packages/platform/src/reader.ts
+++ b/packages/platform/src/reader.ts
@@ -60,6 +60,7 @@
   );
   let next: core.ids.Offset = 0;
   let headMs: number | undefined;
+  let skipped: core.ids.Offset | undefined;
   let logUntilMs = 0;
   let behindSinceMs: number | undefined;
   let closed = false;
@@ -76,7 +77,10 @@
 
   /** Delivers what is new in a page that was read from an offset at or below `next`. */
   function deliver(page: core.records.RecordPage<unknown>): void {
-    if (page.oldest > next) next = page.oldest;
+    if (page.oldest > next) {
+      next = page.oldest;
+      skipped = next;
+    }
     for (const record of page.records) {
       if (closed) return;
       if (record.offset < next) continue;
@@ -212,6 +216,7 @@
     records: subject.stream,
     readNext: () => next,
     readHeadMs: () => headMs,
+    readSkipped: () => skipped,
     waitFor,
     waitForHead,
     close() {
--- a/packages/platform/src/types.ts
+++ b/packages/platform/src/types.ts
@@ -37,6 +37,8 @@
   readNext(): core.ids.Offset;
   /** Monotonic time when the last read that reached the head was sent; undefined before the first. */
   readHeadMs(): number | undefined;
+  /** Offset below which records had left the log's retention before this reader read them. */
+  readSkipped?(): core.ids.Offset | undefined;
   /** Resolves when all records below `offset` are delivered. */
   waitFor(offset: core.ids.Offset): Promise<void>;
   /** Fetches the head now and resolves when everything below it is delivered. Rejects with `log-away`. */
