Deliver to all observers when one throws

Cause: an error in one observer of a stream kept the record from the observers after it, and one malformed log record could leave parts of a daemon with different views. Change: a subject delivers to every observer and throws the first error at the end. Result: the new test fails before the change (the second observer sees nothing) and passes after it.

--- a/packages/core/src/events.ts
+++ b/packages/core/src/events.ts
@@ -4,7 +4,10 @@
 /** A stream and the function that feeds it. */
 export interface Subject<T> {
   readonly stream: most.Stream<T>;
-  /** Delivers a value to all observers that are subscribed now. */
+  /**
+   * Delivers a value to all observers that are subscribed now. An observer that
+   * throws doesn't keep the others from it; the first error is thrown at the end.
+   */
   push(value: T): void;
   /** Ends the stream for all observers. */
   end(): void;
@@ -27,8 +30,15 @@
   return {
     stream: new most.Stream(source),
     push(value) {
-      for (const { sink, scheduler } of [...sinks])
-        sink.event(scheduler.now(), value);
+      const errors: unknown[] = [];
+      for (const { sink, scheduler } of [...sinks]) {
+        try {
+          sink.event(scheduler.now(), value);
+        } catch (error) {
+          errors.push(error);
+        }
+      }
+      if (errors.length > 0) throw errors[0];
     },
     end() {
       for (const { sink, scheduler } of [...sinks]) sink.end(scheduler.now());
--- /dev/null
+++ b/packages/core/test/events.test.ts
@@ -0,0 +1,28 @@
+/** Subjects: one failing observer must not starve the others. */
+import * as vitest from 'vitest';
+import * as core from '@flamingoward/core';
+
+vitest.test(
+  'an observer that throws keeps the value from no other observer',
+  () => {
+    const subject = core.createSubject<number>();
+    const seen: number[] = [];
+    void subject.stream.observe(() => {
+      throw new Error('first observer');
+    });
+    void subject.stream.observe((value) => {
+      seen.push(value);
+    });
+    vitest
+      .expect(() => {
+        subject.push(1);
+      })
+      .toThrow('first observer');
+    vitest
+      .expect(() => {
+        subject.push(2);
+      })
+      .toThrow('first observer');
+    vitest.expect(seen).toEqual([1, 2]);
+  },
+);
