Add the stand-ins for workers, backend servers and the VM list

Tests and measurements need the platform's machines. Workers run attempts under leases on their own clock and accept whatever they are given; an audit counts doubled attempts and workers over their size.

Four tests of the worker's rules and its audit pass.

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,3 +1,11 @@
 /** Stand-ins for the platform, and the replay of recorded traces. */
 export { LogStandin } from './log.js';
 export type { LogAudit, LogControl } from './log.js';
+export { VmListStandin } from './vmlist.js';
+export type { VmListControl } from './vmlist.js';
+export { Fleet } from './fleet.js';
+export type { FleetAudit, StartAudit, UseSample } from './fleet.js';
+export { WorkerStandin } from './worker.js';
+export type { WorkerAudit, WorkerOptions } from './worker.js';
+export { BackendStandin } from './backend.js';
+export type { BackendAudit, BackendOptions, Behaviour } from './backend.js';
--- a/packages/standins/src/serve.ts
+++ b/packages/standins/src/serve.ts
@@ -25,11 +25,12 @@
   stop(): Promise<void>;
 }
 
-/** Serves on `host`; port 0 takes a free one. */
+/** Serves on `host`; port 0 takes a free one. `noteConnections` hears the count after each new connection. */
 export async function serve(
   host: string,
   port: number,
   handler: Handler,
+  noteConnections?: (connections: number) => void,
 ): Promise<Server> {
   const sockets = new Set<net.Socket>();
   const server = http.createServer((request, response) => {
@@ -39,6 +40,7 @@
   server.requestTimeout = 0;
   server.on('connection', (socket) => {
     sockets.add(socket);
+    noteConnections?.(sockets.size);
     socket.on('close', () => sockets.delete(socket));
     socket.on('error', () => undefined);
   });
--- /dev/null
+++ b/packages/standins/src/vmlist.ts
@@ -0,0 +1,81 @@
+/** Stand-in for the platform's list of VMs, which lags behind the actual state. */
+import type * as http from 'node:http';
+import type * as core from '@flamingoward/core';
+import * as serving from './serve.js';
+
+/** What changes the list. */
+export interface VmListControl {
+  /** How far the list lags, in ms. */
+  readonly lagMs?: number;
+  /** New state of VMs by id; `gone` removes a VM. */
+  readonly set?: Readonly<Record<string, core.workers.VmState | 'gone'>>;
+}
+
+/** The list of VMs. */
+export class VmListStandin {
+  #history: core.workers.VmList[];
+  #lagMs: number;
+  #server: serving.Server | undefined;
+
+  constructor(vms: readonly core.workers.VmRecord[], lagMs = 0) {
+    this.#lagMs = lagMs;
+    // The first list counts as old, so that it is visible at once.
+    this.#history = [{ asOfMs: 0, vms }];
+  }
+
+  /** Starts to serve and returns the address. */
+  async start(host = '127.0.0.1', port = 0): Promise<string> {
+    this.#server = await serving.serve(host, port, (incoming, response) => {
+      this.handle(incoming, response);
+    });
+    return this.#server.address;
+  }
+
+  async stop(): Promise<void> {
+    await this.#server?.stop();
+  }
+
+  /** Replaces the actual list. */
+  update(vms: readonly core.workers.VmRecord[]): void {
+    this.#history = [...this.#history, { asOfMs: Date.now(), vms }];
+  }
+
+  /** Changes the lag and the states of VMs. */
+  set(control: VmListControl): void {
+    this.#lagMs = control.lagMs ?? this.#lagMs;
+    const states = control.set ?? {};
+    const { vms } = this.#readLatest(Infinity);
+    this.update(
+      vms
+        .filter((vm) => states[vm.id] !== 'gone')
+        .map((vm) => {
+          const state = states[vm.id];
+          return state === undefined || state === 'gone'
+            ? vm
+            : { ...vm, state };
+        }),
+    );
+  }
+
+  /** Returns the list as callers see it. */
+  read(): core.workers.VmList {
+    const seenMs = Date.now() - this.#lagMs;
+    const { vms } = this.#readLatest(seenMs);
+    return { asOfMs: seenMs, vms };
+  }
+
+  /** Answers one request. */
+  handle(incoming: serving.Incoming, response: http.ServerResponse): void {
+    if (incoming.path === '/vms') {
+      serving.respondJson(response, 200, this.read());
+    } else if (incoming.path === '/-/control') {
+      this.set(serving.parseBody(incoming) as VmListControl);
+      serving.respondJson(response, 200, {});
+    } else serving.respondJson(response, 404, {});
+  }
+
+  #readLatest(atMs: number): core.workers.VmList {
+    const latest = this.#history.findLast((list) => list.asOfMs <= atMs);
+    return latest ?? { asOfMs: 0, vms: [] };
+  }
+}
--- /dev/null
+++ b/packages/standins/test/worker.test.ts
@@ -0,0 +1,159 @@
+/** The stand-in worker keeps the rules on which the authority over workers rests. */
+import * as vitest from 'vitest';
+import * as core from '@flamingoward/core';
+import * as platform from '@flamingoward/platform';
+import * as standins from '@flamingoward/standins';
+
+const timers = core.createSystemTimers();
+const cleanups: (() => unknown)[] = [];
+
+vitest.afterEach(async () => {
+  for (const cleanup of cleanups.splice(0).reverse()) await cleanup();
+});
+
+async function startWorker(fleet: standins.Fleet, id: string) {
+  const worker = new standins.WorkerStandin({
+    id,
+    size: { cores: 4, memoryMb: 4_096, gpus: 0 },
+    pool: 'general',
+    fleet,
+    usageLagMs: 0,
+  });
+  const address = await worker.start();
+  const client = platform.createWorkerClient({ address, timers });
+  cleanups.push(
+    () => worker.stop(),
+    () => client.close(),
+  );
+  const report = await client.sync(createSync(1));
+  return { worker, client, report };
+}
+
+function createSession(offset: number): core.workers.WorkerSession {
+  return { instance: `p${offset}`, epoch: { offset, provisional: 0 } };
+}
+
+function createSync(
+  offset: number,
+  fields: Partial<core.workers.SyncRequest> = {},
+): core.workers.SyncRequest {
+  return { session: createSession(offset), waitMs: 0, forget: [], ...fields };
+}
+
+function createStart(
+  report: core.workers.SyncReport,
+  fields: Partial<core.workers.StartRequest> = {},
+): core.workers.StartRequest {
+  return {
+    session: createSession(1),
+    boot: report.boot,
+    startByMs: report.clockMs + 1_000,
+    leaseUntilMs: report.clockMs + 15_000,
+    attemptId: 'j.0.1',
+    jobId: 'j',
+    index: 0,
+    size: { cores: 3, memoryMb: 1_024, gpus: 0 },
+    work: { actualMs: 10_000 },
+    ...fields,
+  };
+}
+
+async function readReason(
+  client: platform.WorkerClient,
+  request: core.workers.StartRequest,
+): Promise<string> {
+  const outcome = await client.start(request);
+  if (outcome.outcome !== 'answered') return outcome.outcome;
+  return outcome.answer.started ? 'started' : outcome.answer.reason;
+}
+
+vitest.test(
+  'late, repeated and misdirected starts do not run a task again',
+  async () => {
+    const { client, report } = await startWorker(new standins.Fleet(), 'w1');
+    const start = createStart(report);
+    vitest.expect(await readReason(client, start)).toBe('started');
+    vitest.expect(await readReason(client, start)).toBe('known');
+    const late = { attemptId: 'j.0.2', startByMs: report.clockMs - 1 };
+    vitest
+      .expect(await readReason(client, createStart(report, late)))
+      .toBe('lapsed');
+    const other = { attemptId: 'j.0.3', boot: 'another' };
+    vitest
+      .expect(await readReason(client, createStart(report, other)))
+      .toBe('boot');
+    const after = await client.sync(createSync(2));
+    vitest.expect(after.tasks.map((task) => task.attemptId)).toEqual(['j.0.1']);
+    vitest
+      .expect(after.sessions.map((session) => session.epoch.offset))
+      .toEqual([1, 2]);
+  },
+);
+
+vitest.test(
+  'a lease that is not renewed ends the attempt; a waiting sync tells it at once',
+  async () => {
+    const { client, report } = await startWorker(new standins.Fleet(), 'w1');
+    const leaseUntilMs = report.clockMs + 150;
+    await client.start(createStart(report, { leaseUntilMs }));
+    const running = await client.sync(
+      createSync(1, { renewUntilMs: leaseUntilMs + 100 }),
+    );
+    vitest.expect(running.tasks[0]?.leaseUntilMs).toBe(leaseUntilMs + 100);
+    const ended = await client.sync(
+      createSync(1, { sinceVersion: running.version, waitMs: 5_000 }),
+    );
+    vitest.expect(ended.tasks[0]).toMatchObject({ exit: 'lapsed' });
+    vitest.expect(ended.clockMs).toBeGreaterThanOrEqual(leaseUntilMs + 100);
+    const forgotten = await client.sync(createSync(1, { forget: ['j.0.1'] }));
+    vitest.expect(forgotten.tasks).toEqual([]);
+  },
+);
+
+vitest.test(
+  'the audit sees a task that runs twice and a worker over its size',
+  async () => {
+    const fleet = new standins.Fleet();
+    const first = await startWorker(fleet, 'w1');
+    const second = await startWorker(fleet, 'w2');
+    await first.client.start(createStart(first.report));
+    vitest
+      .expect(fleet.readAudit())
+      .toMatchObject({ doubled: 0, overSize: [] });
+    await second.client.start(
+      createStart(second.report, { attemptId: 'j.0.2' }),
+    );
+    const more = { attemptId: 'j.1.1', index: 1 };
+    await second.client.start(createStart(second.report, more));
+    vitest.expect(fleet.readAudit()).toMatchObject({
+      doubled: 1,
+      doubledTasks: ['j.0'],
+      overSize: ['w2'],
+    });
+    vitest.expect(second.worker.readAudit().maxDeclared.cores).toBe(6);
+  },
+);
+
+vitest.test(
+  'a checkpoint keeps work for the next attempt, and stop ends the attempt',
+  async () => {
+    const fleet = new standins.Fleet();
+    const { client, report } = await startWorker(fleet, 'w1');
+    await client.start(createStart(report));
+    await client.throttle(createSession(1), 'j.0.1', 0.5);
+    await client.checkpoint(createSession(1), 'j.0.1');
+    await client.stop(createSession(1), 'j.0.1');
+    const stopping = await client.sync(createSync(1));
+    vitest.expect(stopping.tasks[0]).toMatchObject({
+      state: 'stopping',
+      used: { cores: 1.5 },
+    });
+    const ended = await client.sync(
+      createSync(1, { sinceVersion: stopping.version, waitMs: 5_000 }),
+    );
+    vitest.expect(ended.tasks[0]).toMatchObject({ exit: 'stopped' });
+    vitest
+      .expect(fleet.readCheckpoint('j', 0))
+      .toBe(ended.tasks[0]?.checkpoint);
+  },
+);
