--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -9,3 +9,11 @@
 export type { WorkerAudit, WorkerOptions } from './worker.js';
 export { BackendStandin } from './backend.js';
 export type { BackendAudit, BackendOptions, Behaviour } from './backend.js';
+export { Platform } from './platform.js';
+export type {
+  PlatformAudit,
+  PlatformControl,
+  PlatformOptions,
+} from './platform.js';
+export { loadPlatformFile, parsePlatformFile } from './platformfile.js';
+export type { PlatformFile } from './platformfile.js';
