Add preemption, reservations and floors by resource

Gangs and large tasks starved behind smaller work, and urgent work waited for the whole fleet when less urgent work filled it. A job that waits longer than GANG_RESERVE_MS now gets claims on the workers where its members fit soonest, with backfill, one at a time; urgent work checkpoints reclaimable tasks where that lets it start. A floor holds in GPUs only for urgencies whose jobs use GPUs, since it would otherwise refuse gangs of most GPU workers.

--- a/packages/core/src/placement/fleet.ts
+++ b/packages/core/src/placement/fleet.ts
@@ -27,6 +27,8 @@
   readonly held: resources.Resources;
   /** Raised by every change that may let a blocked shape fit. */
   readFreed(): number;
+  /** Raised by every change of the list of workers. */
+  readListed(): number;
   list(record: worker.VmRecord): rows.WorkerRow | undefined;
   remove(id: ids.VmId): rows.WorkerRow | undefined;
   setUsable(row: rows.WorkerRow, usable: boolean): void;
@@ -64,6 +66,7 @@
   const total = vector.createAmount();
   const held = vector.createAmount();
   let freed = 1;
+  let listed = 1;
 
   function countGroup(row: rows.WorkerRow, by: number): void {
     const { availabilityZone, rack } = row.record;
@@ -133,6 +136,7 @@
     countTotal(row, 1);
     resetFree(row);
     freed += 1;
+    listed += 1;
     return row;
   }
 
@@ -142,6 +146,7 @@
     countTotal(row, -1);
     index.remove(row);
     workers.delete(id);
+    listed += 1;
     return row;
   }
 
@@ -152,6 +157,7 @@
     total,
     held,
     readFreed: () => freed,
+    readListed: () => listed,
     list,
     remove,
     setUsable(row, usable) {
--- a/packages/core/src/placement/placer.ts
+++ b/packages/core/src/placement/placer.ts
@@ -1,5 +1,5 @@
 /** Chooses workers for tasks and gangs among the cells of the index. */
-import type * as ids from '../types/ids.js';
+import * as ids from '../types/ids.js';
 import type * as resources from '../types/resources.js';
 import type * as buckets from './buckets.js';
 import type * as fleet from './fleet.js';
@@ -11,6 +11,7 @@
 export interface PlaceRequest {
   readonly shape: rows.Shape;
   readonly jobId: ids.JobId;
+  readonly urgency: ids.Urgency;
   /** Workers on which the job failed. */
   readonly avoid: ReadonlySet<ids.VmId>;
   readonly spread: score.Spread | undefined;
@@ -130,12 +131,16 @@
 /** Free capacity of a worker for a job, with its own claim and with what others don't need yet. */
 export function computeOpenFor(
   worker: rows.WorkerRow,
-  jobId: ids.JobId,
-  endsMs: number,
+  request: Pick<PlaceRequest, 'jobId' | 'urgency' | 'endsMs'>,
 ): resources.Resources {
+  const own = ids.urgencies.indexOf(request.urgency);
   const open = { ...worker.open };
   for (const claim of worker.claims.values())
-    if (claim.jobId === jobId || endsMs <= claim.beginsMs)
+    if (
+      claim.jobId === request.jobId ||
+      request.endsMs <= claim.beginsMs ||
+      own < ids.urgencies.indexOf(claim.urgency)
+    )
       vector.addTo(open, claim.amount, 1);
   return open;
 }
@@ -148,12 +153,12 @@
   request: PlaceRequest,
   context: PlaceContext,
 ): rows.WorkerRow | undefined {
-  const { shape, jobId, endsMs } = request;
+  const { shape } = request;
   for (const worker of context.claimed.values()) {
     if (!isOpenWorker(worker) || request.avoid.has(worker.id)) continue;
     const zone = shape.availabilityZone ?? worker.record.availabilityZone;
     if (zone !== worker.record.availabilityZone) continue;
-    const open = computeOpenFor(worker, jobId, endsMs);
+    const open = computeOpenFor(worker, request);
     if (vector.isWithin(shape.size, open)) return worker;
   }
   return undefined;
@@ -179,7 +184,8 @@
   return context.claimed.size > 0 ? pickClaimed(request, context) : undefined;
 }
 
-interface RackRoom {
+/** Workers of a rack with room for members. */
+export interface RackRoom {
   readonly rack: ids.RackName;
   readonly workers: { worker: rows.WorkerRow; fits: number }[];
   fits: number;
@@ -212,9 +218,7 @@
   const { size } = request.shape;
   if (request.avoid.has(worker.id)) return;
   const open =
-    worker.claims.size === 0
-      ? worker.open
-      : computeOpenFor(worker, request.jobId, request.endsMs);
+    worker.claims.size === 0 ? worker.open : computeOpenFor(worker, request);
   const fits = vector.countFits(size, open);
   if (fits === 0) return;
   if (
@@ -235,7 +239,7 @@
 }
 
 /** Chooses the racks: the one that holds the rest with the least left over, or the largest. */
-function pickRacks(
+export function pickRacks(
   rooms: readonly RackRoom[],
   shape: rows.Shape,
 ): RackRoom[] | undefined {
@@ -263,6 +267,15 @@
   const { shape } = request;
   const picked = pickRacks(collectRacks(request, context), shape);
   if (picked === undefined) return undefined;
+  const placed = collectMembers(picked, shape);
+  return placed.length === shape.members ? placed : undefined;
+}
+
+/** Assigns the members to the workers of the racks, fuller workers first. */
+export function collectMembers(
+  picked: readonly RackRoom[],
+  shape: rows.Shape,
+): rows.WorkerRow[] {
   const placed: rows.WorkerRow[] = [];
   for (const room of picked) {
     // Fuller workers first, so that whole workers stay free for the next gang.
@@ -273,5 +286,5 @@
       for (let n = 0; n < fits && placed.length < shape.members; n += 1)
         placed.push(worker);
   }
-  return placed.length === shape.members ? placed : undefined;
+  return placed;
 }
--- a/packages/core/src/placement/rows.ts
+++ b/packages/core/src/placement/rows.ts
@@ -49,6 +49,7 @@
 /** Capacity on a worker that waits for one job. */
 export interface Claim {
   readonly jobId: ids.JobId;
+  readonly urgency: ids.Urgency;
   readonly amount: resources.Resources;
   /** When the job is expected to use it; shorter tasks may run before. */
   beginsMs: number;
--- a/packages/core/src/queue/floors.ts
+++ b/packages/core/src/queue/floors.ts
@@ -12,7 +12,8 @@
 
 /** Use, demand and floor of one urgency at a tick. */
 export interface UrgencyUse {
-  readonly floor: number;
+  /** Share of each resource that the urgency keeps. */
+  readonly floor: resources.Resources;
   readonly used: vector.Amount;
   /** Used in a way that can't be taken back. */
   readonly kept: vector.Amount;
@@ -46,15 +47,49 @@
   return floors;
 }
 
+/** A floor holds in GPUs only for an urgency whose work uses them. */
+function computeFloor(share: number, withGpus: boolean): resources.Resources {
+  return { cores: share, memoryMb: share, gpus: withGpus ? share : 0 };
+}
+
+/** The resource of which work that can't be taken back would need more than the floors leave. */
+export interface FloorExcess {
+  readonly urgency: ids.Urgency;
+  readonly resource: resources.ResourceName;
+  readonly needed: number;
+  readonly left: number;
+}
+
+/** Checks whether the floors of more urgent classes would keep out a request on an idle fleet. */
+export function findFloorExcess(
+  request: FloorRequest,
+  floors: Readonly<Record<ids.Urgency, number>>,
+  withGpus: ReadonlySet<ids.Urgency>,
+  total: resources.Resources,
+): FloorExcess | undefined {
+  if (request.reclaimable) return undefined;
+  for (const urgency of ids.urgencies) {
+    if (urgency === request.urgency) return undefined;
+    const floor = computeFloor(floors[urgency], withGpus.has(urgency));
+    for (const resource of resources.resourceNames) {
+      const needed = request.need[resource] * request.times;
+      const left = (1 - floor[resource]) * total[resource];
+      if (needed > left) return { urgency, resource, needed, left };
+    }
+  }
+  return undefined;
+}
+
 /** Builds the table from the queue; the cost is the number of teams. */
 export function buildFloorTable(
   table: queue.Queue,
   floors: Readonly<Record<ids.Urgency, number>>,
+  withGpus: ReadonlySet<ids.Urgency>,
   computeWanted: (team: queue.TeamQueue) => resources.Resources,
 ): FloorTable {
   function buildUse(name: ids.Urgency): UrgencyUse {
     const use = {
-      floor: floors[name],
+      floor: computeFloor(floors[name], withGpus.has(name)),
       used: vector.createAmount(),
       kept: vector.createAmount(),
       wanted: vector.createAmount(),
@@ -78,10 +113,28 @@
   name: resources.ResourceName,
   total: number,
 ): number {
-  const floor = use.floor * total;
+  const floor = use.floor[name] * total;
   return Math.max(0, Math.min(floor - use.used[name], use.wanted[name]));
 }
 
+/** Capacity that an urgent request may take back without touching the floors. */
+function computeReclaimable(
+  request: FloorRequest,
+  table: FloorTable,
+  name: resources.ResourceName,
+  total: number,
+): number {
+  if (request.urgency !== 'urgent') return 0;
+  let sum = 0;
+  for (const other of ids.urgencies) {
+    if (other === 'urgent') continue;
+    const { used, kept, floor } = table[other];
+    const aboveFloor = used[name] - floor[name] * total;
+    sum += Math.max(0, Math.min(used[name] - kept[name], aboveFloor));
+  }
+  return sum;
+}
+
 /** A request for capacity of one urgency. */
 export interface FloorRequest {
   readonly urgency: ids.Urgency;
@@ -111,13 +164,15 @@
       if (
         at < own &&
         !request.reclaimable &&
-        keptBelow + need > (1 - use.floor) * total
+        keptBelow + need > (1 - use.floor[name]) * total
       )
         return false;
       keptBelow += use.kept[name];
     }
+    if (unmet === 0) continue;
     const free = total - shard.held[name];
-    if (unmet > 0 && free - need < unmet) return false;
+    if (free + computeReclaimable(request, table, name, total) - need < unmet)
+      return false;
   }
   return true;
 }
--- a/packages/core/src/queue/queue.ts
+++ b/packages/core/src/queue/queue.ts
@@ -19,6 +19,8 @@
   readonly fresh: Map<ids.JobId, rows.JobRow>;
   /** State of the fleet at which the shape was last refused; 0 for none. */
   refusedAt: number;
+  /** List of workers for which the shape is known to fit an idle fleet; 0 for none. */
+  fittingAt: number;
 }
 
 /** Waiting jobs and use of one team in one urgency. */
@@ -95,6 +97,7 @@
     again: new Map(),
     fresh: new Map(),
     refusedAt: 0,
+    fittingAt: 0,
   };
   team.shapes.set(shape.key, created);
   return created;
--- a/packages/core/src/scheduler/accept.ts
+++ b/packages/core/src/scheduler/accept.ts
@@ -7,6 +7,7 @@
 import * as filter from '../placement/filter.js';
 import type * as placement from '../placement/rows.js';
 import type * as vector from '../placement/vector.js';
+import * as floors from '../queue/floors.js';
 import * as admission from '../queue/admission.js';
 import * as ends from './ends.js';
 import * as ledger from './ledger.js';
@@ -88,6 +89,7 @@
     failedOn: new Set(),
     spread: new Map(),
     sinceMs: 0,
+    progressMs: 0,
     reason: undefined,
     ending: undefined,
     closed: false,
@@ -116,12 +118,14 @@
   if (state.jobs.has(accepted.id) || accepted.state !== 'accepted') return;
   const row = buildRow(state, accepted);
   row.sinceMs = nowMs;
+  row.progressMs = nowMs;
   state.jobs.set(row.id, row);
   for (const { index, result } of ended) {
     const task = waiting.touchTask(row, index);
     if (task.state !== 'ended') ends.endTask(row, task, result);
   }
   notePerGpu(state, row.spec);
+  if (row.spec.size.gpus > 0) state.withGpus.add(row.urgency);
   const team = state.queue.getTeam(row.urgency, row.team);
   team.weight = state.teams.get(row.team)?.weight ?? 1;
   waiting.applyReady(state, row, row.spec.count - row.tasks.size);
@@ -271,6 +275,23 @@
   return undefined;
 }
 
+function findFloorReason(
+  state: states.State,
+  spec: job.JobSpec,
+): reasons.Reason | undefined {
+  const entry = state.classes.get(spec.jobClass);
+  const request = {
+    urgency: entry?.urgency ?? 'normal',
+    need: spec.size,
+    times: spec.kind === 'gang' ? spec.count : 1,
+    reclaimable:
+      spec.kind !== 'gang' && entry?.preemptible === true && entry.idempotent,
+  };
+  const { floors: shares, withGpus, fleet } = state;
+  const excess = floors.findFloorExcess(request, shares, withGpus, fleet.total);
+  return excess === undefined ? undefined : { reason: 'floor', ...excess };
+}
+
 /** Checks a job that was submitted. */
 export function checkSpec(
   state: states.State,
@@ -285,6 +306,8 @@
   }
   const quota = findSpecQuota(state, spec);
   if (quota !== undefined) return { admitted: false, reason: quota };
+  const floor = findFloorReason(state, spec);
+  if (floor !== undefined) return { admitted: false, reason: floor };
   const entry = state.classes.get(spec.jobClass);
   const urgency = entry?.urgency ?? 'normal';
   const expectedWaitMs = admission.computeWait(state.queue, {
--- a/packages/core/src/scheduler/apply.ts
+++ b/packages/core/src/scheduler/apply.ts
@@ -6,6 +6,7 @@
 import * as floors from '../queue/floors.js';
 import * as accept from './accept.js';
 import * as ends from './ends.js';
+import * as reserve from './reserve.js';
 import type * as states from './state.js';
 import * as usage from './usage.js';
 import * as waiting from './waiting.js';
@@ -31,7 +32,7 @@
   if (row === undefined) return;
   for (const attempt of [...row.attempts.values()])
     ends.endAttempt(state, attempt, 'lost', undefined, nowMs);
-  for (const job of [...row.claims.keys()]) state.reservations.delete(job);
+  for (const job of [...row.claims.keys()]) reserve.dropReservation(state, job);
   state.fleet.remove(id);
   health.dropWorker(state.health, id);
 }
--- a/packages/core/src/scheduler/ends.ts
+++ b/packages/core/src/scheduler/ends.ts
@@ -54,6 +54,20 @@
   });
 }
 
+/** Notes for the job of a preempted attempt which job it made room for. */
+export function notePreemption(
+  state: states.State,
+  attempt: placement.Attempt,
+  by: ids.JobId,
+): void {
+  const row = state.jobs.get(attempt.jobId);
+  if (row !== undefined)
+    noteHistory(
+      row,
+      `task ${attempt.index} was checkpointed on ${attempt.worker.id} to make room for job ${by}`,
+    );
+}
+
 /** Lists the live attempts of a job; the cost is the tasks that ever started. */
 export function listLive(row: rows.JobRow): placement.Attempt[] {
   const live: placement.Attempt[] = [];
--- a/packages/core/src/scheduler/ledger.ts
+++ b/packages/core/src/scheduler/ledger.ts
@@ -18,6 +18,18 @@
   vector.addTo(states.getTeamUse(state, attempt.team), attempt.held, by);
 }
 
+function countReclaimable(
+  state: states.State,
+  attempt: placement.Attempt,
+  by: number,
+): void {
+  if (!attempt.reclaimable) return;
+  const { worker } = attempt;
+  const count = (state.reclaimable.get(worker) ?? 0) + by;
+  if (count > 0) state.reclaimable.set(worker, count);
+  else state.reclaimable.delete(worker);
+}
+
 /** Holds the capacity of an attempt. */
 export function addAttempt(
   state: states.State,
@@ -25,6 +37,7 @@
 ): void {
   state.attempts.set(attempt.id, attempt);
   state.fleet.add(attempt);
+  countReclaimable(state, attempt, 1);
   addUse(state, attempt, 1);
 }
 
@@ -35,6 +48,7 @@
 ): void {
   if (!state.attempts.delete(attempt.id)) return;
   state.fleet.drop(attempt);
+  countReclaimable(state, attempt, -1);
   addUse(state, attempt, -1);
 }
 
@@ -56,6 +70,8 @@
   owner: Pick<placement.Attempt, 'urgency' | 'team' | 'reclaimable'>,
 ): void {
   addUse(state, attempt, -1);
+  countReclaimable(state, attempt, -1);
   Object.assign(attempt, owner);
+  countReclaimable(state, attempt, 1);
   addUse(state, attempt, 1);
 }
--- /dev/null
+++ b/packages/core/src/scheduler/preempt.ts
@@ -0,0 +1,169 @@
+/**
+ * Preemption: less urgent tasks are checkpointed where that lets a task start, least
+ * lost work first and within a bound. Urgent work may preempt, and other work as far
+ * as its urgency is below its floor.
+ */
+import * as resources from '../types/resources.js';
+import type * as placement from '../placement/rows.js';
+import * as vector from '../placement/vector.js';
+import * as ends from './ends.js';
+import * as reserve from './reserve.js';
+import type * as rows from './rows.js';
+import * as start from './start.js';
+import type * as states from './state.js';
+
+/** Work that a checkpoint doesn't keep may cost at most this per task. */
+const MAX_LOSS_MS = 60_000;
+/** Stop, checkpoint and restart of a task. */
+const RESTART_COST_MS = 2_000;
+/** A task that ends this soon is left alone. */
+const ENDS_SOON_MS = 500;
+/** Workers that are compared. */
+const WORKERS_COMPARED = 32;
+
+interface Choice {
+  readonly worker: placement.WorkerRow;
+  readonly victims: readonly placement.Attempt[];
+  readonly lossMs: number;
+}
+
+function estimateLossMs(
+  state: states.State,
+  attempt: placement.Attempt,
+  nowMs: number,
+): number {
+  const jobClass = state.jobs.get(attempt.jobId)?.spec.jobClass ?? '';
+  const kept = state.checkpoints.get(jobClass) ?? 1;
+  return RESTART_COST_MS + (nowMs - attempt.sinceMs) * (1 - kept);
+}
+
+function isBelowFloor(
+  state: states.State,
+  row: rows.JobRow,
+  context: start.TickContext,
+): boolean {
+  const use = context.floors[row.urgency];
+  return resources.resourceNames.every(
+    (name) =>
+      row.spec.size[name] === 0 ||
+      use.used[name] + row.spec.size[name] <=
+        use.floor[name] * state.fleet.total[name],
+  );
+}
+
+/** Tells whether the urgency of an attempt keeps its floor without it. */
+function isAboveOwnFloor(
+  state: states.State,
+  attempt: placement.Attempt,
+  need: resources.Resources,
+  context: start.TickContext,
+): boolean {
+  const use = context.floors[attempt.urgency];
+  return resources.resourceNames.every(
+    (name) =>
+      need[name] === 0 ||
+      use.used[name] - attempt.held[name] >=
+        use.floor[name] * state.fleet.total[name],
+  );
+}
+
+function findVictims(
+  state: states.State,
+  row: rows.JobRow,
+  worker: placement.WorkerRow,
+  context: start.TickContext,
+): Choice | undefined {
+  const { nowMs } = context;
+  const need = row.spec.size;
+  const candidates: { attempt: placement.Attempt; lossMs: number }[] = [];
+  for (const attempt of worker.attempts.values()) {
+    if (!reserve.canPreempt(row, attempt)) continue;
+    if (attempt.endsMs > nowMs && attempt.endsMs - nowMs < ENDS_SOON_MS)
+      continue;
+    if (!isAboveOwnFloor(state, attempt, need, context)) continue;
+    const lossMs = estimateLossMs(state, attempt, nowMs);
+    if (lossMs <= MAX_LOSS_MS) candidates.push({ attempt, lossMs });
+  }
+  candidates.sort((a, b) => a.lossMs - b.lossMs);
+  const room = { ...worker.open };
+  const victims: placement.Attempt[] = [];
+  let lossMs = 0;
+  for (const candidate of candidates) {
+    if (vector.isWithin(need, room)) break;
+    vector.addTo(room, candidate.attempt.held, 1);
+    victims.push(candidate.attempt);
+    lossMs += candidate.lossMs;
+  }
+  if (victims.length === 0 || !vector.isWithin(need, room)) return undefined;
+  return { worker, victims, lossMs };
+}
+
+function canUse(row: rows.JobRow, worker: placement.WorkerRow): boolean {
+  const zone = row.spec.availabilityZone ?? worker.record.availabilityZone;
+  return (
+    worker.usable &&
+    !worker.quarantined &&
+    worker.record.state === 'live' &&
+    zone === worker.record.availabilityZone &&
+    !row.failedOn.has(worker.id)
+  );
+}
+
+function chooseVictims(
+  state: states.State,
+  row: rows.JobRow,
+  context: start.TickContext,
+): Choice | undefined {
+  let best: Choice | undefined;
+  let compared = 0;
+  for (const worker of state.reclaimable.keys()) {
+    if (!canUse(row, worker)) continue;
+    const choice = findVictims(state, row, worker, context);
+    if (choice === undefined) continue;
+    if (best === undefined || choice.lossMs < best.lossMs) best = choice;
+    compared += 1;
+    if (compared >= WORKERS_COMPARED) break;
+  }
+  return best;
+}
+
+/** Stops tasks so that the next task of a job can start; false when nothing helps. */
+export function preemptFor(
+  state: states.State,
+  row: rows.JobRow,
+  context: start.TickContext,
+): boolean {
+  if (row.spec.kind === 'gang') return false;
+  if (row.urgency !== 'urgent' && !isBelowFloor(state, row, context))
+    return false;
+  const known = state.reservations.get(row.id);
+  if (known?.why === 'starving') return false;
+  if ((known?.members ?? 0) >= row.waiting) return false;
+  const choice = chooseVictims(state, row, context);
+  if (choice === undefined) return false;
+  const { nowMs } = context;
+  for (const victim of choice.victims) {
+    ends.stopAttempt(state, victim, 'preempted', true);
+    ends.notePreemption(state, victim, row.id);
+    const use = context.floors[victim.urgency];
+    vector.addTo(use.used, victim.held, -1);
+  }
+  if (known === undefined)
+    state.reservations.set(row.id, {
+      job: row.id,
+      why: 'preemption',
+      workers: new Map([[choice.worker.id, choice.worker]]),
+      madeMs: nowMs,
+      beginsMs: nowMs,
+      members: 1,
+      untilMs: nowMs + reserve.PREEMPTION_TERM_MS,
+    });
+  else {
+    known.workers.set(choice.worker.id, choice.worker);
+    known.members += 1;
+    known.untilMs = nowMs + reserve.PREEMPTION_TERM_MS;
+  }
+  reserve.addClaim(state, row, choice.worker, nowMs);
+  vector.addTo(context.floors[row.urgency].used, row.spec.size, 1);
+  return true;
+}
--- a/packages/core/src/scheduler/rows.ts
+++ b/packages/core/src/scheduler/rows.ts
@@ -52,6 +52,8 @@
   /** Replicas by zone, rack and worker. */
   readonly spread: Map<string, number>;
   sinceMs: number;
+  /** When it was accepted or last started a task. */
+  progressMs: number;
   reason: reasons.Reason | undefined;
   /** Set when the job is to end as soon as nothing of it is live. */
   ending:
--- a/packages/core/src/scheduler/start.ts
+++ b/packages/core/src/scheduler/start.ts
@@ -28,6 +28,8 @@
   floors: floors.FloorTable;
   /** True while tasks that need GPUs wait. */
   readonly gpusWanted: boolean;
+  /** The job that has starved longest among the most urgent ones. */
+  starving: rows.JobRow | undefined;
 }
 
 /** Tells whether the capacity of a task can be taken back by a checkpoint. */
@@ -115,6 +117,7 @@
   return {
     shape: row.shape,
     jobId: row.id,
+    urgency: row.urgency,
     avoid: row.failedOn,
     spread: row.spec.kind === 'service' ? row.spread : undefined,
     endsMs: computeEndMs(state, row, 0, context.nowMs),
@@ -184,6 +187,8 @@
   const rest = { ...claim.amount };
   vector.addTo(rest, row.spec.size, -1);
   state.fleet.unclaim(worker, row.id);
+  const reservation = state.reservations.get(row.id);
+  if (reservation !== undefined) reservation.members -= 1;
   const isLeft = rest.cores >= 0 && rest.memoryMb >= 0 && rest.gpus >= 0;
   if (isLeft && rest.cores + rest.memoryMb + rest.gpus > 0)
     state.fleet.claim(worker, { ...claim, amount: rest });
@@ -200,6 +205,7 @@
   const task = waiting.takeNext(state, row);
   if (task === undefined) return undefined;
   task.attempts += 1;
+  row.progressMs = nowMs;
   const number = state.options.seed * ATTEMPTS_PER_SEED + task.attempts;
   releaseClaim(state, row, worker);
   const id = `${row.id}.${task.index}.${number}`;
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -27,7 +27,9 @@
   readonly workers: Map<ids.VmId, placement.WorkerRow>;
   readonly madeMs: number;
   beginsMs: number;
-  readonly untilMs: number;
+  untilMs: number;
+  /** Tasks that it has room for. */
+  members: number;
 }
 
 /** The tables. */
@@ -49,6 +51,10 @@
   readonly unfit: Map<rows.JobRow, number>;
   /** Gangs with live members and members that wait, since when. */
   readonly brokenGangs: Map<rows.JobRow, number>;
+  /** Workers with attempts whose capacity can be taken back, and how many. */
+  readonly reclaimable: Map<placement.WorkerRow, number>;
+  /** No plan is made before. */
+  nextPlanMs: number;
   readonly reservations: Map<ids.JobId, Reservation>;
   /** Commands to return from the next ticks. */
   readonly outbox: scheduler.SchedulerCommand[];
@@ -59,6 +65,8 @@
   release: string;
   classes: ReadonlyMap<string, release.ClassEntry>;
   teams: ReadonlyMap<ids.TeamName, release.TeamEntry>;
+  /** Urgencies of which jobs with GPUs were accepted here. */
+  readonly withGpus: Set<ids.Urgency>;
   floors: Readonly<Record<ids.Urgency, number>>;
   /** Cores and memory that work on one GPU takes with it; undefined before the first. */
   perGpu: resources.Resources | undefined;
@@ -81,6 +89,8 @@
     delayed: new heap.Heap((a, b) => a.dueMs - b.dueMs),
     unfit: new Map(),
     brokenGangs: new Map(),
+    reclaimable: new Map(),
+    nextPlanMs: 0,
     reservations: new Map(),
     outbox: [],
     checkpoints: new Map(),
@@ -88,6 +98,7 @@
     release: 'none',
     classes: new Map(),
     teams: new Map(),
+    withGpus: new Set(),
     floors: floors.computeFloors([]),
     perGpu: undefined,
     nextOrder: 0,
--- a/packages/core/src/scheduler/tick.ts
+++ b/packages/core/src/scheduler/tick.ts
@@ -9,6 +9,8 @@
 import type * as queue from '../queue/queue.js';
 import * as accept from './accept.js';
 import * as ends from './ends.js';
+import * as preempt from './preempt.js';
+import * as reserve from './reserve.js';
 import type * as rows from './rows.js';
 import * as start from './start.js';
 import type * as states from './state.js';
@@ -16,6 +18,8 @@
 
 /** Failed lookups that one tick makes per urgency. */
 const MISSES_PER_TICK = 256;
+/** Preemptions that one tick begins. */
+const PREEMPTIONS_PER_TICK = 64;
 /** Time for a new owner to find all members of a gang before it counts as broken. */
 const GANG_GRACE_MS = 2_000;
 
@@ -65,10 +69,27 @@
   for (const byTeam of state.queue.teams.values())
     for (const team of byTeam.values())
       if (team.wanted.gpus > 0) gpusWanted = true;
-  const table = floors.buildFloorTable(state.queue, state.floors, (team) =>
-    accept.computeWanted(state, team),
+  const table = floors.buildFloorTable(
+    state.queue,
+    state.floors,
+    state.withGpus,
+    (team) => accept.computeWanted(state, team),
   );
-  return { nowMs, placing, floors: table, gpusWanted };
+  return { nowMs, placing, floors: table, gpusWanted, starving: undefined };
+}
+
+function noteStarving(row: rows.JobRow, context: start.TickContext): void {
+  if (!reserve.isStarving(row, context.nowMs)) return;
+  const { starving } = context;
+  const isFirst =
+    starving === undefined ||
+    (starving.urgency === row.urgency && row.progressMs < starving.progressMs);
+  if (isFirst) context.starving = row;
+}
+
+/** Changes whenever a refused shape might fit. */
+function computeStamp(state: states.State, context: start.TickContext): number {
+  return state.fleet.readFreed() * 2 + (context.gpusWanted ? 1 : 0);
 }
 
 function refuseShape(
@@ -76,23 +97,46 @@
   shape: queue.ShapeQueue,
   row: rows.JobRow,
   result: Extract<start.StartResult, { started: 0; reason: unknown }>,
+  context: start.TickContext,
+  budget: Budget,
 ): void {
   row.reason = result.reason;
-  if (
-    result.reason.reason === 'no-candidate' &&
-    !accept.isFitting(state, row)
-  ) {
-    waiting.removeUnfit(state, row);
-    return;
+  if (result.reason.reason === 'no-candidate') {
+    const listed = state.fleet.readListed();
+    if (shape.fittingAt !== listed && !accept.isFitting(state, row)) {
+      waiting.removeUnfit(state, row);
+      return;
+    }
+    shape.fittingAt = listed;
+    shape.refusedAt = computeStamp(state, context);
+    noteStarving(row, context);
+    while (budget.preemptions > 0 && preempt.preemptFor(state, row, context))
+      budget.preemptions -= 1;
   }
   state.queue.refuse(shape);
 }
 
 interface Budget {
   starts: number;
+  preemptions: number;
   misses: number;
 }
 
+function tryShape(
+  state: states.State,
+  shape: queue.ShapeQueue,
+  row: rows.JobRow,
+  context: start.TickContext,
+): start.StartResult {
+  const isSame = shape.refusedAt === computeStamp(state, context);
+  if (isSame) {
+    const { size } = state.fleet.workers;
+    const reason = { reason: 'no-candidate', total: size, counts: [] } as const;
+    return { started: 0, reason };
+  }
+  return start.tryStart(state, row, context);
+}
+
 function placeNext(
   state: states.State,
   urgency: ids.Urgency,
@@ -110,16 +154,20 @@
     state.queue.refuse(shape);
     return true;
   }
-  const result = start.tryStart(state, row, context);
+  const result = tryShape(state, shape, row, context);
   if ('reason' in result) {
     budget.misses -= 1;
-    refuseShape(state, shape, row, result);
+    refuseShape(state, shape, row, result, context, budget);
   } else budget.starts -= result.started;
   return true;
 }
 
 function placeAll(state: states.State, context: start.TickContext): void {
-  const budget: Budget = { starts: state.options.maxStartsPerTick, misses: 0 };
+  const budget: Budget = {
+    starts: state.options.maxStartsPerTick,
+    preemptions: PREEMPTIONS_PER_TICK,
+    misses: 0,
+  };
   for (const urgency of ids.urgencies) {
     budget.misses = MISSES_PER_TICK;
     while (budget.starts > 0 && budget.misses > 0)
@@ -144,9 +192,12 @@
 ): readonly scheduler.SchedulerCommand[] {
   waiting.releaseDelayed(state, nowMs);
   stopBrokenGangs(state, nowMs);
+  reserve.sweepReservations(state, nowMs);
   state.queue.restore();
   start.startTrials(state, nowMs);
   const context = buildContext(state, nowMs);
   placeAll(state, context);
+  if (context.starving !== undefined)
+    reserve.reserveFor(state, context.starving, context);
   return state.outbox.splice(0);
 }
--- a/packages/core/src/scheduler/waiting.ts
+++ b/packages/core/src/scheduler/waiting.ts
@@ -106,6 +106,7 @@
   task.state = 'waiting';
   task.attempt = undefined;
   task.sinceMs = nowMs;
+  if (row.waiting === 0) row.progressMs = nowMs;
   row.again.push(task.index);
   applyReady(state, row, 1);
 }
@@ -158,6 +159,7 @@
   row.unknown = 0;
   row.restarting = false;
   row.sinceMs = nowMs;
+  row.progressMs = nowMs;
   applyReady(state, row, row.spec.count);
 }
 
