--- a/packages/core/src/placement/filter.ts
+++ b/packages/core/src/placement/filter.ts
@@ -68,6 +68,34 @@
   return { total: table.workers.size, counts, left };
 }
 
+/** Tells whether an idle fleet could hold a shape without some workers; scans the fleet. */
+export function canAvoid(
+  table: fleet.Fleet,
+  shape: rows.Shape,
+  avoid: ReadonlySet<ids.VmId>,
+): boolean {
+  const byRack = new Map<ids.RackName, number>();
+  for (const worker of table.workers.values()) {
+    const { rack, state, availabilityZone } = worker.record;
+    const zone = shape.availabilityZone ?? availabilityZone;
+    if (avoid.has(worker.id) || state === 'leaving') continue;
+    if (zone !== availabilityZone) continue;
+    const fits = vector.countFits(shape.size, worker.size);
+    byRack.set(rack, (byRack.get(rack) ?? 0) + fits);
+  }
+  return sumBest(byRack, shape.maxRacks) >= shape.members;
+}
+
+function sumBest(
+  byRack: ReadonlyMap<ids.RackName, number>,
+  racks: number,
+): number {
+  return [...byRack.values()]
+    .sort((a, b) => b - a)
+    .slice(0, racks)
+    .reduce((sum, fits) => sum + fits, 0);
+}
+
 /** Result of the check whether a shape could ever run on the fleet. */
 export type EverFits =
   | { readonly fits: true }
@@ -99,11 +127,7 @@
       else byRack.set(rack, (byRack.get(rack) ?? 0) + fits * count);
     }
   }
-  const best = [...byRack.values()]
-    .sort((a, b) => b - a)
-    .slice(0, shape.maxRacks);
-  const members = best.reduce((sum, fits) => sum + fits, 0);
-  if (members >= shape.members) return { fits: true };
+  if (sumBest(byRack, shape.maxRacks) >= shape.members) return { fits: true };
   const counts: reasons.FilterCount[] = [];
   if (size > 0) counts.push({ filter: 'size', removed: size });
   if (location > 0) counts.push({ filter: 'location', removed: location });
--- a/packages/core/src/queue/queue.ts
+++ b/packages/core/src/queue/queue.ts
@@ -183,7 +183,9 @@
     length += by;
     vector.addTo(team.wanted, row.spec.size, by);
     vector.addTo(team.work, row.spec.size, by * row.spec.declaredMs);
-    if (row.waiting <= 0 || row.closed || row.unfit) removeRow(team, row);
+    // A gang starts whole, so it is queued only when all its members wait.
+    const least = row.spec.kind === 'gang' ? row.spec.count : 1;
+    if (row.waiting < least || row.closed || row.unfit) removeRow(team, row);
     else addRow(team, row);
   }
 
--- a/packages/core/src/scheduler/accept.ts
+++ b/packages/core/src/scheduler/accept.ts
@@ -87,6 +87,7 @@
     unknown: 0,
     restarting: false,
     failedOn: new Set(),
+    avoid: new Set(),
     spread: new Map(),
     sinceMs: 0,
     progressMs: 0,
@@ -131,6 +132,8 @@
   waiting.applyReady(state, row, row.spec.count - row.tasks.size);
   if (state.attempts.size > 0 && state.orphans.size > 0)
     attachKnown(state, row, nowMs);
+  if (row.spec.kind === 'gang' && row.ended > 0)
+    state.brokenGangs.set(row, nowMs);
   if (row.job.cancelRequested)
     ends.beginEnd(state, row, { state: 'cancelled', reason: 'cancelled' });
   else ends.finishJob(state, row);
@@ -332,6 +335,12 @@
   return filter.checkEverFits(state.fleet, row.shape).fits;
 }
 
+/** Lets a job use workers that it avoids when the others can't hold it. */
+export function updateAvoid(state: states.State, row: rows.JobRow): void {
+  if (row.avoid.size === 0) return;
+  if (!filter.canAvoid(state.fleet, row.shape, row.avoid)) row.avoid.clear();
+}
+
 /** Shares of each urgency's wanted capacity that quotas allow. */
 export function computeWanted(
   state: states.State,
--- a/packages/core/src/scheduler/ends.ts
+++ b/packages/core/src/scheduler/ends.ts
@@ -199,10 +199,12 @@
   const ready = waiting.countReady(state, row);
   waiting.applyReady(state, row, -ready);
   row.failedOn.add(worker);
+  row.avoid.add(worker);
   // Sporadic failures of a large job must not exclude the whole fleet.
   if (row.done > 0 && row.failedOn.size >= WORKERS_TO_FAIL)
     for (const oldest of row.failedOn) {
       row.failedOn.delete(oldest);
+      row.avoid.delete(oldest);
       break;
     }
   // Only this job avoids the worker, so it no longer shares refusals with others.
@@ -326,7 +328,9 @@
   nowMs: number,
 ): void {
   row.failedOn.delete(attempt.worker.id);
-  if (row.spec.kind === 'service') {
+  row.avoid.delete(attempt.worker.id);
+  // A replica of an at-most-once class isn't replaced, since that would run it twice.
+  if (row.spec.kind === 'service' && row.policy.idempotent) {
     waiting.requeueLater(state, row, task, nowMs + RETRY_MIN_MS);
     return;
   }
@@ -371,6 +375,7 @@
   // The failures there were the worker's, so they no longer count against the jobs.
   for (const row of state.jobs.values()) {
     if (row.closed || !row.failedOn.delete(worker.id)) continue;
+    row.avoid.delete(worker.id);
     for (const task of row.tasks.values()) task.failedOn.delete(worker.id);
   }
 }
--- a/packages/core/src/scheduler/preempt.ts
+++ b/packages/core/src/scheduler/preempt.ts
@@ -105,7 +105,7 @@
     !worker.quarantined &&
     worker.record.state === 'live' &&
     zone === worker.record.availabilityZone &&
-    !row.failedOn.has(worker.id)
+    !row.avoid.has(worker.id)
   );
 }
 
--- a/packages/core/src/scheduler/reserve.ts
+++ b/packages/core/src/scheduler/reserve.ts
@@ -178,7 +178,7 @@
       shape: row.shape,
       jobId: row.id,
       canUse: (worker) =>
-        isWorkerOpen(state, worker) && !row.failedOn.has(worker.id),
+        isWorkerOpen(state, worker) && !row.avoid.has(worker.id),
       readFreeMs: (attempt) =>
         mayStop && canPreempt(row, attempt)
           ? nowMs
--- a/packages/core/src/scheduler/rows.ts
+++ b/packages/core/src/scheduler/rows.ts
@@ -49,6 +49,8 @@
   /** Set while the members of a gang are stopped to start it again. */
   restarting: boolean;
   readonly failedOn: Set<ids.VmId>;
+  /** Workers on which it failed and that it avoids while others could hold it. */
+  readonly avoid: Set<ids.VmId>;
   /** Replicas by zone, rack and worker. */
   readonly spread: Map<string, number>;
   sinceMs: number;
--- a/packages/core/src/scheduler/start.ts
+++ b/packages/core/src/scheduler/start.ts
@@ -118,7 +118,7 @@
     shape: row.shape,
     jobId: row.id,
     urgency: row.urgency,
-    avoid: row.failedOn,
+    avoid: row.avoid,
     spread: row.spec.kind === 'service' ? row.spread : undefined,
     endsMs: computeEndMs(state, row, 0, context.nowMs),
     canUseGpuWorkers: canUseGpuWorkers(state, row, context),
@@ -309,7 +309,7 @@
   state: states.State,
   row: rows.JobRow,
 ): reasons.Reason {
-  const found = filter.collectCounts(state.fleet, row.shape, row.failedOn);
+  const found = filter.collectCounts(state.fleet, row.shape, row.avoid);
   return {
     reason: 'no-candidate',
     total: found.total,
--- a/packages/core/src/scheduler/tick.ts
+++ b/packages/core/src/scheduler/tick.ts
@@ -107,6 +107,7 @@
       waiting.removeUnfit(state, row);
       return;
     }
+    if (shape.fittingAt !== listed) accept.updateAvoid(state, row);
     shape.fittingAt = listed;
     shape.refusedAt = computeStamp(state, context);
     noteStarving(row, context);
@@ -181,7 +182,9 @@
     const held = [...row.tasks.values()].some((task) => task.state === 'held');
     if (held) continue;
     state.brokenGangs.delete(row);
-    if (row.waiting > 0 && row.live > 0) ends.stopGang(state, row);
+    if (row.closed || waiting.countReady(state, row) === 0) continue;
+    if (row.live > 0) ends.stopGang(state, row);
+    else if (row.ended > 0) waiting.resetGang(state, row, nowMs);
   }
 }
 
