--- a/packages/core/src/scheduler/ends.ts
+++ b/packages/core/src/scheduler/ends.ts
@@ -54,6 +54,20 @@
   });
 }
 
+/** Notes for the job of a preempted attempt which job it made room for. */
+export function notePreemption(
+  state: states.State,
+  attempt: placement.Attempt,
+  by: ids.JobId,
+): void {
+  const row = state.jobs.get(attempt.jobId);
+  if (row !== undefined)
+    noteHistory(
+      row,
+      `task ${attempt.index} was checkpointed on ${attempt.worker.id} to make room for job ${by}`,
+    );
+}
+
 /** Lists the live attempts of a job; the cost is the tasks that ever started. */
 export function listLive(row: rows.JobRow): placement.Attempt[] {
   const live: placement.Attempt[] = [];
@@ -185,10 +199,12 @@
   const ready = waiting.countReady(state, row);
   waiting.applyReady(state, row, -ready);
   row.failedOn.add(worker);
+  row.avoid.add(worker);
   // Sporadic failures of a large job must not exclude the whole fleet.
   if (row.done > 0 && row.failedOn.size >= WORKERS_TO_FAIL)
     for (const oldest of row.failedOn) {
       row.failedOn.delete(oldest);
+      row.avoid.delete(oldest);
       break;
     }
   // Only this job avoids the worker, so it no longer shares refusals with others.
@@ -312,7 +328,9 @@
   nowMs: number,
 ): void {
   row.failedOn.delete(attempt.worker.id);
-  if (row.spec.kind === 'service') {
+  row.avoid.delete(attempt.worker.id);
+  // A replica of an at-most-once class isn't replaced, since that would run it twice.
+  if (row.spec.kind === 'service' && row.policy.idempotent) {
     waiting.requeueLater(state, row, task, nowMs + RETRY_MIN_MS);
     return;
   }
@@ -357,6 +375,7 @@
   // The failures there were the worker's, so they no longer count against the jobs.
   for (const row of state.jobs.values()) {
     if (row.closed || !row.failedOn.delete(worker.id)) continue;
+    row.avoid.delete(worker.id);
     for (const task of row.tasks.values()) task.failedOn.delete(worker.id);
   }
 }
