--- a/packages/core/src/slots/scheduler.ts
+++ b/packages/core/src/slots/scheduler.ts
@@ -178,7 +178,10 @@
     if (takeOverEndsMs === undefined || nowMs < takeOverEndsMs) return;
     if (unreported.size > 0) return;
     takeOverEndsMs = undefined;
-    for (const row of rows.values()) row.unknown = 0;
+    for (const [id, row] of rows) {
+      row.unknown = 0;
+      if (!row.listed && row.tickets.size === 0) rows.delete(id);
+    }
   }
 
   // --- asks ---
@@ -415,6 +418,8 @@
 
   function tryGrant(entry: queues.WaitingAsk, nowMs: number): boolean {
     const { ask } = entry;
+    // Its share of the connections isn't known before it has reported.
+    if (unreported.has(ask.holder)) return false;
     const server = servers.chooseServer(
       rows.values(),
       ask,
