Add jobs and the owner of a workers shard to the daemon

A process has to accept jobs durably and, while it owns workers/<region>, run their tasks on workers that refuse nothing. The shard opens a session with each worker, adopts what runs there, holds tasks of older jobs until no worker can be running them, and starts only under a fresh answer. New jobs are given to the scheduler after a read of the claims that was sent after the job was read, so a later owner can tell which jobs an earlier one may have started and needn't hold the others.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -52,6 +52,7 @@
 export type { JobChange, JobTable } from './jobs/jobTable.js';
 export {
   applyTaskRecord,
+  countTaskEnds,
   createTaskTable,
   dropTasks,
   listTaskEnds,
--- a/packages/core/src/jobs/taskTable.ts
+++ b/packages/core/src/jobs/taskTable.ts
@@ -65,7 +65,11 @@
   return known === undefined;
 }
 
-function ensureCodes(table: TaskTable, id: ids.JobId, index: number): Uint8Array {
+function ensureCodes(
+  table: TaskTable,
+  id: ids.JobId,
+  index: number,
+): Uint8Array {
   const codes = table.ends.get(id) ?? new Uint8Array(0);
   if (index < codes.length) return codes;
   const grown = new Uint8Array(Math.max(index + 1, codes.length * 2));
@@ -112,6 +116,13 @@
   return ended;
 }
 
+/** Counts the tasks of a job whose end is durable. */
+export function countTaskEnds(table: TaskTable, id: ids.JobId): number {
+  let count = 0;
+  for (const code of table.ends.get(id) ?? []) if (code !== 0) count += 1;
+  return count;
+}
+
 /** Reads the last intent of an at-most-once task. */
 export function readIntent(
   table: TaskTable,
--- /dev/null
+++ b/packages/daemon/src/workers/session.ts
@@ -0,0 +1,191 @@
+/**
+ * The session with one worker: a long poll that renews all leases of the worker,
+ * and short calls when a decision needs a newer answer. At rest it costs one call
+ * per `SYNC_WAIT_MS`.
+ */
+import * as core from '@flamingoward/core';
+import type * as gates from './gate.js';
+import * as gate from './gate.js';
+import type * as types from './types.js';
+
+/** Longest time that a worker holds a sync call. */
+export const SYNC_WAIT_MS = 5_000;
+
+/** Time for an answer beyond the wait that was asked for. */
+const ANSWER_MS = 1_500;
+
+/** Time in which the sessions of a take-over begin. */
+const OPEN_SPREAD_MS = 200;
+
+/** Shortest period of long polls, which a busy worker answers at once. */
+const MIN_PERIOD_MS = 50;
+
+const BACKOFF_MIN_MS = 200;
+const BACKOFF_MAX_MS = 2_000;
+
+/** Slack after which the worker clock has surely passed a bound. */
+const CLOCK_SLACK_MS = 20;
+
+/** What the session tells its owner. */
+export interface SessionEvents {
+  /** An answer, the newest so far; `complete` as in `isInventoryComplete`. */
+  handleReport(report: core.workers.SyncReport, complete: boolean): void;
+  /** The worker restarted; comes before the report. */
+  handleReboot(): void;
+  handleHigher(seen: core.workers.SeenSession): void;
+  handleFailure(error: unknown): void;
+}
+
+/** What a session needs. */
+export interface SessionParts {
+  readonly timers: core.TimerService;
+  readonly client: types.WorkerClient;
+  readonly gate: gates.Gate;
+  readonly random: () => number;
+}
+
+/** A running session. */
+export interface Session {
+  readState(): core.AuthorityState;
+  readAuthority(): core.Authority;
+  /** Calls that failed since the last answer. */
+  readFailures(): number;
+  /** Asks without waiting; resolves when the answer is handled or the call failed. */
+  sync(): Promise<void>;
+  /** Tells the worker with the next call that it may forget an ended attempt. */
+  forget(attempt: core.ids.AttemptId): void;
+  close(): void;
+}
+
+/** Creates a session and begins to call the address that `readVm` returns. */
+export function createSession(
+  parts: SessionParts,
+  readVm: () => core.workers.VmRecord,
+  kind: core.WorkerKind,
+  own: core.workers.WorkerSession,
+  events: SessionEvents,
+): Session {
+  const { timers, client, random } = parts;
+  const toForget = new Set<core.ids.AttemptId>();
+  let authority = core.createAuthority(kind, own);
+  let version: number | undefined;
+  let failures = 0;
+  let closed = false;
+  let quick: Promise<void> | undefined;
+
+  function buildRequest(
+    waitMs: number,
+    forget: readonly string[],
+  ): core.workers.SyncRequest {
+    const { clockMs } = authority;
+    return {
+      session: own,
+      waitMs,
+      forget,
+      ...(clockMs === undefined
+        ? {}
+        : { renewUntilMs: clockMs + core.LEASE_TERM_MS }),
+      ...(version === undefined ? {} : { sinceVersion: version }),
+    };
+  }
+
+  async function pollWorker(waitMs: number): Promise<boolean> {
+    const sentMs = timers.readNow();
+    const forget = [...toForget];
+    const origin = { step: 'workers.sync', peer: readVm().id };
+    const timeoutMs = waitMs + ANSWER_MS;
+    try {
+      const report = await gate.withTimeout(
+        timers,
+        origin,
+        timeoutMs,
+        client.sync(readVm().address, buildRequest(waitMs, forget), timeoutMs),
+      );
+      if (closed) return false;
+      for (const attempt of forget) toForget.delete(attempt);
+      receive(report, sentMs);
+      return true;
+    } catch (error) {
+      if (closed) return false;
+      failures += 1;
+      events.handleFailure(error);
+      return false;
+    }
+  }
+
+  function receive(report: core.workers.SyncReport, sentMs: number): void {
+    failures = 0;
+    const result = core.applySessionReport(authority, {
+      sentMs,
+      receivedMs: timers.readNow(),
+      boot: report.boot,
+      clockMs: report.clockMs,
+      sessions: report.sessions,
+    });
+    authority = result.authority;
+    if (authority.higher !== undefined) {
+      events.handleHigher(authority.higher);
+      return;
+    }
+    if (result.outdated) return;
+    version = report.version;
+    if (result.rebooted) events.handleReboot();
+    events.handleReport(report, core.isInventoryComplete(authority));
+  }
+
+  async function runLoop(): Promise<void> {
+    await wait(random() * OPEN_SPREAD_MS);
+    let polled = false;
+    while (!closed) {
+      const beginMs = timers.readNow();
+      const complete = core.isInventoryComplete(authority);
+      // The first long polls differ in length, so that later ones don't end together.
+      const spread = polled ? 1 : 0.5 + random() / 2;
+      const answered = complete
+        ? await pollWorker(SYNC_WAIT_MS * spread)
+        : await parts.gate.run(() => pollWorker(0));
+      polled ||= complete;
+      await wait(choosePause(answered, beginMs));
+    }
+  }
+
+  function choosePause(answered: boolean, beginMs: number): number {
+    if (!answered) {
+      const limitMs = Math.min(BACKOFF_MAX_MS, BACKOFF_MIN_MS * 2 ** failures);
+      return limitMs * (0.5 + random() / 2);
+    }
+    const state = core.readAuthority(authority, timers.readNow());
+    if (state.state === 'take-over') return state.restMs + CLOCK_SLACK_MS;
+    return Math.max(0, MIN_PERIOD_MS - (timers.readNow() - beginMs));
+  }
+
+  function wait(delayMs: number): Promise<void> {
+    if (closed || delayMs <= 0) return Promise.resolve();
+    return core.waitFor(timers, 'workers.session', delayMs);
+  }
+
+  async function askNow(): Promise<void> {
+    if (closed) return;
+    quick ??= parts.gate
+      .run(() => pollWorker(0))
+      .then(() => {
+        quick = undefined;
+      });
+    await quick;
+  }
+
+  void runLoop();
+
+  return {
+    readState: () => core.readAuthority(authority, timers.readNow()),
+    readAuthority: () => authority,
+    readFailures: () => failures,
+    sync: askNow,
+    forget: (attempt) => {
+      toForget.add(attempt);
+    },
+    close: () => {
+      closed = true;
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/workers/takeover.ts
@@ -0,0 +1,130 @@
+/**
+ * The take-over of a shard: which workers the new owner still has to wait for before
+ * it may conclude that a task is on none of them.
+ */
+import * as core from '@flamingoward/core';
+import * as session from './session.js';
+import * as shardJobs from './shardJobs.js';
+import type * as states from './state.js';
+
+const HEAD_RETRY_MS = 500;
+
+/** What counts about one worker. */
+export interface WorkerAccount {
+  /** A complete inventory under this session was applied. */
+  readonly complete: boolean;
+  /** Local time after which the leases known to this session are over. */
+  readonly leaseEndMs: number | undefined;
+}
+
+/** What counts about the take-over. */
+export interface TakeOver {
+  /** Local time when the shard was gained. */
+  readonly gainedMs: number;
+  /** This process runs in the region of the shard. */
+  readonly local: boolean;
+  /** The epoch isn't from a claim in the log. */
+  readonly provisional: boolean;
+  /** Local time of the first answer of any worker of the region. */
+  readonly firstAnswerMs: number | undefined;
+}
+
+/**
+ * Returns the local time from which a worker needs no waiting: 0 when its inventory
+ * is complete, undefined while that time isn't known.
+ *
+ * The lease term of a silent worker counts from the take-over only when the previous
+ * owner can't go on unaware of it. A process outside the region may have taken the
+ * shard during a partition in which the previous owner served its region; that owner
+ * learns of the new one from the first worker that both reach, at the latest with
+ * its next sync call. Without a claim in the log the previous owner may not learn of
+ * the new one at all.
+ */
+export function readAccountedMs(
+  worker: WorkerAccount,
+  takeOver: TakeOver,
+): number | undefined {
+  if (worker.complete) return 0;
+  if (takeOver.provisional) return undefined;
+  if (worker.leaseEndMs !== undefined) return worker.leaseEndMs;
+  const termMs = core.LEASE_TERM_MS + core.LEASE_MARGIN_MS;
+  if (takeOver.local) return takeOver.gainedMs + termMs;
+  if (takeOver.firstAnswerMs === undefined) return undefined;
+  return takeOver.firstAnswerMs + session.SYNC_WAIT_MS + termMs;
+}
+
+/** Reads the jobs and the recorded ends; without the log, what is known has to do. */
+export async function readTables(state: states.ShardState): Promise<void> {
+  const { streams, jobs, context } = state.parts;
+  while (!state.closed) {
+    if (await readHeads(state)) {
+      state.oldBelow = jobs.reader.readNext();
+      return;
+    }
+    // Running tasks can be adopted without the log; tasks that aren't found stay held.
+    const away = streams.readAwaySince() !== undefined;
+    if (state.epoch.provisional > 0 || away) return;
+    await core.waitFor(context.timers, 'workers.read', HEAD_RETRY_MS);
+  }
+}
+
+/** The claims are read as well: a newer claim ends this shard before anything is concluded. */
+async function readHeads(state: states.ShardState): Promise<boolean> {
+  try {
+    await Promise.all([
+      state.parts.streams.open('claims').waitForHead(),
+      state.parts.jobs.reader.waitForHead(),
+      state.tasks.reader.waitForHead(),
+    ]);
+    return !state.closed;
+  } catch {
+    return false;
+  }
+}
+
+function isAccounted(state: states.ShardState): boolean {
+  const { context, membership } = state.parts;
+  const takeOver: TakeOver = {
+    gainedMs: state.gainedMs,
+    local: context.identity.region === state.region,
+    provisional: state.epoch.provisional > 0,
+    firstAnswerMs: state.firstAnswerMs,
+  };
+  const nowMs = context.timers.readNow();
+  for (const entry of state.workers.values()) {
+    const leaseEndMs = core.readLeaseEnd(entry.session.readAuthority());
+    const { complete } = entry;
+    const fromMs = readAccountedMs({ complete, leaseEndMs }, takeOver);
+    if (fromMs === undefined || nowMs < fromMs) return false;
+  }
+  // An empty list was never read.
+  return membership.readVms().length > 0;
+}
+
+/**
+ * Ends the take-over when every worker is accounted for: reads the heads once more,
+ * because the previous owner may have recorded ends and had them forgotten before
+ * the inventories were taken, and frees what is on no worker.
+ */
+export async function endTakeOver(state: states.ShardState): Promise<void> {
+  const isReady = () =>
+    state.prepared &&
+    !state.concluded &&
+    state.isDeciding() &&
+    isAccounted(state);
+  if (state.concluding || !isReady()) return;
+  state.concluding = true;
+  const read = await readHeads(state);
+  state.concluding = false;
+  // Workers that are listed meanwhile have to be accounted for as well.
+  if (!read || !isReady()) return;
+  const { context, jobs } = state.parts;
+  state.oldBelow = Math.min(state.oldBelow, jobs.reader.readNext());
+  state.concluded = true;
+  shardJobs.releaseTasks(state);
+  context.log.write('info', 'shard.settled', {
+    shard: state.shard,
+    tookMs: Math.round(context.timers.readNow() - state.gainedMs),
+    attempts: state.attempts.count(),
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/workers/workers.ts
@@ -0,0 +1,116 @@
+/**
+ * The workers shards of this process: one is created when ownership is gained and
+ * ended when it is lost. A new epoch of the same shard begins a new take-over,
+ * because another owner may have decided between the two.
+ */
+import * as core from '@flamingoward/core';
+import type * as parts from '../types.js';
+import * as workersShard from './shard.js';
+import * as stores from '../jobs/stores.js';
+import type * as types from './types.js';
+
+const CHECK_PERIOD_MS = 500;
+
+/** The workers shards that this process decides for. */
+export interface Workers extends parts.Dumpable {
+  /** Returns the shard when this process decides for it. */
+  readShard(shard: core.ids.ShardName): types.WorkersShard | undefined;
+  /** Use of all teams in the shards of this process, for heartbeats. */
+  readTeamUse(): readonly core.messages.TeamUse[];
+  close(): void;
+}
+
+/** Creates the part; the tasks of the own region are read from the start, so that a take-over needn't read them all. */
+export function createWorkers(workersParts: types.WorkersParts): Workers {
+  const { context, streams, ownership, jobs } = workersParts;
+  const shards = new Map<core.ids.ShardName, types.WorkersShard>();
+  const taskStores = new Map<core.ids.RegionName, stores.TaskStore>();
+
+  function openTasks(region: core.ids.RegionName): stores.TaskStore {
+    const known = taskStores.get(region);
+    if (known !== undefined) return known;
+    const store = stores.createTaskStore(context, streams, jobs, region);
+    taskStores.set(region, store);
+    return store;
+  }
+
+  function startShard(shard: core.ids.ShardName, epoch: core.ids.Epoch): void {
+    const region = stores.parseWorkersShard(shard);
+    if (region === undefined) return;
+    const known = shards.get(shard);
+    if (known !== undefined && core.compareEpochs(known.epoch, epoch) >= 0)
+      return;
+    known?.end();
+    context.log.write('info', 'shard.gained', {
+      shard,
+      offset: epoch.offset,
+      provisional: epoch.provisional,
+    });
+    const tasks = openTasks(region);
+    shards.set(
+      shard,
+      workersShard.createWorkersShard(workersParts, tasks, region, epoch),
+    );
+  }
+
+  function endShard(shard: core.ids.ShardName): void {
+    const known = shards.get(shard);
+    if (known === undefined) return;
+    known.end();
+    shards.delete(shard);
+    context.log.write('info', 'shard.lost', { shard });
+  }
+
+  function applyChange(change: parts.OwnershipChange): void {
+    switch (change.change) {
+      case 'gained':
+        startShard(change.shard, change.epoch);
+        return;
+      case 'lost':
+        endShard(change.shard);
+        return;
+    }
+  }
+
+  /** An epoch may be raised without a change of owner, when a provisional owner's claim reached the log. */
+  function checkEpochs(): void {
+    for (const shard of [...shards.keys()]) {
+      const epoch = ownership.readEpoch(shard);
+      if (epoch !== undefined) startShard(shard, epoch);
+    }
+  }
+
+  function readTeamUse(): readonly core.messages.TeamUse[] {
+    const sums = new Map<core.ids.TeamName, core.resources.Resources>();
+    for (const shard of shards.values())
+      for (const { team, used } of shard.readTeamUse()) {
+        const sum = sums.get(team) ?? core.resources.noResources;
+        sums.set(team, {
+          cores: sum.cores + used.cores,
+          memoryMb: sum.memoryMb + used.memoryMb,
+          gpus: sum.gpus + used.gpus,
+        });
+      }
+    return [...sums].map(([team, used]) => ({ team, used }));
+  }
+
+  openTasks(context.identity.region);
+  const ended = core.createSubject<boolean>();
+  void ownership.changes.until(ended.stream).observe(applyChange);
+  const timer = context.timers.subscribe(
+    { name: 'workers.epochs', delayMs: CHECK_PERIOD_MS, repeat: 'periodic' },
+    checkEpochs,
+  );
+
+  return {
+    readShard: (shard) => shards.get(shard),
+    readTeamUse,
+    close: () => {
+      timer.end();
+      ended.push(true);
+      for (const shard of [...shards.keys()]) endShard(shard);
+      for (const store of taskStores.values()) store.close();
+    },
+    dump: () => [...shards.values()].map((shard) => shard.dump()),
+  };
+}
