--- a/packages/daemon/src/workers/calls.ts
+++ b/packages/daemon/src/workers/calls.ts
@@ -41,6 +41,7 @@
     stopSentMs: undefined,
   };
   state.attempts.add(attempt);
+  if (applyRecordedEnd(state, attempt)) return;
   if (attempt.atMostOnce && !(await appendIntent(state, attempt))) {
     const { timers } = state.parts.context;
     await core.waitFor(timers, 'workers.intent', INTENT_RETRY_MS);
@@ -52,6 +53,19 @@
   else await sendStart(state, attempt, command, authority);
 }
 
+/** An earlier owner's record of an end may arrive after the task was freed. */
+function applyRecordedEnd(
+  state: states.ShardState,
+  attempt: types.Attempt,
+): boolean {
+  const { job, index, attemptId } = attempt;
+  const result = core.readTaskEnd(state.tasks.table, job, index);
+  if (result === undefined) return false;
+  state.attempts.remove(attempt);
+  state.apply({ event: 'task.ended', attemptId, result });
+  return true;
+}
+
 async function appendIntent(
   state: states.ShardState,
   attempt: types.Attempt,
--- a/packages/daemon/src/workers/session.ts
+++ b/packages/daemon/src/workers/session.ts
@@ -11,6 +11,9 @@
 /** Longest time that a worker holds a sync call. */
 export const SYNC_WAIT_MS = 5_000;
 
+/** Wait while leases may not be renewed. */
+const HELD_WAIT_MS = 500;
+
 /** Time for an answer beyond the wait that was asked for. */
 const ANSWER_MS = 1_500;
 
@@ -42,6 +45,8 @@
   readonly client: types.WorkerClient;
   readonly gate: gates.Gate;
   readonly random: () => number;
+  /** Whether this process may renew leases now. */
+  readonly isRenewing: () => boolean;
 }
 
 /** A running session. */
@@ -82,7 +87,7 @@
       session: own,
       waitMs,
       forget,
-      ...(clockMs === undefined
+      ...(clockMs === undefined || !parts.isRenewing()
         ? {}
         : { renewUntilMs: clockMs + core.LEASE_TERM_MS }),
       ...(version === undefined ? {} : { sinceVersion: version }),
@@ -139,16 +144,21 @@
     while (!closed) {
       const beginMs = timers.readNow();
       const complete = core.isInventoryComplete(authority);
-      // The first long polls differ in length, so that later ones don't end together.
-      const spread = polled ? 1 : 0.5 + random() / 2;
       const answered = complete
-        ? await pollWorker(SYNC_WAIT_MS * spread)
+        ? await pollWorker(chooseWait(polled))
         : await parts.gate.run(() => pollWorker(0));
       polled ||= complete;
       await wait(choosePause(answered, beginMs));
     }
   }
 
+  function chooseWait(polled: boolean): number {
+    // The leases are renewed as soon as that is allowed again.
+    if (!parts.isRenewing()) return HELD_WAIT_MS;
+    // The first long polls differ in length, so that later ones don't end together.
+    return polled ? SYNC_WAIT_MS : SYNC_WAIT_MS * (0.5 + random() / 2);
+  }
+
   function choosePause(answered: boolean, beginMs: number): number {
     if (!answered) {
       const limitMs = Math.min(BACKOFF_MAX_MS, BACKOFF_MIN_MS * 2 ** failures);
--- a/packages/daemon/src/workers/shard.ts
+++ b/packages/daemon/src/workers/shard.ts
@@ -12,6 +12,7 @@
 import * as calls from './calls.js';
 import * as confirmation from './confirmation.js';
 import * as gate from './gate.js';
+import * as pauseGuard from './pauseGuard.js';
 import * as quotas from './quotas.js';
 import * as recorders from './recorder.js';
 import * as reports from './reports.js';
@@ -26,6 +27,9 @@
 const CHECK_PERIOD_MS = 500;
 const CARRY_PERIOD_MS = 60_000;
 
+/** Time in which heartbeats tell a process that was paused of a new owner. */
+const HEARTBEATS_MS = 1_000;
+
 /** Short sync calls at a time. */
 const CALL_LIMIT = 64;
 
@@ -44,6 +48,7 @@
   const { scheduler, state } = createState();
   const { shard, workers } = state;
   const syncGate = gate.createGate(CALL_LIMIT);
+  const pauses = pauseGuard.createPauseGuard(timers);
   const confirmer = confirmation.createConfirmation(state);
   const quotaOf = new Map<core.ids.TeamName, string>();
   const ended = core.createSubject<boolean>();
@@ -91,11 +96,23 @@
   // Deciding
 
   function isDeciding(): boolean {
-    if (state.closed || !state.prepared) return false;
+    if (state.closed || !state.prepared || pauses.isHeld(0)) return false;
     const current = ownership.readEpoch(shard);
     return current !== undefined && core.compareEpochs(current, epoch) === 0;
   }
 
+  /**
+   * A process that was paused may have been replaced, and its renewals would outlast
+   * the wait of the new owner. Without the log it renews again once heartbeats had
+   * time to tell, so that running tasks survive an outage.
+   */
+  function isRenewing(): boolean {
+    if (state.closed || pauses.isHeld(0)) return false;
+    if (ownership.readEpoch(shard) !== undefined) return true;
+    const away = streams.readAwaySince() !== undefined;
+    return away && !pauses.isHeld(HEARTBEATS_MS);
+  }
+
   function apply(event: core.scheduling.SchedulerEvent): void {
     scheduler.apply(event, timers.readNow());
     scheduleTick();
@@ -188,6 +205,7 @@
           client: parts.client,
           gate: syncGate,
           random: parts.options.random,
+          isRenewing,
         },
         () => entry.vm,
         parts.options.workerKind,
@@ -348,6 +366,7 @@
     ended.end();
     for (const subscription of subscriptions) subscription.end();
     tickTimer?.end();
+    pauses.close();
     state.recorder.close();
     for (const entry of workers.values()) entry.session.close();
   }
--- /dev/null
+++ b/packages/daemon/test/cluster.ts
@@ -0,0 +1,553 @@
+/**
+ * Owners, workers and the log in virtual time. Each process and worker has a clock of
+ * its own; the network delays and loses calls; processes pause, and what arrives
+ * meanwhile is handled late, before overdue timers.
+ */
+import * as core from '@flamingoward/core';
+import * as fakeScheduler from './fakeScheduler.js';
+import * as fakeWorker from './fakeWorker.js';
+import * as stores from '../src/jobs/stores.js';
+import * as daemon from '../src/types.js';
+import * as workersPart from '../src/workers/workers.js';
+import type * as types from '../src/workers/types.js';
+
+export const region = 'muscat';
+export const shard = `workers/${region}`;
+const stepMs = 20;
+
+/** What a call over a link from one process to one worker meets. */
+export interface LinkFault {
+  cut: boolean;
+  /** Extra delay of start calls on their way to the worker. */
+  startDelayMs: number;
+  loseAnswers: boolean;
+}
+
+/** The log service: streams of records; `away` refuses every call. */
+export class FakeLog {
+  away = false;
+  readonly streams = new Map<string, core.records.LogRecord<unknown>[]>();
+
+  read(stream: string): core.records.LogRecord<unknown>[] {
+    const known = this.streams.get(stream);
+    if (known !== undefined) return known;
+    const created: core.records.LogRecord<unknown>[] = [];
+    this.streams.set(stream, created);
+    return created;
+  }
+
+  append(stream: string, body: unknown): number {
+    const records = this.read(stream);
+    const offset = records.length;
+    records.push({ offset, id: `${stream}.${offset}`, body });
+    return offset;
+  }
+}
+
+interface Reader {
+  next: number;
+  readonly subject: core.Subject<core.records.LogRecord<never>>;
+}
+
+export class FakeProcess {
+  paused = false;
+  /** Records arrive this much later than they were appended. */
+  readLagMs = 20;
+  loseAppendReplies = false;
+  epoch: core.ids.Epoch | undefined;
+  heldUntilRead = false;
+  private behindMs = 0;
+  readonly inbox: (() => void)[] = [];
+  readonly timers: core.VirtualTimers;
+  readonly jobs: stores.JobStore;
+  readonly workers: workersPart.Workers;
+  readonly context: daemon.PartContext;
+  readonly streams: daemon.Streams;
+  readonly ownership: daemon.Ownership;
+  private readonly readers = new Map<string, Reader>();
+  private readonly ownershipChanges =
+    core.createSubject<daemon.OwnershipChange>();
+  readonly vmChanges = core.createSubject<'vms' | 'peers'>();
+
+  constructor(
+    readonly cluster: Cluster,
+    readonly name: string,
+    offsetMs: number,
+  ) {
+    const inner = core.createVirtualTimers();
+    // The time is always the true one, so a pause shows as in a real process.
+    this.timers = {
+      ...inner,
+      readNow: () => cluster.time.readNow() + offsetMs,
+      readDate: () => cluster.time.readNow(),
+    };
+    this.context = {
+      identity: {
+        name,
+        instance: `${name}/1`,
+        region,
+        availabilityZone: 'muscat-a',
+        linksAddress: name,
+      },
+      timers: this.timers,
+      log: { write: () => undefined },
+      metrics: {
+        count: () => undefined,
+        record: () => undefined,
+        set: () => undefined,
+        render: () => '',
+      },
+    };
+    this.streams = this.createStreams();
+    this.ownership = this.createOwnership();
+    this.jobs = stores.createJobStore(this.context, this.streams);
+    this.workers = workersPart.createWorkers(this.createParts());
+  }
+
+  /** Runs what arrived, then the timers that are due. */
+  step(): void {
+    if (this.paused) {
+      this.behindMs += stepMs;
+      return;
+    }
+    for (const run of this.inbox.splice(0)) run();
+    // The ownership part notices a pause only when its timer runs.
+    if (this.behindMs > 500) this.heldUntilRead = true;
+    this.timers.advance(stepMs + this.behindMs);
+    this.behindMs = 0;
+  }
+
+  /** Takes the shard: by a claim in the log, or provisionally without it. */
+  claim(): void {
+    if (this.paused) return;
+    const { log } = this.cluster;
+    if (log.away) {
+      const highest = this.cluster.readHighestEpoch();
+      this.gain({ ...highest, provisional: highest.provisional + 1 });
+      return;
+    }
+    this.deliver('claims', log.read('claims').length);
+    const offset = log.append('claims', { instance: this.name });
+    this.gain({ offset, provisional: 0 });
+    this.deliver('claims', offset + 1);
+  }
+
+  lose(): void {
+    const { epoch } = this;
+    if (epoch === undefined) return;
+    this.epoch = undefined;
+    this.ownershipChanges.push({ change: 'lost', shard, epoch });
+  }
+
+  private gain(epoch: core.ids.Epoch): void {
+    this.epoch = epoch;
+    this.heldUntilRead = false;
+    this.ownershipChanges.push({ change: 'gained', shard, epoch });
+  }
+
+  /** Delivers the records below an offset to the observers of a stream. */
+  deliver(stream: string, below: number): void {
+    const reader = this.openReader(stream);
+    const records = this.cluster.log.read(stream);
+    while (reader.next < Math.min(below, records.length)) {
+      const record = records[reader.next]!;
+      reader.next += 1;
+      if (stream === 'claims') this.applyClaim(record);
+      reader.subject.push(record as core.records.LogRecord<never>);
+    }
+    if (stream === 'claims') this.heldUntilRead = false;
+  }
+
+  private applyClaim(record: core.records.LogRecord<unknown>): void {
+    if (this.epoch !== undefined && record.offset > this.epoch.offset)
+      this.lose();
+  }
+
+  private openReader(stream: string): Reader {
+    const known = this.readers.get(stream);
+    if (known !== undefined) return known;
+    const reader = { next: 0, subject: core.createSubject() } as Reader;
+    this.readers.set(stream, reader);
+    return reader;
+  }
+
+  /** Reads all open streams up to their heads, later by the read lag. */
+  poll(): void {
+    if (this.cluster.log.away) return;
+    for (const stream of this.readers.keys()) {
+      const below = this.cluster.log.read(stream).length;
+      this.later(this.readLagMs, () => {
+        this.deliver(stream, below);
+      });
+    }
+  }
+
+  later(delayMs: number, run: () => void): void {
+    this.cluster.later(delayMs, () => this.inbox.push(run));
+  }
+
+  private createStreams(): daemon.Streams {
+    const { log } = this.cluster;
+    const away = () =>
+      core.createFault('log-away', { step: 'test', peer: 'log' }, 'away');
+    return {
+      append: (stream, body) =>
+        new Promise((resolve) => {
+          // The record takes its way to the log and back.
+          this.cluster.later(5, () => {
+            if (log.away) {
+              const refused = {
+                outcome: 'not-appended',
+                reason: 'log-away',
+              } as const;
+              this.later(5, () => {
+                resolve(refused);
+              });
+              return;
+            }
+            const offset = log.append(stream, body);
+            const outcome: daemon.AppendOutcome = this.loseAppendReplies
+              ? { outcome: 'unknown' }
+              : { outcome: 'appended', offset };
+            this.later(5, () => {
+              resolve(outcome);
+            });
+          });
+        }),
+      open: <Body>(stream: string): daemon.StreamReader<Body> => {
+        const reader = this.openReader(stream);
+        return {
+          records: reader.subject.stream as never,
+          readNext: () => reader.next,
+          readHeadMs: () => this.timers.readNow(),
+          waitFor: (offset) =>
+            new Promise((resolve) => {
+              const check = () => {
+                if (reader.next >= offset) resolve();
+                else this.later(stepMs, check);
+              };
+              check();
+            }),
+          waitForHead: () =>
+            new Promise((resolve, reject) => {
+              this.cluster.later(5, () => {
+                const refused = log.away;
+                const head = log.read(stream).length;
+                this.later(5, () => {
+                  if (refused) {
+                    reject(away());
+                    return;
+                  }
+                  this.deliver(stream, head);
+                  resolve();
+                });
+              });
+            }),
+        };
+      },
+      readAwaySince: () => (log.away ? 0 : undefined),
+      close: () => Promise.resolve(),
+    };
+  }
+
+  private createOwnership(): daemon.Ownership {
+    return {
+      readOwner: () => this.cluster.readOwnerOf(this),
+      readEpoch: () => (this.heldUntilRead ? undefined : this.epoch),
+      noteHigherEpoch: () => {
+        this.lose();
+      },
+      changes: this.ownershipChanges.stream,
+      releaseAll: () => Promise.resolve(),
+    };
+  }
+
+  private createParts(): types.WorkersParts {
+    const { cluster } = this;
+    return {
+      context: this.context,
+      streams: this.streams,
+      membership: cluster.createMembership(this),
+      ownership: this.ownership,
+      releases: cluster.createReleases(),
+      jobs: this.jobs,
+      client: cluster.createClient(this),
+      createScheduler: () =>
+        fakeScheduler.createFakeScheduler(
+          (job) => job.spec.jobClass === 'once',
+        ),
+      options: {
+        workerKind: 'plain',
+        retentionMs: 600_000,
+        maxStartsPerTick: 100,
+        seed: 1,
+        random: () => cluster.random(),
+      },
+    };
+  }
+}
+
+export interface ClusterOptions {
+  readonly workers: number;
+  readonly processes: number;
+  readonly checksStartBy?: boolean;
+  readonly workerCores?: number;
+}
+
+export class Cluster {
+  readonly time = core.createVirtualTimers();
+  readonly log = new FakeLog();
+  readonly workers: fakeWorker.FakeWorker[] = [];
+  readonly processes: FakeProcess[] = [];
+  readonly faults = new Map<string, LinkFault>();
+  /** Workers that the VM list leaves out. */
+  readonly unlisted = new Set<string>();
+  private seed = 1;
+  private submitted = 0;
+
+  constructor(options: ClusterOptions) {
+    for (let n = 0; n < options.workers; n += 1) {
+      const size = { cores: options.workerCores ?? 4, memoryMb: 0, gpus: 0 };
+      const vm: core.workers.VmRecord = {
+        id: `w${n}`,
+        role: 'worker',
+        address: `w${n}`,
+        availabilityZone: 'muscat-a',
+        region,
+        rack: 'r1',
+        state: 'live',
+        size,
+      };
+      // Clocks differ in offset by hours and in rate by up to 2%.
+      const rate = 1 + 0.02 * (n % 3) - 0.02;
+      const readClock = () => 3_600_000 * n + rate * this.time.readNow();
+      this.workers.push(
+        new fakeWorker.FakeWorker(vm, readClock, options.checksStartBy),
+      );
+    }
+    for (let n = 0; n < options.processes; n += 1)
+      this.processes.push(new FakeProcess(this, `p${n}`, 1_000_000 * n));
+  }
+
+  /** A small generator, so that a run depends on nothing but its input. */
+  random(): number {
+    this.seed = (this.seed * 48_271) % 2_147_483_647;
+    return this.seed / 2_147_483_647;
+  }
+
+  later(delayMs: number, run: () => void): void {
+    this.time.subscribe({ name: 'test', delayMs, repeat: 'once' }, run);
+  }
+
+  fault(process: FakeProcess, worker: string): LinkFault {
+    const key = `${process.name}/${worker}`;
+    const known = this.faults.get(key);
+    if (known !== undefined) return known;
+    const created = { cut: false, startDelayMs: 0, loseAnswers: false };
+    this.faults.set(key, created);
+    return created;
+  }
+
+  submit(spec: Partial<core.jobs.JobSpec>): string {
+    this.submitted += 1;
+    const job = `j${this.submitted}`;
+    const body: core.records.JobRecord = {
+      type: 'accepted',
+      job,
+      spec: { ...baseSpec, ...spec },
+      urgency: 'normal',
+      shard,
+      release: 'r1',
+      acceptedMs: this.time.readNow(),
+    };
+    this.log.append('jobs', body);
+    return job;
+  }
+
+  readHighestEpoch(): core.ids.Epoch {
+    const own = this.processes.map((process) => process.epoch);
+    const log = this.log.read('claims').length - 1;
+    const all = [{ offset: log, provisional: 0 }, ...own];
+    return all
+      .filter((epoch) => epoch !== undefined)
+      .sort(core.compareEpochs)
+      .at(-1)!;
+  }
+
+  readOwnerOf(asking: FakeProcess): daemon.OwnerView | undefined {
+    const owner = this.processes
+      .filter((process) => process.epoch !== undefined)
+      .sort((a, b) => core.compareEpochs(a.epoch!, b.epoch!))
+      .at(-1);
+    if (owner?.epoch === undefined) return undefined;
+    return {
+      shard,
+      instance: owner.context.identity.instance,
+      process: owner.name,
+      epoch: owner.epoch,
+      self: owner === asking,
+    };
+  }
+
+  /** Moves time on, checking the promises after each step. */
+  async run(ms: number, check: () => void = () => undefined): Promise<void> {
+    for (let passed = 0; passed < ms; passed += stepMs) {
+      this.time.advance(stepMs);
+      for (const worker of this.workers) worker.step();
+      for (const process of this.processes) process.step();
+      if (this.time.readNow() % 40 === 0)
+        for (const process of this.processes) process.poll();
+      if (this.time.readNow() % 240 === 0) this.gossip();
+      await settle();
+      check();
+    }
+  }
+
+  /** Heartbeats: a process that runs learns of higher epochs. */
+  private gossip(): void {
+    const live = this.processes.filter((process) => !process.paused);
+    for (const process of live)
+      for (const peer of live)
+        if (
+          process.epoch !== undefined &&
+          peer.epoch !== undefined &&
+          core.compareEpochs(process.epoch, peer.epoch) < 0
+        )
+          process.later(5, () => {
+            process.lose();
+          });
+  }
+
+  createMembership(process: FakeProcess): daemon.Membership {
+    return {
+      readVms: () =>
+        this.workers
+          .map((worker) => worker.vm)
+          .filter((vm) => !this.unlisted.has(vm.id)),
+      readPeers: () => [],
+      listCandidates: () => [],
+      changes: process.vmChanges.stream,
+    };
+  }
+
+  createReleases(): daemon.Releases {
+    const entry = {
+      kind: 'class',
+      floor: 0,
+      preemptible: false,
+      maxWaitMs: 1e9,
+      urgency: 'normal',
+    } as const;
+    const state: core.releases.ReleaseState = {
+      current: 'r1',
+      offset: 0,
+      services: new Map(),
+      classes: new Map([
+        ['plain', { ...entry, name: 'plain', idempotent: true }],
+        ['once', { ...entry, name: 'once', idempotent: false }],
+      ]),
+      teams: new Map([
+        [
+          'roof',
+          {
+            kind: 'team',
+            name: 'roof',
+            weight: 1,
+            quota: { cores: 100, memoryMb: 100, gpus: 100 },
+          },
+        ],
+      ]),
+      backends: new Map(),
+      history: [],
+    };
+    return {
+      readState: () => state,
+      isReady: () => true,
+      changes: core.createSubject<never>().stream,
+      publish: () => Promise.reject(new Error('not used')),
+      readAcceptance: () => {
+        throw new Error('not used');
+      },
+    };
+  }
+
+  createClient(process: FakeProcess): types.WorkerClient {
+    const send = <T>(
+      worker: string,
+      delayMs: number,
+      call: (target: fakeWorker.FakeWorker, answer: (value: T) => void) => void,
+    ): Promise<T> => {
+      const link = this.fault(process, worker);
+      const target = this.workers.find((known) => known.vm.id === worker)!;
+      return new Promise((resolve) => {
+        if (link.cut) return;
+        this.later(1 + delayMs, () => {
+          call(target, (value) => {
+            if (link.cut || link.loseAnswers) return;
+            process.later(1, () => {
+              resolve(value);
+            });
+          });
+        });
+      });
+    };
+    return {
+      sync: (worker, request) =>
+        send(worker, 0, (target, answer) => {
+          target.sync(request, answer);
+        }),
+      start: (worker, request) =>
+        send(
+          worker,
+          this.fault(process, worker).startDelayMs,
+          (target, answer) => {
+            answer(target.start(request));
+          },
+        ),
+      stop: (worker, _session, attempt) =>
+        send(worker, 0, (target, answer) => {
+          target.stop(attempt);
+          answer(undefined);
+        }),
+      checkpoint: () => Promise.resolve(),
+      throttle: () => Promise.resolve(),
+    };
+  }
+}
+
+export const baseSpec: core.jobs.JobSpec = {
+  kind: 'batch',
+  name: 'cut',
+  team: 'roof',
+  jobClass: 'plain',
+  count: 1,
+  size: { cores: 1, memoryMb: 0, gpus: 0 },
+  declaredMs: 3_000,
+  work: { runMs: 3_000 },
+};
+
+/** Lets all promises that can settle do so. */
+export async function settle(): Promise<void> {
+  for (let n = 0; n < 2; n += 1)
+    await new Promise((resolve) => setImmediate(resolve));
+}
+
+/** The promises about workers and tasks, from the workers' own point of view. */
+export function checkPromises(cluster: Cluster): string[] {
+  const faults: string[] = [];
+  const places = new Map<string, string>();
+  for (const worker of cluster.workers) {
+    let cores = 0;
+    for (const task of worker.listRunning()) {
+      const key = `${task.jobId}#${task.index}`;
+      const other = places.get(key);
+      if (other !== undefined)
+        faults.push(`${key} runs on ${other} and ${worker.vm.id}`);
+      places.set(key, worker.vm.id);
+      cores += task.size.cores;
+    }
+    if (cores > (worker.vm.size?.cores ?? 0))
+      faults.push(`${worker.vm.id} runs ${cores} cores`);
+  }
+  return faults;
+}
