--- a/packages/daemon/src/workers/shard.ts
+++ b/packages/daemon/src/workers/shard.ts
@@ -81,6 +81,7 @@
       given: new Set(),
       ending: new Set(),
       gainedMs: timers.readNow(),
+      claimKnownMs: timers.readNow(),
       firstAnswerMs: undefined,
       oldBelow: Infinity,
       prepared: false,
@@ -347,6 +348,7 @@
     timers.subscribe(
       { name: 'workers.check', delayMs: CHECK_PERIOD_MS, repeat: 'periodic' },
       (nowMs) => {
+        if (streams.readAwaySince() !== undefined) state.claimKnownMs = nowMs;
         if (!isDeciding()) return;
         checkLeases(nowMs);
         void takeOver.endTakeOver(state);
--- a/packages/daemon/src/workers/state.ts
+++ b/packages/daemon/src/workers/state.ts
@@ -46,6 +46,8 @@
   /** Jobs whose end this owner decided. */
   readonly ending: Set<core.ids.JobId>;
   readonly gainedMs: number;
+  /** The later of `gainedMs` and the last time when the log was away. */
+  claimKnownMs: number;
   firstAnswerMs: number | undefined;
   /** Jobs accepted below this offset may have been started by an earlier owner. */
   oldBelow: core.ids.Offset;
--- a/packages/daemon/src/workers/takeover.ts
+++ b/packages/daemon/src/workers/takeover.ts
@@ -19,8 +19,8 @@
 
 /** What counts about the take-over. */
 export interface TakeOver {
-  /** Local time when the shard was gained. */
-  readonly gainedMs: number;
+  /** Local time when the shard was gained, or when the log last was away after that. */
+  readonly claimKnownMs: number;
   /** This process runs in the region of the shard. */
   readonly local: boolean;
   /** The epoch isn't from a claim in the log. */
@@ -38,7 +38,7 @@
  * shard during a partition in which the previous owner served its region; that owner
  * learns of the new one from the first worker that both reach, at the latest with
  * its next sync call. Without a claim in the log the previous owner may not learn of
- * the new one at all.
+ * the new one at all; the same holds while the log is away after the claim.
  */
 export function readAccountedMs(
   worker: WorkerAccount,
@@ -48,9 +48,10 @@
   if (takeOver.provisional) return undefined;
   if (worker.leaseEndMs !== undefined) return worker.leaseEndMs;
   const termMs = core.LEASE_TERM_MS + core.LEASE_MARGIN_MS;
-  if (takeOver.local) return takeOver.gainedMs + termMs;
+  if (takeOver.local) return takeOver.claimKnownMs + termMs;
   if (takeOver.firstAnswerMs === undefined) return undefined;
-  return takeOver.firstAnswerMs + session.SYNC_WAIT_MS + termMs;
+  const reachedMs = takeOver.firstAnswerMs + session.SYNC_WAIT_MS;
+  return Math.max(reachedMs, takeOver.claimKnownMs) + termMs;
 }
 
 /** Reads the jobs and the recorded ends; without the log, what is known has to do. */
@@ -85,7 +86,7 @@
 function isAccounted(state: states.ShardState): boolean {
   const { context, membership } = state.parts;
   const takeOver: TakeOver = {
-    gainedMs: state.gainedMs,
+    claimKnownMs: state.claimKnownMs,
     local: context.identity.region === state.region,
     provisional: state.epoch.provisional > 0,
     firstAnswerMs: state.firstAnswerMs,
--- a/packages/daemon/test/cluster.ts
+++ b/packages/daemon/test/cluster.ts
@@ -54,6 +54,8 @@
   /** Records arrive this much later than they were appended. */
   readLagMs = 20;
   loseAppendReplies = false;
+  /** Hears no heartbeats. */
+  deaf = false;
   epoch: core.ids.Epoch | undefined;
   heldUntilRead = false;
   private behindMs = 0;
@@ -173,7 +175,7 @@
 
   /** Reads all open streams up to their heads, later by the read lag. */
   poll(): void {
-    if (this.cluster.log.away) return;
+    if (this.cluster.log.away || this.paused) return;
     for (const stream of this.readers.keys()) {
       const below = this.cluster.log.read(stream).length;
       this.later(this.readLagMs, () => {
@@ -406,7 +408,7 @@
   /** Heartbeats: a process that runs learns of higher epochs. */
   private gossip(): void {
     const live = this.processes.filter((process) => !process.paused);
-    for (const process of live)
+    for (const process of live.filter((hearing) => !hearing.deaf))
       for (const peer of live)
         if (
           process.epoch !== undefined &&
--- a/packages/daemon/test/takeover.test.ts
+++ b/packages/daemon/test/takeover.test.ts
@@ -15,6 +15,7 @@
   | { readonly do: 'cancel'; readonly job: number }
   | { readonly do: 'claim' | 'pause' | 'resume'; readonly process: number }
   | { readonly do: 'lag'; readonly process: number; readonly lagMs: number }
+  | { readonly do: 'deaf'; readonly process: number; readonly deaf: boolean }
   | { readonly do: 'log'; readonly away: boolean }
   | { readonly do: 'replies'; readonly process: number; readonly lost: boolean }
   | { readonly do: 'reboot'; readonly worker: number }
@@ -23,6 +24,11 @@
       readonly process: number;
       readonly worker: number;
       readonly fault: fakes.LinkFault;
+    }
+  | {
+      readonly do: 'slow-starts';
+      readonly process: number;
+      readonly delayMs: number;
     };
 
 const aProcess = fc.nat(processes - 1);
@@ -52,8 +58,21 @@
   fc.record({
     do: fc.constant('lag' as const),
     process: aProcess,
-    lagMs: fc.constantFrom(20, 100, 400),
+    lagMs: fc.constantFrom(20, 100, 400, 1_500),
+  }),
+  fc.record({
+    do: fc.constant('deaf' as const),
+    process: aProcess,
+    deaf: fc.boolean(),
   }),
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      do: fc.constant('slow-starts' as const),
+      process: aProcess,
+      delayMs: fc.constantFrom(0, 400, 800, 950),
+    }),
+  },
   fc.record({ do: fc.constant('log' as const), away: fc.boolean() }),
   fc.record({
     do: fc.constant('replies' as const),
@@ -77,7 +96,7 @@
 );
 const aStep = fc.record({
   action: anAction,
-  thenMs: fc.constantFrom(20, 60, 300, 1_200, 4_000, 9_000),
+  thenMs: fc.constantFrom(20, 60, 150, 300, 600, 1_200, 4_000, 9_000),
 });
 
 function apply(cluster: fakes.Cluster, action: Action): void {
@@ -109,6 +128,15 @@
     case 'lag':
       cluster.processes[action.process]!.readLagMs = action.lagMs;
       return;
+    case 'deaf':
+      cluster.processes[action.process]!.deaf = action.deaf;
+      return;
+    case 'slow-starts': {
+      const process = cluster.processes[action.process]!;
+      for (const { vm } of cluster.workers)
+        cluster.fault(process, vm.id).startDelayMs = action.delayMs;
+      return;
+    }
     case 'log':
       cluster.log.away = action.away;
       return;
@@ -174,6 +202,7 @@
   for (const process of cluster.processes) {
     process.paused = false;
     process.loseAppendReplies = false;
+    process.deaf = false;
   }
   await cluster.run(1_000, watch);
   cluster.processes[0]!.claim();
