--- a/packages/core/src/jobs/taskTable.ts
+++ b/packages/core/src/jobs/taskTable.ts
@@ -113,6 +113,13 @@
   return ended;
 }
 
+/** Counts the tasks of a job whose end is durable. */
+export function countTaskEnds(table: TaskTable, id: ids.JobId): number {
+  let count = 0;
+  for (const code of table.ends.get(id) ?? []) if (code !== 0) count += 1;
+  return count;
+}
+
 /** Reads the last intent of an at-most-once task. */
 export function readIntent(
   table: TaskTable,
