Add the releases of a process

The part folds the releases stream, publishes notes and follows who has a release in force. A publication whose reply is lost is answered once its record is read back, or as unknown. A new process gets ready at the head of the log or, without the log, by the state of a ready peer.

--- /dev/null
+++ b/packages/daemon/src/releases/releases.ts
@@ -0,0 +1,406 @@
+/**
+ * The release in force in this process: folds stream `releases`, publishes notes,
+ * and keeps a snapshot in the log, so that the configuration outlives its retention.
+ */
+import * as core from '@flamingoward/core';
+import type * as types from '../types.js';
+import * as acceptance from './acceptance.js';
+
+/** Name of the stream. */
+export const releasesStream = 'releases';
+
+/** Longest time to retry the append of a note, in ms. */
+export const APPEND_MS = 5_000;
+
+/** Longest time until the own record is read back, in ms. */
+export const READ_BACK_MS = 10_000;
+
+/** Age at which the snapshot is written again, in ms; well under half the retention of the log. */
+export const SNAPSHOT_EVERY_MS = 600_000;
+
+/** Notes after which the snapshot is written again. */
+export const SNAPSHOT_EVERY_NOTES = 100;
+
+/** Time by which each further process waits longer before it writes a snapshot, in ms. */
+export const SNAPSHOT_STEP_MS = 10_000;
+
+const pollMs = 500;
+const acceptanceMs = 50;
+const askMs = 1_000;
+
+/** What the part needs. */
+export interface ReleasesOptions {
+  readonly context: types.PartContext;
+  readonly streams: types.Streams;
+  readonly membership: types.Membership;
+  readonly links: types.Links;
+  /** The other processes as the settings name them. */
+  readonly peers: readonly core.settings.PeerSetting[];
+  /** Default: SNAPSHOT_EVERY_MS. */
+  readonly snapshotEveryMs?: number;
+}
+
+/** The part as `process.ts` holds it. */
+export interface ReleasesPart extends types.Releases, types.Dumpable {
+  /** Ends timers and subscriptions. */
+  close(): void;
+}
+
+interface ReadBack {
+  readonly body: core.records.ReleaseRecord;
+  readonly publishedMs: number;
+  readonly from: core.ids.Offset;
+  resolve(offset: core.ids.Offset | undefined): void;
+}
+
+type StreamRecord = core.records.LogRecord<core.records.ReleaseStreamRecord>;
+
+/** Creates the part and begins to read the stream. */
+export function createReleases(options: ReleasesOptions): ReleasesPart {
+  const { context, streams, membership, links } = options;
+  const { timers, log } = context;
+  const snapshotEveryMs = options.snapshotEveryMs ?? SNAPSHOT_EVERY_MS;
+  const changes = core.createSubject<core.releases.ReleaseHistoryItem>();
+  const waiting = new Set<ReadBack>();
+  const reader = streams.open<core.records.ReleaseStreamRecord>(releasesStream);
+  let fold = core.emptyReleaseLog;
+  let isKnown = false;
+  let isAsking = false;
+  let isWriting = false;
+  let notesSinceSnapshot = 0;
+  // The age of what is in the log at the start isn't known.
+  let snapshotMs = timers.readNow() - snapshotEveryMs / 2;
+
+  const readState = () => fold.state;
+  const tracker = acceptance.createAcceptanceTracker({
+    context,
+    membership,
+    peers: options.peers,
+    readState,
+  });
+
+  function receiveRecord(record: StreamRecord): void {
+    noteSkipped();
+    const before = fold;
+    fold = core.applyReleaseRecord(fold, record);
+    if (core.isSnapshot(record.body)) {
+      snapshotMs = timers.readNow();
+      notesSinceSnapshot = 0;
+    } else notesSinceSnapshot += 1;
+    resolveOwn(record);
+    reportChange(before);
+    tracker.update();
+  }
+
+  function noteSkipped(): void {
+    const skipped = reader.readSkipped?.();
+    if (skipped !== undefined) fold = core.noteGap(fold, skipped);
+  }
+
+  function resolveOwn(record: StreamRecord): void {
+    for (const own of waiting) {
+      if (record.offset < own.from || !isSameNote(record.body, own.body))
+        continue;
+      tracker.track(record.offset, own.publishedMs);
+      own.resolve(record.offset);
+    }
+  }
+
+  function reportChange(before: core.ReleaseLog): void {
+    if (before.state === fold.state) return;
+    const known = new Set(before.state.history.map((item) => item.offset));
+    const { offset, history } = fold.state;
+    for (const item of history) {
+      const isCurrent =
+        item.offset === offset && before.state.offset !== offset;
+      if (known.has(item.offset) && !isCurrent) continue;
+      if (isCurrent) tracker.track(offset, timers.readNow());
+      reportItem(item);
+      changes.push(item);
+    }
+  }
+
+  function reportItem(item: core.releases.ReleaseHistoryItem): void {
+    const { verdict } = item.verdict;
+    context.metrics.count('releases', { verdict });
+    log.write('info', 'release.read', {
+      id: item.note.id,
+      offset: item.offset,
+      verdict,
+      publisher: item.publisher,
+    });
+  }
+
+  function isReady(): boolean {
+    isKnown ||= isHeadKnown();
+    return isKnown;
+  }
+
+  function isHeadKnown(): boolean {
+    if (reader.readHeadMs() === undefined) return false;
+    // Without any record, only the offset of the head tells that some are missing.
+    if (fold.reading.mode === 'unread')
+      fold = core.noteGap(fold, reader.readNext());
+    return fold.reading.mode !== 'gap';
+  }
+
+  function wantsPeerState(): boolean {
+    if (fold.reading.mode === 'gap') return true;
+    return !isReady() && streams.readAwaySince() !== undefined;
+  }
+
+  async function fetchPeerState(): Promise<void> {
+    const peers = membership
+      .readPeers()
+      .filter((one) => one.health === 'live')
+      .filter((one) => one.heartbeat.state === 'ready');
+    for (const peer of peers) {
+      if (!wantsPeerState()) return;
+      await askPeer(peer);
+    }
+  }
+
+  async function askPeer(peer: types.PeerView): Promise<void> {
+    try {
+      const question = { kind: 'release.state' } as const;
+      const answer = await links.ask(peer.instance, question, askMs);
+      if (answer.kind === 'release.state.answer') applyPeerState(answer);
+    } catch (error) {
+      log.write('warn', 'release.state.failed', {
+        peer: peer.name,
+        error: core.describeError(error),
+      });
+    }
+  }
+
+  function applyPeerState(
+    answer: Extract<core.messages.Answer, { kind: 'release.state.answer' }>,
+  ): void {
+    const body: unknown = answer.records[0]?.body;
+    if (!answer.ready || !core.isSnapshot(body)) return;
+    const before = fold;
+    fold = core.applySnapshot(fold, body);
+    isKnown ||= fold.reading.mode !== 'gap';
+    reportChange(before);
+  }
+
+  function buildPeerState(): core.messages.Answer {
+    const body = isReady() ? core.buildSnapshot(fold) : undefined;
+    return {
+      kind: 'release.state.answer',
+      ready: body !== undefined,
+      next: fold.next,
+      records:
+        body === undefined ? [] : [{ offset: body.upTo, id: 'state', body }],
+    };
+  }
+
+  async function publish(
+    text: string,
+    publisher: string,
+  ): Promise<types.PublishResult> {
+    if (!isReady() || fold.reading.mode === 'gap')
+      return refuse('this process does not know the release in force yet');
+    const body: core.records.ReleaseRecord = {
+      type: 'release',
+      text,
+      publisher,
+      publishedMs: timers.readDate(),
+    };
+    const readBack = waitForOwn(body);
+    try {
+      return await appendNote(body, readBack.offset);
+    } finally {
+      readBack.end();
+    }
+  }
+
+  async function appendNote(
+    body: core.records.ReleaseRecord,
+    readBack: Promise<core.ids.Offset | undefined>,
+  ): Promise<types.PublishResult> {
+    const append = streams.append(releasesStream, body, {
+      flush: 'now',
+      giveUpMs: APPEND_MS,
+    });
+    // A lost reply doesn't matter once the own record is read.
+    const first = await Promise.race([append, readBack]);
+    const outcome = typeof first === 'number' ? undefined : await append;
+    if (outcome?.outcome === 'not-appended')
+      return refuse(
+        outcome.reason === 'log-away'
+          ? 'the log service does not answer'
+          : 'too many records wait for the log service',
+      );
+    const offset = await readBack;
+    const item = fold.state.history.find((one) => one.offset === offset);
+    return offset === undefined || item === undefined
+      ? describeUnknown(outcome)
+      : { result: 'verdict', offset, verdict: item.verdict };
+  }
+
+  function refuse(why: string): types.PublishResult {
+    const { current } = fold.state;
+    const reason = `not published: ${why}; release ${current} stays in force`;
+    return { result: 'not-published', reason };
+  }
+
+  function waitForOwn(body: core.records.ReleaseRecord): {
+    readonly offset: Promise<core.ids.Offset | undefined>;
+    end(): void;
+  } {
+    const publishedMs = timers.readNow();
+    let end = () => {
+      // Replaced below.
+    };
+    const offset = new Promise<core.ids.Offset | undefined>((resolve) => {
+      const own: ReadBack = { body, publishedMs, from: fold.next, resolve };
+      const timer = timers.subscribe(
+        {
+          name: 'releases.read-back',
+          delayMs: APPEND_MS + READ_BACK_MS,
+          repeat: 'once',
+        },
+        () => {
+          resolve(undefined);
+        },
+      );
+      waiting.add(own);
+      end = () => {
+        timer.end();
+        waiting.delete(own);
+      };
+    });
+    return {
+      offset,
+      end: () => {
+        end();
+      },
+    };
+  }
+
+  async function writeSnapshot(): Promise<void> {
+    const body = core.buildSnapshot(fold);
+    if (body === undefined || isWriting) return;
+    isWriting = true;
+    // Not written again before this one had time to be read.
+    snapshotMs = timers.readNow();
+    notesSinceSnapshot = 0;
+    try {
+      const { outcome } = await streams.append(releasesStream, body, {
+        flush: 'grouped',
+        giveUpMs: APPEND_MS,
+      });
+      if (outcome !== 'appended') snapshotMs -= snapshotEveryMs;
+      log.write('info', 'release.snapshot', { upTo: body.upTo, outcome });
+    } catch (error) {
+      const message = core.describeError(error);
+      log.write('error', 'release.snapshot.failed', { error: message });
+    } finally {
+      isWriting = false;
+    }
+  }
+
+  function isSnapshotDue(nowMs: number): boolean {
+    if (fold.reading.mode !== 'complete' || fold.next === 0) return false;
+    if (streams.readAwaySince() !== undefined) return false;
+    const laterMs = readRank() * SNAPSHOT_STEP_MS;
+    if (nowMs - snapshotMs >= snapshotEveryMs + laterMs) return true;
+    const most = SNAPSHOT_EVERY_NOTES + readRank();
+    return notesSinceSnapshot >= most;
+  }
+
+  // Several snapshots do no harm; the rank only keeps all processes from writing at once.
+  function readRank(): number {
+    const live = membership
+      .readPeers()
+      .filter((peer) => peer.health === 'live')
+      .filter((peer) => peer.heartbeat.state === 'ready');
+    return live.filter((peer) => peer.instance < context.identity.instance)
+      .length;
+  }
+
+  function poll(nowMs: number): void {
+    noteSkipped();
+    isReady();
+    if (wantsPeerState() && !isAsking) {
+      isAsking = true;
+      void fetchPeerState().finally(() => {
+        isAsking = false;
+      });
+    }
+    if (isSnapshotDue(nowMs)) void writeSnapshot();
+  }
+
+  links.handle('release.state', () => Promise.resolve(buildPeerState()));
+  const subscription = reader.records.subscribe({
+    next: receiveRecord,
+    error: (error) => {
+      log.write('error', 'release.stream.failed', { error: error.message });
+    },
+    complete: () => undefined,
+  });
+  const pollTimer = timers.subscribe(
+    { name: 'releases.poll', delayMs: pollMs, repeat: 'periodic' },
+    poll,
+  );
+  const acceptanceTimer = timers.subscribe(
+    { name: 'releases.acceptance', delayMs: acceptanceMs, repeat: 'periodic' },
+    tracker.update,
+  );
+
+  return {
+    readState,
+    publish,
+    readAcceptance: tracker.read,
+    isReady,
+    changes: changes.stream,
+    dump: () => describeFold(fold, isReady()),
+    close: () => {
+      subscription.unsubscribe();
+      pollTimer.end();
+      acceptanceTimer.end();
+      for (const own of waiting) own.resolve(undefined);
+    },
+  };
+}
+
+function isSameNote(body: unknown, own: core.records.ReleaseRecord): boolean {
+  const read = body as Partial<core.records.ReleaseRecord> | null;
+  return (
+    read?.type === 'release' &&
+    read.text === own.text &&
+    read.publisher === own.publisher &&
+    read.publishedMs === own.publishedMs
+  );
+}
+
+function describeUnknown(
+  outcome: types.AppendOutcome | undefined,
+): types.PublishResult {
+  const what =
+    outcome?.outcome === 'appended'
+      ? `the note is in the log at offset ${outcome.offset}, but was not read back in time`
+      : 'the log service gave no certain answer';
+  const reason = `${what}; publish the same note again: the first copy counts, the second is a repeat`;
+  return { result: 'unknown', reason };
+}
+
+function describeFold(fold: core.ReleaseLog, ready: boolean): unknown {
+  const { state, reading, next } = fold;
+  return {
+    ready,
+    current: state.current,
+    offset: state.offset,
+    next,
+    reading: reading.mode,
+    waiting: reading.mode === 'gap' ? reading.waiting.length : 0,
+    entries: core.listEntries(state),
+    history: state.history.map((item) => ({
+      offset: item.offset,
+      id: item.note.id,
+      publisher: item.publisher,
+      verdict: item.verdict,
+    })),
+  };
+}
--- /dev/null
+++ b/packages/daemon/test/fakes.releases.ts
@@ -0,0 +1,165 @@
+/** Fakes of the parts that releases and the operators' address talk to. */
+import * as core from '@flamingoward/core';
+import type * as types from '../src/types.js';
+
+/** A log stream that tests fill by hand; appends can be made to fail. */
+export interface FakeLog extends types.Streams {
+  /** Outcome of the next appends. */
+  mode: 'answers' | 'loses-replies' | 'away';
+  readonly records: core.records.LogRecord<unknown>[];
+  /** Offset of the oldest record kept. */
+  oldest: number;
+  /** Delivers everything to all readers. */
+  deliver(): void;
+}
+
+interface FakeReader {
+  next: number;
+  headMs: number | undefined;
+  skipped: number | undefined;
+  readonly subject: core.Subject<core.records.LogRecord<unknown>>;
+}
+
+export function createFakeLog(timers: core.TimerService): FakeLog {
+  const readers: FakeReader[] = [];
+  const log: FakeLog = {
+    mode: 'answers',
+    records: [],
+    oldest: 0,
+    deliver() {
+      if (log.mode === 'away') return;
+      for (const reader of readers) deliverTo(reader);
+    },
+    append(_, body) {
+      if (log.mode === 'away')
+        return Promise.resolve({ outcome: 'not-appended', reason: 'log-away' });
+      const offset = log.records.length;
+      log.records.push({ offset, id: `r${offset}`, body });
+      if (log.mode === 'loses-replies')
+        return Promise.resolve({ outcome: 'unknown' });
+      return Promise.resolve({ outcome: 'appended', offset });
+    },
+    open: <Body>() => {
+      const reader: FakeReader = {
+        next: 0,
+        headMs: undefined,
+        skipped: undefined,
+        subject: core.createSubject(),
+      };
+      readers.push(reader);
+      return {
+        records: reader.subject.stream,
+        readNext: () => reader.next,
+        readHeadMs: () => reader.headMs,
+        readSkipped: () => reader.skipped,
+        waitFor: () => Promise.resolve(),
+        waitForHead: () => Promise.resolve(),
+      } as unknown as types.StreamReader<Body>;
+    },
+    readAwaySince: () => (log.mode === 'away' ? 0 : undefined),
+    close: () => Promise.resolve(),
+  };
+
+  function deliverTo(reader: FakeReader): void {
+    if (reader.next < log.oldest) reader.skipped = log.oldest;
+    reader.next = Math.max(reader.next, log.oldest);
+    for (const record of log.records.slice(reader.next)) {
+      reader.next = record.offset + 1;
+      reader.subject.push(record);
+    }
+    reader.headMs = timers.readNow();
+  }
+
+  return log;
+}
+
+/** Builds what every part needs, with a log that keeps its lines. */
+export function buildContext(
+  timers: core.TimerService,
+  name: string,
+): types.PartContext {
+  return {
+    identity: {
+      name,
+      instance: `${name}#1`,
+      region: 'muscat',
+      availabilityZone: 'muscat-a',
+      linksAddress: '127.0.0.1:7002',
+    },
+    timers,
+    log: { write: () => undefined },
+    metrics: {
+      count: () => undefined,
+      record: () => undefined,
+      set: () => undefined,
+      render: () => 'releases 1\n',
+    },
+  };
+}
+
+/** Builds a live, ready peer. */
+export function buildPeer(
+  name: string,
+  heardMs: number,
+  releaseOffset: number,
+): types.PeerView {
+  return {
+    name,
+    instance: `${name}#1`,
+    region: 'muscat',
+    availabilityZone: 'muscat-a',
+    heardMs,
+    health: 'live',
+    heartbeat: {
+      kind: 'heartbeat',
+      instance: `${name}#1`,
+      state: 'ready',
+      releaseOffset,
+      claimsOffset: 0,
+      shards: [],
+      leaving: [],
+      teamUse: [],
+    },
+  };
+}
+
+/** A membership whose lists tests set. */
+export function createFakeMembership(): types.Membership & {
+  peers: types.PeerView[];
+  vms: core.workers.VmRecord[];
+} {
+  const membership = {
+    peers: [] as types.PeerView[],
+    vms: [] as core.workers.VmRecord[],
+    readVms: () => membership.vms,
+    readPeers: () => membership.peers,
+    listCandidates: () => [],
+    changes: core.createSubject<'vms' | 'peers'>().stream,
+  };
+  return membership;
+}
+
+/** Links that connect fakes by the handlers they set. */
+export class FakeNetwork {
+  readonly handlers = new Map<
+    string,
+    (question: never, from: string) => Promise<core.messages.Answer>
+  >();
+
+  buildLinks(instance: string): types.Links {
+    return {
+      ask: (peer, question) => {
+        const handler = this.handlers.get(`${peer} ${question.kind}`);
+        if (handler === undefined)
+          return Promise.reject(new Error('the connection was closed'));
+        return handler(question as never, instance);
+      },
+      notify: () => undefined,
+      handle: (kind, handler) => {
+        this.handlers.set(`${instance} ${kind}`, handler);
+      },
+      notices: core.createSubject<never>().stream,
+      close: () => Promise.resolve(),
+    };
+  }
+}
