Add the operators' address

Answers are JSON; a refusal says what is expected, and orders that can't be carried out say whether they were not run or are unknown. One broken part doesn't hide the others in the dump.

--- /dev/null
+++ b/packages/daemon/src/operators/jobs.ts
@@ -0,0 +1,201 @@
+/** Routes for jobs and for the explanation of requests. */
+import type * as core from '@flamingoward/core';
+import type * as types from '../types.js';
+import * as http from './http.js';
+import * as jobSpec from './job-spec.js';
+
+const defaultJobs = 100;
+const mostJobs = 1_000;
+
+/** Explains requests that this process has seen. */
+export interface RequestExplainer {
+  /** Lines for a reader; undefined when the request isn't known here. */
+  explain(
+    id: string,
+  ): Promise<readonly string[] | undefined> | readonly string[] | undefined;
+}
+
+/** Routes for jobs. */
+export function buildJobRoutes(jobs: types.Jobs): readonly http.Route[] {
+  return [
+    {
+      method: 'GET',
+      path: '/jobs',
+      handle: ({ query }) => listJobs(jobs, query),
+    },
+    {
+      method: 'POST',
+      path: '/jobs',
+      handle: ({ body, headers }) =>
+        submitJob(jobs, body, headers['idempotency-key']),
+    },
+    {
+      method: 'GET',
+      path: '/jobs/:id',
+      handle: ({ params }) => readJob(jobs, params[0] ?? ''),
+    },
+    {
+      method: 'DELETE',
+      path: '/jobs/:id',
+      handle: ({ params, query }) =>
+        cancelJob(jobs, params[0] ?? '', query.get('by') ?? 'operator'),
+    },
+    {
+      method: 'GET',
+      path: '/jobs/:id/explain',
+      handle: ({ params }) => explainJob(jobs, params[0] ?? ''),
+    },
+  ];
+}
+
+/** Route for the explanation of requests. */
+export function buildRequestRoutes(
+  requests: RequestExplainer,
+): readonly http.Route[] {
+  return [
+    {
+      method: 'GET',
+      path: '/requests/:id/explain',
+      handle: async ({ params }) => {
+        const id = params[0] ?? '';
+        const lines = await requests.explain(id);
+        return lines === undefined
+          ? http.refuse(
+              404,
+              `request ${id} isn't known to this process; ask the process whose answer carried the id, soon after the answer`,
+            )
+          : { status: 200, body: { id, lines } };
+      },
+    },
+  ];
+}
+
+function listJobs(jobs: types.Jobs, query: URLSearchParams): http.Reply {
+  const limit = Number(query.get('limit') ?? defaultJobs);
+  if (!Number.isSafeInteger(limit) || limit < 1 || limit > mostJobs)
+    return http.refuse(
+      400,
+      `limit: expected a whole number from 1 to ${mostJobs}`,
+    );
+  const [team, state] = [query.get('team'), query.get('state')];
+  const found = jobs
+    .list()
+    .filter((job) => team === null || job.spec.team === team)
+    .filter((job) => state === null || job.state === state)
+    .sort((a, b) => b.acceptedAt - a.acceptedAt);
+  return {
+    status: 200,
+    body: { total: found.length, jobs: found.slice(0, limit) },
+  };
+}
+
+async function submitJob(
+  jobs: types.Jobs,
+  body: string,
+  key: string | string[] | undefined,
+): Promise<http.Reply> {
+  const json = http.parseObject(body);
+  if (json === undefined)
+    return http.refuse(400, 'expected a JSON object that describes the job');
+  const result = jobSpec.parseJobSpec(json);
+  if ('faults' in result)
+    return {
+      status: 400,
+      body: { error: 'the job is refused', faults: result.faults },
+    };
+  const answer = await jobs.submit(
+    result.spec,
+    Array.isArray(key) ? key[0] : key,
+  );
+  switch (answer.result) {
+    case 'accepted':
+      return { status: 202, body: { job: answer.job, state: 'accepted' } };
+    case 'refused':
+      return {
+        status: answer.status,
+        body: { error: answer.reason, answer: 'not-run' },
+      };
+    case 'unknown':
+      return {
+        status: 504,
+        body: {
+          error: `the log service gave no certain answer; ask for job ${answer.job} in a moment`,
+          answer: 'unknown',
+          job: answer.job,
+        },
+      };
+  }
+}
+
+function refuseUnknown(id: string): http.Reply {
+  return http.refuse(
+    404,
+    `no job ${id} is known here; "flamingoward job list" lists the jobs`,
+  );
+}
+
+async function readJob(jobs: types.Jobs, id: string): Promise<http.Reply> {
+  const job = jobs.read(id);
+  if (job === undefined) return refuseUnknown(id);
+  const tasks = await jobs.readTasks(id);
+  return {
+    status: 200,
+    body: {
+      job,
+      counts: countStates(tasks ?? []),
+      // Without the owner's answer the states aren't known.
+      ...(tasks === undefined ? { tasksUnknown: true } : { tasks }),
+    },
+  };
+}
+
+function countStates(
+  tasks: readonly core.jobs.TaskState[],
+): Readonly<Record<string, number>> {
+  const counts: Record<string, number> = {};
+  for (const task of tasks) {
+    const state = task.state === 'ended' ? task.result : task.state;
+    counts[state] = (counts[state] ?? 0) + 1;
+  }
+  return counts;
+}
+
+async function cancelJob(
+  jobs: types.Jobs,
+  id: string,
+  by: string,
+): Promise<http.Reply> {
+  if (!/^[\w.@+-]{1,63}$/.test(by))
+    return http.refuse(
+      400,
+      'by: expected a name of at most 63 letters, digits and ._@+-',
+    );
+  const outcome = await jobs.cancel(id, by);
+  switch (outcome.outcome) {
+    case 'appended':
+      return { status: 202, body: { job: id, cancelRequested: true } };
+    case 'unknown-job':
+      return refuseUnknown(id);
+    case 'not-appended':
+      return {
+        status: 503,
+        body: {
+          error: `job ${id} is not cancelled: ${outcome.reason === 'log-away' ? 'the log service does not answer' : 'too many records wait for the log service'}; try again`,
+          answer: 'not-run',
+        },
+      };
+    case 'unknown':
+      return {
+        status: 504,
+        body: {
+          error: `the log service gave no certain answer; cancel job ${id} again, which does no harm`,
+          answer: 'unknown',
+        },
+      };
+  }
+}
+
+async function explainJob(jobs: types.Jobs, id: string): Promise<http.Reply> {
+  if (jobs.read(id) === undefined) return refuseUnknown(id);
+  return { status: 200, body: { job: id, lines: await jobs.explain(id) } };
+}
--- /dev/null
+++ b/packages/daemon/src/operators/releases.ts
@@ -0,0 +1,187 @@
+/** Routes for release notes. */
+import * as core from '@flamingoward/core';
+import type * as types from '../types.js';
+import * as http from './http.js';
+import * as views from './views.js';
+
+/** Routes for release notes. */
+export function buildReleaseRoutes(
+  releases: types.Releases,
+): readonly http.Route[] {
+  return [
+    { method: 'GET', path: '/releases', handle: () => readAll(releases) },
+    {
+      method: 'GET',
+      path: '/releases/:id',
+      handle: ({ params }) => readOne(releases, params[0] ?? ''),
+    },
+    {
+      method: 'POST',
+      path: '/releases/check',
+      handle: ({ body }) => checkNote(releases, body),
+    },
+    {
+      method: 'POST',
+      path: '/releases',
+      handle: ({ body }) => publishNote(releases, body),
+    },
+  ];
+}
+
+function readAll(releases: types.Releases): http.Reply {
+  const state = releases.readState();
+  return {
+    status: 200,
+    body: {
+      ready: releases.isReady(),
+      current: state.current,
+      offset: state.offset,
+      entries: core.listEntries(state),
+      history: state.history.map(views.buildHistoryItem),
+      lines: core.describeHistory(state),
+    },
+  };
+}
+
+function readOne(releases: types.Releases, id: string): http.Reply {
+  const state = releases.readState();
+  const item = views.findItem(state, id);
+  if (item === undefined)
+    return http.refuse(
+      404,
+      `no release ${id} is known here; "flamingoward release history" lists them`,
+    );
+  const isAdopted = item.verdict.verdict === 'adopted';
+  return {
+    status: 200,
+    body: {
+      ...views.buildHistoryItem(item),
+      text: item.note.text,
+      inForce: item.offset === state.offset,
+      lines: core.describeVerdict(item.verdict),
+      ...(isAdopted && { acceptance: releases.readAcceptance(item.offset) }),
+    },
+  };
+}
+
+function readText(body: string): string | undefined {
+  const text = http.parseObject(body)?.text;
+  return typeof text === 'string' ? text : undefined;
+}
+
+const textExpected = 'expected a JSON object {"text": "<the release note>"}';
+
+function checkNote(releases: types.Releases, body: string): http.Reply {
+  const text = readText(body);
+  if (text === undefined) return http.refuse(400, textExpected);
+  const state = releases.readState();
+  const result = checkText(state, text);
+  if ('faults' in result)
+    return {
+      status: 200,
+      body: { ok: false, current: state.current, faults: result.faults },
+    };
+  const lines = core.describeDiff(state, result.note);
+  const { id } = result.note;
+  return { status: 200, body: { ok: true, id, current: state.current, lines } };
+}
+
+function checkText(
+  state: core.releases.ReleaseState,
+  text: string,
+): core.NoteResult {
+  const parsed = core.parseReleaseNote(text, noteFile);
+  if ('faults' in parsed) return parsed;
+  const { note } = parsed;
+  const faults = [
+    ...checkHeader(state, note),
+    ...core.checkRelease(state, note, noteFile),
+  ];
+  return faults.length > 0 ? { faults } : parsed;
+}
+
+const noteFile = 'release note';
+
+function checkHeader(
+  state: core.releases.ReleaseState,
+  note: core.releases.ReleaseNote,
+): readonly core.releases.NoteFault[] {
+  const faults: core.releases.NoteFault[] = [];
+  const refuse = (key: string, message: string) => {
+    faults.push({ file: noteFile, section: 'release', key, message });
+  };
+  const same = views.findItem(state, note.id);
+  if (same?.verdict.verdict === 'adopted')
+    refuse('id', `${note.id} is already adopted; expected a new id`);
+  if (note.base !== state.current)
+    refuse(
+      'base',
+      `the release in force is ${state.current}; expected base = ${state.current}`,
+    );
+  return faults;
+}
+
+async function publishNote(
+  releases: types.Releases,
+  body: string,
+): Promise<http.Reply> {
+  const text = readText(body);
+  const publisher = http.parseObject(body)?.publisher;
+  if (text === undefined) return http.refuse(400, textExpected);
+  if (typeof publisher !== 'string' || !/^[\w.@+-]{1,63}$/.test(publisher))
+    return http.refuse(
+      400,
+      'publisher: expected a name of at most 63 letters, digits and ._@+-',
+    );
+  // A note that nobody can adopt needn't go through the log.
+  const parsed = core.parseReleaseNote(text, noteFile);
+  if ('faults' in parsed)
+    return {
+      status: 422,
+      body: { error: 'the release note is refused', faults: parsed.faults },
+    };
+  const result = await releases.publish(text, publisher);
+  return describeResult(releases, parsed.note.id, result);
+}
+
+function describeResult(
+  releases: types.Releases,
+  id: string,
+  result: types.PublishResult,
+): http.Reply {
+  switch (result.result) {
+    case 'not-published':
+      return { status: 503, body: { error: result.reason, answer: 'not-run' } };
+    case 'unknown':
+      return { status: 504, body: { error: result.reason, answer: 'unknown' } };
+    case 'verdict':
+      return describeOutcome(releases, id, result.offset, result.verdict);
+  }
+}
+
+function describeOutcome(
+  releases: types.Releases,
+  id: string,
+  offset: core.ids.Offset,
+  verdict: core.releases.Verdict,
+): http.Reply {
+  const lines = core.describeVerdict(verdict);
+  switch (verdict.verdict) {
+    case 'adopted':
+    case 'repeat': {
+      const adoptedAt = verdict.verdict === 'repeat' ? verdict.of : offset;
+      const acceptance = releases.readAcceptance(adoptedAt);
+      const body = { id, offset: adoptedAt, verdict, lines, acceptance };
+      return { status: 200, body };
+    }
+    case 'conflict': {
+      const error = `not adopted: ${lines.join('; ')}`;
+      return { status: 409, body: { error, id, offset, verdict } };
+    }
+    case 'invalid': {
+      const { faults } = verdict;
+      const error = 'not adopted: the release note is invalid';
+      return { status: 422, body: { error, id, offset, verdict, faults } };
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/operators/server.ts
@@ -0,0 +1,275 @@
+/**
+ * The operators' address: what the cluster does, and the orders of operators. Every
+ * request needs the key, also those that only read.
+ */
+import * as nodeHttp from 'node:http';
+import type * as net from 'node:net';
+import * as core from '@flamingoward/core';
+import type * as types from '../types.js';
+import * as http from './http.js';
+import * as jobs from './jobs.js';
+import * as releases from './releases.js';
+import * as views from './views.js';
+
+/** What the server shows and does. */
+export interface OperatorsOptions {
+  readonly context: types.PartContext;
+  readonly listen: core.ids.Address;
+  readonly key: string;
+  readonly maxBodyBytes: number;
+  readonly releases: types.Releases;
+  readonly jobs: types.Jobs;
+  readonly membership: types.Membership;
+  readonly streams: Pick<types.Streams, 'readAwaySince'>;
+  readonly requests: jobs.RequestExplainer;
+  /** What this process tells its peers. */
+  readHeartbeat(): core.messages.Heartbeat;
+  /** Workers for which this process decides. */
+  readWorkers(): readonly views.WorkerDetail[];
+  readBackends(): readonly views.BackendDetail[];
+  /** Parts by the name under which the dump shows them. */
+  readonly dumps: Readonly<Record<string, types.Dumpable>>;
+  /** Begins the planned stop of this process; called once. */
+  drain(): void;
+}
+
+/** The running server. */
+export interface OperatorsServer {
+  /** Address on which it listens. */
+  readonly address: core.ids.Address;
+  /** Stops accepting and resolves when open requests are answered. */
+  close(): Promise<void>;
+}
+
+/** Starts the server; rejects with `port-in-use`. */
+export async function startOperatorsServer(
+  options: OperatorsOptions,
+): Promise<OperatorsServer> {
+  const server = createOperatorsServer(options);
+  const { host, port } = splitAddress(options.listen);
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', (cause: NodeJS.ErrnoException) => {
+      const origin = { step: 'operators.listen', peer: options.listen, cause };
+      reject(
+        cause.code === 'EADDRINUSE'
+          ? core.createFault('port-in-use', origin, options.listen)
+          : cause,
+      );
+    });
+    server.listen(port, host, resolve);
+  });
+  const bound = server.address() as net.AddressInfo;
+  return {
+    address: `${host.includes(':') ? `[${host}]` : host}:${bound.port}`,
+    close: () => closeServer(server),
+  };
+}
+
+/** Creates the server without listening. */
+export function createOperatorsServer(
+  options: OperatorsOptions,
+): nodeHttp.Server {
+  const routes = buildRoutes(options);
+  const isKey = http.createKeyCheck(options.key);
+  const server = nodeHttp.createServer((request, response) => {
+    void respond(request, response);
+  });
+  server.requestTimeout = 30_000;
+  server.headersTimeout = 10_000;
+
+  async function respond(
+    request: nodeHttp.IncomingMessage,
+    response: nodeHttp.ServerResponse,
+  ): Promise<void> {
+    const [path = '/', search = ''] = (request.url ?? '/').split('?', 2);
+    try {
+      const reply = await buildReply(request, path, search);
+      // The rest of a refused body would be read as the next request.
+      if (!request.complete) response.setHeader('connection', 'close');
+      http.sendReply(response, reply);
+      reportRequest(request.method ?? '', path, reply.status);
+    } catch (error) {
+      failRequest(response, path, error);
+    }
+  }
+
+  async function buildReply(
+    request: nodeHttp.IncomingMessage,
+    path: string,
+    search: string,
+  ): Promise<http.Reply> {
+    if (!isKey(request.headers.authorization))
+      return http.refuse(
+        401,
+        'expected "Authorization: Bearer <key>" with the key of [operators] in the settings',
+      );
+    const found = findFitting(request.method ?? '', path);
+    if (found.match === 'bad-path')
+      return http.refuse(400, 'the path is not encoded correctly');
+    if (found.match === 'none')
+      return http.refuse(
+        404,
+        `no such path: ${path}; expected one of ${listPaths()}`,
+      );
+    if (found.match === 'other-method')
+      return {
+        status: 405,
+        body: { error: `${path} allows ${found.allowed.join(', ')}` },
+        headers: { allow: found.allowed.join(', ') },
+      };
+    const body = await http.readBody(request, options.maxBodyBytes);
+    if (body === undefined)
+      return http.refuse(
+        413,
+        `the body is larger than ${options.maxBodyBytes} bytes`,
+      );
+    return found.route.handle({
+      params: found.params,
+      query: new URLSearchParams(search),
+      headers: request.headers,
+      body,
+    });
+  }
+
+  function findFitting(
+    method: string,
+    path: string,
+  ): http.RouteMatch | { readonly match: 'bad-path' } {
+    try {
+      return http.findRoute(routes, method, path);
+    } catch {
+      return { match: 'bad-path' };
+    }
+  }
+
+  function listPaths(): string {
+    return [...new Set(routes.map((route) => route.path))].join(' ');
+  }
+
+  function reportRequest(method: string, path: string, status: number): void {
+    const level = method === 'GET' ? 'debug' : 'info';
+    options.context.log.write(level, 'operators.request', {
+      method,
+      path,
+      status,
+    });
+  }
+
+  function failRequest(
+    response: nodeHttp.ServerResponse,
+    path: string,
+    error: unknown,
+  ): void {
+    const message = core.describeError(error);
+    options.context.log.write('error', 'operators.failed', {
+      path,
+      error: message,
+    });
+    if (response.headersSent || response.destroyed) return;
+    http.sendReply(
+      response,
+      http.refuse(500, `the process failed to answer: ${message}`),
+    );
+  }
+
+  return server;
+}
+
+function buildRoutes(options: OperatorsOptions): readonly http.Route[] {
+  return [
+    ...releases.buildReleaseRoutes(options.releases),
+    ...jobs.buildJobRoutes(options.jobs),
+    ...jobs.buildRequestRoutes(options.requests),
+    ...buildViewRoutes(options),
+    {
+      method: 'GET',
+      path: '/metrics',
+      handle: () => ({ status: 200, text: options.context.metrics.render() }),
+    },
+    { method: 'POST', path: '/drain', handle: createDrain(options) },
+  ];
+}
+
+function buildViewRoutes(options: OperatorsOptions): readonly http.Route[] {
+  const { membership } = options;
+  const reply = (body: unknown): http.Reply => ({ status: 200, body });
+  const paths: Readonly<Record<string, () => unknown>> = {
+    '/workers': () => ({
+      workers: views.listVms(membership, 'worker', options.readWorkers()),
+    }),
+    '/backends': () => ({
+      backends: views.listVms(membership, 'backend', options.readBackends()),
+    }),
+    '/processes': () => describeProcesses(options),
+    '/dump': () => collectDumps(options.dumps),
+  };
+  return Object.entries(paths).map(([path, read]) => ({
+    method: 'GET',
+    path,
+    handle: () => reply(read()),
+  }));
+}
+
+function describeProcesses(options: OperatorsOptions): unknown {
+  const { context, membership } = options;
+  const state = options.releases.readState();
+  const since = options.streams.readAwaySince();
+  return {
+    answeredBy: context.identity.name,
+    release: state.current,
+    releaseOffset: state.offset,
+    ready: options.releases.isReady(),
+    ...(since !== undefined && {
+      logAwayMs: Math.round(context.timers.readNow() - since),
+    }),
+    processes: views.listProcesses(
+      context,
+      membership,
+      options.readHeartbeat(),
+      state,
+    ),
+  };
+}
+
+// One broken part must not hide the others from somebody who looks for the cause.
+function collectDumps(
+  dumps: Readonly<Record<string, types.Dumpable>>,
+): Readonly<Record<string, unknown>> {
+  return Object.fromEntries(
+    Object.entries(dumps).map(([name, part]) => {
+      try {
+        return [name, part.dump()];
+      } catch (error) {
+        return [name, { error: core.describeError(error) }];
+      }
+    }),
+  );
+}
+
+function createDrain(options: OperatorsOptions): http.Route['handle'] {
+  let isDraining = false;
+  return () => {
+    if (!isDraining) options.drain();
+    isDraining = true;
+    const process = options.context.identity.name;
+    return { status: 202, body: { process, draining: true } };
+  };
+}
+
+function splitAddress(address: core.ids.Address): {
+  readonly host: string;
+  readonly port: number;
+} {
+  const colon = address.lastIndexOf(':');
+  const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
+  return { host, port: Number(address.slice(colon + 1)) };
+}
+
+function closeServer(server: nodeHttp.Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => {
+      resolve();
+    });
+    server.closeIdleConnections();
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/operators/views.ts
@@ -0,0 +1,129 @@
+/** What the operators' address shows of processes, VMs and releases. */
+import type * as core from '@flamingoward/core';
+import type * as types from '../types.js';
+
+/** State of a worker beyond the platform's list, from the process that decides for it. */
+export interface WorkerDetail {
+  readonly id: core.ids.VmId;
+  readonly running?: number;
+  readonly used?: core.resources.Resources;
+  /** Why it gets no new work now; absent when it may. */
+  readonly closedBy?: string;
+}
+
+/** State of a backend server beyond the platform's list. */
+export interface BackendDetail {
+  readonly id: core.ids.VmId;
+  readonly busySlots?: number;
+  /** Why it gets no new requests now; absent when it may. */
+  readonly closedBy?: string;
+}
+
+/** One process as this one sees it. */
+export interface ProcessView {
+  readonly name: core.ids.ProcessName;
+  readonly instance: core.ids.InstanceId;
+  readonly region: core.ids.RegionName;
+  readonly availabilityZone: core.ids.AvailabilityZone;
+  /** `self` is the process that answers. */
+  readonly health: 'self' | types.PeerView['health'];
+  readonly state: core.messages.Heartbeat['state'];
+  /** Time since its last heartbeat, in ms. */
+  readonly heardAgoMs: number;
+  readonly releaseOffset: core.ids.Offset;
+  /** Id of the release at that offset; absent when this process doesn't know it. */
+  readonly release?: string;
+  readonly shards: readonly core.messages.OwnedShard[];
+}
+
+/** Lists this process and its peers by name. */
+export function listProcesses(
+  context: types.PartContext,
+  membership: types.Membership,
+  own: core.messages.Heartbeat,
+  state: core.releases.ReleaseState,
+): readonly ProcessView[] {
+  const nowMs = context.timers.readNow();
+  const self = buildProcess(context.identity, 'self', own, 0, state);
+  const peers = membership
+    .readPeers()
+    .map((peer) =>
+      buildProcess(
+        peer,
+        peer.health,
+        peer.heartbeat,
+        nowMs - peer.heardMs,
+        state,
+      ),
+    );
+  return [self, ...peers].sort((a, b) => a.name.localeCompare(b.name));
+}
+
+function buildProcess(
+  from: types.ProcessIdentity | types.PeerView,
+  health: ProcessView['health'],
+  heartbeat: core.messages.Heartbeat,
+  heardAgoMs: number,
+  state: core.releases.ReleaseState,
+): ProcessView {
+  const { name, instance, region, availabilityZone } = from;
+  const { releaseOffset, shards } = heartbeat;
+  const release = findRelease(state, releaseOffset);
+  return {
+    name,
+    instance,
+    region,
+    availabilityZone,
+    health,
+    state: heartbeat.state,
+    heardAgoMs: Math.round(heardAgoMs),
+    releaseOffset,
+    ...(release === undefined ? {} : { release }),
+    shards,
+  };
+}
+
+function findRelease(
+  state: core.releases.ReleaseState,
+  offset: core.ids.Offset,
+): string | undefined {
+  if (offset < 0) return 'none';
+  return state.history.find((item) => item.offset === offset)?.note.id;
+}
+
+/** Lists the VMs of one role, with their details. */
+export function listVms(
+  membership: types.Membership,
+  role: core.workers.VmRecord['role'],
+  details: readonly (WorkerDetail | BackendDetail)[],
+): readonly unknown[] {
+  const byId = new Map(details.map((detail) => [detail.id, detail]));
+  return membership
+    .readVms()
+    .filter((vm) => vm.role === role)
+    .map((vm) => ({ ...vm, ...byId.get(vm.id) }))
+    .sort((a, b) => a.id.localeCompare(b.id));
+}
+
+/** One record of the stream with its verdict, without the note's text. */
+export function buildHistoryItem(item: core.releases.ReleaseHistoryItem): {
+  readonly id: string;
+  readonly offset: core.ids.Offset;
+} {
+  const { note, offset, publisher, publishedMs, verdict } = item;
+  const { id, base, title } = note;
+  const view = { id, base, title, offset, publisher, publishedMs, verdict };
+  return view;
+}
+
+/** Finds the record of a release: the adopted one, else the last with this id. */
+export function findItem(
+  state: core.releases.ReleaseState,
+  id: string,
+): core.releases.ReleaseHistoryItem | undefined {
+  const wanted = id === 'current' ? state.current : id;
+  const items = state.history.filter((item) => item.note.id === wanted);
+  return (
+    items.find((item) => item.verdict.verdict === 'adopted') ?? items.at(-1)
+  );
+}
