--- a/packages/daemon/test/takeover.test.ts
+++ b/packages/daemon/test/takeover.test.ts
@@ -232,6 +232,6 @@
         await heal(cluster, watch);
       },
     ),
-    { seed, numRuns: Number(process.env['FLAMINGOWARD_RUNS'] ?? 60) },
+    { seed, numRuns: Number(process.env.FLAMINGOWARD_RUNS ?? 60) },
   );
 });
