--- /dev/null
+++ b/packages/daemon/src/requests/path.ts
@@ -0,0 +1,498 @@
+/**
+ * The path of a caller's request: service in force, key intent for requests that
+ * may run only once, ticket, backend server, answer.
+ */
+import * as crypto from 'node:crypto';
+import * as core from '@flamingoward/core';
+import type * as types from '../types.js';
+import type * as journals from '../observability/journal.js';
+import * as budgets from './budget.js';
+import * as desks from './desk.js';
+import * as ledgers from './ledger.js';
+import * as tickets from './tickets.js';
+import type * as requests from './types.js';
+
+/** Further tries after the first one. */
+const MAX_RETRIES = 2;
+/** Methods that services answer without a key even when they aren't idempotent. */
+const safeMethods: ReadonlySet<string> = new Set(['GET', 'HEAD']);
+const KEY_PATTERN = /^[\x21-\x7e]{1,200}$/;
+const RETRY_AFTER_MS = 1_000;
+/** Refusals that come from too much work; the others are answered with 503. */
+const overloadReasons: ReadonlySet<core.reasons.Reason['reason']> = new Set([
+  'expected-wait',
+  'queue-full',
+  'deadline',
+  'quota',
+  'fair-share',
+]);
+
+/** What the request path works with. */
+export interface RequestPathParts {
+  readonly context: types.PartContext;
+  readonly streams: types.Streams;
+  readonly links: types.Links;
+  readonly membership: types.Membership;
+  readonly ownership: types.Ownership;
+  readonly releases: types.Releases;
+  readonly backends: requests.BackendClient;
+  readonly journal: journals.RequestJournal;
+  /** Processes that share the connections of a backend server. */
+  readonly maxProcesses: number;
+}
+
+type Service = core.releases.ServiceEntry;
+
+/** What became of all tries of one request. */
+type Outcome =
+  | {
+      readonly outcome: 'answered';
+      readonly result: Extract<requests.BackendResult, { result: 'answered' }>;
+    }
+  | {
+      readonly outcome: 'not-run';
+      readonly reason: core.reasons.Reason | string;
+      readonly retryAfterMs: number;
+    }
+  | { readonly outcome: 'unknown'; readonly reason: string };
+
+/** State of the tries of one request. */
+interface Tries {
+  readonly request: requests.CallerRequest;
+  readonly service: Service;
+  /** May be sent again after a byte was written. */
+  readonly repeatable: boolean;
+  readonly untilMs: number;
+  readonly avoid: core.ids.VmId[];
+  /** A byte may have reached a backend server. */
+  sent: boolean;
+  retries: number;
+}
+
+/** Creates the request path; it grants tickets for the shards of this process too. */
+export function createRequestPath(
+  parts: RequestPathParts,
+): requests.RequestPath {
+  const { context, releases, journal, membership } = parts;
+  const { timers, identity, metrics } = context;
+  const ledger = ledgers.createKeyLedger(context, parts.streams);
+  const holder = tickets.createTicketHolder({
+    ...parts,
+    readDesk: () => desk,
+  });
+  const desk = desks.createTicketDesk({
+    ...parts,
+    listHeld: (question) => holder.listHeld(question),
+  });
+  const retries = budgets.createRetryBudgets();
+  let draining = false;
+  let inHand = 0;
+
+  async function handle(
+    request: requests.CallerRequest,
+  ): Promise<requests.CallerAnswer> {
+    const startedMs = timers.readNow();
+    inHand += 1;
+    journal.note(request.id, { step: 'received', service: request.service });
+    try {
+      const answer = await route(request);
+      noteAnswer(request, answer, startedMs);
+      return answer;
+    } finally {
+      inHand -= 1;
+    }
+  }
+
+  function noteAnswer(
+    request: requests.CallerRequest,
+    answer: requests.CallerAnswer,
+    startedMs: number,
+  ): void {
+    const status = answer.answer === 'unknown' ? 504 : answer.status;
+    const reason = answer.answer === 'done' ? {} : { reason: answer.reason };
+    journal.note(request.id, {
+      step: 'answered',
+      answer: answer.answer,
+      status,
+      ...reason,
+    });
+    const known = releases.readState().services.has(request.service);
+    const service = known ? request.service : 'unknown';
+    metrics.count('requests_total', { service, answer: answer.answer });
+    metrics.record('request', { service }, timers.readNow() - startedMs);
+  }
+
+  async function route(
+    request: requests.CallerRequest,
+  ): Promise<requests.CallerAnswer> {
+    if (draining) return createNotRun({ reason: 'draining' }, RETRY_AFTER_MS);
+    const state = releases.readState();
+    const service = state.services.get(request.service);
+    if (service === undefined)
+      return createNotRun({
+        reason: 'unknown-service',
+        service: request.service,
+      });
+    if (service.idempotent || safeMethods.has(request.method))
+      return createAnswer(await runTries(request, service, true));
+    if (request.key === undefined)
+      return refuseKey(
+        `service ${service.name} needs the header Idempotency-Key for ${request.method}`,
+      );
+    if (!KEY_PATTERN.test(request.key))
+      return refuseKey(
+        'Idempotency-Key must have 1 to 200 printable characters without spaces',
+      );
+    return await runOnce(request, service, request.key);
+  }
+
+  // --- requests that run at most once ---
+
+  async function runOnce(
+    request: requests.CallerRequest,
+    service: Service,
+    key: string,
+  ): Promise<requests.CallerAnswer> {
+    const known = ledger.read(key);
+    if (known.state !== 'free' && known.service !== service.name)
+      return {
+        answer: 'not-run',
+        status: 422,
+        reason: `the key was used for service ${known.service}`,
+      };
+    if (known.state === 'ended') return createRepeat(key, known);
+    const attempt = crypto.randomUUID();
+    const claim = await ledger.claim(key, service.name, attempt);
+    journal.note(request.id, { step: 'key', what: claim.verdict });
+    if (claim.verdict === 'unrecorded')
+      return createNotRun(
+        `${claim.reason}; this attempt was not run, and what became of earlier attempts with the key is not known`,
+        RETRY_AFTER_MS,
+      );
+    const verdict =
+      claim.verdict === 'won'
+        ? 'won'
+        : await waitForWinner(request, service, key, attempt);
+    if (verdict !== 'won') return verdict;
+    return await runWinner(request, service, key, attempt);
+  }
+
+  async function runWinner(
+    request: requests.CallerRequest,
+    service: Service,
+    key: string,
+    attempt: string,
+  ): Promise<requests.CallerAnswer> {
+    const outcome = await runTries(request, service, false);
+    switch (outcome.outcome) {
+      case 'answered':
+        ledger.noteOutcome(
+          key,
+          attempt,
+          ledgers.createDoneOutcome(outcome.result),
+        );
+        break;
+      case 'not-run':
+        await ledger.recordNotRun(key, attempt);
+        break;
+      case 'unknown':
+        ledger.noteOutcome(key, attempt, { outcome: 'unknown' });
+        break;
+    }
+    return createAnswer(outcome, key);
+  }
+
+  /** Waits for the outcome of the attempt that won, or until this one wins instead. */
+  async function waitForWinner(
+    request: requests.CallerRequest,
+    service: Service,
+    key: string,
+    attempt: string,
+  ): Promise<requests.CallerAnswer | 'won'> {
+    const untilMs = timers.readNow() + service.maxWaitMs + service.timeoutMs;
+    for (;;) {
+      const state = ledger.read(key);
+      if (state.state === 'ended') return createRepeat(key, state);
+      const leftMs = untilMs - timers.readNow();
+      if (leftMs <= 0 || request.signal.aborted) break;
+      if (ledger.isWinner(key, attempt)) return 'won';
+      await ledger.waitForChange(key, leftMs);
+    }
+    // Left in place, the intent could win later with nobody to send.
+    await ledger.recordNotRun(key, attempt);
+    return createUnknown(
+      'another attempt with the key was first and its outcome is not known yet',
+      key,
+    );
+  }
+
+  function createRepeat(
+    key: string,
+    state: Extract<core.KeyState, { state: 'ended' }>,
+  ): requests.CallerAnswer {
+    const { outcome } = state;
+    if (outcome.outcome === 'unknown')
+      return createUnknown(
+        'the request with this key was sent and no complete answer came',
+        key,
+      );
+    if (outcome.body === undefined)
+      return createUnknown(
+        `the request with this key was answered with status ${outcome.status}; that answer was not kept`,
+        key,
+      );
+    return {
+      answer: 'done',
+      status: outcome.status,
+      headers: { 'content-type': outcome.contentType },
+      body: Buffer.from(outcome.body),
+    };
+  }
+
+  async function readKey(key: string): Promise<requests.KeyView> {
+    let state: core.KeyState;
+    try {
+      state = await ledger.readFresh(key);
+    } catch {
+      return { state: 'unreadable' };
+    }
+    if (state.state === 'free') return { state: 'none' };
+    const { service } = state;
+    if (state.state === 'open')
+      return isRunning(state.instance)
+        ? { state: 'open', service }
+        : { state: 'unknown', service };
+    if (state.outcome.outcome === 'unknown')
+      return { state: 'unknown', service };
+    const { status, contentType, body } = state.outcome;
+    const kept = body === undefined ? {} : { body };
+    return { state: 'done', service, status, contentType, ...kept };
+  }
+
+  function isRunning(instance: core.ids.InstanceId): boolean {
+    if (instance === identity.instance) return true;
+    return membership
+      .readPeers()
+      .some((peer) => peer.instance === instance && peer.health !== 'dead');
+  }
+
+  // --- tries ---
+
+  async function runTries(
+    request: requests.CallerRequest,
+    service: Service,
+    repeatable: boolean,
+  ): Promise<Outcome> {
+    retries.addRequest(service.name);
+    const tries: Tries = {
+      request,
+      service,
+      repeatable,
+      untilMs: timers.readNow() + service.maxWaitMs + service.timeoutMs,
+      avoid: [],
+      sent: false,
+      retries: 0,
+    };
+    let outcome = await runTry(tries);
+    while (outcome === undefined) {
+      tries.retries += 1;
+      outcome = await runTry(tries);
+    }
+    return outcome;
+  }
+
+  /** One ticket and one try; undefined when a further try is due. */
+  async function runTry(tries: Tries): Promise<Outcome | undefined> {
+    const { request, service } = tries;
+    const leftMs = tries.untilMs - timers.readNow();
+    const got = await holder.take({
+      request: request.id,
+      service,
+      team: request.team,
+      avoid: tries.avoid,
+      waitMs: Math.min(service.maxWaitMs, leftMs),
+      signal: request.signal,
+    });
+    if (got.got === 'refused') {
+      journal.note(request.id, { step: 'refused', reason: got.reason });
+      return createFailure(tries, got.reason, got.retryAfterMs);
+    }
+    return await sendOnce(tries, got.held);
+  }
+
+  async function sendOnce(
+    tries: Tries,
+    held: tickets.HeldTicket,
+  ): Promise<Outcome | undefined> {
+    const { request, service } = tries;
+    const startedMs = timers.readNow();
+    const check = { isLapsed: false };
+    const result = await parts.backends.send(
+      held.ticket.address,
+      createBackendRequest(request),
+      {
+        timeoutMs: Math.max(
+          1,
+          Math.min(service.timeoutMs, held.endsMs - startedMs),
+        ),
+        maxResponseBytes: service.maxResponseBytes,
+        canSend: () => {
+          const may = !request.signal.aborted && held.checkSend();
+          check.isLapsed = !may;
+          return may;
+        },
+      },
+    );
+    const tookMs = timers.readNow() - startedMs;
+    noteSend(request, held, result, tookMs);
+    switch (result.result) {
+      case 'answered':
+        held.release('ok', tookMs);
+        return { outcome: 'answered', result };
+      case 'not-sent':
+        held.release(check.isLapsed ? 'unused' : 'unreachable', tookMs);
+        break;
+      case 'uncertain':
+        tries.sent = true;
+        held.release('error', tookMs);
+        break;
+    }
+    if (!check.isLapsed) tries.avoid.push(held.ticket.backendServer);
+    if (canRetry(tries, held, result.result)) return undefined;
+    const cause = core.describeError(result.cause);
+    return createFailure(tries, cause, RETRY_AFTER_MS);
+  }
+
+  function noteSend(
+    request: requests.CallerRequest,
+    held: tickets.HeldTicket,
+    result: requests.BackendResult,
+    tookMs: number,
+  ): void {
+    const cause =
+      result.result === 'answered'
+        ? {}
+        : { cause: core.describeError(result.cause) };
+    journal.note(request.id, {
+      step: 'sent',
+      backendServer: held.ticket.backendServer,
+      result: result.result,
+      tookMs,
+      ...cause,
+    });
+    metrics.record(
+      'backend',
+      { service: request.service, result: result.result },
+      tookMs,
+    );
+  }
+
+  function canRetry(
+    tries: Tries,
+    held: tickets.HeldTicket,
+    result: 'not-sent' | 'uncertain',
+  ): boolean {
+    const nowMs = timers.readNow();
+    if (result === 'uncertain') {
+      if (!tries.repeatable) return false;
+      // A slow request would be slow elsewhere too; only broken connections are retried.
+      if (nowMs >= held.endsMs) return false;
+    }
+    if (tries.request.signal.aborted || nowMs >= tries.untilMs) return false;
+    if (tries.retries >= MAX_RETRIES) return false;
+    const isAllowed = retries.take(tries.service.name);
+    metrics.count('retries_total', {
+      service: tries.service.name,
+      allowed: String(isAllowed),
+    });
+    return isAllowed;
+  }
+
+  /** An answer says not run only when no byte was sent in any try. */
+  function createFailure(
+    tries: Tries,
+    reason: core.reasons.Reason | string,
+    retryAfterMs: number,
+  ): Outcome {
+    return tries.sent
+      ? {
+          outcome: 'unknown',
+          reason: `the request was sent and no complete answer came; then: ${describeWhy(reason)}`,
+        }
+      : { outcome: 'not-run', reason, retryAfterMs };
+  }
+
+  return {
+    handle,
+    readKey,
+    drain() {
+      draining = true;
+    },
+    close() {
+      draining = true;
+      desk.close();
+      ledger.close();
+    },
+    dump: () => ({
+      inHand,
+      held: holder.countHeld(),
+      keys: ledger.readSize(),
+      shards: desk.dump(),
+    }),
+  };
+}
+
+function createBackendRequest(
+  request: requests.CallerRequest,
+): requests.BackendRequest {
+  const { method, path, body } = request;
+  const headers = { ...request.headers, 'x-request-id': request.id };
+  return body.byteLength === 0
+    ? { method, path, headers }
+    : { method, path, headers, body };
+}
+
+function createAnswer(outcome: Outcome, key?: string): requests.CallerAnswer {
+  switch (outcome.outcome) {
+    case 'answered': {
+      const { status, headers, body } = outcome.result;
+      return { answer: 'done', status, headers, body };
+    }
+    case 'not-run':
+      return createNotRun(outcome.reason, outcome.retryAfterMs);
+    case 'unknown':
+      return createUnknown(outcome.reason, key);
+  }
+}
+
+function createNotRun(
+  why: core.reasons.Reason | string,
+  retryAfterMs?: number,
+): requests.CallerAnswer {
+  const base = {
+    answer: 'not-run',
+    status: chooseStatus(why),
+    reason: describeWhy(why),
+  } as const;
+  return retryAfterMs === undefined ? base : { ...base, retryAfterMs };
+}
+
+function createUnknown(reason: string, key?: string): requests.CallerAnswer {
+  return key === undefined
+    ? { answer: 'unknown', reason }
+    : { answer: 'unknown', reason, ask: `/keys/${encodeURIComponent(key)}` };
+}
+
+function refuseKey(reason: string): requests.CallerAnswer {
+  return { answer: 'not-run', status: 400, reason };
+}
+
+function chooseStatus(why: core.reasons.Reason | string): 404 | 429 | 503 {
+  if (typeof why === 'string') return 503;
+  if (why.reason === 'unknown-service') return 404;
+  return overloadReasons.has(why.reason) ? 429 : 503;
+}
+
+function describeWhy(why: core.reasons.Reason | string): string {
+  return typeof why === 'string' ? why : core.describeRequestReason(why);
+}
