--- /dev/null
+++ b/packages/daemon/src/process/process.ts
@@ -0,0 +1,321 @@
+/**
+ * One process of the daemon: creates the parts, hands each the ones it needs, and
+ * starts and stops them in order.
+ */
+import * as crypto from 'node:crypto';
+import * as core from '@flamingoward/core';
+import * as platform from '@flamingoward/platform';
+import * as callers from '../callers/server.js';
+import * as jobCheck from '../jobs/check.js';
+import * as jobs from '../jobs/jobs.js';
+import * as stores from '../jobs/stores.js';
+import * as links from '../links/links.js';
+import * as membership from '../membership/membership.js';
+import * as journals from '../observability/journal.js';
+import * as metrics from '../observability/metrics.js';
+import * as operators from '../operators/server.js';
+import * as ownership from '../ownership/ownership.js';
+import * as relays from '../relay/relay.js';
+import * as releases from '../releases/releases.js';
+import * as requestPath from '../requests/path.js';
+import type * as types from '../types.js';
+import * as workers from '../workers/workers.js';
+import * as plan from './plan.js';
+import * as resources from './resources.js';
+import * as workerClients from './workerClients.js';
+
+/** Connections that the platform's backend servers accept from all processes together. */
+const BACKEND_CONNECTIONS = 64;
+
+/** How long the platform's log keeps records at least, in ms. */
+const LOG_RETENTION_MS = 3_600_000;
+
+/** Starts of tasks that one tick of a workers shard may decide. */
+const MAX_STARTS_PER_TICK = 64;
+
+/** Time in a planned stop during which the balancer may still send requests here, in ms. */
+const BALANCER_DELAY_MS = 500;
+
+/** What a process is created with. */
+export interface ProcessOptions {
+  readonly settings: core.settings.Settings;
+  readonly timers: core.TimerService;
+  readonly log: types.Logger;
+  /** Random number from 0 to 1. */
+  readonly readRandom: () => number;
+  /** Called when an operator asks for a planned stop. */
+  readonly onDrain: () => void;
+}
+
+/** A running process. */
+export interface Process {
+  /** Opens all addresses; rejects with `port-in-use`. */
+  open(): Promise<void>;
+  /** The planned stop: hands over, answers what is in hand, closes. */
+  stop(): Promise<void>;
+}
+
+/** Creates a process; nothing is opened before `open`. */
+export function createProcess(options: ProcessOptions): Process {
+  const { settings, timers } = options;
+  const context: types.PartContext = {
+    identity: createIdentity(settings),
+    timers,
+    log: options.log,
+    metrics: metrics.createMetrics(),
+  };
+  let state: core.messages.Heartbeat['state'] = 'starting';
+
+  const linksPart = links.createLinks({
+    context,
+    listen: settings.links.listen,
+    key: settings.links.key,
+    maxFrameBytes: settings.limits.maxFrameBytes,
+    readRandom: options.readRandom,
+  });
+  const vmList = platform.createVmListClient({
+    address: toAddress(settings.platform.vmList),
+    timers,
+  });
+  const members = membership.createMembership({
+    context,
+    links: linksPart,
+    readVmList: () => vmList.readList(),
+    peers: settings.peers.map((peer) => peer.address),
+    readOwnState,
+    readRandom: options.readRandom,
+  });
+  const logClient = platform.createLogClient({
+    address: toAddress(settings.platform.log),
+    timers,
+  });
+  const relay = relays.createRelay({
+    context,
+    links: linksPart,
+    membership: members,
+    log: logClient,
+  });
+  const streams = platform.createStreams({
+    log: logClient,
+    timers,
+    bufferRecords: settings.limits.appendBufferRecords,
+    chooseSource: relay.chooseSource,
+    random: options.readRandom,
+  });
+  for (const stream of relays.RELAYED_STREAMS)
+    relay.attach(stream, streams.open(stream));
+  const releasesPart = releases.createReleases({
+    context,
+    streams,
+    membership: members,
+    links: linksPart,
+    peers: settings.peers,
+  });
+  const ownershipPart = ownership.createOwnership({
+    context,
+    membership: members,
+    streams,
+    listShards: () =>
+      plan.listShards(members.readVms(), releasesPart.readState()),
+    mayOwn: () => state === 'ready',
+  });
+  const jobStore = stores.createJobStore(context, streams);
+  const workerClient = workerClients.createWorkerClients(timers);
+  const workersPart = workers.createWorkers({
+    context,
+    streams,
+    membership: members,
+    ownership: ownershipPart,
+    releases: releasesPart,
+    jobs: jobStore,
+    client: workerClient,
+    createScheduler: core.createScheduler,
+    options: {
+      workerKind: 'plain',
+      retentionMs: LOG_RETENTION_MS,
+      maxStartsPerTick: MAX_STARTS_PER_TICK,
+      seed: crypto.randomInt(2 ** 31),
+      random: options.readRandom,
+    },
+  });
+  const jobsPart = jobs.createJobs({
+    context,
+    streams,
+    links: linksPart,
+    membership: members,
+    ownership: ownershipPart,
+    releases: releasesPart,
+    store: jobStore,
+    check: jobCheck.createJobCheck(members, releasesPart, (spec, region) =>
+      workersPart.readShard(stores.formatWorkersShard(region))?.check(spec),
+    ),
+    readShard: (shard) => workersPart.readShard(shard),
+    describeReason: (reason) => core.describeReason(reason).join(' '),
+  });
+  const journal = journals.createRequestJournal(timers);
+  const backends = platform.createBackendClient({
+    timers,
+    connections: Math.floor(
+      BACKEND_CONNECTIONS / settings.process.maxProcesses,
+    ),
+  });
+  const path = requestPath.createRequestPath({
+    context,
+    streams,
+    links: linksPart,
+    membership: members,
+    ownership: ownershipPart,
+    releases: releasesPart,
+    backends,
+    journal,
+    maxProcesses: settings.process.maxProcesses,
+  });
+  const callersServer = callers.createCallersServer({
+    context,
+    path,
+    jobs: jobsPart,
+    releases: releasesPart,
+    listen: settings.callers.listen,
+    maxBodyBytes: settings.limits.maxBodyBytes,
+  });
+  const gauges = resources.createResourceGauges(context, linksPart);
+  let operatorsServer: operators.OperatorsServer | undefined;
+  let readyTimer: core.TimerSubscription | undefined;
+
+  function readOwnState(): membership.OwnState {
+    return {
+      state,
+      releaseOffset: releasesPart.readState().offset,
+      claimsOffset: -1,
+      shards: ownershipPart.listOwn(),
+      logAway: streams.readAwaySince() !== undefined,
+      teamUse: workersPart.readTeamUse(),
+    };
+  }
+
+  function readHeartbeat(): core.messages.Heartbeat {
+    return {
+      kind: 'heartbeat',
+      instance: context.identity.instance,
+      ...readOwnState(),
+      leaving: [],
+    };
+  }
+
+  function checkReady(): void {
+    if (state !== 'starting' || !releasesPart.isReady()) return;
+    state = 'ready';
+    context.log.write('info', 'process.ready', {
+      instance: context.identity.instance,
+      release: releasesPart.readState().current,
+    });
+    members.announce();
+  }
+
+  async function open(): Promise<void> {
+    await linksPart.open();
+    operatorsServer = await operators.startOperatorsServer({
+      context,
+      listen: settings.operators.listen,
+      key: settings.operators.key,
+      maxBodyBytes: settings.limits.maxBodyBytes,
+      releases: releasesPart,
+      jobs: jobsPart,
+      membership: members,
+      streams,
+      requests: journal,
+      readHeartbeat,
+      readWorkers: () => [],
+      readBackends: () => [],
+      dumps,
+      drain: options.onDrain,
+    });
+    await callersServer.start();
+    await members.open();
+    ownershipPart.open();
+    gauges.open();
+    readyTimer = timers.subscribe(
+      { name: 'process.ready', delayMs: READY_CHECK_MS, repeat: 'periodic' },
+      checkReady,
+    );
+    context.log.write('info', 'process.started', {
+      instance: context.identity.instance,
+      callers: settings.callers.listen,
+      operators: settings.operators.listen,
+      links: settings.links.listen,
+    });
+  }
+
+  const dumps: Readonly<Record<string, types.Dumpable>> = {
+    process: { dump: () => ({ identity: context.identity, state }) },
+    links: linksPart,
+    membership: members,
+    relay,
+    releases: releasesPart,
+    ownership: ownershipPart,
+    workers: workersPart,
+    requests: path,
+    callers: callersServer,
+  };
+
+  async function stop(): Promise<void> {
+    const startMs = timers.readNow();
+    state = 'draining';
+    callersServer.markUnready();
+    members.announce();
+    context.log.write('info', 'process.draining', {});
+    await core.waitFor(timers, 'process.balancer', BALANCER_DELAY_MS);
+    callersServer.drain();
+    await ownershipPart.releaseAll();
+    const restMs =
+      settings.process.stopMs - (timers.readNow() - startMs) - CLOSE_MS;
+    await callersServer.close(Math.max(0, restMs));
+    await close();
+    context.log.write('info', 'process.stopped', {
+      tookMs: Math.round(timers.readNow() - startMs),
+    });
+  }
+
+  async function close(): Promise<void> {
+    readyTimer?.end();
+    gauges.close();
+    path.close();
+    workersPart.close();
+    ownershipPart.close();
+    releasesPart.close();
+    members.close();
+    await operatorsServer?.close();
+    await Promise.all([
+      streams.close(),
+      workerClient.close(),
+      backends.close(),
+      vmList.close(),
+      linksPart.close(),
+    ]);
+  }
+
+  return { open, stop };
+}
+
+const READY_CHECK_MS = 50;
+
+/** Part of a stop's time that is kept for closing the connections, in ms. */
+const CLOSE_MS = 500;
+
+function createIdentity(
+  settings: core.settings.Settings,
+): types.ProcessIdentity {
+  const { name, region, availabilityZone } = settings.process;
+  const run = crypto.randomBytes(4).toString('hex');
+  return {
+    name,
+    instance: `${name}.${run}`,
+    region,
+    availabilityZone,
+    linksAddress: settings.links.listen,
+  };
+}
+
+function toAddress(url: string): core.ids.Address {
+  return new URL(url).host;
+}
