--- /dev/null
+++ b/packages/daemon/src/callers/jobspec.ts
@@ -0,0 +1,95 @@
+/** The JSON body of `POST /jobs`. */
+import * as zod from 'zod';
+import type * as core from '@flamingoward/core';
+
+const DEFAULT_TEAM = 'default';
+const MAX_TASKS = 100_000;
+
+const name = zod.string().min(1).max(200);
+
+const schema = zod.strictObject({
+  kind: zod.enum(['batch', 'gang', 'service']),
+  name,
+  team: name.optional(),
+  jobClass: name,
+  count: zod.int().min(1).max(MAX_TASKS),
+  size: zod.strictObject({
+    cores: zod.number().positive(),
+    memoryMb: zod.number().positive(),
+    gpus: zod.int().min(0).default(0),
+  }),
+  declaredMs: zod.number().min(0).default(0),
+  region: name.optional(),
+  availabilityZone: name.optional(),
+  maxRacks: zod.int().min(1).optional(),
+  work: zod
+    .record(zod.string(), zod.union([zod.string(), zod.number()]))
+    .default({}),
+});
+
+/** What a body holds. */
+export type ParsedJob =
+  | { readonly parsed: true; readonly spec: core.jobs.JobSpec }
+  | { readonly parsed: false; readonly faults: readonly string[] };
+
+/** Parses a body; every fault is listed with its place. */
+export function parseJobSpec(
+  body: Uint8Array,
+  team: core.ids.TeamName | undefined,
+): ParsedJob {
+  const json = parseJson(body);
+  if ('fault' in json) return { parsed: false, faults: [json.fault] };
+  const result = schema.safeParse(json.value);
+  if (!result.success)
+    return {
+      parsed: false,
+      faults: result.error.issues.map(
+        ({ path, message }) =>
+          `${path.length === 0 ? 'body' : path.join('.')}: ${message}`,
+      ),
+    };
+  return checkSpec(createSpec(result.data, team));
+}
+
+function parseJson(
+  body: Uint8Array,
+): { readonly value: unknown } | { readonly fault: string } {
+  try {
+    const text = new TextDecoder('utf-8', { fatal: true }).decode(body);
+    return { value: JSON.parse(text) as unknown };
+  } catch (error) {
+    const cause = error instanceof Error ? error.message : String(error);
+    return { fault: `body: not valid JSON in UTF-8: ${cause}` };
+  }
+}
+
+function createSpec(
+  data: zod.infer<typeof schema>,
+  team: core.ids.TeamName | undefined,
+): core.jobs.JobSpec {
+  const { region, availabilityZone, maxRacks } = data;
+  return {
+    kind: data.kind,
+    name: data.name,
+    team: data.team ?? team ?? DEFAULT_TEAM,
+    jobClass: data.jobClass,
+    count: data.count,
+    size: data.size,
+    declaredMs: data.declaredMs,
+    work: data.work,
+    ...(region === undefined ? {} : { region }),
+    ...(availabilityZone === undefined ? {} : { availabilityZone }),
+    ...(maxRacks === undefined ? {} : { maxRacks }),
+  };
+}
+
+function checkSpec(spec: core.jobs.JobSpec): ParsedJob {
+  const faults: string[] = [];
+  if (spec.kind !== 'service' && spec.declaredMs === 0)
+    faults.push('declaredMs: required for batch and gang jobs, in ms');
+  if (spec.kind !== 'gang' && spec.maxRacks !== undefined)
+    faults.push('maxRacks: only gang jobs may have it');
+  return faults.length === 0
+    ? { parsed: true, spec }
+    : { parsed: false, faults };
+}
