--- /dev/null
+++ b/packages/standins/src/generate.ts
@@ -0,0 +1,259 @@
+/** Generator of the example traces. The same customer and seed give the same trace. */
+import * as uniform from 'pure-rand/distribution/uniformInt';
+import * as generators from 'pure-rand/generator/xoroshiro128plus';
+import type * as traces from './trace.js';
+
+/** Customers with an example. */
+export type Customer = 'sayeban' | 'nilewave';
+
+/** How to make one kind of event. */
+interface Plan {
+  /** Mean number of events in a second. */
+  readonly perSecond: number;
+  readonly create: (random: Random, atMs: number, serial: number) => Event;
+}
+
+type Event = traces.RequestLine | traces.JobLine;
+
+/** Whole numbers from `from` to `to`, both included. */
+type Random = (from: number, to: number) => number;
+
+/** Generates the trace of a customer. */
+export function generateTrace(
+  customer: Customer,
+  seed: number,
+  durationMs: number,
+): traces.Trace {
+  const generator = generators.xoroshiro128plus(seed);
+  const random: Random = (from, to) => uniform.uniformInt(generator, from, to);
+  const plans = customer === 'sayeban' ? sayebanPlans : nilewavePlans;
+  const events: traces.EventLine[] = plans.flatMap((plan) =>
+    listEvents(plan, random, durationMs),
+  );
+  events.push(...listStanding(customer, durationMs));
+  events.sort((a, b) => a.atMs - b.atMs);
+  return {
+    head: { type: 'trace', version: 1, customer, seed, durationMs },
+    events,
+  };
+}
+
+/** Gaps are uniform from 0 to twice the mean, so arrivals come in small clusters. */
+function listEvents(plan: Plan, random: Random, durationMs: number): Event[] {
+  const events: Event[] = [];
+  const gapMs = 1_000 / plan.perSecond;
+  let atMs = random(0, Math.round(2 * gapMs));
+  while (atMs < durationMs) {
+    events.push(plan.create(random, atMs, events.length + 1));
+    atMs += random(0, Math.round(2 * gapMs));
+  }
+  return events;
+}
+
+/** A service job that runs nearly the whole trace and is then withdrawn. */
+function listStanding(
+  customer: Customer,
+  durationMs: number,
+): traces.EventLine[] {
+  const sayeban = customer === 'sayeban';
+  const id = `${customer}-standing-1`;
+  return [
+    {
+      type: 'job',
+      atMs: 100,
+      id,
+      label: 'standing',
+      spec: {
+        kind: 'service',
+        name: sayeban ? 'customer-portal' : 'catalogue-index',
+        team: sayeban ? 'roof' : 'catalogue',
+        jobClass: sayeban ? 'portal' : 'catalogue',
+        count: 4,
+        size: { cores: 2, memoryMb: 2_048, gpus: 0 },
+        declaredMs: 0,
+        work: {},
+      },
+    },
+    { type: 'cancel', atMs: durationMs - 500, job: id },
+  ];
+}
+
+const sayebanPlans: readonly Plan[] = [
+  {
+    perSecond: 100,
+    create: (random, atMs, serial) =>
+      createRead('quote', 'fitting-desk', 'quotes', atMs, serial, {
+        workMs: random(10, 90),
+        responseBytes: random(200, 4_000),
+      }),
+  },
+  {
+    perSecond: 8,
+    create: (random, atMs, serial) =>
+      createOrder('order', 'fitting-desk', 'orders', atMs, serial, {
+        workMs: random(30, 150),
+        responseBytes: random(100, 500),
+      }),
+  },
+  {
+    perSecond: 10,
+    create: (random, atMs, serial) =>
+      createRead('preview', 'design-studio', 'previews', atMs, serial, {
+        workMs: random(100, 500),
+        responseBytes: random(2_000, 40_000),
+      }),
+  },
+  {
+    perSecond: 3,
+    create: (random, atMs, serial) =>
+      createJob('cutting-list', atMs, serial, {
+        ...createBatch(random, 'cutting', 'workshop', [1, 4]),
+        size: { cores: random(1, 4), memoryMb: 1_024 * random(1, 4), gpus: 0 },
+        ...createTimes(random, 300, 1_500),
+      }),
+  },
+  {
+    perSecond: 3,
+    create: (random, atMs, serial) =>
+      createJob('render', atMs, serial, {
+        ...createBatch(random, 'render', 'studio', [2, 10]),
+        size: { cores: random(2, 8), memoryMb: 1_024 * random(2, 12), gpus: 0 },
+        ...createTimes(random, 1_000, 5_000),
+      }),
+  },
+  {
+    perSecond: 0.4,
+    create: (random, atMs, serial) =>
+      createJob('wind-load', atMs, serial, {
+        ...createGang(random, 'render', 'studio', [2, 4]),
+        size: { cores: 16, memoryMb: 32_768, gpus: 4 },
+        ...createTimes(random, 1_500, 4_000),
+      }),
+  },
+];
+
+const nilewavePlans: readonly Plan[] = [
+  {
+    perSecond: 40,
+    create: (random, atMs, serial) =>
+      createRead('title-check', 'ingest', 'titles', atMs, serial, {
+        workMs: random(10, 120),
+        responseBytes: random(200, 6_000),
+      }),
+  },
+  {
+    perSecond: 4,
+    create: (random, atMs, serial) =>
+      createOrder('paid-transcode', 'ingest', 'transcodes', atMs, serial, {
+        workMs: random(50, 300),
+        responseBytes: random(100, 500),
+      }),
+  },
+  {
+    perSecond: 8,
+    create: (random, atMs, serial) =>
+      createRead('subtitle', 'enhance', 'subtitles', atMs, serial, {
+        workMs: random(100, 600),
+        responseBytes: random(1_000, 20_000),
+      }),
+  },
+  {
+    perSecond: 4,
+    create: (random, atMs, serial) =>
+      createJob('ingest-check', atMs, serial, {
+        ...createBatch(random, 'ingest-check', 'ingest', [1, 3]),
+        size: { cores: random(1, 2), memoryMb: 1_024 * random(1, 4), gpus: 0 },
+        ...createTimes(random, 200, 1_000),
+      }),
+  },
+  {
+    perSecond: 3,
+    create: (random, atMs, serial) =>
+      createJob('transcode', atMs, serial, {
+        ...createBatch(random, 'transcode', 'ingest', [1, 6]),
+        size: {
+          cores: random(4, 12),
+          memoryMb: 1_024 * random(4, 32),
+          gpus: 0,
+        },
+        ...createTimes(random, 1_000, 4_000),
+      }),
+  },
+  {
+    perSecond: 0.7,
+    create: (random, atMs, serial) =>
+      createJob('enhance', atMs, serial, {
+        ...createGang(random, 'enhance', 'enhancement', [2, 5]),
+        size: { cores: 8, memoryMb: 32_768, gpus: random(1, 4) },
+        ...createTimes(random, 1_500, 4_000),
+      }),
+  },
+];
+
+/** A request that may be repeated; the backend server reads its work from the query. */
+function createRead(
+  label: string,
+  service: string,
+  path: string,
+  atMs: number,
+  serial: number,
+  work: { readonly workMs: number; readonly responseBytes: number },
+): traces.RequestLine {
+  const id = `${label}-${serial}`;
+  return {
+    type: 'request',
+    atMs,
+    id,
+    label,
+    service,
+    method: 'GET',
+    path: `/${path}/${serial}`,
+    ...work,
+  };
+}
+
+/** A request that must run at most once. */
+function createOrder(
+  ...request: Parameters<typeof createRead>
+): traces.RequestLine {
+  const read = createRead(...request);
+  return { ...read, method: 'POST', path: `/${request[2]}`, key: read.id };
+}
+
+type Spec = traces.JobLine['spec'];
+
+function createJob(
+  label: string,
+  atMs: number,
+  serial: number,
+  spec: Omit<Spec, 'name'>,
+): traces.JobLine {
+  const id = `${label}-${serial}`;
+  return { type: 'job', atMs, id, label, spec: { ...spec, name: id } };
+}
+
+function createBatch(
+  random: Random,
+  jobClass: string,
+  team: string,
+  [from, to]: readonly [number, number],
+): Pick<Spec, 'kind' | 'jobClass' | 'team' | 'count'> {
+  return { kind: 'batch', jobClass, team, count: random(from, to) };
+}
+
+function createGang(
+  ...batch: Parameters<typeof createBatch>
+): Pick<Spec, 'kind' | 'jobClass' | 'team' | 'count'> {
+  return { ...createBatch(...batch), kind: 'gang' };
+}
+
+/** Declared run times are off by up to three times either way. */
+function createTimes(
+  random: Random,
+  fromMs: number,
+  toMs: number,
+): Pick<Spec, 'declaredMs' | 'work'> {
+  const actualMs = random(fromMs, toMs);
+  const declaredMs = Math.round((actualMs * random(33, 300)) / 100);
+  return { declaredMs, work: { actualMs } };
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -17,3 +17,23 @@
 } from './platform.js';
 export { loadPlatformFile, parsePlatformFile } from './platformfile.js';
 export type { PlatformFile } from './platformfile.js';
+export { formatTrace, loadTrace, parseTrace } from './trace.js';
+export type {
+  CancelLine,
+  EventLine,
+  JobLine,
+  RequestLine,
+  Trace,
+  TraceHead,
+} from './trace.js';
+export { generateTrace } from './generate.js';
+export type { Customer } from './generate.js';
+export { replayTrace } from './replay.js';
+export type {
+  JobResult,
+  ReplayOptions,
+  ReplayResult,
+  RequestResult,
+} from './replay.js';
+export { buildReport, hasPassed, readCost, renderReport } from './report.js';
+export type { Check, PackingRow, Report, WaitRow } from './report.js';
--- /dev/null
+++ b/packages/standins/src/report.ts
@@ -0,0 +1,311 @@
+/** The report of a replay: waiting times, answers, ends of jobs, packing, and the checks. */
+import * as hdr from 'hdr-histogram-js';
+import * as undici from 'undici';
+import type * as core from '@flamingoward/core';
+import type * as platforms from './platform.js';
+import * as replays from './replay.js';
+
+/** Waiting times of one class, in ms. */
+export interface WaitRow {
+  readonly label: string;
+  readonly count: number;
+  readonly p50: number;
+  readonly p90: number;
+  readonly p99: number;
+  readonly max: number;
+}
+
+/** Mean share in use of one kind of worker, 0 to 1. */
+export interface PackingRow {
+  readonly pool: string;
+  readonly samples: number;
+  readonly cores: number;
+  readonly memory: number;
+  readonly gpus: number;
+}
+
+/** One check and what it found. */
+export interface Check {
+  readonly name: string;
+  readonly passed: boolean;
+  readonly found: string;
+}
+
+/** Everything that the report prints. */
+export interface Report {
+  readonly waits: readonly WaitRow[];
+  readonly answers: Readonly<Record<string, number>>;
+  readonly jobs: Readonly<Record<string, number>>;
+  readonly packing: readonly PackingRow[];
+  readonly checks: readonly Check[];
+  readonly log: platforms.PlatformAudit['log'] | undefined;
+}
+
+/** Builds the report; without an audit only what the callers saw is in it. */
+export function buildReport(
+  result: replays.ReplayResult,
+  audit: platforms.PlatformAudit | undefined,
+): Report {
+  return {
+    waits: [...measureRequests(result), ...measureTasks(result, audit)],
+    answers: countBy(
+      result.requests.map(
+        ({ line, result: each }) => `${line.label} ${each.answer}`,
+      ),
+    ),
+    jobs: countBy(
+      result.jobs.map(
+        ({ line, result: each }) =>
+          `${line.label} ${each.answer === 'accepted' ? each.state : each.answer}`,
+      ),
+    ),
+    packing: audit === undefined ? [] : measurePacking(audit.fleet.samples),
+    checks: [
+      ...checkCallers(result),
+      ...(audit === undefined ? [] : checkPlatform(audit, result)),
+    ],
+    log: audit?.log,
+  };
+}
+
+/** True when every check passed. */
+export function hasPassed(report: Report): boolean {
+  return report.checks.every((check) => check.passed);
+}
+
+/** Renders the report as text. */
+export function renderReport(report: Report): string {
+  const lines = [
+    'waiting time in ms      count     p50     p90     p99     max',
+    ...report.waits.map(
+      (row) =>
+        `  ${row.label.padEnd(20)}${[
+          row.count,
+          row.p50,
+          row.p90,
+          row.p99,
+          row.max,
+        ]
+          .map((value) => String(value).padStart(7))
+          .join(' ')}`,
+    ),
+    'answers',
+    ...renderCounts(report.answers),
+    'jobs',
+    ...renderCounts(report.jobs),
+    'packing (mean share in use)  cores  memory    gpus',
+    ...report.packing.map(
+      (row) =>
+        `  ${row.pool.padEnd(24)}${[row.cores, row.memory, row.gpus]
+          .map((share) => `${(100 * share).toFixed(1)}%`.padStart(7))
+          .join(' ')}`,
+    ),
+  ];
+  if (report.log !== undefined)
+    lines.push(
+      `log: appends=${report.log.appends} records=${report.log.records} reads=${report.log.reads} bytes_in=${report.log.bytesIn}`,
+    );
+  lines.push(
+    'checks',
+    ...report.checks.map(
+      (check) =>
+        `  ${check.passed ? 'pass' : 'FAIL'} ${check.name}: ${check.found}`,
+    ),
+  );
+  return `${lines.join('\n')}\n`;
+}
+
+function renderCounts(counts: Readonly<Record<string, number>>): string[] {
+  return Object.entries(counts)
+    .sort(([a], [b]) => a.localeCompare(b))
+    .map(([name, count]) => `  ${name.padEnd(32)}${String(count).padStart(7)}`);
+}
+
+function countBy(names: readonly string[]): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const name of names) counts[name] = (counts[name] ?? 0) + 1;
+  return counts;
+}
+
+/** Waiting time of a request: total time minus the backend server's work time. */
+function measureRequests(result: replays.ReplayResult): WaitRow[] {
+  const waits = new Map<string, number[]>();
+  for (const { line, result: each } of result.requests)
+    if (each.answer === 'done')
+      addTo(waits, line.label, each.totalMs - line.workMs);
+  return formatWaits(waits);
+}
+
+/** Waiting time of a task: acceptance of the job to the first start of the task. */
+function measureTasks(
+  result: replays.ReplayResult,
+  audit: platforms.PlatformAudit | undefined,
+): WaitRow[] {
+  const firstStart = new Map<string, Map<number, number>>();
+  for (const start of audit?.fleet.starts ?? []) {
+    const tasks = firstStart.get(start.jobId) ?? new Map<number, number>();
+    firstStart.set(start.jobId, tasks);
+    const known = tasks.get(start.index) ?? Infinity;
+    tasks.set(start.index, Math.min(known, start.startedMs));
+  }
+  const waits = new Map<string, number[]>();
+  for (const { line, result: each } of result.jobs) {
+    if (each.answer !== 'accepted') continue;
+    for (const startedMs of firstStart.get(each.id)?.values() ?? [])
+      addTo(waits, `${line.label} tasks`, startedMs - each.acceptedMs);
+  }
+  return formatWaits(waits);
+}
+
+function addTo(
+  waits: Map<string, number[]>,
+  label: string,
+  waitMs: number,
+): void {
+  const known = waits.get(label);
+  // A start may be seen before the caller has read the acceptance.
+  const value = Math.max(0, waitMs);
+  if (known === undefined) waits.set(label, [value]);
+  else known.push(value);
+}
+
+function formatWaits(waits: ReadonlyMap<string, readonly number[]>): WaitRow[] {
+  return [...waits].map(([label, values]) => {
+    const histogram = hdr.build({ useWebAssembly: false });
+    for (const value of values) histogram.recordValue(Math.round(value));
+    return {
+      label,
+      count: histogram.totalCount,
+      p50: histogram.getValueAtPercentile(50),
+      p90: histogram.getValueAtPercentile(90),
+      p99: histogram.getValueAtPercentile(99),
+      max: histogram.maxValue,
+    };
+  });
+}
+
+/** Mean over the samples; the samples have equal distances. */
+function measurePacking(
+  samples: platforms.PlatformAudit['fleet']['samples'],
+): PackingRow[] {
+  const pools = new Set(samples.map((sample) => sample.pool));
+  return [...pools].map((pool) => {
+    const own = samples.filter((sample) => sample.pool === pool);
+    const measureShare = (name: core.resources.ResourceName) => {
+      const size = own.reduce((sum, each) => sum + each.size[name], 0);
+      const used = own.reduce((sum, each) => sum + each.used[name], 0);
+      return size === 0 ? 0 : used / size;
+    };
+    return {
+      pool,
+      samples: own.length,
+      cores: measureShare('cores'),
+      memory: measureShare('memoryMb'),
+      gpus: measureShare('gpus'),
+    };
+  });
+}
+
+function checkCallers(result: replays.ReplayResult): Check[] {
+  const silent = result.requests.filter(
+    (each) => each.result.answer === 'none',
+  );
+  const foreign = result.requests.filter(
+    ({ result: each }) => each.answer === 'done' && !each.matches,
+  );
+  const open = result.jobs.filter(
+    ({ result: each }) =>
+      each.answer === 'none' ||
+      (each.answer === 'accepted' && each.state === 'accepted'),
+  );
+  return [
+    createCheck(
+      'every request has an answer',
+      silent.map(
+        ({ line, result: each }) =>
+          `${line.id} (${each.answer === 'none' ? each.reason : ''})`,
+      ),
+    ),
+    createCheck(
+      'every answer is complete and belongs to its request',
+      foreign.map(({ line }) => line.id),
+    ),
+    createCheck(
+      'every job has ended or was refused',
+      open.map(({ line }) => line.id),
+    ),
+  ];
+}
+
+function checkPlatform(
+  audit: platforms.PlatformAudit,
+  result: replays.ReplayResult,
+): Check[] {
+  const executions = new Map<string, number>();
+  for (const backend of audit.backends)
+    for (const [token, count] of Object.entries(backend.executions))
+      executions.set(token, (executions.get(token) ?? 0) + count);
+  const orders = result.requests.filter(({ line }) => line.key !== undefined);
+  const counted = orders.map(({ line, result: each }) => ({
+    id: line.id,
+    // After a broken connection an earlier try may have run.
+    notRun: each.answer === 'not-run' && each.broken === 0,
+    executions: executions.get(replays.formatToken(result.run, line.id)) ?? 0,
+  }));
+  return [
+    createCheck('no worker is over its size', audit.fleet.overSize),
+    createCheck('no task runs in two places', audit.fleet.doubledTasks),
+    createCheck(
+      'each keyed request runs at most once',
+      counted.filter((each) => each.executions > 1).map((each) => each.id),
+    ),
+    createCheck(
+      'a request that is not run never ran',
+      counted
+        .filter((each) => each.notRun && each.executions > 0)
+        .map((each) => each.id),
+    ),
+    createCheck(
+      'no backend server has more busy slots than it has slots',
+      audit.backends
+        .filter((each) => each.maxBusy > each.slots)
+        .map((each) => `${each.id} had ${each.maxBusy} of ${each.slots}`),
+    ),
+    createCheck(
+      'no backend server has more connections than it accepts',
+      audit.backends
+        .filter((each) => each.maxConnections > each.connectionLimit)
+        .map(
+          (each) =>
+            `${each.id} had ${each.maxConnections} of ${each.connectionLimit}`,
+        ),
+    ),
+  ];
+}
+
+function createCheck(name: string, faults: readonly string[]): Check {
+  const some = faults.slice(0, 5).join(', ');
+  return {
+    name,
+    passed: faults.length === 0,
+    found: faults.length === 0 ? 'ok' : `${faults.length}: ${some}`,
+  };
+}
+
+/** Reads the lines of a daemon's metrics that tell its cost: processor, memory and bytes. */
+export async function readCost(address: string, key: string): Promise<string> {
+  try {
+    const answer = await undici.request(`http://${address}/metrics`, {
+      headers: { authorization: `Bearer ${key}` },
+    });
+    const text = await answer.body.text();
+    if (answer.statusCode !== 200)
+      return `cost of ${address}: status ${answer.statusCode}\n`;
+    const lines = text
+      .split('\n')
+      .filter((line) => /^[^#]*(cpu|resident|rss|bytes)/.test(line));
+    return `cost of ${address}\n${lines.map((line) => `  ${line}\n`).join('')}`;
+  } catch (error) {
+    return `cost of ${address}: ${String(error)}\n`;
+  }
+}
