--- a/packages/core/src/placement/filter.ts
+++ b/packages/core/src/placement/filter.ts
@@ -109,12 +109,17 @@
  * Checks a shape against the sizes of the fleet as if it were idle. The cost depends
  * on the number of different sizes and racks, not on the workers.
  */
-export function checkEverFits(table: fleet.Fleet, shape: rows.Shape): EverFits {
+export function checkEverFits(
+  table: fleet.Fleet,
+  shape: rows.Shape,
+  workers: 'all' | 'without-gpus' = 'all',
+): EverFits {
   let total = 0;
   let size = 0;
   let location = 0;
   const byRack = new Map<ids.RackName, number>();
   for (const group of table.groups.values()) {
+    if (workers === 'without-gpus' && group.size.gpus > 0) continue;
     const fits = vector.countFits(shape.size, group.size);
     for (const [rack, count] of group.racks) {
       total += count;
--- a/packages/core/src/scheduler/accept.ts
+++ b/packages/core/src/scheduler/accept.ts
@@ -94,6 +94,7 @@
     reason: undefined,
     ending: undefined,
     closed: false,
+    needsGpuWorkers: { listed: 0, needed: false },
     unfit: false,
     history: [],
   };
--- a/packages/core/src/scheduler/ends.ts
+++ b/packages/core/src/scheduler/ends.ts
@@ -168,12 +168,27 @@
     stopAttempt(state, attempt, 'gang', true);
 }
 
+/** Ends a gang of which some members ran when none may run twice. */
+export function endUnrepeatable(
+  state: states.State,
+  row: rows.JobRow,
+): boolean {
+  if (row.policy.idempotent || row.ended === 0) return false;
+  beginEnd(state, row, {
+    state: 'failed',
+    reason:
+      'the gang broke after some members had run, and its class may not run twice',
+  });
+  return true;
+}
+
 function resumeGang(
   state: states.State,
   row: rows.JobRow,
   nowMs: number,
 ): void {
   if (!row.restarting || row.live > 0 || row.ending !== undefined) return;
+  if (endUnrepeatable(state, row)) return;
   const dueMs = nowMs + (row.failedOn.size > 0 ? RETRY_MIN_MS : 0);
   state.delayed.push({ dueMs, job: row.id, index: undefined });
 }
--- a/packages/core/src/scheduler/start.ts
+++ b/packages/core/src/scheduler/start.ts
@@ -18,6 +18,8 @@
 const CHECKPOINT_USEFUL = 0.3;
 /** Work this short may use idle workers with GPUs. */
 const SHORT_MS = 60_000;
+/** Other work may use them after it waited this long while no work with GPUs waits. */
+const GPU_WORKERS_AFTER_MS = 10_000;
 /** Attempt numbers of one scheduler begin at its seed times this. */
 const ATTEMPTS_PER_SEED = 1_000_000;
 
@@ -85,11 +87,25 @@
   return undefined;
 }
 
+/** Tells whether the workers without GPUs could never hold the next step of a job. */
 function wantsGpuWorkers(state: states.State, row: rows.JobRow): boolean {
-  for (const group of state.fleet.groups.values())
-    if (group.size.gpus === 0 && vector.isWithin(row.spec.size, group.size))
-      return false;
-  return true;
+  const known = row.needsGpuWorkers;
+  const listed = state.fleet.readListed();
+  if (known.listed !== listed) {
+    known.listed = listed;
+    const { fits } = filter.checkEverFits(
+      state.fleet,
+      row.shape,
+      'without-gpus',
+    );
+    known.needed = !fits;
+  }
+  return known.needed;
+}
+
+/** Tells whether a job has waited so long that it may use any idle worker. */
+export function isPatient(row: rows.JobRow, nowMs: number): boolean {
+  return nowMs - row.progressMs >= GPU_WORKERS_AFTER_MS;
 }
 
 /** Tells whether work without GPUs may use idle workers that have them. */
@@ -104,6 +120,7 @@
   const { declaredMs } = row.spec;
   return (
     row.urgency === 'urgent' ||
+    isPatient(row, context.nowMs) ||
     isReclaimable(state, row, 0) ||
     (declaredMs > 0 && declaredMs <= SHORT_MS)
   );
--- a/packages/core/src/scheduler/tick.ts
+++ b/packages/core/src/scheduler/tick.ts
@@ -88,8 +88,13 @@
 }
 
 /** Changes whenever a refused shape might fit. */
-function computeStamp(state: states.State, context: start.TickContext): number {
-  return state.fleet.readFreed() * 2 + (context.gpusWanted ? 1 : 0);
+function computeStamp(
+  state: states.State,
+  row: rows.JobRow,
+  context: start.TickContext,
+): number {
+  const patient = start.isPatient(row, context.nowMs) ? 2 : 0;
+  return state.fleet.readFreed() * 4 + patient + (context.gpusWanted ? 1 : 0);
 }
 
 function refuseShape(
@@ -109,7 +114,7 @@
     }
     if (shape.fittingAt !== listed) accept.updateAvoid(state, row);
     shape.fittingAt = listed;
-    shape.refusedAt = computeStamp(state, context);
+    shape.refusedAt = computeStamp(state, row, context);
     noteStarving(row, context);
     while (budget.preemptions > 0 && preempt.preemptFor(state, row, context))
       budget.preemptions -= 1;
@@ -129,7 +134,7 @@
   row: rows.JobRow,
   context: start.TickContext,
 ): start.StartResult {
-  const isSame = shape.refusedAt === computeStamp(state, context);
+  const isSame = shape.refusedAt === computeStamp(state, row, context);
   if (isSame) {
     const { size } = state.fleet.workers;
     const reason = { reason: 'no-candidate', total: size, counts: [] } as const;
@@ -184,7 +189,8 @@
     state.brokenGangs.delete(row);
     if (row.closed || waiting.countReady(state, row) === 0) continue;
     if (row.live > 0) ends.stopGang(state, row);
-    else if (row.ended > 0) waiting.resetGang(state, row, nowMs);
+    else if (row.ended > 0 && !ends.endUnrepeatable(state, row))
+      waiting.resetGang(state, row, nowMs);
   }
 }
 
--- a/packages/core/src/scheduler/usage.ts
+++ b/packages/core/src/scheduler/usage.ts
@@ -27,7 +27,8 @@
       ? used.memoryMb + size.memoryMb * GROWTH_MARGIN
       : size.memoryMb;
   const held = {
-    cores: Math.max(size.cores, used.cores),
+    // Rounded up, because the ledger rounds to thousandths.
+    cores: Math.max(size.cores, Math.ceil(used.cores * 1000) / 1000),
     memoryMb: grown,
     gpus: Math.max(size.gpus, used.gpus),
   };
--- a/packages/core/test/scheduler-property.test.ts
+++ b/packages/core/test/scheduler-property.test.ts
@@ -229,26 +229,7 @@
   }
 
   report(worker: string, factor: number): void {
-    const attempts: core.workers.AttemptReport[] = [];
-    for (const { start, sinceMs } of this.books.live.values()) {
-      if (start.worker !== worker) continue;
-      const { size, attemptId, job: jobId, index } = start;
-      const used = {
-        ...size,
-        cores: size.cores * factor,
-        memoryMb: size.memoryMb * factor,
-      };
-      const times = { leaseUntilMs: 0, startedMs: sinceMs };
-      attempts.push({
-        attemptId,
-        jobId,
-        index,
-        state: 'running',
-        size,
-        used,
-        ...times,
-      });
-    }
+    const attempts = this.buildReports(worker, factor);
     this.apply({ event: 'worker.reported', worker, attempts });
     const stops = this.books.stops.length;
     this.tick(1);
@@ -262,6 +243,28 @@
     if (excess > size) expect(kept, `${stops}`).toBeLessThanOrEqual(size);
   }
 
+  /** Reports of the attempts of a worker; without a factor they use what they used before. */
+  buildReports(worker: string, factor?: number): core.workers.AttemptReport[] {
+    const attempts: core.workers.AttemptReport[] = [];
+    for (const attempt of this.books.live.values()) {
+      const { start, sinceMs } = attempt;
+      if (start.worker !== worker) continue;
+      const { size, attemptId, job: jobId, index } = start;
+      const used =
+        factor === undefined
+          ? attempt.used
+          : {
+              ...size,
+              cores: size.cores * factor,
+              memoryMb: size.memoryMb * factor,
+            };
+      const times = { leaseUntilMs: 0, startedMs: sinceMs };
+      const place = { attemptId, jobId, index };
+      attempts.push({ ...place, state: 'running', size, used, ...times });
+    }
+    return attempts;
+  }
+
   /** A new owner: accepted jobs, then held tasks, then the attempts found on the workers. */
   handOver(held: boolean): void {
     this.owners += 1;
@@ -297,6 +300,10 @@
         next.apply({ event: 'task.freed', job: job.id, index }, now);
     for (const worker of this.books.usable)
       next.apply({ event: 'worker.usable', worker, usable: true }, now);
+    for (const worker of this.books.workers.keys()) {
+      const attempts = this.buildReports(worker);
+      next.apply({ event: 'worker.reported', worker, attempts }, now);
+    }
     this.scheduler = next;
   }
 
