Add the operators' command

flamingoward asks any process over the operators' address. Exit codes tell done, refused, wrong arguments and unreachable apart; when a connection breaks, the message says whether it is certain that nothing was done. The acceptance of a release is waited for in the process (wait_ms), so the command prints the times that the process measured. drain names the process, so that a wrong address stops nothing.

--- /dev/null
+++ b/packages/cli/src/cli.ts
@@ -0,0 +1,47 @@
+/** All commands of `flamingoward`, and how a command line is run. */
+import * as clipanion from 'clipanion';
+import * as cluster from './cluster.js';
+import * as command from './command.js';
+import * as jobs from './jobs.js';
+import * as release from './release.js';
+import * as settings from './settings.js';
+
+const commands = [
+  release.ReleaseCheck,
+  release.ReleaseDiff,
+  release.ReleasePublish,
+  release.ReleaseHistory,
+  release.ReleaseShow,
+  jobs.JobSubmit,
+  jobs.JobStatus,
+  jobs.JobCancel,
+  jobs.JobList,
+  jobs.JobExplain,
+  jobs.RequestExplain,
+  cluster.Workers,
+  cluster.Backends,
+  cluster.Processes,
+  cluster.Dump,
+  cluster.Drain,
+  settings.SettingsCheck,
+  settings.SettingsPrint,
+  clipanion.Builtins.HelpCommand,
+];
+
+/** Runs a command line without the program's name; resolves with the exit code. */
+export async function runCommand(
+  args: readonly string[],
+  context: clipanion.BaseContext,
+): Promise<number> {
+  const cli = new clipanion.Cli({
+    binaryName: 'flamingoward',
+    binaryLabel: 'The command for operators of flamingoward',
+  });
+  for (const one of commands) cli.register(one);
+  try {
+    return await cli.run(cli.process([...args], context), context);
+  } catch (error) {
+    context.stderr.write(cli.error(error, { colored: false }));
+    return command.exitCodes.usage;
+  }
+}
--- /dev/null
+++ b/packages/cli/src/files.ts
@@ -0,0 +1,13 @@
+/** Files that operators name on the command line. */
+import * as fs from 'node:fs/promises';
+import * as command from './command.js';
+
+/** Reads a file; a file that can't be read is an error in the arguments. */
+export async function readText(file: string): Promise<string> {
+  try {
+    return await fs.readFile(file, 'utf8');
+  } catch (error) {
+    const { code = 'error' } = error as NodeJS.ErrnoException;
+    throw new command.UsageError(`can't read ${file}: ${code}`);
+  }
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,2 +1,3 @@
 /** The command for operators. */
-export {};
+export { runCommand } from './cli.js';
+export { exitCodes } from './command.js';
--- a/packages/daemon/src/operators/releases.ts
+++ b/packages/daemon/src/operators/releases.ts
@@ -4,16 +4,23 @@
 import * as http from './http.js';
 import * as views from './views.js';
 
-/** Routes for release notes. */
+/** Longest wait for the acceptance in one request, in ms. */
+const mostWaitMs = 10_000;
+
+const stepMs = 50;
+
+/** Routes for release notes. `GET /releases/<id>?wait_ms=` answers once the release is accepted. */
 export function buildReleaseRoutes(
   releases: types.Releases,
+  timers: core.TimerService,
 ): readonly http.Route[] {
   return [
     { method: 'GET', path: '/releases', handle: () => readAll(releases) },
     {
       method: 'GET',
       path: '/releases/:id',
-      handle: ({ params }) => readOne(releases, params[0] ?? ''),
+      handle: ({ params, query }) =>
+        readOne(releases, timers, params[0] ?? '', query.get('wait_ms')),
     },
     {
       method: 'POST',
@@ -43,24 +50,51 @@
   };
 }
 
-function readOne(releases: types.Releases, id: string): http.Reply {
-  const state = releases.readState();
-  const item = views.findItem(state, id);
+async function readOne(
+  releases: types.Releases,
+  timers: core.TimerService,
+  id: string,
+  waitText: string | null,
+): Promise<http.Reply> {
+  const waitMs = Number(waitText ?? 0);
+  if (!(waitMs >= 0 && waitMs <= mostWaitMs))
+    return http.refuse(400, `wait_ms: expected 0 to ${mostWaitMs}`);
+  const item = views.findItem(releases.readState(), id);
   if (item === undefined)
     return http.refuse(
       404,
       `no release ${id} is known here; "flamingoward release history" lists them`,
     );
+  if (item.verdict.verdict === 'adopted' && waitMs > 0)
+    await waitForAcceptance(releases, timers, item.offset, waitMs);
+  return { status: 200, body: describeItem(releases, item) };
+}
+
+async function waitForAcceptance(
+  releases: types.Releases,
+  timers: core.TimerService,
+  offset: core.ids.Offset,
+  waitMs: number,
+): Promise<void> {
+  const untilMs = timers.readNow() + waitMs;
+  while (
+    !releases.readAcceptance(offset).accepted &&
+    timers.readNow() < untilMs
+  )
+    await core.waitFor(timers, 'operators.acceptance', stepMs);
+}
+
+function describeItem(
+  releases: types.Releases,
+  item: core.releases.ReleaseHistoryItem,
+): unknown {
   const isAdopted = item.verdict.verdict === 'adopted';
   return {
-    status: 200,
-    body: {
-      ...views.buildHistoryItem(item),
-      text: item.note.text,
-      inForce: item.offset === state.offset,
-      lines: core.describeVerdict(item.verdict),
-      ...(isAdopted && { acceptance: releases.readAcceptance(item.offset) }),
-    },
+    ...views.buildHistoryItem(item),
+    text: item.note.text,
+    inForce: item.offset === releases.readState().offset,
+    lines: core.describeVerdict(item.verdict),
+    ...(isAdopted && { acceptance: releases.readAcceptance(item.offset) }),
   };
 }
 
--- a/packages/daemon/src/operators/server.ts
+++ b/packages/daemon/src/operators/server.ts
@@ -177,7 +177,7 @@
 
 function buildRoutes(options: OperatorsOptions): readonly http.Route[] {
   return [
-    ...releases.buildReleaseRoutes(options.releases),
+    ...releases.buildReleaseRoutes(options.releases, options.context.timers),
     ...jobs.buildJobRoutes(options.jobs),
     ...jobs.buildRequestRoutes(options.requests),
     ...buildViewRoutes(options),
--- a/packages/daemon/test/operators.test.ts
+++ b/packages/daemon/test/operators.test.ts
@@ -240,24 +240,18 @@
 vitest.test(
   'the loser of a race is told to whom it lost; the first copy counts',
   async () => {
-    vitest
-      .expect(await publish('1', 'none'))
-      .toMatchObject({
-        status: 200,
-        body: { offset: 0, acceptance: { accepted: false, waitingFor: ['b'] } },
-      });
-    vitest
-      .expect(await publish('1b', 'none', 'omar'))
-      .toMatchObject({
-        status: 409,
-        body: { verdict: { verdict: 'conflict', lostTo: '1' } },
-      });
-    vitest
-      .expect(await publish('1', 'none'))
-      .toMatchObject({
-        status: 200,
-        body: { offset: 0, verdict: { verdict: 'repeat', of: 0 } },
-      });
+    vitest.expect(await publish('1', 'none')).toMatchObject({
+      status: 200,
+      body: { offset: 0, acceptance: { accepted: false, waitingFor: ['b'] } },
+    });
+    vitest.expect(await publish('1b', 'none', 'omar')).toMatchObject({
+      status: 409,
+      body: { verdict: { verdict: 'conflict', lostTo: '1' } },
+    });
+    vitest.expect(await publish('1', 'none')).toMatchObject({
+      status: 200,
+      body: { offset: 0, verdict: { verdict: 'repeat', of: 0 } },
+    });
     const shown = await ask('GET', '/releases/current');
     vitest
       .expect(shown.body)
@@ -273,22 +267,18 @@
   const bad = await ask('POST', '/releases/check', {
     text: buildNote('1', 'none'),
   });
-  vitest
-    .expect(bad.body)
-    .toMatchObject({
-      ok: false,
-      current: '1',
-      faults: [{ key: 'id' }, { key: 'base' }, { section: 'added team t1' }],
-    });
+  vitest.expect(bad.body).toMatchObject({
+    ok: false,
+    current: '1',
+    faults: [{ key: 'id' }, { key: 'base' }, { section: 'added team t1' }],
+  });
   const good = await ask('POST', '/releases/check', {
     text: buildNote('2', '1'),
   });
-  vitest
-    .expect(good.body)
-    .toMatchObject({
-      ok: true,
-      lines: vitest.expect.arrayContaining(['+ team t2']) as unknown,
-    });
+  vitest.expect(good.body).toMatchObject({
+    ok: true,
+    lines: vitest.expect.arrayContaining(['+ team t2']) as unknown,
+  });
   vitest.expect(log.records).toHaveLength(records);
 });
 
@@ -349,12 +339,10 @@
 vitest.test(
   'a broken part does not hide the others; a second drain does nothing',
   async () => {
-    vitest
-      .expect((await ask('GET', '/dump')).body)
-      .toMatchObject({
-        releases: { current: '1' },
-        broken: { error: 'no state' },
-      });
+    vitest.expect((await ask('GET', '/dump')).body).toMatchObject({
+      releases: { current: '1' },
+      broken: { error: 'no state' },
+    });
     vitest
       .expect((await ask('GET', '/metrics')).body)
       .toEqual({ text: 'releases 1\n' });
