Check settings that belong together also when others are wrong

A settings file with a missing key hid that two roles had one address, so an operator saw the faults in two rounds. The checks over several keys now run on the text of the file. The command prints no colours into files.

--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -1,4 +1,5 @@
 /** All commands of `flamingoward`, and how a command line is run. */
+import type * as tty from 'node:tty';
 import * as clipanion from 'clipanion';
 import * as cluster from './cluster.js';
 import * as command from './command.js';
@@ -36,6 +37,7 @@
   const cli = new clipanion.Cli({
     binaryName: 'flamingoward',
     binaryLabel: 'The command for operators of flamingoward',
+    enableColors: (context.stdout as Partial<tty.WriteStream>).isTTY === true,
   });
   for (const one of commands) cli.register(one);
   try {
--- a/packages/cli/test/cli.test.ts
+++ b/packages/cli/test/cli.test.ts
@@ -153,13 +153,11 @@
     const bad = await run(['release', 'check', note], {
       'POST /releases/check': [[200, { ok: false, faults: [fault] }]],
     });
-    vitest
-      .expect(bad)
-      .toEqual({
-        code: 1,
-        out: '',
-        error: `${note}: [release] base: expected base = 1\n`,
-      });
+    vitest.expect(bad).toEqual({
+      code: 1,
+      out: '',
+      error: `${note}: [release] base: expected base = 1\n`,
+    });
     const good = await run(['release', 'diff', note], {
       'POST /releases/check': [[200, { ok: true, lines: ['+ team roof'] }]],
     });
@@ -227,13 +225,11 @@
         [409, { error: 'not adopted: a conflict: release 1b' }],
       ],
     });
-    vitest
-      .expect(lost)
-      .toEqual({
-        code: 1,
-        out: '',
-        error: 'not adopted: a conflict: release 1b\n',
-      });
+    vitest.expect(lost).toEqual({
+      code: 1,
+      out: '',
+      error: 'not adopted: a conflict: release 1b\n',
+    });
     const json = await run(['job', 'status', 'x/y', '--json'], {
       'GET /jobs/x%2Fy': [[404, { error: 'no job' }]],
     });
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -3,6 +3,9 @@
 import * as zod from 'zod';
 import * as names from './names.js';
 
+/** Largest number of processes when the settings don't say it. */
+export const MAX_PROCESSES = 9;
+
 /** Shortest key that processes and operators present, in characters. */
 export const MIN_KEY_CHARACTERS = 16;
 
@@ -77,7 +80,7 @@
     name,
     availability_zone: name,
     region: name,
-    max_processes: readWhole('processes', 1, 64, 9),
+    max_processes: readWhole('processes', 1, 64, MAX_PROCESSES),
     stop_ms: readWhole('ms', 1_000, 600_000, 25_000),
   }),
   callers: zod.strictObject({ listen: address }),
--- a/packages/core/src/settings/settings.ts
+++ b/packages/core/src/settings/settings.ts
@@ -20,15 +20,15 @@
 /** Reads and checks the text of a settings file; `file` is named in the faults. */
 export function parseSettings(text: string, file: string): SettingsResult {
   const read = ini.parseIni(text, file);
-  const parsed = schema.settingsSchema.safeParse(buildObject(read.sections));
+  const raw = buildObject(read.sections);
+  const parsed = schema.settingsSchema.safeParse(raw);
   const faults = [...read.faults];
-  if (!parsed.success) {
+  if (!parsed.success)
     for (const issue of parsed.error.issues)
       faults.push(...describeIssue(issue, file));
+  faults.push(...checkTogether(raw, file));
+  if (!parsed.success || faults.length > 0)
     return { faults: dropRepeated(faults) };
-  }
-  faults.push(...checkTogether(parsed.data, file));
-  if (faults.length > 0) return { faults };
   return { settings: buildSettings(parsed.data) };
 }
 
@@ -72,13 +72,13 @@
   return `${lines.join('\n')}\n`;
 }
 
-type RawSections = Record<string, Record<string, string>>;
+type RawSections = Record<string, Record<string, string> | undefined>;
 
 function buildObject(sections: readonly ini.IniSection[]): RawSections {
-  // Sections that hold only optional keys may be left out.
-  const raw: RawSections = { process: {}, limits: {}, log: {} };
-  for (const required of ['callers', 'operators', 'links', 'platform'])
-    raw[required] = {};
+  // A section that is left out is like an empty one, so that each missing key is named.
+  const raw: RawSections = {};
+  for (const section of Object.keys(schema.settingsSchema.shape))
+    if (section !== 'peers') raw[section] = {};
   for (const section of sections)
     raw[section.name] = Object.fromEntries(section.keys);
   return raw;
@@ -144,74 +144,72 @@
   });
 }
 
-function checkTogether(
-  data: schema.CheckedFile,
-  file: string,
-): releases.NoteFault[] {
+/** Checks what several keys say together; keys of the wrong form are left out. */
+function checkTogether(raw: RawSections, file: string): releases.NoteFault[] {
   return [
-    ...checkAddresses(data, file),
-    ...checkPeers(data, file),
-    ...checkKeys(data, file),
+    ...checkAddresses(raw, file),
+    ...checkPeers(raw, file),
+    ...checkKeys(raw, file),
   ];
 }
 
+function readAddress(
+  raw: RawSections,
+  section: string,
+): ReturnType<typeof schema.decodeAddress> {
+  return schema.decodeAddress(raw[section]?.listen ?? '');
+}
+
 function isWildcard(host: string): boolean {
   return host === '0.0.0.0' || /^[0:]+$/.test(host);
 }
 
-function checkAddresses(
-  data: schema.CheckedFile,
-  file: string,
-): releases.NoteFault[] {
+function checkAddresses(raw: RawSections, file: string): releases.NoteFault[] {
   const faults: releases.NoteFault[] = [];
-  const roles = ['callers', 'operators', 'links'] as const;
-  for (const [index, role] of roles.entries()) {
-    const mine = schema.decodeAddress(data[role].listen);
-    for (const other of roles.slice(0, index)) {
-      const theirs = schema.decodeAddress(data[other].listen);
-      if (mine?.port !== theirs?.port) continue;
-      const hosts = [mine?.host ?? '', theirs?.host ?? ''];
-      if (hosts[0] !== hosts[1] && !hosts.some(isWildcard)) continue;
-      const message = `${data[role].listen} is also used by [${other}] listen; expected an address of its own for each role`;
-      faults.push({ file, section: role, key: 'listen', message });
-    }
-  }
-  if (isWildcard(schema.decodeAddress(data.links.listen)?.host ?? '')) {
-    const message =
-      'expected the ip:port at which the other processes reach this one, not a wildcard';
-    faults.push({ file, section: 'links', key: 'listen', message });
-  }
+  const refuse = (section: string, message: string) => {
+    faults.push({ file, section, key: 'listen', message });
+  };
+  const roles = ['callers', 'operators', 'links'];
+  for (const [index, role] of roles.entries())
+    for (const other of roles.slice(0, index))
+      if (isShared(readAddress(raw, role), readAddress(raw, other)))
+        refuse(
+          role,
+          `${raw[role]?.listen ?? ''} is also used by [${other}] listen; expected an address of its own for each role`,
+        );
+  if (isWildcard(readAddress(raw, 'links')?.host ?? ''))
+    refuse(
+      'links',
+      'expected the ip:port at which the other processes reach this one, not a wildcard',
+    );
   return faults;
 }
 
-function checkPeers(
-  data: schema.CheckedFile,
-  file: string,
-): releases.NoteFault[] {
+type Decoded = ReturnType<typeof schema.decodeAddress>;
+
+function isShared(one: Decoded, other: Decoded): boolean {
+  if (one === undefined || other === undefined) return false;
+  const isSameHost =
+    one.host === other.host || isWildcard(one.host) || isWildcard(other.host);
+  return one.port === other.port && isSameHost;
+}
+
+function checkPeers(raw: RawSections, file: string): releases.NoteFault[] {
   const faults: releases.NoteFault[] = [];
   const refuse = (key: string, message: string) => {
     faults.push({ file, section: 'peers', key, message });
   };
+  const { peers } = raw;
+  if (peers === undefined) return faults;
+  const own = { name: raw.process?.name, address: raw.links?.listen };
   const seen = new Map<string, string>();
-  for (const [name, address] of Object.entries(data.peers)) {
-    const earlier = seen.get(address);
-    if (earlier !== undefined)
-      refuse(name, `${address} is also the address of peer ${earlier}`);
+  for (const [name, address] of Object.entries(peers)) {
+    const fault = checkPeer({ name, address }, own, seen);
+    if (fault !== undefined) refuse(name, fault);
     seen.set(address, name);
-    const own = name === data.process.name;
-    if (own && address !== data.links.listen)
-      refuse(
-        name,
-        `this process has ${data.links.listen} in [links] listen; expected the same here`,
-      );
-    if (!own && address === data.links.listen)
-      refuse(
-        name,
-        `${address} is the address of this process; expected another one`,
-      );
   }
-  const others = listPeers(data).length;
-  const most = data.process.max_processes;
+  const others = Object.keys(peers).filter((name) => name !== own.name).length;
+  const most = Number(raw.process?.max_processes ?? schema.MAX_PROCESSES);
   if (others + 1 > most)
     refuse(
       '',
@@ -225,12 +223,32 @@
   return faults;
 }
 
+function checkPeer(
+  peer: types.PeerSetting,
+  own: {
+    readonly name?: string | undefined;
+    readonly address?: string | undefined;
+  },
+  seen: ReadonlyMap<string, string>,
+): string | undefined {
+  const { name, address } = peer;
+  const earlier = seen.get(address);
+  if (earlier !== undefined)
+    return `${address} is also the address of peer ${earlier}`;
+  if (own.address === undefined) return undefined;
+  if (name === own.name)
+    return address === own.address
+      ? undefined
+      : `this process has ${own.address} in [links] listen; expected the same here`;
+  return address === own.address
+    ? `${address} is the address of this process; expected another one`
+    : undefined;
+}
+
 // With one key, everybody who may operate the cell could also join it as a process.
-function checkKeys(
-  data: schema.CheckedFile,
-  file: string,
-): releases.NoteFault[] {
-  if (data.operators.key !== data.links.key) return [];
+function checkKeys(raw: RawSections, file: string): releases.NoteFault[] {
+  const key = raw.links?.key;
+  if (key === undefined || key !== raw.operators?.key) return [];
   const message = 'the same key as [operators] key; expected another one';
   return [{ file, section: 'links', key: 'key', message }];
 }
