--- a/packages/core/src/release/describe.ts
+++ b/packages/core/src/release/describe.ts
@@ -26,7 +26,7 @@
     return ['No release is in force: the cluster serves nothing yet.'];
   const newestFirst = state.history.toReversed();
   const adopted = newestFirst.filter((item) => isAdopted(item));
-  const refused = newestFirst.filter((item) => !isAdopted(item));
+  const refused = newestFirst.filter((item) => isRefused(item));
   return [
     ...describeNow(state),
     ...adopted.flatMap((item) => ['', ...describeRelease(item, state)]),
@@ -64,6 +64,11 @@
   return item.verdict.verdict === 'adopted';
 }
 
+// A repeat says nothing that the adopted note doesn't.
+function isRefused(item: releases.ReleaseHistoryItem): boolean {
+  return !isAdopted(item) && item.verdict.verdict !== 'repeat';
+}
+
 function describeChange(
   state: check.Entries,
   change: releases.ReleaseChange,
--- a/packages/core/test/release.test.ts
+++ b/packages/core/test/release.test.ts
@@ -195,7 +195,7 @@
       '1',
       '[withdrawn team roof]\nreason = left\n',
     );
-    const log = applyTexts(first, second, rival, '[release]\n');
+    const log = applyTexts(first, second, second, rival, '[release]\n');
     const history = core.describeHistory(log.state);
     await vitest
       .expect(`${history.join('\n')}\n`)
