--- a/packages/daemon/src/process/process.ts
+++ b/packages/daemon/src/process/process.ts
@@ -99,7 +99,7 @@
     log: logClient,
     timers,
     bufferRecords: settings.limits.appendBufferRecords,
-    chooseSource: relay.chooseSource,
+    chooseSource: (stream) => relay.chooseSource(stream),
     random: options.readRandom,
   });
   for (const stream of relays.RELAYED_STREAMS)
