Run both examples whole

Cause: the parts had not run together; the demo met a release interface that wants JSON and a publisher, and settings that want URLs; a fresh process waited 2 s for its first read of the releases. Change: examples and demo follow the interfaces; the first read of a stream doesn't wait.

--- a/packages/platform/src/reader.ts
+++ b/packages/platform/src/reader.ts
@@ -169,7 +169,9 @@
       timers.readNow() < logUntilMs ? log : options.chooseSource(stream);
     const before = next;
     const sentMs = timers.readNow();
-    if (chosen === log) await readLog(next, LOG_WAIT_MS);
+    // The first read doesn't wait: a process isn't ready before it knows the head.
+    if (headMs === undefined) await readLog(next, 0);
+    else if (chosen === log) await readLog(next, LOG_WAIT_MS);
     else await readPeer(chosen);
     // A source that doesn't wait would otherwise be asked without pause.
     if (next === before && timers.readNow() - sentMs < IDLE_PAUSE_MS)
--- a/packages/standins/src/daemons.ts
+++ b/packages/standins/src/daemons.ts
@@ -83,7 +83,10 @@
     const complete: Settings = {
       ...settings,
       peers: Object.fromEntries(peers),
-      platform: { log: platform.log, vm_list: platform.vmList },
+      platform: {
+        log: `http://${platform.log}`,
+        vm_list: `http://${platform.vmList}`,
+      },
     };
     const settingsFile = path.join(directory, `${name}.ini`);
     fs.writeFileSync(settingsFile, ini.stringify(complete));
@@ -161,7 +164,7 @@
 ): Promise<string> {
   const answer = await ask('POST', daemon.operators, '/releases', {
     key: daemon.operatorsKey,
-    body: text,
+    body: JSON.stringify({ text, publisher: 'demo' }),
   });
   if (answer === undefined || answer.status >= 300)
     throw new Error(
