Count a peer as ended when its address refuses connections

Cause: a killed owner was replaced only after 1 s of silence, and every request of its services waited for that. Change: when a connection to a peer ends and its address then refuses a new one, no process listens there, so the peer is dead at once. Silence still needs the full term.

--- a/packages/daemon/src/links/links.ts
+++ b/packages/daemon/src/links/links.ts
@@ -24,6 +24,8 @@
   readTraffic(): link.LinkTraffic;
   /** Pushes when a dialled connection is ready. */
   readonly opened: most.Stream<core.messages.Hello>;
+  /** Pushes a peer whose address refuses connections: no process listens there any more. */
+  readonly refused: most.Stream<core.messages.Hello>;
 }
 
 type Handler = (
@@ -40,6 +42,7 @@
       types.Links['notices'] extends most.Stream<infer N> ? N : never
     >();
   const opened = core.createSubject<core.messages.Hello>();
+  const refused = core.createSubject<core.messages.Hello>();
   const hub = link.createHub({
     identity: context.identity,
     listen: options.listen,
@@ -58,7 +61,7 @@
       });
       opened.push(peer);
     },
-    onClose: logClose,
+    onClose: receiveClose,
   });
 
   async function respond(
@@ -75,6 +78,12 @@
     return handler(question, from.instance);
   }
 
+  function receiveClose(event: link.LinkClosed): void {
+    logClose(event);
+    const { cause, lastPeer } = event;
+    if (lastPeer !== undefined && isRefusal(cause)) refused.push(lastPeer);
+  }
+
   function logClose(event: link.LinkClosed): void {
     // Dialling goes on until the peer is back, so its failures are expected.
     const level = event.peer === undefined ? 'debug' : 'warn';
@@ -91,6 +100,7 @@
     setPeers: hub.setPeers,
     readTraffic: hub.readTraffic,
     opened: opened.stream,
+    refused: refused.stream,
     ask: hub.ask,
     notify: hub.notify,
     handle(kind, handler) {
@@ -104,3 +114,7 @@
     }),
   };
 }
+
+function isRefusal(cause: Error | undefined): boolean {
+  return (cause as NodeJS.ErrnoException | undefined)?.code === 'ECONNREFUSED';
+}
--- a/packages/daemon/src/membership/membership.ts
+++ b/packages/daemon/src/membership/membership.ts
@@ -184,6 +184,10 @@
       table.open(hello, timers.readNow());
       links.notify(hello.instance, buildHeartbeat());
     });
+    void links.refused.observe((hello) => {
+      table.markEnded(hello.instance);
+      checkHealth(timers.readNow());
+    });
     setPeers();
     subscriptions[0] = timers.subscribe(
       {
--- a/packages/daemon/src/membership/peers.ts
+++ b/packages/daemon/src/membership/peers.ts
@@ -30,8 +30,8 @@
   readonly hello: core.messages.Hello;
   heardMs: number;
   heartbeat: core.messages.Heartbeat;
-  /** Another instance of the same process has appeared, so this one has ended. */
-  replaced: boolean;
+  /** Known to have ended: its address refuses connections or another instance answers there. */
+  ended: boolean;
 }
 
 /** The table of peers. */
@@ -42,6 +42,8 @@
   receive(heartbeat: core.messages.Heartbeat, nowMs: number): boolean;
   /** The last heartbeat of an instance is still true. */
   receiveBeat(instance: core.ids.InstanceId, nowMs: number): void;
+  /** The address of an instance refuses connections, so the instance has ended. */
+  markEnded(instance: core.ids.InstanceId): void;
   /** Shifts all times after a pause of this process, during which it could hear nobody. */
   advance(byMs: number): void;
   list(nowMs: number): readonly types.PeerView[];
@@ -59,13 +61,13 @@
         peer.hello.name === hello.name &&
         peer.hello.instance !== hello.instance
       )
-        peer.replaced = true;
+        peer.ended = true;
     if (peers.has(hello.instance)) return;
     peers.set(hello.instance, {
       hello,
       heardMs: nowMs,
       heartbeat: buildFirstHeartbeat(hello.instance),
-      replaced: false,
+      ended: false,
     });
   }
 
@@ -84,6 +86,11 @@
     if (peer !== undefined) peer.heardMs = nowMs;
   }
 
+  function markEnded(instance: core.ids.InstanceId): void {
+    const peer = peers.get(instance);
+    if (peer !== undefined) peer.ended = true;
+  }
+
   function advance(byMs: number): void {
     for (const peer of peers.values()) peer.heardMs += byMs;
   }
@@ -101,7 +108,7 @@
   }
 
   function readHealth(peer: Peer, nowMs: number): types.PeerView['health'] {
-    if (peer.replaced) return 'dead';
+    if (peer.ended) return 'dead';
     const silentMs = nowMs - peer.heardMs;
     const isNear = peer.hello.region === ownRegion;
     if (silentMs >= (isNear ? OWNER_DEAD_MS : FOREIGN_DEAD_MS)) return 'dead';
@@ -115,7 +122,7 @@
       if (nowMs - peer.heardMs >= FORGET_PEER_AFTER_MS) peers.delete(instance);
   }
 
-  return { open, receive, receiveBeat, advance, list, sweep };
+  return { open, receive, receiveBeat, markEnded, advance, list, sweep };
 }
 
 function buildFirstHeartbeat(
--- a/packages/link/src/hub.ts
+++ b/packages/link/src/hub.ts
@@ -35,7 +35,10 @@
 /** Why a connection ended. */
 export interface LinkClosed {
   readonly address: core.ids.Address;
+  /** The other side, when the handshake was over. */
   readonly peer: core.messages.Hello | undefined;
+  /** For a dialled address: who answered there last. */
+  readonly lastPeer: core.messages.Hello | undefined;
   readonly direction: 'dialled' | 'accepted';
   readonly cause: Error | undefined;
 }
@@ -72,6 +75,7 @@
   connection: connections.Connection | undefined;
   retry: core.TimerSubscription | undefined;
   failures: number;
+  lastPeer: core.messages.Hello | undefined;
 }
 
 /** Creates the hub; nothing is opened before `open`. */
@@ -124,7 +128,13 @@
       (ended, cause) => {
         accepted.delete(ended);
         const peer = ended.readTheirs();
-        options.onClose({ address, peer, direction: 'accepted', cause });
+        options.onClose({
+          address,
+          peer,
+          lastPeer: peer,
+          direction: 'accepted',
+          cause,
+        });
       },
     );
     accepted.add(connection);
@@ -169,6 +179,7 @@
     theirs: core.messages.Hello,
   ): void {
     entry.failures = 0;
+    entry.lastPeer = theirs;
     if (theirs.instance === options.identity.instance) {
       // The address is this process itself; forget it without dialling again.
       dialled.delete(entry.address);
@@ -193,6 +204,7 @@
     options.onClose({
       address: entry.address,
       peer,
+      lastPeer: entry.lastPeer,
       direction: 'dialled',
       cause,
     });
@@ -229,6 +241,7 @@
         connection: undefined,
         retry: undefined,
         failures: 0,
+        lastPeer: undefined,
       };
       dialled.set(address, entry);
       connectPeer(entry);
