Use a link in both directions as soon as one side has dialled

Cause: a restarted process heard nothing from peers that were still backing off, took them for dead after its grace period and claimed their shards. Change: notices and questions go over the accepted connection until the dialled one is open. Result: new test fails before (link-closed) and passes after.

--- a/packages/link/src/hub.ts
+++ b/packages/link/src/hub.ts
@@ -1,7 +1,8 @@
 /**
  * All links of one process: it listens for peers, dials each peer address it knows
  * and dials again with jittered back-off when a connection ends. Questions and
- * notices go over the dialled connections; each peer needs one in each direction.
+ * notices go over the dialled connection or, until that is open, over the one that the
+ * peer dialled, so two processes hear each other as soon as either reached the other.
  */
 import * as net from 'node:net';
 import * as core from '@flamingoward/core';
@@ -26,7 +27,7 @@
     notice: core.messages.Notice,
     from: core.messages.Hello,
   ) => void;
-  /** A dialled connection is ready for questions. */
+  /** A connection is ready for questions, in either direction. */
   readonly onOpen: (peer: core.messages.Hello) => void;
   /** A connection ended or couldn't be opened. */
   readonly onClose: (event: LinkClosed) => void;
@@ -84,6 +85,10 @@
   const accepted = new Set<connections.Connection>();
   const sockets = new Set<net.Socket>();
   const byInstance = new Map<core.ids.InstanceId, connections.Connection>();
+  const acceptedByInstance = new Map<
+    core.ids.InstanceId,
+    connections.Connection
+  >();
   let closing = false;
   let sentBytes = 0;
   let receivedBytes = 0;
@@ -124,10 +129,14 @@
     const connection = createOn(
       socket,
       address,
-      () => undefined,
+      (opened, theirs) => {
+        acceptedByInstance.set(theirs.instance, opened);
+        if (!byInstance.has(theirs.instance)) options.onOpen(theirs);
+      },
       (ended, cause) => {
         accepted.delete(ended);
         const peer = ended.readTheirs();
+        dropConnection(acceptedByInstance, ended);
         options.onClose({
           address,
           peer,
@@ -198,8 +207,7 @@
     entry.connection = undefined;
     entry.socket = undefined;
     const peer = connection?.readTheirs();
-    if (peer !== undefined && byInstance.get(peer.instance) === connection)
-      byInstance.delete(peer.instance);
+    if (connection !== undefined) dropConnection(byInstance, connection);
     if (dialled.get(entry.address) !== entry || closing) return;
     options.onClose({
       address: entry.address,
@@ -255,11 +263,17 @@
     entry.socket?.destroy();
   }
 
+  function findConnection(
+    peer: core.ids.InstanceId,
+  ): connections.Connection | undefined {
+    return byInstance.get(peer) ?? acceptedByInstance.get(peer);
+  }
+
   function notify(
     peer: core.ids.InstanceId,
     notice: core.messages.Notice,
   ): void {
-    byInstance.get(peer)?.notify(notice);
+    findConnection(peer)?.notify(notice);
   }
 
   function ask(
@@ -267,7 +281,7 @@
     question: core.messages.Question,
     timeoutMs: number,
   ): Promise<core.messages.Answer> {
-    const connection = byInstance.get(peer);
+    const connection = findConnection(peer);
     if (connection === undefined)
       return Promise.reject(
         core.createFault('link-closed', {
@@ -315,12 +329,23 @@
     notify,
     ask,
     listConnected: () =>
-      [...byInstance.values()].flatMap((link) => link.readTheirs() ?? []),
+      [...new Map([...acceptedByInstance, ...byInstance]).values()].flatMap(
+        (open) => open.readTheirs() ?? [],
+      ),
     readTraffic,
     close,
   };
 }
 
+function dropConnection(
+  table: Map<core.ids.InstanceId, connections.Connection>,
+  connection: connections.Connection,
+): void {
+  const peer = connection.readTheirs();
+  if (peer !== undefined && table.get(peer.instance) === connection)
+    table.delete(peer.instance);
+}
+
 function toEndpoint(address: core.ids.Address): {
   host: string;
   port: number;
--- a/packages/link/test/hub.test.ts
+++ b/packages/link/test/hub.test.ts
@@ -237,3 +237,23 @@
   });
   await vitest.expect(second.open()).rejects.toThrow(first.address);
 });
+
+vitest.test(
+  'a process that was dialled can ask back before its own dial succeeds',
+  async () => {
+    const timers = core.createVirtualTimers();
+    const old = await startNode('old', timers);
+    const fresh = await startNode('fresh', timers);
+    // Only the fresh process dials, as after a restart while the old one backs off.
+    fresh.hub.setPeers([old.address]);
+    await advanceUntil(timers, () => old.opened.length === 1);
+    const answer = await old.hub.ask(
+      'fresh-i',
+      { kind: 'release.state' },
+      60_000,
+    );
+    vitest
+      .expect(answer)
+      .toEqual({ kind: 'job.explain.answer', lines: ['fresh'] });
+  },
+);
