Add a relay of streams, and more faults of the stand-in workers

One process of a region reads a stream over the link between regions and its peers read from it, so a process needs to serve what it has read. The relay keeps the last records of each stream and refuses reads below them, which sends the peer to the log. A relay leaves repeats out; the reader takes from the page how far it reaches.

Idle connections close after 4 s when the server names no time, because a request that crosses the server's own close is uncertain.

--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -3,6 +3,8 @@
 export type { LogClientOptions } from './log.js';
 export { createStreams } from './streams.js';
 export type { StreamsOptions } from './streams.js';
+export { createRelay } from './relay.js';
+export type { RelayOptions } from './relay.js';
 export { createVmListClient } from './vmlist.js';
 export type { VmListClientOptions } from './vmlist.js';
 export { createWorkerClient } from './worker.js';
--- a/packages/platform/src/line.ts
+++ b/packages/platform/src/line.ts
@@ -19,8 +19,11 @@
   destroy(): void;
 }
 
-/** Time after which an idle connection is closed. */
-const IDLE_MS = 20_000;
+/**
+ * Time after which an idle connection is closed when the server names none. Common
+ * servers close theirs after 5 s; a request that crosses the close is uncertain.
+ */
+const IDLE_MS = 4_000;
 
 /** Creates a line; it connects with its first request. */
 export function createLine(address: string, connectTimeoutMs: number): Line {
--- a/packages/platform/src/reader.ts
+++ b/packages/platform/src/reader.ts
@@ -74,8 +74,14 @@
     return false;
   }
 
-  /** Delivers what is new in a page that was read from an offset at or below `next`. */
-  function deliver(page: core.records.RecordPage<unknown>): void {
+  /**
+   * Delivers what is new in a page that was read from an offset at or below `next`.
+   * `reach` is the offset up to which the page says everything.
+   */
+  function deliver(
+    page: core.records.RecordPage<unknown>,
+    reach: core.ids.Offset,
+  ): void {
     if (page.oldest > next) next = page.oldest;
     for (const record of page.records) {
       if (closed) return;
@@ -85,6 +91,7 @@
       options.noteRecord(record.id, record.offset);
       subject.push(record);
     }
+    if (reach > next) next = reach;
     options.noteProgress(next);
     for (const target of [...targets]) {
       if (target.offset > next) continue;
@@ -118,7 +125,7 @@
     try {
       const page = await log.readPage(stream, from, PAGE_RECORDS, waitMs);
       options.noteReply(true, sentMs);
-      deliver(page);
+      deliver(page, 0);
       if (next >= page.next) headMs = Math.max(headMs ?? sentMs, sentMs);
       return page;
     } catch (error) {
@@ -136,7 +143,9 @@
         PAGE_RECORDS,
         PEER_WAIT_MS,
       );
-      deliver(await withTimeLimit(answer));
+      const page = await withTimeLimit(answer);
+      // A relay leaves repeats out, so its records alone don't tell how far it reaches.
+      deliver(page, page.next);
       checkProgress(before);
     } catch {
       // The reason doesn't matter: the log is read next.
--- a/packages/platform/src/types.ts
+++ b/packages/platform/src/types.ts
@@ -61,7 +61,8 @@
 export interface RecordSource {
   /**
    * Reads from `from` on, waiting up to `waitMs` for a first record. A page whose
-   * `oldest` is above `from` says that the records in between are gone.
+   * `oldest` is above `from` says that the records in between are gone. A peer may
+   * leave out repeats; its `next` then tells how far the page reaches.
    * Rejects with a fault.
    */
   readPage(
--- a/packages/platform/test/streams.test.ts
+++ b/packages/platform/test/streams.test.ts
@@ -162,3 +162,48 @@
     vitest.expect(readBodies(service)).toEqual([1, 2]);
   },
 );
+
+vitest.test(
+  'a peer reads the same records through a relay, past repeats that the relay left out',
+  async () => {
+    const { service, address } = await startLog();
+    const first = createStreams(address);
+    const relay = platform.createRelay({
+      streams: first.streams,
+      timers,
+      names: ['jobs'],
+      keepRecords: 4,
+    });
+    const reader = first.streams.open<number>('jobs');
+    let relayed = 0;
+    const { log, streams } = createStreams(address, {
+      chooseSource: () => ({
+        readPage: async (...read) => {
+          const page = await relay.readPage(...read);
+          relayed += page.records.length;
+          return page;
+        },
+      }),
+    });
+    const read = collect(streams.open<number>('jobs'));
+    for (const body of [1, 2, 3, 4, 5, 6, 7, 8])
+      await log.append('jobs', [{ id: `id${body}`, body }], 1_000);
+    // The last record of the log is a repeat: readers must get past it.
+    await log.append('jobs', [{ id: 'id8', body: 8 }], 1_000);
+    await reader.waitForHead();
+    await streams.open('jobs').waitFor(9);
+    vitest.expect(read).toEqual([1, 2, 3, 4, 5, 6, 7, 8]);
+    vitest.expect(relayed).toBe(8);
+    vitest.expect(service.read('jobs')).toHaveLength(9);
+    vitest
+      .expect((await relay.readPage('jobs', 0, 3, 0)).records)
+      .toHaveLength(3);
+    for (const body of [9, 10])
+      await log.append('jobs', [{ id: `id${body}`, body }], 1_000);
+    await reader.waitForHead();
+    // Only the last records are kept; a late reader is sent to the log.
+    await vitest
+      .expect(relay.readPage('jobs', 0, 10, 0))
+      .rejects.toThrow('keeps records from');
+  },
+);
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -6,7 +6,7 @@
 export { Fleet } from './fleet.js';
 export type { FleetAudit, StartAudit, UseSample } from './fleet.js';
 export { WorkerStandin } from './worker.js';
-export type { WorkerAudit, WorkerOptions } from './worker.js';
+export type { WorkerAudit, WorkerControl, WorkerOptions } from './worker.js';
 export { BackendStandin } from './backend.js';
 export type { BackendAudit, BackendOptions, Behaviour } from './backend.js';
 export { Platform } from './platform.js';
--- a/packages/standins/src/platform.ts
+++ b/packages/standins/src/platform.ts
@@ -101,6 +101,16 @@
     return this.#vmList;
   }
 
+  /** Returns a worker by its VM id. */
+  readWorker(id: core.ids.VmId): workers.WorkerStandin | undefined {
+    return this.#workers.get(id);
+  }
+
+  /** Returns a backend server by its VM id. */
+  readBackend(id: core.ids.VmId): backends.BackendStandin | undefined {
+    return this.#backends.get(id);
+  }
+
   /** Makes a worker or backend server fail. */
   async failVm(id: core.ids.VmId): Promise<void> {
     await this.#workers.get(id)?.stop();
--- a/packages/standins/src/worker.ts
+++ b/packages/standins/src/worker.ts
@@ -19,6 +19,14 @@
   readonly usageLagMs?: number;
 }
 
+/** Faults that a worker shows. */
+export interface WorkerControl {
+  /** Every attempt started from now on fails at its end. */
+  readonly failTasks?: boolean;
+  /** Accept requests and never answer, as behind a network partition; attempts go on. */
+  readonly silent?: boolean;
+}
+
 /** What a worker counted. */
 export interface WorkerAudit {
   readonly id: string;
@@ -63,6 +71,7 @@
   readonly #attempts = new Map<string, Attempt>();
   readonly #sessions = new Map<string, core.workers.SeenSession>();
   readonly #waiting = new Set<() => void>();
+  #control: WorkerControl = {};
   #boot = createBoot();
   /** Each run of a worker has its own clock. */
   #clockOffsetMs = createClockOffset();
@@ -91,6 +100,11 @@
     await this.#server?.stop();
   }
 
+  /** Replaces the switches. */
+  set(control: WorkerControl): void {
+    this.#control = control;
+  }
+
   /** Loses all attempts and begins a new run with a new clock. */
   reset(): void {
     for (const attempt of this.#attempts.values())
@@ -123,6 +137,12 @@
       return;
     }
     const body = serving.parseBody(incoming);
+    if (incoming.path === '/-/control') {
+      this.set(body as WorkerControl);
+      serving.respondJson(response, 200, this.#control);
+      return;
+    }
+    if (this.#control.silent === true) return;
     if (incoming.path === '/sync')
       await this.#handleSync(body as core.workers.SyncRequest, response);
     else if (incoming.path === '/tasks')
@@ -151,7 +171,7 @@
     if (request.renewUntilMs !== undefined) this.#renew(request.renewUntilMs);
     if (request.sinceVersion === this.#version && request.waitMs > 0)
       await this.#waitForChange(request.waitMs, response);
-    if (response.destroyed) return;
+    if (response.destroyed || this.#control.silent === true) return;
     serving.respondJson(response, 200, this.#report());
   }
 
@@ -289,8 +309,10 @@
     const actualMs = readNumber(attempt.request.work, 'actualMs', 0);
     if (actualMs <= 0) return;
     const leftMs = Math.max(0, actualMs - attempt.progressMs) / attempt.speed;
+    const failed =
+      this.#control.failTasks === true ||
+      attempt.request.work.exit === 'failed';
     attempt.endTimer = setTimeout(() => {
-      const failed = attempt.request.work.exit === 'failed';
       this.#endAttempt(attempt, failed ? 'failed' : 'done');
     }, leftMs);
     attempt.endTimer.unref();
