Stop no more tasks than a preemption needs, and keep the floor of the victims

Tasks being stopped now count as room, and no longer as use of their urgency. A worker is quarantined only when half of its last ends failed, since three jobs that fail everywhere first accused the same worker.

--- a/packages/core/src/health/health.ts
+++ b/packages/core/src/health/health.ts
@@ -8,6 +8,8 @@
 const OUTCOMES_KEPT = 20;
 /** Different jobs that must have failed on a worker. */
 const JOBS_TO_QUARANTINE = 3;
+/** Share of the last task ends that must have failed. */
+const FAILURES_TO_QUARANTINE = 0.5;
 /** Largest share of the workers that may be quarantined. */
 const QUARANTINE_SHARE = 0.2;
 /** Time between trial tasks on a quarantined worker. */
@@ -92,6 +94,8 @@
   const failed = new Set<ids.JobId>();
   for (const outcome of outcomes) if (outcome.failed) failed.add(outcome.job);
   if (failed.size < JOBS_TO_QUARANTINE) return false;
+  const failures = outcomes.filter((outcome) => outcome.failed).length;
+  if (failures < outcomes.length * FAILURES_TO_QUARANTINE) return false;
   let accusers = 0;
   for (const job of failed) if (isAccusedBy(health, worker, job)) accusers += 1;
   return accusers >= JOBS_TO_QUARANTINE;
--- a/packages/core/src/placement/placer.ts
+++ b/packages/core/src/placement/placer.ts
@@ -94,7 +94,8 @@
         continue;
       const zone = request.spread?.get(`zone ${pool.zone}`) ?? 0;
       const rank =
-        score.scoreFree(first.open, first.size, scoring) + zone * 100;
+        score.scoreFree(first.open, first.size, scoring) +
+        zone * score.ZONE_WEIGHT;
       ranked.push({ cell, pool, rank });
     }
   }
--- a/packages/core/src/placement/score.ts
+++ b/packages/core/src/placement/score.ts
@@ -22,7 +22,8 @@
 }
 
 const STRANDED_WEIGHT = 2;
-const ZONE_WEIGHT = 100;
+/** Weight of a replica in the same zone; above everything else in a score. */
+export const ZONE_WEIGHT = 100;
 const RACK_WEIGHT = 10;
 const WORKER_WEIGHT = 5;
 
--- a/packages/core/src/queue/floors.ts
+++ b/packages/core/src/queue/floors.ts
@@ -17,6 +17,8 @@
   readonly used: vector.Amount;
   /** Used in a way that can't be taken back. */
   readonly kept: vector.Amount;
+  /** Used by attempts that are being stopped. */
+  readonly leaving: vector.Amount;
   /** Wanted by waiting tasks that their teams' quotas allow. */
   readonly wanted: vector.Amount;
 }
@@ -92,11 +94,13 @@
       floor: computeFloor(floors[name], withGpus.has(name)),
       used: vector.createAmount(),
       kept: vector.createAmount(),
+      leaving: vector.createAmount(),
       wanted: vector.createAmount(),
     };
     for (const team of table.teams.get(name)?.values() ?? []) {
       vector.addTo(use.used, team.used, 1);
       vector.addTo(use.kept, team.kept, 1);
+      vector.addTo(use.leaving, team.leaving, 1);
       vector.addTo(use.wanted, computeWanted(team), 1);
     }
     return use;
--- a/packages/core/src/queue/queue.ts
+++ b/packages/core/src/queue/queue.ts
@@ -32,6 +32,8 @@
   readonly used: vector.Amount;
   /** Held by them in a way that can't be taken back. */
   readonly kept: vector.Amount;
+  /** Held by attempts that are being stopped. */
+  readonly leaving: vector.Amount;
   /** Needed by its waiting tasks. */
   readonly wanted: vector.Amount;
   /** Declared work of its waiting tasks, in resource ms. */
@@ -81,6 +83,7 @@
     weight: 1,
     used: vector.createAmount(),
     kept: vector.createAmount(),
+    leaving: vector.createAmount(),
     wanted: vector.createAmount(),
     work: vector.createAmount(),
     shapes: new Map(),
--- a/packages/core/src/scheduler/ends.ts
+++ b/packages/core/src/scheduler/ends.ts
@@ -43,7 +43,7 @@
   checkpoint: boolean,
 ): void {
   if (attempt.state === 'stopping') return;
-  attempt.state = 'stopping';
+  ledger.markStopping(state, attempt);
   attempt.why = why;
   state.outbox.push({
     command: 'stop',
--- a/packages/core/src/scheduler/ledger.ts
+++ b/packages/core/src/scheduler/ledger.ts
@@ -15,6 +15,8 @@
   const team = state.queue.getTeam(attempt.urgency, attempt.team);
   vector.addTo(team.used, attempt.held, by);
   if (!attempt.reclaimable) vector.addTo(team.kept, attempt.held, by);
+  if (attempt.state === 'stopping')
+    vector.addTo(team.leaving, attempt.held, by);
   vector.addTo(states.getTeamUse(state, attempt.team), attempt.held, by);
 }
 
@@ -63,6 +65,16 @@
   addUse(state, attempt, 1);
 }
 
+/** Marks an attempt as being stopped; it holds its capacity until its end is known. */
+export function markStopping(
+  state: states.State,
+  attempt: placement.Attempt,
+): void {
+  addUse(state, attempt, -1);
+  attempt.state = 'stopping';
+  addUse(state, attempt, 1);
+}
+
 /** Changes who an attempt counts for, such as when its job becomes known. */
 export function moveAttempt(
   state: states.State,
--- a/packages/core/src/scheduler/preempt.ts
+++ b/packages/core/src/scheduler/preempt.ts
@@ -62,7 +62,7 @@
   return resources.resourceNames.every(
     (name) =>
       need[name] === 0 ||
-      use.used[name] - attempt.held[name] >=
+      use.used[name] - use.leaving[name] - attempt.held[name] >=
         use.floor[name] * state.fleet.total[name],
   );
 }
@@ -76,7 +76,10 @@
   const { nowMs } = context;
   const need = row.spec.size;
   const candidates: { attempt: placement.Attempt; lossMs: number }[] = [];
+  const room = { ...worker.open };
   for (const attempt of worker.attempts.values()) {
+    // What is being stopped already will be free; claims of others on it are in `open`.
+    if (attempt.state === 'stopping') vector.addTo(room, attempt.held, 1);
     if (!reserve.canPreempt(row, attempt)) continue;
     if (attempt.endsMs > nowMs && attempt.endsMs - nowMs < ENDS_SOON_MS)
       continue;
@@ -85,7 +88,6 @@
     if (lossMs <= MAX_LOSS_MS) candidates.push({ attempt, lossMs });
   }
   candidates.sort((a, b) => a.lossMs - b.lossMs);
-  const room = { ...worker.open };
   const victims: placement.Attempt[] = [];
   let lossMs = 0;
   for (const candidate of candidates) {
@@ -94,7 +96,7 @@
     victims.push(candidate.attempt);
     lossMs += candidate.lossMs;
   }
-  if (victims.length === 0 || !vector.isWithin(need, room)) return undefined;
+  if (!vector.isWithin(need, room)) return undefined;
   return { worker, victims, lossMs };
 }
 
@@ -146,7 +148,7 @@
     ends.stopAttempt(state, victim, 'preempted', true);
     ends.notePreemption(state, victim, row.id);
     const use = context.floors[victim.urgency];
-    vector.addTo(use.used, victim.held, -1);
+    vector.addTo(use.leaving, victim.held, 1);
   }
   if (known === undefined)
     state.reservations.set(row.id, {
--- a/packages/core/src/scheduler/start.ts
+++ b/packages/core/src/scheduler/start.ts
@@ -240,6 +240,12 @@
   return attempt;
 }
 
+/** How often the task that starts next was preempted. */
+function readPreemptions(row: rows.JobRow): number {
+  const [next] = row.again;
+  return next === undefined ? 0 : (row.tasks.get(next)?.preemptions ?? 0);
+}
+
 /** Result of trying to start the next step of a job. */
 export type StartResult =
   | { readonly started: number }
@@ -254,7 +260,7 @@
   const quota = findQuotaReason(state, row);
   if (quota !== undefined) return { started: 0, reason: quota };
   const { need, times } = waiting.computeStep(row);
-  const reclaimable = isReclaimable(state, row, 0);
+  const reclaimable = isReclaimable(state, row, readPreemptions(row));
   const request = { urgency: row.urgency, need, times, reclaimable };
   if (!floors.isAboveFloors(request, context.floors, state.fleet))
     return {
