--- a/packages/core/src/queue/floors.ts
+++ b/packages/core/src/queue/floors.ts
@@ -70,12 +70,14 @@
   total: resources.Resources,
 ): FloorExcess | undefined {
   if (request.reclaimable) return undefined;
+  const sum = { cores: 0, memoryMb: 0, gpus: 0 };
   for (const urgency of ids.urgencies) {
     if (urgency === request.urgency) return undefined;
     const floor = computeFloor(floors[urgency], withGpus.has(urgency));
+    vector.addTo(sum, floor, 1);
     for (const resource of resources.resourceNames) {
       const needed = request.need[resource] * request.times;
-      const left = (1 - floor[resource]) * total[resource];
+      const left = (1 - sum[resource]) * total[resource];
       if (needed > left) return { urgency, resource, needed, left };
     }
   }
@@ -147,36 +149,63 @@
   readonly reclaimable: boolean;
 }
 
+/**
+ * Work that can't be taken back may use what the floors of all more urgent classes
+ * leave together, so that these find their floors free or can take them back.
+ */
+function isKeptAllowed(
+  request: FloorRequest,
+  table: FloorTable,
+  name: resources.ResourceName,
+  total: number,
+): boolean {
+  const need = request.need[name] * request.times;
+  const own = ids.urgencies.indexOf(request.urgency);
+  let floors = 0;
+  for (let at = 0; at < own; at += 1) {
+    const above = ids.urgencies[at];
+    if (above !== undefined) floors += table[above].floor[name];
+    let kept = need;
+    for (const below of ids.urgencies.slice(at + 1))
+      kept += table[below].kept[name];
+    if (kept > (1 - floors) * total) return false;
+  }
+  return true;
+}
+
+/** Work above its own floor leaves free what less urgent classes need up to theirs. */
+function isUnmetLeft(
+  request: FloorRequest,
+  table: FloorTable,
+  name: resources.ResourceName,
+  shard: fleet.Fleet,
+): boolean {
+  const need = request.need[name] * request.times;
+  const total = shard.total[name];
+  const use = table[request.urgency];
+  if (use.used[name] + need <= use.floor[name] * total) return true;
+  let unmet = 0;
+  const own = ids.urgencies.indexOf(request.urgency);
+  for (const below of ids.urgencies.slice(own + 1))
+    unmet += computeUnmet(table[below], name, total);
+  if (unmet === 0) return true;
+  const free =
+    total - shard.held[name] + computeReclaimable(request, table, name, total);
+  return free - need >= unmet;
+}
+
 /** Tells whether a request leaves the floors of the other urgencies alone. */
 export function isAboveFloors(
   request: FloorRequest,
   table: FloorTable,
   shard: fleet.Fleet,
 ): boolean {
-  const own = ids.urgencies.indexOf(request.urgency);
   for (const name of resources.resourceNames) {
-    const need = request.need[name] * request.times;
-    if (need === 0) continue;
+    if (request.need[name] === 0) continue;
     const total = shard.total[name];
-    let unmet = 0;
-    let keptBelow = 0;
-    for (let at = ids.urgencies.length - 1; at >= 0; at -= 1) {
-      const other = ids.urgencies[at];
-      if (other === undefined) continue;
-      const use = table[other];
-      if (at > own) unmet += computeUnmet(use, name, total);
-      if (
-        at < own &&
-        !request.reclaimable &&
-        keptBelow + need > (1 - use.floor[name]) * total
-      )
-        return false;
-      keptBelow += use.kept[name];
-    }
-    if (unmet === 0) continue;
-    const free = total - shard.held[name];
-    if (free + computeReclaimable(request, table, name, total) - need < unmet)
+    if (!request.reclaimable && !isKeptAllowed(request, table, name, total))
       return false;
+    if (!isUnmetLeft(request, table, name, shard)) return false;
   }
   return true;
 }
--- a/packages/core/src/scheduler/ends.ts
+++ b/packages/core/src/scheduler/ends.ts
@@ -16,6 +16,8 @@
 const SERVICE_SETTLED_MS = 60_000;
 const CLOSED_JOBS_KEPT = 1_000;
 const HISTORY_KEPT = 20;
+/** A checkpoint that keeps this share of the expected progress keeps the work. */
+const CHECKPOINT_KEPT = 0.25;
 /** Weight of the newest value in running averages. */
 const AVERAGE_WEIGHT = 0.2;
 
@@ -408,13 +410,9 @@
     const ran = nowMs - attempt.sinceMs;
     const expected = row.spec.declaredMs > 0 ? ran / row.spec.declaredMs : 0;
     const gained = (checkpoint ?? 0) - task.kept;
-    const quality = expected > 0 ? Math.min(1, gained / expected) : 1;
-    updateAverage(
-      state.checkpoints,
-      row.spec.jobClass,
-      Math.max(0, quality),
-      1,
-    );
+    // Declared run times are too far off for a finer measure.
+    const isKept = gained >= expected * CHECKPOINT_KEPT;
+    updateAverage(state.checkpoints, row.spec.jobClass, isKept ? 1 : 0, 1);
   }
   if (checkpoint !== undefined)
     task.kept = Math.min(1, Math.max(0, checkpoint));
--- a/packages/core/test/scheduler.test.ts
+++ b/packages/core/test/scheduler.test.ts
@@ -187,6 +187,7 @@
 
   it('places a gang in one rack when one has room, and refuses one that needs more racks', () => {
     const cluster = new Cluster(12, 4);
+    cluster.apply(openRelease);
     const gang = cluster.submit('bulk', {
       kind: 'gang',
       count: 4,
@@ -216,6 +217,7 @@
 
   it('stops the other members and restarts the gang when one is lost', () => {
     const cluster = new Cluster(4, 4);
+    cluster.apply(openRelease);
     const gang = cluster.submit('bulk', {
       kind: 'gang',
       count: 4,
