Preempt for all jobs of a shape, and across claims of less urgent jobs

Only the first job of each team and shape was served by preemption, and room behind the claims of a starving deferrable job didn't count.

--- a/packages/bench/src/decisions/replay.ts
+++ b/packages/bench/src/decisions/replay.ts
@@ -256,6 +256,7 @@
     this.running.delete(attemptId);
     this.meters.noteStop(run.start);
     const result = run.fails ? 'failed' : 'done';
+    if (result === 'done') this.meters.noteDone(run.job);
     this.scheduler.apply(
       { event: 'task.ended', attemptId, result },
       this.nowMs,
--- a/packages/core/src/scheduler/preempt.ts
+++ b/packages/core/src/scheduler/preempt.ts
@@ -3,6 +3,7 @@
  * lost work first and within a bound. Urgent work may preempt, and other work as far
  * as its urgency is below its floor.
  */
+import * as ids from '../types/ids.js';
 import * as resources from '../types/resources.js';
 import type * as placement from '../placement/rows.js';
 import * as vector from '../placement/vector.js';
@@ -67,6 +68,19 @@
   );
 }
 
+/** Free capacity of a worker without the claims of less urgent jobs. */
+function computeRoom(
+  row: rows.JobRow,
+  worker: placement.WorkerRow,
+): vector.Amount {
+  const room = { ...worker.open };
+  const own = ids.urgencies.indexOf(row.urgency);
+  for (const claim of worker.claims.values())
+    if (own < ids.urgencies.indexOf(claim.urgency))
+      vector.addTo(room, claim.amount, 1);
+  return room;
+}
+
 function findVictims(
   state: states.State,
   row: rows.JobRow,
@@ -76,7 +90,7 @@
   const { nowMs } = context;
   const need = row.spec.size;
   const candidates: { attempt: placement.Attempt; lossMs: number }[] = [];
-  const room = { ...worker.open };
+  const room = computeRoom(row, worker);
   for (const attempt of worker.attempts.values()) {
     // What is being stopped already will be free; claims of others on it are in `open`.
     if (attempt.state === 'stopping') vector.addTo(room, attempt.held, 1);
@@ -129,20 +143,25 @@
   return best;
 }
 
-/** Stops tasks so that the next task of a job can start; false when nothing helps. */
+/** Tells whether capacity is being freed for all waiting tasks of a job. */
+export function isServed(state: states.State, row: rows.JobRow): boolean {
+  const known = state.reservations.get(row.id);
+  return known?.why === 'preemption' && known.members >= row.waiting;
+}
+
+/** Stops tasks so that the next task of a job can start. */
 export function preemptFor(
   state: states.State,
   row: rows.JobRow,
   context: start.TickContext,
-): boolean {
-  if (row.spec.kind === 'gang') return false;
+): 'preempted' | 'none' {
+  if (row.spec.kind === 'gang') return 'none';
   if (row.urgency !== 'urgent' && !isBelowFloor(state, row, context))
-    return false;
+    return 'none';
   const known = state.reservations.get(row.id);
-  if (known?.why === 'starving') return false;
-  if ((known?.members ?? 0) >= row.waiting) return false;
+  if (known?.why === 'starving' || isServed(state, row)) return 'none';
   const choice = chooseVictims(state, row, context);
-  if (choice === undefined) return false;
+  if (choice === undefined) return 'none';
   const { nowMs } = context;
   for (const victim of choice.victims) {
     ends.stopAttempt(state, victim, 'preempted', true);
@@ -167,5 +186,5 @@
   }
   reserve.addClaim(state, row, choice.worker, nowMs);
   vector.addTo(context.floors[row.urgency].used, row.spec.size, 1);
-  return true;
+  return 'preempted';
 }
--- a/packages/core/src/scheduler/tick.ts
+++ b/packages/core/src/scheduler/tick.ts
@@ -97,6 +97,24 @@
   return state.fleet.readFreed() * 4 + patient + (context.gpusWanted ? 1 : 0);
 }
 
+/** Preempts for the jobs of a refused shape, in their order. */
+function preemptShape(
+  state: states.State,
+  shape: queue.ShapeQueue,
+  context: start.TickContext,
+  budget: Budget,
+): void {
+  for (const jobs of [shape.again, shape.fresh])
+    for (const row of jobs.values()) {
+      while (
+        budget.preemptions > 0 &&
+        preempt.preemptFor(state, row, context) === 'preempted'
+      )
+        budget.preemptions -= 1;
+      if (budget.preemptions === 0 || !preempt.isServed(state, row)) return;
+    }
+}
+
 function refuseShape(
   state: states.State,
   shape: queue.ShapeQueue,
@@ -116,8 +134,7 @@
     shape.fittingAt = listed;
     shape.refusedAt = computeStamp(state, row, context);
     noteStarving(row, context);
-    while (budget.preemptions > 0 && preempt.preemptFor(state, row, context))
-      budget.preemptions -= 1;
+    preemptShape(state, shape, context, budget);
   }
   state.queue.refuse(shape);
 }
