--- a/packages/core/src/scheduler/preempt.ts
+++ b/packages/core/src/scheduler/preempt.ts
@@ -3,6 +3,7 @@
  * lost work first and within a bound. Urgent work may preempt, and other work as far
  * as its urgency is below its floor.
  */
+import * as ids from '../types/ids.js';
 import * as resources from '../types/resources.js';
 import type * as placement from '../placement/rows.js';
 import * as vector from '../placement/vector.js';
@@ -62,11 +63,24 @@
   return resources.resourceNames.every(
     (name) =>
       need[name] === 0 ||
-      use.used[name] - attempt.held[name] >=
+      use.used[name] - use.leaving[name] - attempt.held[name] >=
         use.floor[name] * state.fleet.total[name],
   );
 }
 
+/** Free capacity of a worker without the claims of less urgent jobs. */
+function computeRoom(
+  row: rows.JobRow,
+  worker: placement.WorkerRow,
+): vector.Amount {
+  const room = { ...worker.open };
+  const own = ids.urgencies.indexOf(row.urgency);
+  for (const claim of worker.claims.values())
+    if (own < ids.urgencies.indexOf(claim.urgency))
+      vector.addTo(room, claim.amount, 1);
+  return room;
+}
+
 function findVictims(
   state: states.State,
   row: rows.JobRow,
@@ -76,7 +90,10 @@
   const { nowMs } = context;
   const need = row.spec.size;
   const candidates: { attempt: placement.Attempt; lossMs: number }[] = [];
+  const room = computeRoom(row, worker);
   for (const attempt of worker.attempts.values()) {
+    // What is being stopped already will be free; claims of others on it are in `open`.
+    if (attempt.state === 'stopping') vector.addTo(room, attempt.held, 1);
     if (!reserve.canPreempt(row, attempt)) continue;
     if (attempt.endsMs > nowMs && attempt.endsMs - nowMs < ENDS_SOON_MS)
       continue;
@@ -85,7 +102,6 @@
     if (lossMs <= MAX_LOSS_MS) candidates.push({ attempt, lossMs });
   }
   candidates.sort((a, b) => a.lossMs - b.lossMs);
-  const room = { ...worker.open };
   const victims: placement.Attempt[] = [];
   let lossMs = 0;
   for (const candidate of candidates) {
@@ -94,7 +110,7 @@
     victims.push(candidate.attempt);
     lossMs += candidate.lossMs;
   }
-  if (victims.length === 0 || !vector.isWithin(need, room)) return undefined;
+  if (!vector.isWithin(need, room)) return undefined;
   return { worker, victims, lossMs };
 }
 
@@ -127,26 +143,31 @@
   return best;
 }
 
-/** Stops tasks so that the next task of a job can start; false when nothing helps. */
+/** Tells whether capacity is being freed for all waiting tasks of a job. */
+export function isServed(state: states.State, row: rows.JobRow): boolean {
+  const known = state.reservations.get(row.id);
+  return known?.why === 'preemption' && known.members >= row.waiting;
+}
+
+/** Stops tasks so that the next task of a job can start. */
 export function preemptFor(
   state: states.State,
   row: rows.JobRow,
   context: start.TickContext,
-): boolean {
-  if (row.spec.kind === 'gang') return false;
+): 'preempted' | 'none' {
+  if (row.spec.kind === 'gang') return 'none';
   if (row.urgency !== 'urgent' && !isBelowFloor(state, row, context))
-    return false;
+    return 'none';
   const known = state.reservations.get(row.id);
-  if (known?.why === 'starving') return false;
-  if ((known?.members ?? 0) >= row.waiting) return false;
+  if (known?.why === 'starving' || isServed(state, row)) return 'none';
   const choice = chooseVictims(state, row, context);
-  if (choice === undefined) return false;
+  if (choice === undefined) return 'none';
   const { nowMs } = context;
   for (const victim of choice.victims) {
     ends.stopAttempt(state, victim, 'preempted', true);
     ends.notePreemption(state, victim, row.id);
     const use = context.floors[victim.urgency];
-    vector.addTo(use.used, victim.held, -1);
+    vector.addTo(use.leaving, victim.held, 1);
   }
   if (known === undefined)
     state.reservations.set(row.id, {
@@ -165,5 +186,5 @@
   }
   reserve.addClaim(state, row, choice.worker, nowMs);
   vector.addTo(context.floors[row.urgency].used, row.spec.size, 1);
-  return true;
+  return 'preempted';
 }
