--- a/packages/core/src/slots/scheduler.ts
+++ b/packages/core/src/slots/scheduler.ts
@@ -16,8 +16,11 @@
 const TEAM_SCAN_LIMIT = 16;
 /** Weight of a new sample in the mean service time. */
 const MEAN_WEIGHT = 0.05;
-/** Share of the term assumed as service time before the first sample. */
-const FIRST_MEAN_SHARE = 0.25;
+/**
+ * Share of the term assumed as service time before the first sample. A larger share
+ * refuses requests after each take-over that would have been served in time.
+ */
+const FIRST_MEAN_SHARE = 0.05;
 const RETRY_AFTER_MIN_MS = 100;
 const RETRY_AFTER_NO_SERVER_MS = 1_000;
 
