Charge teams for slot time when requests end, and test the callers' address

Teams were charged the mean service time at the grant and corrected at the end. A team whose queue ran empty in between was raised to the current level and then credited again, so weights 3 and 1 shared 2.07 to 1. Slot time is now charged once, at the end, with requests in flight counted at the mean; the test of shares passes within 2.8 to 3.2.

--- a/packages/core/src/slots/queue.ts
+++ b/packages/core/src/slots/queue.ts
@@ -22,8 +22,10 @@
   first: WaitingAsk | undefined;
   last: WaitingAsk | undefined;
   length: number;
-  /** Weighted work that the team got so far, in ms; the lowest goes first. */
+  /** Slot time that the team's ended requests used, divided by its weight, in ms. */
   pass: number;
+  /** Granted requests that haven't ended. */
+  inFlight: number;
 }
 
 /** Waiting asks of one urgency. */
@@ -32,7 +34,7 @@
   /** Only the teams that have asks waiting. */
   readonly active: Set<TeamList>;
   length: number;
-  /** Pass of the team served last; an idle team doesn't save up shares below it. */
+  /** Highest pass that was served; an idle team doesn't save up shares below it. */
   floorPass: number;
 }
 
@@ -41,10 +43,15 @@
   add(ask: types.SlotAsk, nowMs: number): WaitingAsk;
   find(ask: types.AskId): WaitingAsk | undefined;
   remove(waiting: WaitingAsk): void;
-  /** Teams with waiting asks in the order in which they are served. */
-  sortTeams(urgency: ids.Urgency): readonly TeamList[];
-  /** Charges work in ms, divided by the team's weight. */
-  take(urgency: ids.Urgency, team: ids.TeamName, weightedMs: number): void;
+  /** Teams with waiting asks, the lowest rank first. */
+  sortTeams(
+    urgency: ids.Urgency,
+    rank: (list: TeamList) => number,
+  ): readonly TeamList[];
+  /** Counts a granted request of a team. */
+  noteStart(urgency: ids.Urgency, team: ids.TeamName): void;
+  /** Charges an ended request of a team. */
+  noteEnd(urgency: ids.Urgency, team: ids.TeamName, weightedMs: number): void;
   count(urgency: ids.Urgency): number;
   countTeam(urgency: ids.Urgency, team: ids.TeamName): number;
   listTeams(urgency: ids.Urgency): Iterable<TeamList>;
@@ -79,6 +86,7 @@
       last: undefined,
       length: 0,
       pass: queue.floorPass,
+      inFlight: 0,
     };
     queue.lists.set(team, list);
     return list;
@@ -121,21 +129,30 @@
     if (list.length === 0) queue.active.delete(list);
   }
 
-  function sortTeams(urgency: ids.Urgency): readonly TeamList[] {
+  function sortTeams(
+    urgency: ids.Urgency,
+    rank: (list: TeamList) => number,
+  ): readonly TeamList[] {
     const active = [...getQueue(urgency).active];
     return active.length < 2
       ? active
-      : active.sort((a, b) => a.pass - b.pass || (a.team < b.team ? -1 : 1));
+      : active.sort((a, b) => rank(a) - rank(b) || (a.team < b.team ? -1 : 1));
   }
 
-  function take(
+  function noteStart(urgency: ids.Urgency, team: ids.TeamName): void {
+    const queue = getQueue(urgency);
+    const list = ensureList(urgency, team);
+    queue.floorPass = Math.max(queue.floorPass, list.pass);
+    list.inFlight += 1;
+  }
+
+  function noteEnd(
     urgency: ids.Urgency,
     team: ids.TeamName,
     weightedMs: number,
   ): void {
     const list = ensureList(urgency, team);
-    const queue = getQueue(urgency);
-    if (weightedMs > 0) queue.floorPass = Math.max(queue.floorPass, list.pass);
+    list.inFlight -= 1;
     list.pass += weightedMs;
   }
 
@@ -144,7 +161,8 @@
     find: (ask) => byId.get(ask),
     remove,
     sortTeams,
-    take,
+    noteStart,
+    noteEnd,
     count: (urgency) => getQueue(urgency).length,
     countTeam: (urgency, team) =>
       getQueue(urgency).lists.get(team)?.length ?? 0,
--- a/packages/core/src/slots/scheduler.ts
+++ b/packages/core/src/slots/scheduler.ts
@@ -158,7 +158,7 @@
       startedMs: nowMs,
       endsMs: nowMs + held.termMs,
       reportedSent: held.sent,
-      chargedMs: 0,
+      charged: true,
       abandonedMs: undefined,
     });
   }
@@ -320,6 +320,7 @@
 
   function releaseTicket(ticket: servers.TicketRow): void {
     if (!tickets.delete(ticket.id)) return;
+    recordUse(ticket, 0);
     const { server } = ticket;
     servers.removeTicket(server, ticket);
     if (ticket.ask !== undefined) ticketOfAsk.delete(ticket.ask);
@@ -348,16 +349,26 @@
   }
 
   function noteServiceTime(ticket: servers.TicketRow, nowMs: number): void {
+    if (ticket.charged) return;
     const tookMs = nowMs - ticket.startedMs;
-    if (ticket.urgency === undefined || ticket.team === undefined) return;
+    recordUse(ticket, tookMs);
     meanMs =
       meanMs === undefined ? tookMs : meanMs + (tookMs - meanMs) * MEAN_WEIGHT;
-    const correction = tookMs - ticket.chargedMs;
-    waiting.take(
-      ticket.urgency,
-      ticket.team,
-      correction / readWeight(ticket.team),
-    );
+  }
+
+  function recordUse(ticket: servers.TicketRow, tookMs: number): void {
+    const { urgency, team } = ticket;
+    if (ticket.charged || urgency === undefined || team === undefined) return;
+    ticket.charged = true;
+    waiting.noteEnd(urgency, team, tookMs / readWeight(team));
+  }
+
+  /**
+   * Slot time of a team relative to its weight, requests in flight at the mean. They
+   * are charged when they end, so a wrong mean leaves no lasting credit or debt.
+   */
+  function rankTeam(list: queues.TeamList): number {
+    return list.pass + (list.inFlight * readMean()) / readWeight(list.team);
   }
 
   function expireTickets(nowMs: number): void {
@@ -365,6 +376,7 @@
       const due = ticketEnds.peek();
       if (due === undefined || due.atMs > nowMs) return;
       ticketEnds.pop();
+      recordUse(due.row, due.row.endsMs - due.row.startedMs);
       releaseTicket(due.row);
     }
   }
@@ -406,7 +418,7 @@
 
   function grantFrom(urgency: ids.Urgency, nowMs: number): boolean {
     let budget = SCAN_LIMIT;
-    for (const list of waiting.sortTeams(urgency)) {
+    for (const list of waiting.sortTeams(urgency, rankTeam)) {
       let entry = list.first;
       for (let seen = 0; seen < TEAM_SCAN_LIMIT; seen += 1) {
         if (entry === undefined) break;
@@ -443,7 +455,6 @@
     const { ask } = entry;
     grants += 1;
     const { offset, provisional } = options.epoch;
-    const chargedMs = readMean();
     const ticket: servers.TicketRow = {
       id: `${options.shard}/${offset}.${provisional}/${grants}`,
       ask: ask.id,
@@ -454,13 +465,13 @@
       startedMs: nowMs,
       endsMs: nowMs + policy.termMs,
       reportedSent: false,
-      chargedMs,
+      charged: false,
       abandonedMs: undefined,
     };
     if (servers.isFailing(server)) servers.startTrial(server, ticket);
     server.lastGrant = grants;
     addTicket(ticket);
-    waiting.take(ask.urgency, ask.team, chargedMs / readWeight(ask.team));
+    waiting.noteStart(ask.urgency, ask.team);
     decisions.push(createGrant(entry, ticket, nowMs));
   }
 
@@ -521,7 +532,7 @@
     if (!hasServerFor(entry.ask) || countSlots() === 0)
       return servers.countObstacles(rows.values(), entry.ask);
     const behindTeam = waiting
-      .sortTeams(entry.ask.urgency)
+      .sortTeams(entry.ask.urgency, rankTeam)
       .findIndex((list) => list === entry.list);
     if (behindTeam > 0) return { reason: 'fair-share', ahead: behindTeam };
     const expectedMs = estimateWait(entry.ask, nowMs);
--- a/packages/core/src/slots/servers.ts
+++ b/packages/core/src/slots/servers.ts
@@ -32,8 +32,8 @@
   readonly endsMs: number;
   /** Reported by its holder as written to the server. */
   readonly reportedSent: boolean;
-  /** Mean service time charged to the team at the grant. */
-  readonly chargedMs: number;
+  /** The team was charged for the slot time. */
+  charged: boolean;
   /** When the holder gave up on a request that may still run; undefined before. */
   abandonedMs: number | undefined;
 }
--- /dev/null
+++ b/packages/core/test/slots.test.ts
@@ -0,0 +1,158 @@
+/** Rules of the slot scheduler that a random session doesn't show: who goes first, and where. */
+import * as vitest from 'vitest';
+import type * as core from '@flamingoward/core';
+import * as flamingoward from '@flamingoward/core';
+
+const { expect, test } = vitest;
+
+function createShard(
+  slots: number,
+  serverCount: number,
+  policy: Partial<core.slots.SlotPolicy> = {},
+) {
+  const scheduler = flamingoward.createSlotScheduler({
+    shard: 'service/desk@muscat',
+    epoch: { offset: 1, provisional: 0 },
+    policy: {
+      termMs: 60_000,
+      maxWaitMs: 1_000_000,
+      floors: flamingoward.defaultFloors,
+      weights: new Map([['gold', 3]]),
+      maxProcesses: 1,
+      ...policy,
+    },
+    maxWaiting: 100_000,
+  });
+  for (let index = 0; index < serverCount; index += 1)
+    scheduler.apply(
+      {
+        event: 'server.listed',
+        server: {
+          id: `b${index}`,
+          address: '',
+          availabilityZone: index === 0 ? 'near' : 'far',
+          slots,
+          connections: 64,
+          leaving: false,
+        },
+      },
+      0,
+    );
+  let next = 0;
+  const ask = (nowMs: number, fields: Partial<core.slots.SlotAsk> = {}) => {
+    next += 1;
+    const id = `p:${next}`;
+    const full: core.slots.SlotAsk = {
+      id,
+      holder: 'p',
+      availabilityZone: 'near',
+      urgency: 'normal',
+      team: 'default',
+      deadlineMs: 1_000_000,
+      avoid: [],
+      ...fields,
+    };
+    scheduler.apply({ event: 'ask', ask: full }, nowMs);
+    return id;
+  };
+  const giveBack = (
+    ticket: string,
+    result: core.slots.TicketResult,
+    nowMs: number,
+  ) => {
+    scheduler.apply(
+      { event: 'ticket.returned', ticket, result, tookMs: 0 },
+      nowMs,
+    );
+  };
+  return { scheduler, ask, giveBack };
+}
+
+/** Keeps `kinds` flooding for a while and counts the grants of each. */
+function countGrants(
+  kinds: readonly Pick<core.slots.SlotAsk, 'urgency' | 'team'>[],
+): readonly number[] {
+  const { scheduler, ask, giveBack } = createShard(10, 1);
+  const kindOf = new Map<string, number>();
+  const counts = kinds.map(() => 0);
+  const running: { id: string; endMs: number }[] = [];
+  for (let nowMs = 0; nowMs < 5_000; nowMs += 10) {
+    for (const [index, kind] of kinds.entries())
+      for (let copy = 0; copy < 2; copy += 1)
+        kindOf.set(ask(nowMs, kind), index);
+    while (running[0] !== undefined && running[0].endMs <= nowMs)
+      giveBack(running.shift()!.id, 'ok', nowMs);
+    for (const decision of scheduler.tick(nowMs)) {
+      if (decision.decision === 'refused') continue;
+      counts[kindOf.get(decision.ask)!]! += 1;
+      running.push({ id: decision.ticket.id, endMs: nowMs + 100 });
+    }
+  }
+  return counts;
+}
+
+test('in a flood of everything each urgency keeps its floor, and the rest goes to the urgent', () => {
+  const [urgent, normal, deferrable] = countGrants([
+    { urgency: 'urgent', team: 'default' },
+    { urgency: 'normal', team: 'default' },
+    { urgency: 'deferrable', team: 'default' },
+  ]);
+  // 500 rounds of 10 ms on 10 slots of 100 ms: about 500 grants.
+  expect(normal).toBeGreaterThanOrEqual(95);
+  expect(deferrable).toBeGreaterThanOrEqual(45);
+  expect(urgent).toBeGreaterThanOrEqual(340);
+});
+
+test('teams that flood the same urgency share it by weight', () => {
+  const [gold, plain] = countGrants([
+    { urgency: 'normal', team: 'gold' },
+    { urgency: 'normal', team: 'plain' },
+  ]);
+  expect(gold! / plain!).toBeGreaterThan(2.8);
+  expect(gold! / plain!).toBeLessThan(3.2);
+});
+
+test('a long queue refuses early; a team that floods does not shut out another', () => {
+  const { scheduler, ask } = createShard(1, 1, {
+    termMs: 2_000,
+    maxWaitMs: 1_000,
+  });
+  for (let index = 0; index < 50; index += 1) ask(0, { team: 'loud' });
+  const own = ask(0, { team: 'loud' });
+  const other = ask(0, { team: 'quiet' });
+  const decisions = scheduler.tick(0);
+  expect(decisions.find((one) => one.ask === own)).toMatchObject({
+    decision: 'refused',
+    reason: { reason: 'expected-wait', limitMs: 1_000 },
+  });
+  expect(decisions.some((one) => one.ask === other)).toBe(false);
+  expect(scheduler.explain(other, 0)).toBeDefined();
+});
+
+test('the near server is used until a far one is clearly less loaded', () => {
+  const { scheduler, ask } = createShard(8, 2);
+  for (let index = 0; index < 6; index += 1) ask(0);
+  const used = scheduler
+    .tick(0)
+    .map((one) =>
+      one.decision === 'granted' ? one.ticket.backendServer : 'refused',
+    );
+  expect(used).toEqual(['b0', 'b0', 'b1', 'b0', 'b1', 'b0']);
+});
+
+test('a failing server gets one trial request at a time, and all again after a success', () => {
+  const { scheduler, ask, giveBack } = createShard(4, 2);
+  const grant = (nowMs: number, count: number) => {
+    for (let index = 0; index < count; index += 1) ask(nowMs);
+    return scheduler
+      .tick(nowMs)
+      .flatMap((one) => (one.decision === 'granted' ? [one.ticket] : []));
+  };
+  const onNear = grant(0, 3).filter((one) => one.backendServer === 'b0');
+  for (const ticket of onNear) giveBack(ticket.id, 'unreachable', 0);
+  expect(grant(10, 3).map((one) => one.backendServer)).not.toContain('b0');
+  const trials = grant(600, 3).filter((one) => one.backendServer === 'b0');
+  expect(trials).toHaveLength(1);
+  giveBack(trials[0]!.id, 'ok', 610);
+  expect(grant(620, 4).map((one) => one.backendServer)).toContain('b0');
+});
--- a/packages/daemon/src/callers/exchange.ts
+++ b/packages/daemon/src/callers/exchange.ts
@@ -73,9 +73,11 @@
       [core.requests.answerHeader]: kind,
       ...(closing ? { connection: 'close' } : {}),
     };
-    if (hasBody(status)) all['content-length'] = String(body.byteLength);
+    // The answer to HEAD has no body, and its length isn't that of the resource.
+    const isBodyless = request.method === 'HEAD' || !hasBody(status);
+    if (!isBodyless) all['content-length'] = String(body.byteLength);
     response.writeHead(status, all);
-    if (request.method === 'HEAD' || !hasBody(status)) response.end();
+    if (isBodyless) response.end();
     else response.end(body);
   }
 
@@ -203,7 +205,8 @@
       controller.abort();
     },
     failBody() {
-      failBody?.();
+      // A body that has arrived whole is only waiting to be delivered.
+      if (!request.complete) failBody?.();
     },
   };
 }
--- /dev/null
+++ b/packages/daemon/test/callers.test.ts
@@ -0,0 +1,330 @@
+/** The callers' address over real connections: limits, whole answers, planned stops. */
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as core from '@flamingoward/core';
+import * as vitest from 'vitest';
+import * as callers from '../src/callers/server.js';
+import type * as requests from '../src/requests/types.js';
+import type * as types from '../src/types.js';
+
+const { expect, test } = vitest;
+
+type Handle = requests.RequestPath['handle'];
+
+function createParts(handle: Handle) {
+  const timers = core.createSystemTimers();
+  const submitted: core.jobs.JobSpec[] = [];
+  const job: core.jobs.Job = {
+    id: 'j1',
+    spec: {} as core.jobs.JobSpec,
+    urgency: 'normal',
+    shard: 'workers/muscat',
+    release: 'r1',
+    acceptedMs: 0,
+    acceptedAt: 0,
+    state: 'accepted',
+    cancelRequested: false,
+  };
+  const parts: callers.CallersServerParts = {
+    context: {
+      identity: {} as types.ProcessIdentity,
+      timers,
+      log: { write: () => undefined },
+      metrics: {
+        count: () => undefined,
+        record: () => undefined,
+        set: () => undefined,
+        render: () => '',
+      },
+    },
+    path: {
+      handle,
+      readKey: () => Promise.resolve({ state: 'unreadable' }),
+      drain: () => undefined,
+      close: () => undefined,
+      dump: () => undefined,
+    },
+    jobs: {
+      submit: (spec: core.jobs.JobSpec) => {
+        submitted.push(spec);
+        return Promise.resolve({ result: 'accepted', job: 'j1' });
+      },
+      read: (id: string) => (id === 'j1' ? job : undefined),
+      readTasks: () =>
+        Promise.resolve([
+          {
+            state: 'waiting',
+            sinceMs: 0,
+            reason: { reason: 'fair-share', ahead: 2 },
+          },
+          { state: 'ended', result: 'done' },
+        ]),
+    } as unknown as types.Jobs,
+    releases: {
+      isReady: () => true,
+      readState: () => ({ teams: new Map([['roof', {}]]) }),
+    } as unknown as types.Releases,
+    listen: '127.0.0.1:0',
+    maxBodyBytes: 1_000,
+    bodyTimeoutMs: 200,
+  };
+  return { parts, submitted };
+}
+
+async function withServer(
+  handle: Handle,
+  run: (
+    port: number,
+    server: callers.CallersServer,
+    submitted: core.jobs.JobSpec[],
+  ) => Promise<void>,
+): Promise<void> {
+  const { parts, submitted } = createParts(handle);
+  const server = callers.createCallersServer(parts);
+  const address = await server.start();
+  try {
+    await run(Number(address.split(':')[1]), server, submitted);
+  } finally {
+    await server.close(0);
+  }
+}
+
+/** Answers with the request's own body, after a time that its path gives. */
+const echo: Handle = async (request) => {
+  const delayMs = Number(request.path.slice(1));
+  await new Promise((resolve) => setTimeout(resolve, delayMs));
+  return {
+    answer: 'done',
+    status: 200,
+    headers: {
+      'content-type': 'text/plain',
+      'transfer-encoding': 'chunked',
+      'content-length': '3',
+      connection: 'x-hop',
+      'x-hop': '1',
+      'x-own': String(request.headers['x-flamingoward-role'] ?? 'none'),
+    },
+    body: request.body,
+  };
+};
+
+interface Reply {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly text: string;
+}
+
+function call(
+  port: number,
+  method: string,
+  path: string,
+  body = '',
+  headers: http.OutgoingHttpHeaders = {},
+  agent?: http.Agent,
+): Promise<Reply> {
+  return new Promise((resolve, reject) => {
+    const request = http.request(
+      { port, method, path, headers, ...(agent ? { agent } : {}) },
+      (response) => {
+        const chunks: Buffer[] = [];
+        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        response.on('end', () => {
+          const text = Buffer.concat(chunks).toString();
+          const { headers: fields, statusCode = 0 } = response;
+          resolve({ status: statusCode, headers: fields, text });
+        });
+      },
+    );
+    request.on('error', reject);
+    request.end(body);
+  });
+}
+
+/** Writes raw bytes and reads until the server closes the connection. */
+function callRaw(port: number, bytes: string): Promise<string> {
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    const socket = net.connect(port, '127.0.0.1', () => socket.write(bytes));
+    socket.on('data', (chunk) => chunks.push(chunk));
+    socket.on('close', () => {
+      resolve(Buffer.concat(chunks).toString());
+    });
+    socket.on('error', reject);
+  });
+}
+
+test('many connections: every caller gets its own whole answer, with clean headers (guards P3)', async () => {
+  await withServer(echo, async (port) => {
+    const agent = new http.Agent({ keepAlive: true, maxSockets: 6 });
+    const bodies = Array.from({ length: 60 }, (_, index) =>
+      `${index}-`.repeat(150).slice(0, 900),
+    );
+    const replies = await Promise.all(
+      bodies.map((body, index) =>
+        call(
+          port,
+          'POST',
+          `/services/desk/${(index * 7) % 20}`,
+          body,
+          { 'x-flamingoward-role': 'owner', 'x-request-id': `id-${index}` },
+          agent,
+        ),
+      ),
+    );
+    agent.destroy();
+    for (const [index, reply] of replies.entries()) {
+      expect(reply.text).toBe(bodies[index]);
+      expect(reply.headers).toMatchObject({
+        'content-length': String(bodies[index]!.length),
+        'flamingoward-answer': 'done',
+        'x-request-id': `id-${index}`,
+        'x-own': 'none',
+      });
+      expect(reply.headers['x-hop']).toBeUndefined();
+    }
+  });
+});
+
+test('pipelined requests are answered in order, and malformed bytes after them never replace an answer (guards P3)', async () => {
+  await withServer(echo, async (port) => {
+    const post = (delayMs: number, body: string) =>
+      `POST /services/desk/${delayMs} HTTP/1.1\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+    const text = await callRaw(
+      port,
+      `${post(60, 'first')}${post(0, 'second')}\u0001nonsense\r\n\r\n`,
+    );
+    expect(text.match(/HTTP\/1\.1 \d+/g)).toEqual([
+      'HTTP/1.1 200',
+      'HTTP/1.1 200',
+    ]);
+    expect(text.indexOf('first')).toBeLessThan(text.indexOf('second'));
+    const alone = await callRaw(port, 'nonsense\r\n\r\n');
+    expect(alone).toContain('HTTP/1.1 400 Bad Request');
+    expect(alone).toContain('"answer":"not-run"');
+    const badChunk = await callRaw(
+      port,
+      'POST /services/desk/0 HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n',
+    );
+    expect(badChunk).toContain('not valid HTTP');
+  });
+});
+
+test('oversized, slow and unfinished bodies and large headers are refused as not run', async () => {
+  let handled = 0;
+  const count: Handle = (request) => {
+    handled += 1;
+    return echo(request);
+  };
+  await withServer(count, async (port) => {
+    const declared = await call(
+      port,
+      'POST',
+      '/services/desk/0',
+      'x'.repeat(500_000),
+    );
+    const chunked = await call(
+      port,
+      'POST',
+      '/services/desk/0',
+      'x'.repeat(500_000),
+      { 'transfer-encoding': 'chunked' },
+    );
+    for (const reply of [declared, chunked]) {
+      expect(reply.status).toBe(413);
+      expect(reply.headers['flamingoward-answer']).toBe('not-run');
+    }
+    const slow = await callRaw(
+      port,
+      'POST /services/desk/0 HTTP/1.1\r\ncontent-length: 50\r\n\r\npart',
+    );
+    expect(slow).toContain('HTTP/1.1 408');
+    const cut = net.connect(port, '127.0.0.1', () =>
+      cut.end(
+        'POST /services/desk/0 HTTP/1.1\r\ncontent-length: 50\r\n\r\npart',
+      ),
+    );
+    await new Promise((resolve) => cut.resume().on('close', resolve));
+    const large = await callRaw(
+      port,
+      `GET /healthz HTTP/1.1\r\nx: ${'y'.repeat(20_000)}\r\n\r\n`,
+    );
+    expect(large).toContain('HTTP/1.1 431');
+    expect(handled).toBe(0);
+  });
+});
+
+test('a caller that hangs up cancels its request; a stop answers what waits and what was sent (guards P4, P7)', async () => {
+  const seen: string[] = [];
+  const hold: Handle = (request) =>
+    new Promise((resolve) => {
+      request.signal.addEventListener('abort', () => {
+        seen.push(request.path);
+        if (request.path !== '/sent')
+          resolve({ answer: 'not-run', status: 503, reason: 'cancelled' });
+      });
+    });
+  await withServer(hold, async (port, server) => {
+    const socket = net.connect(port, '127.0.0.1', () =>
+      socket.write('GET /services/desk/gone HTTP/1.1\r\n\r\n'),
+    );
+    await vitest.vi.waitFor(() => {
+      expect(server.dump()).toMatchObject({ inHand: 1 });
+    });
+    socket.destroy();
+    await vitest.vi.waitFor(() => {
+      expect(seen).toEqual(['/gone']);
+    });
+    const waiting = call(port, 'GET', '/services/desk/waiting');
+    const sent = call(port, 'GET', '/services/desk/sent');
+    await vitest.vi.waitFor(() => {
+      expect(server.dump()).toMatchObject({ inHand: 2 });
+    });
+    server.drain();
+    expect((await call(port, 'GET', '/readyz')).status).toBe(503);
+    const refused = await call(port, 'POST', '/jobs', '{}');
+    expect([refused.status, refused.text]).toEqual([
+      503,
+      expect.stringContaining('stopping'),
+    ]);
+    await server.close(20);
+    expect((await waiting).headers['flamingoward-answer']).toBe('not-run');
+    expect((await sent).status).toBe(504);
+  });
+});
+
+test('jobs: every fault is listed, teams are checked, and counts and reasons are told', async () => {
+  await withServer(echo, async (port, _, submitted) => {
+    const bad = await call(
+      port,
+      'POST',
+      '/jobs',
+      '{"kind":"batch","name":"n","jobClass":"c","count":0,"size":{"cores":-1,"memoryMb":5},"colour":1}',
+    );
+    expect(bad.status).toBe(400);
+    for (const place of ['count: ', 'size.cores: ', 'colour'])
+      expect(bad.text).toContain(place);
+    expect((await call(port, 'POST', '/jobs', '{"kind":')).text).toContain(
+      'not valid JSON',
+    );
+    const spec =
+      '{"kind":"batch","name":"n","jobClass":"c","count":2,"declaredMs":5,"size":{"cores":1,"memoryMb":5}}';
+    const unknown = await call(port, 'POST', '/jobs', spec, {
+      'flamingoward-team': 'nobody',
+    });
+    expect(unknown.status).toBe(400);
+    const accepted = await call(port, 'POST', '/jobs', spec, {
+      'flamingoward-team': 'roof',
+    });
+    expect([accepted.status, accepted.text]).toEqual([202, '{"id":"j1"}\n']);
+    expect(submitted).toMatchObject([{ team: 'roof', size: { gpus: 0 } }]);
+    expect(JSON.parse((await call(port, 'GET', '/jobs/j1')).text)).toEqual({
+      id: 'j1',
+      state: 'accepted',
+      tasks: { waiting: 1, starting: 0, running: 0, stopping: 0, ended: 1 },
+      reason: expect.stringContaining('2 teams') as string,
+    });
+    expect((await call(port, 'GET', '/jobs/j2')).status).toBe(404);
+    expect((await call(port, 'GET', '/keys/k')).status).toBe(503);
+    expect((await call(port, 'GET', '/readyz')).status).toBe(200);
+  });
+});
