Bound every wait of the request path and answer from settled keys at once

Reviewing the path showed four gaps: an append that rejects left an unhandled rejection; a key whose process died made a repeat wait for the whole timeout; an ask to the own desk had no bound while ownership is unconfirmed after a pause; and Node dropped header fields beyond its limit without a word. Each is closed; more than 100 fields are answered with 431.

--- a/packages/daemon/src/callers/exchange.ts
+++ b/packages/daemon/src/callers/exchange.ts
@@ -65,7 +65,6 @@
   ): void {
     // A second answer would be taken as the answer to the caller's next request.
     if (answered) return;
-    answered = true;
     const closing = isLast() || !request.complete;
     const all: Record<string, string | string[]> = {
       ...pickDefined(fields),
@@ -76,7 +75,9 @@
     // The answer to HEAD has no body, and its length isn't that of the resource.
     const isBodyless = request.method === 'HEAD' || !hasBody(status);
     if (!isBodyless) all['content-length'] = String(body.byteLength);
+    // Fields that can't be written throw here, and another answer may follow.
     response.writeHead(status, all);
+    answered = true;
     if (isBodyless) response.end();
     else response.end(body);
   }
--- a/packages/daemon/src/callers/server.ts
+++ b/packages/daemon/src/callers/server.ts
@@ -85,7 +85,8 @@
       void serve(request, response);
     },
   );
-  server.maxHeadersCount = MAX_HEADERS;
+  // With a limit, Node drops the further fields; all are read here and counted.
+  server.maxHeadersCount = 0;
   server.on('clientError', refuseMalformed);
   server.on('checkContinue', (request, response) => {
     const declared = Number(request.headers['content-length'] ?? 0);
@@ -109,7 +110,9 @@
       endExchange(exchange, request.socket);
     });
     try {
-      await routes.routeRequest(routeParts, exchange);
+      if (request.rawHeaders.length > 2 * MAX_HEADERS)
+        routes.refuse(exchange, 431, `more than ${MAX_HEADERS} header fields`);
+      else await routes.routeRequest(routeParts, exchange);
     } catch (error) {
       failExchange(exchange, error);
     }
--- a/packages/daemon/src/requests/desk.ts
+++ b/packages/daemon/src/requests/desk.ts
@@ -79,6 +79,8 @@
   const { context, links, membership, ownership, releases } = parts;
   const { timers, identity, log, metrics } = context;
   const owned = new Map<core.ids.ShardName, OwnedShard>();
+  // Dead processes whose asks were dropped; they stay in the list of peers.
+  let dropped = new Set<core.ids.InstanceId>();
 
   // --- gaining and losing shards ---
 
@@ -201,10 +203,12 @@
   function updatePeers(): void {
     const peers = membership.readPeers();
     const dead = peers.filter((peer) => peer.health === 'dead');
+    const fresh = dead.filter((peer) => !dropped.has(peer.instance));
+    dropped = new Set(dead.map((peer) => peer.instance));
     const known = new Set(peers.map((peer) => peer.instance));
     known.add(identity.instance);
     for (const shard of owned.values()) {
-      for (const peer of dead) dropHolder(shard, peer.instance);
+      for (const peer of fresh) dropHolder(shard, peer.instance);
       for (const holder of shard.scheduler.listUnreported())
         if (!known.has(holder)) dropHolder(shard, holder);
       runShard(shard);
--- a/packages/daemon/src/requests/ledger.ts
+++ b/packages/daemon/src/requests/ledger.ts
@@ -110,10 +110,7 @@
       attempt,
       instance: identity.instance,
     };
-    const appended = await streams.append(STREAM, intent, {
-      flush: 'now',
-      giveUpMs: APPEND_MS,
-    });
+    const appended = await appendSafely(intent, APPEND_MS);
     metrics.count('key_intents_total', { outcome: appended.outcome });
     if (appended.outcome === 'not-appended')
       return {
@@ -180,7 +177,7 @@
       attempt,
       outcome,
     };
-    const appended = await streams.append(STREAM, record, { flush: 'now' });
+    const appended = await appendSafely(record);
     if (appended.outcome === 'appended') return;
     log.write('warn', 'keys.outcome-lost', {
       attempt,
@@ -189,6 +186,20 @@
     });
   }
 
+  /** An append that fails in an unexpected way may have reached the log. */
+  async function appendSafely(
+    record: core.records.KeyRecord,
+    giveUpMs?: number,
+  ): Promise<types.AppendOutcome> {
+    const options = giveUpMs === undefined ? {} : { giveUpMs };
+    try {
+      return await streams.append(STREAM, record, { flush: 'now', ...options });
+    } catch (error) {
+      log.write('warn', 'keys.append', { cause: core.describeError(error) });
+      return { outcome: 'unknown' };
+    }
+  }
+
   async function readFresh(key: string): Promise<core.KeyState> {
     const known = table.readKey(key);
     if (known.state === 'ended') return known;
--- a/packages/daemon/src/requests/path.ts
+++ b/packages/daemon/src/requests/path.ts
@@ -154,13 +154,8 @@
     key: string,
   ): Promise<requests.CallerAnswer> {
     const known = ledger.read(key);
-    if (known.state !== 'free' && known.service !== service.name)
-      return {
-        answer: 'not-run',
-        status: 422,
-        reason: `the key was used for service ${known.service}`,
-      };
-    if (known.state === 'ended') return createRepeat(key, known);
+    const settled = describeSettled(key, service, known);
+    if (settled !== undefined) return settled;
     const attempt = crypto.randomUUID();
     const claim = await ledger.claim(key, service.name, attempt);
     journal.note(request.id, { step: 'key', what: claim.verdict });
@@ -211,8 +206,11 @@
   ): Promise<requests.CallerAnswer | 'won'> {
     const untilMs = timers.readNow() + service.maxWaitMs + service.timeoutMs;
     for (;;) {
-      const state = ledger.read(key);
-      if (state.state === 'ended') return createRepeat(key, state);
+      const settled = describeSettled(key, service, ledger.read(key));
+      if (settled !== undefined) {
+        void ledger.recordNotRun(key, attempt);
+        return settled;
+      }
       const leftMs = untilMs - timers.readNow();
       if (leftMs <= 0 || request.signal.aborted) break;
       if (ledger.isWinner(key, attempt)) return 'won';
@@ -226,6 +224,28 @@
     );
   }
 
+  /** The answer that the key's records already settle; undefined when it is still open. */
+  function describeSettled(
+    key: string,
+    service: Service,
+    state: core.KeyState,
+  ): requests.CallerAnswer | undefined {
+    if (state.state === 'free') return undefined;
+    if (state.service !== service.name)
+      return {
+        answer: 'not-run',
+        status: 422,
+        reason: `the key was used for service ${state.service}`,
+      };
+    if (state.state === 'ended') return createRepeat(key, state);
+    return isRunning(state.instance)
+      ? undefined
+      : createUnknown(
+          'the process that ran the request with this key is gone, and it recorded no outcome',
+          key,
+        );
+  }
+
   function createRepeat(
     key: string,
     state: Extract<core.KeyState, { state: 'ended' }>,
--- a/packages/daemon/src/requests/tickets.ts
+++ b/packages/daemon/src/requests/tickets.ts
@@ -21,6 +21,11 @@
   { readonly kind: 'tickets.held' }
 >;
 
+type AskQuestion = Extract<
+  core.messages.Question,
+  { readonly kind: 'ticket.ask' }
+>;
+
 /** What the holder side works with. */
 export interface TicketHolderParts {
   readonly context: types.PartContext;
@@ -192,7 +197,7 @@
       else links.notify(owner.instance, notice);
     };
     const answering = owner.self
-      ? parts.readDesk().ask(question, identity.instance)
+      ? askSelf(question, leftMs)
       : askPeer(owner.instance, question, leftMs);
     // A grant that arrives after the ask was dropped goes back unused.
     const used = answering.then((answer) => {
@@ -217,6 +222,32 @@
     return { got: 'ticket', held: addHeld(answer.ticket, askedMs) };
   }
 
+  /** After a pause the own desk decides nothing until the ownership is confirmed. */
+  function askSelf(
+    question: AskQuestion,
+    leftMs: number,
+  ): Promise<core.requests.TicketAnswer | undefined> {
+    return new Promise((resolve) => {
+      const timer = timers.subscribe(
+        {
+          name: 'tickets.ask',
+          delayMs: leftMs + LINK_MARGIN_MS,
+          repeat: 'once',
+        },
+        () => {
+          resolve(undefined);
+        },
+      );
+      void parts
+        .readDesk()
+        .ask(question, identity.instance)
+        .then((answer) => {
+          timer.end();
+          resolve(answer);
+        });
+    });
+  }
+
   async function askPeer(
     peer: core.ids.InstanceId,
     question: core.messages.Question,
