Don't repeat answers over the limit, and name the cause of unknown answers

A trial with real connections showed that an answer larger than max_response_bytes was fetched again from another server and counted as a failure of the server, and that an unknown answer named the failed retry instead of the broken connection. Such answers are now unknown at once and leave the server in use; the reason is the cause of the try that was sent.

--- a/packages/daemon/src/requests/path.ts
+++ b/packages/daemon/src/requests/path.ts
@@ -64,8 +64,8 @@
   readonly repeatable: boolean;
   readonly untilMs: number;
   readonly avoid: core.ids.VmId[];
-  /** A byte may have reached a backend server. */
-  sent: boolean;
+  /** Why the last try that wrote a byte got no complete answer. */
+  sentCause: string | undefined;
   retries: number;
 }
 
@@ -310,7 +310,7 @@
       repeatable,
       untilMs: timers.readNow() + service.maxWaitMs + service.timeoutMs,
       avoid: [],
-      sent: false,
+      sentCause: undefined,
       retries: 0,
     };
     let outcome = await runTry(tries);
@@ -373,12 +373,13 @@
         held.release(check.isLapsed ? 'unused' : 'unreachable', tookMs);
         break;
       case 'uncertain':
-        tries.sent = true;
-        held.release('error', tookMs);
+        tries.sentCause = core.describeError(result.cause);
+        // A server whose answer is over the limit works; trying others repeats it.
+        held.release(isTooLarge(result.cause) ? 'ok' : 'error', tookMs);
         break;
     }
     if (!check.isLapsed) tries.avoid.push(held.ticket.backendServer);
-    if (canRetry(tries, held, result.result)) return undefined;
+    if (canRetry(tries, held, result)) return undefined;
     const cause = core.describeError(result.cause);
     return createFailure(tries, cause, RETRY_AFTER_MS);
   }
@@ -410,11 +411,11 @@
   function canRetry(
     tries: Tries,
     held: tickets.HeldTicket,
-    result: 'not-sent' | 'uncertain',
+    result: Exclude<requests.BackendResult, { result: 'answered' }>,
   ): boolean {
     const nowMs = timers.readNow();
-    if (result === 'uncertain') {
-      if (!tries.repeatable) return false;
+    if (result.result === 'uncertain') {
+      if (!tries.repeatable || isTooLarge(result.cause)) return false;
       // A slow request would be slow elsewhere too; only broken connections are retried.
       if (nowMs >= held.endsMs) return false;
     }
@@ -434,12 +435,12 @@
     reason: core.reasons.Reason | string,
     retryAfterMs: number,
   ): Outcome {
-    return tries.sent
-      ? {
+    return tries.sentCause === undefined
+      ? { outcome: 'not-run', reason, retryAfterMs }
+      : {
           outcome: 'unknown',
-          reason: `the request was sent and no complete answer came; then: ${describeWhy(reason)}`,
-        }
-      : { outcome: 'not-run', reason, retryAfterMs };
+          reason: `the request was sent and no complete answer came: ${tries.sentCause}`,
+        };
   }
 
   return {
@@ -462,6 +463,10 @@
   };
 }
 
+function isTooLarge(cause: Error): boolean {
+  return core.readFault(cause)?.code === 'too-large';
+}
+
 function createBackendRequest(
   request: requests.CallerRequest,
 ): requests.BackendRequest {
--- a/packages/daemon/test/requests.fakes.ts
+++ b/packages/daemon/test/requests.fakes.ts
@@ -17,7 +17,7 @@
   backend: 'desks',
 };
 
-export type ServerMode = 'ok' | 'refuse' | 'reset' | 'hang' | 'late';
+export type ServerMode = 'ok' | 'refuse' | 'reset' | 'hang' | 'late' | 'large';
 export type LogMode = 'ok' | 'away' | 'lost' | 'delayed';
 
 /** One backend server; `runs` lists the bodies it worked on. */
@@ -222,6 +222,11 @@
     }
     await done;
     if (isHung) return fail('uncertain');
+    if (server.mode === 'large')
+      return {
+        result: 'uncertain',
+        cause: core.createFault('too-large', { step: '', peer: '' }, '1000'),
+      };
     return {
       result: 'answered',
       status: 200,
--- a/packages/daemon/test/requests.test.ts
+++ b/packages/daemon/test/requests.test.ts
@@ -95,6 +95,22 @@
   return answers.map(fakes.readText);
 }
 
+test('an answer over the limit is not fetched again and leaves the server in use', async () => {
+  const world = fakes.createWorld(1, 2);
+  world.setOwner(0);
+  await world.run(5);
+  for (const server of world.servers) server.mode = 'large';
+  for (const body of ['a', 'b', 'c', 'd'])
+    expect(await runOne(world, body)).toEqual(['unknown']);
+  expect(world.servers.flatMap((server) => server.runs)).toHaveLength(4);
+  for (const server of world.servers) server.mode = 'ok';
+  const answers = collect(
+    ['e', 'f', 'g', 'h'].map((body) => world.ask(0, body)),
+  );
+  await world.run(30);
+  expect(answers).toHaveLength(4);
+});
+
 test('a ticket whose term ran out at the owner is not used (guards P1, P4)', async () => {
   const world = fakes.createWorld(2, 1);
   world.setOwner(1);
