--- a/packages/daemon/src/callers/exchange.ts
+++ b/packages/daemon/src/callers/exchange.ts
@@ -65,7 +65,6 @@
   ): void {
     // A second answer would be taken as the answer to the caller's next request.
     if (answered) return;
-    answered = true;
     const closing = isLast() || !request.complete;
     const all: Record<string, string | string[]> = {
       ...pickDefined(fields),
@@ -73,9 +72,13 @@
       [core.requests.answerHeader]: kind,
       ...(closing ? { connection: 'close' } : {}),
     };
-    if (hasBody(status)) all['content-length'] = String(body.byteLength);
+    // The answer to HEAD has no body, and its length isn't that of the resource.
+    const isBodyless = request.method === 'HEAD' || !hasBody(status);
+    if (!isBodyless) all['content-length'] = String(body.byteLength);
+    // Fields that can't be written throw here, and another answer may follow.
     response.writeHead(status, all);
-    if (request.method === 'HEAD' || !hasBody(status)) response.end();
+    answered = true;
+    if (isBodyless) response.end();
     else response.end(body);
   }
 
@@ -203,7 +206,8 @@
       controller.abort();
     },
     failBody() {
-      failBody?.();
+      // A body that has arrived whole is only waiting to be delivered.
+      if (!request.complete) failBody?.();
     },
   };
 }
--- a/packages/daemon/src/requests/path.ts
+++ b/packages/daemon/src/requests/path.ts
@@ -64,8 +64,8 @@
   readonly repeatable: boolean;
   readonly untilMs: number;
   readonly avoid: core.ids.VmId[];
-  /** A byte may have reached a backend server. */
-  sent: boolean;
+  /** Why the last try that wrote a byte got no complete answer. */
+  sentCause: string | undefined;
   retries: number;
 }
 
@@ -154,13 +154,8 @@
     key: string,
   ): Promise<requests.CallerAnswer> {
     const known = ledger.read(key);
-    if (known.state !== 'free' && known.service !== service.name)
-      return {
-        answer: 'not-run',
-        status: 422,
-        reason: `the key was used for service ${known.service}`,
-      };
-    if (known.state === 'ended') return createRepeat(key, known);
+    const settled = describeSettled(key, service, known);
+    if (settled !== undefined) return settled;
     const attempt = crypto.randomUUID();
     const claim = await ledger.claim(key, service.name, attempt);
     journal.note(request.id, { step: 'key', what: claim.verdict });
@@ -211,8 +206,11 @@
   ): Promise<requests.CallerAnswer | 'won'> {
     const untilMs = timers.readNow() + service.maxWaitMs + service.timeoutMs;
     for (;;) {
-      const state = ledger.read(key);
-      if (state.state === 'ended') return createRepeat(key, state);
+      const settled = describeSettled(key, service, ledger.read(key));
+      if (settled !== undefined) {
+        void ledger.recordNotRun(key, attempt);
+        return settled;
+      }
       const leftMs = untilMs - timers.readNow();
       if (leftMs <= 0 || request.signal.aborted) break;
       if (ledger.isWinner(key, attempt)) return 'won';
@@ -226,6 +224,28 @@
     );
   }
 
+  /** The answer that the key's records already settle; undefined when it is still open. */
+  function describeSettled(
+    key: string,
+    service: Service,
+    state: core.KeyState,
+  ): requests.CallerAnswer | undefined {
+    if (state.state === 'free') return undefined;
+    if (state.service !== service.name)
+      return {
+        answer: 'not-run',
+        status: 422,
+        reason: `the key was used for service ${state.service}`,
+      };
+    if (state.state === 'ended') return createRepeat(key, state);
+    return isRunning(state.instance)
+      ? undefined
+      : createUnknown(
+          'the process that ran the request with this key is gone, and it recorded no outcome',
+          key,
+        );
+  }
+
   function createRepeat(
     key: string,
     state: Extract<core.KeyState, { state: 'ended' }>,
@@ -290,7 +310,7 @@
       repeatable,
       untilMs: timers.readNow() + service.maxWaitMs + service.timeoutMs,
       avoid: [],
-      sent: false,
+      sentCause: undefined,
       retries: 0,
     };
     let outcome = await runTry(tries);
@@ -353,12 +373,13 @@
         held.release(check.isLapsed ? 'unused' : 'unreachable', tookMs);
         break;
       case 'uncertain':
-        tries.sent = true;
-        held.release('error', tookMs);
+        tries.sentCause = core.describeError(result.cause);
+        // A server whose answer is over the limit works; trying others repeats it.
+        held.release(isTooLarge(result.cause) ? 'ok' : 'error', tookMs);
         break;
     }
     if (!check.isLapsed) tries.avoid.push(held.ticket.backendServer);
-    if (canRetry(tries, held, result.result)) return undefined;
+    if (canRetry(tries, held, result)) return undefined;
     const cause = core.describeError(result.cause);
     return createFailure(tries, cause, RETRY_AFTER_MS);
   }
@@ -390,11 +411,11 @@
   function canRetry(
     tries: Tries,
     held: tickets.HeldTicket,
-    result: 'not-sent' | 'uncertain',
+    result: Exclude<requests.BackendResult, { result: 'answered' }>,
   ): boolean {
     const nowMs = timers.readNow();
-    if (result === 'uncertain') {
-      if (!tries.repeatable) return false;
+    if (result.result === 'uncertain') {
+      if (!tries.repeatable || isTooLarge(result.cause)) return false;
       // A slow request would be slow elsewhere too; only broken connections are retried.
       if (nowMs >= held.endsMs) return false;
     }
@@ -414,12 +435,12 @@
     reason: core.reasons.Reason | string,
     retryAfterMs: number,
   ): Outcome {
-    return tries.sent
-      ? {
+    return tries.sentCause === undefined
+      ? { outcome: 'not-run', reason, retryAfterMs }
+      : {
           outcome: 'unknown',
-          reason: `the request was sent and no complete answer came; then: ${describeWhy(reason)}`,
-        }
-      : { outcome: 'not-run', reason, retryAfterMs };
+          reason: `the request was sent and no complete answer came: ${tries.sentCause}`,
+        };
   }
 
   return {
@@ -442,6 +463,10 @@
   };
 }
 
+function isTooLarge(cause: Error): boolean {
+  return core.readFault(cause)?.code === 'too-large';
+}
+
 function createBackendRequest(
   request: requests.CallerRequest,
 ): requests.BackendRequest {
