--- a/packages/daemon/test/cluster.ts
+++ b/packages/daemon/test/cluster.ts
@@ -53,6 +53,8 @@
   paused = false;
   /** Records arrive this much later than they were appended. */
   readLagMs = 20;
+  /** The same for the claims, when they lag more than the rest. */
+  claimsLagMs = 0;
   loseAppendReplies = false;
   /** Hears no heartbeats. */
   deaf = false;
@@ -178,7 +180,8 @@
     if (this.cluster.log.away || this.paused) return;
     for (const stream of this.readers.keys()) {
       const below = this.cluster.log.read(stream).length;
-      this.later(this.readLagMs, () => {
+      const lagMs = stream === 'claims' ? this.claimsLagMs : 0;
+      this.later(Math.max(this.readLagMs, lagMs), () => {
         this.deliver(stream, below);
       });
     }
@@ -304,6 +307,10 @@
   readonly faults = new Map<string, LinkFault>();
   /** Workers that the VM list leaves out. */
   readonly unlisted = new Set<string>();
+  syncCalls = 0;
+  /** Most short sync calls that were open at a time. */
+  mostCallsAtOnce = 0;
+  private openCalls = 0;
   private seed = 1;
   private submitted = 0;
 
@@ -494,10 +501,21 @@
       });
     };
     return {
-      sync: (worker, request) =>
-        send(worker, 0, (target, answer) => {
-          target.sync(request, answer);
-        }),
+      sync: async (worker, request) => {
+        const short = request.waitMs === 0 ? 1 : 0;
+        this.syncCalls += 1;
+        this.openCalls += short;
+        this.mostCallsAtOnce = Math.max(this.mostCallsAtOnce, this.openCalls);
+        const report = await send<core.workers.SyncReport>(
+          worker,
+          0,
+          (target, answer) => {
+            target.sync(request, answer);
+          },
+        );
+        this.openCalls -= short;
+        return report;
+      },
       start: (worker, request) =>
         send(
           worker,
