--- a/packages/daemon/test/cluster.ts
+++ b/packages/daemon/test/cluster.ts
@@ -228,7 +228,7 @@
       open: <Body>(stream: string): daemon.StreamReader<Body> => {
         const reader = this.openReader(stream);
         return {
-          records: reader.subject.stream as never,
+          records: reader.subject.stream,
           readNext: () => reader.next,
           readHeadMs: () => this.timers.readNow(),
           waitFor: (offset) =>
--- a/packages/daemon/test/fakeWorker.ts
+++ b/packages/daemon/test/fakeWorker.ts
@@ -106,7 +106,7 @@
         leaseUntilMs,
         startedMs: clockMs,
       },
-      endsMs: clockMs + Number(work['runMs'] ?? 3_000),
+      endsMs: clockMs + Number(work.runMs ?? 3_000),
       exit: 'done',
     });
     this.version += 1;
--- a/packages/daemon/test/takeover.test.ts
+++ b/packages/daemon/test/takeover.test.ts
@@ -4,8 +4,8 @@
 import type * as core from '@flamingoward/core';
 import * as fakes from './cluster.js';
 
-const seed = Number(process.env['FLAMINGOWARD_SEED'] ?? 20_261_204);
-const numRuns = Number(process.env['FLAMINGOWARD_RUNS'] ?? 120);
+const seed = Number(process.env.FLAMINGOWARD_SEED ?? 20_261_204);
+const numRuns = Number(process.env.FLAMINGOWARD_RUNS ?? 120);
 const processes = 3;
 const workers = 3;
 
