Read the time in the shard's periodic check instead of taking the timer's

A timer that is overdue after a pause may pass its due time, and the checks of leases and of the log then compare with the wrong time.

--- a/packages/daemon/src/workers/shard.ts
+++ b/packages/daemon/src/workers/shard.ts
@@ -347,7 +347,9 @@
   const subscriptions = [
     timers.subscribe(
       { name: 'workers.check', delayMs: CHECK_PERIOD_MS, repeat: 'periodic' },
-      (nowMs) => {
+      () => {
+        // Not the due time: the timer may be overdue after a pause.
+        const nowMs = timers.readNow();
         if (streams.readAwaySince() !== undefined) state.claimKnownMs = nowMs;
         if (!isDeciding()) return;
         checkLeases(nowMs);
