Decide once per tick whether tasks of ended attempts have ended

Reading the states of a job's tasks for each ended attempt costs the square of the job's size when a large job is cancelled. The ends are now collected and the states read once per job and tick. A replica of a service that ends is left to the scheduler, whatever its result, because replicas run until withdrawn.

--- a/packages/daemon/src/workers/quotas.ts
+++ b/packages/daemon/src/workers/quotas.ts
@@ -1,29 +1,47 @@
 /** Splits the quotas of teams over the regions by their share of the capacity. */
-import type * as core from '@flamingoward/core';
+import * as core from '@flamingoward/core';
 
-/** Computes what a region may use of a quota over all regions. */
-export function splitQuota(
-  quota: core.resources.Resources,
+/** Share of each resource that a region holds, 0 to 1. */
+export type CapacityShare = core.resources.Resources;
+
+/** Computes the share of a region; 0 of a resource that no worker has. */
+export function computeShare(
   vms: readonly core.workers.VmRecord[],
   region: core.ids.RegionName,
-): core.resources.Resources {
-  const workers = vms.filter((vm) => vm.role === 'worker');
-  const own = workers.filter((vm) => vm.region === region);
-  const take = (resource: core.resources.ResourceName): number => {
-    const all = sumSize(workers, resource);
-    if (all === 0) return 0;
-    return (quota[resource] * sumSize(own, resource)) / all;
+): CapacityShare {
+  const all = { ...core.resources.noResources };
+  const own = { ...core.resources.noResources };
+  for (const vm of vms) {
+    if (vm.role !== 'worker' || vm.size === undefined) continue;
+    addSize(all, vm.size);
+    if (vm.region === region) addSize(own, vm.size);
+  }
+  return {
+    cores: computeRatio(own.cores, all.cores),
+    memoryMb: computeRatio(own.memoryMb, all.memoryMb),
+    gpus: computeRatio(own.gpus, all.gpus),
   };
+}
+
+/** Splits a quota over all regions: what a region with `share` may use of it. */
+export function splitQuota(
+  quota: core.resources.Resources,
+  share: CapacityShare,
+): core.resources.Resources {
   return {
-    cores: take('cores'),
-    memoryMb: take('memoryMb'),
-    gpus: take('gpus'),
+    cores: quota.cores * share.cores,
+    memoryMb: quota.memoryMb * share.memoryMb,
+    gpus: quota.gpus * share.gpus,
   };
 }
 
-function sumSize(
-  vms: readonly core.workers.VmRecord[],
-  resource: core.resources.ResourceName,
-): number {
-  return vms.reduce((sum, vm) => sum + (vm.size?.[resource] ?? 0), 0);
+function addSize(
+  sum: Record<core.resources.ResourceName, number>,
+  size: core.resources.Resources,
+): void {
+  for (const name of core.resources.resourceNames) sum[name] += size[name];
+}
+
+function computeRatio(part: number, whole: number): number {
+  return whole === 0 ? 0 : part / whole;
 }
--- a/packages/daemon/src/workers/reports.ts
+++ b/packages/daemon/src/workers/reports.ts
@@ -111,14 +111,16 @@
 
 /**
  * The end of a restartable attempt without a result says nothing about the task: a
- * later attempt may be running on a worker that hasn't reported.
+ * later attempt may be running on a worker that hasn't reported. The same holds for
+ * a replica of a service, which is started again whatever its result.
  */
 function isWorthAdopting(
   state: states.ShardState,
   job: core.jobs.Job,
   task: core.workers.AttemptReport,
 ): boolean {
-  if (task.state !== 'ended' || task.exit === 'done') return true;
+  if (task.state !== 'ended') return true;
+  if (task.exit === 'done' && job.spec.kind !== 'service') return true;
   return shardJobs.isAtMostOnce(state, job);
 }
 
@@ -230,22 +232,28 @@
     entry?.handled.set(attemptId, 'forgettable');
     entry?.session.forget(attemptId);
   };
-  const final = readFinalResult(state, attempt, result);
-  if (final === undefined) {
-    forget();
-    return;
-  }
   entry?.handled.set(attemptId, 'recording');
-  state.recorder.record({ job, index, result: final }, forget);
+  const kind = state.parts.jobs.table.jobs.get(job)?.spec.kind;
+  const final = attempt.atMostOnce || (result === 'done' && kind !== 'service');
+  if (final) state.recorder.record({ job, index, result }, forget);
+  else state.undecided.push({ job, index, forget });
 }
 
-/** Result of the task, or undefined when the scheduler will try it again. */
-function readFinalResult(
-  state: states.ShardState,
-  attempt: types.Attempt,
-  result: core.jobs.TaskResult,
-): core.jobs.TaskResult | undefined {
-  if (attempt.atMostOnce || result === 'done') return result;
-  const task = state.scheduler.readTasks(attempt.job)?.[attempt.index];
-  return task?.state === 'ended' ? task.result : undefined;
+/** Records the ends of tasks that the scheduler won't try again; the others need no record. */
+export function recordUndecided(state: states.ShardState): void {
+  const undecided = state.undecided;
+  if (undecided.length === 0) return;
+  state.undecided = [];
+  // The states are read once per job, because a large job may end all at once.
+  const tasksOf = new Map<
+    core.ids.JobId,
+    readonly core.jobs.TaskState[] | undefined
+  >();
+  for (const { job, index, forget } of undecided) {
+    if (!tasksOf.has(job)) tasksOf.set(job, state.scheduler.readTasks(job));
+    const task = tasksOf.get(job)?.[index];
+    if (task?.state === 'ended')
+      state.recorder.record({ job, index, result: task.result }, forget);
+    else forget();
+  }
 }
--- a/packages/daemon/src/workers/shard.ts
+++ b/packages/daemon/src/workers/shard.ts
@@ -80,6 +80,7 @@
       held: new Map(),
       given: new Set(),
       ending: new Set(),
+      undecided: [],
       gainedMs: timers.readNow(),
       claimKnownMs: timers.readNow(),
       firstAnswerMs: undefined,
@@ -133,6 +134,7 @@
   function tick(): void {
     if (!isDeciding()) return;
     const commands = scheduler.tick(timers.readNow());
+    reports.recordUndecided(state);
     for (const command of commands) execute(command);
     // What one tick left over follows in the next one.
     if (commands.length > 0) scheduleTick();
@@ -266,9 +268,8 @@
       const leaseEndMs = core.readLeaseEnd(entry.session.readAuthority());
       if (leaseEndMs !== undefined && nowMs > leaseEndMs)
         reports.expireAttempts(state, entry);
-      const empty =
-        entry.strays === 0 && state.attempts.list(entry.vm.id).length === 0;
-      if (!entry.listed && empty && state.concluded) removeWorker(entry);
+      if (entry.listed || entry.strays > 0 || !state.concluded) continue;
+      if (state.attempts.list(entry.vm.id).length === 0) removeWorker(entry);
     }
   }
 
@@ -323,9 +324,9 @@
 
   function updateQuotas(): void {
     if (!state.prepared) return;
-    const vms = membership.readVms();
+    const share = quotas.computeShare(membership.readVms(), region);
     for (const team of releases.readState().teams.values()) {
-      const quota = quotas.splitQuota(team.quota, vms, region);
+      const quota = quotas.splitQuota(team.quota, share);
       const text = JSON.stringify(quota);
       if (quotaOf.get(team.name) === text) continue;
       quotaOf.set(team.name, text);
--- a/packages/daemon/src/workers/state.ts
+++ b/packages/daemon/src/workers/state.ts
@@ -28,6 +28,14 @@
   readonly index: number;
 }
 
+/** An attempt that ended, while the scheduler hasn't decided whether the task did. */
+export interface UndecidedEnd {
+  readonly job: core.ids.JobId;
+  readonly index: number;
+  /** Lets the worker forget the attempt. */
+  readonly forget: () => void;
+}
+
 /** State of a shard from the gain of ownership to its loss. */
 export interface ShardState {
   readonly parts: types.WorkersParts;
@@ -45,6 +53,7 @@
   readonly given: Set<core.ids.JobId>;
   /** Jobs whose end this owner decided. */
   readonly ending: Set<core.ids.JobId>;
+  undecided: UndecidedEnd[];
   readonly gainedMs: number;
   /** The later of `gainedMs` and the last time when the log was away. */
   claimKnownMs: number;
--- a/packages/daemon/src/workers/workers.ts
+++ b/packages/daemon/src/workers/workers.ts
@@ -72,11 +72,16 @@
     }
   }
 
-  /** An epoch may be raised without a change of owner, when a provisional owner's claim reached the log. */
+  /**
+   * An epoch may be raised without a change of owner, when the claim of a provisional
+   * owner reached the log, and ownership may be older than this part.
+   */
   function checkEpochs(): void {
-    for (const shard of [...shards.keys()]) {
+    const home = stores.formatWorkersShard(context.identity.region);
+    for (const shard of new Set([home, ...shards.keys()])) {
       const epoch = ownership.readEpoch(shard);
       if (epoch !== undefined) startShard(shard, epoch);
+      else if (ownership.readOwner(shard)?.self === false) endShard(shard);
     }
   }
 
