--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,2 +1,7 @@
 /** The daemon that runs on every entry VM. */
-export {};
+export type * as parts from './types.js';
+export { createJobStore } from './jobs/stores.js';
+export type { JobStore } from './jobs/stores.js';
+export { createWorkers } from './workers/workers.js';
+export type { Workers } from './workers/workers.js';
+export type { WorkerClient, WorkersParts } from './workers/types.js';
--- a/packages/daemon/src/workers/shard.ts
+++ b/packages/daemon/src/workers/shard.ts
@@ -83,6 +83,7 @@
       undecided: [],
       gainedMs: timers.readNow(),
       claimKnownMs: timers.readNow(),
+      waitingFor: undefined,
       firstAnswerMs: undefined,
       oldBelow: Infinity,
       prepared: false,
--- a/packages/daemon/src/workers/state.ts
+++ b/packages/daemon/src/workers/state.ts
@@ -57,6 +57,8 @@
   readonly gainedMs: number;
   /** The later of `gainedMs` and the last time when the log was away. */
   claimKnownMs: number;
+  /** A worker that wasn't accounted for at the last look. */
+  waitingFor: core.ids.VmId | undefined;
   firstAnswerMs: number | undefined;
   /** Jobs accepted below this offset may have been started by an earlier owner. */
   oldBelow: core.ids.Offset;
--- a/packages/daemon/src/workers/takeover.ts
+++ b/packages/daemon/src/workers/takeover.ts
@@ -92,11 +92,19 @@
     firstAnswerMs: state.firstAnswerMs,
   };
   const nowMs = context.timers.readNow();
-  for (const entry of state.workers.values()) {
+  const isOpen = (entry: states.WorkerEntry): boolean => {
     const leaseEndMs = core.readLeaseEnd(entry.session.readAuthority());
     const { complete } = entry;
     const fromMs = readAccountedMs({ complete, leaseEndMs }, takeOver);
-    if (fromMs === undefined || nowMs < fromMs) return false;
+    return fromMs === undefined || nowMs < fromMs;
+  };
+  // Looking at all workers after each report would cost the square of their number.
+  const last = state.workers.get(state.waitingFor ?? '');
+  if (last !== undefined && isOpen(last)) return false;
+  for (const entry of state.workers.values()) {
+    if (!isOpen(entry)) continue;
+    state.waitingFor = entry.vm.id;
+    return false;
   }
   // An empty list was never read.
   return membership.readVms().length > 0;
