--- a/packages/daemon/src/workers/shard.ts
+++ b/packages/daemon/src/workers/shard.ts
@@ -80,8 +80,10 @@
       held: new Map(),
       given: new Set(),
       ending: new Set(),
+      undecided: [],
       gainedMs: timers.readNow(),
       claimKnownMs: timers.readNow(),
+      waitingFor: undefined,
       firstAnswerMs: undefined,
       oldBelow: Infinity,
       prepared: false,
@@ -133,6 +135,7 @@
   function tick(): void {
     if (!isDeciding()) return;
     const commands = scheduler.tick(timers.readNow());
+    reports.recordUndecided(state);
     for (const command of commands) execute(command);
     // What one tick left over follows in the next one.
     if (commands.length > 0) scheduleTick();
@@ -266,9 +269,8 @@
       const leaseEndMs = core.readLeaseEnd(entry.session.readAuthority());
       if (leaseEndMs !== undefined && nowMs > leaseEndMs)
         reports.expireAttempts(state, entry);
-      const empty =
-        entry.strays === 0 && state.attempts.list(entry.vm.id).length === 0;
-      if (!entry.listed && empty && state.concluded) removeWorker(entry);
+      if (entry.listed || entry.strays > 0 || !state.concluded) continue;
+      if (state.attempts.list(entry.vm.id).length === 0) removeWorker(entry);
     }
   }
 
@@ -323,9 +325,9 @@
 
   function updateQuotas(): void {
     if (!state.prepared) return;
-    const vms = membership.readVms();
+    const share = quotas.computeShare(membership.readVms(), region);
     for (const team of releases.readState().teams.values()) {
-      const quota = quotas.splitQuota(team.quota, vms, region);
+      const quota = quotas.splitQuota(team.quota, share);
       const text = JSON.stringify(quota);
       if (quotaOf.get(team.name) === text) continue;
       quotaOf.set(team.name, text);
@@ -347,7 +349,9 @@
   const subscriptions = [
     timers.subscribe(
       { name: 'workers.check', delayMs: CHECK_PERIOD_MS, repeat: 'periodic' },
-      (nowMs) => {
+      () => {
+        // Not the due time: the timer may be overdue after a pause.
+        const nowMs = timers.readNow();
         if (streams.readAwaySince() !== undefined) state.claimKnownMs = nowMs;
         if (!isDeciding()) return;
         checkLeases(nowMs);
--- a/packages/daemon/test/cluster.ts
+++ b/packages/daemon/test/cluster.ts
@@ -53,6 +53,8 @@
   paused = false;
   /** Records arrive this much later than they were appended. */
   readLagMs = 20;
+  /** The same for the claims, when they lag more than the rest. */
+  claimsLagMs = 0;
   loseAppendReplies = false;
   /** Hears no heartbeats. */
   deaf = false;
@@ -106,13 +108,19 @@
     this.workers = workersPart.createWorkers(this.createParts());
   }
 
-  /** Runs what arrived, then the timers that are due. */
+  /** Handles what arrived; returns whether the process was paused before. */
+  handleInbox(): boolean {
+    if (this.paused) return false;
+    for (const run of this.inbox.splice(0)) run();
+    return this.behindMs > 0;
+  }
+
+  /** Fires the timers that are due. */
   step(): void {
     if (this.paused) {
       this.behindMs += stepMs;
       return;
     }
-    for (const run of this.inbox.splice(0)) run();
     // The ownership part notices a pause only when its timer runs.
     if (this.behindMs > 500) this.heldUntilRead = true;
     this.timers.advance(stepMs + this.behindMs);
@@ -178,7 +186,8 @@
     if (this.cluster.log.away || this.paused) return;
     for (const stream of this.readers.keys()) {
       const below = this.cluster.log.read(stream).length;
-      this.later(this.readLagMs, () => {
+      const lagMs = stream === 'claims' ? this.claimsLagMs : 0;
+      this.later(Math.max(this.readLagMs, lagMs), () => {
         this.deliver(stream, below);
       });
     }
@@ -304,6 +313,10 @@
   readonly faults = new Map<string, LinkFault>();
   /** Workers that the VM list leaves out. */
   readonly unlisted = new Set<string>();
+  syncCalls = 0;
+  /** Most short sync calls that were open at a time. */
+  mostCallsAtOnce = 0;
+  private openCalls = 0;
   private seed = 1;
   private submitted = 0;
 
@@ -396,6 +409,8 @@
     for (let passed = 0; passed < ms; passed += stepMs) {
       this.time.advance(stepMs);
       for (const worker of this.workers) worker.step();
+      const resumed = this.processes.filter((process) => process.handleInbox());
+      if (resumed.length > 0) await settle();
       for (const process of this.processes) process.step();
       if (this.time.readNow() % 40 === 0)
         for (const process of this.processes) process.poll();
@@ -494,10 +509,21 @@
       });
     };
     return {
-      sync: (worker, request) =>
-        send(worker, 0, (target, answer) => {
-          target.sync(request, answer);
-        }),
+      sync: async (worker, request) => {
+        const short = request.waitMs === 0 ? 1 : 0;
+        this.syncCalls += 1;
+        this.openCalls += short;
+        this.mostCallsAtOnce = Math.max(this.mostCallsAtOnce, this.openCalls);
+        const report = await send<core.workers.SyncReport>(
+          worker,
+          0,
+          (target, answer) => {
+            target.sync(request, answer);
+          },
+        );
+        this.openCalls -= short;
+        return report;
+      },
       start: (worker, request) =>
         send(
           worker,
