Let releases, settings and orders fit the composed daemon

Three faults showed up when the parts were put together. A process that reads from a relay was never told where the head of the log is and didn't get ready; it now asks the log itself, and the test for it fails without that. The platform's addresses were refused without http://, and a path in them was accepted but not used; they are ip:port now. The job JSON differed from that of the callers' address; defaults and checks are the same now. A note may also be posted as plain text.

--- a/packages/cli/src/jobs.ts
+++ b/packages/cli/src/jobs.ts
@@ -76,8 +76,8 @@
       body,
       headers,
     });
-    return this.reportAnswer(answer, ({ job }) => [
-      `accepted as ${command.readCell(job)}`,
+    return this.reportAnswer(answer, ({ id }) => [
+      `accepted as ${command.readCell(id)}`,
     ]);
   }
 
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -40,22 +40,13 @@
   .string(`the key is missing; ${keyText}`)
   .regex(new RegExp(`^[\\x21-\\x7e]{${MIN_KEY_CHARACTERS},256}$`), keyText);
 
-const urlText = 'expected a URL such as http://10.0.0.5:7300';
+// The prefix is accepted because the platform's pages give URLs.
+const urlText = 'expected an ip:port such as 10.0.0.5:7300, or http://ip:port';
 const url = zod
   .string(`the key is missing; ${urlText}`)
-  .refine(isBaseUrl, urlText)
-  .transform((text) => text.replace(/\/+$/, ''));
-
-function isBaseUrl(text: string): boolean {
-  if (!URL.canParse(text)) return false;
-  const parsed = new URL(text);
-  return (
-    /^https?:$/.test(parsed.protocol) &&
-    parsed.username === '' &&
-    parsed.search === '' &&
-    parsed.hash === ''
-  );
-}
+  .transform((text) => text.replace(/^http:\/\//, '').replace(/\/$/, ''))
+  .refine((text) => decodeAddress(text) !== undefined, urlText)
+  .transform((text) => `http://${text}`);
 
 function readWhole(unit: string, least: number, most: number, preset: number) {
   const text = `expected a whole number of ${unit} from ${least} to ${most}, without a unit`;
--- a/packages/core/src/settings/types.ts
+++ b/packages/core/src/settings/types.ts
@@ -37,7 +37,7 @@
   readonly address: ids.Address;
 }
 
-/** Base URLs of the platform's interfaces, without a slash at the end. */
+/** Base URLs of the platform's interfaces: `http://ip:port`. */
 export interface PlatformSettings {
   readonly log: string;
   readonly vmList: string;
--- a/packages/daemon/src/operators/job-spec.ts
+++ b/packages/daemon/src/operators/job-spec.ts
@@ -26,17 +26,34 @@
 
 const kinds: readonly string[] = ['batch', 'gang', 'service'];
 
-/** Reads a job from a parsed JSON object. */
+const maxNameCharacters = 200;
+
+/** Reads a job from a parsed JSON object; what is accepted is the same as at the callers' address. */
 export function parseJobSpec(json: Fields): JobSpecResult {
+  const full: Fields = {
+    team: 'default',
+    declaredMs: 0,
+    work: {},
+    ...json,
+    size: addSize(json.size),
+  };
   const faults = [
-    ...checkUnknown('', json, known),
-    ...checkTexts(json),
-    ...checkNumbers(json),
-    ...checkSize(json.size),
-    ...checkWork(json.work),
+    ...checkUnknown('', full, known),
+    ...checkTexts(full),
+    ...checkNumbers(full),
+    ...checkSize(full.size),
+    ...checkWork(full.work),
   ];
   if (faults.length > 0) return { faults };
-  return { spec: json as unknown as core.jobs.JobSpec };
+  return { spec: full as unknown as core.jobs.JobSpec };
+}
+
+function isObject(value: unknown): value is Fields {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+function addSize(size: unknown): unknown {
+  return isObject(size) ? { gpus: 0, ...size } : size;
 }
 
 function checkUnknown(
@@ -53,16 +70,18 @@
 
 function isName(value: unknown): boolean {
   return (
-    typeof value === 'string' && /^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$/.test(value)
+    typeof value === 'string' &&
+    value !== '' &&
+    value.length <= maxNameCharacters
   );
 }
 
 function isWhole(value: unknown, least: number, most: number): boolean {
-  return (
-    Number.isSafeInteger(value) &&
-    (value as number) >= least &&
-    (value as number) <= most
-  );
+  return Number.isSafeInteger(value) && isBetween(value, least, most);
+}
+
+function isBetween(value: unknown, least: number, most: number): boolean {
+  return typeof value === 'number' && value >= least && value <= most;
 }
 
 function checkTexts(json: Fields): readonly string[] {
@@ -72,7 +91,7 @@
   for (const key of ['name', 'team', 'jobClass'])
     if (!isName(json[key]))
       faults.push(
-        `${key}: expected a name of at most 63 letters, digits, "-", "_" and "."`,
+        `${key}: expected a text of 1 to ${maxNameCharacters} characters`,
       );
   for (const key of ['region', 'availabilityZone'])
     if (json[key] !== undefined && !isName(json[key]))
@@ -84,41 +103,38 @@
   const faults: string[] = [];
   if (!isWhole(json.count, 1, MAX_TASKS))
     faults.push(`count: expected a whole number from 1 to ${MAX_TASKS}`);
-  if (!isWhole(json.declaredMs, 0, 31_536_000_000))
+  const leastMs = json.kind === 'service' ? 0 : Number.MIN_VALUE;
+  if (!isBetween(json.declaredMs, leastMs, Number.MAX_VALUE))
     faults.push(
-      'declaredMs: expected the run time of a task as a whole number of ms; 0 for services',
+      'declaredMs: expected the run time of a task in ms; only services may leave it out',
     );
-  if (json.maxRacks !== undefined && !isWhole(json.maxRacks, 1, 100_000))
+  if (json.maxRacks === undefined) return faults;
+  if (json.kind !== 'gang') faults.push('maxRacks: only gangs may have it');
+  else if (!isWhole(json.maxRacks, 1, Number.MAX_SAFE_INTEGER))
     faults.push('maxRacks: expected a whole number from 1, or leave it out');
   return faults;
 }
 
 function checkSize(size: unknown): readonly string[] {
-  const expected = 'size: expected {cores, memoryMb, gpus}';
-  if (typeof size !== 'object' || size === null) return [expected];
-  const { cores, memoryMb, gpus } = size as Fields;
+  if (!isObject(size)) return ['size: expected {cores, memoryMb, gpus}'];
   const faults = [
-    ...checkUnknown('size.', size as Fields, ['cores', 'memoryMb', 'gpus']),
+    ...checkUnknown('size.', size, ['cores', 'memoryMb', 'gpus']),
   ];
-  if (typeof cores !== 'number' || !(cores >= 0 && cores <= 1e6))
-    faults.push('size.cores: expected a number from 0');
-  if (!isWhole(memoryMb, 0, 1e12))
-    faults.push('size.memoryMb: expected a whole number of MB from 0');
-  if (!isWhole(gpus, 0, 1e6))
+  for (const key of ['cores', 'memoryMb'])
+    if (!isBetween(size[key], Number.MIN_VALUE, Number.MAX_VALUE))
+      faults.push(`size.${key}: expected a number above 0`);
+  if (!isWhole(size.gpus, 0, Number.MAX_SAFE_INTEGER))
     faults.push('size.gpus: expected a whole number from 0');
-  if (faults.length === 0 && cores === 0 && memoryMb === 0 && gpus === 0)
-    faults.push('size: expected a need of at least one resource');
   return faults;
 }
 
 function checkWork(work: unknown): readonly string[] {
-  const expected =
-    'work: expected an object of texts and numbers; the worker reads it';
-  if (typeof work !== 'object' || work === null || Array.isArray(work))
-    return [expected];
-  return Object.values(work).every(
-    (value) => typeof value === 'string' || typeof value === 'number',
-  )
+  const isRight =
+    isObject(work) &&
+    Object.values(work).every((value) =>
+      ['string', 'number'].includes(typeof value),
+    );
+  return isRight
     ? []
-    : [expected];
+    : ['work: expected an object of texts and numbers; the worker reads it'];
 }
--- a/packages/daemon/src/operators/jobs.ts
+++ b/packages/daemon/src/operators/jobs.ts
@@ -109,7 +109,7 @@
   );
   switch (answer.result) {
     case 'accepted':
-      return { status: 202, body: { job: answer.job, state: 'accepted' } };
+      return { status: 202, body: { id: answer.job } };
     case 'refused':
       return {
         status: answer.status,
@@ -121,7 +121,7 @@
         body: {
           error: `the log service gave no certain answer; ask for job ${answer.job} in a moment`,
           answer: 'unknown',
-          job: answer.job,
+          id: answer.job,
         },
       };
   }
@@ -173,7 +173,7 @@
   const outcome = await jobs.cancel(id, by);
   switch (outcome.outcome) {
     case 'appended':
-      return { status: 202, body: { job: id, cancelRequested: true } };
+      return { status: 202, body: { id, cancelled: true } };
     case 'unknown-job':
       return refuseUnknown(id);
     case 'not-appended':
@@ -197,5 +197,5 @@
 
 async function explainJob(jobs: types.Jobs, id: string): Promise<http.Reply> {
   if (jobs.read(id) === undefined) return refuseUnknown(id);
-  return { status: 200, body: { job: id, lines: await jobs.explain(id) } };
+  return { status: 200, body: { id, lines: await jobs.explain(id) } };
 }
--- a/packages/daemon/src/operators/releases.ts
+++ b/packages/daemon/src/operators/releases.ts
@@ -25,12 +25,12 @@
     {
       method: 'POST',
       path: '/releases/check',
-      handle: ({ body }) => checkNote(releases, body),
+      handle: ({ body }) => checkNote(releases, readPublication(body)),
     },
     {
       method: 'POST',
       path: '/releases',
-      handle: ({ body }) => publishNote(releases, body),
+      handle: ({ body }) => publishNote(releases, readPublication(body)),
     },
   ];
 }
@@ -98,15 +98,31 @@
   };
 }
 
-function readText(body: string): string | undefined {
-  const text = http.parseObject(body)?.text;
-  return typeof text === 'string' ? text : undefined;
+interface Publication {
+  readonly text: string | undefined;
+  readonly publisher: unknown;
 }
 
-const textExpected = 'expected a JSON object {"text": "<the release note>"}';
+/** Reads `{"text", "publisher"}`, or the text of the note itself. */
+function readPublication(body: string): Publication {
+  if (!body.trimStart().startsWith('{'))
+    return { text: body === '' ? undefined : body, publisher: 'operator' };
+  const json = http.parseObject(body);
+  const text = json?.text;
+  return {
+    text: typeof text === 'string' ? text : undefined,
+    publisher: json?.publisher ?? 'operator',
+  };
+}
 
-function checkNote(releases: types.Releases, body: string): http.Reply {
-  const text = readText(body);
+const textExpected =
+  'expected the text of a release note, or a JSON object {"text": "<the note>", "publisher": "<name>"}';
+
+function checkNote(
+  releases: types.Releases,
+  publication: Publication,
+): http.Reply {
+  const { text } = publication;
   if (text === undefined) return http.refuse(400, textExpected);
   const state = releases.readState();
   const result = checkText(state, text);
@@ -157,10 +173,9 @@
 
 async function publishNote(
   releases: types.Releases,
-  body: string,
+  publication: Publication,
 ): Promise<http.Reply> {
-  const text = readText(body);
-  const publisher = http.parseObject(body)?.publisher;
+  const { text, publisher } = publication;
   if (text === undefined) return http.refuse(400, textExpected);
   if (typeof publisher !== 'string' || !/^[\w.@+-]{1,63}$/.test(publisher))
     return http.refuse(
--- a/packages/daemon/src/releases/releases.ts
+++ b/packages/daemon/src/releases/releases.ts
@@ -66,6 +66,7 @@
   let fold = core.emptyReleaseLog;
   let isKnown = false;
   let isAsking = false;
+  let isReadingHead = false;
   let isWriting = false;
   let notesSinceSnapshot = 0;
   // The age of what is in the log at the start isn't known.
@@ -144,6 +145,20 @@
     return fold.reading.mode !== 'gap';
   }
 
+  // Reads of a relay don't tell where the head of the log is.
+  async function readHead(): Promise<void> {
+    isReadingHead = true;
+    try {
+      await reader.waitForHead();
+    } catch (error) {
+      log.write('warn', 'release.head.failed', {
+        error: core.describeError(error),
+      });
+    } finally {
+      isReadingHead = false;
+    }
+  }
+
   function wantsPeerState(): boolean {
     if (fold.reading.mode === 'gap') return true;
     return !isReady() && streams.readAwaySince() !== undefined;
@@ -322,7 +337,7 @@
 
   function poll(nowMs: number): void {
     noteSkipped();
-    isReady();
+    if (!isReady() && !isReadingHead) void readHead();
     if (wantsPeerState() && !isAsking) {
       isAsking = true;
       void fetchPeerState().finally(() => {
--- a/packages/daemon/test/releases.test.ts
+++ b/packages/daemon/test/releases.test.ts
@@ -110,6 +110,19 @@
   },
 );
 
+vitest.test(
+  'a process that reads from a relay asks the log itself for the head',
+  async () => {
+    log.mode = 'relayed';
+    const part = startPart('a');
+    log.deliver();
+    vitest.expect(part.isReady()).toBe(false);
+    await settle();
+    await settle();
+    vitest.expect(part.isReady()).toBe(true);
+  },
+);
+
 vitest.test(
   'without the log a new process gets ready by the state of a ready peer',
   async () => {
