--- a/packages/daemon/src/operators/views.ts
+++ b/packages/daemon/src/operators/views.ts
@@ -45,8 +45,9 @@
 ): readonly ProcessView[] {
   const nowMs = context.timers.readNow();
   const self = buildProcess(context.identity, 'self', own, 0, state);
-  const peers = membership
-    .readPeers()
+  const seen = membership.readPeers();
+  const peers = seen
+    .filter((peer) => !isReplaced(peer, seen))
     .map((peer) =>
       buildProcess(
         peer,
@@ -59,6 +60,17 @@
   return [self, ...peers].sort((a, b) => a.name.localeCompare(b.name));
 }
 
+// A restarted process stays in the list of peers with its dead instance for a while.
+function isReplaced(
+  peer: types.PeerView,
+  seen: readonly types.PeerView[],
+): boolean {
+  return (
+    peer.health === 'dead' &&
+    seen.some((other) => other.name === peer.name && other.health !== 'dead')
+  );
+}
+
 function buildProcess(
   from: types.ProcessIdentity | types.PeerView,
   health: ProcessView['health'],
--- a/packages/daemon/test/operators.test.ts
+++ b/packages/daemon/test/operators.test.ts
@@ -66,7 +66,9 @@
 vitest.beforeAll(async () => {
   const context = fakes.buildContext(timers, 'a');
   const membership = fakes.createFakeMembership();
-  membership.peers = [fakes.buildPeer('b', 0, -1)];
+  const peer = fakes.buildPeer('b', 0, -1);
+  const dead = { ...peer, instance: 'b#0', health: 'dead' } as const;
+  membership.peers = [dead, peer];
   const links = new fakes.FakeNetwork().buildLinks('a#1');
   part = releases.createReleases({
     context,
