--- a/packages/cli/src/cluster.ts
+++ b/packages/cli/src/cluster.ts
@@ -94,6 +94,11 @@
   const away = body.logAwayMs;
   return [
     `answered by ${command.readCell(body.answeredBy)}, release ${command.readCell(body.release)} in force`,
+    ...(body.ready === false
+      ? [
+          'this process does not know the release in force yet and takes no requests',
+        ]
+      : []),
     ...(away === undefined
       ? []
       : [`the log service has not answered for ${command.readCell(away)} ms`]),
--- a/packages/cli/test/cli.test.ts
+++ b/packages/cli/test/cli.test.ts
@@ -309,7 +309,16 @@
   ];
   const shown = await run(['processes'], {
     'GET /processes': [
-      [200, { answeredBy: 'a', release: '2', logAwayMs: 900, processes }],
+      [
+        200,
+        {
+          answeredBy: 'a',
+          release: '2',
+          ready: false,
+          logAwayMs: 900,
+          processes,
+        },
+      ],
     ],
   });
   vitest
@@ -317,6 +326,7 @@
     .toBe(
       [
         'answered by a, release 2 in force',
+        'this process does not know the release in force yet and takes no requests',
         'the log service has not answered for 900 ms',
         'NAME  ZONE      HEALTH  STATE  HEARD MS AGO  RELEASE  SHARDS',
         'a     muscat-a  self    ready  0             2        workers/muscat:4+1',
