Refuse titles that a comment sign would cut

Titles and reasons with a comment behind them are faults now; marks that change the direction of text are refused as other control characters are. The test's note has one more line, so a line number in its expectation moved.

--- a/packages/core/src/release/note.ts
+++ b/packages/core/src/release/note.ts
@@ -37,13 +37,13 @@
   sections: readonly ini.IniSection[],
   refuse: Refuse,
 ): { id: string; base: string; title: string } {
-  const keys =
-    sections.find((one) => one.name === 'release')?.keys ?? new Map();
-  const read = (key: string): string => String(keys.get(key) ?? '');
+  const section = sections.find((one) => one.name === 'release');
+  const keys: ReadonlyMap<string, string> = section?.keys ?? new Map();
+  const read = (key: string) => keys.get(key) ?? '';
   const [id, base, title] = [read('id'), read('base'), read('title')];
   for (const key of keys.keys())
-    if (!['id', 'base', 'title'].includes(String(key)))
-      refuse('release', String(key), 'unknown key; expected id, base, title');
+    if (!['id', 'base', 'title'].includes(key))
+      refuse('release', key, 'unknown key; expected id, base, title');
   if (!names.isPlainName(id) || id === 'none')
     refuse('release', 'id', `expected ${names.plainNameText}, not "none"`);
   if (!names.isPlainName(base))
@@ -54,21 +54,35 @@
     );
   else if (base === id)
     refuse('release', 'base', 'expected the id of an earlier release');
-  if (!isLine(title))
+  checkLine(section, 'release', 'title', 'what the release does', refuse);
+  return { id, base, title };
+}
+
+function checkLine(
+  section: ini.IniSection | undefined,
+  name: string,
+  key: string,
+  purpose: string,
+  refuse: Refuse,
+): void {
+  if (!isLine(section?.keys.get(key) ?? ''))
     refuse(
-      'release',
-      'title',
-      `expected one line of at most ${maxLineCharacters} characters that says what the release does`,
+      name,
+      key,
+      `expected one line of at most ${maxLineCharacters} characters that says ${purpose}`,
     );
-  return { id, base, title };
+  // The rest of a title such as "Fix #3" would be lost without a word.
+  if (section?.commented.has(key) === true)
+    refuse(name, key, 'a ";" or "#" begins a comment; quote the text');
 }
 
-// Control characters would break the lines of logs and of the history.
+// Control characters and marks that change the direction of text would break the
+// lines of logs and of the history.
 function isLine(text: string): boolean {
   return (
     text !== '' &&
     text.length <= maxLineCharacters &&
-    !/[\p{Cc}\p{Cs}\p{Zl}\p{Zp}]/u.test(text)
+    !/[\p{Cc}\p{Cs}\p{Zl}\p{Zp}\u202a-\u202e\u2066-\u2069]/u.test(text)
   );
 }
 
@@ -183,12 +197,8 @@
   refuse: Refuse,
 ): releases.ReleaseChange {
   const reason = section.keys.get('reason') ?? '';
-  if (!isLine(reason))
-    refuse(
-      section.name,
-      'reason',
-      `expected one line of at most ${maxLineCharacters} characters that says why, and what to use instead`,
-    );
+  const purpose = 'why, and what to use instead';
+  checkLine(section, section.name, 'reason', purpose, refuse);
   for (const key of section.keys.keys())
     if (key !== 'reason')
       refuse(section.name, key, 'unknown key; expected reason');
--- a/packages/core/src/settings/ini.ts
+++ b/packages/core/src/settings/ini.ts
@@ -10,6 +10,8 @@
 export interface IniSection {
   readonly name: string;
   readonly keys: ReadonlyMap<string, string>;
+  /** Keys with a comment behind the value. */
+  readonly commented: ReadonlySet<string>;
   /** Line of the section's heading, counted from 1. */
   readonly line: number;
 }
@@ -23,6 +25,7 @@
 interface OpenSection {
   readonly name: string;
   readonly keys: Map<string, string>;
+  readonly commented: Set<string>;
   readonly line: number;
 }
 
@@ -74,7 +77,12 @@
   const earlier = reading.sections.get(name);
   // Keys below a heading that is refused still belong to something, so that
   // they are checked for their form.
-  const section: OpenSection = { name, keys: new Map(), line: number };
+  const section: OpenSection = {
+    name,
+    keys: new Map(),
+    commented: new Set(),
+    line: number,
+  };
   reading.current = section;
   if (name === '')
     addFault(
@@ -114,6 +122,7 @@
     const raw = line.slice(equals + 1).trim();
     if (isCutByComment(raw))
       refuse('a ";" or "#" inside the value would begin a comment; quote it');
+    if (hasComment(raw)) section.commented.add(key);
     section.keys.set(key, decodeValue(raw));
   }
 }
@@ -125,6 +134,10 @@
   );
 }
 
+function hasComment(raw: string): boolean {
+  return !/^["']/.test(raw) && /(^|\s)[;#]/.test(raw);
+}
+
 function decodeValue(raw: string): string {
   const value: unknown = ini.unsafe(raw);
   // The library reads '5' in single quotes as a number.
--- a/packages/core/test/release.test.ts
+++ b/packages/core/test/release.test.ts
@@ -43,6 +43,8 @@
   return faults.map(core.describeFault);
 }
 
+const teamSection = '[added team t]\nquota_cores = 1\nquota_memory_mb = 1\n';
+
 const first = buildNote(
   '1',
   'none',
@@ -83,6 +85,7 @@
     const faults = listFaults(`[release]
 id = none
 base = 2026 x
+title = Fix #3
 [added service a b]
 [removed service x]
 [added service desk]
@@ -97,7 +100,7 @@
     vitest
       .expect(faults.map((fault) => fault.split(': ').slice(1, -1).join(' ')))
       .toEqual([
-        '[added service __proto__] line 12',
+        '[added service __proto__] line 13',
         '[release] id',
         '[release] base',
         '[release] title',
@@ -114,6 +117,14 @@
   },
 );
 
+vitest.test('titles keep the letters of all languages', () => {
+  const text = (title: string) =>
+    buildNote('1', 'none', teamSection).replace('Note 1', title);
+  vitest.expect(listFaults(text('افتتاح مكتب القياس'))).toEqual([]);
+  vitest.expect(listFaults(text('"Fix #3; all"'))).toEqual([]);
+  vitest.expect(listFaults(text('a\u202eb'))).toHaveLength(1);
+});
+
 vitest.test(
   'references, floors and existing names are checked on the base',
   () => {
