Bound the close of the operators' address

Somebody who waits for the acceptance of a release held a planned stop for up to 10 s, the whole stop time of the examples. Open requests now have 1 s; the test hangs without the bound.

--- a/packages/core/src/release/note.ts
+++ b/packages/core/src/release/note.ts
@@ -9,6 +9,9 @@
 
 const maxLineCharacters = 200;
 
+/** The base of the first release, and the command's word for the release in force. */
+const reservedIds: readonly string[] = ['none', 'current'];
+
 /** Result of reading a note. */
 export type NoteResult =
   | { readonly note: releases.ReleaseNote }
@@ -44,8 +47,12 @@
   for (const key of keys.keys())
     if (!['id', 'base', 'title'].includes(key))
       refuse('release', key, 'unknown key; expected id, base, title');
-  if (!names.isPlainName(id) || id === 'none')
-    refuse('release', 'id', `expected ${names.plainNameText}, not "none"`);
+  if (!names.isPlainName(id) || reservedIds.includes(id))
+    refuse(
+      'release',
+      'id',
+      `expected ${names.plainNameText}, but not ${reservedIds.join(' or ')}`,
+    );
   if (!names.isPlainName(base))
     refuse(
       'release',
--- a/packages/daemon/src/operators/server.ts
+++ b/packages/daemon/src/operators/server.ts
@@ -11,6 +11,9 @@
 import * as releases from './releases.js';
 import * as views from './views.js';
 
+/** Longest time for open requests when the server closes, in ms; then their connections break. */
+export const CLOSE_MS = 1_000;
+
 /** What the server shows and does. */
 export interface OperatorsOptions {
   readonly context: types.PartContext;
@@ -37,7 +40,7 @@
 export interface OperatorsServer {
   /** Address on which it listens. */
   readonly address: core.ids.Address;
-  /** Stops accepting and resolves when open requests are answered. */
+  /** Stops accepting and resolves when open requests are answered, after CLOSE_MS at the latest. */
   close(): Promise<void>;
 }
 
@@ -61,7 +64,7 @@
   const bound = server.address() as net.AddressInfo;
   return {
     address: `${host.includes(':') ? `[${host}]` : host}:${bound.port}`,
-    close: () => closeServer(server),
+    close: () => closeServer(server, options.context.timers),
   };
 }
 
@@ -85,7 +88,8 @@
     try {
       const reply = await buildReply(request, path, search);
       // The rest of a refused body would be read as the next request.
-      if (!request.complete) response.setHeader('connection', 'close');
+      if (!request.complete || !server.listening)
+        response.setHeader('connection', 'close');
       http.sendReply(response, reply);
       reportRequest(request.method ?? '', path, reply.status);
     } catch (error) {
@@ -265,9 +269,19 @@
   return { host, port: Number(address.slice(colon + 1)) };
 }
 
-function closeServer(server: nodeHttp.Server): Promise<void> {
+function closeServer(
+  server: nodeHttp.Server,
+  timers: core.TimerService,
+): Promise<void> {
   return new Promise((resolve) => {
+    const limit = timers.subscribe(
+      { name: 'operators.close', delayMs: CLOSE_MS, repeat: 'once' },
+      () => {
+        server.closeAllConnections();
+      },
+    );
     server.close(() => {
+      limit.end();
       resolve();
     });
     server.closeIdleConnections();
--- a/packages/daemon/test/operators.test.ts
+++ b/packages/daemon/test/operators.test.ts
@@ -114,9 +114,8 @@
   base = `http://${server.address}`;
 });
 
-vitest.afterAll(async () => {
+vitest.afterAll(() => {
   part.close();
-  await server.close();
 });
 
 interface Answer {
@@ -360,3 +359,16 @@
     vitest.expect(drains).toBe(1);
   },
 );
+
+vitest.test(
+  'a stop does not wait for somebody who waits for the acceptance',
+  async () => {
+    const waiting = ask('GET', '/releases/1?wait_ms=10000');
+    const ended = vitest.expect(waiting).rejects.toThrow();
+    while ((await ask('GET', '/nothing')).status !== 404) continue;
+    const closed = server.close();
+    timers.advance(operators.CLOSE_MS);
+    await closed;
+    await ended;
+  },
+);
