--- a/packages/daemon/test/operators.test.ts
+++ b/packages/daemon/test/operators.test.ts
@@ -34,7 +34,7 @@
         return Promise.resolve({
           result: 'refused',
           status: 400,
-          reason: 'team sea does not exist',
+          reason: `team ${spec.team} does not exist`,
         });
       const id = jobKey ?? 'j1';
       known.set(id, {
@@ -66,7 +66,9 @@
 vitest.beforeAll(async () => {
   const context = fakes.buildContext(timers, 'a');
   const membership = fakes.createFakeMembership();
-  membership.peers = [fakes.buildPeer('b', 0, -1)];
+  const peer = fakes.buildPeer('b', 0, -1);
+  const dead = { ...peer, instance: 'b#0', health: 'dead' } as const;
+  membership.peers = [dead, peer];
   const links = new fakes.FakeNetwork().buildLinks('a#1');
   part = releases.createReleases({
     context,
@@ -112,9 +114,8 @@
   base = `http://${server.address}`;
 });
 
-vitest.afterAll(async () => {
+vitest.afterAll(() => {
   part.close();
-  await server.close();
 });
 
 interface Answer {
@@ -193,7 +194,7 @@
       .toEqual({ status: 405, body: { error: '/releases allows GET, POST' } });
     vitest
       .expect((await ask('POST', '/releases', '{')).body.error)
-      .toContain('expected a JSON object {"text"');
+      .toContain('expected the text of a release note');
     vitest
       .expect(
         (await ask('POST', '/releases', { text: 'x', publisher: 'a b' }))
@@ -205,6 +206,7 @@
       ...job,
       count: 0,
       size: { cores: -1 },
+      maxRacks: 2,
       shell: 'x',
     });
     vitest.expect(faults.body.faults).toHaveLength(5);
@@ -316,7 +318,11 @@
   async () => {
     vitest
       .expect(await ask('POST', '/jobs', job, { 'idempotency-key': 'k1' }))
-      .toMatchObject({ status: 202, body: { job: 'k1' } });
+      .toMatchObject({ status: 202, body: { id: 'k1' } });
+    const short = { ...job, team: undefined, size: { cores: 1, memoryMb: 1 } };
+    vitest
+      .expect((await ask('POST', '/jobs', short)).body.error)
+      .toBe('team default does not exist');
     vitest
       .expect((await ask('GET', '/jobs?team=roof')).body)
       .toMatchObject({ total: 1 });
@@ -353,3 +359,16 @@
     vitest.expect(drains).toBe(1);
   },
 );
+
+vitest.test(
+  'a stop does not wait for somebody who waits for the acceptance',
+  async () => {
+    const waiting = ask('GET', '/releases/1?wait_ms=10000');
+    const ended = vitest.expect(waiting).rejects.toThrow();
+    while ((await ask('GET', '/nothing')).status !== 404) continue;
+    const closed = server.close();
+    timers.advance(operators.CLOSE_MS);
+    await closed;
+    await ended;
+  },
+);
