Serve relayed streams with the platform package's relay

Cause: two windows on the end of a stream had been written; and a fresh process read its whole history over the link between regions. Change: one implementation; the first read doesn't wait but may go to the relay.

--- a/packages/daemon/src/process/process.ts
+++ b/packages/daemon/src/process/process.ts
@@ -102,8 +102,7 @@
     chooseSource: (stream) => relay.chooseSource(stream),
     random: options.readRandom,
   });
-  for (const stream of relays.RELAYED_STREAMS)
-    relay.attach(stream, streams.open(stream));
+  relay.serve(streams);
   const releasesPart = releases.createReleases({
     context,
     streams,
--- a/packages/daemon/src/relay/relay.ts
+++ b/packages/daemon/src/relay/relay.ts
@@ -5,9 +5,8 @@
  * must know itself how fresh its claims are.
  */
 import * as core from '@flamingoward/core';
-import type * as platform from '@flamingoward/platform';
+import * as platform from '@flamingoward/platform';
 import type * as types from '../types.js';
-import * as buffers from './buffer.js';
 
 /** Streams that are relayed. */
 export const RELAYED_STREAMS: readonly string[] = ['releases', 'jobs', 'keys'];
@@ -30,21 +29,14 @@
 export interface Relay extends types.Dumpable {
   /** Chooses where to read a stream: the log, or the region's relay of that stream. */
   chooseSource(stream: string): platform.RecordSource;
-  /** Collects the records of a stream for peers; call in the turn that opens the reader. */
-  attach(stream: string, reader: types.StreamReader<unknown>): void;
-}
-
-interface Attached {
-  readonly reader: types.StreamReader<unknown>;
-  readonly buffer: buffers.RelayBuffer;
-  readonly waiting: Set<() => void>;
+  /** Serves the relayed streams of this process to its peers from now on. */
+  serve(streams: types.Streams): void;
 }
 
 /** Creates the relay. */
 export function createRelay(options: RelayOptions): Relay {
   const { context, links, membership, log } = options;
   const { identity, timers } = context;
-  const attached = new Map<string, Attached>();
 
   function chooseRelay(stream: string): core.ids.InstanceId | undefined {
     const candidates = membership.listCandidates(identity.region);
@@ -76,72 +68,39 @@
     };
   }
 
-  function attach(stream: string, reader: types.StreamReader<unknown>): void {
-    const entry: Attached = {
-      reader,
-      buffer: buffers.createRelayBuffer(),
-      waiting: new Set(),
-    };
-    attached.set(stream, entry);
-    void reader.records.observe((record) => {
-      entry.buffer.add(record);
-      for (const wake of [...entry.waiting]) wake();
+  function serve(streams: types.Streams): void {
+    const source = platform.createRelay({
+      streams,
+      timers,
+      names: RELAYED_STREAMS,
     });
-  }
-
-  async function respond(
-    question: Extract<core.messages.Question, { kind: 'stream.read' }>,
-  ): Promise<core.messages.Answer> {
-    const entry = attached.get(question.stream);
-    if (entry === undefined) return refuse('the stream is not relayed');
-    // A relay that is cut off from the log would hide new records from its peers.
-    if (!isFresh(entry.reader))
-      return refuse('this process has not reached the log lately');
-    if (chooseRelay(question.stream) !== identity.instance)
-      return refuse('this process is not the relay of the stream');
-    if (entry.reader.readNext() <= question.from)
-      await waitForRecord(entry, question.waitMs);
-    const next = entry.reader.readNext();
-    const page = entry.buffer.readPage(question.from, question.max, next);
-    if (page === undefined) return refuse('the offset is below the window');
-    return { kind: 'stream.page', page };
-  }
-
-  function isFresh(reader: types.StreamReader<unknown>): boolean {
-    const headMs = reader.readHeadMs();
-    return headMs !== undefined && timers.readNow() - headMs < RELAY_FRESH_MS;
-  }
-
-  function waitForRecord(entry: Attached, waitMs: number): Promise<void> {
-    return new Promise((resolve) => {
-      const wake = () => {
-        timer.end();
-        entry.waiting.delete(wake);
-        // The reader moves its position after it has delivered the record.
-        queueMicrotask(resolve);
-      };
-      const timer = timers.subscribe(
-        { name: 'relay.wait', delayMs: waitMs, repeat: 'once' },
-        wake,
-      );
-      entry.waiting.add(wake);
+    links.handle('stream.read', async (question) => {
+      const { stream, from, max, waitMs } = question;
+      checkMayServe(streams, stream);
+      const page = await source.readPage(stream, from, max, waitMs);
+      return { kind: 'stream.page', page };
     });
   }
 
-  links.handle('stream.read', respond);
+  /** A relay that is cut off from the log would hide new records from its peers. */
+  function checkMayServe(streams: types.Streams, stream: string): void {
+    const isRelay = chooseRelay(stream) === identity.instance;
+    const headMs = isRelay ? streams.open(stream).readHeadMs() : undefined;
+    if (headMs !== undefined && timers.readNow() - headMs < RELAY_FRESH_MS)
+      return;
+    throw core.createFault(
+      'bad-request',
+      { step: `relay.read ${stream}`, peer: identity.name },
+      isRelay
+        ? 'this process has not reached the log lately'
+        : 'this process is not the relay of the stream',
+    );
+  }
 
   return {
     chooseSource,
-    attach,
+    serve,
     dump: () =>
-      [...attached].map(([stream, entry]) => ({
-        stream,
-        relay: chooseRelay(stream),
-        next: entry.reader.readNext(),
-      })),
+      RELAYED_STREAMS.map((stream) => ({ stream, relay: chooseRelay(stream) })),
   };
 }
-
-function refuse(message: string): core.messages.Answer {
-  return { kind: 'refused', code: 'bad-request', message };
-}
--- a/packages/daemon/test/fakes.releases.ts
+++ b/packages/daemon/test/fakes.releases.ts
@@ -126,6 +126,7 @@
       claimsOffset: 0,
       shards: [],
       leaving: [],
+      logAway: false,
       teamUse: [],
     },
   };
--- a/packages/platform/src/reader.ts
+++ b/packages/platform/src/reader.ts
@@ -179,8 +179,8 @@
     const before = next;
     const sentMs = timers.readNow();
     // The first read doesn't wait: a process isn't ready before it knows the head.
-    if (headMs === undefined) await readLog(next, 0);
-    else if (chosen === log) await readLog(next, LOG_WAIT_MS);
+    if (chosen === log)
+      await readLog(next, headMs === undefined ? 0 : LOG_WAIT_MS);
     else await readPeer(chosen);
     // A source that doesn't wait would otherwise be asked without pause.
     if (next === before && timers.readNow() - sentMs < IDLE_PAUSE_MS)
