Let a request under way decide after its caller gave up

Under load a test saw unknown where the log had answered 503: the caller's time ended while a retry was under way, and the reply came a moment later. An expired append now waits up to 500 ms for the request that is under way, so unknown is left for replies that are lost.

--- a/packages/platform/src/writer.ts
+++ b/packages/platform/src/writer.ts
@@ -41,6 +41,8 @@
 /** Delays between tries. */
 const RETRY_FIRST_MS = 50;
 const RETRY_MAX_MS = 2_000;
+/** How long a request under way may still decide after its caller gave up. */
+const GRACE_MS = 500;
 /** Time for an answer; it grows after each lost reply, because the log may be slow. */
 const REPLY_FIRST_MS = 1_500;
 const REPLY_MAX_MS = 12_000;
@@ -55,6 +57,8 @@
   /** Offset of the copy that a reply confirmed after a lost one. */
   confirmedAt?: core.ids.Offset;
   giveUp?: core.TimerSubscription;
+  /** The caller gave up while a request with this record was under way. */
+  expired: boolean;
   settled: boolean;
   readonly resolve: (outcome: types.AppendOutcome) => void;
 }
@@ -85,19 +89,28 @@
     entry.resolve(outcome);
   }
 
+  /** Ends an append whose caller gave up; a request under way may still tell. */
   function expireEntry(entry: Entry): void {
-    if (entry.confirmedAt !== undefined) {
-      resolveEntry(entry, { outcome: 'appended', offset: entry.confirmedAt });
+    if (!underWay.includes(entry)) {
+      endExpired(entry);
       return;
     }
-    const certain = !entry.doubtful && !underWay.includes(entry);
-    resolveEntry(
-      entry,
-      certain
-        ? { outcome: 'not-appended', reason: 'log-away' }
-        : { outcome: 'unknown' },
+    entry.expired = true;
+    entry.giveUp = timers.subscribe(
+      { name: `expire ${stream}`, delayMs: GRACE_MS, repeat: 'once' },
+      () => {
+        endExpired(entry);
+      },
     );
+  }
+
+  function endExpired(entry: Entry): void {
     queue = queue.filter((other) => other !== entry);
+    if (entry.confirmedAt !== undefined)
+      resolveEntry(entry, { outcome: 'appended', offset: entry.confirmedAt });
+    else if (entry.doubtful || underWay.includes(entry))
+      resolveEntry(entry, { outcome: 'unknown' });
+    else resolveEntry(entry, { outcome: 'not-appended', reason: 'log-away' });
   }
 
   function append(
@@ -119,6 +132,7 @@
         urgent: how.flush === 'now',
         queuedMs: timers.readNow(),
         doubtful: false,
+        expired: false,
         settled: false,
         resolve,
       };
@@ -234,6 +248,7 @@
   }
 
   function retryLater(batch: readonly Entry[]): void {
+    for (const entry of batch) if (entry.expired) endExpired(entry);
     queue = [...batch.filter((entry) => !entry.settled), ...queue];
     retrying = true;
     timers.subscribe(
@@ -263,7 +278,7 @@
     close() {
       closed = true;
       wake?.end();
-      for (const entry of [...byId.values()]) expireEntry(entry);
+      for (const entry of [...byId.values()]) endExpired(entry);
     },
   };
 }
--- a/packages/platform/test/streams.test.ts
+++ b/packages/platform/test/streams.test.ts
@@ -185,6 +185,7 @@
         },
       }),
     });
+    const direct = vitest.vi.spyOn(log, 'readPage');
     const read = collect(streams.open<number>('jobs'));
     for (const body of [1, 2, 3, 4, 5, 6, 7, 8])
       await log.append('jobs', [{ id: `id${body}`, body }], 1_000);
@@ -194,6 +195,7 @@
     await streams.open('jobs').waitFor(9);
     vitest.expect(read).toEqual([1, 2, 3, 4, 5, 6, 7, 8]);
     vitest.expect(relayed).toBe(8);
+    vitest.expect(direct).not.toHaveBeenCalled();
     vitest.expect(service.read('jobs')).toHaveLength(9);
     vitest
       .expect((await relay.readPage('jobs', 0, 3, 0)).records)
--- a/packages/standins/src/demo.ts
+++ b/packages/standins/src/demo.ts
@@ -84,6 +84,8 @@
   const report = reports.buildReport(result, platform.readAudit());
   print(reports.renderReport(report));
   printCosts(fleet, children);
+  for (const { operators, operatorsKey } of fleet)
+    print((await reports.readCost(operators, operatorsKey)).trimEnd());
   const stopped = await stopAll(children);
   return reports.hasPassed(report) && restarted && stopped;
 }
--- a/packages/standins/src/replay.ts
+++ b/packages/standins/src/replay.ts
@@ -336,7 +336,12 @@
   balancer: Balancer,
 ): Promise<Record<string, unknown>> {
   try {
-    const reply = await balancer.send('GET', `/jobs/${id}`, {}, undefined);
+    const reply = await balancer.send(
+      'GET',
+      `/jobs/${encodeURIComponent(id)}`,
+      {},
+      undefined,
+    );
     return reply.status === 200 ? parseObject(reply.text) : {};
   } catch {
     // The process may be gone; the next question goes to another one.
@@ -360,7 +365,7 @@
   if (accepted?.answer !== 'accepted') return;
   for (let tries = 1; tries <= MAX_TRIES; tries += 1) {
     try {
-      const path = `/jobs/${accepted.id}`;
+      const path = `/jobs/${encodeURIComponent(accepted.id)}`;
       const reply = await balancer.send('DELETE', path, {}, undefined);
       if (reply.status < 300) return;
     } catch {
