Test that a request on a reused connection is not repeated

A connection that breaks when it is used again is where a client library might send the request a second time. The test counts what the server received: two requests for two calls. It passes with the library as it is set up.

--- a/packages/platform/test/backend.test.ts
+++ b/packages/platform/test/backend.test.ts
@@ -105,6 +105,15 @@
   vitest.expect(reset.result).toBe('uncertain');
   // A request that may have run must not be repeated by the client library.
   vitest.expect(closing.received).toHaveLength(1);
+  const reused = await startServer(
+    (socket) => socket.write(complete),
+    (socket) => socket.destroy(),
+    (socket) => socket.write(complete),
+  );
+  await client.send(reused.address, request, limits);
+  const broken = await client.send(reused.address, request, limits);
+  vitest.expect(broken.result).toBe('uncertain');
+  vitest.expect(reused.received).toHaveLength(2);
 });
 
 vitest.test(
