--- a/packages/core/test/keys.property.test.ts
+++ b/packages/core/test/keys.property.test.ts
@@ -9,6 +9,18 @@
 
 type KeyRecord = core.records.KeyRecord;
 
+const createIntent = (
+  key: string,
+  attempt: string,
+  instance = 'p',
+): KeyRecord => ({ type: 'intent', key, service: 'desk', attempt, instance });
+
+const createOutcome = (
+  key: string,
+  attempt: string,
+  outcome: core.records.KeyOutcome,
+): KeyRecord => ({ type: 'outcome', key, attempt, outcome });
+
 const options: core.KeyTableOptions = {
   retentionMs: 60_000,
   maxKeys: 100,
@@ -17,19 +29,8 @@
 
 const action = fc.record({
   do: fc.constantFrom(
-    'try',
-    'try',
-    'land',
-    'land',
-    'land',
-    'repeat',
-    'read',
-    'read',
-    'act',
-    'act',
-    'act',
-    'give up',
-    'restart',
+    ...(['try', 'try', 'land', 'land', 'land', 'repeat', 'read'] as const),
+    ...(['read', 'act', 'act', 'act', 'give up', 'restart'] as const),
   ),
   process: fc.integer({ min: 0, max: 2 }),
   key: fc.integer({ min: 0, max: 1 }),
@@ -80,13 +81,7 @@
     const id = `a${nextAttempt}`;
     process.attempts.push({ key, id, state: 'trying' });
     const instance = `p${index}.${process.run}`;
-    inFlight.push({
-      type: 'intent',
-      key,
-      service: 'desk',
-      attempt: id,
-      instance,
-    });
+    inFlight.push(createIntent(key, id, instance));
   }
 
   /** The winner sends once and records; only a process that reads itself as winner sends. */
@@ -104,7 +99,7 @@
       pick % 3 === 0
         ? { outcome: 'unknown' }
         : { outcome: 'done', status: 200, contentType: 'text/plain', body: id };
-    inFlight.push({ type: 'outcome', key, attempt: id, outcome });
+    inFlight.push(createOutcome(key, id, outcome));
   }
 
   function giveUp(process: Process, pick: number) {
@@ -113,12 +108,9 @@
     if (attempt === undefined) return;
     attempt.state = 'gone';
     withdrawn.add(attempt.id);
-    inFlight.push({
-      type: 'outcome',
-      key: attempt.key,
-      attempt: attempt.id,
-      outcome: { outcome: 'not-run' },
-    });
+    inFlight.push(
+      createOutcome(attempt.key, attempt.id, { outcome: 'not-run' }),
+    );
   }
 
   function check() {
@@ -217,41 +209,19 @@
     const put = (body: KeyRecord, nowMs: number) => {
       table.applyKeyRecord({ offset: 0, id: '', body }, nowMs);
     };
-    const intent = (key: string, attempt: string): KeyRecord => ({
-      type: 'intent',
-      key,
-      service: 'desk',
-      attempt,
-      instance: 'p',
-    });
-    put(intent('k', 'a'), 0);
-    put(intent('k', 'b'), 0);
-    put(
-      {
-        type: 'outcome',
-        key: 'k',
-        attempt: 'a',
-        outcome: { outcome: 'not-run' },
-      },
-      0,
-    );
+    put(createIntent('k', 'a'), 0);
+    put(createIntent('k', 'b'), 0);
+    put(createOutcome('k', 'a', { outcome: 'not-run' }), 0);
     vitest.expect(table.isWinner('k', 'b')).toBe(true);
     for (const [index, key] of ['x', 'y'].entries()) {
-      put(intent(key, key), 500);
-      put(
-        {
-          type: 'outcome',
-          key,
-          attempt: key,
-          outcome: {
-            outcome: 'done',
-            status: 201,
-            contentType: 'a/b',
-            body: `body-${index}`,
-          },
-        },
-        500,
-      );
+      put(createIntent(key, key), 500);
+      const outcome = {
+        outcome: 'done',
+        status: 201,
+        contentType: 'a/b',
+        body: `body-${index}`,
+      } as const;
+      put(createOutcome(key, key, outcome), 500);
     }
     vitest
       .expect(table.readKey('x'))
--- a/packages/core/test/slots.property.test.ts
+++ b/packages/core/test/slots.property.test.ts
@@ -13,84 +13,34 @@
 const holders = ['p0', 'p1', 'p2'];
 const urgencies = flamingoward.ids.urgencies;
 
-type Step =
-  | {
-      do: 'ask';
-      holder: number;
-      urgency: number;
-      team: number;
-      deadlineMs: number;
-      avoid: number;
-    }
-  | { do: 'return'; pick: number; result: number }
-  | { do: 'cancel'; pick: number }
-  | { do: 'die'; holder: number }
-  | { do: 'takeover'; reports: number }
-  | { do: 'report'; holder: number }
-  | { do: 'leave' | 'come' | 'remove' | 'status'; server: number }
-  | { do: 'wait'; ms: number };
-
-const small = (max: number) => fc.integer({ min: 0, max });
-const step: fc.Arbitrary<Step> = fc.oneof(
-  {
-    weight: 12,
-    arbitrary: fc.record({
-      do: fc.constant('ask' as const),
-      holder: small(2),
-      urgency: small(2),
-      team: small(2),
-      deadlineMs: fc.integer({ min: 1, max: 2_000 }),
-      avoid: small(7),
-    }),
-  },
-  {
-    weight: 8,
-    arbitrary: fc.record({
-      do: fc.constant('return' as const),
-      pick: small(1_000),
-      result: small(3),
-    }),
-  },
-  {
-    weight: 2,
-    arbitrary: fc.record({
-      do: fc.constant('cancel' as const),
-      pick: small(1_000),
-    }),
-  },
-  {
-    weight: 1,
-    arbitrary: fc.record({ do: fc.constant('die' as const), holder: small(2) }),
-  },
-  {
-    weight: 1,
-    arbitrary: fc.record({
-      do: fc.constant('takeover' as const),
-      reports: small(7),
-    }),
-  },
-  {
-    weight: 2,
-    arbitrary: fc.record({
-      do: fc.constant('report' as const),
-      holder: small(2),
-    }),
-  },
-  {
-    weight: 3,
-    arbitrary: fc.record({
-      do: fc.constantFrom('leave', 'come', 'remove', 'status'),
-      server: small(2),
-    }),
-  },
-  {
-    weight: 6,
-    arbitrary: fc.record({
-      do: fc.constant('wait' as const),
-      ms: fc.integer({ min: 1, max: 700 }),
-    }),
-  },
+const weights = {
+  ask: 12,
+  return: 8,
+  wait: 6,
+  cancel: 2,
+  report: 2,
+  die: 1,
+  takeover: 1,
+  leave: 1,
+  come: 1,
+  remove: 1,
+  status: 1,
+};
+type Kind = keyof typeof weights;
+const kinds = Object.entries(weights).flatMap(([kind, weight]) =>
+  Array<Kind>(weight).fill(kind as Kind),
 );
+const step = fc.record({
+  do: fc.constantFrom(...kinds),
+  holder: fc.nat(2),
+  urgency: fc.nat(2),
+  team: fc.nat(2),
+  server: fc.nat(2),
+  bits: fc.nat(7),
+  pick: fc.nat(1_000),
+  ms: fc.integer({ min: 1, max: 2_000 }),
+});
+type Step = typeof step extends fc.Arbitrary<infer Value> ? Value : never;
 
 /** A request that the accountant knows to occupy a slot. */
 interface Running {
@@ -233,109 +183,109 @@
     return open[pick % Math.max(1, open.length)];
   }
 
+  function addAsk(action: Step, holder: string) {
+    nextAsk += 1;
+    const id = `${holder}:${nextAsk}`;
+    const { ms: deadlineMs, bits } = action;
+    waiting.set(id, { holder, dueMs: nowMs + deadlineMs });
+    const ask: core.slots.SlotAsk = {
+      id,
+      holder,
+      availabilityZone: 'muscat-a',
+      urgency: urgencies[action.urgency]!,
+      team: `t${action.team}`,
+      deadlineMs,
+      avoid: servers.filter((_, index) => bits === index + 1),
+    };
+    scheduler.apply({ event: 'ask', ask }, nowMs);
+  }
+
+  function giveBack(pick: number) {
+    const found = pickTicket(pick);
+    if (found === undefined) return;
+    const [ticket, one] = found;
+    const results = ['ok', 'error', 'unreachable', 'unused'] as const;
+    const result = results[pick % 4]!;
+    one.returned = true;
+    if (result === 'error') one.sent = true;
+    // After an error the server may work on; the slot stays used in truth.
+    if (result !== 'error') running.delete(ticket);
+    scheduler.apply(
+      { event: 'ticket.returned', ticket, result, tookMs: 5 },
+      nowMs,
+    );
+  }
+
+  function cancel(pick: number) {
+    const ids = [...waiting.keys()];
+    const ask = ids[pick % Math.max(1, ids.length)];
+    if (ask === undefined) return;
+    waiting.delete(ask);
+    closed.add(ask);
+    scheduler.apply({ event: 'ask.cancelled', ask }, nowMs);
+  }
+
+  function die(holder: string) {
+    if (dead.size === 2) return;
+    dead.add(holder);
+    for (const [ask, entry] of waiting)
+      if (entry.holder === holder) {
+        waiting.delete(ask);
+        closed.add(ask);
+      }
+    // What a dead process has not sent, it never sends.
+    for (const [id, one] of running)
+      if (one.holder === holder && !one.sent) running.delete(id);
+    scheduler.apply({ event: 'holder.gone', holder }, nowMs);
+  }
+
+  function list(id: string, isLeaving: boolean) {
+    removed.delete(id);
+    if (isLeaving) leaving.add(id);
+    else leaving.delete(id);
+    scheduler.apply({ event: 'server.listed', server: describe(id) }, nowMs);
+  }
+
   function run(action: Step) {
+    const holder = holders[action.holder]!;
+    const server = servers[action.server]!;
     switch (action.do) {
-      case 'ask': {
-        const holder = holders[action.holder]!;
-        if (dead.has(holder)) return;
-        nextAsk += 1;
-        const id = `${holder}:${nextAsk}`;
-        const { deadlineMs } = action;
-        waiting.set(id, { holder, dueMs: nowMs + deadlineMs });
-        const ask: core.slots.SlotAsk = {
-          id,
-          holder,
-          availabilityZone: 'muscat-a',
-          urgency: urgencies[action.urgency]!,
-          team: `t${action.team}`,
-          deadlineMs,
-          avoid: servers.filter((_, index) => action.avoid === index + 1),
-        };
-        scheduler.apply({ event: 'ask', ask }, nowMs);
+      case 'ask':
+        if (!dead.has(holder)) addAsk(action, holder);
         return;
-      }
-      case 'return': {
-        const found = pickTicket(action.pick);
-        if (found === undefined) return;
-        const [id, one] = found;
-        const result = (['ok', 'error', 'unreachable', 'unused'] as const)[
-          action.result
-        ]!;
-        one.returned = true;
-        if (result === 'error') one.sent = true;
-        // After an error the server may work on; the slot stays used in truth.
-        if (result !== 'error') running.delete(id);
-        scheduler.apply(
-          { event: 'ticket.returned', ticket: id, result, tookMs: 5 },
-          nowMs,
-        );
+      case 'return':
+        giveBack(action.pick);
         return;
-      }
-      case 'cancel': {
-        const ids = [...waiting.keys()];
-        const ask = ids[action.pick % Math.max(1, ids.length)];
-        if (ask === undefined) return;
-        waiting.delete(ask);
-        closed.add(ask);
-        scheduler.apply({ event: 'ask.cancelled', ask }, nowMs);
+      case 'cancel':
+        cancel(action.pick);
         return;
-      }
-      case 'die': {
-        const holder = holders[action.holder]!;
-        if (dead.size === 2) return;
-        dead.add(holder);
-        for (const [ask, entry] of waiting)
-          if (entry.holder === holder) {
-            waiting.delete(ask);
-            closed.add(ask);
-          }
-        // What a dead process has not sent, it never sends.
-        for (const [id, one] of running)
-          if (one.holder === holder && !one.sent) running.delete(id);
-        scheduler.apply({ event: 'holder.gone', holder }, nowMs);
+      case 'die':
+        die(holder);
         return;
-      }
       case 'takeover':
-        takeOver(action.reports);
+        takeOver(action.bits);
         return;
-      case 'report': {
-        const holder = holders[action.holder]!;
+      case 'report':
         if (!dead.has(holder)) report(holder);
         return;
-      }
       case 'leave':
-      case 'come': {
-        const id = servers[action.server]!;
-        removed.delete(id);
-        if (action.do === 'leave') leaving.add(id);
-        else leaving.delete(id);
-        scheduler.apply(
-          { event: 'server.listed', server: describe(id) },
-          nowMs,
-        );
+      case 'come':
+        list(server, action.do === 'leave');
         return;
-      }
-      case 'remove': {
-        const id = servers[action.server]!;
-        removed.add(id);
-        scheduler.apply({ event: 'server.removed', server: id }, nowMs);
+      case 'remove':
+        removed.add(server);
+        scheduler.apply({ event: 'server.removed', server }, nowMs);
         return;
-      }
       case 'status': {
-        const id = servers[action.server]!;
+        const busy = countBusy(server, true);
         scheduler.apply(
-          {
-            event: 'server.status',
-            server: id,
-            busy: countBusy(id, true),
-            askedMs: nowMs,
-          },
+          { event: 'server.status', server, busy, askedMs: nowMs },
           nowMs,
         );
         return;
       }
       case 'wait':
-        advance(action.ms);
+        advance(Math.ceil(action.ms / 3));
         return;
     }
   }
--- a/packages/daemon/test/callers.test.ts
+++ b/packages/daemon/test/callers.test.ts
@@ -6,6 +6,7 @@
 import * as callers from '../src/callers/server.js';
 import type * as requests from '../src/requests/types.js';
 import type * as types from '../src/types.js';
+import * as contexts from './context.fakes.js';
 
 const { expect, test } = vitest;
 
@@ -26,17 +27,7 @@
     cancelRequested: false,
   };
   const parts: callers.CallersServerParts = {
-    context: {
-      identity: {} as types.ProcessIdentity,
-      timers,
-      log: { write: () => undefined },
-      metrics: {
-        count: () => undefined,
-        record: () => undefined,
-        set: () => undefined,
-        render: () => '',
-      },
-    },
+    context: contexts.createQuietContext(timers, 'p'),
     path: {
       handle,
       readKey: () => Promise.resolve({ state: 'unreadable' }),
--- a/packages/daemon/test/requests.fakes.ts
+++ b/packages/daemon/test/requests.fakes.ts
@@ -4,6 +4,7 @@
 import * as paths from '../src/requests/path.js';
 import type * as requests from '../src/requests/types.js';
 import type * as types from '../src/types.js';
+import * as contexts from './context.fakes.js';
 
 export const shard = 'service/desk@muscat';
 const service: core.releases.ServiceEntry = {
@@ -269,23 +270,7 @@
     const membership = core.createSubject<'vms' | 'peers'>();
     ownerships.push(ownership);
     memberships.push(membership);
-    const context: types.PartContext = {
-      identity: {
-        name: instance,
-        instance,
-        region: 'muscat',
-        availabilityZone: 'muscat-a',
-        linksAddress: '',
-      },
-      timers,
-      log: { write: () => undefined },
-      metrics: {
-        count: () => undefined,
-        record: () => undefined,
-        set: () => undefined,
-        render: () => '',
-      },
-    };
+    const context = contexts.createQuietContext(timers, instance);
     const journal = journals.createRequestJournal(timers);
     const isOwner = () => state.owner === index;
     const path = paths.createRequestPath({
--- a/packages/daemon/test/requests.test.ts
+++ b/packages/daemon/test/requests.test.ts
@@ -181,46 +181,19 @@
   expect(world.servers.flatMap((server) => server.runs)).toEqual(['c', 'd']);
 });
 
-const action = fc.oneof(
-  {
-    weight: 8,
-    arbitrary: fc.record({
-      do: fc.constant('ask' as const),
-      process: fc.nat(2),
-      key: fc.nat(2),
-      patient: fc.boolean(),
-    }),
-  },
-  {
-    weight: 2,
-    arbitrary: fc.record({
-      do: fc.constant('log' as const),
-      mode: fc.constantFrom('ok', 'ok', 'away', 'lost', 'delayed'),
-    }),
-  },
-  {
-    weight: 2,
-    arbitrary: fc.record({
-      do: fc.constant('server' as const),
-      server: fc.nat(1),
-      mode: fc.constantFrom('ok', 'ok', 'refuse', 'reset', 'hang', 'late'),
-    }),
-  },
-  {
-    weight: 1,
-    arbitrary: fc.record({
-      do: fc.constant('owner' as const),
-      process: fc.option(fc.nat(2), { nil: undefined }),
-    }),
-  },
-  {
-    weight: 6,
-    arbitrary: fc.record({
-      do: fc.constant('wait' as const),
-      ms: fc.integer({ min: 1, max: 60 }),
-    }),
-  },
-);
+const action = fc.record({
+  do: fc.constantFrom(
+    ...(['ask', 'ask', 'ask', 'ask', 'wait', 'wait', 'wait'] as const),
+    ...(['log', 'server', 'owner'] as const),
+  ),
+  process: fc.nat(2),
+  key: fc.nat(2),
+  patient: fc.boolean(),
+  log: fc.constantFrom('ok', 'ok', 'away', 'lost', 'delayed'),
+  server: fc.nat(1),
+  mode: fc.constantFrom('ok', 'ok', 'refuse', 'reset', 'hang', 'late'),
+  ms: fc.integer({ min: 1, max: 60 }),
+});
 
 test('random faults of the log, the servers and the owner: one run per key, true answers (guards P4, P5)', async () => {
   await fc.assert(
@@ -232,10 +205,11 @@
         world.setOwner(0);
         const asked: { body: string; key: string; text: string }[] = [];
         for (const [index, one] of actions.entries()) {
-          if (one.do === 'log') world.state.logMode = one.mode;
+          if (one.do === 'log') world.state.logMode = one.log;
           else if (one.do === 'server')
             world.servers[one.server]!.mode = one.mode;
-          else if (one.do === 'owner') world.setOwner(one.process);
+          else if (one.do === 'owner')
+            world.setOwner(one.patient ? one.process : undefined);
           else if (one.do === 'wait') await world.run(one.ms);
           else {
             const entry = { body: `q${index}`, key: `k${one.key}`, text: '' };
