Keep an attempt that is about to start from being forgotten

A worker may still report an ended attempt of an earlier owner whose id the new scheduler uses again; the call that lets the worker forget it could follow the start. Submissions before the release in force is known answer 503 instead of naming a class that isn't there. Tests of carried jobs, of a worker that leaves the list and of split quotas added.

--- a/packages/daemon/src/jobs/jobs.ts
+++ b/packages/daemon/src/jobs/jobs.ts
@@ -99,6 +99,10 @@
   ):
     | { readonly record: Extract<core.records.JobRecord, { type: 'accepted' }> }
     | { readonly refusal: Refusal } {
+    if (!releases.isReady())
+      return {
+        refusal: refuse(503, "this process doesn't know the release in force"),
+      };
     const state = releases.readState();
     const jobClass = state.classes.get(spec.jobClass);
     if (jobClass === undefined)
--- a/packages/daemon/src/workers/calls.ts
+++ b/packages/daemon/src/workers/calls.ts
@@ -105,6 +105,8 @@
   authority: FreshAuthority,
 ): Promise<void> {
   const { timers, metrics } = state.parts.context;
+  // An earlier owner may have used the same id for an attempt that has ended.
+  state.workers.get(attempt.worker)?.session.keep(attempt.attemptId);
   attempt.phase = 'sent';
   attempt.startByMs = authority.startByMs;
   const request: core.workers.StartRequest = {
--- a/packages/daemon/src/workers/session.ts
+++ b/packages/daemon/src/workers/session.ts
@@ -59,6 +59,8 @@
   sync(): Promise<void>;
   /** Tells the worker with the next call that it may forget an ended attempt. */
   forget(attempt: core.ids.AttemptId): void;
+  /** Takes back `forget`, because an attempt of that id is about to start. */
+  keep(attempt: core.ids.AttemptId): void;
   close(): void;
 }
 
@@ -194,6 +196,9 @@
     forget: (attempt) => {
       toForget.add(attempt);
     },
+    keep: (attempt) => {
+      toForget.delete(attempt);
+    },
     close: () => {
       closed = true;
     },
--- a/packages/daemon/test/owner.test.ts
+++ b/packages/daemon/test/owner.test.ts
@@ -1,6 +1,7 @@
 /** Single failures of owners, workers, links and the log, and what the owner of a workers shard does. */
 import * as vitest from 'vitest';
 import type * as core from '@flamingoward/core';
+import * as quotas from '../src/workers/quotas.js';
 import * as fakes from './cluster.js';
 
 function createCluster(workers = 2): fakes.Cluster {
@@ -224,6 +225,60 @@
   vitest.expect(readState(cluster, long)).toBe('done');
 });
 
+// Guards against live jobs, their ends and intents that the log drops by age, and
+// against rewriting them more often than that needs.
+vitest.test('old jobs are written again', async () => {
+  const cluster = createCluster(1);
+  cluster.processes[0]!.claim();
+  const job = cluster.submit({ count: 2, work: { runMs: 400_000 } });
+  const ended = { job, index: 1, result: 'done' } as const;
+  const epoch = { offset: 0, provisional: 0 };
+  const stream = `tasks.${fakes.region}`;
+  cluster.log.append(stream, { type: 'ends', epoch, ends: [ended] });
+  await cluster.run(290_000);
+  const records = () => cluster.log.read('jobs').slice(1);
+  vitest.expect(records()).toEqual([]);
+  await cluster.run(100_000);
+  const carried = { type: 'carried', job: { id: job } };
+  vitest.expect(records()).toMatchObject([{ body: carried }]);
+  vitest
+    .expect(cluster.log.read(stream).slice(1))
+    .toMatchObject([{ body: { type: 'ends', ends: [ended] } }]);
+});
+
+// Guards against new work on a VM that left the list, and against taking that for
+// its death while its tasks run.
+vitest.test('a worker leaves the list', async () => {
+  const cluster = createCluster();
+  const [owner] = cluster.processes;
+  owner!.claim();
+  const first = cluster.submit({ work: { runMs: 30_000 } });
+  await run(cluster, 3_000);
+  cluster.unlisted.add('w0');
+  owner!.vmChanges.push('vms');
+  const second = cluster.submit({});
+  await run(cluster, 40_000);
+  vitest.expect(cluster.workers[0]!.begun).toEqual([`${first}#0`]);
+  vitest.expect(cluster.workers[1]!.begun).toEqual([`${second}#0`]);
+  vitest.expect(readState(cluster, first)).toBe('done');
+  const shard = owner!.workers.readShard(fakes.shard);
+  vitest.expect(JSON.stringify(shard?.dump())).not.toContain('w0');
+});
+
+// Guards against regions that together use more of a quota than there is.
+vitest.test('quotas are split by the share of the capacity', () => {
+  const { vm } = createCluster(1).workers[0]!;
+  const vms = [
+    vm,
+    { ...vm, region: 'batinah', size: { ...vm.size!, cores: 12 } },
+  ];
+  const quota = { cores: 40, memoryMb: 10, gpus: 2 };
+  const split = (region: string) =>
+    quotas.splitQuota(quota, quotas.computeShare(vms, region));
+  vitest.expect(split('muscat')).toEqual({ cores: 10, memoryMb: 0, gpus: 0 });
+  vitest.expect(split('batinah')).toEqual({ cores: 30, memoryMb: 0, gpus: 0 });
+});
+
 // Guards against a take-over that opens all connections at once or never gets quiet.
 vitest.test('the sync calls of many workers', async () => {
   const cluster = createCluster(300);
