Report faults in a worker's inventory as errors instead of failed calls

The handling of an answer ran inside the same try as the call, so a fault in the scheduler or the tables counted as an unreachable worker and was not seen. It is now logged as an error, and the interleaving test fails on any such line. Usage reports no longer trigger a decision each: with 2,800 workers they came 560 times a second, and the periodic check is soon enough for them.

--- a/packages/daemon/src/workers/session.ts
+++ b/packages/daemon/src/workers/session.ts
@@ -99,24 +99,28 @@
   async function pollWorker(waitMs: number): Promise<boolean> {
     const sentMs = timers.readNow();
     const forget = [...toForget];
-    const origin = { step: 'workers.sync', peer: readVm().id };
     const timeoutMs = waitMs + ANSWER_MS;
+    const report = await askSync(buildRequest(waitMs, forget), timeoutMs);
+    if (closed || report === undefined) return false;
+    for (const attempt of forget) toForget.delete(attempt);
+    receive(report, sentMs);
+    return true;
+  }
+
+  async function askSync(
+    request: core.workers.SyncRequest,
+    timeoutMs: number,
+  ): Promise<core.workers.SyncReport | undefined> {
+    const { address, id } = readVm();
+    const origin = { step: 'workers.sync', peer: id };
     try {
-      const report = await gate.withTimeout(
-        timers,
-        origin,
-        timeoutMs,
-        client.sync(readVm().address, buildRequest(waitMs, forget), timeoutMs),
-      );
-      if (closed) return false;
-      for (const attempt of forget) toForget.delete(attempt);
-      receive(report, sentMs);
-      return true;
+      const answer = client.sync(address, request, timeoutMs);
+      return await gate.withTimeout(timers, origin, timeoutMs, answer);
     } catch (error) {
-      if (closed) return false;
+      if (closed) return undefined;
       failures += 1;
       events.handleFailure(error);
-      return false;
+      return undefined;
     }
   }
 
--- a/packages/daemon/src/workers/shard.ts
+++ b/packages/daemon/src/workers/shard.ts
@@ -118,7 +118,8 @@
 
   function apply(event: core.scheduling.SchedulerEvent): void {
     scheduler.apply(event, timers.readNow());
-    scheduleTick();
+    // Reports come all the time; the periodic check is soon enough for them.
+    if (event.event !== 'worker.reported') scheduleTick();
   }
 
   function scheduleTick(): void {
@@ -216,14 +217,18 @@
         state.own,
         {
           handleReport: (report, complete) => {
-            handleReport(entry, report, complete);
+            tryReport(entry, report, complete);
           },
           handleReboot: () => {
             entry.handled.clear();
             reports.expireAttempts(state, entry);
           },
           handleHigher,
-          handleFailure: () => {
+          handleFailure: (error) => {
+            log.write('debug', 'worker.sync.failed', {
+              worker: entry.vm.id,
+              error: core.describeError(error),
+            });
             updateUsable(entry);
           },
         },
@@ -245,6 +250,22 @@
     void takeOver.endTakeOver(state);
   }
 
+  /** A fault in one report must not end the session with the worker. */
+  function tryReport(
+    entry: states.WorkerEntry,
+    report: core.workers.SyncReport,
+    complete: boolean,
+  ): void {
+    try {
+      handleReport(entry, report, complete);
+    } catch (error) {
+      log.write('error', 'worker.report.failed', {
+        worker: entry.vm.id,
+        error: core.describeError(error),
+      });
+    }
+  }
+
   function handleHigher(seen: core.workers.SeenSession): void {
     if (state.closed) return;
     log.write('info', 'shard.replaced', { shard, by: seen.instance });
--- a/packages/daemon/test/cluster.ts
+++ b/packages/daemon/test/cluster.ts
@@ -95,7 +95,12 @@
         linksAddress: name,
       },
       timers: this.timers,
-      log: { write: () => undefined },
+      log: {
+        write: (level, event, fields) => {
+          if (level === 'error')
+            cluster.errors.push(`${event} ${JSON.stringify(fields)}`);
+        },
+      },
       metrics: {
         count: () => undefined,
         record: () => undefined,
@@ -314,6 +319,8 @@
   readonly faults = new Map<string, LinkFault>();
   /** Workers that the VM list leaves out. */
   readonly unlisted = new Set<string>();
+  /** Lines that were logged as errors. */
+  readonly errors: string[] = [];
   syncCalls = 0;
   /** Most short sync calls that were open at a time. */
   mostCallsAtOnce = 0;
@@ -563,7 +570,7 @@
 
 /** The promises about workers and tasks, from the workers' own point of view. */
 export function checkPromises(cluster: Cluster): string[] {
-  const faults: string[] = [];
+  const faults = [...cluster.errors];
   const places = new Map<string, string>();
   for (const worker of cluster.workers) {
     let cores = 0;
