Don't wait for the log where its answer isn't needed

A provisional owner adopts what runs without the log, so it no longer waits for a read to fail first, and an at-most-once start isn't offered to a log that is known to be away.

--- a/packages/daemon/src/workers/calls.ts
+++ b/packages/daemon/src/workers/calls.ts
@@ -70,6 +70,7 @@
   state: states.ShardState,
   attempt: types.Attempt,
 ): Promise<boolean> {
+  if (state.parts.streams.readAwaySince() !== undefined) return false;
   const body: core.records.TaskRecord = {
     type: 'intent',
     epoch: state.epoch,
--- a/packages/daemon/src/workers/takeover.ts
+++ b/packages/daemon/src/workers/takeover.ts
@@ -57,14 +57,16 @@
 /** Reads the jobs and the recorded ends; without the log, what is known has to do. */
 export async function readTables(state: states.ShardState): Promise<void> {
   const { streams, jobs, context } = state.parts;
+  // Running tasks can be adopted without the log; tasks that aren't found stay held.
+  const isAway = () => streams.readAwaySince() !== undefined;
+  const provisional = state.epoch.provisional > 0;
+  if (provisional && isAway()) return;
   while (!state.closed) {
     if (await readHeads(state)) {
       state.oldBelow = jobs.reader.readNext();
       return;
     }
-    // Running tasks can be adopted without the log; tasks that aren't found stay held.
-    const away = streams.readAwaySince() !== undefined;
-    if (state.epoch.provisional > 0 || away) return;
+    if (provisional || isAway()) return;
     await core.waitFor(context.timers, 'workers.read', HEAD_RETRY_MS);
   }
 }
