Hold later jobs as well while a take-over rests on no claim

A provisional owner that could read the log took jobs beyond the head for new ones. Without a claim in the log an earlier owner that reads the claims finds nothing newer and may start the same jobs, on a worker that the provisional owner can't reach. Found by review; the interleaving test lets a provisional owner read only after an outage and doesn't reach it.

--- a/packages/daemon/src/workers/takeover.ts
+++ b/packages/daemon/src/workers/takeover.ts
@@ -62,11 +62,10 @@
   const provisional = state.epoch.provisional > 0;
   if (provisional && isAway()) return;
   while (!state.closed) {
-    if (await readHeads(state)) {
-      state.oldBelow = jobs.reader.readNext();
-      return;
-    }
-    if (provisional || isAway()) return;
+    const read = await readHeads(state);
+    // Without a claim in the log an earlier owner may start later jobs as well.
+    if (read && !provisional) state.oldBelow = jobs.reader.readNext();
+    if (read || provisional || isAway()) return;
     await core.waitFor(context.timers, 'workers.read', HEAD_RETRY_MS);
   }
 }
