--- a/packages/daemon/src/workers/calls.ts
+++ b/packages/daemon/src/workers/calls.ts
@@ -70,6 +70,7 @@
   state: states.ShardState,
   attempt: types.Attempt,
 ): Promise<boolean> {
+  if (state.parts.streams.readAwaySince() !== undefined) return false;
   const body: core.records.TaskRecord = {
     type: 'intent',
     epoch: state.epoch,
@@ -105,6 +106,8 @@
   authority: FreshAuthority,
 ): Promise<void> {
   const { timers, metrics } = state.parts.context;
+  // An earlier owner may have used the same id for an attempt that has ended.
+  state.workers.get(attempt.worker)?.session.keep(attempt.attemptId);
   attempt.phase = 'sent';
   attempt.startByMs = authority.startByMs;
   const request: core.workers.StartRequest = {
--- a/packages/daemon/src/workers/session.ts
+++ b/packages/daemon/src/workers/session.ts
@@ -59,6 +59,8 @@
   sync(): Promise<void>;
   /** Tells the worker with the next call that it may forget an ended attempt. */
   forget(attempt: core.ids.AttemptId): void;
+  /** Takes back `forget`, because an attempt of that id is about to start. */
+  keep(attempt: core.ids.AttemptId): void;
   close(): void;
 }
 
@@ -97,24 +99,28 @@
   async function pollWorker(waitMs: number): Promise<boolean> {
     const sentMs = timers.readNow();
     const forget = [...toForget];
-    const origin = { step: 'workers.sync', peer: readVm().id };
     const timeoutMs = waitMs + ANSWER_MS;
+    const report = await askSync(buildRequest(waitMs, forget), timeoutMs);
+    if (closed || report === undefined) return false;
+    for (const attempt of forget) toForget.delete(attempt);
+    receive(report, sentMs);
+    return true;
+  }
+
+  async function askSync(
+    request: core.workers.SyncRequest,
+    timeoutMs: number,
+  ): Promise<core.workers.SyncReport | undefined> {
+    const { address, id } = readVm();
+    const origin = { step: 'workers.sync', peer: id };
     try {
-      const report = await gate.withTimeout(
-        timers,
-        origin,
-        timeoutMs,
-        client.sync(readVm().address, buildRequest(waitMs, forget), timeoutMs),
-      );
-      if (closed) return false;
-      for (const attempt of forget) toForget.delete(attempt);
-      receive(report, sentMs);
-      return true;
+      const answer = client.sync(address, request, timeoutMs);
+      return await gate.withTimeout(timers, origin, timeoutMs, answer);
     } catch (error) {
-      if (closed) return false;
+      if (closed) return undefined;
       failures += 1;
       events.handleFailure(error);
-      return false;
+      return undefined;
     }
   }
 
@@ -194,6 +200,9 @@
     forget: (attempt) => {
       toForget.add(attempt);
     },
+    keep: (attempt) => {
+      toForget.delete(attempt);
+    },
     close: () => {
       closed = true;
     },
--- a/packages/daemon/test/cluster.ts
+++ b/packages/daemon/test/cluster.ts
@@ -56,6 +56,7 @@
   /** The same for the claims, when they lag more than the rest. */
   claimsLagMs = 0;
   loseAppendReplies = false;
+  appendDelayMs = 5;
   /** Hears no heartbeats. */
   deaf = false;
   epoch: core.ids.Epoch | undefined;
@@ -94,7 +95,12 @@
         linksAddress: name,
       },
       timers: this.timers,
-      log: { write: () => undefined },
+      log: {
+        write: (level, event, fields) => {
+          if (level === 'error')
+            cluster.errors.push(`${event} ${JSON.stringify(fields)}`);
+        },
+      },
       metrics: {
         count: () => undefined,
         record: () => undefined,
@@ -205,7 +211,7 @@
       append: (stream, body) =>
         new Promise((resolve) => {
           // The record takes its way to the log and back.
-          this.cluster.later(5, () => {
+          this.cluster.later(this.appendDelayMs, () => {
             if (log.away) {
               const refused = {
                 outcome: 'not-appended',
@@ -313,6 +319,8 @@
   readonly faults = new Map<string, LinkFault>();
   /** Workers that the VM list leaves out. */
   readonly unlisted = new Set<string>();
+  /** Lines that were logged as errors. */
+  readonly errors: string[] = [];
   syncCalls = 0;
   /** Most short sync calls that were open at a time. */
   mostCallsAtOnce = 0;
@@ -562,7 +570,7 @@
 
 /** The promises about workers and tasks, from the workers' own point of view. */
 export function checkPromises(cluster: Cluster): string[] {
-  const faults: string[] = [];
+  const faults = [...cluster.errors];
   const places = new Map<string, string>();
   for (const worker of cluster.workers) {
     let cores = 0;
