Read the claims at least once a second

Cause: a service shard's owner decides only while its news of the claims is younger than 3 s, but the long poll of 2 s made the news up to 4 s old: for about one second in two no ticket was granted. The report by second of arrival showed it. Ruled out: the take-over after the kill (the pattern was there before it). Change: the claims are polled with a wait of 1 s; the fake log of the tests answers long polls as the real one does; a relay answers while its news is younger than 6 s. Result: the ownership tests fail with a wait of 2 s and pass with 1 s.

--- a/packages/daemon/src/ownership/ownership.ts
+++ b/packages/daemon/src/ownership/ownership.ts
@@ -14,6 +14,13 @@
 /** A gap between two ticks after which decisions wait for the head of the claims, in ms. */
 const PAUSE_GAP_MS = 500;
 
+/**
+ * Longest wait of one read of the claims, in ms. An answer speaks for the time when
+ * its read was sent, so just before the next answer the news is two waits old; that
+ * has to stay below CLAIM_FRESH_MS.
+ */
+export const CLAIMS_WAIT_MS = 1_000;
+
 /** How long the owner of a service shard may decide without news of the claims, in ms. */
 export const CLAIM_FRESH_MS = 3_000;
 
--- a/packages/daemon/src/process/process.ts
+++ b/packages/daemon/src/process/process.ts
@@ -100,6 +100,10 @@
     timers,
     bufferRecords: settings.limits.appendBufferRecords,
     chooseSource: (stream) => relay.chooseSource(stream),
+    readWaitMs: (stream) =>
+      stream === ownership.CLAIMS_STREAM
+        ? ownership.CLAIMS_WAIT_MS
+        : READ_WAIT_MS,
     random: options.readRandom,
   });
   relay.serve(streams);
@@ -298,6 +302,9 @@
 
 const READY_CHECK_MS = 50;
 
+/** Longest wait of one read of the other streams at the log, in ms. */
+const READ_WAIT_MS = 2_000;
+
 /** Part of a stop's time that is kept for closing the connections, in ms. */
 const CLOSE_MS = 500;
 
--- a/packages/daemon/src/relay/relay.ts
+++ b/packages/daemon/src/relay/relay.ts
@@ -14,8 +14,11 @@
 /** Time beyond the wait after which a question to the relay fails, in ms. */
 const ASK_MARGIN_MS = 500;
 
-/** Age of the last read of the log's head from which on a relay answers no peer, in ms. */
-const RELAY_FRESH_MS = 3_500;
+/**
+ * Age of the last read of the log's head from which on a relay answers no peer, in ms.
+ * Just before an answer the age is two waits of a read, 4 s.
+ */
+const RELAY_FRESH_MS = 6_000;
 
 /** What the relay needs. */
 export interface RelayOptions {
--- a/packages/daemon/test/fakes/log.ts
+++ b/packages/daemon/test/fakes/log.ts
@@ -47,11 +47,14 @@
 export function createFakeStreams(
   log: FakeLog,
   timers: core.TimerService,
+  waitMs = 1_000,
 ): FakeStreams {
   interface Open {
     readonly name: string;
     readonly subject: core.Subject<core.records.LogRecord<unknown>>;
     next: number;
+    /** When the long poll under way was sent. */
+    sentMs: number;
     headMs: number | undefined;
     waiting: { readonly offset: number; readonly resolve: () => void }[];
   }
@@ -61,8 +64,13 @@
   const isAway = () => log.isDown || streams.isCut;
 
   function pumpReader(open: Open): void {
-    open.headMs = timers.readNow();
     const records = log.read(open.name).records;
+    const nowMs = timers.readNow();
+    // A long poll answers with records or after its wait; only then the head is known.
+    if (open.next < records.length || nowMs - open.sentMs >= waitMs) {
+      open.headMs = open.sentMs;
+      open.sentMs = nowMs;
+    }
     while (open.next < records.length) {
       const record = records[open.next]!;
       open.next += 1;
@@ -94,6 +102,7 @@
           name: stream,
           subject: core.createSubject(),
           next: 0,
+          sentMs: timers.readNow() - waitMs,
           headMs: undefined,
           waiting: [],
         };
--- a/packages/daemon/test/ownership.test.ts
+++ b/packages/daemon/test/ownership.test.ts
@@ -35,7 +35,11 @@
 
   add(name: string): void {
     const timers = core.createVirtualTimers(this.nowMs);
-    const streams = fakeLog.createFakeStreams(this.log, timers);
+    const streams = fakeLog.createFakeStreams(
+      this.log,
+      timers,
+      ownership.CLAIMS_WAIT_MS,
+    );
     const context = fakes.createFakeContext(name, timers);
     const part = ownership.createOwnership({
       context,
@@ -349,3 +353,17 @@
       .toBe(0);
   },
 );
+
+vitest.test(
+  'a healthy owner decides at every moment, between two answers of the log too',
+  async () => {
+    const cell = new Cell();
+    for (const name of ['p0', 'p1', 'p2']) cell.add(name);
+    for (let step = 0; step < 100; step += 1) await cell.step();
+    for (let step = 0; step < 200; step += 1) {
+      await cell.step();
+      for (const shard of SHARDS)
+        vitest.expect(cell.readDeciders(shard)).toHaveLength(1);
+    }
+  },
+);
--- a/packages/platform/src/reader.ts
+++ b/packages/platform/src/reader.ts
@@ -14,6 +14,8 @@
   readonly random: () => number;
   /** Asked before each read. */
   readonly chooseSource: (stream: string) => types.RecordSource;
+  /** Longest wait of a read at the log, in ms. */
+  readonly waitMs: number;
   /** Called for each new record before observers get it. */
   readonly noteRecord: (id: core.ids.RecordId, offset: core.ids.Offset) => void;
   readonly noteProgress: (next: core.ids.Offset) => void;
@@ -28,8 +30,6 @@
 
 /** Records of one page. */
 const PAGE_RECORDS = 500;
-/** Longest wait of a read at the log. */
-const LOG_WAIT_MS = 2_000;
 /** Longest wait of a read at a peer, and how long a peer may make no progress. */
 const PEER_WAIT_MS = 1_000;
 /** Time for a peer's answer beyond the wait. */
@@ -180,7 +180,7 @@
     const sentMs = timers.readNow();
     // The first read doesn't wait: a process isn't ready before it knows the head.
     if (chosen === log)
-      await readLog(next, headMs === undefined ? 0 : LOG_WAIT_MS);
+      await readLog(next, headMs === undefined ? 0 : options.waitMs);
     else await readPeer(chosen);
     // A source that doesn't wait would otherwise be asked without pause.
     if (next === before && timers.readNow() - sentMs < IDLE_PAUSE_MS)
--- a/packages/platform/src/streams.ts
+++ b/packages/platform/src/streams.ts
@@ -12,6 +12,8 @@
   readonly bufferRecords?: number;
   /** Asked before each read; returns `log` or a peer. Without it the log is read. */
   readonly chooseSource?: (stream: string) => types.RecordSource;
+  /** Longest wait of a read at the log, in ms; bounds the age of what readHeadMs says. */
+  readonly readWaitMs?: (stream: string) => number;
   /** Returns numbers from 0 to 1, for jitter. */
   readonly random?: () => number;
 }
@@ -19,6 +21,9 @@
 /** Records per stream that wait for the log during an outage. */
 const BUFFER_RECORDS = 1_000;
 
+/** Longest wait of a read at the log, in ms. */
+const READ_WAIT_MS = 2_000;
+
 /** Creates the streams of one process. */
 export function createStreams(options: StreamsOptions): types.Streams {
   const { log, timers } = options;
@@ -64,6 +69,7 @@
       timers,
       random,
       chooseSource,
+      waitMs: options.readWaitMs?.(stream) ?? READ_WAIT_MS,
       noteRecord: (id, offset) => {
         streamWriters.get(stream)?.noteRecord(id, offset);
       },
--- a/packages/standins/src/report.ts
+++ b/packages/standins/src/report.ts
@@ -31,9 +31,20 @@
   readonly found: string;
 }
 
+/** Waits of the requests that arrived in one second of the trace. */
+export interface SecondRow {
+  readonly second: number;
+  readonly requests: number;
+  /** Requests that needed more than one try. */
+  readonly retried: number;
+  readonly p50: number;
+  readonly p99: number;
+}
+
 /** Everything that the report prints. */
 export interface Report {
   readonly waits: readonly WaitRow[];
+  readonly seconds: readonly SecondRow[];
   readonly answers: Readonly<Record<string, number>>;
   readonly jobs: Readonly<Record<string, number>>;
   readonly packing: readonly PackingRow[];
@@ -48,6 +59,7 @@
 ): Report {
   return {
     waits: [...measureRequests(result), ...measureTasks(result, audit)],
+    seconds: measureSeconds(result),
     answers: countBy(
       result.requests.map(
         ({ line, result: each }) => `${line.label} ${each.answer}`,
@@ -89,6 +101,13 @@
           .map((value) => String(value).padStart(7))
           .join(' ')}`,
     ),
+    'requests by second of arrival: requests, retried, wait p50 and p99 in ms',
+    ...report.seconds.map(
+      (row) =>
+        `  ${[row.second, row.requests, row.retried, row.p50, row.p99]
+          .map((value) => String(value).padStart(6))
+          .join(' ')}`,
+    ),
     'answers',
     ...renderCounts(report.answers),
     'jobs',
@@ -136,6 +155,37 @@
   return formatWaits(waits);
 }
 
+/** Shows when requests waited, such as around the death of a daemon. */
+function measureSeconds(result: replays.ReplayResult): SecondRow[] {
+  const seconds = new Map<number, { waits: number[]; retried: number }>();
+  for (const { line, result: each } of result.requests) {
+    if (each.answer !== 'done') continue;
+    const second = Math.floor(line.atMs / 1_000);
+    const row = seconds.get(second) ?? { waits: [], retried: 0 };
+    seconds.set(second, row);
+    row.waits.push(Math.max(0, each.totalMs - line.workMs));
+    if (each.tries > 1) row.retried += 1;
+  }
+  return [...seconds]
+    .sort(([a], [b]) => a - b)
+    .map(([second, { waits, retried }]) => {
+      const histogram = buildHistogram(waits);
+      return {
+        second,
+        requests: waits.length,
+        retried,
+        p50: histogram.getValueAtPercentile(50),
+        p99: histogram.getValueAtPercentile(99),
+      };
+    });
+}
+
+function buildHistogram(values: readonly number[]): hdr.Histogram {
+  const histogram = hdr.build({ useWebAssembly: false });
+  for (const value of values) histogram.recordValue(Math.round(value));
+  return histogram;
+}
+
 /** Waiting time of a task: acceptance of the job to the first start of the task. */
 function measureTasks(
   result: replays.ReplayResult,
@@ -171,8 +221,7 @@
 
 function formatWaits(waits: ReadonlyMap<string, readonly number[]>): WaitRow[] {
   return [...waits].map(([label, values]) => {
-    const histogram = hdr.build({ useWebAssembly: false });
-    for (const value of values) histogram.recordValue(Math.round(value));
+    const histogram = buildHistogram(values);
     return {
       label,
       count: histogram.totalCount,
