--- a/packages/platform/src/worker.ts
+++ b/packages/platform/src/worker.ts
@@ -11,9 +11,12 @@
   readonly timeoutMs?: number;
 }
 
-/** The long poll has a connection of its own; commands don't wait behind it. */
+/** The long poll has connections of its own; commands don't wait behind it. */
 const COMMAND_CONNECTIONS = 2;
 
+/** A second one, so that a new session doesn't wait behind the last poll of the one before. */
+const POLL_CONNECTIONS = 2;
+
 /** Creates a client for a worker; it connects with its first request. */
 export function createWorkerClient(
   options: WorkerClientOptions,
@@ -24,7 +27,7 @@
   const polls = pools.createPool({
     address,
     timers,
-    connections: 1,
+    connections: POLL_CONNECTIONS,
     connectTimeoutMs,
   });
   const commands = pools.createPool({
--- a/packages/standins/src/report.ts
+++ b/packages/standins/src/report.ts
@@ -45,6 +45,8 @@
 export interface Report {
   readonly waits: readonly WaitRow[];
   readonly seconds: readonly SecondRow[];
+  /** The same for tasks, by the second in which their job was submitted. */
+  readonly taskSeconds: readonly SecondRow[];
   readonly answers: Readonly<Record<string, number>>;
   readonly jobs: Readonly<Record<string, number>>;
   readonly packing: readonly PackingRow[];
@@ -59,7 +61,8 @@
 ): Report {
   return {
     waits: [...measureRequests(result), ...measureTasks(result, audit)],
-    seconds: measureSeconds(result),
+    seconds: measureRequestSeconds(result),
+    taskSeconds: measureTaskSeconds(result, audit),
     answers: countBy(
       result.requests.map(
         ({ line, result: each }) => `${line.label} ${each.answer}`,
@@ -102,12 +105,9 @@
           .join(' ')}`,
     ),
     'requests by second of arrival: requests, retried, wait p50 and p99 in ms',
-    ...report.seconds.map(
-      (row) =>
-        `  ${[row.second, row.requests, row.retried, row.p50, row.p99]
-          .map((value) => String(value).padStart(6))
-          .join(' ')}`,
-    ),
+    ...renderSeconds(report.seconds),
+    'tasks by second of submission: tasks, retried, wait p50 and p99 in ms',
+    ...renderSeconds(report.taskSeconds),
     'answers',
     ...renderCounts(report.answers),
     'jobs',
@@ -134,6 +134,15 @@
   return `${lines.join('\n')}\n`;
 }
 
+function renderSeconds(rows: readonly SecondRow[]): string[] {
+  return rows.map(
+    (row) =>
+      `  ${[row.second, row.requests, row.retried, row.p50, row.p99]
+        .map((value) => String(value).padStart(6))
+        .join(' ')}`,
+  );
+}
+
 function renderCounts(counts: Readonly<Record<string, number>>): string[] {
   return Object.entries(counts)
     .sort(([a], [b]) => a.localeCompare(b))
@@ -155,25 +164,58 @@
   return formatWaits(waits);
 }
 
-/** Shows when requests waited, such as around the death of a daemon. */
-function measureSeconds(result: replays.ReplayResult): SecondRow[] {
-  const seconds = new Map<number, { waits: number[]; retried: number }>();
-  for (const { line, result: each } of result.requests) {
-    if (each.answer !== 'done') continue;
-    const second = Math.floor(line.atMs / 1_000);
-    const row = seconds.get(second) ?? { waits: [], retried: 0 };
-    seconds.set(second, row);
-    row.waits.push(Math.max(0, each.totalMs - line.workMs));
-    if (each.tries > 1) row.retried += 1;
+interface Wait {
+  readonly atMs: number;
+  readonly waitMs: number;
+  readonly retried: boolean;
+}
+
+function measureRequestSeconds(result: replays.ReplayResult): SecondRow[] {
+  return measureSeconds(
+    result.requests.flatMap(({ line, result: each }) =>
+      each.answer === 'done'
+        ? {
+            atMs: line.atMs,
+            waitMs: each.totalMs - line.workMs,
+            retried: each.tries > 1,
+          }
+        : [],
+    ),
+  );
+}
+
+function measureTaskSeconds(
+  result: replays.ReplayResult,
+  audit: platforms.PlatformAudit | undefined,
+): SecondRow[] {
+  return measureSeconds(
+    listTaskWaits(result, audit).map(({ line, waitMs }) => ({
+      atMs: line.atMs,
+      waitMs,
+      retried: false,
+    })),
+  );
+}
+
+/** Shows when work waited, such as around the death of a daemon. */
+function measureSeconds(waits: readonly Wait[]): SecondRow[] {
+  const seconds = new Map<number, Wait[]>();
+  for (const wait of waits) {
+    const second = Math.floor(wait.atMs / 1_000);
+    const known = seconds.get(second);
+    if (known === undefined) seconds.set(second, [wait]);
+    else known.push(wait);
   }
   return [...seconds]
     .sort(([a], [b]) => a - b)
-    .map(([second, { waits, retried }]) => {
-      const histogram = buildHistogram(waits);
+    .map(([second, own]) => {
+      const histogram = buildHistogram(
+        own.map((wait) => Math.max(0, wait.waitMs)),
+      );
       return {
         second,
-        requests: waits.length,
-        retried,
+        requests: own.length,
+        retried: own.filter((wait) => wait.retried).length,
         p50: histogram.getValueAtPercentile(50),
         p99: histogram.getValueAtPercentile(99),
       };
@@ -186,11 +228,24 @@
   return histogram;
 }
 
-/** Waiting time of a task: acceptance of the job to the first start of the task. */
 function measureTasks(
   result: replays.ReplayResult,
   audit: platforms.PlatformAudit | undefined,
 ): WaitRow[] {
+  const waits = new Map<string, number[]>();
+  for (const { line, waitMs } of listTaskWaits(result, audit))
+    addTo(waits, `${line.label} tasks`, waitMs);
+  return formatWaits(waits);
+}
+
+/** Waiting time of each task: acceptance of the job to the first start of the task. */
+function listTaskWaits(
+  result: replays.ReplayResult,
+  audit: platforms.PlatformAudit | undefined,
+): readonly {
+  readonly line: replays.ReplayResult['jobs'][number]['line'];
+  readonly waitMs: number;
+}[] {
   const firstStart = new Map<string, Map<number, number>>();
   for (const start of audit?.fleet.starts ?? []) {
     const tasks = firstStart.get(start.jobId) ?? new Map<number, number>();
@@ -198,13 +253,14 @@
     const known = tasks.get(start.index) ?? Infinity;
     tasks.set(start.index, Math.min(known, start.startedMs));
   }
-  const waits = new Map<string, number[]>();
-  for (const { line, result: each } of result.jobs) {
-    if (each.answer !== 'accepted') continue;
-    for (const startedMs of firstStart.get(each.id)?.values() ?? [])
-      addTo(waits, `${line.label} tasks`, startedMs - each.acceptedMs);
-  }
-  return formatWaits(waits);
+  return result.jobs.flatMap(({ line, result: each }) => {
+    if (each.answer !== 'accepted') return [];
+    const starts = firstStart.get(each.id)?.values() ?? [];
+    return [...starts].map((startedMs) => ({
+      line,
+      waitMs: startedMs - each.acceptedMs,
+    }));
+  });
 }
 
 function addTo(
