--- a/packages/core/src/types/records.ts
+++ b/packages/core/src/types/records.ts
@@ -92,7 +92,9 @@
       readonly job: ids.JobId;
       readonly index: number;
       readonly attempt: ids.AttemptId;
-    };
+    }
+  /** The owner has accounted for all tasks; later records of lower epochs don't count. */
+  | { readonly type: 'settled'; readonly epoch: ids.Epoch };
 
 /** One ended task inside an `ends` record. */
 export interface TaskEnd {
