Start jobs on the capacity that is kept for them first

A job that was not the first of its team and shape had capacity freed for it but was tried only when the first job had started, so freed cores stayed idle until the claim ended. Memory is rounded to thousandths in the ledger, as cores are; sums of fractional sizes drifted.

--- a/packages/bench/src/decisions/replay.ts
+++ b/packages/bench/src/decisions/replay.ts
@@ -257,6 +257,7 @@
     this.meters.noteStop(run.start);
     const result = run.fails ? 'failed' : 'done';
     if (result === 'done') this.meters.noteDone(run.job);
+    else this.meters.failedRuns += 1;
     this.scheduler.apply(
       { event: 'task.ended', attemptId, result },
       this.nowMs,
--- a/packages/bench/src/decisions/table.ts
+++ b/packages/bench/src/decisions/table.ts
@@ -60,6 +60,7 @@
   readonly refused: number;
   readonly refusedFlood: number;
   readonly preempted: number;
+  readonly failedRuns: number;
   readonly done: number;
   readonly failed: number;
   readonly exceeded: number;
@@ -119,6 +120,7 @@
     refused: result.refused,
     refusedFlood: result.refusedFlood,
     preempted: result.preemptions,
+    failedRuns: result.failedRuns,
     done: result.done,
     failed: result.failed,
     exceeded: result.exceeded,
@@ -153,6 +155,7 @@
   'refused',
   'of flood',
   'preempted',
+  'failed runs',
   'done',
   'failed',
   'exceeded',
@@ -172,6 +175,7 @@
       row.refused,
       row.refusedFlood,
       row.preempted,
+      row.failedRuns,
       row.done,
       row.failed,
       row.exceeded,
--- a/packages/core/src/placement/vector.ts
+++ b/packages/core/src/placement/vector.ts
@@ -1,6 +1,6 @@
 /**
- * Arithmetic on amounts of resources. Cores are rounded to thousandths so that sums
- * of fractional declarations return exactly to zero when the tasks end.
+ * Arithmetic on amounts of resources. Cores and memory are rounded to thousandths, so
+ * that sums of fractional declarations return exactly to zero when the tasks end.
  */
 import type * as resources from '../types/resources.js';
 
@@ -19,7 +19,7 @@
 /** Adds `times` of `b` to `a` in place. */
 export function addTo(a: Amount, b: resources.Resources, times: number): void {
   a.cores = Math.round((a.cores + b.cores * times) * 1000) / 1000;
-  a.memoryMb += b.memoryMb * times;
+  a.memoryMb = Math.round((a.memoryMb + b.memoryMb * times) * 1000) / 1000;
   a.gpus += b.gpus * times;
 }
 
--- a/packages/core/src/scheduler/reserve.ts
+++ b/packages/core/src/scheduler/reserve.ts
@@ -5,6 +5,7 @@
 import * as ids from '../types/ids.js';
 import type * as resources from '../types/resources.js';
 import * as plan from '../placement/plan.js';
+import * as placer from '../placement/placer.js';
 import type * as placement from '../placement/rows.js';
 import * as vector from '../placement/vector.js';
 import * as ends from './ends.js';
@@ -115,6 +116,22 @@
   return atMs;
 }
 
+/** Tells whether a worker has the room now that a job claimed there. */
+export function isReady(state: states.State, row: rows.JobRow): boolean {
+  const reservation = state.reservations.get(row.id);
+  if (reservation === undefined) return false;
+  if (row.spec.kind === 'gang') return true;
+  const { id: jobId, urgency } = row;
+  const request = { jobId, urgency, endsMs: Number.POSITIVE_INFINITY };
+  for (const worker of reservation.workers.values())
+    if (
+      worker.claims.has(row.id) &&
+      vector.isWithin(row.spec.size, placer.computeOpenFor(worker, request))
+    )
+      return true;
+  return false;
+}
+
 /** Adds a claim of a job on a worker to what it claims there already. */
 export function addClaim(
   state: states.State,
--- a/packages/core/src/scheduler/start.ts
+++ b/packages/core/src/scheduler/start.ts
@@ -30,7 +30,7 @@
   floors: floors.FloorTable;
   /** True while tasks that need GPUs wait. */
   readonly gpusWanted: boolean;
-  /** The job that has starved longest among the most urgent ones. */
+  /** The job accepted first of those that starve in the most urgent class. */
   starving: rows.JobRow | undefined;
 }
 
--- a/packages/core/src/scheduler/tick.ts
+++ b/packages/core/src/scheduler/tick.ts
@@ -83,7 +83,7 @@
   const { starving } = context;
   const isFirst =
     starving === undefined ||
-    (starving.urgency === row.urgency && row.progressMs < starving.progressMs);
+    (starving.urgency === row.urgency && row.order < starving.order);
   if (isFirst) context.starving = row;
 }
 
@@ -185,12 +185,33 @@
   return true;
 }
 
+/** Starts jobs on capacity that is kept for them, wherever they are in the queue. */
+function startReserved(
+  state: states.State,
+  context: start.TickContext,
+  budget: Budget,
+): void {
+  for (const { job, workers } of [...state.reservations.values()]) {
+    const row = state.jobs.get(job);
+    if (row === undefined) continue;
+    let tries = workers.size;
+    while (tries > 0 && budget.starts > 0 && row.waiting > 0) {
+      tries -= 1;
+      if (!reserve.isReady(state, row)) break;
+      const result = start.tryStart(state, row, context);
+      budget.starts -= result.started;
+      if (result.started === 0) break;
+    }
+  }
+}
+
 function placeAll(state: states.State, context: start.TickContext): void {
   const budget: Budget = {
     starts: state.options.maxStartsPerTick,
     preemptions: PREEMPTIONS_PER_TICK,
     misses: 0,
   };
+  startReserved(state, context, budget);
   for (const urgency of ids.urgencies) {
     budget.misses = MISSES_PER_TICK;
     while (budget.starts > 0 && budget.misses > 0)
