--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,5 +1,6 @@
 /** The bench command. */
 import * as clipanion from 'clipanion';
+import * as cost from './cost/cost.js';
 import * as table from './decisions/table.js';
 
 class DecisionsCommand extends clipanion.Command {
@@ -20,7 +21,20 @@
   }
 }
 
+class CostCommand extends clipanion.Command {
+  static override readonly paths = [['cost']];
+  static override readonly usage = clipanion.Command.Usage({
+    description: 'Measures processor time and memory of decisions.',
+  });
+
+  override execute(): Promise<number> {
+    this.context.stdout.write(`${cost.measureCost().join('\n')}\n`);
+    return Promise.resolve(0);
+  }
+}
+
 const cli = new clipanion.Cli({ binaryName: 'bench' });
 cli.register(DecisionsCommand);
+cli.register(CostCommand);
 cli.register(clipanion.Builtins.HelpCommand);
 await cli.runExit(process.argv.slice(2));
