Let a settled record end the say of a replaced owner over task ends

A paused owner had the end of a task in its sockets, the worker restarted, the new owner found the task nowhere and started it again, and the old one then resumed and recorded the end, so that a job counted as done while its task ran again.

The new owner now ends its take-over with a 'settled' record under its epoch, appended after the last inventory, and reads the stream up to it. Records of lower epochs behind it don't count at any reader. An end therefore either is known before a task is freed, or it isn't an end. The record is renewed with the live jobs; carried intents are written under the carrying owner's epoch.

--- a/packages/core/src/jobs/taskTable.ts
+++ b/packages/core/src/jobs/taskTable.ts
@@ -30,11 +30,13 @@
 export interface TaskTable {
   readonly ends: Map<ids.JobId, Uint8Array>;
   readonly intents: Map<ids.JobId, Map<number, Intent>>;
+  /** Highest epoch that accounted for all tasks; later records of lower ones don't count. */
+  settled: ids.Epoch | undefined;
 }
 
 /** Creates an empty table. */
 export function createTaskTable(): TaskTable {
-  return { ends: new Map(), intents: new Map() };
+  return { ends: new Map(), intents: new Map(), settled: undefined };
 }
 
 /** Applies one record and returns the ends that are new. */
@@ -43,7 +45,15 @@
   record: records.LogRecord<records.TaskRecord>,
 ): readonly records.TaskEnd[] {
   const body = record.body;
+  // The current owner may have started again what a replaced one reports as ended.
+  const { settled } = table;
+  const replaced =
+    settled !== undefined && authority.compareEpochs(body.epoch, settled) < 0;
+  if (replaced) return [];
   switch (body.type) {
+    case 'settled':
+      table.settled = body.epoch;
+      return [];
     case 'ends':
       return body.ends.filter((end) => applyEnd(table, end));
     case 'intent':
--- a/packages/core/test/jobs.test.ts
+++ b/packages/core/test/jobs.test.ts
@@ -126,6 +126,23 @@
   vitest.expect(core.countTaskEnds(table, 'j')).toBe(2);
 });
 
+// Guards against an end that a replaced owner reports after the new one has accounted
+// for all tasks and may have started the task again.
+vitest.test(
+  'records of a replaced owner count until the new one settles',
+  () => {
+    const settled = { type: 'settled', epoch: epoch(2) } as const;
+    const table = foldTasks([
+      ends(0, 'done'),
+      settled,
+      ends(1, 'done'),
+      { ...ends(2, 'done'), epoch: epoch(2) },
+    ]);
+    const counted = core.listTaskEnds(table, 'j').map((task) => task.index);
+    vitest.expect(counted).toEqual([0, 2]);
+  },
+);
+
 // Guards against a job that ends before its tasks, or as done although one failed.
 vitest.test('the end of a job follows from its tasks', () => {
   const job = fold([accepted]).jobs.get('j')!;
--- a/packages/daemon/src/workers/shard.ts
+++ b/packages/daemon/src/workers/shard.ts
@@ -89,6 +89,7 @@
       prepared: false,
       concluded: false,
       concluding: false,
+      settledMs: 0,
       closed: false,
       apply,
       isDeciding,
--- a/packages/daemon/src/workers/shardJobs.ts
+++ b/packages/daemon/src/workers/shardJobs.ts
@@ -6,6 +6,9 @@
 
 const APPEND_RETRY_MS = 1_000;
 
+/** How long the append that settles a take-over may take before it is tried again. */
+const SETTLED_MS = 2_000;
+
 /** Jobs that are rewritten in one round. */
 const CARRY_LIMIT = 100;
 
@@ -143,11 +146,28 @@
   }
 }
 
+/** Ends the say of earlier owners over the tasks; the stream tells whether it took effect. */
+export async function appendSettled(state: states.ShardState): Promise<void> {
+  const { streams, context } = state.parts;
+  const body: core.records.TaskRecord = {
+    type: 'settled',
+    epoch: state.epoch,
+  };
+  const outcome = await streams.append(
+    stores.formatTasksStream(state.region),
+    body,
+    { flush: 'now', giveUpMs: SETTLED_MS },
+  );
+  if (outcome.outcome === 'appended')
+    state.settledMs = context.timers.readDate();
+}
+
 /** Rewrites live jobs before the log drops their records. */
 export async function renewJobs(state: states.ShardState): Promise<void> {
   const { jobs, streams, context, options } = state.parts;
   if (!state.isDeciding() || streams.readAwaySince() !== undefined) return;
   const dueMs = context.timers.readDate() - options.retentionMs / 2;
+  if (state.concluded && state.settledMs < dueMs) await appendSettled(state);
   const due: core.jobs.Job[] = [];
   for (const job of jobs.table.jobs.values()) {
     if (job.shard !== state.shard || job.state !== 'accepted') continue;
@@ -191,7 +211,9 @@
   if (ends.length > 0) written.push({ type: 'ends', epoch: state.epoch, ends });
   for (const [index, intent] of table.intents.get(job.id) ?? []) {
     if (core.readTaskEnd(table, job.id, index) !== undefined) continue;
-    const { epoch, attempt } = intent;
+    // Under this owner's epoch: a record of an earlier one doesn't count any more.
+    const { epoch } = state;
+    const { attempt } = intent;
     written.push({ type: 'intent', epoch, job: job.id, index, attempt });
   }
   return written;
--- a/packages/daemon/src/workers/state.ts
+++ b/packages/daemon/src/workers/state.ts
@@ -68,6 +68,8 @@
   concluded: boolean;
   /** The heads are being read for the end of the take-over. */
   concluding: boolean;
+  /** Date of the last `settled` record. */
+  settledMs: number;
   closed: boolean;
   /** Applies an event to the scheduler and has it decide soon. */
   apply(event: core.scheduling.SchedulerEvent): void;
--- a/packages/daemon/src/workers/takeover.ts
+++ b/packages/daemon/src/workers/takeover.ts
@@ -111,10 +111,20 @@
   return membership.readVms().length > 0;
 }
 
+/** Whether this owner's `settled` record was read. */
+function isSettled(state: states.ShardState): boolean {
+  const { settled } = state.tasks.table;
+  return (
+    settled !== undefined && core.compareEpochs(settled, state.epoch) === 0
+  );
+}
+
 /**
- * Ends the take-over when every worker is accounted for: reads the heads once more,
- * because the previous owner may have recorded ends and had them forgotten before
- * the inventories were taken, and frees what is on no worker.
+ * Ends the take-over when every worker is accounted for, and frees what is on no
+ * worker. The previous owner may have recorded ends and had them forgotten before
+ * the inventories were taken, so the stream of tasks is read up to a `settled`
+ * record that is appended after them; what a replaced owner appends later doesn't
+ * count, because the task may have been started again.
  */
 export async function endTakeOver(state: states.ShardState): Promise<void> {
   const isReady = () =>
@@ -124,7 +134,8 @@
     isAccounted(state);
   if (state.concluding || !isReady()) return;
   state.concluding = true;
-  const read = await readHeads(state);
+  if (!isSettled(state)) await shardJobs.appendSettled(state);
+  const read = (await readHeads(state)) && isSettled(state);
   state.concluding = false;
   // Workers that are listed meanwhile have to be accounted for as well.
   if (!read || !isReady()) return;
