Use a backend server's status only where it can't free a running request

A status freed an abandoned request and kept an unreported one in its place, whose time ended 1 ms earlier; both kinds are now bounded by themselves, and the abandoned tickets kept are those that end last.

--- a/packages/core/src/slots/scheduler.ts
+++ b/packages/core/src/slots/scheduler.ts
@@ -59,7 +59,7 @@
         dropServer(event.server);
         return;
       case 'server.status':
-        updateStatus(event.server, event.busy, event.askedMs);
+        noteStatus(event.server, event.busy, event.askedMs, nowMs);
         return;
       case 'ask':
         receiveAsk(event.ask, nowMs);
@@ -103,16 +103,21 @@
     if (servers.countUsed(row) === 0) rows.delete(id);
   }
 
-  function updateStatus(id: ids.VmId, busy: number, askedMs: number): void {
+  function noteStatus(
+    id: ids.VmId,
+    busy: number,
+    askedMs: number,
+    nowMs: number,
+  ): void {
     const row = rows.get(id);
-    if (row === undefined) return;
-    const freed = servers.applyStatus(
-      row,
-      busy,
-      askedMs,
-      unreported.size === 0,
-    );
-    for (const ticket of freed) releaseTicket(ticket);
+    if (row !== undefined) servers.noteStatus(row, busy, askedMs, nowMs);
+  }
+
+  function applyStatuses(nowMs: number): void {
+    const reported = unreported.size === 0;
+    for (const row of rows.values())
+      for (const ticket of servers.applyStatus(row, nowMs, reported))
+        releaseTicket(ticket);
   }
 
   function markUnknown(row: servers.ServerRow): void {
@@ -499,6 +504,7 @@
 
   function tick(nowMs: number): readonly types.SlotDecision[] {
     expireTickets(nowMs);
+    applyStatuses(nowMs);
     endTakeOver(nowMs);
     expireWaits(nowMs);
     grantAll(nowMs);
@@ -514,6 +520,7 @@
     dropPast(waitEnds, (row) => waiting.find(row.ask.id) === row);
     const times = [ticketEnds.peek()?.atMs, waitEnds.peek()?.atMs];
     if (unreported.size === 0) times.push(takeOverEndsMs);
+    for (const row of rows.values()) times.push(row.status?.dueMs);
     if (waiting.readLength() > 0)
       for (const row of rows.values()) times.push(servers.readTrialDue(row));
     const due = times.filter((time) => time !== undefined);
--- a/packages/core/src/slots/servers.ts
+++ b/packages/core/src/slots/servers.ts
@@ -20,6 +20,9 @@
  */
 const ZONE_PENALTY = 0.25;
 
+/** Time in which the return of a request that ended before a status arrives. */
+const STATUS_SETTLE_MS = 300;
+
 /** A granted or reported ticket whose slot counts as used. */
 export interface TicketRow {
   readonly id: string;
@@ -38,6 +41,14 @@
   abandonedMs: number | undefined;
 }
 
+/** What a server reported as busy, and which reported requests it may include. */
+export interface PendingStatus {
+  readonly busy: number;
+  readonly askedMs: number;
+  readonly sent: readonly TicketRow[];
+  readonly dueMs: number;
+}
+
 /** One backend server. */
 export interface ServerRow {
   info: types.BackendServer;
@@ -46,6 +57,8 @@
   readonly perHolder: Map<ids.InstanceId, number>;
   /** Slots that tickets of an earlier owner may use and nobody has reported. */
   unknown: number;
+  /** Status that waits for the returns of requests that it may not count. */
+  status: PendingStatus | undefined;
   failures: number;
   trialAtMs: number;
   /** Ticket of the trial request in flight. */
@@ -61,6 +74,7 @@
     tickets: new Map(),
     perHolder: new Map(),
     unknown: 0,
+    status: undefined,
     failures: 0,
     trialAtMs: 0,
     trial: undefined,
@@ -126,28 +140,56 @@
 }
 
 /**
- * Lowers the count of uncertain slots to what the server reports as busy. Requests
- * that holders reported as sent are among the busy ones; others may not be, so they
- * aren't subtracted. Returns the abandoned tickets that the server no longer runs.
+ * Keeps what a status says until it can be used. A request that a holder reported
+ * as sent is among the busy ones only if it was still running; the server may have
+ * finished it while the return is on its way, so the status waits for that return.
  */
-export function applyStatus(
+export function noteStatus(
   row: ServerRow,
   busy: number,
   askedMs: number,
+  nowMs: number,
+): void {
+  if (row.status !== undefined) return;
+  const sent = [...row.tickets.values()].filter((one) => one.reportedSent);
+  const dueMs = sent.length === 0 ? nowMs : nowMs + STATUS_SETTLE_MS;
+  row.status = { busy, askedMs, sent, dueMs };
+}
+
+/**
+ * Lowers the count of uncertain slots to what the last status reports as busy: at
+ * once to all busy ones, and when it has settled to those that no reported request
+ * accounts for. Tickets that nobody reported as sent may not be among the busy ones,
+ * so they aren't subtracted. Returns the abandoned tickets that no longer run.
+ */
+export function applyStatus(
+  row: ServerRow,
+  nowMs: number,
   reported: boolean,
 ): readonly TicketRow[] {
-  const tickets = [...row.tickets.values()];
-  const sent = tickets.filter(
-    (ticket) => ticket.reportedSent && ticket.abandonedMs === undefined,
-  ).length;
-  const allowed = Math.max(0, busy - sent);
+  const { status } = row;
+  if (status === undefined) return [];
+  const isSettled = nowMs >= status.dueMs;
+  if (isSettled) row.status = undefined;
+  const running = isSettled ? countRunning(row, status.sent) : 0;
+  const allowed = Math.max(0, status.busy - running);
   if (reported) row.unknown = Math.min(row.unknown, allowed);
-  const abandoned = tickets.filter(
+  // Which of the uncertain requests still run isn't known, so each kind is bounded by
+  // itself, and the abandoned tickets that are kept are those whose terms end last.
+  return [...row.tickets.values()]
+    .filter(
+      (ticket) =>
+        ticket.abandonedMs !== undefined && ticket.abandonedMs < status.askedMs,
+    )
+    .sort((a, b) => b.endsMs - a.endsMs)
+    .slice(allowed);
+}
+
+function countRunning(row: ServerRow, sent: readonly TicketRow[]): number {
+  return sent.filter(
     (ticket) =>
-      ticket.abandonedMs !== undefined && ticket.abandonedMs < askedMs,
-  );
-  const kept = Math.max(0, allowed - row.unknown);
-  return abandoned.slice(kept);
+      row.tickets.get(ticket.id) === ticket && ticket.abandonedMs === undefined,
+  ).length;
 }
 
 /** True when the server can take one more ticket now, of whichever process. */
--- a/packages/core/test/slots.test.ts
+++ b/packages/core/test/slots.test.ts
@@ -156,3 +156,68 @@
   giveBack(trials[0]!.id, 'ok', 610);
   expect(grant(620, 4).map((one) => one.backendServer)).toContain('b0');
 });
+
+/** A shard of one server with 3 slots, just taken over; `p` reported one sent ticket. */
+function createTakenOver() {
+  const shard = createShard(3, 1, { termMs: 1_000 });
+  const held: core.requests.HeldTicket = {
+    id: 'old',
+    shard: 'service/desk@muscat',
+    epoch: { offset: 0, provisional: 0 },
+    backendServer: 'b0',
+    address: '',
+    holder: 'p',
+    termMs: 1_000,
+    sent: true,
+  };
+  const { scheduler } = shard;
+  scheduler.apply(
+    { event: 'taken-over', holders: ['p', 'q'], longestTermMs: 1_000 },
+    0,
+  );
+  scheduler.apply(
+    { event: 'holder.reported', holder: 'p', tickets: [held] },
+    0,
+  );
+  const setStatus = (busy: number, nowMs: number) => {
+    scheduler.apply(
+      { event: 'holder.reported', holder: 'q', tickets: [] },
+      nowMs,
+    );
+    scheduler.apply(
+      { event: 'server.status', server: 'b0', busy, askedMs: nowMs },
+      nowMs,
+    );
+    scheduler.tick(nowMs);
+  };
+  const countGranted = (nowMs: number) => {
+    for (let index = 0; index < 3; index += 1) shard.ask(nowMs);
+    const decisions = scheduler.tick(nowMs);
+    return decisions.filter((one) => one.decision === 'granted').length;
+  };
+  return { ...shard, setStatus, countGranted };
+}
+
+test('a busy slot is taken for a reported request only while its return stays away (guards P1)', () => {
+  const returned = createTakenOver();
+  returned.setStatus(1, 1);
+  returned.giveBack('old', 'ok', 10);
+  expect(returned.countGranted(400)).toBe(2);
+  const running = createTakenOver();
+  running.setStatus(1, 1);
+  expect(running.countGranted(2)).toBe(1);
+  expect(running.countGranted(400)).toBe(1);
+});
+
+test('a status in a take-over does not free a request that was abandoned after it (guards P1)', () => {
+  const { scheduler, ask, giveBack, setStatus, countGranted } =
+    createTakenOver();
+  giveBack('old', 'ok', 1);
+  ask(1);
+  const [decision] = scheduler.tick(1);
+  if (decision?.decision !== 'granted') throw new Error('no grant');
+  giveBack(decision.ticket.id, 'error', 1);
+  setStatus(1, 2);
+  // The take-over ends at 1,000 ms and the abandoned request at 1,001 ms.
+  expect(countGranted(1_000)).toBe(2);
+});
