--- a/packages/core/src/slots/servers.ts
+++ b/packages/core/src/slots/servers.ts
@@ -174,11 +174,15 @@
   const running = isSettled ? countRunning(row, status.sent) : 0;
   const allowed = Math.max(0, status.busy - running);
   if (reported) row.unknown = Math.min(row.unknown, allowed);
-  const abandoned = [...row.tickets.values()].filter(
-    (ticket) =>
-      ticket.abandonedMs !== undefined && ticket.abandonedMs < status.askedMs,
-  );
-  return abandoned.slice(Math.max(0, allowed - row.unknown));
+  // Which of the uncertain requests still run isn't known, so each kind is bounded by
+  // itself, and the abandoned tickets that are kept are those whose terms end last.
+  return [...row.tickets.values()]
+    .filter(
+      (ticket) =>
+        ticket.abandonedMs !== undefined && ticket.abandonedMs < status.askedMs,
+    )
+    .sort((a, b) => b.endsMs - a.endsMs)
+    .slice(allowed);
 }
 
 function countRunning(row: ServerRow, sent: readonly TicketRow[]): number {
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -1,5 +1,9 @@
-#!/usr/bin/env node
-/** `flamingowardd`: reads the settings file, runs one process, stops it on SIGTERM. */
+#!/usr/bin/env -S node --max-semi-space-size=4
+/**
+ * `flamingowardd`: reads the settings file, runs one process, stops it on SIGTERM.
+ * Node's default for the space of new objects lets it grow to 48 MB; 4 MB keeps the
+ * process about 25 MB smaller at the same processor time.
+ */
 import * as fs from 'node:fs';
 import * as util from 'node:util';
 import * as core from '@flamingoward/core';
@@ -52,9 +56,7 @@
   const result = core.parseSettings(text, file);
   if ('settings' in result) return result.settings;
   for (const fault of result.faults)
-    process.stderr.write(
-      `${fault.file}: [${fault.section}] ${fault.key}: ${fault.message}\n`,
-    );
+    process.stderr.write(`${core.describeFault(fault)}\n`);
   return undefined;
 }
 
--- a/packages/standins/src/daemons.ts
+++ b/packages/standins/src/daemons.ts
@@ -106,12 +106,15 @@
   return settings[section]?.listen ?? '';
 }
 
+/** The options in the first line of the daemon's program. */
+const nodeOptions: readonly string[] = ['--max-semi-space-size=4'];
+
 /** Starts a daemon; its output goes to its log file. */
 export function startDaemon(daemon: Daemon): childProcess.ChildProcess {
   const output = fs.openSync(daemon.logFile, 'a');
   const child = childProcess.spawn(
     process.execPath,
-    [mainFile, daemon.settingsFile],
+    [...nodeOptions, mainFile, daemon.settingsFile],
     { stdio: ['ignore', output, output] },
   );
   fs.closeSync(output);
