--- a/packages/core/src/jobs/taskTable.ts
+++ b/packages/core/src/jobs/taskTable.ts
@@ -48,7 +48,7 @@
   // The current owner may have started again what a replaced one reports as ended.
   const { settled } = table;
   const replaced =
-    settled !== undefined && authority.compareEpochs(body.epoch, settled) < 0;
+    settled !== undefined && epochs.compareEpochs(body.epoch, settled) < 0;
   if (replaced) return [];
   switch (body.type) {
     case 'settled':
