Read jobs with one parser and mark oversized answers

Cause: callers and operators had a parser of the same JSON each; an answer over the limit was retried and counted against its server, because its error had no code.

--- a/packages/daemon/src/callers/routes.ts
+++ b/packages/daemon/src/callers/routes.ts
@@ -4,7 +4,7 @@
 import type * as requests from '../requests/types.js';
 import type * as exchanges from './exchange.js';
 import * as headers from './headers.js';
-import * as jobspec from './jobspec.js';
+import * as jobSpec from '../jobs/spec.js';
 
 const DEFAULT_TEAM = 'default';
 const RETRY_AFTER_MS = 1_000;
@@ -213,7 +213,7 @@
   if (team === undefined) return;
   const body = await readBody(parts, exchange);
   if (body === undefined) return;
-  const parsed = jobspec.parseJobSpec(body, team);
+  const parsed = jobSpec.parseJobSpec(body, team);
   if (!parsed.parsed) {
     refuse(exchange, 400, parsed.faults.join('; '));
     return;
--- a/packages/daemon/src/callers/jobspec.ts
+++ b/packages/daemon/src/jobs/spec.ts
@@ -1,4 +1,4 @@
-/** The JSON body of `POST /jobs`. */
+/** The JSON of a job, as callers and operators send it. */
 import * as zod from 'zod';
 import type * as core from '@flamingoward/core';
 
@@ -40,15 +40,20 @@
   const json = parseJson(body);
   if ('fault' in json) return { parsed: false, faults: [json.fault] };
   const result = schema.safeParse(json.value);
-  if (!result.success)
-    return {
-      parsed: false,
-      faults: result.error.issues.map(
-        ({ path, message }) =>
-          `${path.length === 0 ? 'body' : path.join('.')}: ${message}`,
-      ),
-    };
-  return checkSpec(createSpec(result.data, team));
+  const faults = [
+    ...listSchemaFaults(result.error),
+    ...listCombinedFaults(json.value),
+  ];
+  return result.success && faults.length === 0
+    ? { parsed: true, spec: createSpec(result.data, team) }
+    : { parsed: false, faults };
+}
+
+function listSchemaFaults(error: zod.ZodError | undefined): readonly string[] {
+  return (error?.issues ?? []).map(
+    ({ path, message }) =>
+      `${path.length === 0 ? 'body' : path.join('.')}: ${message}`,
+  );
 }
 
 function parseJson(
@@ -83,13 +88,15 @@
   };
 }
 
-function checkSpec(spec: core.jobs.JobSpec): ParsedJob {
+/** Fields that don't go together; read from the JSON, so that they are listed beside other faults. */
+function listCombinedFaults(json: unknown): readonly string[] {
+  if (typeof json !== 'object' || json === null) return [];
+  const { kind, declaredMs, maxRacks } = json as Partial<core.jobs.JobSpec>;
   const faults: string[] = [];
-  if (spec.kind !== 'service' && spec.declaredMs === 0)
+  const isEndless = declaredMs === undefined || declaredMs === 0;
+  if (kind !== 'service' && isEndless)
     faults.push('declaredMs: required for batch and gang jobs, in ms');
-  if (spec.kind !== 'gang' && spec.maxRacks !== undefined)
+  if (kind !== 'gang' && maxRacks !== undefined)
     faults.push('maxRacks: only gang jobs may have it');
-  return faults.length === 0
-    ? { parsed: true, spec }
-    : { parsed: false, faults };
+  return faults;
 }
--- a/packages/daemon/src/operators/jobs.ts
+++ b/packages/daemon/src/operators/jobs.ts
@@ -2,7 +2,7 @@
 import type * as core from '@flamingoward/core';
 import type * as types from '../types.js';
 import * as http from './http.js';
-import * as jobSpec from './job-spec.js';
+import * as jobSpec from '../jobs/spec.js';
 
 const defaultJobs = 100;
 const mostJobs = 1_000;
@@ -94,11 +94,8 @@
   body: string,
   key: string | string[] | undefined,
 ): Promise<http.Reply> {
-  const json = http.parseObject(body);
-  if (json === undefined)
-    return http.refuse(400, 'expected a JSON object that describes the job');
-  const result = jobSpec.parseJobSpec(json);
-  if ('faults' in result)
+  const result = jobSpec.parseJobSpec(Buffer.from(body), undefined);
+  if (!result.parsed)
     return {
       status: 400,
       body: { error: 'the job is refused', faults: result.faults },
--- a/packages/platform/src/line.ts
+++ b/packages/platform/src/line.ts
@@ -3,6 +3,7 @@
  * that was certainly not written from one that may have reached the server: the
  * connector counts the bytes written on every socket of the connection.
  */
+import * as core from '@flamingoward/core';
 import type * as net from 'node:net';
 import * as undici from 'undici';
 import type * as types from './types.js';
@@ -153,7 +154,11 @@
     add(chunk) {
       length += chunk.length;
       if (length > maxBytes)
-        return new Error(`the answer is larger than ${maxBytes} bytes`);
+        return core.createFault(
+          'too-large',
+          { step: 'http.receive', peer: 'server' },
+          String(maxBytes),
+        );
       chunks.push(chunk);
       return undefined;
     },
