Measure a whole cell of real daemons

The bench had no figures of daemons that run as processes. Subcommand `cell` starts real daemons and the stand-in platform on loopback and measures recovery, releases, cost at rest, starts and bytes between the regions.

--- /dev/null
+++ b/packages/bench/src/cell/bench.ts
@@ -0,0 +1,174 @@
+/** Runs the parts of the bench of a whole cell one after another. */
+import * as os from 'node:os';
+import * as cells from './cell.js';
+import * as idle from './idle.js';
+import * as recovery from './recovery.js';
+import * as regions from './regions.js';
+import * as releases from './releases.js';
+import * as starts from './starts.js';
+
+/** Parts of the bench. */
+export const parts = [
+  'recovery',
+  'release',
+  'idle',
+  'starts',
+  'regions',
+] as const;
+/** One part. */
+export type Part = (typeof parts)[number];
+
+/** What to run. */
+export interface BenchOptions {
+  readonly processes: number;
+  /** Largest fleet of the part `idle`. */
+  readonly workers: number;
+  readonly seed: number;
+  readonly quick: boolean;
+  readonly parts: readonly Part[];
+}
+
+/** Everything that was measured; parts that weren't run are absent. */
+export interface BenchResult {
+  readonly machine: {
+    readonly cores: number;
+    readonly loadBefore: readonly number[];
+    readonly loadAfter: readonly number[];
+  };
+  readonly recovery?: readonly recovery.RecoveryRound[];
+  readonly release?: releases.ReleaseTimes;
+  readonly paused?: readonly releases.PausedRelease[];
+  readonly idle?: readonly idle.IdleRow[];
+  readonly starts?: readonly starts.StartRow[];
+  readonly regions?: readonly regions.RegionRow[];
+  /** Parts that ended with an error. */
+  readonly failed: Readonly<Record<string, string>>;
+}
+
+/** Size of both customers today. */
+const TODAY_WORKERS = 34;
+const TODAY_PROCESSES = 6;
+const MIDDLE_WORKERS = 340;
+/** Running tasks per worker at the target size: 12,000 on 2,800. */
+const TASKS_PER_WORKER = 12_000 / 2_800;
+
+/** Runs the parts; an error in one doesn't end the others. */
+export async function runBench(
+  options: BenchOptions,
+  note: (line: string) => void,
+): Promise<BenchResult> {
+  const loadBefore = os.loadavg();
+  const failed: Record<string, string> = {};
+  let result: Omit<BenchResult, 'machine' | 'failed'> = {};
+  for (const part of options.parts) {
+    const startMs = performance.now();
+    try {
+      result = { ...result, ...(await runPart(part, options)) };
+    } catch (error) {
+      failed[part] = String(error);
+    }
+    const seconds = (performance.now() - startMs) / 1_000;
+    note(`part=${part} took_s=${seconds.toFixed(0)} ${failed[part] ?? ''}`);
+  }
+  const machine = {
+    cores: os.availableParallelism(),
+    loadBefore,
+    loadAfter: os.loadavg(),
+  };
+  return { machine, ...result, failed };
+}
+
+function runPart(
+  part: Part,
+  options: BenchOptions,
+): Promise<Partial<BenchResult>> {
+  switch (part) {
+    case 'recovery':
+      return runRecovery(options);
+    case 'release':
+      return runRelease(options);
+    case 'idle':
+      return runIdle(options);
+    case 'starts':
+      return runStarts(options);
+    case 'regions':
+      return runRegions(options);
+  }
+}
+
+async function runRecovery(
+  options: BenchOptions,
+): Promise<Partial<BenchResult>> {
+  const { processes, quick } = options;
+  const rounds: recovery.RecoveryRound[] = [];
+  const kinds: readonly recovery.RecoveryRound['signal'][] = quick
+    ? ['SIGKILL']
+    : ['SIGKILL', 'SIGSTOP', 'SIGKILL', 'SIGSTOP', 'SIGKILL'];
+  await withCell({ processes, workers: TODAY_WORKERS }, async (cell) => {
+    for (const kind of kinds)
+      rounds.push(await recovery.measureRecovery(cell, kind, rounds.length));
+  });
+  return { recovery: rounds };
+}
+
+async function runRelease(
+  options: BenchOptions,
+): Promise<Partial<BenchResult>> {
+  const { processes, quick, seed } = options;
+  return withCell({ processes, workers: TODAY_WORKERS }, async (cell) => {
+    const bench = new releases.ReleaseBench(cell, seed);
+    const release = await bench.measure(quick ? 20 : 120);
+    const paused: releases.PausedRelease[] = [];
+    for (const { name } of cell.daemons.slice(0, quick ? 1 : 3))
+      paused.push(await bench.measurePaused(name));
+    return { release, paused };
+  });
+}
+
+async function runIdle(options: BenchOptions): Promise<Partial<BenchResult>> {
+  const { processes, workers, quick } = options;
+  const sizes: cells.CellOptions[] = quick
+    ? [{ processes, workers: TODAY_WORKERS }]
+    : [
+        { processes: TODAY_PROCESSES, workers: TODAY_WORKERS },
+        { processes, workers: TODAY_WORKERS },
+        { processes, workers: MIDDLE_WORKERS },
+        { processes, workers },
+      ];
+  const rows: idle.IdleRow[] = [];
+  for (const size of sizes) {
+    const tasks = Math.round(size.workers * TASKS_PER_WORKER);
+    rows.push(await idle.measureIdle(size, tasks, quick ? 8_000 : 12_000));
+  }
+  return { idle: rows };
+}
+
+async function runStarts(options: BenchOptions): Promise<Partial<BenchResult>> {
+  const { processes, quick } = options;
+  const taskTimes = quick ? [500] : [8_000, 2_000, 700];
+  return withCell({ processes, workers: TODAY_WORKERS }, async (cell) => ({
+    starts: await starts.measureStarts(cell, taskTimes, quick ? 4_000 : 6_000),
+  }));
+}
+
+async function runRegions(
+  options: BenchOptions,
+): Promise<Partial<BenchResult>> {
+  const { processes, quick, seed } = options;
+  const size = { processes, workers: TODAY_WORKERS, countRegions: true };
+  return withCell(size, async (cell) => ({
+    regions: await regions.measureRegions(cell, seed, quick ? 6_000 : 15_000),
+  }));
+}
+
+async function withCell<Result>(
+  options: cells.CellOptions,
+  run: (cell: cells.Cell) => Promise<Result>,
+): Promise<Result> {
+  const cell = await cells.Cell.start(options);
+  try {
+    return await run(cell);
+  } finally {
+    await cell.stop();
+  }
+}
--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,5 +1,6 @@
 /** The bench command. */
 import * as clipanion from 'clipanion';
+import * as cell from './cell/command.js';
 import * as table from './decisions/table.js';
 
 class DecisionsCommand extends clipanion.Command {
@@ -22,5 +23,6 @@
 
 const cli = new clipanion.Cli({ binaryName: 'bench' });
 cli.register(DecisionsCommand);
+cli.register(cell.CellCommand);
 cli.register(clipanion.Builtins.HelpCommand);
 await cli.runExit(process.argv.slice(2));
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -9,6 +9,21 @@
 export type { WorkerAudit, WorkerControl, WorkerOptions } from './worker.js';
 export { BackendStandin } from './backend.js';
 export type { BackendAudit, BackendOptions, Behaviour } from './backend.js';
+export { serve } from './serve.js';
+export type { Handler, Incoming, Server, Traffic } from './serve.js';
+export {
+  hasRelease,
+  isReady,
+  loadDrafts,
+  listLinks,
+  publishRelease,
+  readProcessCost,
+  startDaemon,
+  stopDaemon,
+  waitUntil,
+  writeSettings,
+} from './daemons.js';
+export type { Daemon } from './daemons.js';
 export { Platform } from './platform.js';
 export type {
   PlatformAudit,
--- a/packages/standins/src/serve.ts
+++ b/packages/standins/src/serve.ts
@@ -17,11 +17,19 @@
   response: http.ServerResponse,
 ) => void | Promise<void>;
 
+/** Bytes that a server received and sent on its connections, HTTP heads included. */
+export interface Traffic {
+  readonly receivedBytes: number;
+  readonly sentBytes: number;
+}
+
 /** A running server. */
 export interface Server {
   /** `ip:port`. */
   readonly address: string;
   readonly sockets: ReadonlySet<net.Socket>;
+  /** Counts all connections since the start, closed ones included. */
+  readTraffic(): Traffic;
   stop(): Promise<void>;
 }
 
@@ -33,6 +41,7 @@
   noteConnections?: (connections: number) => void,
 ): Promise<Server> {
   const sockets = new Set<net.Socket>();
+  const closed = { receivedBytes: 0, sentBytes: 0 };
   const server = http.createServer((request, response) => {
     handleRequest(request, response, handler);
   });
@@ -41,7 +50,11 @@
   server.on('connection', (socket) => {
     sockets.add(socket);
     noteConnections?.(sockets.size);
-    socket.on('close', () => sockets.delete(socket));
+    socket.on('close', () => {
+      sockets.delete(socket);
+      closed.receivedBytes += socket.bytesRead;
+      closed.sentBytes += socket.bytesWritten;
+    });
     socket.on('error', () => undefined);
   });
   await new Promise<void>((resolve, reject) => {
@@ -52,6 +65,14 @@
   return {
     address: `${host}:${bound.port}`,
     sockets,
+    readTraffic: () => {
+      let { receivedBytes, sentBytes } = closed;
+      for (const socket of sockets) {
+        receivedBytes += socket.bytesRead;
+        sentBytes += socket.bytesWritten;
+      }
+      return { receivedBytes, sentBytes };
+    },
     stop: () =>
       new Promise((resolve) => {
         server.close(() => {
--- a/packages/standins/src/worker.ts
+++ b/packages/standins/src/worker.ts
@@ -127,6 +127,11 @@
     };
   }
 
+  /** Bytes of all calls since the start; undefined before it. */
+  readTraffic(): serving.Traffic | undefined {
+    return this.#server?.readTraffic();
+  }
+
   /** Answers one request. */
   async handle(
     incoming: serving.Incoming,
