--- a/packages/bench/src/cell/regions.ts
+++ b/packages/bench/src/cell/regions.ts
@@ -8,9 +8,12 @@
   readonly what: 'rest' | 'replay';
   readonly linksToFar: number;
   readonly linksToHome: number;
-  /** Answers of the log and the VM list to processes outside the log's region. */
+  /** Answers of the log to processes outside its region, and their calls. */
   readonly logToFar: number;
   readonly logToHome: number;
+  /** The same of the VM list, whose place the design leaves open. */
+  readonly vmListToFar: number;
+  readonly vmListToHome: number;
 }
 
 interface Counts {
@@ -19,6 +22,8 @@
   readonly linksToHome: number;
   readonly logToFar: number;
   readonly logToHome: number;
+  readonly vmListToFar: number;
+  readonly vmListToHome: number;
 }
 
 /** Measures a cell whose regions are counted. */
@@ -54,13 +59,16 @@
       linksToFar += isFar ? towards : back;
       linksToHome += isFar ? back : towards;
     }
-  const log = cell.readFarLogBytes();
+  const log = cell.readFarBytes('log');
+  const vmList = cell.readFarBytes('vmList');
   return {
     atMs: performance.now(),
     linksToFar,
     linksToHome,
-    logToFar: log.away,
-    logToHome: log.towards,
+    logToFar: log.sentBytes,
+    logToHome: log.receivedBytes,
+    vmListToFar: vmList.sentBytes,
+    vmListToHome: vmList.receivedBytes,
   };
 }
 
@@ -78,5 +86,7 @@
     linksToHome: measureRate((each) => each.linksToHome),
     logToFar: measureRate((each) => each.logToFar),
     logToHome: measureRate((each) => each.logToHome),
+    vmListToFar: measureRate((each) => each.vmListToFar),
+    vmListToHome: measureRate((each) => each.vmListToHome),
   };
 }
--- a/packages/bench/src/cell/report.ts
+++ b/packages/bench/src/cell/report.ts
@@ -1,6 +1,7 @@
 /** The report of the bench of a whole cell, as lines of key=value pairs. */
 import type * as bench from './bench.js';
 import * as idle from './idle.js';
+import type * as regions from './regions.js';
 
 /** Formats a result. */
 export function describeBench(result: bench.BenchResult): readonly string[] {
@@ -11,18 +12,21 @@
     ...describeRelease(result),
     ...(result.idle ?? []).flatMap(describeIdle),
     ...describeStarts(result),
-    ...(result.regions ?? []).map(
-      (row) =>
-        `regions ${row.what} links_to_far=${row.linksToFar.toFixed(0)} links_to_home=${row.linksToHome.toFixed(0)}` +
-        ` log_to_far=${row.logToFar.toFixed(0)} log_to_home=${row.logToHome.toFixed(0)}` +
-        ` all=${(row.linksToFar + row.linksToHome + row.logToFar + row.logToHome).toFixed(0)} bytes/s`,
-    ),
+    ...(result.regions ?? []).map(describeRegions),
     ...Object.entries(result.failed).map(
       ([part, error]) => `FAILED ${part}: ${error}`,
     ),
   ];
 }
 
+function describeRegions(row: regions.RegionRow): string {
+  return (
+    `regions ${row.what} links_to_far=${row.linksToFar.toFixed(0)} links_to_home=${row.linksToHome.toFixed(0)}` +
+    ` log_to_far=${row.logToFar.toFixed(0)} log_to_home=${row.logToHome.toFixed(0)}` +
+    ` vm_list_to_far=${row.vmListToFar.toFixed(0)} vm_list_to_home=${row.vmListToHome.toFixed(0)} bytes/s`
+  );
+}
+
 function formatLoad(load: readonly number[]): string {
   return load.map((each) => each.toFixed(1)).join('/');
 }
