--- a/packages/bench/src/main.ts
+++ b/packages/bench/src/main.ts
@@ -1,6 +1,7 @@
 /** The bench command. */
 import * as clipanion from 'clipanion';
 import * as cost from './cost/cost.js';
+import * as cell from './cell/command.js';
 import * as table from './decisions/table.js';
 
 class DecisionsCommand extends clipanion.Command {
@@ -36,5 +37,6 @@
 const cli = new clipanion.Cli({ binaryName: 'bench' });
 cli.register(DecisionsCommand);
 cli.register(CostCommand);
+cli.register(cell.CellCommand);
 cli.register(clipanion.Builtins.HelpCommand);
 await cli.runExit(process.argv.slice(2));
