--- a/packages/standins/src/daemons.ts
+++ b/packages/standins/src/daemons.ts
@@ -106,8 +106,10 @@
   return settings[section]?.listen ?? '';
 }
 
-/** Starts a daemon; its output goes to its log file. */
+/** Starts a daemon; its output goes to its log file. Throws when the daemon isn't built. */
 export function startDaemon(daemon: Daemon): childProcess.ChildProcess {
+  if (!fs.existsSync(mainFile))
+    throw new Error(`${mainFile} is missing: run "npm run build" first`);
   const output = fs.openSync(daemon.logFile, 'a');
   const child = childProcess.spawn(
     process.execPath,
@@ -227,7 +229,7 @@
 }
 
 /** Holds all ports at once, so that they differ, then frees them. */
-async function findFreePorts(count: number): Promise<number[]> {
+export async function findFreePorts(count: number): Promise<number[]> {
   const servers = await Promise.all(
     Array.from(
       { length: count },
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,5 +1,5 @@
 /** Stand-ins for the platform, and the replay of recorded traces. */
-export { LogStandin } from './log.js';
+export { LogStandin, waitMs } from './log.js';
 export type { LogAudit, LogControl } from './log.js';
 export { VmListStandin } from './vmlist.js';
 export type { VmListControl } from './vmlist.js';
@@ -37,3 +37,12 @@
 } from './replay.js';
 export { buildReport, hasPassed, readCost, renderReport } from './report.js';
 export type { Check, PackingRow, Report, WaitRow } from './report.js';
+export {
+  findFreePorts,
+  hasRelease,
+  isReady,
+  publishRelease,
+  startDaemon,
+  waitUntil,
+} from './daemons.js';
+export type { Daemon } from './daemons.js';
