--- a/packages/standins/test/cell/cell.ts
+++ b/packages/standins/test/cell/cell.ts
@@ -101,7 +101,7 @@
 /** The cell. */
 export class Cell {
   readonly platform: standins.Platform;
-  /** Processes that a test killed, paused or stopped; only their callers may see a broken connection. */
+  /** Processes that a test killed or paused; only their callers may see a broken connection. */
   readonly disturbed = new Set<string>();
   readonly linkProxies = new Map<string, proxies.Proxy>();
   readonly logProxies = new Map<string, proxies.Proxy>();
@@ -214,7 +214,8 @@
   }
 
   signal(name: string, signal: 'SIGKILL' | 'SIGSTOP' | 'SIGCONT' | 'SIGTERM') {
-    this.disturbed.add(name);
+    // A planned stop must not break a connection.
+    if (signal !== 'SIGTERM') this.disturbed.add(name);
     this.#children.get(name)?.kill(signal);
   }
 
@@ -313,7 +314,7 @@
     try {
       const answer = await undici.request(`http://${address}${target}`, {
         dispatcher: this.#agent,
-        method: method as undici.Dispatcher.HttpMethod,
+        method: method,
         headers,
         body: body ?? null,
         signal: AbortSignal.timeout(CALL_MS),
--- a/packages/standins/test/cell/check.ts
+++ b/packages/standins/test/cell/check.ts
@@ -102,6 +102,7 @@
           ? []
           : fail(`answer of ${String(ran)}`);
       }
+      case undefined:
       default:
         return fail(`status ${reply.status} without a kind of answer`);
     }
--- /dev/null
+++ b/packages/standins/test/cell/leaving.test.ts
@@ -0,0 +1,68 @@
+/** VMs that the platform's list says are leaving. */
+import * as vitest from 'vitest';
+import * as cells from './cell.js';
+import * as checks from './check.js';
+import * as loads from './load.js';
+
+/** Waits until every process shows the VM as leaving. */
+async function waitForLeaving(
+  cell: cells.Cell,
+  path: 'backends' | 'workers',
+  id: string,
+): Promise<void> {
+  for (const name of cell.names)
+    await cell.waitFor(`${id} leaving at ${name}`, async () => {
+      const reply = await cell.askOperators(name, 'GET', `/${path}`);
+      const vms = (reply?.json[path] ?? []) as { id: string; state: string }[];
+      return vms.find((vm) => vm.id === id)?.state === 'leaving';
+    });
+}
+
+function countExecutions(cell: cells.Cell, id: string): number {
+  const server = cell.platform.readBackend(id)!.readAudit();
+  return Object.values(server.executions).reduce((sum, each) => sum + each, 0);
+}
+
+vitest.test(
+  'a leaving backend server and a leaving worker get no new work (guards P6)',
+  async () => {
+    await cells.runCell({}, async (cell) => {
+      const load = new loads.Load(cell, { seed: 601 });
+      load.start();
+      const worker = cell.platform.readWorker('general-1')!;
+      await cell.waitFor('work on all of them', () =>
+        Promise.resolve(
+          countExecutions(cell, 'quotes-1') > 5 &&
+            countExecutions(cell, 'orders-1') > 2 &&
+            worker.readAudit().starts > 2,
+        ),
+      );
+      cell.platform.vmList!.set({
+        set: {
+          'quotes-1': 'leaving',
+          'orders-1': 'leaving',
+          'general-1': 'leaving',
+        },
+      });
+      await waitForLeaving(cell, 'backends', 'quotes-1');
+      await waitForLeaving(cell, 'backends', 'orders-1');
+      await waitForLeaving(cell, 'workers', 'general-1');
+      // What was decided before has been sent when later calls are answered.
+      await load.waitFor('quote', 'done', 20);
+      await load.waitFor('order', 'done', 10);
+      await load.waitFor('job', 'done', 5);
+      const read = () => [
+        countExecutions(cell, 'quotes-1'),
+        countExecutions(cell, 'orders-1'),
+        worker.readAudit().starts,
+      ];
+      const before = read();
+      await load.waitFor('quote', 'done', 60);
+      await load.waitFor('order', 'done', 30);
+      await load.waitFor('job', 'done', 20);
+      vitest.expect(read()).toEqual(before);
+      await load.stop();
+      vitest.expect(await checks.listFaults(cell, load)).toEqual([]);
+    });
+  },
+);
--- a/packages/standins/test/cell/load.ts
+++ b/packages/standins/test/cell/load.ts
@@ -10,6 +10,9 @@
 export interface Try {
   readonly token: string;
   readonly process: string;
+  /** Phase of the test when the try began and when its answer came. */
+  readonly began: string;
+  readonly ended: string;
   /** Undefined for a broken connection. */
   readonly reply: cells.Reply | undefined;
 }
@@ -38,9 +41,12 @@
 /** Callers that repeat a call until it has an answer other than not-run. */
 export class Load {
   readonly calls: Call[] = [];
+  /** Set by the test, to tell tries apart. */
+  phase = 'before';
   readonly #cell: cells.Cell;
   readonly #options: LoadOptions;
   readonly #random: (from: number, to: number) => number;
+  readonly #tries: Try[] = [];
   #stopping = false;
   #serial = 0;
   #loops: readonly Promise<void>[] = [];
@@ -75,13 +81,14 @@
       .filter((call) => call.kind === kind && readOutcome(call) === answer);
   }
 
-  /** Tries of unfinished and finished calls that were answered `not-run`. */
-  listRefused(kind: CallKind, since = 0): readonly Try[] {
-    return this.calls
-      .slice(since)
-      .filter((call) => call.kind === kind)
-      .flatMap((call) => call.tries)
-      .filter((each) => each.reply?.answer === 'not-run');
+  /** Tries that were made wholly within a phase, also those of calls that go on. */
+  listTries(kind: CallKind, phase: string): readonly Try[] {
+    return this.#tries.filter(
+      (each) =>
+        each.token.startsWith(`${kind}-`) &&
+        each.began === phase &&
+        each.ended === phase,
+    );
   }
 
   /** Waits until `count` more calls of a kind have ended with `answer`. */
@@ -118,6 +125,7 @@
       const token = `${id}/${tries.length + 1}`;
       const targets = this.#options.targets?.() ?? this.#cell.running;
       const process = targets[this.#random(0, targets.length - 1)]!;
+      const began = this.phase;
       const reply = await this.#cell.askCallers(
         process,
         'POST',
@@ -130,7 +138,10 @@
         },
         body,
       );
-      tries.push({ token, process, reply });
+      const ended = this.phase;
+      const one = { token, process, began, ended, reply };
+      tries.push(one);
+      this.#tries.push(one);
       const again = reply === undefined || reply.answer === 'not-run';
       if (!again || this.#stopping) break;
       await standins.waitMs(RETRY_MS);
--- /dev/null
+++ b/packages/standins/test/cell/paused.test.ts
@@ -0,0 +1,49 @@
+/** An owner is paused for longer than every term, replaced, and resumed. */
+import * as standins from '@flamingoward/standins';
+import * as vitest from 'vitest';
+import * as cells from './cell.js';
+import * as checks from './check.js';
+import * as loads from './load.js';
+
+/** Longer than the lease term and its margin, the longest of all terms. */
+const PAUSE_MS = 18_000;
+
+vitest.test.each(['service/order@muscat', 'workers/muscat'])(
+  'SIGSTOP of the owner of %s, take-over, SIGCONT: its late commands do no harm (guards P1, P2, P4, P5)',
+  async (shard) => {
+    await cells.runCell({}, async (cell) => {
+      let paused: string | undefined;
+      const load = new loads.Load(cell, {
+        seed: 202,
+        targets: () => cell.running.filter((name) => name !== paused),
+      });
+      load.start();
+      await load.waitFor('order', 'done', 20);
+      await load.waitFor('job', 'done', 10);
+      const owner = (await cell.findOwner(shard))!;
+      // The callers that it holds stay connected over the pause.
+      cell.signal(owner, 'SIGSTOP');
+      paused = owner;
+      const others = cell.names.filter((name) => name !== owner);
+      await cell.waitFor(
+        `another owner of ${shard}`,
+        async () => (await cell.findOwner(shard, others)) !== undefined,
+      );
+      await load.waitFor('order', 'done', 20);
+      await load.waitFor('job', 'done', 10);
+      await standins.waitMs(PAUSE_MS);
+      const successor = await cell.findOwner(shard, others);
+      cell.signal(owner, 'SIGCONT');
+      paused = undefined;
+      await cell.waitFor(
+        `${owner} no owner any more`,
+        async () => (await cell.findOwner(shard)) === successor,
+      );
+      await load.waitFor('order', 'done', 30);
+      await load.waitFor('job', 'done', 10);
+      await load.stop();
+      vitest.expect(await cell.findOwner(shard)).toBe(successor);
+      vitest.expect(await checks.listFaults(cell, load)).toEqual([]);
+    });
+  },
+);
--- /dev/null
+++ b/packages/standins/test/cell/releases.test.ts
@@ -0,0 +1,140 @@
+/** Publications that race, that are repeated, and that a fresh process must know. */
+import * as standins from '@flamingoward/standins';
+import * as vitest from 'vitest';
+import * as cells from './cell.js';
+
+async function readHistory(cell: cells.Cell, name: string): Promise<unknown> {
+  const reply = await cell.askOperators(name, 'GET', '/releases');
+  return reply?.json.history;
+}
+
+async function expectSameHistory(cell: cells.Cell): Promise<void> {
+  const [first, ...rest] = await Promise.all(
+    cell.names.map((name) => readHistory(cell, name)),
+  );
+  vitest.expect(first).toBeDefined();
+  for (const other of rest) vitest.expect(other).toEqual(first);
+}
+
+vitest.test(
+  'two operators publish on the same base at once: one is adopted, the other told the winner (guards P8)',
+  async () => {
+    await cells.runCell({}, async (cell) => {
+      let base = 'r1';
+      for (let round = 1; round <= 8; round += 1) {
+        const ids = [`a${round}`, `b${round}`];
+        // A change of the log's speed moves the two appends against each other.
+        cell.platform.log.set({ slowMs: (round % 4) * 20 });
+        const replies = await Promise.all(
+          ids.map((id, at) =>
+            cell.publish(
+              cell.names[(round + at) % 3]!,
+              cells.formatRelease(id, base, round + at / 2),
+            ),
+          ),
+        );
+        const won = replies.findIndex((reply) => reply?.status === 200);
+        const lost = replies.find((reply) => reply?.status === 409);
+        vitest
+          .expect(replies.map((reply) => reply?.status).sort())
+          .toEqual([200, 409]);
+        const winner = ids[won]!;
+        vitest.expect(JSON.stringify(lost?.json.verdict)).toContain(winner);
+        await cell.waitForRelease(winner, cell.names);
+        base = winner;
+      }
+      await expectSameHistory(cell);
+    });
+  },
+);
+
+vitest.test(
+  'a publication whose log reply is lost is adopted once, and the same note again is a repeat (guards P8)',
+  async () => {
+    await cells.runCell({}, async (cell) => {
+      const text = cells.formatRelease('r2', 'r1', 2);
+      cell.platform.log.set({ loseReplies: 3 });
+      const first = await cell.publish('p1', text);
+      vitest.expect([200, 504]).toContain(first?.status);
+      cell.platform.log.set({});
+      for (const name of cell.names) {
+        const again = await cell.publish(name, text);
+        vitest.expect(again?.status).toBe(200);
+        vitest.expect(again?.json.verdict).toMatchObject({ verdict: 'repeat' });
+      }
+      const other = await cell.publish(
+        'p2',
+        cells.formatRelease('r2', 'r1', 3),
+      );
+      vitest.expect(other?.status).toBeGreaterThanOrEqual(400);
+      await cell.waitForRelease('r2', cell.names);
+      await expectSameHistory(cell);
+    });
+  },
+);
+
+vitest.test(
+  'a fresh process in a log outage takes the release of a ready peer (guards P8)',
+  async () => {
+    await cells.runCell({}, async (cell) => {
+      const second = cells.formatRelease('r2', 'r1', 2);
+      vitest.expect((await cell.publish('p1', second))?.status).toBe(200);
+      await cell.waitForRelease('r2', cell.names);
+      cell.platform.log.set({ outage: true });
+      const refused = await cell.publish(
+        'p2',
+        cells.formatRelease('r3', 'r2', 3),
+      );
+      vitest.expect(refused?.status).toBe(503);
+      vitest.expect(refused?.json.answer).toBe('not-run');
+      cell.signal('p3', 'SIGKILL');
+      await cell.waitForExit('p3');
+      await cell.startProcess('p3');
+      vitest
+        .expect(await standins.hasRelease(cell.readDaemon('p3'), 'r2'))
+        .toBe(true);
+      cell.platform.log.set({});
+      await cell.waitForRelease('r2', cell.names);
+      // The refused note is not in the log, so its base is still in force.
+      const third = await cell.publish(
+        'p3',
+        cells.formatRelease('r3b', 'r2', 4),
+      );
+      vitest.expect(third?.status).toBe(200);
+      await cell.waitForRelease('r3b', cell.names);
+      await expectSameHistory(cell);
+    });
+  },
+);
+
+vitest.test(
+  'a fresh process without log and ready peer is not ready until it has the last release (guards P8)',
+  async () => {
+    await cells.runCell({}, async (cell) => {
+      const second = cells.formatRelease('r2', 'r1', 2);
+      vitest.expect((await cell.publish('p1', second))?.status).toBe(200);
+      await cell.waitForRelease('r2', cell.names);
+      cell.platform.log.set({ outage: true });
+      for (const name of cell.names) cell.signal(name, 'SIGKILL');
+      for (const name of cell.names) await cell.waitForExit(name);
+      cell.launch('p1');
+      cell.launch('p2');
+      for (let look = 0; look < 30; look += 1) {
+        for (const name of ['p1', 'p2'])
+          vitest
+            .expect(await standins.isReady(cell.readDaemon(name)))
+            .toBe(false);
+        await standins.waitMs(150);
+      }
+      cell.platform.log.set({});
+      for (const name of ['p1', 'p2']) {
+        await cell.waitFor(`${name} ready`, () =>
+          standins.isReady(cell.readDaemon(name)),
+        );
+        vitest
+          .expect(await standins.hasRelease(cell.readDaemon(name), 'r2'))
+          .toBe(true);
+      }
+    });
+  },
+);
