--- /dev/null
+++ b/packages/standins/test/cell/input.test.ts
@@ -0,0 +1,181 @@
+/** Bad input from callers, operators and settings. */
+import * as fs from 'node:fs';
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as standins from '@flamingoward/standins';
+import * as undici from 'undici';
+import * as vitest from 'vitest';
+import * as cells from './cell.js';
+import * as checks from './check.js';
+import * as loads from './load.js';
+
+/** Sends bytes and returns what arrives until the connection ends. */
+function sendBytes(address: string, bytes: string): Promise<string> {
+  const [host = '', port = ''] = address.split(':');
+  return new Promise((resolve) => {
+    const socket = net.connect({ host, port: Number(port) });
+    let text = '';
+    socket.on('data', (chunk) => (text += chunk.toString('latin1')));
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      resolve(text);
+    });
+    socket.end(bytes, 'latin1');
+  });
+}
+
+vitest.test(
+  'malformed, oversized and unauthorised input is refused and disturbs nobody (guards P3, P4)',
+  async () => {
+    await cells.runCell({}, async (cell) => {
+      const load = new loads.Load(cell, { seed: 901 });
+      load.start();
+      const { callers, operators, links } = cell.readDaemon('p1');
+      const malformed = [
+        'GET\r\n\r\n',
+        '\0\x01\x02\xff\xfe',
+        'POST /services/order/run HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n',
+        'POST /services/quote/run HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n',
+        'POST /services/quote/run HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nnot-hex\r\n',
+      ];
+      for (const bytes of malformed) {
+        vitest.expect(await sendBytes(callers, bytes)).toMatch(/^HTTP\/1.1 4/);
+        await sendBytes(operators, bytes);
+        await sendBytes(links, bytes);
+      }
+      const large = await cell.askCallers(
+        'p1',
+        'POST',
+        '/services/quote/run',
+        { 'x-standin-token': 'large' },
+        'x'.repeat(70_000),
+      );
+      vitest.expect(large?.status).toBe(413);
+      vitest.expect(large?.answer).toBe('not-run');
+      const unknown = await cell.askCallers('p2', 'GET', '/services/nobody/x');
+      vitest.expect(unknown?.answer).toBe('not-run');
+      const keyless = await cell.askCallers(
+        'p2',
+        'POST',
+        '/services/order/run',
+        {
+          'x-standin-token': 'keyless',
+        },
+      );
+      vitest.expect(keyless?.answer).toBe('not-run');
+      const job = await cell.askCallers(
+        'p3',
+        'POST',
+        '/jobs',
+        {},
+        '{"kind":1}',
+      );
+      vitest.expect(job?.status).toBe(400);
+      for (const authorization of ['', 'Bearer wrong', 'Bearer '])
+        for (const target of ['/processes', '/drain', '/releases']) {
+          const answer = await undici.request(`http://${operators}${target}`, {
+            method: target === '/processes' ? 'GET' : 'POST',
+            headers: authorization === '' ? {} : { authorization },
+          });
+          vitest.expect(answer.statusCode).toBe(401);
+          await answer.body.dump();
+        }
+      await load.waitFor('order', 'done', 20);
+      await load.stop();
+      const { backends } = cell.platform.readAudit();
+      for (const token of ['large', 'keyless', 'none'])
+        vitest
+          .expect(backends.some((each) => token in each.executions))
+          .toBe(false);
+      vitest.expect(cell.running).toEqual(cell.names);
+      vitest.expect(await checks.listFaults(cell, load)).toEqual([]);
+    });
+  },
+);
+
+vitest.test(
+  'headers of callers that begin with x-flamingoward- reach no backend server',
+  async () => {
+    await cells.runCell({}, async (cell) => {
+      const seen: http.IncomingHttpHeaders[] = [];
+      const server = http.createServer((request, response) => {
+        if (request.url === '/-/status') {
+          response.end('{"slots":1,"busy":0,"connections":1}');
+          return;
+        }
+        seen.push(request.headers);
+        response.end('{}');
+      });
+      await new Promise<void>((resolve) => {
+        server.listen(0, '127.0.0.1', resolve);
+      });
+      const { port } = server.address() as net.AddressInfo;
+      const { vms } = cell.platform.vmList!.read();
+      cell.platform.vmList!.update([
+        ...vms,
+        {
+          id: 'echo-1',
+          role: 'backend',
+          backend: 'echo',
+          address: `127.0.0.1:${port}`,
+          availabilityZone: 'muscat-a',
+          region: 'muscat',
+          rack: 'r',
+          state: 'live',
+        },
+      ]);
+      const note =
+        '[release]\nid = r2\nbase = r1\ntitle = Echo\n[added backend echo]\nslots = 1\nconnections = 8\n[added service echo]\nidempotent = yes\nurgency = urgent\ntimeout_ms = 1000\nmax_wait_ms = 1000\n';
+      vitest
+        .expect(await cell.publish('p1', note))
+        .toMatchObject({ status: 200 });
+      await cell.waitFor('an answer of echo', async () => {
+        const reply = await cell.askCallers('p2', 'GET', '/services/echo/x', {
+          'x-flamingoward-instance': 'forged',
+          'X-Flamingoward-Answer': 'done',
+          'x-own': 'kept',
+        });
+        return reply?.answer === 'done';
+      });
+      server.close();
+      server.closeAllConnections();
+      const names = seen.flatMap((headers) => Object.keys(headers));
+      vitest.expect(names).toContain('x-own');
+      vitest
+        .expect(names.filter((name) => name.startsWith('x-flamingoward')))
+        .toEqual([]);
+    });
+  },
+);
+
+vitest.test(
+  'a process whose port is in use ends with an error that names the address',
+  async () => {
+    await cells.runCell({}, async (cell) => {
+      for (const section of ['callers', 'operators', 'links'] as const) {
+        const taken = cell.readDaemon('p1')[section];
+        const own = cell.readDaemon('p2');
+        const logFile = `${own.logFile}.${section}`;
+        const settingsFile = `${own.settingsFile}.${section}`;
+        const text = fs.readFileSync(own.settingsFile, 'utf8');
+        const ports = await standins.findFreePorts(3);
+        let changed = text;
+        for (const other of ['callers', 'operators', 'links'] as const)
+          changed = changed.replace(
+            `[${other}]\nlisten = ${own[other]}`,
+            `[${other}]\nlisten = ${other === section ? taken : `127.0.0.1:${ports.pop()!}`}`,
+          );
+        // Two addresses of peers may not be the own one.
+        changed = changed.replace(/^p1 = .*$/m, 'p1 = 127.0.0.1:9');
+        fs.writeFileSync(settingsFile, changed);
+        const child = standins.startDaemon({ ...own, settingsFile, logFile });
+        await cell.waitFor(`the end with ${section} in use`, () =>
+          Promise.resolve(child.exitCode !== null),
+        );
+        vitest.expect(child.exitCode).toBe(1);
+        vitest.expect(fs.readFileSync(logFile, 'utf8')).toContain(taken);
+      }
+      vitest.expect(cell.running).toEqual(cell.names);
+    });
+  },
+);
--- /dev/null
+++ b/packages/standins/test/cell/partition.test.ts
@@ -0,0 +1,74 @@
+/** A region is cut off from the other one and from the log. */
+import * as standins from '@flamingoward/standins';
+import * as vitest from 'vitest';
+import * as cells from './cell.js';
+import * as checks from './check.js';
+import * as loads from './load.js';
+
+/** Longer than every term, and than the time after which another region may take the shards over. */
+const CUT_MS = 36_000;
+
+const zones = {
+  p1: 'muscat-a',
+  p2: 'muscat-b',
+  p3: 'sohar-a',
+  p4: 'sohar-a',
+};
+
+vitest.test(
+  'a region without log and other region serves its callers, and takes over what it missed (guards P1-P5, P8)',
+  async () => {
+    await cells.runCell({ zones, proxied: true }, async (cell) => {
+      const load = new loads.Load(cell, { seed: 801, callers: 14 });
+      load.start();
+      await load.waitFor('order', 'done', 20);
+      await load.waitFor('job', 'done', 10);
+      const between = [...cell.linkProxies]
+        .filter(([pair]) => {
+          const [from = '', to = ''] = pair.split('>');
+          return cell.readRegion(from) !== cell.readRegion(to);
+        })
+        .map(([, proxy]) => proxy);
+      const proxies = [
+        ...between,
+        cell.logProxies.get('p3')!,
+        cell.logProxies.get('p4')!,
+      ];
+      load.phase = 'cutting';
+      for (const proxy of proxies) proxy.cut();
+      await standins.waitMs(6_000);
+      load.phase = 'cut';
+      const published = await cell.publish(
+        'p1',
+        cells.formatRelease('r2', 'r1', 2),
+      );
+      vitest.expect(published?.status).toBe(200);
+      await cell.waitForRelease('r2', ['p1', 'p2']);
+      const refused = await cell.publish(
+        'p3',
+        cells.formatRelease('r3', 'r1', 3),
+      );
+      vitest.expect([503, 504]).toContain(refused?.status);
+      await standins.waitMs(CUT_MS);
+      load.phase = 'healing';
+      for (const proxy of proxies) proxy.heal();
+      await cell.waitForRelease('r2', cell.names);
+      await cell.waitForOwners();
+      await load.waitFor('order', 'done', 20);
+      await load.waitFor('job', 'done', 10);
+      await load.stop();
+      const inCut = load
+        .listTries('quote', 'cut')
+        .filter(({ process }) => process === 'p3' || process === 'p4');
+      const answers = new Set(inCut.map(({ reply }) => reply?.answer));
+      vitest.expect([...answers]).toEqual(['done']);
+      const orders = load
+        .listTries('order', 'cut')
+        .filter(({ process }) => process === 'p3' || process === 'p4');
+      vitest
+        .expect([...new Set(orders.map(({ reply }) => reply?.answer))])
+        .toEqual(['not-run']);
+      vitest.expect(await checks.listFaults(cell, load)).toEqual([]);
+    });
+  },
+);
--- /dev/null
+++ b/packages/standins/test/cell/silent.test.ts
@@ -0,0 +1,75 @@
+/** Connections that stay open and deliver nothing, while new ones work. */
+import * as vitest from 'vitest';
+import * as cells from './cell.js';
+import * as checks from './check.js';
+import * as loads from './load.js';
+
+function countClaims(cell: cells.Cell): number {
+  return cell.platform.log
+    .read('claims')
+    .filter(({ body }) => (body as { type: string }).type === 'claim').length;
+}
+
+vitest.test(
+  'links go silent: one of two between processes changes no owner, all of them break no promise (guards P2-P5)',
+  async () => {
+    await cells.runCell({ proxied: true }, async (cell) => {
+      const load = new loads.Load(cell, { seed: 701 });
+      load.start();
+      await load.waitFor('order', 'done', 10);
+      const claims = countClaims(cell);
+      for (const between of ['p1>p2', 'p2>p3', 'p3>p1']) {
+        const silenced = cell.linkProxies.get(between)!.silence();
+        vitest.expect(silenced).toBeGreaterThan(0);
+        await load.waitFor('order', 'done', 20);
+        await load.waitFor('quote', 'done', 20);
+      }
+      vitest.expect(countClaims(cell)).toBe(claims);
+      for (const proxy of cell.linkProxies.values()) proxy.silence();
+      await cell.waitForOwners();
+      await load.waitFor('order', 'done', 30);
+      await load.waitFor('job', 'done', 10);
+      await load.stop();
+      vitest.expect(await checks.listFaults(cell, load)).toEqual([]);
+    });
+  },
+);
+
+vitest.test(
+  'connections to the log go silent: the processes use new ones (guards P4, P5)',
+  async () => {
+    await cells.runCell({ proxied: true }, async (cell) => {
+      const load = new loads.Load(cell, { seed: 702 });
+      load.start();
+      await load.waitFor('order', 'done', 10);
+      for (const proxy of cell.logProxies.values())
+        vitest.expect(proxy.silence()).toBeGreaterThan(0);
+      await load.waitFor('order', 'done', 30);
+      await load.waitFor('job', 'done', 10);
+      await load.stop();
+      vitest.expect(await checks.listFaults(cell, load)).toEqual([]);
+    });
+  },
+);
+
+vitest.test(
+  'connections to backend servers go silent: quotes go on, orders run at most once (guards P3-P5)',
+  async () => {
+    await cells.runCell({ proxiedBackends: true }, async (cell) => {
+      const load = new loads.Load(cell, {
+        seed: 703,
+        kinds: ['quote', 'order'],
+      });
+      load.start();
+      await load.waitFor('order', 'done', 20);
+      for (let round = 0; round < 3; round += 1) {
+        const counts = cell.backendProxies.map((proxy) => proxy.silence());
+        vitest.expect(Math.max(...counts)).toBeGreaterThan(0);
+        await load.waitFor('order', 'done', 20);
+        await load.waitFor('quote', 'done', 40);
+      }
+      await load.stop();
+      vitest.expect(await checks.listFaults(cell, load)).toEqual([]);
+    });
+  },
+);
