--- a/packages/standins/test/cell/outage.test.ts
+++ b/packages/standins/test/cell/outage.test.ts
@@ -80,25 +80,32 @@
   'log outage under load: quotes and placements go on, orders and jobs are refused as not run (guards P4, P5)',
   async () => {
     await cells.runCell({}, async (cell) => {
-      const load = new loads.Load(cell, { seed: 301 });
+      // Callers of orders and jobs repeat refused calls; quotes have their own callers.
+      const load = new loads.Load(cell, { seed: 301, kinds: ['order', 'job'] });
+      const quotes = new loads.Load(cell, { seed: 304, kinds: ['quote'] });
       load.start();
+      quotes.start();
       await load.waitFor('order', 'done', 20);
       const backlog = await submitBacklog(cell, TASKS, 1_500);
       cell.platform.log.set({ outage: true });
       load.phase = 'outage';
-      await load.waitFor('quote', 'done', 30);
+      quotes.phase = 'outage';
+      await quotes.waitFor('quote', 'done', 30);
       await standins.waitMs(OUTAGE_MS);
       await waitForStarts(cell, backlog);
       load.phase = 'ending';
+      quotes.phase = 'ending';
       cell.platform.log.set({});
       await load.waitFor('order', 'done', 20);
       await load.waitFor('job', 'done', 10);
       await load.stop();
-      vitest.expect(listAnswers(load, 'quote', 'outage')).toEqual(['done']);
+      await quotes.stop();
+      vitest.expect(listAnswers(quotes, 'quote', 'outage')).toEqual(['done']);
       vitest.expect(listAnswers(load, 'order', 'outage')).toEqual(['not-run']);
       vitest.expect(listAnswers(load, 'job', 'outage')).toEqual(['not-run']);
       await expectDoneOnce(cell, backlog, TASKS);
       vitest.expect(await checks.listFaults(cell, load)).toEqual([]);
+      vitest.expect(await checks.listFaults(cell, quotes)).toEqual([]);
     });
   },
 );
