--- a/packages/standins/src/daemons.ts
+++ b/packages/standins/src/daemons.ts
@@ -109,8 +109,10 @@
 /** The options in the first line of the daemon's program. */
 const nodeOptions: readonly string[] = ['--max-semi-space-size=4'];
 
-/** Starts a daemon; its output goes to its log file. */
+/** Starts a daemon; its output goes to its log file. Throws when the daemon isn't built. */
 export function startDaemon(daemon: Daemon): childProcess.ChildProcess {
+  if (!fs.existsSync(mainFile))
+    throw new Error(`${mainFile} is missing: run "npm run build" first`);
   const output = fs.openSync(daemon.logFile, 'a');
   const child = childProcess.spawn(
     process.execPath,
@@ -230,7 +232,7 @@
 }
 
 /** Holds all ports at once, so that they differ, then frees them. */
-async function findFreePorts(count: number): Promise<number[]> {
+export async function findFreePorts(count: number): Promise<number[]> {
   const servers = await Promise.all(
     Array.from(
       { length: count },
