Do less for each job that is cancelled

Tables in which a job can't be aren't searched any more, and the outcomes of an ended job are not recorded again by a late attempt.

--- a/packages/core/src/scheduler/ends.ts
+++ b/packages/core/src/scheduler/ends.ts
@@ -103,9 +103,9 @@
   row.ending = end;
   row.closed = true;
   waiting.applyReady(state, row, -waiting.countReady(state, row));
-  state.unfit.delete(row);
-  state.brokenGangs.delete(row);
-  health.dropJob(state.health, row.id);
+  if (row.unfit) state.unfit.delete(row);
+  if (row.spec.kind === 'gang') state.brokenGangs.delete(row);
+  if (row.tasks.size > 0) health.dropJob(state.health, row.id);
   state.outbox.push({
     command: 'end-job',
     job: row.id,
@@ -383,6 +383,8 @@
     return;
   }
   if (result !== 'done' && result !== 'failed') return;
+  // Outcomes of a job are dropped with it, so none may be added later.
+  if (state.jobs.get(attempt.jobId)?.closed !== false) return;
   const quarantined = health.recordOutcome(
     state.health,
     worker.id,
--- a/packages/core/src/scheduler/waiting.ts
+++ b/packages/core/src/scheduler/waiting.ts
@@ -33,13 +33,14 @@
   by: number,
 ): void {
   if (by === 0) return;
-  const parked = state.unfit.get(row);
+  const parked = row.unfit ? state.unfit.get(row) : undefined;
   if (parked === undefined) state.queue.applyWaiting(row, by);
   else state.unfit.set(row, parked + by);
 }
 
 /** Counts the tasks that may start now or wait for a worker that is large enough. */
 export function countReady(state: states.State, row: rows.JobRow): number {
+  if (!row.unfit) return row.waiting;
   return state.unfit.get(row) ?? row.waiting;
 }
 
