--- a/packages/core/test/scheduler.test.ts
+++ b/packages/core/test/scheduler.test.ts
@@ -101,6 +101,23 @@
     expect(cluster.sumCores([bulk])).toBeGreaterThanOrEqual(6);
   });
 
+  it('starts a job on the capacity freed for it although an earlier one still waits', () => {
+    const cluster = new Cluster(2, 2);
+    cluster.apply(openRelease);
+    cluster.submit('bulk', { count: 4, declaredMs: 600_000 });
+    cluster.step(100, never);
+    const size = worlds.buildSize(2);
+    const first = cluster.submit('fast', { size });
+    const second = cluster.submit('fast', { size });
+    cluster.tick();
+    expect(cluster.books.stops.length).toBe(4);
+    for (const { attemptId } of cluster.books.stops.slice(2))
+      cluster.apply({ event: 'task.ended', attemptId, result: 'stopped' });
+    cluster.tick();
+    expect(cluster.sumCores([first])).toBe(0);
+    expect(cluster.sumCores([second])).toBe(2);
+  });
+
   it('keeps the floors of less urgent work in a flood of urgent work', () => {
     const cluster = new Cluster(4, 25);
     const flood = cluster.submit('fast', { count: 5000 });
