--- a/packages/core/src/scheduler/ends.ts
+++ b/packages/core/src/scheduler/ends.ts
@@ -103,19 +103,22 @@
   row.ending = end;
   row.closed = true;
   waiting.applyReady(state, row, -waiting.countReady(state, row));
-  state.unfit.delete(row);
-  state.brokenGangs.delete(row);
-  health.dropJob(state.health, row.id);
+  if (row.unfit) state.unfit.delete(row);
+  if (row.spec.kind === 'gang') state.brokenGangs.delete(row);
+  if (row.tasks.size > 0) health.dropJob(state.health, row.id);
   state.outbox.push({
     command: 'end-job',
     job: row.id,
     state: end.state,
     reason: end.reason,
   });
-  state.closed.push(row.id);
-  if (state.closed.length <= CLOSED_JOBS_KEPT) return;
-  const oldest = state.closed.shift();
-  if (oldest !== undefined) state.jobs.delete(oldest);
+  state.closed.add(row.id);
+  if (state.closed.size <= CLOSED_JOBS_KEPT) return;
+  for (const oldest of state.closed) {
+    state.closed.delete(oldest);
+    state.jobs.delete(oldest);
+    break;
+  }
 }
 
 /** Ends a job when nothing of it is live and nothing is left to run. */
@@ -380,6 +383,8 @@
     return;
   }
   if (result !== 'done' && result !== 'failed') return;
+  // Outcomes of a job are dropped with it, so none may be added later.
+  if (state.jobs.get(attempt.jobId)?.closed !== false) return;
   const quarantined = health.recordOutcome(
     state.health,
     worker.id,
--- a/packages/core/test/scheduler.test.ts
+++ b/packages/core/test/scheduler.test.ts
@@ -101,6 +101,23 @@
     expect(cluster.sumCores([bulk])).toBeGreaterThanOrEqual(6);
   });
 
+  it('starts a job on the capacity freed for it although an earlier one still waits', () => {
+    const cluster = new Cluster(2, 2);
+    cluster.apply(openRelease);
+    cluster.submit('bulk', { count: 4, declaredMs: 600_000 });
+    cluster.step(100, never);
+    const size = worlds.buildSize(2);
+    const first = cluster.submit('fast', { size });
+    const second = cluster.submit('fast', { size });
+    cluster.tick();
+    expect(cluster.books.stops.length).toBe(4);
+    for (const { attemptId } of cluster.books.stops.slice(2))
+      cluster.apply({ event: 'task.ended', attemptId, result: 'stopped' });
+    cluster.tick();
+    expect(cluster.sumCores([first])).toBe(0);
+    expect(cluster.sumCores([second])).toBe(2);
+  });
+
   it('keeps the floors of less urgent work in a flood of urgent work', () => {
     const cluster = new Cluster(4, 25);
     const flood = cluster.submit('fast', { count: 5000 });
@@ -215,6 +232,29 @@
     });
   });
 
+  it('waits rather than spanning more racks than allowed', () => {
+    const cluster = new Cluster(8, 4);
+    cluster.apply(openRelease);
+    // Two workers of each rack are taken, so that no rack has room for the gang.
+    const busy = { kind: 'gang', count: 2, size: worlds.buildSize(4) } as const;
+    for (let n = 0; n < 2; n += 1)
+      cluster.submit('bulk', {
+        ...busy,
+        maxRacks: 1,
+        availabilityZone: `zone-${n}`,
+      });
+    const size = worlds.buildSize(4);
+    const gang = cluster.submit('bulk', {
+      kind: 'gang',
+      count: 3,
+      size,
+      maxRacks: 1,
+    });
+    cluster.step(100, never);
+    expect(cluster.books.live.size).toBe(4);
+    expect(cluster.sumCores([gang])).toBe(0);
+  });
+
   it('stops the other members and restarts the gang when one is lost', () => {
     const cluster = new Cluster(4, 4);
     cluster.apply(openRelease);
