Give each owner of a workers shard its own attempt numbers

Cause: the scheduler numbers attempts from its seed; the seed was one for the whole process, so an owner that lost and regained a shard could use an attempt id again, and a worker answers 'known' to that. Change: the seed comes from the epoch with a random part.

--- a/packages/bench/src/takeover.ts
+++ b/packages/bench/src/takeover.ts
@@ -268,7 +268,6 @@
       workerKind: 'plain',
       retentionMs: 86_400_000,
       maxStartsPerTick: 100,
-      seed: 1,
       random: createRandom(),
     },
   });
--- a/packages/daemon/src/process/process.ts
+++ b/packages/daemon/src/process/process.ts
@@ -137,7 +137,6 @@
       workerKind: 'plain',
       retentionMs: LOG_RETENTION_MS,
       maxStartsPerTick: MAX_STARTS_PER_TICK,
-      seed: crypto.randomInt(2 ** 31),
       random: options.readRandom,
     },
   });
--- a/packages/daemon/src/workers/shard.ts
+++ b/packages/daemon/src/workers/shard.ts
@@ -58,7 +58,7 @@
     const own = { instance: identity.instance, epoch };
     const created = parts.createScheduler({
       maxStartsPerTick: parts.options.maxStartsPerTick,
-      seed: parts.options.seed,
+      seed: computeSeed(epoch, parts.options.random),
     });
     const shardState: states.ShardState = {
       parts,
@@ -441,3 +441,16 @@
     dump: describeState,
   };
 }
+
+/** Provisional numbers that seeds tell apart. */
+const SEED_PROVISIONALS = 4;
+
+/** Random part of a seed: two provisional owners may hold the same epoch for a moment. */
+const SEED_RANDOM = 256;
+
+/** Attempt ids carry the seed, so every owner needs one of its own, also after a loss and a new gain. */
+function computeSeed(epoch: core.ids.Epoch, random: () => number): number {
+  const provisional = Math.min(epoch.provisional, SEED_PROVISIONALS - 1);
+  const own = Math.max(0, epoch.offset) * SEED_PROVISIONALS + provisional;
+  return own * SEED_RANDOM + Math.floor(random() * SEED_RANDOM);
+}
--- a/packages/daemon/src/workers/types.ts
+++ b/packages/daemon/src/workers/types.ts
@@ -63,7 +63,6 @@
   /** How long the log keeps records, in ms; live jobs are rewritten at half of it. */
   readonly retentionMs: number;
   readonly maxStartsPerTick: number;
-  readonly seed: number;
   /** Uniform number from 0 to below 1; spreads calls over time. */
   readonly random: () => number;
 }
--- a/packages/daemon/test/cluster.ts
+++ b/packages/daemon/test/cluster.ts
@@ -297,7 +297,6 @@
         workerKind: 'plain',
         retentionMs: 600_000,
         maxStartsPerTick: 100,
-        seed: 1,
         random: () => cluster.random(),
       },
     };
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -12,6 +12,7 @@
 export { serve } from './serve.js';
 export type { Handler, Incoming, Server, Traffic } from './serve.js';
 export {
+  findFreePorts,
   hasRelease,
   isReady,
   loadDrafts,
@@ -52,12 +53,3 @@
 } from './replay.js';
 export { buildReport, hasPassed, readCost, renderReport } from './report.js';
 export type { Check, PackingRow, Report, WaitRow } from './report.js';
-export {
-  findFreePorts,
-  hasRelease,
-  isReady,
-  publishRelease,
-  startDaemon,
-  waitUntil,
-} from './daemons.js';
-export type { Daemon } from './daemons.js';
