Count any bytes of a peer as a sign of life

Cause: a process sends its heartbeats on the connection that it dialled. Change: the links report each arrival of bytes, and the membership counts it as a sign of life; the pongs on the other connection suffice. When both connections of a pair go silent at once, shards may still move, which breaks no promise.

--- a/packages/daemon/src/links/links.ts
+++ b/packages/daemon/src/links/links.ts
@@ -24,6 +24,8 @@
   readTraffic(): link.LinkTraffic;
   /** Pushes when a dialled connection is ready. */
   readonly opened: most.Stream<core.messages.Hello>;
+  /** Pushes a peer from which bytes arrived on any connection. */
+  readonly heard: most.Stream<core.ids.InstanceId>;
   /** Pushes a peer whose address refuses connections: no process listens there any more. */
   readonly refused: most.Stream<core.messages.Hello>;
 }
@@ -43,6 +45,7 @@
     >();
   const opened = core.createSubject<core.messages.Hello>();
   const refused = core.createSubject<core.messages.Hello>();
+  const heard = core.createSubject<core.ids.InstanceId>();
   const hub = link.createHub({
     identity: context.identity,
     listen: options.listen,
@@ -54,6 +57,9 @@
     onNotice: (notice, from) => {
       notices.push({ from: from.instance, notice });
     },
+    onHeard: (from) => {
+      heard.push(from.instance);
+    },
     onOpen: (peer) => {
       context.log.write('info', 'link.open', {
         peer: peer.name,
@@ -101,6 +107,7 @@
     readTraffic: hub.readTraffic,
     opened: opened.stream,
     refused: refused.stream,
+    heard: heard.stream,
     ask: hub.ask,
     notify: hub.notify,
     handle(kind, handler) {
--- a/packages/daemon/src/membership/membership.ts
+++ b/packages/daemon/src/membership/membership.ts
@@ -180,6 +180,11 @@
     void links.notices.observe(({ from, notice }) => {
       receive(from, notice);
     });
+    // Notices travel on the connection that their sender dialled. While that one is silent,
+    // answers and pongs on the other one still show that the peer is alive.
+    void links.heard.observe((from) => {
+      table.receiveBeat(from, timers.readNow());
+    });
     void links.opened.observe((hello) => {
       table.open(hello, timers.readNow());
       links.notify(hello.instance, buildHeartbeat());
--- a/packages/daemon/src/membership/peers.ts
+++ b/packages/daemon/src/membership/peers.ts
@@ -40,7 +40,7 @@
   open(hello: core.messages.Hello, nowMs: number): void;
   /** A full heartbeat arrived; true when it says something new. */
   receive(heartbeat: core.messages.Heartbeat, nowMs: number): boolean;
-  /** The last heartbeat of an instance is still true. */
+  /** An instance showed that it is alive. */
   receiveBeat(instance: core.ids.InstanceId, nowMs: number): void;
   /** The address of an instance refuses connections, so the instance has ended. */
   markEnded(instance: core.ids.InstanceId): void;
--- a/packages/link/src/connection.ts
+++ b/packages/link/src/connection.ts
@@ -29,6 +29,8 @@
   /** Address or name for errors until the other side has named itself. */
   readonly peer: string;
   readonly onQuestion: QuestionHandler;
+  /** Bytes arrived after the handshake, whatever they say. */
+  readonly onHeard?: ((from: core.messages.Hello) => void) | undefined;
   readonly onNotice: (
     notice: core.messages.Notice,
     from: core.messages.Hello,
@@ -171,6 +173,7 @@
   function receive(bytes: Buffer): void {
     heardMs = timers.readNow();
     pingSeq = 0;
+    if (proven && theirs !== undefined) options.onHeard?.(theirs);
     try {
       for (const message of reader.read(bytes)) {
         if (closed) return;
--- a/packages/link/src/hub.ts
+++ b/packages/link/src/hub.ts
@@ -27,6 +27,8 @@
     notice: core.messages.Notice,
     from: core.messages.Hello,
   ) => void;
+  /** Bytes arrived from a peer on any connection, which shows that it is alive. */
+  readonly onHeard?: (from: core.messages.Hello) => void;
   /** A connection is ready for questions, in either direction. */
   readonly onOpen: (peer: core.messages.Hello) => void;
   /** A connection ended or couldn't be opened. */
@@ -118,6 +120,7 @@
       peer,
       onQuestion: options.onQuestion,
       onNotice: options.onNotice,
+      onHeard: options.onHeard,
       onOpen,
       onClose,
     });
