Test one order at all processes at once

Cause: a trial that let every intent win left the other tests green, because a key whose process died is settled before the intent. Change: the same order goes to three processes at once, and the owner of the service shard is killed meanwhile.

--- a/packages/standins/test/cell/killed.test.ts
+++ b/packages/standins/test/cell/killed.test.ts
@@ -27,3 +27,35 @@
     });
   },
 );
+
+vitest.test(
+  'the same order at all processes at once, and a killed owner: each runs at most once (guards P5)',
+  async () => {
+    await cells.runCell({}, async (cell) => {
+      const owner = (await cell.findOwner('service/order@muscat'))!;
+      const count = (key: string) =>
+        cell.platform
+          .readAudit()
+          .backends.reduce((sum, each) => sum + (each.executions[key] ?? 0), 0);
+      const send = (name: string, key: string) =>
+        cell.askCallers(
+          name,
+          'POST',
+          '/services/order/run',
+          { 'idempotency-key': key, 'x-standin-token': key },
+          JSON.stringify({ workMs: 60, responseBytes: 10 }),
+        );
+      for (let round = 1; round <= 30; round += 1) {
+        const key = `same-${round}`;
+        const open = cell.names.map((name) => send(name, key));
+        if (round === 15) cell.signal(owner, 'SIGKILL');
+        const answers = (await Promise.all(open)).map((each) => each?.answer);
+        vitest.expect(count(key)).toBeLessThanOrEqual(1);
+        if (answers.includes('done')) vitest.expect(count(key)).toBe(1);
+        // Without the killed process all are told the same.
+        if (round < 15)
+          vitest.expect(answers).toEqual(['done', 'done', 'done']);
+      }
+    });
+  },
+);
