Check broken connections before all processes stop, and start tasks before the outage

Cause: trials on scratch copies left two tests green: an immediate exit on SIGTERM, since connections that broke earlier were forgiven with those of the last part, and a missing provisional owner, since the outage began before the tasks had started. Change: both are checked.

--- a/packages/standins/test/cell/outage.test.ts
+++ b/packages/standins/test/cell/outage.test.ts
@@ -139,6 +139,9 @@
       await load.waitFor('order', 'done', 20);
       const owner = (await cell.findOwner(shard))!;
       const backlog = await submitBacklog(cell, 8, 30_000);
+      await cell.waitFor('the start of all tasks', () =>
+        Promise.resolve(countStarts(cell, backlog) === 8),
+      );
       cell.platform.log.set({ outage: true });
       load.phase = 'outage';
       await standins.waitMs(1_000);
--- a/packages/standins/test/cell/stops.test.ts
+++ b/packages/standins/test/cell/stops.test.ts
@@ -56,6 +56,11 @@
         await cell.startProcess(name);
         await load.waitFor('order', 'done', 10);
       }
+      const broken = (['quote', 'order', 'job'] as const)
+        .flatMap((kind) => load.listTries(kind, 'before'))
+        .filter(({ reply }) => reply === undefined);
+      vitest.expect(broken).toEqual([]);
+      load.phase = 'all';
       // Nobody can take the callers now, so they may meet closed addresses.
       for (const name of cell.names) cell.disturbed.add(name);
       for (const name of cell.names) cell.signal(name, 'SIGTERM');
