Give each cell of the failure tests its own loopback address

Cause: a daemon didn't start because its free port had been taken by another process between the choice and the start (one of about 25 cells in a trial). Change: each cell listens on an address of 127.0.0.0/8 that follows from the test process.

--- a/packages/standins/src/daemons.ts
+++ b/packages/standins/src/daemons.ts
@@ -229,7 +229,7 @@
 }
 
 /** Holds all ports at once, so that they differ, then frees them. */
-export async function findFreePorts(count: number): Promise<number[]> {
+async function findFreePorts(count: number): Promise<number[]> {
   const servers = await Promise.all(
     Array.from(
       { length: count },
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -38,7 +38,6 @@
 export { buildReport, hasPassed, readCost, renderReport } from './report.js';
 export type { Check, PackingRow, Report, WaitRow } from './report.js';
 export {
-  findFreePorts,
   hasRelease,
   isReady,
   publishRelease,
--- a/packages/standins/test/cell/cell.ts
+++ b/packages/standins/test/cell/cell.ts
@@ -110,6 +110,11 @@
   readonly linkProxies = new Map<string, proxies.Proxy>();
   readonly logProxies = new Map<string, proxies.Proxy>();
   readonly backendProxies: proxies.Proxy[] = [];
+  /**
+   * Loopback address of this cell alone. A free port of a shared address may be taken
+   * by somebody else before the daemon listens, or while it is restarted.
+   */
+  readonly host = takeHost();
   readonly #options: CellOptions;
   readonly #zones: Readonly<Record<string, string>>;
   readonly #directory = fs.mkdtempSync(path.join(os.tmpdir(), 'cell-'));
@@ -161,14 +166,12 @@
     const addresses = await this.platform.start();
     this.#log = addresses.log;
     this.#vmList = addresses.vmList;
-    const ports = await standins.findFreePorts(3 * this.names.length);
-    const take = () => `127.0.0.1:${ports.pop()!}`;
-    for (const name of this.names)
+    for (const [at, name] of this.names.entries())
       this.#daemons.set(name, {
         name,
-        callers: take(),
-        operators: take(),
-        links: take(),
+        callers: `${this.host}:${7110 + at}`,
+        operators: `${this.host}:${7120 + at}`,
+        links: `${this.host}:${7130 + at}`,
         operatorsKey: OPERATORS_KEY,
         settingsFile: path.join(this.#directory, `${name}.ini`),
         logFile: path.join(this.#directory, `${name}.log`),
@@ -409,6 +412,13 @@
   }
 }
 
+let hosts = 0;
+
+function takeHost(): string {
+  hosts += 1;
+  return `127.${64 + ((process.pid >> 8) & 127)}.${process.pid & 255}.${hosts}`;
+}
+
 /** Two workers and two backend servers of each kind for each zone in use. */
 function formatPlatform(zones: Readonly<Record<string, string>>): string {
   const used = [...new Set(Object.values(zones))];
--- a/packages/standins/test/cell/input.test.ts
+++ b/packages/standins/test/cell/input.test.ts
@@ -158,12 +158,12 @@
         const logFile = `${own.logFile}.${section}`;
         const settingsFile = `${own.settingsFile}.${section}`;
         const text = fs.readFileSync(own.settingsFile, 'utf8');
-        const ports = await standins.findFreePorts(3);
+        let port = 7_200;
         let changed = text;
         for (const other of ['callers', 'operators', 'links'] as const)
           changed = changed.replace(
             `[${other}]\nlisten = ${own[other]}`,
-            `[${other}]\nlisten = ${other === section ? taken : `127.0.0.1:${ports.pop()!}`}`,
+            `[${other}]\nlisten = ${other === section ? taken : `${cell.host}:${(port += 1)}`}`,
           );
         // Two addresses of peers may not be the own one.
         changed = changed.replace(/^p1 = .*$/m, 'p1 = 127.0.0.1:9');
