--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -12,7 +12,6 @@
 export { serve } from './serve.js';
 export type { Handler, Incoming, Server, Traffic } from './serve.js';
 export {
-  findFreePorts,
   hasRelease,
   isReady,
   loadDrafts,
