--- a/packages/bench/src/cell/bench.ts
+++ b/packages/bench/src/cell/bench.ts
@@ -148,7 +148,7 @@
 
 async function runStarts(options: BenchOptions): Promise<Partial<BenchResult>> {
   const { processes, quick } = options;
-  const taskTimes = quick ? [500] : [8_000, 2_000, 700];
+  const taskTimes = quick ? [500] : [2_000, 700, 250];
   return withCell({ processes, workers: TODAY_WORKERS }, async (cell) => ({
     starts: await starts.measureStarts(cell, taskTimes, quick ? 4_000 : 6_000),
   }));
