Count all link bytes between the regions

Daemons also dial the links addresses of the VM list, so some connections went past the counting relays: at rest they counted 6.5 KB/s.

--- a/packages/bench/src/cell/cell.ts
+++ b/packages/bench/src/cell/cell.ts
@@ -9,6 +9,7 @@
 import * as os from 'node:os';
 import * as path from 'node:path';
 import * as url from 'node:url';
+import type * as core from '@flamingoward/core';
 import * as standins from '@flamingoward/standins';
 import * as calls from './calls.js';
 import * as forwarders from './forwarder.js';
@@ -80,6 +81,8 @@
   readonly #directory: string;
   readonly #drafts: Awaited<ReturnType<typeof standins.loadDrafts>>;
   readonly #children = new Map<string, childProcess.ChildProcess>();
+  /** Relays by the links address behind them. */
+  readonly #forwarders = new Map<string, forwarders.Forwarder>();
   readonly #doors = new Map<string, LogDoor>();
 
   private constructor(
@@ -278,9 +281,14 @@
       else door.reads += 1;
       return platform.log.handle(incoming, response);
     });
-    const vmList = await standins.serve('127.0.0.1', 0, (incoming, response) =>
-      platform.vmList?.handle(incoming, response),
-    );
+    const vmList = await standins.serve('127.0.0.1', 0, (_, response) => {
+      const text = JSON.stringify(this.#listVms(daemon.name));
+      response.writeHead(200, {
+        'content-type': 'application/json',
+        'content-length': Buffer.byteLength(text),
+      });
+      response.end(text);
+    });
     const door: LogDoor = { log, vmList, reads: 0, appends: 0 };
     this.#doors.set(daemon.name, door);
     updateFile(daemon.settingsFile, [
@@ -289,10 +297,24 @@
     ]);
   }
 
+  /** The VM list as one daemon sees it: entry VMs of the other region are behind relays. */
+  #listVms(name: string): core.workers.VmList {
+    const list = this.platform.vmList?.read() ?? { asOfMs: 0, vms: [] };
+    const region = findRegion(name);
+    const vms = list.vms.map((vm) => {
+      const forwarder = this.#forwarders.get(vm.address);
+      return forwarder === undefined || vm.region === region
+        ? vm
+        : { ...vm, address: forwarder.address };
+    });
+    return { ...list, vms };
+  }
+
   /** Leads the links to one daemon from the other region through a relay. */
   async #openForwarders(daemon: standins.Daemon): Promise<void> {
     const region = findRegion(daemon.name);
     const forwarder = await forwarders.startForwarder(daemon.links);
+    this.#forwarders.set(daemon.links, forwarder);
     const known = this.crossing.get(region);
     if (known === undefined) this.crossing.set(region, [forwarder]);
     else known.push(forwarder);
