--- a/packages/bench/src/cell/bench.ts
+++ b/packages/bench/src/cell/bench.ts
@@ -5,6 +5,7 @@
 import * as recovery from './recovery.js';
 import * as regions from './regions.js';
 import * as releases from './releases.js';
+import * as requests from './requests.js';
 import * as starts from './starts.js';
 
 /** Parts of the bench. */
@@ -13,6 +14,7 @@
   'release',
   'idle',
   'starts',
+  'requests',
   'regions',
 ] as const;
 /** One part. */
@@ -40,6 +42,7 @@
   readonly paused?: readonly releases.PausedRelease[];
   readonly idle?: readonly idle.IdleRow[];
   readonly starts?: readonly starts.StartRow[];
+  readonly requests?: readonly requests.RequestRow[];
   readonly regions?: readonly regions.RegionRow[];
   /** Parts that ended with an error. */
   readonly failed: Readonly<Record<string, string>>;
@@ -93,6 +96,8 @@
       return runIdle(options);
     case 'starts':
       return runStarts(options);
+    case 'requests':
+      return runRequests(options);
     case 'regions':
       return runRegions(options);
   }
@@ -154,6 +159,20 @@
   }));
 }
 
+async function runRequests(
+  options: BenchOptions,
+): Promise<Partial<BenchResult>> {
+  const { processes, quick } = options;
+  const rates = quick ? [300] : [100, 300, 900];
+  return withCell({ processes, workers: TODAY_WORKERS }, async (cell) => ({
+    requests: await requests.measureRequests(
+      cell,
+      rates,
+      quick ? 3_000 : 6_000,
+    ),
+  }));
+}
+
 async function runRegions(
   options: BenchOptions,
 ): Promise<Partial<BenchResult>> {
--- a/packages/bench/src/cell/report.ts
+++ b/packages/bench/src/cell/report.ts
@@ -1,6 +1,7 @@
 /** The report of the bench of a whole cell, as lines of key=value pairs. */
 import type * as bench from './bench.js';
 import * as idle from './idle.js';
+import type * as requests from './requests.js';
 import type * as regions from './regions.js';
 
 /** Formats a result. */
@@ -12,6 +13,7 @@
     ...describeRelease(result),
     ...(result.idle ?? []).flatMap(describeIdle),
     ...describeStarts(result),
+    ...(result.requests ?? []).flatMap(describeRequests),
     ...(result.regions ?? []).map(describeRegions),
     ...Object.entries(result.failed).map(
       ([part, error]) => `FAILED ${part}: ${error}`,
@@ -19,6 +21,14 @@
   ];
 }
 
+function describeRequests(row: requests.RequestRow): readonly string[] {
+  return [
+    `requests sent_s=${row.sentPerSecond} done_s=${row.donePerSecond.toFixed(0)} not_done=${row.notDone}` +
+      ` p50_ms=${row.p50.toFixed(1)} p99_ms=${row.p99.toFixed(1)}`,
+    ...row.costs.map(describeCost),
+  ];
+}
+
 function describeRegions(row: regions.RegionRow): string {
   return (
     `regions ${row.what} links_to_far=${row.linksToFar.toFixed(0)} links_to_home=${row.linksToHome.toFixed(0)}` +
