Read the VM list only when it changed

Change: the client sends the entity tag of its last answer and takes 304 for unchanged; the stand-in answers so. Without tags the list is read whole as before.

--- a/packages/platform/src/vmlist.ts
+++ b/packages/platform/src/vmlist.ts
@@ -24,22 +24,33 @@
     connectTimeoutMs: timeoutMs,
   });
 
+  let last:
+    { readonly etag: string; readonly list: core.workers.VmList } | undefined;
+
   async function readList(): Promise<core.workers.VmList> {
-    const list = (await pools.askJson(
-      pool,
-      address,
+    // The list seldom changes: with the entity tag of the last answer the platform
+    // sends it only when it did. A platform without tags sends it whole each time.
+    const headers: types.HeaderFields =
+      last === undefined ? {} : { 'if-none-match': last.etag };
+    const result = await pool.send(
+      { method: 'GET', path: '/vms', headers },
+      { timeoutMs, maxResponseBytes: pools.MAX_JSON_BYTES },
       step,
-      { method: 'GET', path: '/vms', expect: [200] },
-      timeoutMs,
-    )) as Partial<core.workers.VmList>;
-    // An answer without a list must not read as a fleet without VMs.
-    if (list.asOfMs === undefined || !Array.isArray(list.vms))
+    );
+    const origin = { step, peer: address };
+    if (result.result !== 'answered')
       throw core.createFault(
-        'bad-frame',
-        { step, peer: address },
-        'the VM list has no vms or no asOfMs',
+        'peer-away',
+        { ...origin, cause: result.cause },
+        result.result,
       );
-    return { asOfMs: list.asOfMs, vms: list.vms };
+    if (result.status === 304 && last !== undefined) return last.list;
+    if (result.status !== 200)
+      throw core.createFault('peer-away', origin, `status ${result.status}`);
+    const list = checkList(pools.parseJson(result.body, origin), origin);
+    const { etag } = result.headers;
+    last = typeof etag === 'string' ? { etag, list } : undefined;
+    return list;
   }
 
   return {
@@ -50,3 +61,18 @@
     },
   };
 }
+
+/** An answer without a list must not read as a fleet without VMs. */
+function checkList(
+  json: unknown,
+  origin: { readonly step: string; readonly peer: string },
+): core.workers.VmList {
+  const { asOfMs, vms } = json as Partial<core.workers.VmList>;
+  if (asOfMs === undefined || !Array.isArray(vms))
+    throw core.createFault(
+      'bad-frame',
+      origin,
+      'the VM list has no vms or no asOfMs',
+    );
+  return { asOfMs, vms };
+}
--- a/packages/standins/src/vmlist.ts
+++ b/packages/standins/src/vmlist.ts
@@ -1,4 +1,5 @@
 /** Stand-in for the platform's list of VMs, which lags behind the actual state. */
+import * as crypto from 'node:crypto';
 import type * as http from 'node:http';
 import type * as core from '@flamingoward/core';
 import * as serving from './serve.js';
@@ -31,6 +32,11 @@
     return this.#server.address;
   }
 
+  /** Bytes of all connections since the start. */
+  readTraffic(): serving.Traffic {
+    return this.#server?.readTraffic() ?? { receivedBytes: 0, sentBytes: 0 };
+  }
+
   async stop(): Promise<void> {
     await this.#server?.stop();
   }
@@ -67,13 +73,28 @@
   /** Answers one request. */
   handle(incoming: serving.Incoming, response: http.ServerResponse): void {
     if (incoming.path === '/vms') {
-      serving.respondJson(response, 200, this.read());
+      this.#respondList(incoming, response);
     } else if (incoming.path === '/-/control') {
       this.set(serving.parseBody(incoming) as VmListControl);
       serving.respondJson(response, 200, {});
     } else serving.respondJson(response, 404, {});
   }
 
+  /** Answers with the list, or with 304 when the caller has it already. */
+  #respondList(
+    incoming: serving.Incoming,
+    response: http.ServerResponse,
+  ): void {
+    const list = this.read();
+    const hash = crypto.createHash('sha1').update(JSON.stringify(list.vms));
+    const etag = `"${hash.digest('base64url')}"`;
+    response.setHeader('etag', etag);
+    if (incoming.headers['if-none-match'] === etag) {
+      response.statusCode = 304;
+      response.end();
+    } else serving.respondJson(response, 200, list);
+  }
+
   #readLatest(atMs: number): core.workers.VmList {
     const latest = this.#history.findLast((list) => list.asOfMs <= atMs);
     return latest ?? { asOfMs: 0, vms: [] };
