Begin the outage of the test after the first placements

A job is placed only after a read of the claims that was sent after the job was read, so a job accepted in the moment before an outage waits for the log.

--- a/packages/standins/test/cell/outage.test.ts
+++ b/packages/standins/test/cell/outage.test.ts
@@ -87,6 +87,8 @@
       quotes.start();
       await load.waitFor('order', 'done', 20);
       const backlog = await submitBacklog(cell, TASKS, 1_500);
+      // A job is placed once the claims were read after it, which needs the log.
+      await waitForStarts(cell, backlog);
       cell.platform.log.set({ outage: true });
       load.phase = 'outage';
       quotes.phase = 'outage';
