Refuse two services on one backend, and explain waiting jobs in their own words

A waiting job was explained with the sentences for requests ('none of 4 backend servers can be used'). The callers' test expected the wrong sentence ('2 teams') and now expects the job's ('2 tasks wait in all').

--- a/packages/bench/src/cell/cell.ts
+++ b/packages/bench/src/cell/cell.ts
@@ -281,14 +281,14 @@
       else door.reads += 1;
       return platform.log.handle(incoming, response);
     });
-    const vmList = await standins.serve('127.0.0.1', 0, (_, response) => {
-      const text = JSON.stringify(this.#listVms(daemon.name));
-      response.writeHead(200, {
-        'content-type': 'application/json',
-        'content-length': Buffer.byteLength(text),
-      });
-      response.end(text);
-    });
+    const vmList = await standins.serve(
+      '127.0.0.1',
+      0,
+      (incoming, response) => {
+        const list = this.#listVms(daemon.name);
+        standins.respondVmList(list, incoming, response);
+      },
+    );
     const door: LogDoor = { log, vmList, reads: 0, appends: 0 };
     this.#doors.set(daemon.name, door);
     updateFile(daemon.settingsFile, [
--- a/packages/core/src/release/check.ts
+++ b/packages/core/src/release/check.ts
@@ -200,7 +200,19 @@
       return [`${kind} ${name}`, formatHeading(change)];
     }),
   );
+  const users = new Map<string, string>();
   for (const service of next.services.values()) {
+    const user = users.get(service.backend);
+    users.set(service.backend, user ?? service.name);
+    // Each service grants all slots of its backend servers, so two would exceed them.
+    if (user !== undefined)
+      refuse(
+        sections.get(`service ${service.name}`) ??
+          sections.get(`service ${user}`) ??
+          '',
+        'backend',
+        `services ${user} and ${service.name} both name backend ${service.backend}; each service needs backend servers of its own`,
+      );
     if (next.backends.has(service.backend)) continue;
     const withdrawal = sections.get(`backend ${service.backend}`);
     if (withdrawal !== undefined)
--- a/packages/core/test/release.test.ts
+++ b/packages/core/test/release.test.ts
@@ -66,11 +66,14 @@
 const second = buildNote(
   '2',
   '1',
-  `[added service studio]
+  `[added backend studio]
+slots = 8
+connections = 64
+[added service studio]
 idempotent = yes
 urgency = deferrable
 timeout_ms = 60000
-backend = desk
+backend = studio
 [changed team roof]
 quota_cores = 64
 quota_gpus = 0
@@ -134,6 +137,13 @@
     vitest
       .expect(check('[withdrawn backend desk]\nreason = old\n'))
       .toContain('[withdrawn backend desk]: service desk uses this backend');
+    vitest
+      .expect(
+        check(
+          '[added service order]\nidempotent = no\nurgency = urgent\ntimeout_ms = 1000\nbackend = desk\n',
+        ),
+      )
+      .toContain('services desk and order both name backend desk');
     vitest
       .expect(check('[changed service desk]\nbackend = x\n'))
       .toContain("[changed service desk] backend: backend x doesn't exist");
--- a/packages/daemon/src/callers/routes.ts
+++ b/packages/daemon/src/callers/routes.ts
@@ -289,7 +289,7 @@
       : undefined;
   for (const state of states)
     if (state.state === 'waiting' && state.reason !== undefined)
-      return core.describeRequestReason(state.reason);
+      return core.describeReason(state.reason).join(' ');
   return undefined;
 }
 
--- a/packages/daemon/test/callers.test.ts
+++ b/packages/daemon/test/callers.test.ts
@@ -312,7 +312,7 @@
       id: 'j1',
       state: 'accepted',
       tasks: { waiting: 1, starting: 0, running: 0, stopping: 0, ended: 1 },
-      reason: expect.stringContaining('2 teams') as string,
+      reason: expect.stringContaining('2 tasks wait in all') as string,
     });
     expect((await call(port, 'GET', '/jobs/j2')).status).toBe(404);
     expect((await call(port, 'GET', '/keys/k')).status).toBe(503);
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,7 +1,7 @@
 /** Stand-ins for the platform, and the replay of recorded traces. */
 export { LogStandin, waitMs } from './log.js';
 export type { LogAudit, LogControl } from './log.js';
-export { VmListStandin } from './vmlist.js';
+export { VmListStandin, respondVmList } from './vmlist.js';
 export type { VmListControl } from './vmlist.js';
 export { Fleet } from './fleet.js';
 export type { FleetAudit, StartAudit, UseSample } from './fleet.js';
--- a/packages/standins/src/vmlist.ts
+++ b/packages/standins/src/vmlist.ts
@@ -73,30 +73,30 @@
   /** Answers one request. */
   handle(incoming: serving.Incoming, response: http.ServerResponse): void {
     if (incoming.path === '/vms') {
-      this.#respondList(incoming, response);
+      respondVmList(this.read(), incoming, response);
     } else if (incoming.path === '/-/control') {
       this.set(serving.parseBody(incoming) as VmListControl);
       serving.respondJson(response, 200, {});
     } else serving.respondJson(response, 404, {});
   }
 
-  /** Answers with the list, or with 304 when the caller has it already. */
-  #respondList(
-    incoming: serving.Incoming,
-    response: http.ServerResponse,
-  ): void {
-    const list = this.read();
-    const hash = crypto.createHash('sha1').update(JSON.stringify(list.vms));
-    const etag = `"${hash.digest('base64url')}"`;
-    response.setHeader('etag', etag);
-    if (incoming.headers['if-none-match'] === etag) {
-      response.statusCode = 304;
-      response.end();
-    } else serving.respondJson(response, 200, list);
-  }
-
   #readLatest(atMs: number): core.workers.VmList {
     const latest = this.#history.findLast((list) => list.asOfMs <= atMs);
     return latest ?? { asOfMs: 0, vms: [] };
   }
 }
+
+/** Answers with a list, or with 304 when the caller has it already. */
+export function respondVmList(
+  list: core.workers.VmList,
+  incoming: serving.Incoming,
+  response: http.ServerResponse,
+): void {
+  const hash = crypto.createHash('sha1').update(JSON.stringify(list.vms));
+  const etag = `"${hash.digest('base64url')}"`;
+  response.setHeader('etag', etag);
+  if (incoming.headers['if-none-match'] === etag) {
+    response.statusCode = 304;
+    response.end();
+  } else serving.respondJson(response, 200, list);
+}
