Give the take-over measurement a log that returns what was appended

Since the end of a take-over needs a settled record to be read back, runTakeover never ended: its log forgot every append. It now returns them, and a take-over that doesn't end within 60 s of virtual time is an error.

--- a/packages/bench/src/takeover.ts
+++ b/packages/bench/src/takeover.ts
@@ -51,6 +51,10 @@
 };
 
 const STEP_MS = 10;
+
+/** Virtual time after which a take-over that hasn't ended is an error. */
+const SETTLE_LIMIT_MS = 60_000;
+
 const region = 'muscat';
 const shard = `workers/${region}`;
 const size: core.resources.Resources = { cores: 1, memoryMb: 512, gpus: 0 };
@@ -109,8 +113,15 @@
   const fleet = createFleet(timers, count, options.tasksPerWorker);
   const workers = createPart(timers, fleet, count * options.tasksPerWorker);
   const cpuBefore = process.cpuUsage();
-  while (workers.readShard(shard)?.isSettled() !== true)
+  while (workers.readShard(shard)?.isSettled() !== true) {
+    if (timers.readNow() > SETTLE_LIMIT_MS)
+      throw core.createFault(
+        'timeout',
+        { step: 'bench.takeover', peer: shard },
+        String(SETTLE_LIMIT_MS),
+      );
     await advanceBy(timers, STEP_MS);
+  }
   const takeoverCpuMs = process.cpuUsage(cpuBefore).user / 1_000;
   const settledMs = timers.readNow();
   // The first long polls end at different times.
@@ -324,7 +335,10 @@
     release: 'r1',
     acceptedMs: 0,
   };
+  const bodies = new Map<string, unknown[]>([['jobs', [accepted]]]);
   function openStream<Body>(stream: string): daemon.parts.StreamReader<Body> {
+    const known = bodies.get(stream) ?? [];
+    bodies.set(stream, known);
     const subject = core.createSubject<core.records.LogRecord<Body>>();
     let next = 0;
     return {
@@ -333,16 +347,23 @@
       readHeadMs: () => 0,
       waitFor: () => Promise.resolve(),
       waitForHead: () => {
-        if (stream === 'jobs' && next === 0) {
-          next = 1;
-          subject.push({ offset: 0, id: '0', body: accepted as Body });
+        while (next < known.length) {
+          const offset = next;
+          next += 1;
+          const body = known[offset] as Body;
+          subject.push({ offset, id: String(offset), body });
         }
         return Promise.resolve();
       },
     };
   }
   return {
-    append: () => Promise.resolve({ outcome: 'appended', offset: 0 }),
+    append: (stream, body) => {
+      const known = bodies.get(stream) ?? [];
+      bodies.set(stream, known);
+      const offset = known.push(body) - 1;
+      return Promise.resolve({ outcome: 'appended', offset });
+    },
     open: openStream,
     readAwaySince: () => undefined,
     close: () => Promise.resolve(),
