Know the claims that were read while the process started

Cause: the ownership part opened the claims stream when it was created but observed it only in open(), a few hundred ms later. Ruled out: claims stuck in the append buffer (give-up works), a wrong view of the outage (readAwaySince was set), holds after pauses. Change: the stream is observed in the turn that opens it. A report of an equal epoch doesn't end ownership: it may be this process's own newer session.

--- a/packages/daemon/src/ownership/ownership.ts
+++ b/packages/daemon/src/ownership/ownership.ts
@@ -77,6 +77,8 @@
   let holding = false;
   let releasing = false;
   let timer: core.TimerSubscription | undefined;
+  // In the turn that opens the stream: records that are read before `open` count too.
+  void reader.records.observe(receive);
 
   function receive(
     record: core.records.LogRecord<core.records.ClaimRecord>,
@@ -382,14 +384,13 @@
     epoch: core.ids.Epoch,
   ): void {
     const held = own.get(shard);
-    if (held !== undefined && core.compareEpochs(epoch, held) >= 0)
+    if (held !== undefined && core.compareEpochs(epoch, held) > 0)
       dropShard(shard, held, 'newer-epoch-at-worker');
   }
 
   function open(): void {
     joinedMs = timers.readNow();
     lastTickMs = joinedMs;
-    void reader.records.observe(receive);
     timer = timers.subscribe(
       { name: 'ownership.tick', delayMs: TICK_MS, repeat: 'periodic' },
       tick,
--- a/packages/daemon/test/ownership.test.ts
+++ b/packages/daemon/test/ownership.test.ts
@@ -33,7 +33,8 @@
   private readonly heard = new Map<string, Map<string, number>>();
   private readonly heartbeats = new Map<string, core.messages.Heartbeat>();
 
-  add(name: string): void {
+  /** `readsBeforeOpen`: reads of the log that end while the process still opens its addresses. */
+  add(name: string, readsBeforeOpen = 0): void {
     const timers = core.createVirtualTimers(this.nowMs);
     const streams = fakeLog.createFakeStreams(
       this.log,
@@ -49,6 +50,7 @@
       mayOwn: () => true,
     });
     this.heard.set(context.identity.instance, new Map());
+    for (let read = 0; read < readsBeforeOpen; read += 1) streams.pump();
     part.open();
     this.processes.push({
       name,
@@ -367,3 +369,22 @@
     }
   },
 );
+
+vitest.test(
+  'a process that starts beside a live owner claims nothing, and knows the claims it read while it started',
+  async () => {
+    const cell = new Cell();
+    cell.add('p0');
+    for (let step = 0; step < 100; step += 1) await cell.step();
+    cell.add('p1', 2);
+    for (let step = 0; step < 40; step += 1) await cell.step();
+    vitest.expect(cell.log.read('claims').records).toHaveLength(3);
+    cell.log.isDown = true;
+    for (let step = 0; step < 20; step += 1) await cell.step();
+    cell.processes[0]!.state = 'dead';
+    for (let step = 0; step < 80; step += 1) await cell.step();
+    vitest
+      .expect(cell.readDeciders('workers/r').map((process) => process.name))
+      .toEqual(['p1']);
+  },
+);
