Show workers and backend servers to operators, and do less at rest

Cause: 'flamingoward workers' and 'backends' showed only the VM list; at rest the ownership part ranked candidates for every shard ten times a second, and every connection had a timer of its own.

--- a/packages/core/src/ownership/decide.ts
+++ b/packages/core/src/ownership/decide.ts
@@ -19,7 +19,8 @@
 /** A shard that should have an owner, with those that may own it. */
 export interface WantedShard {
   readonly shard: ids.ShardName;
-  readonly candidates: readonly ids.InstanceId[];
+  /** Asked only while the shard has no live owner. */
+  readonly listCandidates: () => readonly ids.InstanceId[];
 }
 
 /** What the decision looks at. */
@@ -69,7 +70,7 @@
   const sinceMs = orphans.get(wanted.shard) ?? view.nowMs;
   orphans.set(wanted.shard, sinceMs);
   const place = rank
-    .rankCandidates(wanted.shard, wanted.candidates)
+    .rankCandidates(wanted.shard, wanted.listCandidates())
     .indexOf(view.self);
   if (place < 0) return false;
   return view.nowMs - sinceMs >= place * CLAIM_RANK_WAIT_MS;
--- a/packages/core/src/slots/scheduler.ts
+++ b/packages/core/src/slots/scheduler.ts
@@ -567,6 +567,8 @@
     listUncertain,
     listUnreported: () => [...unreported],
     explain,
+    listServers: () =>
+      [...rows.values()].map((row) => servers.buildServerView(row)),
     dump: describeTables,
   };
 }
--- a/packages/core/src/slots/servers.ts
+++ b/packages/core/src/slots/servers.ts
@@ -214,7 +214,18 @@
   return false;
 }
 
-/** Plain copy of a server's row. */
+/** Builds the view of a server for operators. */
+export function buildServerView(row: ServerRow): types.ServerView {
+  return {
+    id: row.info.id,
+    leaving: row.info.leaving,
+    failing: isFailing(row),
+    slots: row.info.slots,
+    used: countUsed(row),
+  };
+}
+
+/** Plain copy of a row for the dump. */
 export function describeServer(row: ServerRow): unknown {
   return {
     id: row.info.id,
--- a/packages/core/src/slots/types.ts
+++ b/packages/core/src/slots/types.ts
@@ -122,6 +122,8 @@
   listUnreported(): readonly ids.InstanceId[];
   /** Why an ask waits now; undefined when it doesn't wait. */
   explain(ask: AskId, nowMs: number): reasons.Reason | undefined;
+  /** The backend servers as the tables have them. */
+  listServers(): readonly ServerView[];
   /** Plain JSON-ready copy of the tables. */
   dump(): unknown;
 }
@@ -132,3 +134,14 @@
   normal: 0.2,
   deferrable: 0.1,
 };
+
+/** One backend server as the owner of its shard sees it. */
+export interface ServerView {
+  readonly id: ids.VmId;
+  readonly leaving: boolean;
+  /** Failed often enough to get only trial requests. */
+  readonly failing: boolean;
+  readonly slots: number;
+  /** Slots in use, or counted as used. */
+  readonly used: number;
+}
--- a/packages/daemon/src/membership/membership.ts
+++ b/packages/daemon/src/membership/membership.ts
@@ -28,6 +28,8 @@
   /** Links addresses from the settings. */
   readonly peers: readonly core.ids.Address[];
   readonly readOwnState: () => OwnState;
+  /** State alone; asked often, while the whole own state is only built for heartbeats. */
+  readonly readState: () => OwnState['state'];
   /** Random number from 0 to 1. */
   readonly readRandom: () => number;
 }
@@ -231,7 +233,7 @@
       .filter((peer) => peer.heartbeat.state === 'ready')
       .map((peer) => peer.instance);
     const isSelf =
-      region === identity.region && options.readOwnState().state === 'ready';
+      region === identity.region && options.readState() === 'ready';
     return isSelf ? [...peers, identity.instance] : peers;
   }
 
--- a/packages/daemon/src/operators/views.ts
+++ b/packages/daemon/src/operators/views.ts
@@ -1,6 +1,7 @@
 /** What the operators' address shows of processes, VMs and releases. */
 import type * as core from '@flamingoward/core';
 import type * as types from '../types.js';
+import type * as workerTypes from '../workers/types.js';
 
 /** State of a worker beyond the platform's list, from the process that decides for it. */
 export interface WorkerDetail {
@@ -19,6 +20,36 @@
   readonly closedBy?: string;
 }
 
+/** Builds the details of the workers that this process decides for. */
+export function listWorkerDetails(
+  workers: readonly workerTypes.WorkerView[],
+): readonly WorkerDetail[] {
+  return workers.map(({ id, attempts, closedBy }) => ({
+    id,
+    running: attempts,
+    ...(closedBy === undefined ? {} : { closedBy }),
+  }));
+}
+
+/** Builds the details of the backend servers that this process decides for. */
+export function listBackendDetails(
+  servers: readonly core.slots.ServerView[],
+): readonly BackendDetail[] {
+  return servers.map((server) => {
+    const closedBy = describeClosed(server);
+    return {
+      id: server.id,
+      busySlots: server.used,
+      ...(closedBy === undefined ? {} : { closedBy }),
+    };
+  });
+}
+
+function describeClosed(server: core.slots.ServerView): string | undefined {
+  if (server.leaving) return 'it is leaving';
+  return server.failing ? 'it failed; trial requests test it' : undefined;
+}
+
 /** One process as this one sees it. */
 export interface ProcessView {
   readonly name: core.ids.ProcessName;
--- a/packages/daemon/src/ownership/ownership.ts
+++ b/packages/daemon/src/ownership/ownership.ts
@@ -180,12 +180,13 @@
   }
 
   function noteRegions(nowMs: number): void {
-    for (const plan of options.listShards())
+    const regions = new Set(options.listShards().map((plan) => plan.region));
+    for (const region of regions)
       if (
-        !regionSeenMs.has(plan.region) ||
-        membership.listCandidates(plan.region).length > 0
+        !regionSeenMs.has(region) ||
+        membership.listCandidates(region).length > 0
       )
-        regionSeenMs.set(plan.region, nowMs);
+        regionSeenMs.set(region, nowMs);
   }
 
   function listCandidates(
@@ -213,7 +214,7 @@
     );
     const wanted = options.listShards().map((plan) => ({
       shard: plan.shard,
-      candidates: listCandidates(plan.region, nowMs),
+      listCandidates: () => listCandidates(plan.region, nowMs),
     }));
     const shards = core.decideOwnership(
       {
--- a/packages/daemon/src/process/process.ts
+++ b/packages/daemon/src/process/process.ts
@@ -14,6 +14,7 @@
 import * as journals from '../observability/journal.js';
 import * as metrics from '../observability/metrics.js';
 import * as operators from '../operators/server.js';
+import * as views from '../operators/views.js';
 import * as ownership from '../ownership/ownership.js';
 import * as relays from '../relay/relay.js';
 import * as releases from '../releases/releases.js';
@@ -83,6 +84,7 @@
     readVmList: () => vmList.readList(),
     peers: settings.peers.map((peer) => peer.address),
     readOwnState,
+    readState: () => state,
     readRandom: options.readRandom,
   });
   const logClient = platform.createLogClient({
@@ -227,8 +229,8 @@
       streams,
       requests: journal,
       readHeartbeat,
-      readWorkers: () => [],
-      readBackends: () => [],
+      readWorkers: () => views.listWorkerDetails(workersPart.listWorkers()),
+      readBackends: () => views.listBackendDetails(path.listServers()),
       dumps,
       drain: options.onDrain,
     });
--- a/packages/daemon/src/requests/desk.ts
+++ b/packages/daemon/src/requests/desk.ts
@@ -50,6 +50,8 @@
   ): Promise<core.requests.TicketAnswer>;
   cancel(notice: CancelNotice, from: core.ids.InstanceId): void;
   return(notice: ReturnNotice): void;
+  /** Backend servers of the shards of this process. */
+  listServers(): readonly core.slots.ServerView[];
   /** Plain JSON-ready copy of the tables. */
   dump(): unknown;
   close(): void;
@@ -502,6 +504,8 @@
     ask,
     cancel,
     return: returnTicket,
+    listServers: () =>
+      [...owned.values()].flatMap((shard) => shard.scheduler.listServers()),
     dump: describeTables,
     close() {
       upkeep.end();
--- a/packages/daemon/src/requests/path.ts
+++ b/packages/daemon/src/requests/path.ts
@@ -454,6 +454,7 @@
       desk.close();
       ledger.close();
     },
+    listServers: () => desk.listServers(),
     dump: () => ({
       inHand,
       held: holder.countHeld(),
--- a/packages/daemon/src/requests/shards.ts
+++ b/packages/daemon/src/requests/shards.ts
@@ -42,11 +42,6 @@
   );
 }
 
-/** Orders epochs; negative when `a` is older. */
-export function compareEpochs(a: core.ids.Epoch, b: core.ids.Epoch): number {
-  return a.offset - b.offset || a.provisional - b.provisional;
-}
-
 /** Creates the settings of a shard's scheduler from the release in force. */
 export function createPolicy(
   service: core.releases.ServiceEntry,
--- a/packages/daemon/src/requests/tickets.ts
+++ b/packages/daemon/src/requests/tickets.ts
@@ -96,7 +96,7 @@
   ): readonly core.requests.HeldTicket[] {
     const { shard, epoch } = question;
     const known = reportedTo.get(shard);
-    if (known === undefined || shards.compareEpochs(known, epoch) < 0)
+    if (known === undefined || core.compareEpochs(known, epoch) < 0)
       reportedTo.set(shard, epoch);
     const nowMs = timers.readNow();
     return [...rows.values()]
@@ -265,7 +265,7 @@
   function isVoid(ticket: core.requests.Ticket): boolean {
     const newest = reportedTo.get(ticket.shard);
     if (newest === undefined) return false;
-    return shards.compareEpochs(ticket.epoch, newest) < 0;
+    return core.compareEpochs(ticket.epoch, newest) < 0;
   }
 
   function addHeld(ticket: core.requests.Ticket, askedMs: number): HeldTicket {
--- a/packages/daemon/src/requests/types.ts
+++ b/packages/daemon/src/requests/types.ts
@@ -115,6 +115,8 @@
   drain(): void;
   /** Ends timers and subscriptions; waiting requests are refused. */
   close(): void;
+  /** Backend servers for which this process decides. */
+  listServers(): readonly core.slots.ServerView[];
   /** Plain JSON-ready copy of the state. */
   dump(): unknown;
 }
--- a/packages/daemon/src/workers/shard.ts
+++ b/packages/daemon/src/workers/shard.ts
@@ -436,12 +436,26 @@
     explain: (job) => scheduler.explain(job),
     readTeamUse: () =>
       [...scheduler.readTeamUse()].map(([team, used]) => ({ team, used })),
+    listWorkers: () =>
+      [...workers.values()].map((entry) => ({
+        id: entry.vm.id,
+        attempts: state.attempts.list(entry.vm.id).length,
+        closedBy: describeClosed(entry),
+      })),
     isSettled: () => state.concluded,
     end,
     dump: describeState,
   };
 }
 
+function describeClosed(entry: states.WorkerEntry): string | undefined {
+  if (entry.vm.state === 'leaving') return 'it is leaving';
+  if (!entry.listed) return 'it left the VM list';
+  if (entry.strays > 0) return 'it runs attempts that this owner does not know';
+  if (!entry.complete) return 'its tasks are not known yet after the take-over';
+  return entry.usable ? undefined : 'it does not answer';
+}
+
 /** Provisional numbers that seeds tell apart. */
 const SEED_PROVISIONALS = 4;
 
--- a/packages/daemon/src/workers/types.ts
+++ b/packages/daemon/src/workers/types.ts
@@ -99,8 +99,18 @@
   readTasks(job: core.ids.JobId): readonly core.jobs.TaskState[] | undefined;
   explain(job: core.ids.JobId): readonly string[];
   readTeamUse(): readonly core.messages.TeamUse[];
+  listWorkers(): readonly WorkerView[];
   /** True when every task of the jobs known at the take-over is accounted for. */
   isSettled(): boolean;
   /** Ends all calls and decisions; nothing is stopped on the workers. */
   end(): void;
 }
+
+/** One worker as the owner of its shard sees it. */
+export interface WorkerView {
+  readonly id: core.ids.VmId;
+  /** Attempts that are or may be on it. */
+  readonly attempts: number;
+  /** Why it gets no new tasks now; undefined when it may. */
+  readonly closedBy: string | undefined;
+}
--- a/packages/daemon/src/workers/workers.ts
+++ b/packages/daemon/src/workers/workers.ts
@@ -15,6 +15,8 @@
 export interface Workers extends parts.Dumpable {
   /** Returns the shard when this process decides for it. */
   readShard(shard: core.ids.ShardName): types.WorkersShard | undefined;
+  /** Workers of the shards of this process. */
+  listWorkers(): readonly types.WorkerView[];
   /** Use of all teams in the shards of this process, for heartbeats. */
   readTeamUse(): readonly core.messages.TeamUse[];
   close(): void;
@@ -41,11 +43,6 @@
     if (known !== undefined && core.compareEpochs(known.epoch, epoch) >= 0)
       return;
     known?.end();
-    context.log.write('info', 'shard.gained', {
-      shard,
-      offset: epoch.offset,
-      provisional: epoch.provisional,
-    });
     const tasks = openTasks(region);
     shards.set(
       shard,
@@ -58,7 +55,6 @@
     if (known === undefined) return;
     known.end();
     shards.delete(shard);
-    context.log.write('info', 'shard.lost', { shard });
   }
 
   function applyChange(change: parts.OwnershipChange): void {
@@ -110,6 +106,8 @@
   return {
     readShard: (shard) => shards.get(shard),
     readTeamUse,
+    listWorkers: () =>
+      [...shards.values()].flatMap((shard) => shard.listWorkers()),
     close: () => {
       timer.end();
       ended.push(true);
--- a/packages/daemon/test/callers.test.ts
+++ b/packages/daemon/test/callers.test.ts
@@ -33,7 +33,8 @@
       readKey: () => Promise.resolve({ state: 'unreadable' }),
       drain: () => undefined,
       close: () => undefined,
-      dump: () => undefined,
+      listServers: () => [],
+    dump: () => undefined,
     },
     jobs: {
       submit: (spec: core.jobs.JobSpec) => {
--- a/packages/link/src/connection.ts
+++ b/packages/link/src/connection.ts
@@ -52,6 +52,8 @@
     question: core.messages.Question,
     timeoutMs: number,
   ): Promise<core.messages.Answer>;
+  /** Pings a quiet connection and closes a silent one; called by the hub for all connections at once. */
+  checkProgress(nowMs: number): void;
   readTheirs(): core.messages.Hello | undefined;
   close(cause?: Error): void;
 }
@@ -74,13 +76,10 @@
   let nextId = 1;
   let heardMs = timers.readNow();
   let pingSeq = 0;
-  const probe = timers.subscribe(
-    { name: 'links.probe', delayMs: PROBE_AFTER_MS / 2, repeat: 'periodic' },
-    checkProgress,
-  );
   const connection: Connection = {
     notify,
     ask,
+    checkProgress,
     readTheirs: () => (proven ? theirs : undefined),
     close,
   };
@@ -137,7 +136,6 @@
   function close(cause?: Error): void {
     if (closed) return;
     closed = true;
-    probe.end();
     socket.destroy();
     for (const question of pending.values()) {
       question.timer.end();
--- a/packages/link/src/hub.ts
+++ b/packages/link/src/hub.ts
@@ -95,6 +95,21 @@
   let sentBytes = 0;
   let receivedBytes = 0;
   const server = net.createServer(receiveSocket);
+  // One timer for all connections: a timer each wakes the process up to 80 times a second.
+  const probe = options.timers.subscribe(
+    {
+      name: 'links.probe',
+      delayMs: connections.PROBE_AFTER_MS / 2,
+      repeat: 'periodic',
+    },
+    checkProgress,
+  );
+
+  function checkProgress(nowMs: number): void {
+    for (const entry of [...dialled.values()])
+      entry.connection?.checkProgress(nowMs);
+    for (const connection of [...accepted]) connection.checkProgress(nowMs);
+  }
 
   function track(socket: net.Socket): void {
     sockets.add(socket);
@@ -306,6 +321,7 @@
 
   function close(): Promise<void> {
     closing = true;
+    probe.end();
     for (const entry of [...dialled.values()]) dropDialled(entry);
     for (const connection of [...accepted]) connection.close();
     for (const socket of sockets) socket.destroy();
