--- a/packages/daemon/test/callers.test.ts
+++ b/packages/daemon/test/callers.test.ts
@@ -34,7 +34,7 @@
       drain: () => undefined,
       close: () => undefined,
       listServers: () => [],
-    dump: () => undefined,
+      dump: () => undefined,
     },
     jobs: {
       submit: (spec: core.jobs.JobSpec) => {
