Take the demo's ports below the range of outgoing connections

Cause: one run of the demo failed: a daemon's callers port, found free a moment before, had been taken by an outgoing connection (EADDRINUSE on 127.0.0.1:46457). Change: the bench's search for ports outside that range moves to the stand-ins and serves both.

--- a/packages/bench/src/cell/cell.ts
+++ b/packages/bench/src/cell/cell.ts
@@ -13,7 +13,6 @@
 import * as standins from '@flamingoward/standins';
 import * as calls from './calls.js';
 import * as forwarders from './forwarder.js';
-import * as ports from './ports.js';
 
 /** What to start. */
 export interface CellOptions {
@@ -110,7 +109,7 @@
         formatSettings(name, options.processes),
       );
     const drafts = await standins.loadDrafts(source);
-    const listens = await ports.findPorts(3 * drafts.length);
+    const listens = await standins.findPorts(3 * drafts.length);
     for (const { settings } of drafts)
       for (const section of ['callers', 'operators', 'links'])
         settings[section] = {
--- a/packages/standins/src/daemons.ts
+++ b/packages/standins/src/daemons.ts
@@ -1,13 +1,13 @@
 /** Runs the daemons of an example as child processes, with free ports, for demonstrations. */
 import * as childProcess from 'node:child_process';
 import * as fs from 'node:fs';
-import * as net from 'node:net';
 import * as path from 'node:path';
 import * as url from 'node:url';
 import * as ini from 'ini';
 import * as undici from 'undici';
 import * as zod from 'zod';
 import * as logs from './log.js';
+import * as ports from './ports.js';
 
 /** One daemon. */
 export interface Daemon {
@@ -54,8 +54,8 @@
       const settings = settingsShape.parse(ini.parse(text));
       return { name: settings.process?.name ?? file, settings };
     });
-  const ports = await findFreePorts(3 * drafts.length);
-  const take = () => `127.0.0.1:${ports.pop() ?? 0}`;
+  const free = await ports.findPorts(3 * drafts.length);
+  const take = () => `127.0.0.1:${free.pop() ?? 0}`;
   for (const { settings } of drafts)
     for (const section of ['callers', 'operators', 'links'])
       settings[section] = { ...settings[section], listen: take() };
@@ -230,27 +230,3 @@
     return undefined;
   }
 }
-
-/** Holds all ports at once, so that they differ, then frees them. */
-async function findFreePorts(count: number): Promise<number[]> {
-  const servers = await Promise.all(
-    Array.from(
-      { length: count },
-      () =>
-        new Promise<net.Server>((resolve, reject) => {
-          const server = net.createServer();
-          server.once('error', reject);
-          server.listen(0, '127.0.0.1', () => {
-            resolve(server);
-          });
-        }),
-    ),
-  );
-  const ports = servers.map(
-    (server) => (server.address() as net.AddressInfo).port,
-  );
-  await Promise.all(
-    servers.map((server) => new Promise((resolve) => server.close(resolve))),
-  );
-  return ports;
-}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -24,6 +24,7 @@
   writeSettings,
 } from './daemons.js';
 export type { Daemon } from './daemons.js';
+export { findPorts } from './ports.js';
 export { Platform } from './platform.js';
 export type {
   PlatformAudit,
