Derive the shards once per tick, and share the pause bound

Cause: each ownership tick, ten a second, derived the planned shards from the whole VM list three times; and the gap that counts as a pause was defined in two parts. Change: the tick derives the plan once and hands it on; ownership uses the bound that the membership exports. Behaviour is unchanged. The processor share at rest was not measured again.

--- a/packages/daemon/src/ownership/ownership.ts
+++ b/packages/daemon/src/ownership/ownership.ts
@@ -4,6 +4,7 @@
  * have been replaced without knowing: after a pause, or cut off from log and peers.
  */
 import * as core from '@flamingoward/core';
+import * as memberships from '../membership/membership.js';
 import type * as types from '../types.js';
 
 /** Name of the stream of claims. */
@@ -11,9 +12,6 @@
 
 const TICK_MS = 100;
 
-/** A gap between two ticks after which decisions wait for the head of the claims, in ms. */
-const PAUSE_GAP_MS = 500;
-
 /**
  * Longest wait of one read of the claims, in ms. An answer speaks for the time when
  * its read was sent, so just before the next answer the news is two waits old; that
@@ -129,13 +127,15 @@
   function tick(nowMs: number): void {
     const gapMs = nowMs - lastTickMs;
     lastTickMs = nowMs;
-    if (gapMs > PAUSE_GAP_MS) holdAfterPause(gapMs);
+    if (gapMs > memberships.PAUSE_GAP_MS) holdAfterPause(gapMs);
     stepDownForPeers();
     if (holding || releasing || !options.mayOwn()) return;
-    noteRegions(nowMs);
-    claimShards(nowMs);
+    // Once per tick: the plan is derived from the whole VM list.
+    const plans = options.listShards();
+    noteRegions(plans, nowMs);
+    claimShards(plans, nowMs);
     renewClaims(nowMs);
-    dropUnplanned();
+    dropUnplanned(plans);
   }
 
   function holdAfterPause(gapMs: number): void {
@@ -179,8 +179,8 @@
     if (order > 0) dropShard(theirs.shard, held, 'newer-epoch-heard');
   }
 
-  function noteRegions(nowMs: number): void {
-    const regions = new Set(options.listShards().map((plan) => plan.region));
+  function noteRegions(plans: readonly ShardPlan[], nowMs: number): void {
+    const regions = new Set(plans.map((plan) => plan.region));
     for (const region of regions)
       if (
         !regionSeenMs.has(region) ||
@@ -203,7 +203,7 @@
     return [...regions].flatMap((name) => membership.listCandidates(name));
   }
 
-  function claimShards(nowMs: number): void {
+  function claimShards(plans: readonly ShardPlan[], nowMs: number): void {
     if (
       reader.readHeadMs() === undefined &&
       streams.readAwaySince() === undefined
@@ -212,7 +212,7 @@
     const peers = new Map(
       membership.readPeers().map((peer) => [peer.instance, peer]),
     );
-    const wanted = options.listShards().map((plan) => ({
+    const wanted = plans.map((plan) => ({
       shard: plan.shard,
       listCandidates: () => listCandidates(plan.region, nowMs),
     }));
@@ -313,8 +313,8 @@
   }
 
   /** A withdrawn service or an emptied region needs no owner any more. */
-  function dropUnplanned(): void {
-    const planned = new Set(options.listShards().map((plan) => plan.shard));
+  function dropUnplanned(plans: readonly ShardPlan[]): void {
+    const planned = new Set(plans.map((plan) => plan.shard));
     for (const [shard, epoch] of own) {
       if (planned.has(shard)) continue;
       dropShard(shard, epoch, 'not-planned');
@@ -350,7 +350,8 @@
   function readEpoch(shard: core.ids.ShardName): core.ids.Epoch | undefined {
     if (holding) return undefined;
     // The tick that notices a pause may itself be late.
-    if (timers.readNow() - lastTickMs > PAUSE_GAP_MS) return undefined;
+    if (timers.readNow() - lastTickMs > memberships.PAUSE_GAP_MS)
+      return undefined;
     if (!isWorkersShard(shard) && !isFresh()) return undefined;
     return own.get(shard);
   }
