--- a/eslint.config.js
+++ b/eslint.config.js
@@ -10,7 +10,7 @@
 };
 
 export default eslintConfig.defineConfig(
-  { ignores: ['**/dist/**', '**/node_modules/**', 'run/**'] },
+  { ignores: ['**/dist/**', '**/node_modules/**', 'run/**', 'target/**'] },
   js.default.configs.recommended,
   ...tseslint.configs.strictTypeChecked,
   ...tseslint.configs.stylisticTypeChecked,
@@ -46,18 +46,19 @@
       'packages/standins/**',
       'packages/bench/**',
       'packages/*/test/**',
+      'platform/test/**',
     ],
     rules: { 'no-restricted-globals': 'off' },
   },
   {
-    files: ['packages/*/test/**'],
+    files: ['packages/*/test/**', 'platform/test/**'],
     rules: {
       '@typescript-eslint/no-non-null-assertion': 'off',
       '@typescript-eslint/naming-convention': 'off',
     },
   },
   {
-    files: ['*.js', '*.ts'],
+    files: ['*.js', '*.ts', 'deploy/*.js'],
     rules: {
       'no-restricted-syntax': 'off',
       '@typescript-eslint/naming-convention': 'off',
--- a/packages/platform/test/backend.test.ts
+++ b/packages/clients/test/backend.test.ts
@@ -2,7 +2,7 @@
 import * as net from 'node:net';
 import * as vitest from 'vitest';
 import * as core from '@flamingoward/core';
-import * as platform from '@flamingoward/platform';
+import * as clients from '@flamingoward/clients';
 
 const timers = core.createSystemTimers();
 const cleanups: (() => unknown)[] = [];
@@ -44,7 +44,7 @@
 }
 
 function createClient(connections = 7) {
-  const client = platform.createBackendClient({ timers, connections });
+  const client = clients.createBackendClient({ timers, connections });
   cleanups.push(() => client.close());
   return client;
 }
--- a/packages/platform/test/faults.test.ts
+++ b/packages/clients/test/faults.test.ts
@@ -6,7 +6,7 @@
 import * as generators from 'pure-rand/generator/xoroshiro128plus';
 import * as vitest from 'vitest';
 import * as core from '@flamingoward/core';
-import * as platform from '@flamingoward/platform';
+import * as clients from '@flamingoward/clients';
 
 type Random = (to: number) => number;
 
@@ -19,7 +19,7 @@
 function createLog(timers: core.TimerService, random: Random) {
   const stored: core.records.LogRecord<unknown>[] = [];
   const state = { faulty: true };
-  const createClient = (): platform.LogClient => {
+  const createClient = (): clients.LogClient => {
     let underWay = 0;
     return {
       async append(_, records, timeoutMs) {
@@ -65,7 +65,7 @@
 interface Sent {
   readonly body: number;
   readonly writer: number;
-  outcome?: platform.AppendOutcome;
+  outcome?: clients.AppendOutcome;
 }
 
 async function runSession(seed: number) {
@@ -73,7 +73,7 @@
   const timers = core.createVirtualTimers(1_000);
   const log = createLog(timers, random);
   const writers = [0, 1].map(() =>
-    platform.createStreams({
+    clients.createStreams({
       log: log.createClient(),
       timers,
       bufferRecords: 20,
--- a/packages/platform/test/streams.test.ts
+++ b/packages/clients/test/streams.test.ts
@@ -1,7 +1,7 @@
 /** Appends and reads through lost replies, outages and failing relays. */
 import * as vitest from 'vitest';
 import * as core from '@flamingoward/core';
-import * as platform from '@flamingoward/platform';
+import * as clients from '@flamingoward/clients';
 import * as standins from '@flamingoward/standins';
 
 const timers = core.createSystemTimers();
@@ -20,15 +20,15 @@
 
 function createStreams(
   address: string,
-  options: Partial<platform.StreamsOptions> = {},
+  options: Partial<clients.StreamsOptions> = {},
 ) {
-  const log = platform.createLogClient({ address, timers });
-  const streams = platform.createStreams({ log, timers, ...options });
+  const log = clients.createLogClient({ address, timers });
+  const streams = clients.createStreams({ log, timers, ...options });
   cleanups.push(() => streams.close());
   return { log, streams };
 }
 
-function collect(reader: platform.StreamReader<number>): number[] {
+function collect(reader: clients.StreamReader<number>): number[] {
   const read: number[] = [];
   void reader.records.observe((record) => read.push(record.body));
   return read;
@@ -132,7 +132,7 @@
   'a relay that %s is replaced by the log',
   async (fault) => {
     const { address } = await startLog();
-    const relay: platform.RecordSource = {
+    const relay: clients.RecordSource = {
       readPage: async () => {
         if (fault === 'refuses') throw new Error('refused');
         if (fault === 'is silent') await new Promise(() => undefined);
@@ -168,7 +168,7 @@
   async () => {
     const { service, address } = await startLog();
     const first = createStreams(address);
-    const relay = platform.createRelay({
+    const relay = clients.createRelay({
       streams: first.streams,
       timers,
       names: ['jobs'],
--- /dev/null
+++ b/packages/cluster/src/claims.ts
@@ -0,0 +1,354 @@
+/**
+ * Ownership of the cluster by conditional appends: a claim is appended only where
+ * the stream ended when it was read, so of several candidates one wins, and the
+ * offset of the claim is a fence that rises with each owner. The owner renews its
+ * claim; others take over when renewals stop, at once when the owner's process is
+ * known to be gone, and wait their turn so that few claims compete.
+ */
+import type * as core from '@flamingoward/core';
+import type * as contexts from './context.js';
+import type * as ports from './ports.js';
+import * as records from './records.js';
+import * as tails from './tail.js';
+
+/** Time between renewals, in ms. */
+const RENEW_MS = 500;
+/** Time between reads of a node that isn't the owner, in ms. */
+const WATCH_MS = 1_000;
+/** Time between reads while the owner is suspected, in ms. */
+const SUSPECT_WATCH_MS = 100;
+/** Time without a renewal after which an owner that is suspected by its silence is replaced, in ms. */
+const SUSPECT_AFTER_MS = 1_200;
+/** Time without a renewal after which any owner is replaced, in ms. */
+const ABANDONED_AFTER_MS = 2_500;
+/** Time by which each successor waits for the one before it, in ms. */
+const RANK_STEP_MS = 250;
+/** Time without a confirmed renewal after which an owner stops deciding, in ms. */
+export const SELF_LIMIT_MS = 10_000;
+/** Time that a claim or renewal may take, in ms. */
+const APPEND_TIMEOUT_MS = 800;
+/** Round trips to the store by which nodes wait before the first claim, so that near ones win. */
+const FIRST_CLAIM_ROUND_TRIPS = 3;
+const FIRST_CLAIM_JITTER_MS = 30;
+const KEY = 'owner';
+
+/** The owner as the stream tells it. */
+export interface Owner {
+  readonly fence: number;
+  readonly instance: core.ids.InstanceId;
+  readonly node: core.ids.ProcessName;
+  readonly address: core.ids.Address;
+  readonly released: boolean;
+}
+
+/** What ownership tells its node. */
+export interface ClaimEvents {
+  /** This node owns the cluster; `gapMs` is the time since the last renewal of the previous owner. */
+  readonly onOwned: (fence: number, gapMs: number | undefined) => void;
+  /** This node has lost the cluster. */
+  readonly onLost: (why: string) => void;
+  /** Another node owns the cluster. */
+  readonly onOwner: (owner: Owner) => void;
+}
+
+/** Ownership of the cluster. */
+export interface Claims {
+  open(): void;
+  /** The link to the owner failed; `gone` when its process is known not to run. */
+  suspect(instance: core.ids.InstanceId, gone: boolean): void;
+  /** The owner has said that it gives up. */
+  noteReleased(fence: number): void;
+  setSuccessors(instances: readonly core.ids.InstanceId[]): void;
+  /** Gives up the claim. */
+  release(): Promise<void>;
+  /** Another owner's fence was met, or this process may have been paused. */
+  verify(why: string): void;
+  readOwner(): Owner | undefined;
+  /** Fence of this node while it owns the cluster. */
+  readFence(): number | undefined;
+  /** Time since the store confirmed this node's claim, in ms. */
+  readConfirmedAge(): number;
+  close(): void;
+}
+
+/** Creates ownership. */
+export function createClaims(
+  context: contexts.NodeContext,
+  events: ClaimEvents,
+): Claims {
+  const { timers, log, instance, ports: outside } = context;
+  const { store } = outside;
+  let owner: Owner | undefined;
+  let ownerKnownMs = 0;
+  /** When the newest record was first seen here. */
+  let renewedMs = 0;
+  let newestOffset = -1;
+  let owned: number | undefined;
+  let confirmedMs = 0;
+  let suspectedMs: number | undefined;
+  let knownGone = false;
+  let successors: readonly core.ids.InstanceId[] = [];
+  let claiming = false;
+  let closing = false;
+  let releasedFence = 0;
+  let watch: core.TimerSubscription | undefined;
+  let watchTurn: core.TimerSubscription | undefined;
+  let roundTripMs = 0;
+
+  const tail = tails.createTail({
+    source: store.openStream('claims'),
+    apply: applyRecord,
+    onFailed: (why) => {
+      log.write('debug', 'claims.read-failed', { why });
+    },
+  });
+
+  function applyRecord(record: ports.KeyedRecord): void {
+    if (record.key !== KEY || record.offset <= newestOffset) return;
+    const claim =
+      record.value === undefined ? undefined : records.parseClaim(record.value);
+    newestOffset = record.offset;
+    if (claim === undefined) return;
+    renewedMs = timers.readNow();
+    suspectedMs = undefined;
+    knownGone = false;
+    const next: Owner = {
+      fence: claim.fence ?? record.offset + 1,
+      instance: claim.instance,
+      node: claim.node,
+      address: claim.address,
+      released: claim.released === true,
+    };
+    const changed =
+      next.fence !== owner?.fence || next.released !== owner.released;
+    owner = next;
+    if (!changed) return;
+    ownerKnownMs = renewedMs;
+    log.write('info', 'owner.changed', {
+      owner: next.node,
+      fence: next.fence,
+      released: next.released,
+    });
+    if (next.instance === instance && !next.released) beginOwning(next.fence);
+    else {
+      endOwning('another node claimed');
+      events.onOwner(next);
+    }
+  }
+
+  function beginOwning(fence: number): void {
+    if (owned === fence || closing) return;
+    owned = fence;
+    confirmedMs = timers.readNow();
+    log.write('info', 'ownership.gained', { fence });
+    events.onOwned(fence, gapMs);
+  }
+
+  let gapMs: number | undefined;
+
+  function endOwning(why: string): void {
+    if (owned === undefined) return;
+    log.write('warn', 'ownership.lost', { fence: owned, why });
+    owned = undefined;
+    events.onLost(why);
+  }
+
+  function buildValue(extra: Partial<records.ClaimRecord>): string {
+    const record: records.ClaimRecord = {
+      node: context.settings.name,
+      instance,
+      address: context.settings.listen.links,
+      ...extra,
+    };
+    return JSON.stringify(record);
+  }
+
+  async function appendClaim(
+    extra: Partial<records.ClaimRecord>,
+  ): Promise<ports.AppendResult> {
+    return store.append('claims', [{ key: KEY, value: buildValue(extra) }], {
+      expectedEnd: tail.readNext(),
+      timeoutMs: APPEND_TIMEOUT_MS,
+    });
+  }
+
+  async function claim(why: string): Promise<void> {
+    if (claiming || closing || owned !== undefined) return;
+    claiming = true;
+    const nowMs = timers.readNow();
+    gapMs =
+      owner === undefined || owner.released ? undefined : nowMs - renewedMs;
+    const result = await appendClaim({});
+    log.write('info', 'ownership.claim', {
+      why,
+      outcome: result.outcome,
+      after: tail.readNext(),
+      renewedAgeMs: Math.round(nowMs - renewedMs),
+    });
+    // Whatever the outcome, the stream tells who owns the cluster.
+    await tail.refresh();
+    claiming = false;
+  }
+
+  async function renew(): Promise<void> {
+    const fence = owned;
+    if (fence === undefined || claiming) return;
+    claiming = true;
+    const startedMs = timers.readNow();
+    const result = await appendClaim({ fence });
+    claiming = false;
+    switch (result.outcome) {
+      case 'appended':
+        confirmedMs = startedMs;
+        await tail.refresh();
+        return;
+      case 'conflict':
+        // A renewal whose answer was lost, or another owner.
+        await tail.refresh();
+        if (owned === fence) confirmedMs = startedMs;
+        return;
+      case 'fenced':
+      case 'sequence':
+      case 'refused':
+      case 'unknown':
+        log.write('warn', 'ownership.renewal-failed', {
+          fence,
+          outcome: result.outcome,
+          confirmedAgeMs: Math.round(timers.readNow() - confirmedMs),
+        });
+        if (timers.readNow() - confirmedMs > SELF_LIMIT_MS)
+          endOwning('not confirmed for too long');
+        else if (result.outcome === 'unknown') await tail.refresh();
+    }
+  }
+
+  function computeTurn(): number {
+    const rank = successors.indexOf(instance);
+    if (rank >= 0) return rank * RANK_STEP_MS;
+    return (1 + context.readRandom() * 2) * RANK_STEP_MS;
+  }
+
+  /** Decides whether it is this node's turn to claim. */
+  function decideClaim(nowMs: number): string | undefined {
+    if (owner === undefined) return undefined;
+    const turnMs = computeTurn();
+    if (owner.released || releasedFence === owner.fence)
+      return nowMs - ownerKnownMs >= turnMs || releasedFence === owner.fence
+        ? 'released'
+        : undefined;
+    const silentMs = nowMs - renewedMs;
+    if (suspectedMs !== undefined) {
+      const suspectMs = nowMs - suspectedMs;
+      if (knownGone && suspectMs >= turnMs) return 'process gone';
+      if (silentMs >= SUSPECT_AFTER_MS + turnMs)
+        return 'silent and not renewed';
+    }
+    return silentMs >= ABANDONED_AFTER_MS + turnMs ? 'not renewed' : undefined;
+  }
+
+  async function watchOwner(): Promise<void> {
+    if (closing || owned !== undefined) return;
+    const startedMs = timers.readNow();
+    const read = await tail.refresh();
+    const nowMs = timers.readNow();
+    if (!read) {
+      // Renewals can't be seen now; their absence says nothing.
+      renewedMs = Math.max(renewedMs, nowMs - SUSPECT_WATCH_MS);
+      return;
+    }
+    roundTripMs = nowMs - startedMs;
+    if (owner === undefined) {
+      await claimFirst();
+      return;
+    }
+    const why = decideClaim(nowMs);
+    if (why !== undefined) await claim(why);
+  }
+
+  /** Without any owner, nodes near the store claim first. */
+  async function claimFirst(): Promise<void> {
+    const delayMs =
+      roundTripMs * FIRST_CLAIM_ROUND_TRIPS +
+      context.readRandom() * FIRST_CLAIM_JITTER_MS;
+    await new Promise<void>((resolve) => {
+      timers.subscribe(
+        { name: 'claims.first', delayMs, repeat: 'once' },
+        () => {
+          resolve();
+        },
+      );
+    });
+    if (owner === undefined) await claim('no owner');
+  }
+
+  function scheduleWatch(delayMs: number): void {
+    watchTurn?.end();
+    if (closing) return;
+    watchTurn = timers.subscribe(
+      { name: 'claims.watch', delayMs, repeat: 'once' },
+      () => {
+        void watchOwner().then(() => {
+          const eager =
+            suspectedMs !== undefined ||
+            owner === undefined ||
+            owner.released ||
+            releasedFence === owner.fence;
+          scheduleWatch(eager ? SUSPECT_WATCH_MS : WATCH_MS);
+        });
+      },
+    );
+  }
+
+  return {
+    open() {
+      watch = timers.subscribe(
+        { name: 'claims.renew', delayMs: RENEW_MS, repeat: 'periodic' },
+        () => {
+          void renew();
+        },
+      );
+      scheduleWatch(0);
+    },
+    suspect(suspected, gone) {
+      if (owner?.instance !== suspected || owned !== undefined) return;
+      if (suspectedMs === undefined || (gone && !knownGone)) {
+        log.write('info', 'owner.suspected', { owner: owner.node, gone });
+        suspectedMs = timers.readNow();
+      }
+      knownGone = knownGone || gone;
+      scheduleWatch(gone ? computeTurn() : 0);
+    },
+    noteReleased(fence) {
+      if (owner?.fence !== fence || owned !== undefined) return;
+      releasedFence = fence;
+      scheduleWatch(computeTurn());
+    },
+    setSuccessors(instances) {
+      successors = instances;
+    },
+    async release() {
+      const fence = owned;
+      if (fence === undefined) return;
+      endOwning('released');
+      closing = true;
+      const result = await appendClaim({ fence, released: true });
+      log.write('info', 'ownership.released', {
+        fence,
+        outcome: result.outcome,
+      });
+    },
+    verify(why) {
+      if (owned === undefined) return;
+      log.write('info', 'ownership.verified', { why });
+      void renew();
+    },
+    readOwner: () => owner,
+    readFence: () => owned,
+    readConfirmedAge: () => timers.readNow() - confirmedMs,
+    close() {
+      closing = true;
+      watch?.end();
+      watchTurn?.end();
+    },
+  };
+}
--- /dev/null
+++ b/packages/cluster/src/contacts.ts
@@ -0,0 +1,173 @@
+/**
+ * The owner's contact with each VM: one hold at a time, which renews the lease,
+ * waits at the VM for an end and returns the whole truth about what runs there. The
+ * contact knows how long a silent VM may still run things, and tells when that is over.
+ */
+import * as core from '@flamingoward/core';
+import type * as contexts from './context.js';
+import type * as ports from './ports.js';
+
+/** How long an answer waits at the VM for an end, in ms: leases are renewed four times in their length. */
+const HOLD_WAIT_MS = 1_500;
+/** Time beyond the wait after which a hold has failed, in ms. */
+const HOLD_TIMEOUT_MS = 800;
+/** Time between tries at a VM that doesn't answer, in ms. */
+const RETRY_MS = 250;
+/** Time between holds while ends can't be made durable, in ms: they would be answered at once. */
+const BLOCKED_WAIT_MS = 400;
+/** VM clocks may be this much slower than ours. */
+const CLOCK_RATE = 0.98;
+/** Added to the computed end of a lease, in ms. */
+const LEASE_MARGIN_MS = 50;
+
+/** What a contact tells the owner. */
+export interface ContactEvents {
+  readonly onReport: (
+    vm: core.ids.VmId,
+    report: core.workloads.VmReport,
+  ) => void;
+  /** The VM doesn't answer. */
+  readonly onSilent: (vm: core.ids.VmId, why: string) => void;
+  /** Nothing can run on the VM any more. */
+  readonly onLost: (vm: core.ids.VmId, why: string) => void;
+  readonly onFenced: (vm: core.ids.VmId) => void;
+  /** Highest end whose effect is durable. */
+  readonly readDurableEnd: (vm: core.ids.VmId) => number;
+  /** Resolves when an end was made durable, or after `waitMs`. */
+  readonly waitForDurable: (waitMs: number) => Promise<void>;
+}
+
+/** A contact with a VM. */
+export interface Contact {
+  readonly target: ports.VmTarget;
+  /** Clock of the VM up to which a start may extend the lease; undefined before the first answer. */
+  computeUntil(): number | undefined;
+  /** An order without an answer extended the lease perhaps. */
+  noteOrder(untilMs: number): void;
+  close(): void;
+}
+
+/** Creates a contact and begins to hold. */
+export function createContact(
+  context: contexts.NodeContext,
+  target: ports.VmTarget,
+  terms: {
+    readonly fence: number;
+    /** Time at which leases of a previous owner are over at the latest. */
+    readonly inheritedUntilMs: number;
+  },
+  events: ContactEvents,
+): Contact {
+  const { timers, log, metrics } = context;
+  const { leaseMs } = context.settings;
+  let clock: { readonly vmMs: number; readonly atMs: number } | undefined;
+  let leaseEndMs = terms.inheritedUntilMs;
+  let closed = false;
+  let silent = false;
+  let lost = false;
+  let lastSeen = 0;
+
+  function computeUntil(): number | undefined {
+    if (clock === undefined) return undefined;
+    return Math.floor(clock.vmMs + (timers.readNow() - clock.atMs) + leaseMs);
+  }
+
+  /** Latest time at which the VM's clock reaches `untilMs`. */
+  function noteOrder(untilMs: number): void {
+    if (clock === undefined) return;
+    const endMs = clock.atMs + (untilMs - clock.vmMs) / CLOCK_RATE;
+    leaseEndMs = Math.max(leaseEndMs, endMs);
+  }
+
+  async function holdOnce(): Promise<boolean> {
+    const askedMs = timers.readNow();
+    const untilMs = computeUntil();
+    // The clock must be known before the lease can be extended.
+    const waitMs = untilMs === undefined ? 0 : HOLD_WAIT_MS;
+    if (untilMs !== undefined) noteOrder(untilMs);
+    const result = await context.ports.vmCalls.hold(
+      target,
+      {
+        fence: terms.fence,
+        lastSeen: events.readDurableEnd(target.id),
+        untilMs,
+        waitMs,
+      },
+      waitMs + HOLD_TIMEOUT_MS,
+    );
+    if (isClosed()) return false;
+    switch (result.outcome) {
+      case 'held':
+        receiveReport(result, askedMs);
+        return true;
+      case 'fenced':
+        events.onFenced(target.id);
+        return false;
+      case 'other-life':
+        if (!lost) events.onLost(target.id, 'another life answered');
+        lost = true;
+        return false;
+      case 'failed':
+        noteSilence(result.why);
+        return false;
+    }
+  }
+
+  function receiveReport(
+    result: Extract<ports.HoldResult, { outcome: 'held' }>,
+    askedMs: number,
+  ): void {
+    clock = { vmMs: result.clockMs, atMs: timers.readNow() };
+    if (silent) log.write('info', 'vm.regained', { vm: target.id, lost });
+    silent = false;
+    lost = false;
+    metrics.count('holds', { outcome: 'held' });
+    // A new life counts its ends anew.
+    lastSeen = Math.max(0, ...result.report.ended.map(({ number }) => number));
+    events.onReport(target.id, { ...result.report, askedMs });
+  }
+
+  function noteSilence(why: string): void {
+    const nowMs = timers.readNow();
+    metrics.count('holds', { outcome: 'failed' });
+    if (!silent) {
+      log.write('warn', 'vm.silent', {
+        vm: target.id,
+        why,
+        leaseLeftMs: Math.round(leaseEndMs - nowMs),
+      });
+      events.onSilent(target.id, why);
+    }
+    silent = true;
+    if (!lost && nowMs > leaseEndMs + LEASE_MARGIN_MS) {
+      lost = true;
+      log.write('warn', 'vm.lost', { vm: target.id, why: 'lease over' });
+      events.onLost(target.id, 'lease over');
+    }
+  }
+
+  function isClosed(): boolean {
+    return closed;
+  }
+
+  async function run(): Promise<void> {
+    while (!isClosed()) {
+      const answered = await holdOnce();
+      if (isClosed()) return;
+      if (!answered) await core.waitFor(timers, 'contacts.retry', RETRY_MS);
+      else if (events.readDurableEnd(target.id) < lastSeen)
+        await events.waitForDurable(BLOCKED_WAIT_MS);
+    }
+  }
+
+  void run();
+
+  return {
+    target,
+    computeUntil,
+    noteOrder,
+    close() {
+      closed = true;
+    },
+  };
+}
--- /dev/null
+++ b/packages/cluster/src/desk.ts
@@ -0,0 +1,187 @@
+/**
+ * Answers callers. A job is accepted once its record is durable; a refusal is said
+ * only when nothing was written, and a job is denied only after the stream was read
+ * to its end.
+ */
+import type * as core from '@flamingoward/core';
+import type * as configurations from './configuration.js';
+import type * as contexts from './context.js';
+import type * as jobStores from './jobStore.js';
+import type * as ports from './ports.js';
+
+/** Deadline of callers that name none, in ms. */
+const DEFAULT_DEADLINE_MS = 3_000;
+/** Part of a caller's deadline that is left for the answer's way back, in ms. */
+const ANSWER_MARGIN_MS = 300;
+/** When callers may come back while the store is away, in s. */
+const AWAY_RETRY_S = 1;
+const jobId = /^[0-9a-f]{16}$/;
+
+/** What the desk asks about jobs. */
+export interface JobQuestions {
+  /** State as the owner tells it; undefined when no owner answers. */
+  readState(id: core.ids.JobId): Promise<core.workloads.JobState | undefined>;
+  countWaiting(queue: core.workloads.QueueName): number;
+  /** Why a job must not be accepted now. */
+  checkAdmission(
+    submission: ports.Submission,
+    policy: core.workloads.QueuePolicy,
+  ): { readonly why: string; readonly retryAfterS: number } | undefined;
+}
+
+/** Answers one request. */
+export type Desk = (
+  request: ports.CallerRequest,
+) => Promise<ports.CallerAnswer>;
+
+/** Creates the desk. */
+export function createDesk(
+  context: contexts.NodeContext,
+  configuration: configurations.ConfigurationView,
+  jobs: jobStores.JobStore,
+  questions: JobQuestions,
+): Desk {
+  const { timers, log, metrics } = context;
+
+  async function answer(
+    request: ports.CallerRequest,
+  ): Promise<ports.CallerAnswer> {
+    const current = configuration.read();
+    if (current === undefined)
+      return buildUnavailable('no configuration has been read yet');
+    const found = configuration.findRoute(request.host, request.path);
+    if (found === undefined) return { answer: 'unknown-queue' };
+    const { policy } = found.route;
+    const untilMs =
+      timers.readNow() +
+      (request.deadlineMs ?? DEFAULT_DEADLINE_MS) -
+      ANSWER_MARGIN_MS;
+    if (found.rest === '')
+      return request.method === 'GET'
+        ? { answer: 'waiting', waiting: questions.countWaiting(policy.name) }
+        : { answer: 'unknown-method' };
+    if (!jobId.test(found.rest))
+      return { answer: 'malformed', why: 'a job id has 16 hexadecimal digits' };
+    switch (request.method) {
+      case 'POST':
+        return submit(found.rest, policy, request, untilMs);
+      case 'GET':
+        return readState(found.rest);
+      case 'DELETE':
+        return cancel(found.rest, untilMs);
+      default:
+        return { answer: 'unknown-method' };
+    }
+  }
+
+  async function submit(
+    id: core.ids.JobId,
+    policy: core.workloads.QueuePolicy,
+    request: ports.CallerRequest,
+    untilMs: number,
+  ): Promise<ports.CallerAnswer> {
+    if (jobs.find(id) !== undefined) return { answer: 'accepted' };
+    const decoded = context.ports.decodeSubmission(request.body);
+    if (!decoded.readable) return { answer: 'malformed', why: decoded.why };
+    const refusal = questions.checkAdmission(decoded.value, policy);
+    if (refusal !== undefined)
+      return { answer: 'refused', cause: 'load', ...refusal };
+    const health = jobs.readHealth();
+    if (health.away && !(await jobs.refresh()))
+      return buildUnavailable(health.why);
+    const written = await jobs.accept(
+      {
+        id,
+        queue: policy.name,
+        policy,
+        configVersion: configuration.read()?.version ?? 0,
+        acceptedAtMs: timers.readDate(),
+        ...decoded.value,
+      },
+      untilMs,
+    );
+    switch (written.outcome) {
+      case 'durable':
+        return { answer: 'accepted' };
+      case 'refused':
+        return buildUnavailable(written.why);
+      case 'unknown':
+        return { answer: 'outcome-unknown', why: written.why };
+    }
+  }
+
+  async function readState(id: core.ids.JobId): Promise<ports.CallerAnswer> {
+    const known = readStored(id);
+    if (known !== undefined && known !== 'running')
+      return { answer: 'state', state: known };
+    const told = await questions.readState(id);
+    if (told !== undefined) return { answer: 'state', state: told };
+    // No owner answers, or it doesn't know the job: the stream decides.
+    const read = await jobs.refresh();
+    const state = readStored(id);
+    if (state !== undefined) return { answer: 'state', state };
+    return read
+      ? { answer: 'unknown-job' }
+      : buildUnavailable(jobs.readHealth().why);
+  }
+
+  /** State that the stream tells; `running` stands for anything that isn't final. */
+  function readStored(id: core.ids.JobId): core.workloads.JobState | undefined {
+    const stored = jobs.find(id);
+    if (stored === undefined) return undefined;
+    if (stored.final !== undefined) return stored.final;
+    return stored.cancelled ? 'cancelled' : 'running';
+  }
+
+  async function cancel(
+    id: core.ids.JobId,
+    untilMs: number,
+  ): Promise<ports.CallerAnswer> {
+    const stored = jobs.find(id);
+    if (stored === undefined) {
+      if (!(await jobs.refresh()))
+        return buildUnavailable(jobs.readHealth().why);
+      if (jobs.find(id) === undefined) return { answer: 'unknown-job' };
+    }
+    const written = await jobs.cancel(id, untilMs);
+    switch (written.outcome) {
+      case 'durable':
+        return { answer: 'cancelled' };
+      case 'refused':
+        return buildUnavailable(written.why);
+      case 'unknown':
+        return { answer: 'outcome-unknown', why: written.why };
+    }
+  }
+
+  return async (request) => {
+    const startedMs = timers.readNow();
+    const result = await answer(request);
+    const tookMs = timers.readNow() - startedMs;
+    metrics.count('requests', {
+      method: request.method,
+      answer: result.answer,
+    });
+    metrics.record('request', { method: request.method }, tookMs);
+    if (request.method !== 'GET' || result.answer === 'unknown-job')
+      log.write('info', 'request.answered', {
+        method: request.method,
+        job: request.path.slice(request.path.lastIndexOf('/') + 1),
+        configVersion: configuration.read()?.version,
+        answer: result.answer,
+        why: 'why' in result ? result.why : undefined,
+        retryAfterS: 'retryAfterS' in result ? result.retryAfterS : undefined,
+        tookMs: Math.round(tookMs),
+      });
+    return result;
+  };
+}
+
+function buildUnavailable(why: string): ports.CallerAnswer {
+  return {
+    answer: 'refused',
+    cause: 'unavailable',
+    why,
+    retryAfterS: AWAY_RETRY_S,
+  };
+}
--- /dev/null
+++ b/packages/cluster/src/index.ts
@@ -0,0 +1,7 @@
+/** A node of a cluster whose durable state lies in a keyed log. */
+export { createClusterNode } from './node.js';
+export type { ClusterNode } from './node.js';
+export type { NodeContext } from './context.js';
+export { isNodeSettings, parseNodeSettings } from './settings.js';
+export type { NodeSettings, NodeSettingsResult } from './settings.js';
+export type * as ports from './ports.js';
--- /dev/null
+++ b/packages/cluster/src/jobStore.ts
@@ -0,0 +1,263 @@
+/**
+ * The durable jobs: appends acceptances and cancellations in groups and keeps a view
+ * of all jobs from the stream. An append whose answer is lost is sent again, which is
+ * harmless because the same key takes the same value.
+ */
+import * as core from '@flamingoward/core';
+import type * as contexts from './context.js';
+import type * as ports from './ports.js';
+import * as records from './records.js';
+import * as tails from './tail.js';
+
+/** Time after which an append without an answer is sent again, in ms. */
+const APPEND_TIMEOUT_MS = 700;
+/** Records of one append; the rest waits for the next. */
+const MAX_GROUP = 200;
+/** Time between reads while this node isn't the owner, in ms. */
+const IDLE_POLL_MS = 1_000;
+
+/** A job as the stream tells it. */
+export interface StoredJob {
+  readonly job: core.workloads.Job;
+  cancelled: boolean;
+  final: core.workloads.FinalState | undefined;
+}
+
+/** What became of a durable write. */
+export type WriteResult =
+  | { readonly outcome: 'durable' }
+  | { readonly outcome: 'refused'; readonly why: string }
+  | { readonly outcome: 'unknown'; readonly why: string };
+
+/** The jobs of the cluster. */
+export interface JobStore {
+  accept(job: core.workloads.Job, deadlineMs: number): Promise<WriteResult>;
+  cancel(id: core.ids.JobId, deadlineMs: number): Promise<WriteResult>;
+  find(id: core.ids.JobId): StoredJob | undefined;
+  /** Reads to the end of the stream; false when the store doesn't answer. */
+  refresh(): Promise<boolean>;
+  follow(waitMs: number): Promise<boolean>;
+  list(): Iterable<StoredJob>;
+  /** Is told each change while this node owns the cluster. */
+  setObserver(
+    observer: ((change: records.JobChange) => void) | undefined,
+  ): void;
+  /** Time of the last answer of the store, and whether the last call failed. */
+  readHealth(): { readonly away: boolean; readonly why: string };
+  open(): void;
+  close(): void;
+}
+
+interface PendingWrite {
+  readonly record: ports.NewRecord;
+  readonly deadlineMs: number;
+  attempted: boolean;
+  readonly resolve: (result: WriteResult) => void;
+}
+
+/** Creates the store of a node. */
+export function createJobStore(context: contexts.NodeContext): JobStore {
+  const { timers, metrics } = context;
+  const jobs = new Map<core.ids.JobId, StoredJob>();
+  // Cancellations and finals may be read before their job when keys are read anew.
+  const early = new Map<core.ids.JobId, Partial<StoredJob>>();
+  const queue: PendingWrite[] = [];
+  const accepting = new Map<core.ids.JobId, Promise<WriteResult>>();
+  let observer: ((change: records.JobChange) => void) | undefined;
+  let writing = false;
+  let awayWhy = '';
+  let away = false;
+  let poll: core.TimerSubscription | undefined;
+
+  const tail = tails.createTail({
+    source: context.ports.store.openStream('jobs'),
+    apply: applyRecord,
+    onFailed: (why) => {
+      noteAway(why);
+    },
+  });
+
+  function noteAway(why: string): void {
+    if (!away) context.log.write('warn', 'store.lost', { stream: 'jobs', why });
+    away = true;
+    awayWhy = why;
+  }
+
+  function noteAnswer(): void {
+    if (away) context.log.write('info', 'store.regained', { stream: 'jobs' });
+    away = false;
+  }
+
+  function applyRecord(record: ports.KeyedRecord): void {
+    const change = records.parseJobChange(record);
+    if (change === undefined) {
+      context.log.write('warn', 'job.unreadable', { key: record.key });
+      return;
+    }
+    applyChange(change);
+    observer?.(change);
+  }
+
+  function applyChange(change: records.JobChange): void {
+    switch (change.change) {
+      case 'accepted': {
+        if (jobs.has(change.job.id)) return;
+        const before = early.get(change.job.id);
+        early.delete(change.job.id);
+        jobs.set(change.job.id, {
+          job: change.job,
+          cancelled: before?.cancelled ?? false,
+          final: before?.final,
+        });
+        return;
+      }
+      case 'cancelled': {
+        const job = jobs.get(change.id);
+        if (job !== undefined) job.cancelled = true;
+        else early.set(change.id, { ...early.get(change.id), cancelled: true });
+        return;
+      }
+      case 'final': {
+        const job = jobs.get(change.id);
+        if (job !== undefined) job.final = change.state;
+        else
+          early.set(change.id, {
+            ...early.get(change.id),
+            final: change.state,
+          });
+        return;
+      }
+      case 'dropped':
+        jobs.delete(change.id);
+        early.delete(change.id);
+    }
+  }
+
+  function write(
+    record: ports.NewRecord,
+    deadlineMs: number,
+  ): Promise<WriteResult> {
+    return new Promise((resolve) => {
+      queue.push({ record, deadlineMs, attempted: false, resolve });
+      if (!writing) void writeQueue();
+    });
+  }
+
+  async function writeQueue(): Promise<void> {
+    writing = true;
+    while (queue.length > 0) {
+      const group = queue.splice(0, MAX_GROUP);
+      const startedMs = timers.readNow();
+      const result = await context.ports.store.append(
+        'jobs',
+        group.map(({ record }) => record),
+        { timeoutMs: APPEND_TIMEOUT_MS },
+      );
+      metrics.record('store_append', {}, timers.readNow() - startedMs);
+      settleGroup(group, result);
+    }
+    writing = false;
+  }
+
+  function settleGroup(
+    group: readonly PendingWrite[],
+    result: ports.AppendResult,
+  ): void {
+    switch (result.outcome) {
+      case 'appended':
+        noteAnswer();
+        for (const entry of group) entry.resolve({ outcome: 'durable' });
+        return;
+      case 'refused':
+        noteAway(result.why);
+        for (const entry of group)
+          entry.resolve({
+            // An earlier try of the same record may still be carried out.
+            outcome: entry.attempted ? 'unknown' : 'refused',
+            why: result.why,
+          });
+        return;
+      case 'unknown':
+        noteAway(result.why);
+        for (const entry of group) retryEntry(entry, result.why);
+        return;
+      case 'conflict':
+      case 'fenced':
+      case 'sequence':
+        // Appends without a condition or writer never get these.
+        for (const entry of group)
+          entry.resolve({ outcome: 'unknown', why: result.outcome });
+    }
+  }
+
+  function retryEntry(entry: PendingWrite, why: string): void {
+    entry.attempted = true;
+    if (timers.readNow() + APPEND_TIMEOUT_MS < entry.deadlineMs)
+      queue.push(entry);
+    else entry.resolve({ outcome: 'unknown', why });
+  }
+
+  async function accept(
+    job: core.workloads.Job,
+    deadlineMs: number,
+  ): Promise<WriteResult> {
+    const same = accepting.get(job.id);
+    if (same !== undefined) return same;
+    const result = write(records.buildAccepted(job), deadlineMs);
+    accepting.set(job.id, result);
+    try {
+      const written = await result;
+      if (written.outcome === 'durable')
+        applyChange({ change: 'accepted', job });
+      return written;
+    } finally {
+      accepting.delete(job.id);
+    }
+  }
+
+  async function cancel(
+    id: core.ids.JobId,
+    deadlineMs: number,
+  ): Promise<WriteResult> {
+    const result = await write(records.buildCancelled(id), deadlineMs);
+    if (result.outcome === 'durable') applyChange({ change: 'cancelled', id });
+    return result;
+  }
+
+  async function follow(waitMs: number): Promise<boolean> {
+    const read = await tail.follow(waitMs);
+    if (read) noteAnswer();
+    return read;
+  }
+
+  async function refresh(): Promise<boolean> {
+    const read = await tail.refresh();
+    if (read) noteAnswer();
+    return read;
+  }
+
+  return {
+    accept,
+    cancel,
+    find: (id) => jobs.get(id),
+    refresh,
+    follow,
+    list: () => jobs.values(),
+    setObserver(next) {
+      observer = next;
+    },
+    readHealth: () => ({ away, why: awayWhy }),
+    open() {
+      void refresh();
+      poll = timers.subscribe(
+        { name: 'jobs.poll', delayMs: IDLE_POLL_MS, repeat: 'periodic' },
+        () => {
+          if (observer === undefined) void refresh();
+        },
+      );
+    },
+    close() {
+      poll?.end();
+    },
+  };
+}
--- /dev/null
+++ b/packages/cluster/src/node.ts
@@ -0,0 +1,307 @@
+/**
+ * One node of a cluster. Every node answers callers and keeps a view of the jobs; the
+ * one that owns the cluster also decides and speaks to the VMs. Other nodes hold a
+ * link to the owner: over it they ask for states, and the owner has them ask for advice.
+ */
+import * as core from '@flamingoward/core';
+import * as link from '@flamingoward/link';
+import * as adviser from './adviser.js';
+import * as claims from './claims.js';
+import * as configurations from './configuration.js';
+import type * as contexts from './context.js';
+import * as desks from './desk.js';
+import * as fleets from './fleet.js';
+import * as jobStores from './jobStore.js';
+import * as owners from './owner.js';
+
+/** Time between the owner's beats, in ms: counts of waiting jobs may be two seconds old. */
+const BEAT_MS = 500;
+/** Age from which counts of the owner are no longer told, in ms. */
+const BEAT_STALE_MS = 1_800;
+/** Time for which a state is waited for from the owner, in ms. */
+const ASK_STATE_MS = 600;
+const MAX_FRAME_BYTES = 1_048_576;
+/** Largest difference between the clocks that a running process shows within a check, in ms. */
+const PAUSE_DRIFT_MS = 400;
+const PAUSE_CHECK_MS = 200;
+/** Time after the signal to stop during which new requests are still answered, in ms. */
+const STOP_ACCEPT_MS = 2_500;
+/** Part of the stop time that is left unused, in ms. */
+const STOP_MARGIN_MS = 800;
+
+/** A running node. */
+export interface ClusterNode {
+  open(): Promise<void>;
+  /** Hands over, answers what is in hand and resolves. */
+  stop(): Promise<void>;
+}
+
+/** Creates a node. */
+export function createClusterNode(context: contexts.NodeContext): ClusterNode {
+  const { timers, log, metrics, settings, instance } = context;
+  const configuration = configurations.createConfigurationView(context);
+  const jobs = jobStores.createJobStore(context);
+  const fleet = fleets.createFleet(context);
+  let owner: owners.Owner | undefined;
+  let beat: core.clusterMessages.ClusterBeat | undefined;
+  let beatMs = 0;
+  let stopping = false;
+
+  const hub = link.createHub({
+    identity: {
+      name: settings.name,
+      instance,
+      region: settings.region,
+      availabilityZone: settings.availabilityZone,
+    },
+    listen: settings.listen.links,
+    // Nodes of one cluster share one log store.
+    key: settings.logStoreAddress,
+    maxFrameBytes: MAX_FRAME_BYTES,
+    timers,
+    readRandom: context.readRandom,
+    onQuestion: answerQuestion,
+    onNotice: receiveNotice,
+    onOpen: (peer) => {
+      log.write('debug', 'link.open', { peer: peer.name });
+    },
+    onClose: noteLinkClosed,
+  });
+
+  const advisers = adviser.createAdviser(
+    context,
+    () => hub.listConnected().map((peer) => peer.instance),
+    async (peer, question, timeoutMs) => {
+      try {
+        const answer = await hub.ask(peer, question, timeoutMs);
+        return answer.kind === 'cluster.advise.answer'
+          ? answer.good
+          : undefined;
+      } catch (cause) {
+        log.write('debug', 'advice.peer-failed', {
+          peer,
+          why: core.describeError(cause),
+        });
+        return undefined;
+      }
+    },
+  );
+
+  const claim = claims.createClaims(context, {
+    onOwned(fence, gapMs) {
+      owner?.close();
+      hub.setPeers([]);
+      owner = owners.createOwner(context, {
+        fence,
+        gapMs,
+        selfLimitMs: claims.SELF_LIMIT_MS,
+        jobs,
+        fleet,
+        adviser: advisers,
+        readPolicies: () => configuration.readPolicies(),
+        readConfirmedAge: () => claim.readConfirmedAge(),
+        onFenced: () => {
+          claim.verify('a higher fence was met');
+        },
+      });
+    },
+    onLost() {
+      owner?.close();
+      owner = undefined;
+    },
+    onOwner(next) {
+      if (next.instance !== instance)
+        hub.setPeers(next.released ? [] : [next.address]);
+    },
+  });
+
+  function noteLinkClosed(event: link.LinkClosed): void {
+    const current = claim.readOwner();
+    if (event.direction !== 'dialled' || current?.address !== event.address)
+      return;
+    const cause = event.cause as NodeJS.ErrnoException | undefined;
+    // Nothing listens there any more: the process has ended.
+    claim.suspect(current.instance, cause?.code === 'ECONNREFUSED');
+  }
+
+  function receiveNotice(
+    notice: core.messages.Notice,
+    from: core.messages.Hello,
+  ): void {
+    if (notice.kind === 'cluster.beat') {
+      if (claim.readOwner()?.instance !== from.instance) return;
+      beat = notice;
+      beatMs = timers.readNow();
+      claim.setSuccessors(notice.successors);
+    } else if (notice.kind === 'cluster.released') {
+      claim.noteReleased(notice.fence);
+    }
+  }
+
+  async function answerQuestion(
+    question: core.messages.Question,
+  ): Promise<core.messages.Answer> {
+    switch (question.kind) {
+      case 'cluster.job':
+        return {
+          kind: 'cluster.job.answer',
+          owner: owner !== undefined,
+          state: owner?.readJob(question.job),
+        };
+      case 'cluster.advise':
+        return {
+          kind: 'cluster.advise.answer',
+          good: await context.ports.advice.ask(
+            question.step,
+            question.vms,
+            question.timeoutMs,
+          ),
+        };
+      case 'ticket.ask':
+      case 'tickets.held':
+      case 'job.detail':
+      case 'job.explain':
+      case 'stream.read':
+      case 'release.state':
+        return {
+          kind: 'refused',
+          code: 'bad-request',
+          message: `${question.kind} is not a question of a cluster`,
+        };
+    }
+  }
+
+  function sendBeat(): void {
+    if (owner === undefined) return;
+    const peers = hub.listConnected();
+    const near = peers.filter((peer) => peer.region === settings.region);
+    const far = peers.filter((peer) => peer.region !== settings.region);
+    const notice: core.clusterMessages.ClusterBeat = {
+      kind: 'cluster.beat',
+      fence: owner.fence,
+      waiting: [...owner.countWaiting()],
+      successors: [...near, ...far].map((peer) => peer.instance),
+    };
+    for (const peer of peers) hub.notify(peer.instance, notice);
+  }
+
+  async function askOwner(
+    id: core.ids.JobId,
+  ): Promise<core.workloads.JobState | undefined> {
+    if (owner !== undefined) return owner.readJob(id);
+    const current = claim.readOwner();
+    if (current === undefined) return undefined;
+    try {
+      const answer = await hub.ask(
+        current.instance,
+        { kind: 'cluster.job', job: id },
+        ASK_STATE_MS,
+      );
+      return answer.kind === 'cluster.job.answer' ? answer.state : undefined;
+    } catch (cause) {
+      metrics.count('owner_questions_failed', {});
+      log.write('debug', 'owner.no-answer', {
+        job: id,
+        why: core.describeError(cause),
+      });
+      return undefined;
+    }
+  }
+
+  function countWaiting(queue: core.workloads.QueueName): number {
+    if (owner !== undefined) return owner.countWaiting().get(queue) ?? 0;
+    if (beat !== undefined && timers.readNow() - beatMs < BEAT_STALE_MS)
+      return beat.waiting.find(([name]) => name === queue)?.[1] ?? 0;
+    // Without the owner it isn't known which jobs have begun.
+    let count = 0;
+    for (const entry of jobs.list())
+      if (
+        entry.job.queue === queue &&
+        entry.job.schedule === undefined &&
+        entry.final === undefined &&
+        !entry.cancelled
+      )
+        count += 1;
+    return count;
+  }
+
+  const handle = desks.createDesk(context, configuration, jobs, {
+    readState: askOwner,
+    countWaiting,
+    checkAdmission: () => undefined,
+  });
+
+  const server = context.ports.createServer({
+    handle,
+    isReady: () => !stopping && configuration.read() !== undefined,
+    renderMetrics,
+    renderDump: () => JSON.stringify(owner?.dump() ?? { owner: false }),
+    readMaxBodyBytes: () =>
+      configuration.read()?.maxBodyBytes ?? MAX_FRAME_BYTES,
+  });
+
+  function renderMetrics(): string {
+    metrics.set('owner', {}, owner === undefined ? 0 : 1);
+    for (const [event, count] of owner?.readCounts() ?? [])
+      metrics.set('scheduler_events', { event }, count);
+    return metrics.render();
+  }
+
+  let wallMs = timers.readDate();
+  let steadyMs = timers.readNow();
+  /** A pause of the process, or of its clock, may have cost it the ownership. */
+  function checkPause(): void {
+    const nextWallMs = timers.readDate();
+    const nextSteadyMs = timers.readNow();
+    const drift = Math.abs(nextWallMs - wallMs - (nextSteadyMs - steadyMs));
+    const late = nextSteadyMs - steadyMs - PAUSE_CHECK_MS;
+    wallMs = nextWallMs;
+    steadyMs = nextSteadyMs;
+    if (drift > PAUSE_DRIFT_MS || late > PAUSE_DRIFT_MS)
+      claim.verify('the process may have been paused');
+  }
+
+  const timersHeld: core.TimerSubscription[] = [];
+
+  return {
+    async open() {
+      await server.open();
+      await hub.open();
+      configuration.open();
+      jobs.open();
+      claim.open();
+      timersHeld.push(
+        timers.subscribe(
+          { name: 'node.beat', delayMs: BEAT_MS, repeat: 'periodic' },
+          sendBeat,
+        ),
+        timers.subscribe(
+          { name: 'node.pause', delayMs: PAUSE_CHECK_MS, repeat: 'periodic' },
+          checkPause,
+        ),
+      );
+      log.write('info', 'node.started', {
+        instance,
+        region: settings.region,
+        availabilityZone: settings.availabilityZone,
+      });
+    },
+    async stop() {
+      stopping = true;
+      const fence = owner?.fence;
+      if (fence !== undefined) {
+        await claim.release();
+        for (const peer of hub.listConnected())
+          hub.notify(peer.instance, { kind: 'cluster.released', fence });
+      } else claim.close();
+      await core.waitFor(timers, 'node.stop', STOP_ACCEPT_MS);
+      await server.close(settings.stopMs - STOP_ACCEPT_MS - STOP_MARGIN_MS);
+      for (const timer of timersHeld) timer.end();
+      configuration.close();
+      jobs.close();
+      fleet.close();
+      await hub.close();
+      log.write('info', 'node.stopped', {});
+    },
+  };
+}
--- /dev/null
+++ b/packages/cluster/src/settings.ts
@@ -0,0 +1,92 @@
+/** Settings of a node: an INI file, checked as a whole so that every fault is reported at once. */
+import * as ini from 'ini';
+import * as zod from 'zod';
+
+const address = zod.string().regex(/^[\w.-]+:\d{1,5}$/, 'expected HOST:PORT');
+const name = zod.string().min(1, 'expected a name');
+const milliseconds = zod.coerce
+  .number({ error: 'expected a number of milliseconds' })
+  .positive('expected a positive number of milliseconds');
+const seconds = zod.coerce
+  .number({ error: 'expected a number of seconds' })
+  .positive('expected a positive number of seconds');
+
+const schema = zod.object({
+  process: zod.object({
+    name,
+    region: name,
+    availability_zone: name,
+    log_level: zod.enum(['error', 'warn', 'info', 'debug']).default('info'),
+  }),
+  listen: zod.object({
+    callers: address,
+    readiness: address,
+    links: address,
+    metrics: address,
+  }),
+  log_store: zod.object({ address }),
+  advice: zod.object({ address: zod.union([address, zod.literal('')]) }),
+  terms: zod.object({
+    lease_ms: milliseconds,
+    stop_s: seconds,
+  }),
+});
+
+/** Settings of a node. */
+export interface NodeSettings {
+  readonly name: string;
+  readonly region: string;
+  readonly availabilityZone: string;
+  readonly logLevel: 'error' | 'warn' | 'info' | 'debug';
+  readonly listen: {
+    readonly callers: string;
+    readonly readiness: string;
+    readonly links: string;
+    readonly metrics: string;
+  };
+  readonly logStoreAddress: string;
+  /** Empty when there is no advice service. */
+  readonly adviceAddress: string;
+  /** Longest lease that VMs grant, in ms. */
+  readonly leaseMs: number;
+  /** Time from the signal to stop until the process is killed, in ms. */
+  readonly stopMs: number;
+}
+
+/** Settings, or every fault with its section, key and what is expected. */
+export type NodeSettingsResult =
+  { readonly settings: NodeSettings } | { readonly faults: readonly string[] };
+
+/** Tells whether a settings file is one of a node of a cluster. */
+export function isNodeSettings(text: string): boolean {
+  return 'log_store' in ini.parse(text);
+}
+
+/** Parses and checks a settings file. */
+export function parseNodeSettings(
+  text: string,
+  file: string,
+): NodeSettingsResult {
+  const result = schema.safeParse(ini.parse(text));
+  if (!result.success)
+    return {
+      faults: result.error.issues.map(
+        (issue) =>
+          `${file}: [${String(issue.path[0] ?? '')}] ${issue.path.slice(1).join('.')}: ${issue.message}`,
+      ),
+    };
+  const { process, listen, log_store, advice, terms } = result.data;
+  return {
+    settings: {
+      name: process.name,
+      region: process.region,
+      availabilityZone: process.availability_zone,
+      logLevel: process.log_level,
+      listen,
+      logStoreAddress: log_store.address,
+      adviceAddress: advice.address,
+      leaseMs: terms.lease_ms,
+      stopMs: terms.stop_s * 1_000,
+    },
+  };
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -9,6 +9,7 @@
 export * as requests from './types/request.js';
 export type * as records from './types/records.js';
 export * as messages from './types/messages.js';
+export type * as clusterMessages from './types/clusterMessages.js';
 export { createFault, describeError, readFault } from './errors.js';
 export type { FaultCode, FaultInfo, FaultOrigin } from './errors.js';
 export { createSubject } from './events.js';
@@ -103,3 +104,4 @@
   describeHistory,
   describeVerdict,
 } from './release/describe.js';
+export * as workloads from './workloads/index.js';
--- /dev/null
+++ b/packages/core/src/types/clusterMessages.ts
@@ -0,0 +1,47 @@
+/** Messages between the owner of a cluster and its other nodes. */
+import type * as workload from '../workloads/types.js';
+import type * as ids from './ids.js';
+
+/** State that the owner sends to every node a few times a second. */
+export interface ClusterBeat {
+  readonly kind: 'cluster.beat';
+  readonly fence: number;
+  /** Jobs per queue of which no task has started. */
+  readonly waiting: readonly (readonly [workload.QueueName, number])[];
+  /** Connected instances in the order in which they should claim after the owner. */
+  readonly successors: readonly ids.InstanceId[];
+}
+
+/** The owner gives up its claim; a successor may claim at once. */
+export interface ClusterReleased {
+  readonly kind: 'cluster.released';
+  readonly fence: number;
+}
+
+/** Notices of a cluster. */
+export type ClusterNotice = ClusterBeat | ClusterReleased;
+
+/** Questions of a cluster. */
+export type ClusterQuestion =
+  /** To the owner: the state of a job. */
+  | { readonly kind: 'cluster.job'; readonly job: ids.JobId }
+  /** From the owner: ask the advice service, which serves one call of each node at a time. */
+  | {
+      readonly kind: 'cluster.advise';
+      readonly step: workload.StepKey;
+      readonly vms: readonly ids.VmId[];
+      readonly timeoutMs: number;
+    };
+
+/** Answers of a cluster. */
+export type ClusterAnswer =
+  | {
+      readonly kind: 'cluster.job.answer';
+      /** False when the asked node isn't the owner. */
+      readonly owner: boolean;
+      readonly state: workload.JobState | undefined;
+    }
+  | {
+      readonly kind: 'cluster.advise.answer';
+      readonly good: readonly workload.Ticket[] | undefined;
+    };
--- a/packages/core/src/types/messages.ts
+++ b/packages/core/src/types/messages.ts
@@ -1,4 +1,5 @@
 /** Messages on the links between processes, told apart by `kind`. */
+import type * as cluster from './clusterMessages.js';
 import type * as ids from './ids.js';
 import type * as job from './job.js';
 import type * as records from './records.js';
@@ -58,6 +59,7 @@
 /** Messages that need no answer. */
 export type Notice =
   | Heartbeat
+  | cluster.ClusterNotice
   /** The heartbeat last sent is still true. */
   | { readonly kind: 'beat' }
   | { readonly kind: 'ping'; readonly seq: number }
@@ -78,6 +80,7 @@
 
 /** Questions; the link matches each with the answer that has the same number. */
 export type Question =
+  | cluster.ClusterQuestion
   | {
       readonly kind: 'ticket.ask';
       /** Number that the asking process chose; `ticket.cancel` names it. */
@@ -108,6 +111,7 @@
 
 /** Answers to questions. */
 export type Answer =
+  | cluster.ClusterAnswer
   | { readonly kind: 'ticket.answer'; readonly answer: request.TicketAnswer }
   | {
       readonly kind: 'tickets.held.answer';
--- /dev/null
+++ b/packages/core/src/workloads/progress.ts
@@ -0,0 +1,148 @@
+/**
+ * The durable progress of a job: which tasks are done, which runs failed, what was
+ * saved, and where runs were started. A new owner restores its tables from it and
+ * asks just those VMs that may run something.
+ */
+import * as states from './state.js';
+import * as tables from './tables.js';
+
+/** A run that was decided: task index, run number, VM and its life. */
+type StoredRun = readonly [number, number, string, number | null];
+
+interface StoredStep {
+  /** One character a task: 1 for done. */
+  readonly done: string;
+  readonly runs?: readonly StoredRun[];
+  /** Failed run numbers by task index. */
+  readonly failed?: Readonly<Record<string, readonly number[]>>;
+  readonly saved?: Readonly<Record<string, string>>;
+  readonly gangFailures?: readonly number[];
+}
+
+interface StoredOccurrence {
+  readonly number: number;
+  /** Absent when all steps are done. */
+  readonly steps?: readonly StoredStep[];
+}
+
+interface StoredProgress {
+  readonly occurrences: readonly StoredOccurrence[];
+}
+
+/** Encodes the progress of a job. */
+export function encodeProgress(job: tables.JobRow): string {
+  const stored: StoredProgress = {
+    occurrences: job.occurrences.map((occurrence) =>
+      occurrence.done
+        ? { number: occurrence.number }
+        : {
+            number: occurrence.number,
+            steps: occurrence.steps.map(buildStep),
+          },
+    ),
+  };
+  return JSON.stringify(stored);
+}
+
+function buildStep(step: tables.StepRow): StoredStep {
+  const runs: StoredRun[] = [];
+  const failed: Record<string, readonly number[]> = {};
+  const saved: Record<string, string> = {};
+  for (const task of step.tasks) {
+    if (task.run !== undefined)
+      runs.push([
+        task.index,
+        task.run.number,
+        task.run.vm.id,
+        task.run.vm.life ?? null,
+      ]);
+    if (task.state === 'done') continue;
+    if (task.failedRuns.length > 0) failed[task.index] = task.failedRuns;
+    if (task.saved !== '') saved[task.index] = task.saved;
+  }
+  return {
+    done: step.tasks
+      .map(({ state }) => (state === 'done' ? '1' : '0'))
+      .join(''),
+    ...(runs.length > 0 ? { runs } : {}),
+    ...(Object.keys(failed).length > 0 ? { failed } : {}),
+    ...(Object.keys(saved).length > 0 ? { saved } : {}),
+    ...(step.gangFailures.length > 0
+      ? { gangFailures: step.gangFailures }
+      : {}),
+  };
+}
+
+/** Restores a job's tables from its stored progress; false when the text can't be read. */
+export function restoreProgress(
+  state: states.State,
+  job: tables.JobRow,
+  text: string,
+  computeDue: (occurrence: number) => number,
+  nowMs: number,
+): boolean {
+  let stored: StoredProgress;
+  try {
+    stored = JSON.parse(text) as StoredProgress;
+  } catch {
+    return false;
+  }
+  for (const entry of stored.occurrences) {
+    const occurrence =
+      job.occurrences.find(({ number }) => number === entry.number) ??
+      createMissing(job, entry.number, computeDue(entry.number));
+    if (entry.steps === undefined) finishOccurrence(occurrence);
+    else
+      entry.steps.forEach((step, index) => {
+        const row = occurrence.steps[index];
+        if (row !== undefined) restoreStep(state, row, step, nowMs);
+      });
+  }
+  return true;
+}
+
+function createMissing(
+  job: tables.JobRow,
+  number: number,
+  dueMs: number,
+): tables.OccurrenceRow {
+  job.occurrencesLeft -= 1;
+  return tables.createOccurrence(job, number, dueMs);
+}
+
+function finishOccurrence(occurrence: tables.OccurrenceRow): void {
+  occurrence.done = true;
+  occurrence.job.begun = true;
+  for (const step of occurrence.steps) {
+    step.doneCount = step.spec.count;
+    step.waitingCount = 0;
+    for (const task of step.tasks) task.state = 'done';
+  }
+}
+
+function restoreStep(
+  state: states.State,
+  step: tables.StepRow,
+  stored: StoredStep,
+  nowMs: number,
+): void {
+  step.gangFailures = [...(stored.gangFailures ?? [])];
+  for (const task of step.tasks) {
+    task.failedRuns = [...(stored.failed?.[task.index] ?? [])];
+    task.saved = stored.saved?.[task.index] ?? '';
+    if (stored.done[task.index] !== '1') continue;
+    task.state = 'done';
+    step.doneCount += 1;
+    step.waitingCount -= 1;
+    step.occurrence.job.begun = true;
+  }
+  for (const [index, number, vmId, life] of stored.runs ?? []) {
+    const task = step.tasks[index];
+    if (task?.state !== 'waiting') continue;
+    const vm = states.ensureVm(state, vmId, nowMs);
+    if (life !== null && vm.life !== undefined && vm.life !== life) continue;
+    if (life !== null) vm.life ??= life;
+    if (step.spec.gang) step.gangRun = number;
+    states.addRun(task, vm, { number, phase: 'inherited' }, nowMs);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/nodeMain.ts
@@ -0,0 +1,113 @@
+/** Runs one node of a cluster on the platform. */
+import * as crypto from 'node:crypto';
+import * as cluster from '@flamingoward/cluster';
+import * as core from '@flamingoward/core';
+import * as observability from '@flamingoward/observability';
+import * as platform from '@flamingoward/platform';
+
+const STANDARD_OUTPUT = 1;
+const EXIT_FAILED = 1;
+const INSTANCE_BYTES = 6;
+
+function loadSettings(
+  text: string,
+  file: string,
+): cluster.NodeSettings | undefined {
+  const result = cluster.parseNodeSettings(text, file);
+  if ('settings' in result) return result.settings;
+  for (const fault of result.faults) process.stderr.write(`${fault}\n`);
+  return undefined;
+}
+
+/** Checks the settings of a node, or prints them; false when they have faults. */
+export function checkNode(
+  text: string,
+  file: string,
+  mode: 'check' | 'print',
+): boolean {
+  const settings = loadSettings(text, file);
+  if (settings === undefined) return false;
+  process.stdout.write(
+    mode === 'check'
+      ? `${file}: the settings are correct\n`
+      : `${JSON.stringify(settings, undefined, 2)}\n`,
+  );
+  return true;
+}
+
+/** Runs a node until it is stopped; false when it can't start. */
+export async function runNode(text: string, file: string): Promise<boolean> {
+  const settings = loadSettings(text, file);
+  if (settings === undefined) return false;
+  const timers = core.createSystemTimers();
+  const lines = observability.createLineWriter(STANDARD_OUTPUT, timers);
+  const log = observability.createLogger({
+    level: settings.logLevel,
+    timers,
+    process: settings.name,
+    secrets: [],
+    writeLine: lines.write,
+  });
+  const node = cluster.createClusterNode({
+    settings,
+    instance: crypto.randomBytes(INSTANCE_BYTES).toString('hex'),
+    ports: platform.createPorts(settings, timers),
+    timers,
+    log,
+    metrics: observability.createMetrics(),
+    readRandom: Math.random,
+  });
+
+  function exit(code: number): void {
+    lines.flush();
+    process.exit(code);
+  }
+
+  function fail(event: string, cause: unknown): void {
+    log.write('error', event, {
+      step: core.readFault(cause)?.step,
+      peer: core.readFault(cause)?.peer,
+      cause: cause instanceof Error ? cause.stack : String(cause),
+    });
+  }
+
+  let stopping = false;
+  function stop(signal: string): void {
+    if (stopping) return;
+    stopping = true;
+    log.write('info', 'node.stop', { signal });
+    node.stop().then(
+      () => {
+        exit(0);
+      },
+      (cause: unknown) => {
+        fail('node.stop-failed', cause);
+        exit(EXIT_FAILED);
+      },
+    );
+  }
+
+  process.on('SIGTERM', () => {
+    stop('SIGTERM');
+  });
+  process.on('SIGINT', () => {
+    stop('SIGINT');
+  });
+  process.on('SIGHUP', () => {
+    // Addresses and terms hold for the life of a process; the configuration comes from the store.
+    log.write('info', 'node.reload', {
+      file,
+    });
+  });
+  process.on('unhandledRejection', (cause) => {
+    fail('node.unhandled', cause);
+  });
+  try {
+    await node.open();
+    return true;
+  } catch (cause) {
+    fail('node.start-failed', cause);
+    lines.flush();
+    return false;
+  }
+}
--- a/packages/daemon/src/process/process.ts
+++ b/packages/daemon/src/process/process.ts
@@ -4,7 +4,7 @@
  */
 import * as crypto from 'node:crypto';
 import * as core from '@flamingoward/core';
-import * as platform from '@flamingoward/platform';
+import * as clients from '@flamingoward/clients';
 import * as callers from '../callers/server.js';
 import * as jobCheck from '../jobs/check.js';
 import * as jobs from '../jobs/jobs.js';
@@ -12,7 +12,7 @@
 import * as links from '../links/links.js';
 import * as membership from '../membership/membership.js';
 import * as journals from '../observability/journal.js';
-import * as metrics from '../observability/metrics.js';
+import * as observability from '@flamingoward/observability';
 import * as operators from '../operators/server.js';
 import * as views from '../operators/views.js';
 import * as ownership from '../ownership/ownership.js';
@@ -63,7 +63,7 @@
     identity: createIdentity(settings),
     timers,
     log: options.log,
-    metrics: metrics.createMetrics(),
+    metrics: observability.createMetrics(),
   };
   let state: core.messages.Heartbeat['state'] = 'starting';
 
@@ -74,7 +74,7 @@
     maxFrameBytes: settings.limits.maxFrameBytes,
     readRandom: options.readRandom,
   });
-  const vmList = platform.createVmListClient({
+  const vmList = clients.createVmListClient({
     address: toAddress(settings.platform.vmList),
     timers,
   });
@@ -87,7 +87,7 @@
     readState: () => state,
     readRandom: options.readRandom,
   });
-  const logClient = platform.createLogClient({
+  const logClient = clients.createLogClient({
     address: toAddress(settings.platform.log),
     timers,
   });
@@ -97,7 +97,7 @@
     membership: members,
     log: logClient,
   });
-  const streams = platform.createStreams({
+  const streams = clients.createStreams({
     log: logClient,
     timers,
     bufferRecords: settings.limits.appendBufferRecords,
@@ -157,7 +157,7 @@
     describeReason: (reason) => core.describeReason(reason).join(' '),
   });
   const journal = journals.createRequestJournal(timers);
-  const backends = platform.createBackendClient({
+  const backends = clients.createBackendClient({
     timers,
     connections: Math.floor(
       BACKEND_CONNECTIONS / settings.process.maxProcesses,
--- a/packages/daemon/src/process/workerClients.ts
+++ b/packages/daemon/src/process/workerClients.ts
@@ -1,6 +1,6 @@
 /** One client for all workers, with a connection pool for each address in use. */
 import * as core from '@flamingoward/core';
-import * as platform from '@flamingoward/platform';
+import * as clients from '@flamingoward/clients';
 import type * as workers from '../workers/types.js';
 
 /** The client and its end. */
@@ -10,12 +10,12 @@
 
 /** Creates the client; it connects to a worker with the first call to it. */
 export function createWorkerClients(timers: core.TimerService): WorkerClients {
-  const byAddress = new Map<core.ids.Address, platform.WorkerClient>();
+  const byAddress = new Map<core.ids.Address, clients.WorkerClient>();
 
-  function ensure(address: core.ids.Address): platform.WorkerClient {
+  function ensure(address: core.ids.Address): clients.WorkerClient {
     const known = byAddress.get(address);
     if (known !== undefined) return known;
-    const client = platform.createWorkerClient({ address, timers });
+    const client = clients.createWorkerClient({ address, timers });
     byAddress.set(address, client);
     return client;
   }
--- /dev/null
+++ b/packages/daemon/src/processMain.ts
@@ -0,0 +1,86 @@
+/** Runs one process of a cell with its own settings and stand-ins or log service. */
+import * as core from '@flamingoward/core';
+import * as observability from '@flamingoward/observability';
+import * as processes from './process/process.js';
+
+const EXIT_FAILED = 1;
+
+/** Time beyond the stop bound after which the process exits in any case, in ms. */
+const STOP_MARGIN_MS = 1_000;
+
+/** Checks or runs the settings of a process. */
+export async function runProcess(
+  settings: core.settings.Settings,
+): Promise<void> {
+  const timers = core.createSystemTimers();
+  const log = observability.createLogger({
+    level: settings.log.level,
+    timers,
+    process: settings.process.name,
+    secrets: [settings.operators.key, settings.links.key],
+    writeLine: (line) => process.stdout.write(`${line}\n`),
+  });
+  let stopping = false;
+  const instance = processes.createProcess({
+    settings,
+    timers,
+    log,
+    readRandom: Math.random,
+    onDrain: () => {
+      stop('operator');
+    },
+  });
+
+  function stop(cause: string): void {
+    if (stopping) {
+      // The callers in hand see their connections end, which claims nothing.
+      log.write('warn', 'process.stop-forced', { cause });
+      process.exit(EXIT_FAILED);
+    }
+    stopping = true;
+    log.write('info', 'process.stop', { cause });
+    timers.subscribe(
+      {
+        name: 'process.stop-bound',
+        delayMs: settings.process.stopMs + STOP_MARGIN_MS,
+        repeat: 'once',
+      },
+      () => {
+        log.write('error', 'process.stop-late', {});
+        process.exit(EXIT_FAILED);
+      },
+    );
+    void instance.stop().then(
+      () => process.exit(0),
+      (cause: unknown) => {
+        log.write('error', 'process.stop-failed', {
+          cause: core.describeError(cause),
+        });
+        process.exit(EXIT_FAILED);
+      },
+    );
+  }
+
+  process.on('SIGTERM', () => {
+    stop('SIGTERM');
+  });
+  process.on('SIGINT', () => {
+    stop('SIGINT');
+  });
+  process.on('unhandledRejection', (cause) => {
+    log.write('error', 'process.unhandled', {
+      cause: core.describeError(cause),
+    });
+  });
+  try {
+    await instance.open();
+  } catch (cause) {
+    const fault = core.readFault(cause);
+    log.write('error', 'process.start-failed', {
+      step: fault?.step ?? 'process.open',
+      peer: fault?.peer ?? 'self',
+      cause: core.describeError(cause),
+    });
+    process.exit(EXIT_FAILED);
+  }
+}
--- a/packages/daemon/src/relay/relay.ts
+++ b/packages/daemon/src/relay/relay.ts
@@ -5,7 +5,7 @@
  * must know itself how fresh its claims are.
  */
 import * as core from '@flamingoward/core';
-import * as platform from '@flamingoward/platform';
+import * as clients from '@flamingoward/clients';
 import type * as types from '../types.js';
 
 /** Streams that are relayed. */
@@ -25,13 +25,13 @@
   readonly context: types.PartContext;
   readonly links: types.Links;
   readonly membership: types.Membership;
-  readonly log: platform.RecordSource;
+  readonly log: clients.RecordSource;
 }
 
 /** The relay of one process. */
 export interface Relay extends types.Dumpable {
   /** Chooses where to read a stream: the log, or the region's relay of that stream. */
-  chooseSource(stream: string): platform.RecordSource;
+  chooseSource(stream: string): clients.RecordSource;
   /** Serves the relayed streams of this process to its peers from now on. */
   serve(streams: types.Streams): void;
 }
@@ -46,14 +46,14 @@
     return core.rankCandidates(`relay/${stream}`, candidates)[0];
   }
 
-  function chooseSource(stream: string): platform.RecordSource {
+  function chooseSource(stream: string): clients.RecordSource {
     if (!RELAYED_STREAMS.includes(stream)) return log;
     const relay = chooseRelay(stream);
     if (relay === undefined || relay === identity.instance) return log;
     return createPeerSource(relay);
   }
 
-  function createPeerSource(peer: core.ids.InstanceId): platform.RecordSource {
+  function createPeerSource(peer: core.ids.InstanceId): clients.RecordSource {
     return {
       async readPage(stream, from, max, waitMs) {
         const answer = await links.ask(
@@ -72,7 +72,7 @@
   }
 
   function serve(streams: types.Streams): void {
-    const source = platform.createRelay({
+    const source = clients.createRelay({
       streams,
       timers,
       names: RELAYED_STREAMS,
--- a/packages/daemon/src/types.ts
+++ b/packages/daemon/src/types.ts
@@ -4,14 +4,21 @@
  */
 import type * as most from 'most';
 import type * as core from '@flamingoward/core';
-import type * as platform from '@flamingoward/platform';
+import type * as clients from '@flamingoward/clients';
+import type * as observability from '@flamingoward/observability';
 
+export type {
+  LogFields,
+  Logger,
+  LogLevel,
+  Metrics,
+} from '@flamingoward/observability';
 export type {
   AppendOptions,
   AppendOutcome,
   StreamReader,
   Streams,
-} from '@flamingoward/platform';
+} from '@flamingoward/clients';
 
 /** Who this process is. */
 export interface ProcessIdentity {
@@ -23,49 +30,12 @@
   readonly linksAddress: core.ids.Address;
 }
 
-/** Level of a log line. */
-export type LogLevel = 'error' | 'warn' | 'info' | 'debug';
-
-/** Fields of a log line; printed as key=value. */
-export type LogFields = Readonly<
-  Record<string, string | number | boolean | undefined>
->;
-
-/** Writes one line of key=value pairs for each event. */
-export interface Logger {
-  write(level: LogLevel, event: string, fields: LogFields): void;
-}
-
-/** Counters and histograms; the metrics page lists them in the text format of scrapers. */
-export interface Metrics {
-  /** Adds to a counter; the labels are part of its identity. */
-  count(
-    name: string,
-    labels: Readonly<Record<string, string>>,
-    by?: number,
-  ): void;
-  /** Records a duration in ms in a histogram. */
-  record(
-    name: string,
-    labels: Readonly<Record<string, string>>,
-    valueMs: number,
-  ): void;
-  /** Sets a gauge. */
-  set(
-    name: string,
-    labels: Readonly<Record<string, string>>,
-    value: number,
-  ): void;
-  /** Renders the page for scrapers. */
-  render(): string;
-}
-
 /** What every part needs. */
 export interface PartContext {
   readonly identity: ProcessIdentity;
   readonly timers: core.TimerService;
-  readonly log: Logger;
-  readonly metrics: Metrics;
+  readonly log: observability.Logger;
+  readonly metrics: observability.Metrics;
 }
 
 /** A peer as this process sees it. */
@@ -196,7 +166,7 @@
   cancel(
     job: core.ids.JobId,
     by: string,
-  ): Promise<platform.AppendOutcome | { readonly outcome: 'unknown-job' }>;
+  ): Promise<clients.AppendOutcome | { readonly outcome: 'unknown-job' }>;
   read(job: core.ids.JobId): core.jobs.Job | undefined;
   list(): readonly core.jobs.Job[];
   /** States of the tasks, from the owner. */
--- a/packages/daemon/test/observability.test.ts
+++ b/packages/daemon/test/observability.test.ts
@@ -2,14 +2,13 @@
 import * as core from '@flamingoward/core';
 import * as vitest from 'vitest';
 import * as journals from '../src/observability/journal.js';
-import * as loggers from '../src/observability/logger.js';
-import * as metrics from '../src/observability/metrics.js';
+import * as observability from '@flamingoward/observability';
 
 const { expect, test } = vitest;
 
 test('an event is one line of pairs, and no key or secret is in it', () => {
   const lines: string[] = [];
-  const logger = loggers.createLogger({
+  const logger = observability.createLogger({
     level: 'info',
     timers: core.createVirtualTimers(),
     process: 'muscat-a-1',
@@ -30,7 +29,7 @@
 });
 
 test('the page for scrapers escapes labels, bounds the series and gives quantiles', () => {
-  const page = metrics.createMetrics();
+  const page = observability.createMetrics();
   page.count('requests_total', { service: 'a"b\n', answer: 'done' }, 2);
   page.set('keys', {}, 7);
   for (let value = 1; value <= 1_000; value += 1)
--- a/packages/daemon/src/observability/logger.ts
+++ b/packages/observability/src/logger.ts
@@ -1,7 +1,7 @@
 /** The log of a process: one line of key=value pairs per event on standard output. */
 import * as consola from 'consola/basic';
 import type * as core from '@flamingoward/core';
-import type * as types from '../types.js';
+import type * as types from './types.js';
 
 /** How to create a logger. */
 export interface LoggerOptions {
--- a/packages/daemon/src/observability/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -1,7 +1,7 @@
 /** Counters, gauges and histograms, and their page in the Prometheus text format. */
 import * as module from 'node:module';
 import type * as int32 from 'hdr-histogram-js/dist/Int32Histogram.js';
-import type * as types from '../types.js';
+import type * as types from './types.js';
 
 type Labels = Readonly<Record<string, string>>;
 
--- a/packages/standins/test/replay.test.ts
+++ b/packages/standins/test/replay.test.ts
@@ -1,6 +1,6 @@
 /** The checks of a replay find what they are for; a check that never fails proves nothing. */
 import * as vitest from 'vitest';
-import * as platform from '@flamingoward/platform';
+import * as clients from '@flamingoward/clients';
 import * as core from '@flamingoward/core';
 import * as standins from '@flamingoward/standins';
 import * as serving from '../src/serve.js';
@@ -16,7 +16,7 @@
 
 /** A daemon that forwards each request to one backend server, with a fault. */
 async function startForwarder(address: string, fault: Fault): Promise<string> {
-  const client = platform.createBackendClient({ timers, connections: 7 });
+  const client = clients.createBackendClient({ timers, connections: 7 });
   let previous: Buffer | undefined;
   const server = await serving.serve(
     '127.0.0.1',
--- a/packages/standins/test/vmlist.test.ts
+++ b/packages/standins/test/vmlist.test.ts
@@ -1,6 +1,6 @@
 /** The VM list is sent again only when it changed, and a change always arrives. */
 import * as core from '@flamingoward/core';
-import * as platform from '@flamingoward/platform';
+import * as clients from '@flamingoward/clients';
 import * as vitest from 'vitest';
 import * as standins from '../src/index.js';
 
@@ -20,7 +20,7 @@
   async () => {
     const list = new standins.VmListStandin([vm]);
     const address = await list.start();
-    const client = platform.createVmListClient({
+    const client = clients.createVmListClient({
       address,
       timers: core.createSystemTimers(),
     });
--- a/packages/standins/test/worker.test.ts
+++ b/packages/standins/test/worker.test.ts
@@ -1,7 +1,7 @@
 /** The stand-in worker keeps the rules on which the authority over workers rests. */
 import * as vitest from 'vitest';
 import * as core from '@flamingoward/core';
-import * as platform from '@flamingoward/platform';
+import * as clients from '@flamingoward/clients';
 import * as standins from '@flamingoward/standins';
 
 const timers = core.createSystemTimers();
@@ -20,7 +20,7 @@
     usageLagMs: 0,
   });
   const address = await worker.start();
-  const client = platform.createWorkerClient({ address, timers });
+  const client = clients.createWorkerClient({ address, timers });
   cleanups.push(
     () => worker.stop(),
     () => client.close(),
@@ -59,7 +59,7 @@
 }
 
 async function readReason(
-  client: platform.WorkerClient,
+  client: clients.WorkerClient,
   request: core.workers.StartRequest,
 ): Promise<string> {
   const outcome = await client.start(request);
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -4,6 +4,10 @@
 export default config.defineConfig({
   resolve: {
     alias: [
+      {
+        find: '@flamingoward/platform',
+        replacement: path.join(import.meta.dirname, 'platform/src/index.ts'),
+      },
       {
         find: /^@flamingoward\/(.*)$/,
         replacement: path.join(import.meta.dirname, 'packages/$1/src/index.ts'),
@@ -11,7 +15,7 @@
     ],
   },
   test: {
-    include: ['packages/*/test/**/*.test.ts'],
+    include: ['packages/*/test/**/*.test.ts', 'platform/test/**/*.test.ts'],
     testTimeout: 60_000,
     hookTimeout: 60_000,
     server: { deps: { inline: ['clipanion'] } },
