Keep restarts from filling the links between regions; replace restarted owners at once

The next owner came 3 s after the restart, because only missing renewals were counted.

Ruled out: refused stops (all of the 552 unanswered ones went to one region).

--- a/packages/cluster/src/claims.ts
+++ b/packages/cluster/src/claims.ts
@@ -61,8 +61,10 @@
   setSuccessors(instances: readonly core.ids.InstanceId[]): void;
   /** Gives up the claim. */
   release(): Promise<void>;
-  /** Another owner's fence was met, or this process may have been paused. */
+  /** This process may have been paused. */
   verify(why: string): void;
+  /** A later claim is known to exist. */
+  resign(why: string): void;
   readOwner(): Owner | undefined;
   /** Fence of this node while it owns the cluster. */
   readFence(): number | undefined;
@@ -133,6 +135,11 @@
     else {
       endOwning('another node claimed');
       events.onOwner(next);
+      // An earlier process of this node is gone for certain.
+      if (next.node === context.settings.name && next.instance !== instance) {
+        suspectedMs = renewedMs;
+        knownGone = true;
+      }
     }
   }
 
@@ -342,6 +349,10 @@
       log.write('info', 'ownership.verified', { why });
       void renew();
     },
+    resign(why) {
+      endOwning(why);
+      scheduleWatch(0);
+    },
     readOwner: () => owner,
     readFence: () => owned,
     readConfirmedAge: () => timers.readNow() - confirmedMs,
--- a/packages/cluster/src/desk.ts
+++ b/packages/cluster/src/desk.ts
@@ -3,7 +3,7 @@
  * only when nothing was written, and a job is denied only after the stream was read
  * to its end.
  */
-import type * as core from '@flamingoward/core';
+import * as core from '@flamingoward/core';
 import type * as configurations from './configuration.js';
 import type * as contexts from './context.js';
 import type * as jobStores from './jobStore.js';
@@ -15,12 +15,17 @@
 const ANSWER_MARGIN_MS = 300;
 /** When callers may come back while the store is away, in s. */
 const AWAY_RETRY_S = 1;
+/** Time for which an owner's answer is awaited before the stream is read, in ms. */
+const OWNER_WAIT_MS = 1_200;
+const ASK_AGAIN_MS = 150;
 const jobId = /^[0-9a-f]{16}$/;
 
 /** What the desk asks about jobs. */
 export interface JobQuestions {
   /** State as the owner tells it; undefined when no owner answers. */
-  readState(id: core.ids.JobId): Promise<core.workloads.JobState | undefined>;
+  readState(
+    id: core.ids.JobId,
+  ): Promise<core.workloads.JobState | 'unknown' | undefined>;
   countWaiting(queue: core.workloads.QueueName): number;
   /** Why a job must not be accepted now. */
   checkAdmission(
@@ -66,7 +71,7 @@
       case 'POST':
         return submit(found.rest, policy, request, untilMs);
       case 'GET':
-        return readState(found.rest);
+        return readState(found.rest, untilMs);
       case 'DELETE':
         return cancel(found.rest, untilMs);
       default:
@@ -87,8 +92,7 @@
     if (refusal !== undefined)
       return { answer: 'refused', cause: 'load', ...refusal };
     const health = jobs.readHealth();
-    if (health.away && !(await jobs.refresh()))
-      return buildUnavailable(health.why);
+    if (health.away && !health.mayProbe) return buildUnavailable(health.why);
     const written = await jobs.accept(
       {
         id,
@@ -110,39 +114,44 @@
     }
   }
 
-  async function readState(id: core.ids.JobId): Promise<ports.CallerAnswer> {
-    const known = readStored(id);
-    if (known !== undefined && known !== 'running')
-      return { answer: 'state', state: known };
-    const told = await questions.readState(id);
-    if (told !== undefined) return { answer: 'state', state: told };
-    // No owner answers, or it doesn't know the job: the stream decides.
+  async function readState(
+    id: core.ids.JobId,
+    untilMs: number,
+  ): Promise<ports.CallerAnswer> {
+    const startedMs = timers.readNow();
+    for (;;) {
+      const known = readStored(id) ?? (await questions.readState(id));
+      if (known === 'unknown') return { answer: 'unknown-job' };
+      if (known !== undefined) return { answer: 'state', state: known };
+      const nowMs = timers.readNow();
+      if (nowMs - startedMs > OWNER_WAIT_MS || nowMs > untilMs) break;
+      await core.waitFor(timers, 'desk.owner', ASK_AGAIN_MS);
+    }
+    // No owner answers: the stream decides.
     const read = await jobs.refresh();
-    const state = readStored(id);
+    const state = readStored(id) ?? (jobs.find(id) && 'running');
     if (state !== undefined) return { answer: 'state', state };
     return read
       ? { answer: 'unknown-job' }
       : buildUnavailable(jobs.readHealth().why);
   }
 
-  /** State that the stream tells; `running` stands for anything that isn't final. */
+  /** A state that stays true, whatever the owner does. */
   function readStored(id: core.ids.JobId): core.workloads.JobState | undefined {
     const stored = jobs.find(id);
-    if (stored === undefined) return undefined;
-    if (stored.final !== undefined) return stored.final;
-    return stored.cancelled ? 'cancelled' : 'running';
+    if (stored?.final !== undefined) return stored.final;
+    return stored?.cancelled === true ? 'cancelled' : undefined;
   }
 
   async function cancel(
     id: core.ids.JobId,
     untilMs: number,
   ): Promise<ports.CallerAnswer> {
-    const stored = jobs.find(id);
-    if (stored === undefined) {
-      if (!(await jobs.refresh()))
-        return buildUnavailable(jobs.readHealth().why);
-      if (jobs.find(id) === undefined) return { answer: 'unknown-job' };
-    }
+    if (
+      jobs.find(id) === undefined &&
+      (await questions.readState(id)) === 'unknown'
+    )
+      return { answer: 'unknown-job' };
     const written = await jobs.cancel(id, untilMs);
     switch (written.outcome) {
       case 'durable':
--- a/packages/cluster/src/jobStore.ts
+++ b/packages/cluster/src/jobStore.ts
@@ -1,9 +1,10 @@
 /**
- * The durable jobs: appends acceptances and cancellations in groups and keeps a view
- * of all jobs from the stream. An append whose answer is lost is sent again, which is
+ * The durable jobs: appends acceptances and cancellations in groups. The view of all
+ * jobs is read by the owner, and elsewhere only when no owner answers, because reading
+ * it at every node after a restart fills the links between regions. An append whose answer is lost is sent again, which is
  * harmless because the same key takes the same value.
  */
-import * as core from '@flamingoward/core';
+import type * as core from '@flamingoward/core';
 import type * as contexts from './context.js';
 import type * as ports from './ports.js';
 import * as records from './records.js';
@@ -13,12 +14,15 @@
 const APPEND_TIMEOUT_MS = 700;
 /** Records of one append; the rest waits for the next. */
 const MAX_GROUP = 200;
-/** Time between reads while this node isn't the owner, in ms. */
-const IDLE_POLL_MS = 1_000;
+
+/** While the store is away, one submission finds out if it still is, in ms. */
+const PROBE_MS = 250;
 
 /** A job as the stream tells it. */
 export interface StoredJob {
-  readonly job: core.workloads.Job;
+  readonly id: core.ids.JobId;
+  /** Absent once the job has ended, and before its record is read. */
+  job: core.workloads.Job | undefined;
   cancelled: boolean;
   final: core.workloads.FinalState | undefined;
 }
@@ -42,10 +46,12 @@
   setObserver(
     observer: ((change: records.JobChange) => void) | undefined,
   ): void;
-  /** Time of the last answer of the store, and whether the last call failed. */
-  readHealth(): { readonly away: boolean; readonly why: string };
-  open(): void;
-  close(): void;
+  /** Whether the store is away, and whether a call may find out if it still is. */
+  readHealth(): {
+    readonly away: boolean;
+    readonly mayProbe: boolean;
+    readonly why: string;
+  };
 }
 
 interface PendingWrite {
@@ -59,15 +65,13 @@
 export function createJobStore(context: contexts.NodeContext): JobStore {
   const { timers, metrics } = context;
   const jobs = new Map<core.ids.JobId, StoredJob>();
-  // Cancellations and finals may be read before their job when keys are read anew.
-  const early = new Map<core.ids.JobId, Partial<StoredJob>>();
   const queue: PendingWrite[] = [];
   const accepting = new Map<core.ids.JobId, Promise<WriteResult>>();
   let observer: ((change: records.JobChange) => void) | undefined;
   let writing = false;
   let awayWhy = '';
   let away = false;
-  let poll: core.TimerSubscription | undefined;
+  let probedMs = 0;
 
   const tail = tails.createTail({
     source: context.ports.store.openStream('jobs'),
@@ -98,38 +102,39 @@
     observer?.(change);
   }
 
+  function ensureJob(id: core.ids.JobId): StoredJob {
+    const known = jobs.get(id);
+    if (known !== undefined) return known;
+    const entry: StoredJob = {
+      id,
+      job: undefined,
+      cancelled: false,
+      final: undefined,
+    };
+    jobs.set(id, entry);
+    return entry;
+  }
+
   function applyChange(change: records.JobChange): void {
     switch (change.change) {
       case 'accepted': {
-        if (jobs.has(change.job.id)) return;
-        const before = early.get(change.job.id);
-        early.delete(change.job.id);
-        jobs.set(change.job.id, {
-          job: change.job,
-          cancelled: before?.cancelled ?? false,
-          final: before?.final,
-        });
+        const entry = ensureJob(change.job.id);
+        if (entry.final === undefined) entry.job ??= change.job;
         return;
       }
-      case 'cancelled': {
-        const job = jobs.get(change.id);
-        if (job !== undefined) job.cancelled = true;
-        else early.set(change.id, { ...early.get(change.id), cancelled: true });
+      case 'cancelled':
+        ensureJob(change.id).cancelled = true;
         return;
-      }
-      case 'final': {
-        const job = jobs.get(change.id);
-        if (job !== undefined) job.final = change.state;
-        else
-          early.set(change.id, {
-            ...early.get(change.id),
-            final: change.state,
-          });
+      case 'final':
+        ensureJob(change.id).final = change.state;
+        return;
+      case 'body-dropped': {
+        const entry = jobs.get(change.id);
+        if (entry !== undefined) entry.job = undefined;
         return;
       }
-      case 'dropped':
+      case 'forgotten':
         jobs.delete(change.id);
-        early.delete(change.id);
     }
   }
 
@@ -148,6 +153,7 @@
     while (queue.length > 0) {
       const group = queue.splice(0, MAX_GROUP);
       const startedMs = timers.readNow();
+      probedMs = startedMs;
       const result = await context.ports.store.append(
         'jobs',
         group.map(({ record }) => record),
@@ -246,18 +252,9 @@
     setObserver(next) {
       observer = next;
     },
-    readHealth: () => ({ away, why: awayWhy }),
-    open() {
-      void refresh();
-      poll = timers.subscribe(
-        { name: 'jobs.poll', delayMs: IDLE_POLL_MS, repeat: 'periodic' },
-        () => {
-          if (observer === undefined) void refresh();
-        },
-      );
-    },
-    close() {
-      poll?.end();
+    readHealth() {
+      const mayProbe = !writing && timers.readNow() - probedMs >= PROBE_MS;
+      return { away, mayProbe, why: awayWhy };
     },
   };
 }
--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -62,9 +62,7 @@
     readRandom: context.readRandom,
     onQuestion: answerQuestion,
     onNotice: receiveNotice,
-    onOpen: (peer) => {
-      log.write('debug', 'link.open', { peer: peer.name });
-    },
+    onOpen: noteLinkOpen,
     onClose: noteLinkClosed,
   });
 
@@ -101,7 +99,7 @@
         readPolicies: () => configuration.readPolicies(),
         readConfirmedAge: () => claim.readConfirmedAge(),
         onFenced: () => {
-          claim.verify('a higher fence was met');
+          claim.resign('a higher fence was met');
         },
       });
     },
@@ -115,6 +113,14 @@
     },
   });
 
+  function noteLinkOpen(peer: core.messages.Hello): void {
+    log.write('debug', 'link.open', { peer: peer.name });
+    const current = claim.readOwner();
+    // The owner's process was replaced by another one.
+    if (current?.node === peer.name && current.instance !== peer.instance)
+      claim.suspect(current.instance, true);
+  }
+
   function noteLinkClosed(event: link.LinkClosed): void {
     const current = claim.readOwner();
     if (event.direction !== 'dialled' || current?.address !== event.address)
@@ -145,8 +151,7 @@
       case 'cluster.job':
         return {
           kind: 'cluster.job.answer',
-          owner: owner !== undefined,
-          state: owner?.readJob(question.job),
+          state: await owner?.readJob(question.job),
         };
       case 'cluster.advise':
         return {
@@ -187,7 +192,7 @@
 
   async function askOwner(
     id: core.ids.JobId,
-  ): Promise<core.workloads.JobState | undefined> {
+  ): Promise<core.workloads.JobState | 'unknown' | undefined> {
     if (owner !== undefined) return owner.readJob(id);
     const current = claim.readOwner();
     if (current === undefined) return undefined;
@@ -216,7 +221,7 @@
     let count = 0;
     for (const entry of jobs.list())
       if (
-        entry.job.queue === queue &&
+        entry.job?.queue === queue &&
         entry.job.schedule === undefined &&
         entry.final === undefined &&
         !entry.cancelled
@@ -268,7 +273,6 @@
       await server.open();
       await hub.open();
       configuration.open();
-      jobs.open();
       claim.open();
       timersHeld.push(
         timers.subscribe(
@@ -298,7 +302,6 @@
       await server.close(settings.stopMs - STOP_ACCEPT_MS - STOP_MARGIN_MS);
       for (const timer of timersHeld) timer.end();
       configuration.close();
-      jobs.close();
       fleet.close();
       await hub.close();
       log.write('info', 'node.stopped', {});
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -54,7 +54,10 @@
 /** The owner of the cluster. */
 export interface Owner {
   readonly fence: number;
-  readJob(id: core.ids.JobId): core.workloads.JobState | undefined;
+  /** State of a job; `unknown` only after the stream was read to its end. */
+  readJob(
+    id: core.ids.JobId,
+  ): Promise<core.workloads.JobState | 'unknown' | undefined>;
   countWaiting(): ReadonlyMap<core.workloads.QueueName, number>;
   readCounts(): ReadonlyMap<string, number>;
   dump(): unknown;
@@ -108,11 +111,12 @@
     updatePolicies();
     let restored = 0;
     for (const entry of jobs.list()) {
-      if (entry.final !== undefined) continue;
-      const ageMs = Math.max(0, nowDate - entry.job.acceptedAtMs);
-      const text = stored.get(entry.job.id);
-      scheduler.restoreJob(entry.job, text, ageMs, nowMs, nowDate);
-      if (entry.cancelled) scheduler.cancelJob(entry.job.id, nowMs);
+      const { job } = entry;
+      if (entry.final !== undefined || job === undefined) continue;
+      const ageMs = Math.max(0, nowDate - job.acceptedAtMs);
+      const text = stored.get(job.id);
+      scheduler.restoreJob(job, text, ageMs, nowMs, nowDate);
+      if (entry.cancelled) scheduler.cancelJob(job.id, nowMs);
       restored += 1;
     }
     for (const vm of fleet.list()) listVm(vm.id, vm);
@@ -184,7 +188,8 @@
         scheduler.cancelJob(change.id, nowMs);
         break;
       case 'final':
-      case 'dropped':
+      case 'body-dropped':
+      case 'forgotten':
         return;
     }
     requestTick();
@@ -421,6 +426,23 @@
     requestTick();
   }
 
+  function readKnown(id: core.ids.JobId): core.workloads.JobState | undefined {
+    const stored = jobs.find(id);
+    if (stored?.final !== undefined) return stored.final;
+    if (stored?.cancelled === true) return 'cancelled';
+    return scheduler.readJob(id) ?? (stored?.job && 'pending');
+  }
+
+  async function readJob(
+    id: core.ids.JobId,
+  ): Promise<core.workloads.JobState | 'unknown' | undefined> {
+    if (!ready || isClosed()) return undefined;
+    const known = readKnown(id);
+    if (known !== undefined) return known;
+    if (!(await jobs.refresh())) return undefined;
+    return readKnown(id) ?? 'unknown';
+  }
+
   const idle = timers.subscribe(
     { name: 'owner.idle', delayMs: IDLE_TICK_MS, repeat: 'periodic' },
     requestTick,
@@ -435,7 +457,7 @@
 
   return {
     fence,
-    readJob: (id) => (ready ? scheduler.readJob(id) : undefined),
+    readJob,
     countWaiting: () => (ready ? scheduler.countWaiting() : new Map()),
     readCounts: () => scheduler.readCounts(),
     dump: () => scheduler.dump(),
--- a/packages/cluster/src/recorder.ts
+++ b/packages/cluster/src/recorder.ts
@@ -92,7 +92,7 @@
       const progress: ports.NewRecord[] = [];
       for (const [key, value] of batch.progress) progress.push({ key, value });
       for (const key of batch.dropped) progress.push({ key, value: undefined });
-      const finals = [...batch.finals].map(([id, state]) =>
+      const finals = [...batch.finals].flatMap(([id, state]) =>
         records.buildFinal(id, state),
       );
       await Promise.all([
--- a/packages/cluster/src/records.ts
+++ b/packages/cluster/src/records.ts
@@ -18,7 +18,10 @@
       readonly id: core.ids.JobId;
       readonly state: core.workloads.FinalState;
     }
-  | { readonly change: 'dropped'; readonly id: core.ids.JobId };
+  /** The job's own text is needed no more. */
+  | { readonly change: 'body-dropped'; readonly id: core.ids.JobId }
+  /** Nothing is known of the job any more. */
+  | { readonly change: 'forgotten'; readonly id: core.ids.JobId };
 
 type Prefix = 'job' | 'cancel' | 'final';
 
@@ -39,20 +42,20 @@
   return { key: formatKey('cancel', id), value: '1' };
 }
 
-/** Builds the record of a final state. */
+/**
+ * Builds the records of a final state. The job itself is dropped, so that what a new
+ * owner reads doesn't grow with the jobs that have ended.
+ */
 export function buildFinal(
   id: core.ids.JobId,
   state: core.workloads.FinalState,
-): ports.NewRecord {
-  return { key: formatKey('final', id), value: state };
+): readonly ports.NewRecord[] {
+  return [{ key: formatKey('final', id), value: state }, buildBodyDropped(id)];
 }
 
-/** Builds the records that drop all that is stored of a job. */
-export function buildDropped(id: core.ids.JobId): readonly ports.NewRecord[] {
-  return (['job', 'cancel', 'final'] as const).map((prefix) => ({
-    key: formatKey(prefix, id),
-    value: undefined,
-  }));
+/** Builds the record that drops a job's own text; its end or cancellation stays known. */
+export function buildBodyDropped(id: core.ids.JobId): ports.NewRecord {
+  return { key: formatKey('job', id), value: undefined };
 }
 
 /** Reads a record of the stream `jobs`; undefined when it isn't one of this version. */
@@ -61,8 +64,10 @@
 ): JobChange | undefined {
   const at = record.key.indexOf(':');
   const id = record.key.slice(at + 1);
-  if (record.value === undefined) return { change: 'dropped', id };
-  switch (record.key.slice(0, at)) {
+  const prefix = record.key.slice(0, at);
+  if (record.value === undefined)
+    return { change: prefix === 'job' ? 'body-dropped' : 'forgotten', id };
+  switch (prefix) {
     case 'job':
       return parseAccepted(record.value);
     case 'cancel':
--- a/packages/core/src/types/clusterMessages.ts
+++ b/packages/core/src/types/clusterMessages.ts
@@ -37,9 +37,8 @@
 export type ClusterAnswer =
   | {
       readonly kind: 'cluster.job.answer';
-      /** False when the asked node isn't the owner. */
-      readonly owner: boolean;
-      readonly state: workload.JobState | undefined;
+      /** Undefined when the asked node isn't the owner or can't tell now. */
+      readonly state: workload.JobState | 'unknown' | undefined;
     }
   | {
       readonly kind: 'cluster.advise.answer';
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -194,6 +194,10 @@
     case 'unknown':
       if (run.phase !== 'sent') return;
       run.phase = 'unknown';
+      run.vm.avoidUntilMs = Math.max(
+        run.vm.avoidUntilMs,
+        nowMs + AVOID_REFUSING_MS,
+      );
       states.stopRun(state, run, 'no-answer', nowMs);
       if (run.task.step.spec.gang) ends.clearGang(state, run.task.step, nowMs);
   }
@@ -241,6 +245,7 @@
       if (run.phase === 'inherited' && inheritedOver)
         states.removeRun(state, run, nowMs);
       if (run.phase !== 'stopping' || run.settledMs !== undefined) continue;
+      if (!vm.usable) continue;
       if (nowMs - (run.stopSentMs ?? 0) > STOP_AGAIN_MS)
         states.sendStop(state, run, 'again', nowMs);
     }
