Tell the lives of a VM apart by its reports; hand over when only this node lost the store

Change: a new life is learned from reports only, late reports of an earlier one are ignored, unsettled stops are repeated to the new life, and a vanished gang member ends its gang. An owner that the store doesn't answer asks its peers and gives up to one that it answers. Beats carry the age of the claim, so a missing beat is noticed after 1.1 s. Leases of an owner known to have ended are waited for without its own limit.

--- a/packages/cluster/src/claims.ts
+++ b/packages/cluster/src/claims.ts
@@ -18,7 +18,7 @@
 /** Time between reads while the owner is suspected, in ms. */
 const SUSPECT_WATCH_MS = 100;
 /** Time without a renewal after which an owner that is suspected by its silence is replaced, in ms. */
-const SUSPECT_AFTER_MS = 1_200;
+const SUSPECT_AFTER_MS = 1_000;
 /** Time without a renewal after which any owner is replaced, in ms. */
 const ABANDONED_AFTER_MS = 2_500;
 /** Time by which each successor waits for the one before it, in ms. */
@@ -41,10 +41,23 @@
   readonly released: boolean;
 }
 
+/** What is known of the owner before this one. */
+export interface PreviousOwner {
+  /**
+   * At least the time since the store last confirmed it, in ms; undefined when it gave
+   * up or when there was none.
+   */
+  readonly gapMs: number | undefined;
+  /** It gives no orders any more: its process has ended, or it gave up. */
+  readonly ended: boolean;
+}
+
 /** What ownership tells its node. */
 export interface ClaimEvents {
-  /** This node owns the cluster; `gapMs` is the time since the last renewal of the previous owner. */
-  readonly onOwned: (fence: number, gapMs: number | undefined) => void;
+  /** This node owns the cluster. */
+  readonly onOwned: (fence: number, previous: PreviousOwner) => void;
+  /** The store didn't confirm the claim of this node. */
+  readonly onUnconfirmed: (fence: number) => void;
   /** This node has lost the cluster. */
   readonly onLost: (why: string) => void;
   /** Another node owns the cluster. */
@@ -56,6 +69,10 @@
   open(): void;
   /** The link to the owner failed; `gone` when its process is known not to run. */
   suspect(instance: core.ids.InstanceId, gone: boolean): void;
+  /** The owner has told when the store last confirmed its claim. */
+  noteBeat(fence: number, confirmedAgeMs: number): void;
+  /** Whether the store answers this node now. */
+  checkStore(): Promise<boolean>;
   /** The owner has said that it gives up. */
   noteReleased(fence: number): void;
   setSuccessors(instances: readonly core.ids.InstanceId[]): void;
@@ -84,6 +101,8 @@
   let ownerKnownMs = 0;
   /** When the newest record was first seen here. */
   let renewedMs = 0;
+  /** The store had confirmed the owner at this time or later. */
+  let confirmedByMs = -Infinity;
   let newestOffset = -1;
   let owned: number | undefined;
   let confirmedMs = 0;
@@ -96,6 +115,7 @@
   let watch: core.TimerSubscription | undefined;
   let watchTurn: core.TimerSubscription | undefined;
   let roundTripMs = 0;
+  let lastReadMs = -Infinity;
 
   const tail = tails.createTail({
     source: store.openStream('claims'),
@@ -112,6 +132,7 @@
     newestOffset = record.offset;
     if (claim === undefined) return;
     renewedMs = timers.readNow();
+    confirmedByMs = Math.max(confirmedByMs, lastReadMs);
     suspectedMs = undefined;
     knownGone = false;
     const next: Owner = {
@@ -148,10 +169,10 @@
     owned = fence;
     confirmedMs = timers.readNow();
     log.write('info', 'ownership.gained', { fence });
-    events.onOwned(fence, gapMs);
+    events.onOwned(fence, previous);
   }
 
-  let gapMs: number | undefined;
+  let previous: PreviousOwner = { gapMs: undefined, ended: true };
 
   function endOwning(why: string): void {
     if (owned === undefined) return;
@@ -183,8 +204,12 @@
     if (claiming || closing || owned !== undefined) return;
     claiming = true;
     const nowMs = timers.readNow();
-    gapMs =
-      owner === undefined || owner.released ? undefined : nowMs - renewedMs;
+    const gaveUp =
+      owner === undefined || owner.released || releasedFence === owner.fence;
+    previous = {
+      gapMs: gaveUp ? undefined : nowMs - confirmedByMs,
+      ended: gaveUp || knownGone,
+    };
     const result = await appendClaim({});
     log.write('info', 'ownership.claim', {
       why,
@@ -225,7 +250,8 @@
         });
         if (timers.readNow() - confirmedMs > SELF_LIMIT_MS)
           endOwning('not confirmed for too long');
-        else if (result.outcome === 'unknown') await tail.refresh();
+        else if (owned === fence) events.onUnconfirmed(fence);
+        if (result.outcome === 'unknown') await tail.refresh();
     }
   }
 
@@ -258,6 +284,8 @@
     const startedMs = timers.readNow();
     const read = await tail.refresh();
     const nowMs = timers.readNow();
+    // A record that the next read finds was appended after this one.
+    if (read) lastReadMs = startedMs;
     if (!read) {
       // Renewals can't be seen now; their absence says nothing.
       renewedMs = Math.max(renewedMs, nowMs - SUSPECT_WATCH_MS);
@@ -325,6 +353,13 @@
       knownGone = knownGone || gone;
       scheduleWatch(gone ? computeTurn() : 0);
     },
+    noteBeat(fence, confirmedAgeMs) {
+      if (owner?.fence !== fence) return;
+      const atMs = timers.readNow() - confirmedAgeMs;
+      confirmedByMs = Math.max(confirmedByMs, atMs);
+      renewedMs = Math.max(renewedMs, atMs);
+    },
+    checkStore: () => tail.refresh(),
     noteReleased(fence) {
       if (owner?.fence !== fence || owned !== undefined) return;
       releasedFence = fence;
--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -20,14 +20,18 @@
 const BEAT_STALE_MS = 1_800;
 /** Time for which a state is waited for from the owner, in ms. */
 const ASK_STATE_MS = 600;
+/** Time without a beat after which the owner is suspected, in ms. */
+const BEAT_MISSED_MS = 1_100;
+/** Time in which a peer must tell whether the store answers it, in ms. */
+const ASK_STORE_MS = 500;
 const MAX_FRAME_BYTES = 1_048_576;
 /** Largest difference between the clocks that a running process shows within a check, in ms. */
 const PAUSE_DRIFT_MS = 400;
 const PAUSE_CHECK_MS = 200;
 /** Time after the signal to stop during which new requests are still answered, in ms. */
-const STOP_ACCEPT_MS = 2_500;
+const STOP_ACCEPT_MS = 2_300;
 /** Part of the stop time that is left unused, in ms. */
-const STOP_MARGIN_MS = 800;
+const STOP_MARGIN_MS = 1_500;
 
 /** A running node. */
 export interface ClusterNode {
@@ -46,6 +50,7 @@
   let beat: core.clusterMessages.ClusterBeat | undefined;
   let beatMs = 0;
   let stopping = false;
+  let releasing = false;
 
   const hub = link.createHub({
     identity: {
@@ -86,23 +91,29 @@
   );
 
   const claim = claims.createClaims(context, {
-    onOwned(fence, gapMs) {
+    onOwned(fence, previous) {
       owner?.close();
       hub.setPeers([]);
       owner = owners.createOwner(context, {
         fence,
-        gapMs,
+        previous,
         selfLimitMs: claims.SELF_LIMIT_MS,
         jobs,
         fleet,
         adviser: advisers,
         readPolicies: () => configuration.readPolicies(),
         readConfirmedAge: () => claim.readConfirmedAge(),
+        onStoreTrouble: () => {
+          void releaseToPeers(fence);
+        },
         onFenced: () => {
           claim.resign('a higher fence was met');
         },
       });
     },
+    onUnconfirmed(fence) {
+      void releaseToPeers(fence);
+    },
     onLost() {
       owner?.close();
       owner = undefined;
@@ -113,6 +124,44 @@
     },
   });
 
+  /** Gives up to a node that the store answers, if there is one. */
+  async function releaseToPeers(fence: number): Promise<void> {
+    if (releasing) return;
+    releasing = true;
+    const peers = hub.listConnected().map((peer) => peer.instance);
+    const reached = await Promise.all(peers.map(askStore));
+    releasing = false;
+    if (!reached.includes(true) || claim.readFence() !== fence) return;
+    claim.resign('the store answers other nodes only');
+    for (const peer of peers)
+      hub.notify(peer, { kind: 'cluster.released', fence });
+  }
+
+  async function askStore(peer: core.ids.InstanceId): Promise<boolean> {
+    try {
+      const answer = await hub.ask(
+        peer,
+        { kind: 'cluster.store' },
+        ASK_STORE_MS,
+      );
+      return answer.kind === 'cluster.store.answer' && answer.reached;
+    } catch (cause) {
+      log.write('debug', 'store.peer-failed', {
+        peer,
+        why: core.describeError(cause),
+      });
+      return false;
+    }
+  }
+
+  /** An owner that sends no beats may be paused or cut off. */
+  function checkBeat(): void {
+    const current = claim.readOwner();
+    if (beat === undefined || current?.fence !== beat.fence) return;
+    if (timers.readNow() - beatMs > BEAT_MISSED_MS)
+      claim.suspect(current.instance, false);
+  }
+
   function noteLinkOpen(peer: core.messages.Hello): void {
     log.write('debug', 'link.open', { peer: peer.name });
     const current = claim.readOwner();
@@ -139,6 +188,7 @@
       beat = notice;
       beatMs = timers.readNow();
       claim.setSuccessors(notice.successors);
+      claim.noteBeat(notice.fence, notice.confirmedAgeMs);
     } else if (notice.kind === 'cluster.released') {
       claim.noteReleased(notice.fence);
     }
@@ -153,6 +203,11 @@
           kind: 'cluster.job.answer',
           state: await owner?.readJob(question.job),
         };
+      case 'cluster.store':
+        return {
+          kind: 'cluster.store.answer',
+          reached: await claim.checkStore(),
+        };
       case 'cluster.advise':
         return {
           kind: 'cluster.advise.answer',
@@ -184,6 +239,7 @@
     const notice: core.clusterMessages.ClusterBeat = {
       kind: 'cluster.beat',
       fence: owner.fence,
+      confirmedAgeMs: claim.readConfirmedAge(),
       waiting: [...owner.countWaiting()],
       successors: [...near, ...far].map((peer) => peer.instance),
     };
@@ -256,6 +312,7 @@
   let steadyMs = timers.readNow();
   /** A pause of the process, or of its clock, may have cost it the ownership. */
   function checkPause(): void {
+    checkBeat();
     const nextWallMs = timers.readDate();
     const nextSteadyMs = timers.readNow();
     const drift = Math.abs(nextWallMs - wallMs - (nextSteadyMs - steadyMs));
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -6,6 +6,7 @@
 import * as core from '@flamingoward/core';
 import * as adviser from './adviser.js';
 import * as contacts from './contacts.js';
+import type * as claims from './claims.js';
 import type * as contexts from './context.js';
 import type * as fleets from './fleet.js';
 import type * as jobStores from './jobStore.js';
@@ -20,9 +21,7 @@
 /** Events that arrive within this time are decided together, in ms. */
 const GATHER_MS = 4;
 /** Time without a confirmed claim from which starts go out without their record, in ms. */
-export const UNRECORDED_AFTER_MS = 2_000;
-/** Gap of the previous owner's renewals, as seen here, from which it may have done so, in ms. */
-const UNRECORDED_GAP_MS = 900;
+const UNRECORDED_AFTER_MS = 1_200;
 /** Longest lease that a previous owner may have granted since its last confirmed claim, beyond its own limit, in ms. */
 const CLOCK_RATE = 0.98;
 const INHERIT_MARGIN_MS = 500;
@@ -32,8 +31,7 @@
 /** What an owner needs besides the context. */
 export interface OwnerOptions {
   readonly fence: number;
-  /** Time since the last renewal of the previous owner, if there was one. */
-  readonly gapMs: number | undefined;
+  readonly previous: claims.PreviousOwner;
   /** Time for which a previous owner may go on deciding without the store, in ms. */
   readonly selfLimitMs: number;
   readonly jobs: jobStores.JobStore;
@@ -47,6 +45,8 @@
     >;
   };
   readonly readConfirmedAge: () => number;
+  /** The store doesn't take this owner's records. */
+  readonly onStoreTrouble: () => void;
   /** A VM has met a higher fence. */
   readonly onFenced: () => void;
 }
@@ -70,13 +70,17 @@
   options: OwnerOptions,
 ): Owner {
   const { timers, log, metrics, ports: outside } = context;
-  const { fence, jobs, fleet } = options;
+  const { fence, jobs, fleet, previous } = options;
   const createdMs = timers.readNow();
   const inheritMs =
-    options.selfLimitMs +
+    (previous.ended ? 0 : options.selfLimitMs) +
     context.settings.leaseMs / CLOCK_RATE +
     INHERIT_MARGIN_MS;
-  const recorder = recorders.createRecorder(context, fence);
+  const recorder = recorders.createRecorder(
+    context,
+    fence,
+    options.onStoreTrouble,
+  );
   const contactsByVm = new Map<core.ids.VmId, contacts.Contact>();
   const durableWaiters = new Set<() => void>();
   const scheduler = core.workloads.createWorkloadScheduler({
@@ -86,7 +90,7 @@
       firstRun: fence * RUNS_PER_FENCE + 1,
     },
     unrecordedStarts:
-      options.gapMs !== undefined && options.gapMs > UNRECORDED_GAP_MS,
+      previous.gapMs !== undefined && previous.gapMs > UNRECORDED_AFTER_MS,
     readAdviceSlots: options.adviser.readSlots,
     nowMs: createdMs,
   });
--- a/packages/cluster/src/recorder.ts
+++ b/packages/cluster/src/recorder.ts
@@ -23,10 +23,11 @@
   close(): void;
 }
 
-/** Creates the recorder of an owner. */
+/** Creates the recorder of an owner; `onTrouble` is called when the store doesn't take an append. */
 export function createRecorder(
   context: contexts.NodeContext,
   fence: number,
+  onTrouble: () => void,
 ): Recorder {
   const { timers, log } = context;
   const sequences = { jobs: 0, progress: 0, claims: 0 };
@@ -70,6 +71,7 @@
             outcome: result.outcome,
             why: result.why,
           });
+          onTrouble();
           await core.waitFor(timers, 'recorder.retry', RETRY_MS);
       }
     }
--- a/packages/core/src/types/clusterMessages.ts
+++ b/packages/core/src/types/clusterMessages.ts
@@ -6,6 +6,8 @@
 export interface ClusterBeat {
   readonly kind: 'cluster.beat';
   readonly fence: number;
+  /** Time since the store confirmed the claim, in ms. */
+  readonly confirmedAgeMs: number;
   /** Jobs per queue of which no task has started. */
   readonly waiting: readonly (readonly [workload.QueueName, number])[];
   /** Connected instances in the order in which they should claim after the owner. */
@@ -25,6 +27,8 @@
 export type ClusterQuestion =
   /** To the owner: the state of a job. */
   | { readonly kind: 'cluster.job'; readonly job: ids.JobId }
+  /** From an owner that the store doesn't answer: does it answer you? */
+  | { readonly kind: 'cluster.store' }
   /** From the owner: ask the advice service, which serves one call of each node at a time. */
   | {
       readonly kind: 'cluster.advise';
@@ -35,6 +39,7 @@
 
 /** Answers of a cluster. */
 export type ClusterAnswer =
+  | { readonly kind: 'cluster.store.answer'; readonly reached: boolean }
   | {
       readonly kind: 'cluster.job.answer';
       /** Undefined when the asked node isn't the owner or can't tell now. */
--- a/packages/core/src/workloads/advice.ts
+++ b/packages/core/src/workloads/advice.ts
@@ -38,15 +38,19 @@
   return pendingUntilMs !== undefined && pendingUntilMs > nowMs;
 }
 
-/** Asks about a step, if that can bring a start nearer; true when it asked. */
+/**
+ * Asks about a step, if that can bring a start nearer; true when it asked. Ahead of
+ * time it asks although no VM has room now.
+ */
 export function askForStep(
   state: states.State,
   step: tables.StepRow,
+  mayAskAhead: boolean,
   nowMs: number,
 ): boolean {
   const policy = step.occurrence.job.policy.advice;
   if (policy === undefined || isPending(step, nowMs)) return false;
-  const vms = chooseVms(state, step, nowMs);
+  const vms = chooseVms(state, step, mayAskAhead, nowMs);
   if (vms.length === 0) return false;
   const costMs = ranking.estimateAdviceMs(policy, vms.length);
   step.advice.pendingUntilMs = nowMs + costMs + ANSWER_GRACE_MS;
@@ -64,6 +68,7 @@
 function chooseVms(
   state: states.State,
   step: tables.StepRow,
+  mayAskAhead: boolean,
   nowMs: number,
 ): readonly ids.VmId[] {
   const fitting: { vm: tables.VmRow; score: number; room: boolean }[] = [];
@@ -90,7 +95,8 @@
     ({ vm, room }) => room && step.advice.good.has(tables.formatVmLife(vm)),
   );
   if (good.length > 0) return chooseGood(step, good, nowMs);
-  if (!fresh.some(({ room }) => room) && step.advice.known.size > 0) return [];
+  const wantsAhead = mayAskAhead && step.advice.known.size === 0;
+  if (!fresh.some(({ room }) => room) && !wantsAhead) return [];
   return fresh.slice(0, MAX_VMS).map(({ vm }) => vm.id);
 }
 
--- a/packages/core/src/workloads/progress.ts
+++ b/packages/core/src/workloads/progress.ts
@@ -136,12 +136,10 @@
     step.waitingCount -= 1;
     step.occurrence.job.begun = true;
   }
-  for (const [index, number, vmId, life] of stored.runs ?? []) {
+  for (const [index, number, vmId] of stored.runs ?? []) {
     const task = step.tasks[index];
     if (task?.state !== 'waiting') continue;
     const vm = states.ensureVm(state, vmId, nowMs);
-    if (life !== null && vm.life !== undefined && vm.life !== life) continue;
-    if (life !== null) vm.life ??= life;
     if (step.spec.gang) step.gangRun = number;
     states.addRun(task, vm, { number, phase: 'inherited' }, nowMs);
   }
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -20,7 +20,11 @@
   nowMs: number,
 ): void {
   const vm = states.ensureVm(state, id, nowMs);
-  if (report.life !== undefined) beginLife(state, vm, report.life, nowMs);
+  if (report.life !== undefined) {
+    // A report of an earlier life that arrives late says nothing of this one.
+    if (vm.life !== undefined && report.life < vm.life) return;
+    beginLife(state, vm, report.life, nowMs);
+  }
   vm.usable = true;
   applyEnds(state, vm, report, nowMs);
   const listed = new Set<tables.RunRow>();
@@ -29,26 +33,30 @@
     applyRunning(state, vm, entry, listed, nowMs);
   for (const run of [...vm.runs])
     if (!listed.has(run) && isOver(run, report.askedMs))
-      states.removeRun(state, run, nowMs);
+      loseRun(state, run, nowMs);
 }
 
-/** Starts a new life of a VM: everything that ran in the old one is over. */
-export function beginLife(
+/**
+ * Starts a new life of a VM. What ran in the old one isn't listed any more; an order
+ * that was sent meanwhile may still reach the new one, so unsettled stops go out again.
+ */
+function beginLife(
   state: states.State,
   vm: tables.VmRow,
   life: types.VmLife,
   nowMs: number,
 ): void {
   if (vm.life === life) return;
-  if (vm.life !== undefined) loseRuns(state, vm, nowMs);
-  else
-    for (const run of [...vm.runs])
-      if (run.phase !== 'inherited') states.removeRun(state, run, nowMs);
   vm.life = life;
   vm.appliedEnd = 0;
   vm.durableEnd = 0;
   vm.recentFailures = 0;
   vm.avoidUntilMs = 0;
+  for (const run of vm.runs) {
+    if (run.phase !== 'stopping') continue;
+    run.settledMs = undefined;
+    states.sendStop(state, run, 'new-life', nowMs);
+  }
 }
 
 /** Removes all runs of a VM that is known to run nothing more. */
@@ -57,13 +65,13 @@
   vm: tables.VmRow,
   nowMs: number,
 ): void {
-  const gangs = new Set<tables.StepRow>();
-  for (const run of [...vm.runs]) {
-    states.countEvent(state, 'run.lost');
-    states.removeRun(state, run, nowMs);
-    if (run.task.step.spec.gang) gangs.add(run.task.step);
-  }
-  for (const step of gangs) ends.clearGang(state, step, nowMs);
+  for (const run of [...vm.runs]) loseRun(state, run, nowMs);
+}
+
+function loseRun(state: states.State, run: tables.RunRow, nowMs: number): void {
+  if (run.phase !== 'stopping') states.countEvent(state, 'run.lost');
+  states.removeRun(state, run, nowMs);
+  if (run.task.step.spec.gang) ends.clearGang(state, run.task.step, nowMs);
 }
 
 function applyEnds(
@@ -243,7 +251,7 @@
   for (const vm of state.vms.values())
     for (const run of [...vm.runs]) {
       if (run.phase === 'inherited' && inheritedOver)
-        states.removeRun(state, run, nowMs);
+        loseRun(state, run, nowMs);
       if (run.phase !== 'stopping' || run.settledMs !== undefined) continue;
       if (!vm.usable) continue;
       if (nowMs - (run.stopSentMs ?? 0) > STOP_AGAIN_MS)
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -180,8 +180,6 @@
     listVm(id, entry, nowMs) {
       const vm = states.ensureVm(state, id, nowMs);
       vm.entry = entry;
-      if (entry?.life !== undefined)
-        reports.beginLife(state, vm, entry.life, nowMs);
     },
     applyReport(id, report, nowMs) {
       reports.applyReport(state, id, report, nowMs);
@@ -350,8 +348,8 @@
     placeStep(state, step, nowMs);
     if (step.waitingCount === 0) continue;
     const short = ahead.get(pool) ?? 0;
-    if (short < ADVICE_AHEAD_STEPS && state.pendingAdvice < slots)
-      advice.askForStep(state, step, nowMs);
+    if (state.pendingAdvice < slots)
+      advice.askForStep(state, step, short < ADVICE_AHEAD_STEPS, nowMs);
     if (step.waitingCount === before && !advice.isPending(step, nowMs)) {
       ahead.set(pool, short + 1);
       if (short < ADVICE_AHEAD_STEPS) preemption.preemptFor(state, step, nowMs);
--- /dev/null
+++ b/packages/core/test/workloads/simulation.ts
@@ -0,0 +1,596 @@
+/**
+ * Simulated VMs, orders and store for property tests of the workload scheduler: orders
+ * are lost, late or answered late, VMs crash and begin new lives, owners are replaced
+ * while their orders are on the way, and the store confirms late. Each VM checks at
+ * every start what must never happen.
+ */
+import * as core from '../../src/index.js';
+
+type TaskKey = core.workloads.TaskKey;
+
+interface Running {
+  readonly task: TaskKey;
+  readonly run: number;
+  percent: number;
+}
+
+interface SimVm {
+  entry: core.workloads.VmEntry;
+  life: number;
+  up: boolean;
+  cut: boolean;
+  fence: number;
+  leaseEndMs: number;
+  readonly running: Map<string, Running>;
+  /** Highest run stopped or ended, by task. */
+  readonly closed: Map<string, number>;
+  ended: core.workloads.ListedEnd[];
+  nextEnd: number;
+}
+
+interface Owner {
+  readonly fence: number;
+  readonly scheduler: core.workloads.WorkloadScheduler;
+  alive: boolean;
+  batch:
+    | { readonly batch: core.workloads.RecordBatch; readonly dueMs: number }
+    | undefined;
+  /** Latest end of the lease that this owner may have granted, by VM. */
+  readonly leaseEndMs: Map<string, number>;
+  readonly silentVms: Set<string>;
+  readonly lostVms: Set<string>;
+}
+
+interface Message {
+  readonly dueMs: number;
+  readonly deliver: () => void;
+}
+
+/** What a simulation may do. */
+export interface Faults {
+  /** Share of orders that get no answer and are carried out late or never. */
+  readonly lateOrders: number;
+  readonly crashes: boolean;
+  readonly cuts: boolean;
+  readonly takeovers: boolean;
+  readonly slowStore: boolean;
+}
+
+const LEASE_MS = 3_000;
+const INHERIT_MS = 5_000;
+const RUNS_PER_FENCE = 1_000_000;
+
+/** A simulation with a seed. */
+export class Simulation {
+  private nowMs = 1_000;
+  private state: number;
+  private readonly messages: Message[] = [];
+  private readonly vms = new Map<string, SimVm>();
+  private readonly jobs = new Map<string, core.workloads.Job>();
+  private readonly cancelled = new Set<string>();
+  private readonly progress = new Map<string, string>();
+  private readonly finals = new Map<string, core.workloads.FinalState>();
+  /** Tasks whose end `done` was noted. */
+  private readonly doneNoted = new Set<string>();
+  /** All ends `done`, noted or not. */
+  private readonly doneEnds = new Set<string>();
+  private readonly failures = new Map<string, Set<number>>();
+  private owner: Owner | undefined;
+  private fences = 0;
+  readonly violations: string[] = [];
+
+  constructor(
+    seed: number,
+    private readonly faults: Faults,
+  ) {
+    this.state = seed * 2_654_435_761 + 1;
+    for (let index = 0; index < 6; index += 1) this.addVm(`vm${index}`);
+    this.replaceOwner(false);
+  }
+
+  private random(): number {
+    this.state =
+      (Math.imul(this.state ^ (this.state >>> 15), 2_246_822_519) +
+        3_266_489_917) >>>
+      0;
+    const mixed =
+      Math.imul(this.state ^ (this.state >>> 13), 3_266_489_917) >>> 0;
+    return (mixed ^ (mixed >>> 16)) / 4_294_967_296 + (mixed < 0 ? 1 : 0);
+  }
+
+  private pick<Item>(items: readonly Item[]): Item {
+    return items[
+      Math.min(
+        items.length - 1,
+        Math.floor(Math.abs(this.random()) * items.length),
+      )
+    ]!;
+  }
+
+  private chance(share: number): boolean {
+    return Math.abs(this.random()) < share;
+  }
+
+  private addVm(id: string): void {
+    this.vms.set(id, {
+      entry: {
+        id,
+        address: `${id}:1`,
+        life: 1,
+        pool: 'pool',
+        availabilityZone: 'zone',
+        rack: 'r1-1',
+        labels: [],
+        capacity: { cores: 4, memoryMb: 4_000, gpus: 2 },
+        draining: false,
+      },
+      life: 1,
+      up: true,
+      cut: false,
+      fence: 0,
+      leaseEndMs: 0,
+      running: new Map(),
+      closed: new Map(),
+      ended: [],
+      nextEnd: 1,
+    });
+  }
+
+  private send(delayMs: number, deliver: () => void): void {
+    this.messages.push({ dueMs: this.nowMs + delayMs, deliver });
+  }
+
+  /** Adds a job of random shape. */
+  addJob(): void {
+    const id = `job${this.jobs.size}`;
+    const gang = this.chance(0.2);
+    const lasts = !gang && this.chance(0.1);
+    const steps = this.chance(0.3) && !gang && !lasts ? 2 : 1;
+    const policy: core.workloads.QueuePolicy = {
+      name: 'queue',
+      pool: 'pool',
+      priority: this.pick([0, 1, 2]),
+      attempts: 3,
+      stretch: 2,
+      slackMs: 500,
+      advice: undefined,
+    };
+    const job: core.workloads.Job = {
+      id,
+      queue: 'queue',
+      payload: id,
+      policy,
+      configVersion: 1,
+      acceptedAtMs: this.nowMs,
+      schedule: undefined,
+      steps: Array.from({ length: steps }, (_, index) => ({
+        count: this.pick([1, 2, 3, 4]),
+        size: {
+          cores: this.pick([0.5, 1, 2]),
+          memoryMb: 100,
+          gpus: this.pick([0, 0, 1]),
+        },
+        estimateMs: 500,
+        after: index === 0 ? [] : [index - 1],
+        savesProgress: this.chance(0.5),
+        gang,
+        oneRack: false,
+        label: undefined,
+        dataRack: undefined,
+        maxPerVm: this.pick([undefined, 1]),
+        allowsCopies: false,
+        lasts,
+        image: undefined,
+        targetMs: undefined,
+        fills: false,
+        mayMiss: undefined,
+      })),
+    };
+    if (job.steps.some((step) => step.count > 6)) return;
+    this.jobs.set(id, job);
+    this.owner?.scheduler.acceptJob(job, 0, this.nowMs, this.nowMs);
+  }
+
+  private cancelJob(): void {
+    if (this.jobs.size === 0) return;
+    const id = this.pick([...this.jobs.keys()]);
+    this.cancelled.add(id);
+    this.owner?.scheduler.cancelJob(id, this.nowMs);
+  }
+
+  private replaceOwner(keepsOld: boolean): void {
+    if (this.owner !== undefined) {
+      // A batch that is being written may still get through before the fence.
+      const open = this.owner.batch;
+      if (open !== undefined && this.chance(0.5)) this.store(open.batch);
+      this.owner.batch = undefined;
+      this.owner.alive = keepsOld && false;
+    }
+    this.fences += 1;
+    const fence = this.fences;
+    const scheduler = core.workloads.createWorkloadScheduler({
+      bounds: {
+        leaseMs: LEASE_MS,
+        inheritMs: INHERIT_MS,
+        firstRun: fence * RUNS_PER_FENCE + 1,
+      },
+      unrecordedStarts: false,
+      readAdviceSlots: () => 0,
+      nowMs: this.nowMs,
+    });
+    for (const [id, job] of this.jobs) {
+      if (this.finals.has(id)) continue;
+      scheduler.restoreJob(
+        job,
+        this.progress.get(id),
+        this.nowMs - job.acceptedAtMs,
+        this.nowMs,
+        this.nowMs,
+      );
+      if (this.cancelled.has(id)) scheduler.cancelJob(id, this.nowMs);
+    }
+    for (const vm of this.vms.values())
+      scheduler.listVm(vm.entry.id, vm.entry, this.nowMs);
+    this.owner = {
+      fence,
+      scheduler,
+      alive: true,
+      batch: undefined,
+      leaseEndMs: new Map(
+        [...this.vms.keys()].map((id) => [id, this.nowMs + INHERIT_MS]),
+      ),
+      silentVms: new Set(),
+      lostVms: new Set(),
+    };
+  }
+
+  private store(batch: core.workloads.RecordBatch): void {
+    for (const [id, text] of batch.progress) this.progress.set(id, text);
+    for (const [id, state] of batch.finals) this.finals.set(id, state);
+    for (const id of batch.dropped) this.progress.delete(id);
+  }
+
+  private crash(vm: SimVm): void {
+    vm.up = false;
+    vm.running.clear();
+    vm.closed.clear();
+    vm.ended = [];
+    vm.nextEnd = 1;
+    vm.fence = 0;
+    vm.leaseEndMs = 0;
+    vm.life += 1;
+    this.send(300 + Math.abs(this.random()) * 4_000, () => {
+      vm.up = true;
+      vm.entry = { ...vm.entry, life: vm.life };
+      this.owner?.scheduler.listVm(vm.entry.id, vm.entry, this.nowMs);
+    });
+  }
+
+  private endRun(vm: SimVm, key: string, how: core.workloads.RunEnd): void {
+    const run = vm.running.get(key);
+    if (run === undefined) return;
+    vm.running.delete(key);
+    const name = core.workloads.formatTask(run.task);
+    vm.closed.set(name, Math.max(vm.closed.get(name) ?? 0, run.run));
+    vm.ended.push({
+      number: vm.nextEnd,
+      task: run.task,
+      run: run.run,
+      how,
+      saved: '',
+    });
+    vm.nextEnd += 1;
+    if (how === 'done') this.doneEnds.add(name);
+  }
+
+  private receiveStart(
+    vm: SimVm,
+    life: number,
+    command: Extract<core.workloads.Command, { command: 'start' }>,
+    fence: number,
+    untilMs: number,
+  ): core.workloads.StartOutcome | undefined {
+    if (!vm.up || vm.cut) return undefined;
+    if (vm.life !== life) return 'other-life';
+    if (fence < vm.fence) return 'fenced';
+    vm.fence = fence;
+    vm.leaseEndMs = Math.max(
+      vm.leaseEndMs,
+      Math.min(untilMs, this.nowMs + LEASE_MS),
+    );
+    if (untilMs <= this.nowMs) return 'late';
+    const name = core.workloads.formatTask(command.task);
+    if (command.run <= (vm.closed.get(name) ?? 0)) return 'old';
+    const key = `${name}#${command.run}`;
+    if (vm.running.has(key)) return 'started';
+    this.checkStart(vm, command);
+    vm.running.set(key, { task: command.task, run: command.run, percent: 0 });
+    return 'started';
+  }
+
+  private checkStart(
+    vm: SimVm,
+    command: Extract<core.workloads.Command, { command: 'start' }>,
+  ): void {
+    const name = core.workloads.formatTask(command.task);
+    const job = this.jobs.get(command.task.job);
+    const step = job?.steps[command.task.step];
+    if (job === undefined || step === undefined) {
+      this.violations.push(`${name} was never submitted`);
+      return;
+    }
+    for (const other of this.vms.values())
+      for (const run of other.running.values())
+        if (core.workloads.formatTask(run.task) === name)
+          this.violations.push(
+            `${this.nowMs}: ${name}#${command.run} runs twice: also #${run.run} on ${other.entry.id}`,
+          );
+    if (this.doneNoted.has(name) && !step.lasts)
+      this.violations.push(
+        `${this.nowMs}: ${name} started after its end was noted`,
+      );
+    for (const index of step.after)
+      for (let task = 0; task < job.steps[index]!.count; task += 1)
+        if (!this.doneEnds.has(`${job.id}.0.${index}.${task}`))
+          this.violations.push(`${name} started before step ${index} was done`);
+    const used = { cores: 0, memoryMb: 0, gpus: 0 };
+    let same = 0;
+    for (const run of vm.running.values()) {
+      const size = this.jobs.get(run.task.job)!.steps[run.task.step]!.size;
+      used.cores += size.cores;
+      used.gpus += size.gpus;
+      if (run.task.job === job.id && run.task.step === command.task.step)
+        same += 1;
+    }
+    if (
+      used.cores + step.size.cores > 4 + 1e-6 ||
+      used.gpus + step.size.gpus > 2
+    )
+      this.violations.push(`${this.nowMs}: ${name} exceeds ${vm.entry.id}`);
+    if (step.maxPerVm !== undefined && same >= step.maxPerVm)
+      this.violations.push(
+        `${this.nowMs}: ${name} is beyond the most on one VM`,
+      );
+    const failed = this.failures.get(
+      step.gang ? `${job.id}.0.${command.task.step}` : name,
+    );
+    if (!step.lasts && (failed?.size ?? 0) >= job.policy.attempts)
+      this.violations.push(
+        `${this.nowMs}: ${name} started beyond its attempts`,
+      );
+  }
+
+  private execute(owner: Owner, command: core.workloads.Command): void {
+    const vm = this.vms.get('vm' in command ? command.vm : '');
+    if (vm === undefined) return;
+    const { life } = vm;
+    const { scheduler, fence } = owner;
+    switch (command.command) {
+      case 'start': {
+        const untilMs = this.nowMs + LEASE_MS;
+        owner.leaseEndMs.set(
+          command.vm,
+          Math.max(owner.leaseEndMs.get(command.vm) ?? 0, untilMs + 100),
+        );
+        const late = this.chance(this.faults.lateOrders);
+        this.send(
+          late
+            ? Math.abs(this.random()) * 4_000
+            : 5 + Math.abs(this.random()) * 20,
+          () => {
+            const outcome = this.receiveStart(
+              vm,
+              life,
+              command,
+              fence,
+              untilMs,
+            );
+            if (late || outcome === undefined || !owner.alive) return;
+            this.send(5, () => {
+              if (owner.alive)
+                scheduler.applyStart(
+                  command.vm,
+                  command.task,
+                  command.run,
+                  outcome,
+                  this.nowMs,
+                );
+            });
+          },
+        );
+        this.send(500, () => {
+          if (owner.alive)
+            scheduler.applyStart(
+              command.vm,
+              command.task,
+              command.run,
+              'unknown',
+              this.nowMs,
+            );
+        });
+        return;
+      }
+      case 'stop':
+        this.send(5 + Math.abs(this.random()) * 30, () => {
+          if (
+            !vm.up ||
+            vm.cut ||
+            vm.life !== life ||
+            fence < vm.fence ||
+            this.chance(this.faults.lateOrders)
+          )
+            return;
+          vm.fence = fence;
+          const name = core.workloads.formatTask(command.task);
+          vm.closed.set(name, Math.max(vm.closed.get(name) ?? 0, command.run));
+          this.send(20 + Math.abs(this.random()) * 200, () => {
+            if (vm.life === life)
+              this.endRun(vm, `${name}#${command.run}`, 'stopped');
+          });
+          this.send(5, () => {
+            if (owner.alive)
+              scheduler.applyStop(
+                command.vm,
+                command.task,
+                command.run,
+                true,
+                this.nowMs,
+              );
+          });
+        });
+        return;
+      case 'advise':
+      case 'pace':
+    }
+  }
+
+  private hold(owner: Owner, vm: SimVm): void {
+    const id = vm.entry.id;
+    const askedMs = this.nowMs;
+    if (!vm.up || vm.cut) {
+      owner.silentVms.add(id);
+      owner.scheduler.suspendVm(id);
+      if (
+        this.nowMs > (owner.leaseEndMs.get(id) ?? 0) &&
+        !owner.lostVms.has(id)
+      ) {
+        owner.lostVms.add(id);
+        owner.scheduler.loseVm(id, this.nowMs);
+      }
+      return;
+    }
+    if (owner.fence < vm.fence) return;
+    vm.fence = owner.fence;
+    owner.lostVms.delete(id);
+    const seen = owner.scheduler.readDurableEnd(id);
+    for (const end of vm.ended)
+      if (end.number <= seen) {
+        const name = core.workloads.formatTask(end.task);
+        if (end.how === 'done') this.doneNoted.add(name);
+        if (end.how === 'failed') {
+          const step = this.jobs.get(end.task.job)!.steps[end.task.step]!;
+          const key = step.gang ? `${end.task.job}.0.${end.task.step}` : name;
+          this.failures.set(
+            key,
+            (this.failures.get(key) ?? new Set()).add(end.run),
+          );
+        }
+      }
+    vm.ended = vm.ended.filter(({ number }) => number > seen);
+    vm.leaseEndMs = this.nowMs + LEASE_MS;
+    owner.leaseEndMs.set(id, this.nowMs + LEASE_MS + 100);
+    const report: core.workloads.VmReport = {
+      life: vm.life,
+      running: [...vm.running.values()].map((run) => ({
+        ...run,
+        saved: '',
+        load: 0,
+      })),
+      ended: [...vm.ended],
+      askedMs,
+    };
+    this.send(2 + Math.abs(this.random()) * 40, () => {
+      if (owner.alive) owner.scheduler.applyReport(id, report, this.nowMs);
+    });
+  }
+
+  private work(vm: SimVm): void {
+    for (const [key, run] of [...vm.running]) {
+      if (this.nowMs > vm.leaseEndMs) {
+        this.endRun(vm, key, 'lapsed');
+        continue;
+      }
+      const step = this.jobs.get(run.task.job)!.steps[run.task.step]!;
+      if (step.gang && !this.isGangComplete(run)) continue;
+      run.percent = Math.min(
+        100,
+        run.percent + 2 + Math.floor(Math.abs(this.random()) * 10),
+      );
+      if (step.lasts) {
+        if (this.chance(0.002)) this.endRun(vm, key, 'failed');
+      } else if (run.percent === 100) this.endRun(vm, key, 'done');
+      else if (this.chance(0.004)) this.endRun(vm, key, 'failed');
+    }
+  }
+
+  private isGangComplete(run: Running): boolean {
+    const { count } = this.jobs.get(run.task.job)!.steps[run.task.step]!;
+    let present = 0;
+    for (const vm of this.vms.values())
+      for (const other of vm.running.values())
+        if (other.run === run.run && other.task.job === run.task.job)
+          present += 1;
+    return present === count || run.percent > 0;
+  }
+
+  private tick(owner: Owner): void {
+    const decision = owner.scheduler.tick(this.nowMs, this.nowMs);
+    for (const command of decision.commands) this.execute(owner, command);
+    if (decision.batch !== undefined)
+      owner.batch = {
+        batch: decision.batch,
+        dueMs:
+          this.nowMs + (this.faults.slowStore && this.chance(0.2) ? 400 : 10),
+      };
+    if (owner.batch === undefined || owner.batch.dueMs > this.nowMs) return;
+    this.store(owner.batch.batch);
+    owner.batch = undefined;
+    for (const command of owner.scheduler.confirmBatch())
+      this.execute(owner, command);
+  }
+
+  /** Moves the time by one step of 10 ms. */
+  step(faulty: boolean): void {
+    this.nowMs += 10;
+    const due = this.messages.filter(({ dueMs }) => dueMs <= this.nowMs);
+    for (const message of due)
+      this.messages.splice(this.messages.indexOf(message), 1);
+    for (const message of due) message.deliver();
+    for (const vm of this.vms.values()) this.work(vm);
+    const { owner } = this;
+    if (owner !== undefined) {
+      for (const vm of this.vms.values())
+        if (this.chance(0.15)) this.hold(owner, vm);
+      this.tick(owner);
+    }
+    if (faulty) this.breakSomething();
+    else for (const vm of this.vms.values()) vm.cut = false;
+  }
+
+  private breakSomething(): void {
+    if (this.faults.crashes && this.chance(0.004)) {
+      const vm = this.pick([...this.vms.values()]);
+      if (vm.up) this.crash(vm);
+    }
+    if (this.faults.cuts && this.chance(0.004)) {
+      const vm = this.pick([...this.vms.values()]);
+      vm.cut = true;
+      this.send(Math.abs(this.random()) * 6_000, () => {
+        vm.cut = false;
+      });
+    }
+    if (this.faults.takeovers && this.chance(0.003)) this.replaceOwner(true);
+    if (this.chance(0.002)) this.cancelJob();
+  }
+
+  /** Jobs that should have ended and haven't. */
+  listUnfinished(): readonly string[] {
+    return [...this.jobs.values()]
+      .filter(
+        ({ id, steps }) =>
+          !this.finals.has(id) &&
+          !this.cancelled.has(id) &&
+          !steps.some(({ lasts }) => lasts),
+      )
+      .map(({ id }) => id);
+  }
+
+  /** Tasks of cancelled jobs that run. */
+  listUnwanted(): readonly string[] {
+    return [...this.vms.values()].flatMap(({ running }) =>
+      [...running.values()]
+        .filter(({ task }) => this.cancelled.has(task.job))
+        .map(({ task }) => core.workloads.formatTask(task)),
+    );
+  }
+}
--- /dev/null
+++ b/packages/core/test/workloads/world.ts
@@ -0,0 +1,296 @@
+/**
+ * A small world for tests of the workload scheduler: VMs that carry out orders at
+ * once, a store that is durable at once, and a clock that moves when a test says so.
+ */
+import * as core from '../../src/index.js';
+
+type Workloads = typeof core.workloads;
+type Step = Parameters<Workloads['formatStep']>[0];
+
+/** Policy of a queue with defaults. */
+export function createPolicy(
+  given: Partial<core.workloads.QueuePolicy> = {},
+): core.workloads.QueuePolicy {
+  return {
+    name: 'queue',
+    pool: 'pool',
+    priority: 1,
+    attempts: 3,
+    stretch: 2,
+    slackMs: 1_000,
+    advice: undefined,
+    ...given,
+  };
+}
+
+/** A step with defaults. */
+export function createStep(
+  given: Partial<core.workloads.StepSpec> = {},
+): core.workloads.StepSpec {
+  return {
+    count: 1,
+    size: { cores: 1, memoryMb: 100, gpus: 0 },
+    estimateMs: 1_000,
+    after: [],
+    savesProgress: false,
+    gang: false,
+    oneRack: false,
+    label: undefined,
+    dataRack: undefined,
+    maxPerVm: undefined,
+    allowsCopies: false,
+    lasts: false,
+    image: undefined,
+    targetMs: undefined,
+    fills: false,
+    mayMiss: undefined,
+    ...given,
+  };
+}
+
+/** A VM entry with defaults. */
+export function createEntry(
+  id: string,
+  given: Partial<core.workloads.VmEntry> = {},
+): core.workloads.VmEntry {
+  return {
+    id,
+    address: `${id}:1`,
+    life: 1,
+    pool: 'pool',
+    availabilityZone: 'zone',
+    rack: 'r1-1',
+    labels: [],
+    capacity: { cores: 8, memoryMb: 8_000, gpus: 8 },
+    draining: false,
+    ...given,
+  };
+}
+
+interface RunOnVm {
+  readonly task: core.workloads.TaskKey;
+  readonly run: number;
+  percent: number;
+  load: number;
+}
+
+/** A VM of the world. */
+export interface WorldVm {
+  entry: core.workloads.VmEntry;
+  readonly running: Map<string, RunOnVm>;
+  ended: core.workloads.ListedEnd[];
+  nextEnd: number;
+}
+
+/** The world. */
+export interface World {
+  readonly scheduler: core.workloads.WorkloadScheduler;
+  readonly vms: Map<string, WorldVm>;
+  /** Every command that was carried out. */
+  readonly commands: core.workloads.Command[];
+  readNow(): number;
+  /** Durable records by job, as a store would keep them. */
+  readonly progress: Map<string, string>;
+  readonly finals: Map<string, core.workloads.FinalState>;
+  /** VMs on which runs stand still. */
+  readonly frozen: Set<string>;
+  addVm(id: string, given?: Partial<core.workloads.VmEntry>): void;
+  addJob(
+    id: string,
+    steps: readonly core.workloads.StepSpec[],
+    policy?: core.workloads.QueuePolicy,
+    schedule?: core.workloads.Schedule,
+  ): core.workloads.Job;
+  /** Moves the time and lets everything react. */
+  advance(byMs: number): void;
+  /** Lets a run end at its VM. */
+  endRun(
+    vm: string,
+    run: number,
+    how: core.workloads.RunEnd,
+    saved?: string,
+  ): void;
+  /** Reports a VM's state. */
+  report(vm: string): void;
+  listRuns(): readonly {
+    readonly vm: string;
+    readonly task: string;
+    readonly run: number;
+  }[];
+  listAsked(): readonly Step[];
+}
+
+/** How a world behaves. */
+export interface WorldOptions {
+  readonly firstRun?: number;
+  readonly unrecordedStarts?: boolean;
+  readonly adviceSlots?: number;
+  /** VMs that may run a step; all when absent. */
+  readonly isGood?: (step: Step, vm: string) => boolean;
+  /** Answers no advice at all. */
+  readonly holdsAdvice?: boolean;
+  /** Keeps batches open until `confirm`. */
+  readonly startMs?: number;
+}
+
+/** Creates a world. */
+export function createWorld(options: WorldOptions = {}): World {
+  let nowMs = options.startMs ?? 1_000;
+  const vms = new Map<string, WorldVm>();
+  const commands: core.workloads.Command[] = [];
+  const frozen = new Set<string>();
+  const progress = new Map<string, string>();
+  const finals = new Map<string, core.workloads.FinalState>();
+  const scheduler = core.workloads.createWorkloadScheduler({
+    bounds: {
+      leaseMs: 6_000,
+      inheritMs: 16_000,
+      firstRun: options.firstRun ?? 1,
+    },
+    unrecordedStarts: options.unrecordedStarts ?? false,
+    readAdviceSlots: () => options.adviceSlots ?? 10,
+    nowMs,
+  });
+
+  function execute(command: core.workloads.Command): void {
+    commands.push(command);
+    switch (command.command) {
+      case 'start': {
+        const vm = vms.get(command.vm)!;
+        vm.running.set(
+          `${command.run}/${core.workloads.formatTask(command.task)}`,
+          {
+            task: command.task,
+            run: command.run,
+            percent: 0,
+            load: 0,
+          },
+        );
+        scheduler.applyStart(
+          command.vm,
+          command.task,
+          command.run,
+          'started',
+          nowMs,
+        );
+        return;
+      }
+      case 'stop': {
+        scheduler.applyStop(command.vm, command.task, command.run, true, nowMs);
+        endTask(command.vm, command.task, command.run, 'stopped');
+        return;
+      }
+      case 'advise':
+        if (options.holdsAdvice === true) return;
+        scheduler.applyAdvice(
+          command.step,
+          command.vms,
+          command.vms
+            .filter((vm) => options.isGood?.(command.step, vm) ?? true)
+            .map((vm) => ({ vm, ticket: `t-${vm}` })),
+          nowMs,
+        );
+        return;
+      case 'pace':
+    }
+  }
+
+  function endTask(
+    id: string,
+    task: core.workloads.TaskKey,
+    run: number,
+    how: core.workloads.RunEnd,
+    saved = '',
+  ): void {
+    const vm = vms.get(id)!;
+    if (!vm.running.delete(`${run}/${core.workloads.formatTask(task)}`)) return;
+    vm.ended.push({ number: vm.nextEnd, task, run, how, saved });
+    vm.nextEnd += 1;
+  }
+
+  function report(id: string): void {
+    const vm = vms.get(id)!;
+    const seen = scheduler.readDurableEnd(id);
+    vm.ended = vm.ended.filter(({ number }) => number > seen);
+    scheduler.applyReport(
+      id,
+      {
+        life: vm.entry.life,
+        running: [...vm.running.values()].map((run) => ({ ...run, saved: '' })),
+        ended: vm.ended,
+        askedMs: nowMs,
+      },
+      nowMs,
+    );
+  }
+
+  function settle(): void {
+    for (let round = 0; round < 5; round += 1) {
+      const decision = scheduler.tick(nowMs, nowMs);
+      for (const command of decision.commands) execute(command);
+      if (decision.batch !== undefined) {
+        for (const [id, text] of decision.batch.progress)
+          progress.set(id, text);
+        for (const [id, state] of decision.batch.finals) finals.set(id, state);
+        for (const id of decision.batch.dropped) progress.delete(id);
+        for (const command of scheduler.confirmBatch()) execute(command);
+      }
+    }
+  }
+
+  return {
+    scheduler,
+    vms,
+    commands,
+    progress,
+    finals,
+    frozen,
+    readNow: () => nowMs,
+    addVm(id, given = {}) {
+      const entry = createEntry(id, given);
+      vms.set(id, { entry, running: new Map(), ended: [], nextEnd: 1 });
+      scheduler.listVm(id, entry, nowMs);
+      report(id);
+    },
+    addJob(id, steps, policy = createPolicy(), schedule = undefined) {
+      const job: core.workloads.Job = {
+        id,
+        queue: policy.name,
+        payload: 'work',
+        steps,
+        schedule,
+        configVersion: 1,
+        acceptedAtMs: nowMs,
+        policy,
+      };
+      scheduler.acceptJob(job, 0, nowMs, nowMs);
+      return job;
+    },
+    advance(byMs) {
+      nowMs += byMs;
+      for (const vm of vms.values())
+        for (const run of vm.running.values())
+          if (!frozen.has(vm.entry.id))
+            run.percent = Math.min(99, run.percent + 1);
+      for (const id of vms.keys()) report(id);
+      settle();
+    },
+    endRun(id, run, how, saved) {
+      for (const entry of [...vms.get(id)!.running.values()])
+        if (entry.run === run) endTask(id, entry.task, run, how, saved);
+    },
+    report,
+    listRuns: () =>
+      [...vms].flatMap(([vm, { running }]) =>
+        [...running.values()].map(({ task, run }) => ({
+          vm,
+          task: core.workloads.formatTask(task),
+          run,
+        })),
+      ),
+    listAsked: () =>
+      commands.flatMap((command) =>
+        command.command === 'advise' ? [command.step] : [],
+      ),
+  };
+}
