Adopt runs that a previous owner started without a record

Ruled out: late orders (both runs were confirmed), a wrong lease bound.

Change: a later run than the inherited one replaces it; a task with an unwanted run on some VM isn't started until that VM lists it no more.

--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -28,7 +28,7 @@
   vm.usable = true;
   applyEnds(state, vm, report, nowMs);
   const listed = new Set<tables.RunRow>();
-  vm.strangers = 0;
+  clearStrangers(vm);
   for (const entry of report.running)
     applyRunning(state, vm, entry, listed, nowMs);
   for (const run of [...vm.runs])
@@ -65,6 +65,7 @@
   vm: tables.VmRow,
   nowMs: number,
 ): void {
+  clearStrangers(vm);
   for (const run of [...vm.runs]) loseRun(state, run, nowMs);
 }
 
@@ -74,6 +75,12 @@
   if (run.task.step.spec.gang) ends.clearGang(state, run.task.step, nowMs);
 }
 
+function clearStrangers(vm: tables.VmRow): void {
+  vm.strangers = 0;
+  for (const task of vm.strangerTasks) task.elsewhere.delete(vm);
+  vm.strangerTasks.clear();
+}
+
 function applyEnds(
   state: states.State,
   vm: tables.VmRow,
@@ -124,8 +131,12 @@
   entry: types.ListedRun,
   nowMs: number,
 ): tables.RunRow | undefined {
+  // A previous owner started this run without a record, after the recorded one had ended.
+  if (task?.run?.phase === 'inherited' && task.run.number < entry.run)
+    states.removeRun(state, task.run, nowMs);
   const wanted =
     task?.state === 'waiting' &&
+    task.elsewhere.size === 0 &&
     !states.isJobOver(task.step.occurrence.job) &&
     (!task.step.spec.gang ||
       task.step.gangRun === 0 ||
@@ -143,6 +154,10 @@
   }
   // Its size may be unknown, so nothing else is placed there until it has ended.
   vm.strangers += 1;
+  if (task !== undefined) {
+    task.elsewhere.add(vm);
+    vm.strangerTasks.add(task);
+  }
   states.countEvent(state, 'stop.not-wanted');
   state.commands.push({
     command: 'stop',
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -369,7 +369,7 @@
     return;
   }
   for (const task of step.tasks) {
-    if (task.state !== 'waiting') continue;
+    if (task.state !== 'waiting' || task.elsewhere.size > 0) continue;
     const chosen = placement.chooseCandidate(candidates, step, task);
     if (chosen === undefined) return;
     placement.takeRoom(chosen, step);
@@ -407,6 +407,7 @@
 ): void {
   // Members of the previous run must be gone before the next one begins.
   if (step.waitingCount !== step.spec.count) return;
+  if (step.tasks.some(({ elsewhere }) => elsewhere.size > 0)) return;
   const places = placement.chooseGang(candidates, step);
   if (places === undefined) return;
   step.gangRun = states.createRunNumber(state);
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -48,6 +48,8 @@
   failedRuns: number[];
   saved: string;
   preemptions: number;
+  /** VMs that list a run of it that isn't wanted; it isn't started while there are any. */
+  readonly elsewhere: Set<VmRow>;
   /** VMs on which it failed or stood still. */
   avoided: Set<ids.VmId>;
   /** Time since which it waits. */
@@ -121,8 +123,10 @@
   usable: boolean;
   readonly runs: Set<RunRow>;
   used: { cores: number; memoryMb: number; gpus: number };
-  /** Runs of unknown size are there. */
+  /** Runs that aren't wanted there, some of unknown size. */
   strangers: number;
+  /** Tasks that such runs belong to. */
+  readonly strangerTasks: Set<TaskRow>;
   /** Highest end applied, by number. */
   appliedEnd: number;
   /** Highest end whose effect is durable. */
@@ -190,6 +194,7 @@
     runs: new Set(),
     used: { cores: 0, memoryMb: 0, gpus: 0 },
     strangers: 0,
+    strangerTasks: new Set(),
     appliedEnd: 0,
     durableEnd: 0,
     recentFailures: 0,
@@ -247,6 +252,7 @@
         failedRuns: [],
         saved: '',
         preemptions: 0,
+        elsewhere: new Set(),
         avoided: new Set(),
         waitingSinceMs: dueMs,
       });
--- a/packages/core/test/workloads/world.ts
+++ b/packages/core/test/workloads/world.ts
@@ -252,7 +252,7 @@
       scheduler.listVm(id, entry, nowMs);
       report(id);
     },
-    addJob(id, steps, policy = createPolicy(), schedule = undefined) {
+    addJob(id, steps, policy = createPolicy(), schedule?) {
       const job: core.workloads.Job = {
         id,
         queue: policy.name,
