Find a silent configuration read in time; don't deny routes on old knowledge

Its waiting read of up to 15 s was on a connection that had gone silent.

Change: reads wait 1.2 s and are given up a second later; a node whose last answer is older than 2.6 s answers 503 instead of 404. The test fails with the old wait.

--- a/packages/cluster/src/configuration.ts
+++ b/packages/cluster/src/configuration.ts
@@ -7,8 +7,10 @@
 import type * as ports from './ports.js';
 import * as tails from './tail.js';
 
-/** Longest wait of a read at the store, in ms. */
-const FOLLOW_MS = 15_000;
+/** Longest wait of a read, in ms: with its time-out, a silent connection is found before a version is due. */
+const FOLLOW_MS = 1_200;
+/** Age of the last answer from which this node can't tell that a route doesn't exist, in ms. */
+const STALE_MS = 2_600;
 /** Time before the next try after a failed read, in ms. */
 const RETRY_MS = 150;
 /** Pause between reads, in ms, so that records that come together are read together. */
@@ -17,6 +19,8 @@
 /** The configuration as this node knows it. */
 export interface ConfigurationView {
   read(): ports.Configuration | undefined;
+  /** Whether a newer version may be in force for longer than nodes may lag behind. */
+  isStale(): boolean;
   /** Finds the route of a request and the rest of its path. */
   findRoute(
     host: string,
@@ -46,6 +50,7 @@
   >();
   let closed = false;
   let lost = false;
+  let readMs = 0;
 
   const tail = tails.createTail({
     source,
@@ -79,6 +84,7 @@
   async function follow(): Promise<void> {
     while (!isClosed()) {
       const read = await tail.follow(FOLLOW_MS);
+      if (read) readMs = timers.readNow();
       if (read && lost) {
         log.write('info', 'store.regained', { stream: 'configuration' });
         lost = false;
@@ -97,6 +103,7 @@
 
   return {
     read: () => current,
+    isStale: () => timers.readNow() - readMs > STALE_MS,
     findRoute(host, path) {
       let best: ports.Route | undefined;
       for (const route of current?.routes ?? []) {
--- a/packages/cluster/src/desk.ts
+++ b/packages/cluster/src/desk.ts
@@ -55,7 +55,10 @@
     if (current === undefined)
       return buildUnavailable('no configuration has been read yet');
     const found = configuration.findRoute(request.host, request.path);
-    if (found === undefined) return { answer: 'unknown-queue' };
+    if (found === undefined)
+      return configuration.isStale()
+        ? buildUnavailable('the configuration may be out of date')
+        : { answer: 'unknown-queue' };
     const { policy } = found.route;
     const untilMs =
       timers.readNow() +
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -160,7 +160,7 @@
   }
 
   /** Time for which the store holds a read until there is a record, in ms. */
-  const followMs = 5_000;
+  const followMs = 1_200;
   /** Time between reads, in ms, so that records that come together are read together. */
   const followPauseMs = 15;
 
--- /dev/null
+++ b/packages/cluster/test/configuration.test.ts
@@ -0,0 +1,63 @@
+/** The configuration of a node: newest only, and in time although a connection is silent. */
+import * as vitest from 'vitest';
+import * as configurations from '../src/configuration.js';
+import * as fakes from './fakes.js';
+
+function write(version: number, prefixes: readonly string[]): string {
+  return JSON.stringify({
+    version,
+    maxBodyBytes: 1_000,
+    routes: prefixes.map((pathPrefix) => ({
+      host: 'host',
+      pathPrefix,
+      policy: { name: pathPrefix },
+    })),
+  });
+}
+
+vitest.describe('the configuration', () => {
+  vitest.it(
+    'is read anew within three seconds when a read gets no answer (guards against an old version after a connection fell silent)',
+    async () => {
+      const context = fakes.createFakeContext();
+      context.configuration.add('config', write(1, ['/a/']));
+      const view = configurations.createConfigurationView(context);
+      // The waiting read goes out on a connection that never answers.
+      context.configuration.silent = true;
+      view.open();
+      await fakes.advance(context.fakeTimers, 100);
+      vitest.expect(view.read()?.version).toBe(1);
+      context.configuration.silent = false;
+      context.configuration.add('config', write(2, ['/b/']));
+      await fakes.advance(context.fakeTimers, 2_900);
+      vitest.expect(view.read()?.version).toBe(2);
+      view.close();
+    },
+  );
+
+  vitest.it('never goes back to an older version', async () => {
+    const context = fakes.createFakeContext();
+    context.configuration.add('config', write(5, ['/a/']));
+    const view = configurations.createConfigurationView(context);
+    view.open();
+    await fakes.advance(context.fakeTimers, 100);
+    context.configuration.add('config', write(4, ['/b/']));
+    await fakes.advance(context.fakeTimers, 100);
+    vitest.expect(view.read()?.version).toBe(5);
+    view.close();
+  });
+
+  vitest.it('finds the longest prefix of a host', async () => {
+    const context = fakes.createFakeContext();
+    context.configuration.add('config', write(1, ['/a/', '/a/b/']));
+    const view = configurations.createConfigurationView(context);
+    view.open();
+    await fakes.advance(context.fakeTimers, 100);
+    vitest.expect(view.findRoute('host', '/a/b/c')).toMatchObject({
+      route: { pathPrefix: '/a/b/' },
+      rest: 'c',
+    });
+    vitest.expect(view.findRoute('other', '/a/b/c')).toBeUndefined();
+    view.close();
+  });
+});
--- /dev/null
+++ b/packages/cluster/test/fakes.ts
@@ -0,0 +1,222 @@
+/** Fakes at the interfaces of a node: a log in memory, and ports that a test completes. */
+import * as core from '@flamingoward/core';
+import type * as contexts from '../src/context.js';
+import type * as ports from '../src/ports.js';
+
+/** A keyed stream in memory; reads wait for records as the store does. */
+export interface FakeStream extends ports.StreamSource {
+  readonly records: ports.KeyedRecord[];
+  add(key: string, value: string | undefined): number;
+  /** Reads that begin while this is set never get an answer. */
+  silent: boolean;
+  /** Why reads and appends fail now; undefined when they don't. */
+  failing: string | undefined;
+}
+
+/** Creates a stream. */
+export function createFakeStream(timers: core.TimerService): FakeStream {
+  const records: ports.KeyedRecord[] = [];
+  let waiting: (() => void)[] = [];
+
+  const stream: FakeStream = {
+    records,
+    silent: false,
+    failing: undefined,
+    add(key, value) {
+      records.push({ offset: records.length, key, value });
+      const woken = waiting;
+      waiting = [];
+      for (const wake of woken) wake();
+      return records.length - 1;
+    },
+    async read(from, { waitMs, timeoutMs }) {
+      if (stream.silent) {
+        await core.waitFor(timers, 'fake.silent', waitMs + timeoutMs);
+        return { outcome: 'failed', why: 'no answer' };
+      }
+      if (stream.failing !== undefined)
+        return { outcome: 'failed', why: stream.failing };
+      if (from >= records.length && waitMs > 0)
+        await Promise.race([
+          core.waitFor(timers, 'fake.read', waitMs),
+          new Promise<void>((resolve) => waiting.push(resolve)),
+        ]);
+      const found = records.slice(from);
+      return {
+        outcome: 'records',
+        records: found,
+        next: from + found.length,
+        end: records.length,
+      };
+    },
+    readNewest() {
+      if (stream.failing !== undefined)
+        return Promise.resolve({ outcome: 'failed', why: stream.failing });
+      const newest = new Map<string, ports.KeyedRecord>();
+      for (const record of records) newest.set(record.key, record);
+      return Promise.resolve({
+        outcome: 'newest',
+        records: [...newest.values()].filter(
+          ({ value }) => value !== undefined,
+        ),
+        next: records.length,
+      });
+    },
+  };
+  return stream;
+}
+
+/** A log store in memory, with conditions and writers. */
+export interface FakeStore extends ports.LogStore {
+  readonly streams: Readonly<Record<ports.StreamName, FakeStream>>;
+  /** Called before each append; a result that it returns goes out instead. */
+  intercept:
+    | ((
+        stream: ports.StreamName,
+        records: readonly ports.NewRecord[],
+      ) => Promise<ports.AppendResult> | undefined)
+    | undefined;
+}
+
+/** Creates a store. */
+export function createFakeStore(timers: core.TimerService): FakeStore {
+  const streams = {
+    claims: createFakeStream(timers),
+    jobs: createFakeStream(timers),
+    progress: createFakeStream(timers),
+  };
+  const epochs = new Map<string, number>();
+
+  const store: FakeStore = {
+    streams,
+    intercept: undefined,
+    async append(name, records, options) {
+      const instead = store.intercept?.(name, records);
+      if (instead !== undefined) return instead;
+      const stream = streams[name];
+      if (stream.failing !== undefined)
+        return { outcome: 'refused', why: stream.failing };
+      await core.waitFor(timers, 'fake.append', 2);
+      const end = stream.records.length;
+      if (options.expectedEnd !== undefined && options.expectedEnd !== end)
+        return { outcome: 'conflict', end };
+      const epoch = options.writer?.epoch;
+      if (epoch !== undefined) {
+        if (epoch < (epochs.get(name) ?? 0)) return { outcome: 'fenced' };
+        epochs.set(name, epoch);
+      }
+      for (const { key, value } of records) stream.add(key, value);
+      return { outcome: 'appended', offset: end, end: stream.records.length };
+    },
+    openStream: (name) => streams[name],
+  };
+  return store;
+}
+
+/** What was logged. */
+export interface LoggedLine {
+  readonly event: string;
+  readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** A context around fakes. */
+export interface FakeContext extends contexts.NodeContext {
+  readonly lines: LoggedLine[];
+  readonly fakeTimers: core.VirtualTimers;
+  readonly store: FakeStore;
+  readonly configuration: FakeStream;
+}
+
+/** Creates a context; nodes of one cluster share timers and store. */
+export function createFakeContext(
+  shared: {
+    readonly timers?: core.VirtualTimers;
+    readonly store?: FakeStore;
+  } = {},
+  name = 'node-1',
+): FakeContext {
+  const fakeTimers = shared.timers ?? core.createVirtualTimers(10_000);
+  const store = shared.store ?? createFakeStore(fakeTimers);
+  const configuration = createFakeStream(fakeTimers);
+  const lines: LoggedLine[] = [];
+  const unused = () => {
+    throw new Error('not used by this test');
+  };
+  return {
+    lines,
+    fakeTimers,
+    store,
+    configuration,
+    timers: fakeTimers,
+    instance: `instance-of-${name}`,
+    readRandom: () => 0.5,
+    log: {
+      write: (_, event, fields) => {
+        lines.push({ event, fields });
+      },
+    },
+    metrics: {
+      count: () => undefined,
+      record: () => undefined,
+      set: () => undefined,
+      render: () => '',
+    },
+    settings: {
+      name,
+      region: 'region',
+      availabilityZone: 'zone',
+      logLevel: 'debug',
+      listen: {
+        callers: '127.0.0.1:1',
+        readiness: '127.0.0.1:2',
+        links: `${name}:3`,
+        metrics: '127.0.0.1:4',
+      },
+      logStoreAddress: '127.0.0.1:5',
+      adviceAddress: '',
+      leaseMs: 6_000,
+      stopMs: 6_000,
+    },
+    ports: {
+      store,
+      configuration: {
+        ...configuration,
+        read: (from, options) => configuration.read(from, options),
+        readNewest: (timeoutMs) => configuration.readNewest(timeoutMs),
+        decode: ({ value }) =>
+          value === undefined
+            ? undefined
+            : {
+                readable: true,
+                value: JSON.parse(value) as ports.Configuration,
+              },
+      },
+      vms: {
+        ...createFakeStream(fakeTimers),
+        decode: () => ({ readable: false, why: 'not used' }),
+      },
+      vmCalls: {
+        hold: unused,
+        start: unused,
+        stop: unused,
+        pace: unused,
+        drop: unused,
+      },
+      advice: { ask: unused },
+      decodeSubmission: () => ({ readable: false, why: 'not used' }),
+      createServer: unused,
+    },
+  };
+}
+
+/** Moves the time in small steps and lets promises settle between them. */
+export async function advance(
+  timers: core.VirtualTimers,
+  byMs: number,
+): Promise<void> {
+  const STEP_MS = 10;
+  for (let passed = 0; passed < byMs; passed += STEP_MS) {
+    timers.advance(STEP_MS);
+    for (let turn = 0; turn < 20; turn += 1) await Promise.resolve();
+  }
+}
