--- a/packages/cluster/src/claims.ts
+++ b/packages/cluster/src/claims.ts
@@ -71,6 +71,8 @@
   suspect(instance: core.ids.InstanceId, gone: boolean): void;
   /** The owner has told when the store last confirmed its claim. */
   noteBeat(fence: number, confirmedAgeMs: number): void;
+  /** Whether the store answered the last read. */
+  isStoreReached(): boolean;
   /** Whether the store answers this node now. */
   checkStore(): Promise<boolean>;
   /** The owner has said that it gives up. */
@@ -116,6 +118,7 @@
   let watchTurn: core.TimerSubscription | undefined;
   let roundTripMs = 0;
   let lastReadMs = -Infinity;
+  let reached = false;
 
   const tail = tails.createTail({
     source: store.openStream('claims'),
@@ -285,6 +288,7 @@
     const read = await tail.refresh();
     const nowMs = timers.readNow();
     // A record that the next read finds was appended after this one.
+    reached = read;
     if (read) lastReadMs = startedMs;
     if (!read) {
       // Renewals can't be seen now; their absence says nothing.
@@ -359,6 +363,7 @@
       confirmedByMs = Math.max(confirmedByMs, atMs);
       renewedMs = Math.max(renewedMs, atMs);
     },
+    isStoreReached: () => reached,
     checkStore: () => tail.refresh(),
     noteReleased(fence) {
       if (owner?.fence !== fence || owned !== undefined) return;
--- a/packages/cluster/src/desk.ts
+++ b/packages/cluster/src/desk.ts
@@ -27,6 +27,11 @@
     id: core.ids.JobId,
   ): Promise<core.workloads.JobState | 'unknown' | undefined>;
   countWaiting(queue: core.workloads.QueueName): number;
+  /** Has the owner write; undefined when it certainly wrote nothing. */
+  writeThroughOwner(
+    change: DurableWrite,
+    timeoutMs: number,
+  ): Promise<jobStores.WriteResult | undefined>;
   /** Why a job must not be accepted now. */
   checkAdmission(
     submission: ports.Submission,
@@ -34,6 +39,10 @@
   ): { readonly why: string; readonly retryAfterS: number } | undefined;
 }
 
+/** A change that must be durable before it is answered. */
+export type DurableWrite =
+  { readonly accept: core.workloads.Job } | { readonly cancel: core.ids.JobId };
+
 /** Answers one request. */
 export type Desk = (
   request: ports.CallerRequest,
@@ -94,27 +103,36 @@
     const refusal = questions.checkAdmission(decoded.value, policy);
     if (refusal !== undefined)
       return { answer: 'refused', cause: 'load', ...refusal };
-    const health = jobs.readHealth();
-    if (health.away && !health.mayProbe) return buildUnavailable(health.why);
-    const written = await jobs.accept(
-      {
-        id,
-        queue: policy.name,
-        policy,
-        configVersion: configuration.read()?.version ?? 0,
-        acceptedAtMs: timers.readDate(),
-        ...decoded.value,
-      },
-      untilMs,
-    );
-    switch (written.outcome) {
-      case 'durable':
-        return { answer: 'accepted' };
-      case 'refused':
-        return buildUnavailable(written.why);
-      case 'unknown':
-        return { answer: 'outcome-unknown', why: written.why };
+    const job: core.workloads.Job = {
+      id,
+      queue: policy.name,
+      policy,
+      configVersion: configuration.read()?.version ?? 0,
+      acceptedAtMs: timers.readDate(),
+      ...decoded.value,
+    };
+    const written = await write({ accept: job }, untilMs);
+    return buildWritten(written, { answer: 'accepted' });
+  }
+
+  /** Writes here, or through the owner when the store doesn't answer this node. */
+  async function write(
+    change: DurableWrite,
+    untilMs: number,
+  ): Promise<jobStores.WriteResult> {
+    if (!jobs.readHealth().away) {
+      const written =
+        'accept' in change
+          ? await jobs.accept(change.accept, untilMs)
+          : await jobs.cancel(change.cancel, untilMs);
+      if (written.outcome !== 'refused') return written;
     }
+    const timeoutMs = untilMs - timers.readNow();
+    const through =
+      timeoutMs > 0
+        ? await questions.writeThroughOwner(change, timeoutMs)
+        : undefined;
+    return through ?? { outcome: 'refused', why: jobs.readHealth().why };
   }
 
   async function readState(
@@ -155,15 +173,8 @@
       (await questions.readState(id)) === 'unknown'
     )
       return { answer: 'unknown-job' };
-    const written = await jobs.cancel(id, untilMs);
-    switch (written.outcome) {
-      case 'durable':
-        return { answer: 'cancelled' };
-      case 'refused':
-        return buildUnavailable(written.why);
-      case 'unknown':
-        return { answer: 'outcome-unknown', why: written.why };
-    }
+    const written = await write({ cancel: id }, untilMs);
+    return buildWritten(written, { answer: 'cancelled' });
   }
 
   return async (request) => {
@@ -197,3 +208,17 @@
     retryAfterS: AWAY_RETRY_S,
   };
 }
+
+function buildWritten(
+  written: jobStores.WriteResult,
+  durable: ports.CallerAnswer,
+): ports.CallerAnswer {
+  switch (written.outcome) {
+    case 'durable':
+      return durable;
+    case 'refused':
+      return buildUnavailable(written.why);
+    case 'unknown':
+      return { answer: 'outcome-unknown', why: written.why };
+  }
+}
--- a/packages/cluster/src/jobStore.ts
+++ b/packages/cluster/src/jobStore.ts
@@ -15,8 +15,10 @@
 /** Records of one append; the rest waits for the next. */
 const MAX_GROUP = 200;
 
-/** While the store is away, one submission finds out if it still is, in ms. */
-const PROBE_MS = 250;
+/** Time between reads that find out whether the store is still away, in ms. */
+const PROBE_MS = 400;
+/** Time that such a read may take, in ms. */
+const PROBE_TIMEOUT_MS = 600;
 
 /** A job as the stream tells it. */
 export interface StoredJob {
@@ -29,7 +31,7 @@
 
 /** What became of a durable write. */
 export type WriteResult =
-  | { readonly outcome: 'durable' }
+  | { readonly outcome: 'durable'; readonly why?: string }
   | { readonly outcome: 'refused'; readonly why: string }
   | { readonly outcome: 'unknown'; readonly why: string };
 
@@ -46,12 +48,9 @@
   setObserver(
     observer: ((change: records.JobChange) => void) | undefined,
   ): void;
-  /** Whether the store is away, and whether a call may find out if it still is. */
-  readHealth(): {
-    readonly away: boolean;
-    readonly mayProbe: boolean;
-    readonly why: string;
-  };
+  /** Whether the store is away. */
+  readHealth(): { readonly away: boolean; readonly why: string };
+  close(): void;
 }
 
 interface PendingWrite {
@@ -71,7 +70,7 @@
   let writing = false;
   let awayWhy = '';
   let away = false;
-  let probedMs = 0;
+  let probe: core.TimerSubscription | undefined;
 
   const tail = tails.createTail({
     source: context.ports.store.openStream('jobs'),
@@ -85,11 +84,26 @@
     if (!away) context.log.write('warn', 'store.lost', { stream: 'jobs', why });
     away = true;
     awayWhy = why;
+    probe ??= timers.subscribe(
+      { name: 'jobs.probe', delayMs: PROBE_MS, repeat: 'periodic' },
+      () => {
+        void probeStore();
+      },
+    );
+  }
+
+  /** Reads one small stream, so that no caller has to wait to find out. */
+  async function probeStore(): Promise<void> {
+    const claims = context.ports.store.openStream('claims');
+    const result = await claims.readNewest(PROBE_TIMEOUT_MS);
+    if (result.outcome === 'newest') noteAnswer();
   }
 
   function noteAnswer(): void {
     if (away) context.log.write('info', 'store.regained', { stream: 'jobs' });
     away = false;
+    probe?.end();
+    probe = undefined;
   }
 
   function applyRecord(record: ports.KeyedRecord): void {
@@ -153,7 +167,6 @@
     while (queue.length > 0) {
       const group = queue.splice(0, MAX_GROUP);
       const startedMs = timers.readNow();
-      probedMs = startedMs;
       const result = await context.ports.store.append(
         'jobs',
         group.map(({ record }) => record),
@@ -252,9 +265,9 @@
     setObserver(next) {
       observer = next;
     },
-    readHealth() {
-      const mayProbe = !writing && timers.readNow() - probedMs >= PROBE_MS;
-      return { away, mayProbe, why: awayWhy };
+    readHealth: () => ({ away, why: awayWhy }),
+    close() {
+      probe?.end();
     },
   };
 }
--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -203,6 +203,8 @@
           kind: 'cluster.job.answer',
           state: await owner?.readJob(question.job),
         };
+      case 'cluster.write':
+        return writeForPeer(question);
       case 'cluster.store':
         return {
           kind: 'cluster.store.answer',
@@ -231,6 +233,53 @@
     }
   }
 
+  async function writeForPeer(
+    question: Extract<
+      core.messages.Question,
+      { readonly kind: 'cluster.write' }
+    >,
+  ): Promise<core.messages.Answer> {
+    const untilMs = timers.readNow() + question.timeoutMs;
+    const written = await ('accept' in question.write
+      ? jobs.accept(question.write.accept, untilMs)
+      : jobs.cancel(question.write.cancel, untilMs));
+    return {
+      kind: 'cluster.write.answer',
+      outcome: written.outcome,
+      why: written.why ?? '',
+    };
+  }
+
+  async function writeThroughOwner(
+    change: desks.DurableWrite,
+    timeoutMs: number,
+  ): Promise<jobStores.WriteResult | undefined> {
+    const current = claim.readOwner();
+    if (current === undefined || owner !== undefined || !hasOwnerLink())
+      return undefined;
+    try {
+      const answer = await hub.ask(
+        current.instance,
+        { kind: 'cluster.write', write: change, timeoutMs },
+        timeoutMs,
+      );
+      return answer.kind === 'cluster.write.answer'
+        ? { outcome: answer.outcome, why: answer.why }
+        : undefined;
+    } catch (cause) {
+      return { outcome: 'unknown', why: core.describeError(cause) };
+    }
+  }
+
+  function hasOwnerLink(): boolean {
+    return beat !== undefined && timers.readNow() - beatMs < BEAT_MISSED_MS;
+  }
+
+  /** Neither the store nor an owner that could write for this node answers. */
+  function isCutOff(): boolean {
+    return owner === undefined && !claim.isStoreReached() && !hasOwnerLink();
+  }
+
   function sendBeat(): void {
     if (owner === undefined) return;
     const peers = hub.listConnected();
@@ -288,13 +337,15 @@
 
   const handle = desks.createDesk(context, configuration, jobs, {
     readState: askOwner,
+    writeThroughOwner,
     countWaiting,
     checkAdmission: () => undefined,
   });
 
   const server = context.ports.createServer({
     handle,
-    isReady: () => !stopping && configuration.read() !== undefined,
+    isReady: () =>
+      !stopping && configuration.read() !== undefined && !isCutOff(),
     renderMetrics,
     renderDump: () => JSON.stringify(owner?.dump() ?? { owner: false }),
     readMaxBodyBytes: () =>
@@ -359,6 +410,7 @@
       await server.close(settings.stopMs - STOP_ACCEPT_MS - STOP_MARGIN_MS);
       for (const timer of timersHeld) timer.end();
       configuration.close();
+      jobs.close();
       fleet.close();
       await hub.close();
       log.write('info', 'node.stopped', {});
--- a/packages/core/src/types/clusterMessages.ts
+++ b/packages/core/src/types/clusterMessages.ts
@@ -27,6 +27,13 @@
 export type ClusterQuestion =
   /** To the owner: the state of a job. */
   | { readonly kind: 'cluster.job'; readonly job: ids.JobId }
+  /** From a node that the store doesn't answer: accept a job, or cancel one. */
+  | {
+      readonly kind: 'cluster.write';
+      readonly write:
+        { readonly accept: workload.Job } | { readonly cancel: ids.JobId };
+      readonly timeoutMs: number;
+    }
   /** From an owner that the store doesn't answer: does it answer you? */
   | { readonly kind: 'cluster.store' }
   /** From the owner: ask the advice service, which serves one call of each node at a time. */
@@ -39,6 +46,11 @@
 
 /** Answers of a cluster. */
 export type ClusterAnswer =
+  | {
+      readonly kind: 'cluster.write.answer';
+      readonly outcome: 'durable' | 'refused' | 'unknown';
+      readonly why: string;
+    }
   | { readonly kind: 'cluster.store.answer'; readonly reached: boolean }
   | {
       readonly kind: 'cluster.job.answer';
--- a/packages/core/src/workloads/preemption.ts
+++ b/packages/core/src/workloads/preemption.ts
@@ -52,6 +52,7 @@
   for (const { vm, victims } of choices.slice(0, Math.max(0, wanted))) {
     vm.reservedFor = step;
     vm.reservedUntilMs = nowMs + RESERVE_MS;
+    vm.reservedFromMs = nowMs;
     for (const run of victims) {
       run.task.preemptions += 1;
       states.stopRun(state, run, 'preempted', nowMs);
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -7,12 +7,14 @@
 import * as advice from './advice.js';
 import * as batches from './batch.js';
 import * as ends from './ends.js';
+import * as headroom from './headroom.js';
 import * as pacing from './pacing.js';
 import * as placement from './placement.js';
 import * as preemption from './preemption.js';
 import * as progress from './progress.js';
 import * as ranking from './ranking.js';
 import * as reports from './reports.js';
+import * as reservation from './reservation.js';
 import * as stalls from './stalls.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
@@ -126,6 +128,7 @@
     unrecordedStarts: options.unrecordedStarts,
     pendingAdvice: 0,
     counts: new Map(),
+    urgentPeaks: new Map(),
   };
 
   function takeCommands(): readonly types.Command[] {
@@ -342,10 +345,14 @@
 ): void {
   const ahead = new Map<types.PoolName, number>();
   const slots = options.readAdviceSlots();
+  const rooms = headroom.measureRooms(state, nowMs);
+  const reserved = new Set<types.PoolName>();
   for (const { step } of ranked) {
     const { pool } = step.occurrence.job.policy;
     const before = step.waitingCount;
-    placeStep(state, step, nowMs);
+    const room = rooms.get(pool);
+    if (room === undefined) continue;
+    placeStep(state, step, room, nowMs);
     if (step.waitingCount === 0) continue;
     const short = ahead.get(pool) ?? 0;
     if (state.pendingAdvice < slots)
@@ -353,6 +360,12 @@
     if (step.waitingCount === before && !advice.isPending(step, nowMs)) {
       ahead.set(pool, short + 1);
       if (short < ADVICE_AHEAD_STEPS) preemption.preemptFor(state, step, nowMs);
+      if (
+        step.spec.gang &&
+        !reserved.has(pool) &&
+        reservation.reserveFor(state, step, nowMs)
+      )
+        reserved.add(pool);
     }
   }
 }
@@ -360,18 +373,21 @@
 function placeStep(
   state: states.State,
   step: tables.StepRow,
+  room: headroom.PoolRoom,
   nowMs: number,
 ): void {
   const candidates = collectCandidates(state, step, nowMs);
   if (candidates.length === 0) return;
   if (step.spec.gang) {
-    placeGang(state, step, candidates, nowMs);
+    placeGang(state, step, candidates, room, nowMs);
     return;
   }
   for (const task of step.tasks) {
     if (task.state !== 'waiting' || task.elsewhere.size > 0) continue;
+    if (!headroom.canTake(room, step)) return;
     const chosen = placement.chooseCandidate(candidates, step, task);
     if (chosen === undefined) return;
+    room.freeCores -= tables.readNeed(step.spec).cores;
     placement.takeRoom(chosen, step);
     startTask(state, task, chosen, states.createRunNumber(state), nowMs);
   }
@@ -386,7 +402,11 @@
   const candidates: placement.Candidate[] = [];
   for (const vm of state.vms.values()) {
     if (!placement.isEligible(vm, step, nowMs)) continue;
-    if (placement.isReserved(vm, step, nowMs)) continue;
+    if (
+      placement.isReserved(vm, step, nowMs) &&
+      !reservation.isOverBefore(vm, step, nowMs)
+    )
+      continue;
     const ticket = needsTicket ? advice.findTicket(step, vm, nowMs) : undefined;
     if (needsTicket && ticket === undefined) continue;
     candidates.push({
@@ -403,6 +423,7 @@
   state: states.State,
   step: tables.StepRow,
   candidates: readonly placement.Candidate[],
+  room: headroom.PoolRoom,
   nowMs: number,
 ): void {
   // Members of the previous run must be gone before the next one begins.
@@ -410,6 +431,7 @@
   if (step.tasks.some(({ elsewhere }) => elsewhere.size > 0)) return;
   const places = placement.chooseGang(candidates, step);
   if (places === undefined) return;
+  room.freeCores -= tables.readNeed(step.spec).cores * step.spec.count;
   step.gangRun = states.createRunNumber(state);
   step.tasks.forEach((task, index) => {
     const chosen = places[index];
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -45,6 +45,11 @@
   /** Calls for advice that are waiting for an answer. */
   pendingAdvice: number;
   readonly counts: Map<string, number>;
+  /** Recent peak of cores that urgent work used, by pool. */
+  readonly urgentPeaks: Map<
+    types.PoolName,
+    { readonly cores: number; readonly atMs: number }
+  >;
 }
 
 /** Counts an event for the metrics. */
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -139,6 +139,8 @@
   /** Step that keeps its room while others are stopped for it. */
   reservedFor: StepRow | undefined;
   reservedUntilMs: number;
+  /** Time at which the VM is expected to be ready for that step. */
+  reservedFromMs: number;
   readonly firstSeenMs: number;
 }
 
@@ -202,6 +204,7 @@
     slowness: 1,
     reservedFor: undefined,
     reservedUntilMs: 0,
+    reservedFromMs: 0,
     firstSeenMs: nowMs,
   };
 }
--- /dev/null
+++ b/packages/core/test/workloads/load.test.ts
@@ -0,0 +1,107 @@
+/** Loads that decisions answer, replayed in small. */
+import * as vitest from 'vitest';
+import * as worlds from './world.js';
+
+vitest.describe('a burst of large jobs', () => {
+  vitest.it(
+    'leaves room for the usual urgent work (guards against urgent tasks that wait for a stop)',
+    () => {
+      const world = worlds.createWorld();
+      for (const id of ['a', 'b', 'c', 'd']) world.addVm(id);
+      const urgent = worlds.createPolicy({
+        name: 'urgent',
+        priority: 0,
+        stretch: 1.5,
+        slackMs: 600,
+      });
+      const large = worlds.createPolicy({
+        name: 'large',
+        priority: 2,
+        stretch: 4,
+      });
+      const urgentStep = worlds.createStep({ count: 6, estimateMs: 700 });
+      world.addJob('u0', [urgentStep], urgent);
+      world.advance(50);
+      for (const { vm, run } of world.listRuns()) world.endRun(vm, run, 'done');
+      for (let index = 0; index < 10; index += 1)
+        world.addJob(
+          `l${index}`,
+          [
+            worlds.createStep({
+              count: 5,
+              estimateMs: 5_000,
+              size: { cores: 2, memoryMb: 10, gpus: 0 },
+            }),
+          ],
+          large,
+        );
+      world.advance(200);
+      world.addJob('u1', [urgentStep], urgent);
+      world.advance(10);
+      const started = world
+        .listRuns()
+        .filter(({ task }) => task.startsWith('u1'));
+      vitest.expect(started).toHaveLength(6);
+      vitest
+        .expect(world.commands.some(({ command }) => command === 'stop'))
+        .toBe(false);
+      // The rest of the pool is used.
+      vitest.expect(world.listRuns().length).toBeGreaterThanOrEqual(6 + 10);
+    },
+  );
+});
+
+vitest.describe('a steady flow of small tasks', () => {
+  vitest.it(
+    'leaves a VM to a gang that needs it whole (guards against gangs that starve)',
+    () => {
+      const world = worlds.createWorld();
+      for (const id of ['a', 'b']) world.addVm(id);
+      const small = worlds.createPolicy({ name: 'small', priority: 1 });
+      const gang = worlds.createPolicy({
+        name: 'gang',
+        priority: 1,
+        stretch: 8,
+      });
+      const size = { cores: 0.5, memoryMb: 10, gpus: 2 };
+      let jobs = 0;
+      const addSmall = () => {
+        world.addJob(
+          `s${jobs}`,
+          [worlds.createStep({ size, estimateMs: 1_000 })],
+          small,
+        );
+        jobs += 1;
+      };
+      for (let index = 0; index < 8; index += 1) addSmall();
+      world.advance(10);
+      world.addJob(
+        'gang',
+        [
+          worlds.createStep({
+            gang: true,
+            estimateMs: 1_000,
+            size: { cores: 1, memoryMb: 10, gpus: 8 },
+          }),
+        ],
+        gang,
+      );
+      // One small task ends and another comes, time and again.
+      for (let round = 0; round < 12; round += 1) {
+        world.advance(100);
+        const [oldest] = world
+          .listRuns()
+          .filter(({ task }) => task.startsWith('s'))
+          .sort((a, b) => a.run - b.run);
+        if (oldest !== undefined) world.endRun(oldest.vm, oldest.run, 'done');
+        addSmall();
+      }
+      vitest.expect(world.commands).toContainEqual(
+        vitest.expect.objectContaining({
+          command: 'start',
+          task: { job: 'gang', occurrence: 0, step: 0, index: 0 },
+        }),
+      );
+    },
+  );
+});
