--- a/packages/cluster/src/desk.ts
+++ b/packages/cluster/src/desk.ts
@@ -18,6 +18,8 @@
 /** Time for which an owner's answer is awaited before the stream is read, in ms. */
 const OWNER_WAIT_MS = 1_200;
 const ASK_AGAIN_MS = 150;
+/** Time in which the owner writes for this node, in ms. */
+const OWNER_WRITE_MS = 1_200;
 const jobId = /^[0-9a-f]{16}$/;
 
 /** What the desk asks about jobs. */
@@ -115,24 +117,31 @@
     return buildWritten(written, { answer: 'accepted' });
   }
 
-  /** Writes here, or through the owner when the store doesn't answer this node. */
+  /**
+   * Writes through the owner, which groups the writes of all nodes and learns of the
+   * job at once. Without its answer this node writes itself: the same record twice is
+   * one job.
+   */
   async function write(
     change: DurableWrite,
     untilMs: number,
   ): Promise<jobStores.WriteResult> {
-    if (!jobs.readHealth().away) {
-      const written =
-        'accept' in change
-          ? await jobs.accept(change.accept, untilMs)
-          : await jobs.cancel(change.cancel, untilMs);
-      if (written.outcome !== 'refused') return written;
-    }
-    const timeoutMs = untilMs - timers.readNow();
+    const ownerMs = Math.min(OWNER_WRITE_MS, untilMs - timers.readNow());
     const through =
-      timeoutMs > 0
-        ? await questions.writeThroughOwner(change, timeoutMs)
+      ownerMs > 0
+        ? await questions.writeThroughOwner(change, ownerMs)
         : undefined;
-    return through ?? { outcome: 'refused', why: jobs.readHealth().why };
+    if (through?.outcome === 'durable') return through;
+    const { away, why } = jobs.readHealth();
+    if (away) return through ?? { outcome: 'refused', why };
+    const written =
+      'accept' in change
+        ? await jobs.accept(change.accept, untilMs)
+        : await jobs.cancel(change.cancel, untilMs);
+    // What the owner may have written isn't refused, whatever this node found.
+    return written.outcome === 'refused' && through?.outcome === 'unknown'
+      ? through
+      : written;
   }
 
   async function readState(
--- a/packages/cluster/src/jobStore.ts
+++ b/packages/cluster/src/jobStore.ts
@@ -7,14 +7,17 @@
 import type * as core from '@flamingoward/core';
 import type * as contexts from './context.js';
 import type * as ports from './ports.js';
+import * as patiences from './patience.js';
 import * as records from './records.js';
 import * as tails from './tail.js';
 
-/** Time after which an append without an answer is sent again, in ms. */
-const APPEND_TIMEOUT_MS = 700;
+/** Time that must be left for another try, in ms. */
+const SHORTEST_TRY_MS = 400;
 /** Records of one append; the rest waits for the next. */
 const MAX_GROUP = 200;
 
+/** Appends in a row without an answer after which the store counts as away. */
+const SILENCES_OF_AWAY = 2;
 /** Time between reads that find out whether the store is still away, in ms. */
 const PROBE_MS = 400;
 /** Time that such a read may take, in ms. */
@@ -42,7 +45,6 @@
   find(id: core.ids.JobId): StoredJob | undefined;
   /** Reads to the end of the stream; false when the store doesn't answer. */
   refresh(): Promise<boolean>;
-  follow(waitMs: number): Promise<boolean>;
   list(): Iterable<StoredJob>;
   /** Is told each change while this node owns the cluster. */
   setObserver(
@@ -70,6 +72,8 @@
   let writing = false;
   let awayWhy = '';
   let away = false;
+  let silences = 0;
+  const patience = patiences.createPatience();
   let probe: core.TimerSubscription | undefined;
 
   const tail = tails.createTail({
@@ -100,6 +104,7 @@
   }
 
   function noteAnswer(): void {
+    silences = 0;
     if (away) context.log.write('info', 'store.regained', { stream: 'jobs' });
     away = false;
     probe?.end();
@@ -112,6 +117,10 @@
       context.log.write('warn', 'job.unreadable', { key: record.key });
       return;
     }
+    noteChange(change);
+  }
+
+  function noteChange(change: records.JobChange): void {
     applyChange(change);
     observer?.(change);
   }
@@ -170,9 +179,12 @@
       const result = await context.ports.store.append(
         'jobs',
         group.map(({ record }) => record),
-        { timeoutMs: APPEND_TIMEOUT_MS },
+        { timeoutMs: patience.readTimeout() },
       );
-      metrics.record('store_append', {}, timers.readNow() - startedMs);
+      const tookMs = timers.readNow() - startedMs;
+      metrics.record('store_append', {}, tookMs);
+      if (result.outcome === 'unknown') patience.noteSilence();
+      else patience.noteAnswer(tookMs);
       settleGroup(group, result);
     }
     writing = false;
@@ -197,7 +209,9 @@
           });
         return;
       case 'unknown':
-        noteAway(result.why);
+        silences += 1;
+        // One silent connection isn't a store that is away.
+        if (silences >= SILENCES_OF_AWAY) noteAway(result.why);
         for (const entry of group) retryEntry(entry, result.why);
         return;
       case 'conflict':
@@ -211,7 +225,7 @@
 
   function retryEntry(entry: PendingWrite, why: string): void {
     entry.attempted = true;
-    if (timers.readNow() + APPEND_TIMEOUT_MS < entry.deadlineMs)
+    if (timers.readNow() + SHORTEST_TRY_MS < entry.deadlineMs)
       queue.push(entry);
     else entry.resolve({ outcome: 'unknown', why });
   }
@@ -227,7 +241,7 @@
     try {
       const written = await result;
       if (written.outcome === 'durable')
-        applyChange({ change: 'accepted', job });
+        noteChange({ change: 'accepted', job });
       return written;
     } finally {
       accepting.delete(job.id);
@@ -239,16 +253,10 @@
     deadlineMs: number,
   ): Promise<WriteResult> {
     const result = await write(records.buildCancelled(id), deadlineMs);
-    if (result.outcome === 'durable') applyChange({ change: 'cancelled', id });
+    if (result.outcome === 'durable') noteChange({ change: 'cancelled', id });
     return result;
   }
 
-  async function follow(waitMs: number): Promise<boolean> {
-    const read = await tail.follow(waitMs);
-    if (read) noteAnswer();
-    return read;
-  }
-
   async function refresh(): Promise<boolean> {
     const read = await tail.refresh();
     if (read) noteAnswer();
@@ -260,7 +268,6 @@
     cancel,
     find: (id) => jobs.get(id),
     refresh,
-    follow,
     list: () => jobs.values(),
     setObserver(next) {
       observer = next;
--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -129,9 +129,13 @@
     if (releasing) return;
     releasing = true;
     const peers = hub.listConnected().map((peer) => peer.instance);
-    const reached = await Promise.all(peers.map(askStore));
+    const [own, ...reached] = await Promise.all([
+      claim.checkStore(),
+      ...peers.map(askStore),
+    ]);
     releasing = false;
-    if (!reached.includes(true) || claim.readFence() !== fence) return;
+    // A slow store, or one that loses answers, would treat a successor no better.
+    if (own || !reached.includes(true) || claim.readFence() !== fence) return;
     claim.resign('the store answers other nodes only');
     for (const peer of peers)
       hub.notify(peer, { kind: 'cluster.released', fence });
@@ -239,6 +243,8 @@
       { readonly kind: 'cluster.write' }
     >,
   ): Promise<core.messages.Answer> {
+    const { away, why } = jobs.readHealth();
+    if (away) return { kind: 'cluster.write.answer', outcome: 'refused', why };
     const untilMs = timers.readNow() + question.timeoutMs;
     const written = await ('accept' in question.write
       ? jobs.accept(question.write.accept, untilMs)
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -25,6 +25,8 @@
 /** Longest lease that a previous owner may have granted since its last confirmed claim, beyond its own limit, in ms. */
 const CLOCK_RATE = 0.98;
 const INHERIT_MARGIN_MS = 500;
+/** Time between reads of the jobs, in ms: other nodes write only when this one doesn't answer them. */
+const FOLLOW_MS = 200;
 /** Run numbers of one owner; a new owner begins above all of them. */
 const RUNS_PER_FENCE = 1_000_000;
 
@@ -159,19 +161,10 @@
     return found;
   }
 
-  /** Time for which the store holds a read until there is a record, in ms. */
-  const followMs = 1_200;
-  /** Time between reads, in ms, so that records that come together are read together. */
-  const followPauseMs = 15;
-
   async function followJobs(): Promise<void> {
     while (!isClosed()) {
-      const read = await jobs.follow(followMs);
-      await core.waitFor(
-        timers,
-        'owner.follow',
-        read ? followPauseMs : IDLE_TICK_MS,
-      );
+      await core.waitFor(timers, 'owner.follow', FOLLOW_MS);
+      await jobs.refresh();
     }
   }
 
--- a/packages/cluster/src/recorder.ts
+++ b/packages/cluster/src/recorder.ts
@@ -6,10 +6,9 @@
 import * as core from '@flamingoward/core';
 import type * as contexts from './context.js';
 import type * as ports from './ports.js';
+import * as patiences from './patience.js';
 import * as records from './records.js';
 
-/** Time after which an append without an answer is sent again, in ms. */
-const APPEND_TIMEOUT_MS = 600;
 /** Time between tries while the store refuses, in ms. */
 const RETRY_MS = 150;
 const WRITER = 'owner';
@@ -31,6 +30,11 @@
 ): Recorder {
   const { timers, log } = context;
   const sequences = { jobs: 0, progress: 0, claims: 0 };
+  const patienceByStream = {
+    jobs: patiences.createPatience(),
+    progress: patiences.createPatience(),
+    claims: patiences.createPatience(),
+  };
   let closed = false;
 
   function isClosed(): boolean {
@@ -41,13 +45,17 @@
     stream: ports.StreamName,
     added: readonly ports.NewRecord[],
   ): Promise<void> {
+    const patience = patienceByStream[stream];
     let tries = 0;
     while (!isClosed()) {
       tries += 1;
+      const startedMs = timers.readNow();
       const result = await context.ports.store.append(stream, added, {
-        timeoutMs: APPEND_TIMEOUT_MS,
+        timeoutMs: patience.readTimeout(),
         writer: { name: WRITER, epoch: fence, sequence: sequences[stream] },
       });
+      if (result.outcome === 'unknown') patience.noteSilence();
+      else patience.noteAnswer(timers.readNow() - startedMs);
       switch (result.outcome) {
         case 'appended':
           sequences[stream] += 1;
