Prefer VMs at full speed; claim sooner after a restart of everything; come back after two seconds

Change: speed of VMs from the progress of their runs, as a penalty of the placement that fades; fresh nodes wait by their round trip to the store, as for the first claim; Retry-After 2 while the store is away. The load test fails without the penalty.

--- a/packages/cluster/src/claims.ts
+++ b/packages/cluster/src/claims.ts
@@ -5,7 +5,7 @@
  * claim; others take over when renewals stop, at once when the owner's process is
  * known to be gone, and wait their turn so that few claims compete.
  */
-import type * as core from '@flamingoward/core';
+import * as core from '@flamingoward/core';
 import type * as contexts from './context.js';
 import type * as ports from './ports.js';
 import * as records from './records.js';
@@ -258,10 +258,15 @@
     }
   }
 
+  /** Time for which this node lets others claim before it, in ms. */
   function computeTurn(): number {
     const rank = successors.indexOf(instance);
     if (rank >= 0) return rank * RANK_STEP_MS;
-    return (1 + context.readRandom() * 2) * RANK_STEP_MS;
+    // No owner has told an order yet: nodes near the store claim first.
+    return (
+      roundTripMs * FIRST_CLAIM_ROUND_TRIPS +
+      context.readRandom() * FIRST_CLAIM_JITTER_MS
+    );
   }
 
   /** Decides whether it is this node's turn to claim. */
@@ -306,17 +311,7 @@
 
   /** Without any owner, nodes near the store claim first. */
   async function claimFirst(): Promise<void> {
-    const delayMs =
-      roundTripMs * FIRST_CLAIM_ROUND_TRIPS +
-      context.readRandom() * FIRST_CLAIM_JITTER_MS;
-    await new Promise<void>((resolve) => {
-      timers.subscribe(
-        { name: 'claims.first', delayMs, repeat: 'once' },
-        () => {
-          resolve();
-        },
-      );
-    });
+    await core.waitFor(timers, 'claims.first', computeTurn());
     if (owner === undefined) await claim('no owner');
   }
 
--- a/packages/cluster/src/desk.ts
+++ b/packages/cluster/src/desk.ts
@@ -13,8 +13,8 @@
 const DEFAULT_DEADLINE_MS = 3_000;
 /** Part of a caller's deadline that is left for the answer's way back, in ms. */
 const ANSWER_MARGIN_MS = 300;
-/** When callers may come back while the store is away, in s. */
-const AWAY_RETRY_S = 1;
+/** When callers may come back while the store is away, in s: a few tries then outlast an outage of seconds. */
+const AWAY_RETRY_S = 2;
 /** Time for which an owner's answer is awaited before the stream is read, in ms. */
 const OWNER_WAIT_MS = 1_200;
 const ASK_AGAIN_MS = 150;
--- a/packages/core/src/workloads/advice.ts
+++ b/packages/core/src/workloads/advice.ts
@@ -83,7 +83,7 @@
     const room =
       placement.canHold(candidate, step) &&
       !placement.isReserved(vm, step, nowMs);
-    const score = placement.scoreCandidate(candidate, step, undefined);
+    const score = placement.scoreCandidate(candidate, step, undefined, nowMs);
     fitting.push({ vm, score, room });
   }
   const fresh = fitting.filter(
--- a/packages/core/src/workloads/placement.ts
+++ b/packages/core/src/workloads/placement.ts
@@ -2,6 +2,7 @@
  * Placement: filters the VMs that may run a task, then scores them. The score packs
  * work tightly, so that whole VMs stay free for gangs and for tasks with many GPUs.
  */
+import * as speeds from './speed.js';
 import * as tables from './tables.js';
 import type * as resources from '../types/resources.js';
 
@@ -91,6 +92,7 @@
   candidate: Candidate,
   step: tables.StepRow,
   task: tables.TaskRow | undefined,
+  nowMs: number,
 ): number {
   const { vm, free } = candidate;
   const { spec } = step;
@@ -104,6 +106,7 @@
   if (task?.avoided.has(vm.id) === true) score += FAILED_HERE_PENALTY;
   if (spec.dataRack !== undefined && vm.entry?.rack !== spec.dataRack)
     score += OTHER_RACK_PENALTY;
+  score += speeds.scoreSpeed(vm, nowMs);
   if (spec.fills && hasServing(vm)) score += SERVING_PENALTY;
   if (spec.targetMs !== undefined && hasFilling(vm)) score += SERVING_PENALTY;
   return score;
@@ -114,12 +117,13 @@
   candidates: readonly Candidate[],
   step: tables.StepRow,
   task: tables.TaskRow,
+  nowMs: number,
 ): Candidate | undefined {
   let best: Candidate | undefined;
   let bestScore = Infinity;
   for (const candidate of candidates) {
     if (!canHold(candidate, step)) continue;
-    const score = scoreCandidate(candidate, step, task);
+    const score = scoreCandidate(candidate, step, task, nowMs);
     if (score >= bestScore) continue;
     best = candidate;
     bestScore = score;
@@ -131,21 +135,24 @@
 export function chooseGang(
   candidates: readonly Candidate[],
   step: tables.StepRow,
+  nowMs: number,
 ): readonly Candidate[] | undefined {
   if (step.spec.oneRack)
     for (const rack of new Set(candidates.map(({ vm }) => vm.entry?.rack))) {
       const places = fillGang(
         candidates.filter(({ vm }) => vm.entry?.rack === rack),
         step,
+        nowMs,
       );
       if (places !== undefined) return places;
     }
-  return fillGang(candidates, step);
+  return fillGang(candidates, step, nowMs);
 }
 
 function fillGang(
   candidates: readonly Candidate[],
   step: tables.StepRow,
+  nowMs: number,
 ): readonly Candidate[] | undefined {
   const trial = candidates.map((candidate) => ({
     candidate,
@@ -157,6 +164,7 @@
       trial.map(({ copy }) => copy),
       step,
       task,
+      nowMs,
     );
     const pair = trial.find(({ copy }) => copy === chosen);
     if (chosen === undefined || pair === undefined) return undefined;
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -5,6 +5,7 @@
  */
 import type * as ids from '../types/ids.js';
 import * as ends from './ends.js';
+import * as speeds from './speed.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
@@ -119,6 +120,7 @@
     run.movedMs = nowMs;
   }
   run.load = entry.load;
+  speeds.measureSpeed(run, nowMs);
   if (entry.saved !== '' && task?.step.spec.savesProgress === true)
     task.saved = entry.saved;
 }
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -385,7 +385,7 @@
   for (const task of step.tasks) {
     if (task.state !== 'waiting' || task.elsewhere.size > 0) continue;
     if (!headroom.canTake(room, step)) return;
-    const chosen = placement.chooseCandidate(candidates, step, task);
+    const chosen = placement.chooseCandidate(candidates, step, task, nowMs);
     if (chosen === undefined) return;
     room.freeCores -= tables.readNeed(step.spec).cores;
     placement.takeRoom(chosen, step);
@@ -429,7 +429,7 @@
   // Members of the previous run must be gone before the next one begins.
   if (step.waitingCount !== step.spec.count) return;
   if (step.tasks.some(({ elsewhere }) => elsewhere.size > 0)) return;
-  const places = placement.chooseGang(candidates, step);
+  const places = placement.chooseGang(candidates, step, nowMs);
   if (places === undefined) return;
   room.freeCores -= tables.readNeed(step.spec).cores * step.spec.count;
   step.gangRun = states.createRunNumber(state);
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -134,8 +134,10 @@
   recentFailures: number;
   /** No new work before this time, because runs failed or stood still there. */
   avoidUntilMs: number;
-  /** Ratio of measured to estimated run times, smoothed. */
-  slowness: number;
+  /** Measured speed of its runs against their estimates, smoothed; 1 is as estimated. */
+  speed: number;
+  /** Time of the last measurement of `speed`. */
+  speedAtMs: number;
   /** Step that keeps its room while others are stopped for it. */
   reservedFor: StepRow | undefined;
   reservedUntilMs: number;
@@ -201,7 +203,8 @@
     durableEnd: 0,
     recentFailures: 0,
     avoidUntilMs: 0,
-    slowness: 1,
+    speed: 1,
+    speedAtMs: nowMs,
     reservedFor: undefined,
     reservedUntilMs: 0,
     reservedFromMs: 0,
--- a/packages/core/test/workloads/load.test.ts
+++ b/packages/core/test/workloads/load.test.ts
@@ -105,3 +105,34 @@
     },
   );
 });
+
+vitest.describe('a VM that turns slow', () => {
+  vitest.it(
+    'gets no urgent tasks while others have room (guards against urgent tasks that end late on slow VMs)',
+    () => {
+      const world = worlds.createWorld();
+      world.addVm('slow');
+      world.addVm('sound');
+      const policy = worlds.createPolicy();
+      const step = worlds.createStep({ estimateMs: 700, maxPerVm: 2 });
+      world.addJob('first', [{ ...step, count: 4 }], policy);
+      world.frozen.add('slow');
+      world.advance(10);
+      for (let round = 0; round < 8; round += 1) {
+        for (const run of world.vms.get('sound')!.running.values())
+          run.percent = Math.min(99, run.percent + 12);
+        world.advance(100);
+      }
+      world.addJob('second', [{ ...step, count: 2 }], policy);
+      world.advance(10);
+      vitest
+        .expect(
+          world
+            .listRuns()
+            .filter(({ task }) => task.startsWith('second'))
+            .map(({ vm }) => vm),
+        )
+        .toEqual(['sound', 'sound']);
+    },
+  );
+});
