Find a silent store by a read, and don't take a last renewal for life

Change: only a renewal later than the newest one at that time counts as life; an append without an answer for 350 ms is checked by a read, and when that fails too, what was never sent is refused at once.

--- a/packages/cluster/src/claims.ts
+++ b/packages/cluster/src/claims.ts
@@ -110,6 +110,8 @@
   let confirmedMs = 0;
   let suspectedMs: number | undefined;
   let knownGone = false;
+  /** Newest record when the owner's process was known to be gone. */
+  let goneAfter: core.ids.Offset | undefined;
   let successors: readonly core.ids.InstanceId[] = [];
   let claiming = false;
   let closing = false;
@@ -136,8 +138,7 @@
     if (claim === undefined) return;
     renewedMs = timers.readNow();
     confirmedByMs = Math.max(confirmedByMs, lastReadMs);
-    suspectedMs = undefined;
-    knownGone = false;
+    noteAlive(claim.instance, record.offset);
     const next: Owner = {
       fence: claim.fence ?? record.offset + 1,
       instance: claim.instance,
@@ -163,10 +164,19 @@
       if (next.node === context.settings.name && next.instance !== instance) {
         suspectedMs = renewedMs;
         knownGone = true;
+        goneAfter = undefined;
       }
     }
   }
 
+  /** A renewal ends a suspicion, unless it may have been sent before the process ended. */
+  function noteAlive(by: core.ids.InstanceId, offset: core.ids.Offset): void {
+    const isLast = goneAfter === undefined || offset <= goneAfter;
+    if (knownGone && by === owner?.instance && isLast) return;
+    suspectedMs = undefined;
+    knownGone = false;
+  }
+
   function beginOwning(fence: number): void {
     if (owned === fence || closing) return;
     owned = fence;
@@ -301,6 +311,7 @@
       return;
     }
     roundTripMs = nowMs - startedMs;
+    if (knownGone) goneAfter ??= newestOffset;
     if (owner === undefined) {
       await claimFirst();
       return;
@@ -349,6 +360,7 @@
         log.write('info', 'owner.suspected', { owner: owner.node, gone });
         suspectedMs = timers.readNow();
       }
+      if (gone && !knownGone) goneAfter = undefined;
       knownGone = knownGone || gone;
       scheduleWatch(gone ? computeTurn() : 0);
     },
--- a/packages/cluster/src/jobStore.ts
+++ b/packages/cluster/src/jobStore.ts
@@ -20,6 +20,8 @@
 const SILENCES_OF_AWAY = 2;
 /** Time between reads that find out whether the store is still away, in ms. */
 const PROBE_MS = 400;
+/** Time without an answer to an append after which a read finds out whether the store is away, in ms. */
+const DOUBT_MS = 350;
 /** Time that such a read may take, in ms. */
 const PROBE_TIMEOUT_MS = 600;
 
@@ -88,6 +90,11 @@
     if (!away) context.log.write('warn', 'store.lost', { stream: 'jobs', why });
     away = true;
     awayWhy = why;
+    // Nothing was sent of these, so their refusal is true.
+    for (const entry of queue.splice(0)) {
+      if (entry.attempted) queue.push(entry);
+      else entry.resolve({ outcome: 'refused', why });
+    }
     probe ??= timers.subscribe(
       { name: 'jobs.probe', delayMs: PROBE_MS, repeat: 'periodic' },
       () => {
@@ -101,6 +108,7 @@
     const claims = context.ports.store.openStream('claims');
     const result = await claims.readNewest(PROBE_TIMEOUT_MS);
     if (result.outcome === 'newest') noteAnswer();
+    else noteAway(result.why);
   }
 
   function noteAnswer(): void {
@@ -176,11 +184,18 @@
     while (queue.length > 0) {
       const group = queue.splice(0, MAX_GROUP);
       const startedMs = timers.readNow();
+      const doubt = timers.subscribe(
+        { name: 'jobs.doubt', delayMs: DOUBT_MS, repeat: 'once' },
+        () => {
+          void probeStore();
+        },
+      );
       const result = await context.ports.store.append(
         'jobs',
         group.map(({ record }) => record),
         { timeoutMs: patience.readTimeout() },
       );
+      doubt.end();
       const tookMs = timers.readNow() - startedMs;
       metrics.record('store_append', {}, tookMs);
       if (result.outcome === 'unknown') patience.noteSilence();
--- /dev/null
+++ b/packages/cluster/test/claims.test.ts
@@ -0,0 +1,161 @@
+/** Ownership by conditional appends: one owner, whatever is lost, late or gone. */
+import * as core from '@flamingoward/core';
+import * as vitest from 'vitest';
+import * as claims from '../src/claims.js';
+import * as fakes from './fakes.js';
+
+interface Candidate {
+  readonly name: string;
+  readonly context: fakes.FakeContext;
+  readonly claim: claims.Claims;
+  readonly owned: { fence: number; previous: claims.PreviousOwner }[];
+  readonly lost: string[];
+}
+
+function createCandidate(
+  name: string,
+  shared: { timers: core.VirtualTimers; store: fakes.FakeStore },
+): Candidate {
+  const context = fakes.createFakeContext(shared, name);
+  const owned: Candidate['owned'] = [];
+  const lost: string[] = [];
+  const claim = claims.createClaims(context, {
+    onOwned: (fence, previous) => owned.push({ fence, previous }),
+    onLost: (why) => lost.push(why),
+    onOwner: () => undefined,
+    onUnconfirmed: () => undefined,
+  });
+  return { name, context, claim, owned, lost };
+}
+
+function createCluster(names: readonly string[]) {
+  const timers = core.createVirtualTimers(10_000);
+  const store = fakes.createFakeStore(timers);
+  const candidates = names.map((name) =>
+    createCandidate(name, { timers, store }),
+  );
+  return { timers, store, candidates };
+}
+
+function listOwners(candidates: readonly Candidate[]): readonly Candidate[] {
+  return candidates.filter(({ claim }) => claim.readFence() !== undefined);
+}
+
+vitest.describe('ownership', () => {
+  vitest.it('goes to one of several that start together', async () => {
+    const { timers, candidates } = createCluster(['a', 'b', 'c']);
+    for (const { claim } of candidates) claim.open();
+    await fakes.advance(timers, 2_000);
+    vitest.expect(listOwners(candidates)).toHaveLength(1);
+  });
+
+  vitest.it(
+    'moves within half a second when the process of the owner is gone, under a higher fence (guards against long gaps)',
+    async () => {
+      const { timers, candidates } = createCluster(['a', 'b', 'c']);
+      for (const { claim } of candidates) claim.open();
+      await fakes.advance(timers, 2_000);
+      const [owner] = listOwners(candidates);
+      const others = candidates.filter((other) => other !== owner);
+      owner!.claim.close();
+      for (const { claim } of others) {
+        claim.setSuccessors(others.map(({ context }) => context.instance));
+        claim.suspect(owner!.context.instance, true);
+      }
+      await fakes.advance(timers, 500);
+      const [next] = listOwners(others);
+      vitest.expect(listOwners(others)).toHaveLength(1);
+      vitest
+        .expect(next!.claim.readFence())
+        .toBeGreaterThan(owner!.owned[0]!.fence);
+      vitest.expect(next!.owned[0]!.previous.ended).toBe(true);
+    },
+  );
+
+  vitest.it(
+    'stays with an owner that renews although its links break (guards against needless changes)',
+    async () => {
+      const { timers, candidates } = createCluster(['a', 'b']);
+      for (const { claim } of candidates) claim.open();
+      await fakes.advance(timers, 2_000);
+      const [owner] = listOwners(candidates);
+      const other = candidates.find((candidate) => candidate !== owner)!;
+      for (let round = 0; round < 30; round += 1) {
+        other.claim.suspect(owner!.context.instance, false);
+        await fakes.advance(timers, 200);
+      }
+      vitest.expect(listOwners(candidates)).toEqual([owner]);
+    },
+  );
+
+  vitest.it(
+    'is known from the stream when the answer to the claim was lost (guards against a claim that nobody acts on)',
+    async () => {
+      const { timers, store, candidates } = createCluster(['a']);
+      store.intercept = (stream, records) => {
+        store.intercept = undefined;
+        for (const { key, value } of records)
+          store.streams[stream].add(key, value);
+        return Promise.resolve({ outcome: 'unknown', why: 'lost' });
+      };
+      candidates[0]!.claim.open();
+      await fakes.advance(timers, 1_000);
+      vitest.expect(listOwners(candidates)).toHaveLength(1);
+    },
+  );
+
+  vitest.it(
+    'is given up at once by an owner that finds a later claim (guards against two owners)',
+    async () => {
+      const { timers, store, candidates } = createCluster(['a']);
+      const [only] = candidates;
+      only!.claim.open();
+      await fakes.advance(timers, 1_000);
+      store.streams.claims.add(
+        'owner',
+        JSON.stringify({ node: 'x', instance: 'x', address: 'x:1' }),
+      );
+      await fakes.advance(timers, 700);
+      vitest.expect(listOwners(candidates)).toEqual([]);
+      vitest.expect(only!.lost).toEqual(['another node claimed']);
+    },
+  );
+
+  vitest.it(
+    'does not move while the store is away for everybody (guards against a change without an agreement)',
+    async () => {
+      const { timers, store, candidates } = createCluster(['a', 'b']);
+      for (const { claim } of candidates) claim.open();
+      await fakes.advance(timers, 2_000);
+      const [owner] = listOwners(candidates);
+      store.streams.claims.failing = 'status 503';
+      await fakes.advance(timers, 5_000);
+      vitest.expect(listOwners(candidates)).toEqual([owner]);
+      store.streams.claims.failing = undefined;
+      await fakes.advance(timers, 3_000);
+      vitest.expect(listOwners(candidates)).toEqual([owner]);
+    },
+  );
+
+  vitest.it(
+    'is taken over sooner after a hand-over than after silence',
+    async () => {
+      const { timers, candidates } = createCluster(['a', 'b']);
+      for (const { claim } of candidates) claim.open();
+      await fakes.advance(timers, 2_000);
+      const [owner] = listOwners(candidates);
+      const other = candidates.find((candidate) => candidate !== owner)!;
+      const fence = owner!.claim.readFence()!;
+      const released = owner!.claim.release();
+      await fakes.advance(timers, 20);
+      await released;
+      other.claim.noteReleased(fence);
+      await fakes.advance(timers, 200);
+      vitest.expect(other.claim.readFence()).toBeGreaterThan(fence);
+      vitest.expect(other.owned[0]!.previous).toEqual({
+        gapMs: undefined,
+        ended: true,
+      });
+    },
+  );
+});
