Give up silent VMs in time; guard the border of the adapter

Every hold that the silent VM left unanswered might have extended its lease, so the end of the lease moved on with each.

Change: a hold to a silent VM only looks; the lease is extended again once it answers.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -9,6 +9,18 @@
   message: 'Use a namespace import: import * as name from "module".',
 };
 
+/** Words of the platform's protocol; they stand in its adapter and nowhere else. */
+const platformWords = {
+  selector:
+    'Literal[value=/\\b(run-start|run-stop|log-append|log-read|log-newest|clock_ms|mem_mb|est_ms|slo_ms|decide_ms|keyed\\.)/]',
+  message: "Names of the platform belong in platform/; use the product's own.",
+};
+
+const platformImport = {
+  name: '@flamingoward/platform',
+  message: 'Only the program that starts a node chooses the adapter.',
+};
+
 export default eslintConfig.defineConfig(
   { ignores: ['**/dist/**', '**/node_modules/**', 'run/**', 'target/**'] },
   js.default.configs.recommended,
@@ -39,6 +51,14 @@
       ],
     },
   },
+  {
+    files: ['packages/**'],
+    ignores: ['packages/daemon/src/nodeMain.ts'],
+    rules: {
+      'no-restricted-syntax': ['error', namespaceImports, platformWords],
+      'no-restricted-imports': ['error', platformImport],
+    },
+  },
   {
     // The timer service is the only place that may use the platform's timers.
     files: [
--- a/packages/cluster/src/contacts.ts
+++ b/packages/cluster/src/contacts.ts
@@ -81,8 +81,9 @@
 
   async function holdOnce(): Promise<boolean> {
     const askedMs = timers.readNow();
-    const untilMs = computeUntil();
-    // The clock must be known before the lease can be extended.
+    // A silent VM may carry out a hold without answering it: one that extends the lease
+    // again and again would put off the time at which nothing can run there any more.
+    const untilMs = silent ? undefined : computeUntil();
     const waitMs = untilMs === undefined ? 0 : HOLD_WAIT_MS;
     if (untilMs !== undefined) noteOrder(untilMs);
     const result = await context.ports.vmCalls.hold(
