--- a/packages/cluster/src/contacts.ts
+++ b/packages/cluster/src/contacts.ts
@@ -16,7 +16,7 @@
 /** Time between holds while ends can't be made durable, in ms: they would be answered at once. */
 const BLOCKED_WAIT_MS = 400;
 /** VM clocks may be this much slower than ours. */
-const CLOCK_RATE = 0.98;
+export const CLOCK_RATE = 0.98;
 /** Added to the computed end of a lease, in ms. */
 const LEASE_MARGIN_MS = 50;
 
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -22,8 +22,7 @@
 const GATHER_MS = 4;
 /** Time without a confirmed claim from which starts go out without their record, in ms. */
 const UNRECORDED_AFTER_MS = 1_200;
-/** Longest lease that a previous owner may have granted since its last confirmed claim, beyond its own limit, in ms. */
-const CLOCK_RATE = 0.98;
+/** Added to the longest lease that a previous owner may have granted, in ms: its last orders were on the way. */
 const INHERIT_MARGIN_MS = 500;
 /** Time between reads of the jobs, in ms: other nodes write only when this one doesn't answer them. */
 const FOLLOW_MS = 200;
@@ -76,7 +75,7 @@
   const createdMs = timers.readNow();
   const inheritMs =
     (previous.ended ? 0 : options.selfLimitMs) +
-    context.settings.leaseMs / CLOCK_RATE +
+    context.settings.leaseMs / contacts.CLOCK_RATE +
     INHERIT_MARGIN_MS;
   const recorder = recorders.createRecorder(
     context,
@@ -87,7 +86,6 @@
   const durableWaiters = new Set<() => void>();
   const scheduler = core.workloads.createWorkloadScheduler({
     bounds: {
-      leaseMs: context.settings.leaseMs,
       inheritMs,
       firstRun: fence * RUNS_PER_FENCE + 1,
     },
--- a/packages/core/src/workloads/ends.ts
+++ b/packages/core/src/workloads/ends.ts
@@ -26,7 +26,7 @@
   const run =
     task.run?.number === end.run && task.run.vm === vm ? task.run : undefined;
   noteVmOutcome(vm, end.how, run, nowMs);
-  if (run !== undefined) states.removeRun(state, run, nowMs);
+  if (run !== undefined) states.removeRun(state, run);
   if (end.saved !== '') saveProgress(task, end.saved);
   switch (end.how) {
     case 'done':
--- /dev/null
+++ b/packages/core/src/workloads/jobs.ts
@@ -0,0 +1,60 @@
+/** Jobs as rows of the tables, with the occurrences of scheduled ones. */
+import type * as states from './state.js';
+import * as tables from './tables.js';
+import type * as types from './types.js';
+
+/** Adds a job with the occurrences that are due. */
+export function addJob(
+  state: states.State,
+  job: types.Job,
+  acceptedMs: number,
+  nowMs: number,
+  nowDate: number,
+): tables.JobRow {
+  const row: tables.JobRow = {
+    job,
+    policy: state.policies.get(job.queue) ?? job.policy,
+    acceptedMs,
+    occurrences: [],
+    occurrencesLeft: job.schedule?.times ?? 0,
+    begun: false,
+    cancelled: false,
+    final: undefined,
+    shown: undefined,
+    activeRuns: 0,
+  };
+  state.jobs.set(job.id, row);
+  if (job.schedule === undefined) tables.createOccurrence(row, 0, acceptedMs);
+  else createDue(row, nowMs, nowDate);
+  return row;
+}
+
+/** Monotonic time at which an occurrence is due. */
+export function computeDue(
+  job: types.Job,
+  occurrence: number,
+  nowMs: number,
+  nowDate: number,
+): number {
+  if (job.schedule === undefined) return nowMs;
+  const dueDate = job.schedule.firstAtMs + occurrence * job.schedule.intervalMs;
+  return nowMs + dueDate - nowDate;
+}
+
+/** Creates the occurrences that have become due. */
+export function createDue(
+  job: tables.JobRow,
+  nowMs: number,
+  nowDate: number,
+): void {
+  const { schedule } = job.job;
+  if (schedule === undefined) return;
+  while (job.occurrencesLeft > 0) {
+    const number = schedule.times - job.occurrencesLeft;
+    const dueMs = computeDue(job.job, number, nowMs, nowDate);
+    if (dueMs > nowMs) return;
+    job.occurrencesLeft -= 1;
+    if (!job.occurrences.some((occurrence) => occurrence.number === number))
+      tables.createOccurrence(job, number, dueMs);
+  }
+}
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -72,7 +72,7 @@
 
 function loseRun(state: states.State, run: tables.RunRow, nowMs: number): void {
   if (run.phase !== 'stopping') states.countEvent(state, 'run.lost');
-  states.removeRun(state, run, nowMs);
+  states.removeRun(state, run);
   if (run.task.step.spec.gang) ends.clearGang(state, run.task.step, nowMs);
 }
 
@@ -135,7 +135,7 @@
 ): tables.RunRow | undefined {
   // A previous owner started this run without a record, after the recorded one had ended.
   if (task?.run?.phase === 'inherited' && task.run.number < entry.run)
-    states.removeRun(state, task.run, nowMs);
+    states.removeRun(state, task.run);
   const wanted =
     task?.state === 'waiting' &&
     task.elsewhere.size === 0 &&
@@ -238,7 +238,7 @@
   nowMs: number,
 ): void {
   const { vm, task } = run;
-  states.removeRun(state, run, nowMs);
+  states.removeRun(state, run);
   if (task.step.spec.gang) ends.clearGang(state, task.step, nowMs);
   if (outcome === 'ticket')
     task.step.advice.good.delete(tables.formatVmLife(vm));
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -7,18 +7,14 @@
 import * as advice from './advice.js';
 import * as batches from './batch.js';
 import * as ends from './ends.js';
-import * as headroom from './headroom.js';
-import * as pacing from './pacing.js';
-import * as placement from './placement.js';
-import * as preemption from './preemption.js';
+import * as jobs from './jobs.js';
 import * as progress from './progress.js';
-import * as ranking from './ranking.js';
 import * as reports from './reports.js';
-import * as reservation from './reservation.js';
-import * as stalls from './stalls.js';
 import * as states from './state.js';
-import * as tables from './tables.js';
+import * as ticks from './tick.js';
+import type * as tables from './tables.js';
 import type * as types from './types.js';
+import * as views from './views.js';
 
 /** What a tick returns. */
 export interface Decision {
@@ -26,11 +22,6 @@
   readonly batch: types.RecordBatch | undefined;
 }
 
-/** Steps without room, per pool, for which advice is asked ahead of time. */
-const ADVICE_AHEAD_STEPS = 3;
-/** Time before a scheduled occurrence from which it may start, in ms. */
-const OCCURRENCE_EARLY_MS = 0;
-
 /** The scheduler of workloads. */
 export interface WorkloadScheduler {
   /** Sets the queues of the configuration in force. */
@@ -157,17 +148,17 @@
     },
     acceptJob(job, ageMs, nowMs, nowDate) {
       if (!state.jobs.has(job.id))
-        addJob(state, job, nowMs - ageMs, nowMs, nowDate);
+        jobs.addJob(state, job, nowMs - ageMs, nowMs, nowDate);
     },
     restoreJob(job, text, ageMs, nowMs, nowDate) {
       if (state.jobs.has(job.id)) return;
-      const row = addJob(state, job, nowMs - ageMs, nowMs, nowDate);
+      const row = jobs.addJob(state, job, nowMs - ageMs, nowMs, nowDate);
       if (text === undefined) return;
       progress.restoreProgress(
         state,
         row,
         text,
-        (number) => computeDue(job, number, nowMs, nowDate),
+        (number) => jobs.computeDue(job, number, nowMs, nowDate),
         nowMs,
       );
       ends.decideFinal(state, row, nowMs);
@@ -210,7 +201,7 @@
       advice.applyAdvice(state, step, asked, good, nowMs);
     },
     tick(nowMs, nowDate) {
-      runSystems(state, options, nowMs, nowDate);
+      ticks.runSystems(state, options.readAdviceSlots(), nowMs, nowDate);
       return { commands: takeCommands(), batch: batches.takeBatch(state) };
     },
     confirmBatch() {
@@ -224,281 +215,10 @@
     readDurableEnd: (vm) => state.vms.get(vm)?.durableEnd ?? 0,
     readJob(id) {
       const job = state.jobs.get(id);
-      return job === undefined ? undefined : describeJob(job);
+      return job === undefined ? undefined : views.describeJob(job);
     },
-    countWaiting: () => countWaiting(state),
+    countWaiting: () => views.countWaiting(state),
     readCounts: () => state.counts,
-    dump: () => dumpState(state),
-  };
-}
-
-function describeJob(job: tables.JobRow): types.JobState {
-  if (job.shown !== undefined) return job.shown;
-  if (job.cancelled) return 'cancelled';
-  return job.begun ? 'running' : 'pending';
-}
-
-function addJob(
-  state: states.State,
-  job: types.Job,
-  acceptedMs: number,
-  nowMs: number,
-  nowDate: number,
-): tables.JobRow {
-  const row: tables.JobRow = {
-    job,
-    policy: state.policies.get(job.queue) ?? job.policy,
-    acceptedMs,
-    occurrences: [],
-    occurrencesLeft: job.schedule?.times ?? 0,
-    begun: false,
-    cancelled: false,
-    final: undefined,
-    shown: undefined,
-    activeRuns: 0,
-  };
-  state.jobs.set(job.id, row);
-  if (job.schedule === undefined) tables.createOccurrence(row, 0, acceptedMs);
-  else createDue(row, nowMs, nowDate);
-  return row;
-}
-
-function computeDue(
-  job: types.Job,
-  occurrence: number,
-  nowMs: number,
-  nowDate: number,
-): number {
-  if (job.schedule === undefined) return nowMs;
-  const dueDate = job.schedule.firstAtMs + occurrence * job.schedule.intervalMs;
-  return nowMs + dueDate - nowDate;
-}
-
-function createDue(job: tables.JobRow, nowMs: number, nowDate: number): void {
-  const { schedule } = job.job;
-  if (schedule === undefined) return;
-  while (job.occurrencesLeft > 0) {
-    const number = schedule.times - job.occurrencesLeft;
-    const dueMs = computeDue(job.job, number, nowMs, nowDate);
-    if (dueMs - OCCURRENCE_EARLY_MS > nowMs) return;
-    job.occurrencesLeft -= 1;
-    if (!job.occurrences.some((occurrence) => occurrence.number === number))
-      tables.createOccurrence(job, number, dueMs);
-  }
-}
-
-function runSystems(
-  state: states.State,
-  options: SchedulerOptions,
-  nowMs: number,
-  nowDate: number,
-): void {
-  reports.expireRuns(state, nowMs);
-  stalls.stopStalled(state, nowMs);
-  pacing.paceRuns(state, nowMs);
-  const ranked: ranking.RankedStep[] = [];
-  for (const job of state.jobs.values()) {
-    if (states.isJobOver(job)) continue;
-    createDue(job, nowMs, nowDate);
-    collectSteps(state, job, ranked, nowMs);
-  }
-  ranked.sort(ranking.compareRanked);
-  startSteps(state, options, ranked, nowMs);
-}
-
-function collectSteps(
-  state: states.State,
-  job: tables.JobRow,
-  ranked: ranking.RankedStep[],
-  nowMs: number,
-): void {
-  if (isHeldBack(state, job, nowMs)) return;
-  for (const occurrence of job.occurrences) {
-    if (occurrence.done) continue;
-    for (const step of occurrence.steps)
-      if (step.waitingCount > 0 && tables.isStepOpen(step))
-        ranked.push(ranking.rankStep(step, nowMs));
-  }
-}
-
-/** Tasks of older jobs may run unrecorded on VMs that haven't reported yet. */
-function isHeldBack(
-  state: states.State,
-  job: tables.JobRow,
-  nowMs: number,
-): boolean {
-  if (!state.unrecordedStarts || job.acceptedMs > state.createdMs) return false;
-  if (nowMs > state.createdMs + state.bounds.inheritMs) {
-    state.unrecordedStarts = false;
-    return false;
-  }
-  for (const vm of state.vms.values())
-    if (!vm.usable && vm.entry?.pool === job.policy.pool) return true;
-  return false;
-}
-
-function startSteps(
-  state: states.State,
-  options: SchedulerOptions,
-  ranked: readonly ranking.RankedStep[],
-  nowMs: number,
-): void {
-  const ahead = new Map<types.PoolName, number>();
-  const slots = options.readAdviceSlots();
-  const rooms = headroom.measureRooms(state, nowMs);
-  const reserved = new Set<types.PoolName>();
-  for (const { step } of ranked) {
-    const { pool } = step.occurrence.job.policy;
-    const before = step.waitingCount;
-    const room = rooms.get(pool);
-    if (room === undefined) continue;
-    placeStep(state, step, room, nowMs);
-    if (step.waitingCount === 0) continue;
-    const short = ahead.get(pool) ?? 0;
-    if (state.pendingAdvice < slots)
-      advice.askForStep(state, step, short < ADVICE_AHEAD_STEPS, nowMs);
-    if (step.waitingCount === before && !advice.isPending(step, nowMs)) {
-      ahead.set(pool, short + 1);
-      if (short < ADVICE_AHEAD_STEPS) preemption.preemptFor(state, step, nowMs);
-      if (
-        step.spec.gang &&
-        !reserved.has(pool) &&
-        reservation.reserveFor(state, step, nowMs)
-      )
-        reserved.add(pool);
-    }
-  }
-}
-
-function placeStep(
-  state: states.State,
-  step: tables.StepRow,
-  room: headroom.PoolRoom,
-  nowMs: number,
-): void {
-  const candidates = collectCandidates(state, step, nowMs);
-  if (candidates.length === 0) return;
-  if (step.spec.gang) {
-    placeGang(state, step, candidates, room, nowMs);
-    return;
-  }
-  for (const task of step.tasks) {
-    if (task.state !== 'waiting' || task.elsewhere.size > 0) continue;
-    if (!headroom.canTake(room, step)) return;
-    const chosen = placement.chooseCandidate(candidates, step, task, nowMs);
-    if (chosen === undefined) return;
-    room.freeCores -= tables.readNeed(step.spec).cores;
-    placement.takeRoom(chosen, step);
-    startTask(state, task, chosen, states.createRunNumber(state), nowMs);
-  }
-}
-
-function collectCandidates(
-  state: states.State,
-  step: tables.StepRow,
-  nowMs: number,
-): placement.Candidate[] {
-  const needsTicket = step.occurrence.job.policy.advice !== undefined;
-  const candidates: placement.Candidate[] = [];
-  for (const vm of state.vms.values()) {
-    if (!placement.isEligible(vm, step, nowMs)) continue;
-    if (
-      placement.isReserved(vm, step, nowMs) &&
-      !reservation.isOverBefore(vm, step, nowMs)
-    )
-      continue;
-    const ticket = needsTicket ? advice.findTicket(step, vm, nowMs) : undefined;
-    if (needsTicket && ticket === undefined) continue;
-    candidates.push({
-      vm,
-      ticket,
-      free: { ...tables.readFree(vm) },
-      sameStep: placement.countSameStep(vm, step),
-    });
-  }
-  return candidates;
-}
-
-function placeGang(
-  state: states.State,
-  step: tables.StepRow,
-  candidates: readonly placement.Candidate[],
-  room: headroom.PoolRoom,
-  nowMs: number,
-): void {
-  // Members of the previous run must be gone before the next one begins.
-  if (step.waitingCount !== step.spec.count) return;
-  if (step.tasks.some(({ elsewhere }) => elsewhere.size > 0)) return;
-  const places = placement.chooseGang(candidates, step, nowMs);
-  if (places === undefined) return;
-  room.freeCores -= tables.readNeed(step.spec).cores * step.spec.count;
-  step.gangRun = states.createRunNumber(state);
-  step.tasks.forEach((task, index) => {
-    const chosen = places[index];
-    if (chosen !== undefined)
-      startTask(state, task, chosen, step.gangRun, nowMs);
-  });
-}
-
-function startTask(
-  state: states.State,
-  task: tables.TaskRow,
-  chosen: placement.Candidate,
-  number: number,
-  nowMs: number,
-): void {
-  const run = states.addRun(
-    task,
-    chosen.vm,
-    { number, phase: 'recording', ticket: chosen.ticket },
-    nowMs,
-  );
-  state.newStarts.push(run);
-  state.dirty.add(task.step.occurrence.job);
-  states.countEvent(state, 'start.decided');
-}
-
-function countWaiting(
-  state: states.State,
-): ReadonlyMap<types.QueueName, number> {
-  const counts = new Map<types.QueueName, number>();
-  for (const job of state.jobs.values()) {
-    if (job.begun || states.isJobOver(job) || job.job.schedule !== undefined)
-      continue;
-    counts.set(job.job.queue, (counts.get(job.job.queue) ?? 0) + 1);
-  }
-  return counts;
-}
-
-function dumpState(state: states.State): unknown {
-  return {
-    vms: [...state.vms.values()].map((vm) => ({
-      id: vm.id,
-      pool: vm.entry?.pool,
-      usable: vm.usable,
-      draining: vm.entry?.draining,
-      used: vm.used,
-      capacity: vm.entry?.capacity,
-      runs: [...vm.runs].map(
-        (run) => `${states.formatRun(run)} ${run.phase} ${run.percent}%`,
-      ),
-    })),
-    jobs: [...state.jobs.values()]
-      .filter((job) => job.shown === undefined && !job.cancelled)
-      .map((job) => ({
-        id: job.job.id,
-        queue: job.job.queue,
-        state: describeJob(job),
-        steps: job.occurrences.flatMap((occurrence) =>
-          occurrence.steps.map((step) => ({
-            step: `${occurrence.number}.${step.index}`,
-            done: step.doneCount,
-            waiting: step.waitingCount,
-            count: step.spec.count,
-            open: tables.isStepOpen(step),
-          })),
-        ),
-      })),
-    counts: Object.fromEntries(state.counts),
+    dump: () => views.dumpState(state),
   };
 }
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -6,8 +6,6 @@
 
 /** Bounds of the platform and of this owner. */
 export interface Bounds {
-  /** Longest lease of a VM, in ms. */
-  readonly leaseMs: number;
   /** Time after which runs that a previous owner recorded on silent VMs are over, in ms. */
   readonly inheritMs: number;
   /** First run number of this owner; later ones rise by one. */
@@ -97,7 +95,6 @@
     vm,
     number: run.number,
     phase: run.phase,
-    decidedMs: nowMs,
     settledMs: undefined,
     stopSentMs: undefined,
     runningSinceMs: undefined,
@@ -119,11 +116,7 @@
 }
 
 /** Removes a run that is known to be over or never to begin; its task waits again. */
-export function removeRun(
-  state: State,
-  run: tables.RunRow,
-  nowMs: number,
-): void {
+export function removeRun(state: State, run: tables.RunRow): void {
   if (!run.vm.runs.delete(run)) return;
   const { task } = run;
   tables.addAmount(run.vm.used, tables.readNeed(task.step.spec), -1);
@@ -133,7 +126,6 @@
   task.run = undefined;
   if (task.state === 'done') return;
   task.state = 'waiting';
-  task.waitingSinceMs = nowMs;
   task.step.waitingCount += 1;
 }
 
@@ -146,7 +138,7 @@
 ): void {
   switch (run.phase) {
     case 'recording':
-      removeRun(state, run, nowMs);
+      removeRun(state, run);
       return;
     case 'stopping':
       return;
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -22,7 +22,6 @@
   readonly number: number;
   readonly vm: VmRow;
   phase: RunPhase;
-  readonly decidedMs: number;
   /** Time from which a report without the run means that it isn't there. */
   settledMs: number | undefined;
   /** Whether the stop has been answered. */
@@ -52,8 +51,6 @@
   readonly elsewhere: Set<VmRow>;
   /** VMs on which it failed or stood still. */
   avoided: Set<ids.VmId>;
-  /** Time since which it waits. */
-  waitingSinceMs: number;
 }
 
 /** Advice known about a step. */
@@ -66,7 +63,6 @@
     { readonly ticket: string; readonly untilMs: number }
   >;
   readonly known: Set<string>;
-  askedFrom: number;
 }
 
 /** A step of one occurrence. */
@@ -81,9 +77,6 @@
   /** Run number that all members of the gang share. */
   gangRun: number;
   gangFailures: number[];
-  /** Members of an ended gang run are being cleared. */
-  gangClearing: boolean;
-  lastPlacedMs: number;
 }
 
 /** One occurrence of a job. */
@@ -143,7 +136,6 @@
   reservedUntilMs: number;
   /** Time at which the VM is expected to be ready for that step. */
   reservedFromMs: number;
-  readonly firstSeenMs: number;
 }
 
 /** Tolerance of sums of fractional cores. */
@@ -208,7 +200,6 @@
     reservedFor: undefined,
     reservedUntilMs: 0,
     reservedFromMs: 0,
-    firstSeenMs: nowMs,
   };
 }
 
@@ -242,12 +233,9 @@
         pendingUntilMs: undefined,
         good: new Map(),
         known: new Set(),
-        askedFrom: 0,
       },
       gangRun: 0,
       gangFailures: [],
-      gangClearing: false,
-      lastPlacedMs: 0,
     };
     for (let task = 0; task < spec.count; task += 1)
       step.tasks.push({
@@ -260,7 +248,6 @@
         preemptions: 0,
         elsewhere: new Set(),
         avoided: new Set(),
-        waitingSinceMs: dueMs,
       });
     occurrence.steps.push(step);
   });
--- a/packages/core/test/workloads/simulation.ts
+++ b/packages/core/test/workloads/simulation.ts
@@ -210,7 +210,6 @@
     const fence = this.fences;
     const scheduler = core.workloads.createWorkloadScheduler({
       bounds: {
-        leaseMs: LEASE_MS,
         inheritMs: INHERIT_MS,
         firstRun: fence * RUNS_PER_FENCE + 1,
       },
--- a/packages/core/test/workloads/world.ts
+++ b/packages/core/test/workloads/world.ts
@@ -143,7 +143,6 @@
   const finals = new Map<string, core.workloads.FinalState>();
   const scheduler = core.workloads.createWorkloadScheduler({
     bounds: {
-      leaseMs: 6_000,
       inheritMs: 16_000,
       firstRun: options.firstRun ?? 1,
     },
