Drop ended jobs from memory and, after ten minutes, from the store

Change: a job leaves the tables when its end is durable and nothing of it runs; the owner drops the keys of jobs that ended ten minutes ago.

--- a/packages/cluster/src/jobStore.ts
+++ b/packages/cluster/src/jobStore.ts
@@ -13,6 +13,8 @@
 
 /** Time that must be left for another try, in ms. */
 const SHORTEST_TRY_MS = 400;
+/** Time for which ended jobs stay known, in ms: several times what callers are promised. */
+const KEEP_ENDED_MS = 600_000;
 /** Records of one append; the rest waits for the next. */
 const MAX_GROUP = 200;
 
@@ -32,6 +34,8 @@
   job: core.workloads.Job | undefined;
   cancelled: boolean;
   final: core.workloads.FinalState | undefined;
+  /** Monotonic time at which its end or cancellation was learned. */
+  endedMs: number | undefined;
 }
 
 /** What became of a durable write. */
@@ -48,6 +52,9 @@
   /** Reads to the end of the stream; false when the store doesn't answer. */
   refresh(): Promise<boolean>;
   list(): Iterable<StoredJob>;
+  /** Learns an end that this node has made durable. */
+  noteFinal(id: core.ids.JobId, state: core.workloads.FinalState): void;
+  dropOld(): Promise<void>;
   /** Is told each change while this node owns the cluster. */
   setObserver(
     observer: ((change: records.JobChange) => void) | undefined,
@@ -141,11 +148,37 @@
       job: undefined,
       cancelled: false,
       final: undefined,
+      endedMs: undefined,
     };
     jobs.set(id, entry);
     return entry;
   }
 
+  function endJob(id: core.ids.JobId): StoredJob {
+    const entry = ensureJob(id);
+    entry.endedMs ??= timers.readNow();
+    return entry;
+  }
+
+  /** Drops what is stored of jobs that ended long ago. */
+  async function dropOld(): Promise<void> {
+    const before = timers.readNow() - KEEP_ENDED_MS;
+    const old = [...jobs.values()]
+      .filter(({ endedMs }) => endedMs !== undefined && endedMs < before)
+      .slice(0, MAX_GROUP)
+      .map(({ id }) => id);
+    if (old.length === 0) return;
+    const result = await context.ports.store.append(
+      'jobs',
+      old.flatMap(records.buildForgotten),
+      { timeoutMs: patience.readTimeout() },
+    );
+    // Otherwise they are still old the next time.
+    if (result.outcome !== 'appended') return;
+    for (const id of old) jobs.delete(id);
+    context.log.write('info', 'jobs.forgotten', { count: old.length });
+  }
+
   function applyChange(change: records.JobChange): void {
     switch (change.change) {
       case 'accepted': {
@@ -154,10 +187,10 @@
         return;
       }
       case 'cancelled':
-        ensureJob(change.id).cancelled = true;
+        endJob(change.id).cancelled = true;
         return;
       case 'final':
-        ensureJob(change.id).final = change.state;
+        endJob(change.id).final = change.state;
         return;
       case 'body-dropped': {
         const entry = jobs.get(change.id);
@@ -284,6 +317,10 @@
     find: (id) => jobs.get(id),
     refresh,
     list: () => jobs.values(),
+    noteFinal(id, state) {
+      applyChange({ change: 'final', id, state });
+    },
+    dropOld,
     setObserver(next) {
       observer = next;
     },
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -26,6 +26,8 @@
 const INHERIT_MARGIN_MS = 500;
 /** Time between reads of the jobs, in ms: other nodes write only when this one doesn't answer them. */
 const FOLLOW_MS = 200;
+/** Time between rounds that drop jobs that ended long ago, in ms. */
+const FORGET_MS = 10_000;
 /** Run numbers of one owner; a new owner begins above all of them. */
 const RUNS_PER_FENCE = 1_000_000;
 
@@ -297,6 +299,7 @@
     }
     recordingSinceMs = undefined;
     if (isClosed()) return;
+    for (const [id, state] of batch.finals) jobs.noteFinal(id, state);
     metrics.record('record', {}, timers.readNow() - startedMs);
     for (const command of scheduler.confirmBatch()) execute(command);
     for (const wake of [...durableWaiters]) wake();
@@ -438,6 +441,12 @@
     return readKnown(id) ?? 'unknown';
   }
 
+  const forgetting = timers.subscribe(
+    { name: 'owner.forget', delayMs: FORGET_MS, repeat: 'periodic' },
+    () => {
+      if (ready) void jobs.dropOld();
+    },
+  );
   const idle = timers.subscribe(
     { name: 'owner.idle', delayMs: IDLE_TICK_MS, repeat: 'periodic' },
     requestTick,
@@ -459,6 +468,7 @@
     close() {
       closed = true;
       idle.end();
+      forgetting.end();
       recorder.close();
       jobs.setObserver(undefined);
       fleet.setObserver(undefined);
--- a/packages/cluster/src/records.ts
+++ b/packages/cluster/src/records.ts
@@ -95,6 +95,14 @@
   }
 }
 
+/** Builds the records that drop all that is stored of an ended job. */
+export function buildForgotten(id: core.ids.JobId): readonly ports.NewRecord[] {
+  return (['job', 'cancel', 'final'] as const).map((prefix) => ({
+    key: formatKey(prefix, id),
+    value: undefined,
+  }));
+}
+
 /** A claim of ownership, and its renewals. */
 export interface ClaimRecord {
   readonly node: core.ids.ProcessName;
--- a/packages/cluster/test/jobStore.test.ts
+++ b/packages/cluster/test/jobStore.test.ts
@@ -123,4 +123,32 @@
     await fakes.advance(context.fakeTimers, 600);
     vitest.expect(store.readHealth().away).toBe(false);
   });
+
+  vitest.it(
+    'that ended long ago leaves nothing behind (guards against a store that fills)',
+    async () => {
+      const context = fakes.createFakeContext();
+      const store = jobStores.createJobStore(context);
+      accept(context, store, 'a');
+      accept(context, store, 'b');
+      await fakes.advance(context.fakeTimers, 50);
+      store.noteFinal('a', 'completed');
+      context.fakeTimers.advance(500_000);
+      void store.dropOld();
+      await fakes.advance(context.fakeTimers, 50);
+      vitest.expect(store.find('a')).toMatchObject({ final: 'completed' });
+      context.fakeTimers.advance(200_000);
+      void store.dropOld();
+      await fakes.advance(context.fakeTimers, 50);
+      vitest.expect(store.find('a')).toBeUndefined();
+      vitest.expect(store.find('b')).toBeDefined();
+      vitest
+        .expect(
+          context.store.streams.jobs.records
+            .filter(({ value }) => value === undefined)
+            .map(({ key }) => key),
+        )
+        .toEqual(['job:a', 'cancel:a', 'final:a']);
+    },
+  );
 });
--- a/packages/core/src/workloads/batch.ts
+++ b/packages/core/src/workloads/batch.ts
@@ -22,7 +22,7 @@
   const dropped = state.dropped.splice(0);
   for (const job of state.dirty) {
     if (job.shown !== undefined || job.cancelled) {
-      if (job.activeRuns === 0) dropped.push(job.job.id);
+      if (job.activeRuns === 0) dropped.push(dropJob(state, job));
     } else if (job.final !== undefined) {
       finals.set(job.job.id, job.final);
       finalRows.push(job);
@@ -41,6 +41,12 @@
   return { number, progress: texts, finals, dropped };
 }
 
+/** Removes an ended job without runs from the tables; its end is durable elsewhere. */
+function dropJob(state: states.State, job: tables.JobRow): ids.JobId {
+  state.jobs.delete(job.job.id);
+  return job.job.id;
+}
+
 /** Applies that the batch is durable. */
 export function confirmBatch(state: states.State): void {
   const { batch } = state;
@@ -52,7 +58,7 @@
       vm.durableEnd = Math.max(vm.durableEnd, number);
   for (const job of batch.finals) {
     job.shown = job.final;
-    if (job.activeRuns === 0) state.dropped.push(job.job.id);
+    if (job.activeRuns === 0) state.dropped.push(dropJob(state, job));
   }
   sendStarts(state, batch.starts);
 }
