Keep a VM good whose ticket was refused as expired

The refusal took the VM out of the good ones while it stayed known, so it was never asked about again; a job whose good VMs had all refused once could never run.

Ruled out: a lost acceptance, a step that waits for an answer for ever.

Change: a refused ticket counts as expired and is asked anew. The test fails before.

--- a/packages/core/src/workloads/advice.ts
+++ b/packages/core/src/workloads/advice.ts
@@ -32,6 +32,14 @@
   return known.ticket;
 }
 
+/** Notes that a ticket holds no more; the VM stays good and the ticket is asked anew. */
+export function expireTicket(step: tables.StepRow, vm: tables.VmRow): void {
+  const key = tables.formatVmLife(vm);
+  const known = step.advice.good.get(key);
+  if (known !== undefined)
+    step.advice.good.set(key, { ...known, untilMs: -Infinity });
+}
+
 /** Tells whether a question about the step is on its way. */
 export function isPending(step: tables.StepRow, nowMs: number): boolean {
   const { pendingUntilMs } = step.advice;
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -4,6 +4,7 @@
  * the question was asked after the run's order had been answered.
  */
 import type * as ids from '../types/ids.js';
+import * as advice from './advice.js';
 import * as ends from './ends.js';
 import * as speeds from './speed.js';
 import * as states from './state.js';
@@ -240,8 +241,7 @@
   const { vm, task } = run;
   states.removeRun(state, run);
   if (task.step.spec.gang) ends.clearGang(state, task.step, nowMs);
-  if (outcome === 'ticket')
-    task.step.advice.good.delete(tables.formatVmLife(vm));
+  if (outcome === 'ticket') advice.expireTicket(task.step, vm);
   if (
     outcome === 'unhealthy' ||
     outcome === 'unreachable' ||
--- a/packages/core/test/workloads/advice.test.ts
+++ b/packages/core/test/workloads/advice.test.ts
@@ -55,4 +55,35 @@
       vitest.expect(world.listAsked()).toHaveLength(2);
     },
   );
+
+  vitest.it(
+    'keeps a VM good whose ticket was refused as expired (guards against jobs that no VM may run any more)',
+    () => {
+      const world = worlds.createWorld();
+      world.addVm('a');
+      const policy = worlds.createPolicy({ advice });
+      world.addJob('one', [worlds.createStep()], policy);
+      const first = world.scheduler.tick(world.readNow(), 0);
+      const asked = first.commands[0];
+      if (asked?.command !== 'advise') throw new Error('no advice was asked');
+      world.scheduler.applyAdvice(
+        asked.step,
+        asked.vms,
+        [{ vm: 'a', ticket: 't' }],
+        world.readNow(),
+      );
+      world.scheduler.tick(world.readNow(), 0);
+      const [start] = world.scheduler.confirmBatch();
+      if (start?.command !== 'start') throw new Error('nothing was started');
+      world.scheduler.applyStart(
+        'a',
+        start.task,
+        start.run,
+        'ticket',
+        world.readNow(),
+      );
+      for (let round = 0; round < 5; round += 1) world.advance(100);
+      vitest.expect(world.listRuns()).toHaveLength(1);
+    },
+  );
 });
