Ask in one place whether a VM may run a step; remove two dead functions

Cause: the last reading of the change found the check of known good VMs in both reservation and preemption, a wrapper of hasRoom in placement, and isNodeSettings, which nothing called. Behaviour is unchanged.

--- a/packages/cluster/src/index.ts
+++ b/packages/cluster/src/index.ts
@@ -2,6 +2,6 @@
 export { createClusterNode } from './node.js';
 export type { ClusterNode } from './node.js';
 export type { NodeContext } from './context.js';
-export { isNodeSettings, parseNodeSettings } from './settings.js';
+export { parseNodeSettings } from './settings.js';
 export type { NodeSettings, NodeSettingsResult } from './settings.js';
 export type * as ports from './ports.js';
--- a/packages/cluster/src/settings.ts
+++ b/packages/cluster/src/settings.ts
@@ -57,11 +57,6 @@
 export type NodeSettingsResult =
   { readonly settings: NodeSettings } | { readonly faults: readonly string[] };
 
-/** Tells whether a settings file is one of a node of a cluster. */
-export function isNodeSettings(text: string): boolean {
-  return 'log_store' in ini.parse(text);
-}
-
 /** Parses and checks a settings file. */
 export function parseNodeSettings(
   text: string,
--- a/packages/core/src/workloads/advice.ts
+++ b/packages/core/src/workloads/advice.ts
@@ -40,6 +40,12 @@
     step.advice.good.set(key, { ...known, untilMs: -Infinity });
 }
 
+/** Tells whether a VM may run a step, as far as advice is needed for that. */
+export function isAllowedOn(step: tables.StepRow, vm: tables.VmRow): boolean {
+  if (step.occurrence.job.policy.advice === undefined) return true;
+  return step.advice.good.has(tables.formatVmLife(vm));
+}
+
 /** Tells whether a question about the step is on its way. */
 export function isPending(step: tables.StepRow, nowMs: number): boolean {
   const { pendingUntilMs } = step.advice;
--- a/packages/core/src/workloads/placement.ts
+++ b/packages/core/src/workloads/placement.ts
@@ -4,7 +4,6 @@
  */
 import * as speeds from './speed.js';
 import * as tables from './tables.js';
-import type * as resources from '../types/resources.js';
 
 /** Penalties of a score; a packed VM scores between 0 and 3. */
 const FAILED_HERE_PENALTY = 20;
@@ -32,14 +31,7 @@
   if (vm.strangers > 0 || vm.avoidUntilMs > nowMs) return false;
   const { label } = step.spec;
   if (label !== undefined && !entry.labels.includes(label)) return false;
-  return hasAmount(entry.capacity, tables.readNeed(step.spec));
-}
-
-function hasAmount(
-  capacity: resources.Resources,
-  need: resources.Resources,
-): boolean {
-  return tables.hasRoom(capacity, need);
+  return tables.hasRoom(entry.capacity, tables.readNeed(step.spec));
 }
 
 /** Tells whether a VM keeps its room for another step. */
--- a/packages/core/src/workloads/preemption.ts
+++ b/packages/core/src/workloads/preemption.ts
@@ -3,6 +3,7 @@
  * Answers a burst of urgent jobs onto full VMs: without it they wait for the end of
  * tasks that take many times as long as they do.
  */
+import * as advice from './advice.js';
 import * as placement from './placement.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
@@ -35,7 +36,7 @@
       if (vm.reservedFor === step) wanted -= 1;
       continue;
     }
-    if (!isAllowedOn(step, vm)) continue;
+    if (!advice.isAllowedOn(step, vm)) continue;
     const { maxPerVm } = step.spec;
     if (maxPerVm !== undefined && placement.countSameStep(vm, step) >= maxPerVm)
       continue;
@@ -60,11 +61,6 @@
   }
 }
 
-function isAllowedOn(step: tables.StepRow, vm: tables.VmRow): boolean {
-  if (step.occurrence.job.policy.advice === undefined) return true;
-  return step.advice.good.has(tables.formatVmLife(vm));
-}
-
 function chooseVictims(
   vm: tables.VmRow,
   step: tables.StepRow,
--- a/packages/core/src/workloads/reservation.ts
+++ b/packages/core/src/workloads/reservation.ts
@@ -4,6 +4,7 @@
  * passed, because every part that becomes free is taken. Tasks that end before the
  * VM can be ready for the gang may still use it.
  */
+import * as advice from './advice.js';
 import * as placement from './placement.js';
 import type * as states from './state.js';
 import * as tables from './tables.js';
@@ -35,12 +36,11 @@
   step: tables.StepRow,
   nowMs: number,
 ): ReadonlyMap<tables.VmRow, number> | undefined {
-  const needsAdvice = step.occurrence.job.policy.advice !== undefined;
   const candidates = [...state.vms.values()].filter(
     (vm) =>
       placement.isEligible(vm, step, nowMs) &&
       !placement.isReserved(vm, step, nowMs) &&
-      (!needsAdvice || step.advice.good.has(tables.formatVmLife(vm))),
+      advice.isAllowedOn(step, vm),
   );
   const planned = new Map<tables.VmRow, number>();
   const ready = new Map<tables.VmRow, number>();
