--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -301,7 +301,14 @@
     }
     recordingSinceMs = undefined;
     if (isClosed()) return;
-    for (const [id, state] of batch.finals) jobs.noteFinal(id, state);
+    for (const [id, state] of batch.finals) {
+      jobs.noteFinal(id, state);
+      log.write('info', 'job.ended', {
+        job: id,
+        state,
+        ...scheduler.readTiming(id, timers.readNow()),
+      });
+    }
     metrics.record('record', {}, timers.readNow() - startedMs);
     for (const command of scheduler.confirmBatch()) execute(command);
     for (const wake of [...durableWaiters]) wake();
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -86,6 +86,8 @@
   /** Highest end of a VM whose effect is durable. */
   readDurableEnd(vm: ids.VmId): number;
   readJob(job: ids.JobId): types.JobState | undefined;
+  /** Time of a job in the tables against its objective. */
+  readTiming(job: ids.JobId, nowMs: number): views.JobTiming | undefined;
   /** Jobs per queue of which no task has started; scheduled jobs don't count. */
   countWaiting(): ReadonlyMap<types.QueueName, number>;
   readCounts(): ReadonlyMap<string, number>;
@@ -226,6 +228,10 @@
       const job = state.jobs.get(id);
       return job === undefined ? undefined : views.describeJob(job);
     },
+    readTiming(id, nowMs) {
+      const job = state.jobs.get(id);
+      return job === undefined ? undefined : views.measureTiming(job, nowMs);
+    },
     countWaiting: () => views.countWaiting(state),
     readCounts: () => state.counts,
     dump: () => views.dumpState(state),
--- a/packages/core/src/workloads/views.ts
+++ b/packages/core/src/workloads/views.ts
@@ -1,4 +1,5 @@
 /** What callers and operators see of the tables. */
+import * as ranking from './ranking.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
@@ -10,6 +11,34 @@
   return job.begun ? 'running' : 'pending';
 }
 
+/** How long a job has taken against what it is allowed. */
+export interface JobTiming {
+  readonly queue: types.QueueName;
+  /** Time since its acceptance, in ms. */
+  readonly tookMs: number;
+  /** Time that its objective allows, by the declared run times, in ms. */
+  readonly objectiveMs: number;
+  readonly preemptions: number;
+}
+
+/** Measures the time of a job; that of a scheduled one counts from its first occurrence. */
+export function measureTiming(
+  job: tables.JobRow,
+  nowMs: number,
+): JobTiming | undefined {
+  const [first] = job.occurrences;
+  if (first === undefined) return undefined;
+  let preemptions = 0;
+  for (const step of first.steps)
+    for (const task of step.tasks) preemptions += task.preemptions;
+  return {
+    queue: job.job.queue,
+    tookMs: Math.round(nowMs - first.dueMs),
+    objectiveMs: Math.round(ranking.computeObjective(first) - first.dueMs),
+    preemptions,
+  };
+}
+
 /** Jobs per queue of which no task has started. */
 export function countWaiting(
   state: states.State,
