--- a/packages/cluster/src/contacts.ts
+++ b/packages/cluster/src/contacts.ts
@@ -7,10 +7,10 @@
 import type * as contexts from './context.js';
 import type * as ports from './ports.js';
 
-/** How long an answer waits at the VM for an end, in ms: leases are renewed four times in their length. */
-const HOLD_WAIT_MS = 1_500;
-/** Time beyond the wait after which a hold has failed, in ms. */
-const HOLD_TIMEOUT_MS = 800;
+/** How long an answer waits at the VM for an end, in ms: an answer that is lost hides ends for this time. */
+const HOLD_WAIT_MS = 500;
+/** Time beyond the wait after which a hold has failed, in ms: several times a sound VM's answer from another region. */
+const HOLD_TIMEOUT_MS = 400;
 /** Time between tries at a VM that doesn't answer, in ms. */
 const RETRY_MS = 250;
 /** Time between holds while ends can't be made durable, in ms: they would be answered at once. */
@@ -65,6 +65,8 @@
   let clock: { readonly vmMs: number; readonly atMs: number } | undefined;
   let leaseEndMs = terms.inheritedUntilMs;
   let closed = false;
+  /** The last hold got no answer; one alone may have been lost. */
+  let missed = false;
   let silent = false;
   let lost = false;
   let lastSeen = 0;
@@ -106,7 +108,7 @@
     const askedMs = timers.readNow();
     // A silent VM may carry out a hold without answering it: one that extends the lease
     // again and again would put off the time at which nothing can run there any more.
-    const untilMs = silent ? undefined : computeUntil();
+    const untilMs = silent || missed ? undefined : computeUntil();
     const waitMs = untilMs === undefined ? 0 : HOLD_WAIT_MS;
     if (untilMs !== undefined) noteOrder(untilMs);
     const result = await context.ports.vmCalls.hold(
@@ -132,6 +134,11 @@
         lost = true;
         return false;
       case 'failed':
+        metrics.count('holds', { outcome: 'failed' });
+        if (!missed) {
+          missed = true;
+          return true;
+        }
         noteSilence(result.why);
         return false;
     }
@@ -148,6 +155,7 @@
     clock = { vmMs: result.clockMs, atMs: timers.readNow() };
     if (silent) log.write('info', 'vm.regained', { vm: target.id, lost });
     silent = false;
+    missed = false;
     lost = false;
     metrics.count('holds', { outcome: 'held' });
     // A new life counts its ends anew.
@@ -157,7 +165,6 @@
 
   function noteSilence(why: string): void {
     const nowMs = timers.readNow();
-    metrics.count('holds', { outcome: 'failed' });
     if (!silent) {
       log.write('warn', 'vm.silent', {
         vm: target.id,
@@ -183,7 +190,7 @@
       const answered = await holdOnce();
       if (isClosed()) return;
       if (!answered) await core.waitFor(timers, 'contacts.retry', RETRY_MS);
-      else if (events.readDurableEnd(target.id) < lastSeen)
+      else if (!missed && events.readDurableEnd(target.id) < lastSeen)
         await events.waitForDurable(BLOCKED_WAIT_MS);
     }
   }
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -10,12 +10,11 @@
 import type * as contexts from './context.js';
 import type * as fleets from './fleet.js';
 import type * as jobStores from './jobStore.js';
+import * as patiences from './patience.js';
 import * as recorders from './recorder.js';
 import type * as records from './records.js';
 import * as tails from './tail.js';
 
-/** Time that an order to a VM may take, in ms: several times a sound VM's answer from another region. */
-const ORDER_TIMEOUT_MS = 500;
 /** Time between ticks when nothing happens, in ms. */
 const IDLE_TICK_MS = 100;
 /** Events that arrive within this time are decided together, in ms. */
@@ -97,6 +96,7 @@
       previous.gapMs !== undefined && previous.gapMs > UNRECORDED_AFTER_MS,
     nowMs: createdMs,
   });
+  const patience = patiences.createOrderPatience();
   let closed = false;
   let ready = false;
   let gathering = false;
@@ -371,11 +371,15 @@
     const untilMs = contact?.computeUntil();
     if (contact === undefined || untilMs === undefined) return 'unreachable';
     contact.noteOrder(untilMs);
-    return outside.vmCalls.start(
+    const sentMs = timers.readNow();
+    const outcome = await outside.vmCalls.start(
       contact.target,
       { ...command, untilMs, fence },
-      ORDER_TIMEOUT_MS,
+      patience.readTimeout(),
     );
+    if (outcome === 'unknown') patience.noteSilence();
+    else patience.noteAnswer(timers.readNow() - sentMs);
+    return outcome;
   }
 
   async function stop(command: CommandOf<'stop'>): Promise<void> {
@@ -385,7 +389,7 @@
     const result = await outside.vmCalls.stop(
       contact.target,
       { task, run, fence },
-      ORDER_TIMEOUT_MS,
+      patience.readTimeout(),
     );
     if (isClosed()) return;
     log.write('info', 'task.stop', {
@@ -407,7 +411,7 @@
     const paced = await outside.vmCalls.pace(
       contact.target,
       { task, run, percent, fence },
-      ORDER_TIMEOUT_MS,
+      patience.readTimeout(),
     );
     log.write('info', 'task.pace', {
       task: core.workloads.formatTask(task),
--- a/packages/cluster/src/patience.ts
+++ b/packages/cluster/src/patience.ts
@@ -1,7 +1,8 @@
 /**
- * How long an append may take before it is sent again. A store that is slow answers
- * later the more it is asked, so each repeat waits twice as long, and a short first
- * wait finds a connection that has gone silent.
+ * How long answers are waited for. A store that is slow answers later the more it is
+ * asked, so each repeat of an append waits twice as long, and a short first wait finds
+ * a connection that has gone silent. VMs answer orders quickly or not at all, so an
+ * order waits a few times as long as recent ones took.
  */
 
 /** First wait, in ms: far above an answer of a sound store in another region. */
@@ -30,3 +31,47 @@
     },
   };
 }
+
+/** Bounds of the wait for the answer to an order, in ms. */
+const SHORTEST_ORDER_MS = 250;
+const LONGEST_ORDER_MS = 1_000;
+/** The wait is this many times the slowest recent answer, and a constant for pauses of this process, in ms. */
+const ORDER_FACTOR = 3;
+const ORDER_MARGIN_MS = 100;
+/** What the slowest recent answer counts after one more. */
+const SLOWEST_FADE = 0.98;
+/** Orders in a row without an answer from which VMs count as slow rather than answers as lost. */
+const SILENCES_OF_SLOW = 3;
+/** Share of such a wait that counts as an answer's time. */
+const SILENCE_SHARE = 0.5;
+
+/** Waits for the answers to orders. */
+export interface OrderPatience {
+  readonly readTimeout: () => number;
+  readonly noteAnswer: (tookMs: number) => void;
+  /** Notes an order without an answer; the VMs may have become slower. */
+  readonly noteSilence: () => void;
+}
+
+/** Creates the waits for orders. */
+export function createOrderPatience(): OrderPatience {
+  let slowestMs = 0;
+  let silences = 0;
+  const readTimeout = () =>
+    Math.min(
+      LONGEST_ORDER_MS,
+      Math.max(SHORTEST_ORDER_MS, slowestMs * ORDER_FACTOR + ORDER_MARGIN_MS),
+    );
+  return {
+    readTimeout,
+    noteAnswer(tookMs) {
+      silences = 0;
+      slowestMs = Math.max(tookMs, slowestMs * SLOWEST_FADE);
+    },
+    noteSilence() {
+      silences += 1;
+      if (silences >= SILENCES_OF_SLOW)
+        slowestMs = Math.max(slowestMs, readTimeout() * SILENCE_SHARE);
+    },
+  };
+}
--- a/packages/core/src/workloads/stalls.ts
+++ b/packages/core/src/workloads/stalls.ts
@@ -1,7 +1,7 @@
 /**
  * Finds runs that stand still although their VM reports well, stops them and keeps
- * their VM free for a while. Reports come at least each second and a half, so a run
- * must be unchanged over several of them.
+ * their VM free for a while. Reports come at least twice a second, so a run must be
+ * unchanged over several of them.
  */
 import * as placement from './placement.js';
 import * as states from './state.js';
