--- a/packages/cluster/src/contacts.ts
+++ b/packages/cluster/src/contacts.ts
@@ -5,10 +5,9 @@
  */
 import * as core from '@flamingoward/core';
 import type * as contexts from './context.js';
+import type * as patiences from './patience.js';
 import type * as ports from './ports.js';
 
-/** How long an answer waits at the VM for an end, in ms: an answer that is lost hides ends for this time. */
-const HOLD_WAIT_MS = 500;
 /** Time beyond the wait after which a hold has failed, in ms: several times a sound VM's answer from another region. */
 const HOLD_TIMEOUT_MS = 400;
 /** Time between tries at a VM that doesn't answer, in ms. */
@@ -57,6 +56,7 @@
     readonly fence: number;
     /** Time at which leases of a previous owner are over at the latest. */
     readonly inheritedUntilMs: number;
+    readonly patience: patiences.HoldPatience;
   },
   events: ContactEvents,
 ): Contact {
@@ -109,7 +109,7 @@
     // A silent VM may carry out a hold without answering it: one that extends the lease
     // again and again would put off the time at which nothing can run there any more.
     const untilMs = silent || missed ? undefined : computeUntil();
-    const waitMs = untilMs === undefined ? 0 : HOLD_WAIT_MS;
+    const waitMs = untilMs === undefined ? 0 : terms.patience.readWait(askedMs);
     if (untilMs !== undefined) noteOrder(untilMs);
     const result = await context.ports.vmCalls.hold(
       target,
@@ -135,6 +135,7 @@
         return false;
       case 'failed':
         metrics.count('holds', { outcome: 'failed' });
+        terms.patience.noteSilence(timers.readNow());
         if (!missed) {
           missed = true;
           return true;
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -97,6 +97,7 @@
     nowMs: createdMs,
   });
   const patience = patiences.createOrderPatience();
+  const holdPatience = patiences.createHoldPatience();
   let closed = false;
   let ready = false;
   let gathering = false;
@@ -212,7 +213,11 @@
       contacts.createContact(
         context,
         { id, address: vm.address },
-        { fence, inheritedUntilMs: createdMs + inheritMs },
+        {
+          fence,
+          inheritedUntilMs: createdMs + inheritMs,
+          patience: holdPatience,
+        },
         contactEvents,
       ),
     );
--- a/packages/cluster/src/patience.ts
+++ b/packages/cluster/src/patience.ts
@@ -75,3 +75,29 @@
     },
   };
 }
+
+/** How long a hold waits at a VM for an end, in ms: leases are renewed four times in their length. */
+const HOLD_WAIT_MS = 1_500;
+/** The same while answers are being lost: a lost one hides all ends of its VM for this time. */
+const LOSSY_WAIT_MS = 500;
+/** Time after a lost answer for which more are expected, in ms: such troubles last seconds. */
+const LOSSY_MEMORY_MS = 6_000;
+
+/** Waits of holds at all VMs. */
+export interface HoldPatience {
+  readonly readWait: (nowMs: number) => number;
+  /** Notes a hold that got no answer. */
+  readonly noteSilence: (nowMs: number) => void;
+}
+
+/** Creates the waits of holds. */
+export function createHoldPatience(): HoldPatience {
+  let silentAtMs = -Infinity;
+  return {
+    readWait: (nowMs) =>
+      nowMs - silentAtMs < LOSSY_MEMORY_MS ? LOSSY_WAIT_MS : HOLD_WAIT_MS,
+    noteSilence(nowMs) {
+      silentAtMs = nowMs;
+    },
+  };
+}
--- a/packages/cluster/test/patience.test.ts
+++ b/packages/cluster/test/patience.test.ts
@@ -28,3 +28,16 @@
     },
   );
 });
+
+vitest.describe('the wait of a hold', () => {
+  vitest.it(
+    'is short only while answers are being lost (guards against ends that a lost answer hides, and against needless holds)',
+    () => {
+      const patience = patiences.createHoldPatience();
+      vitest.expect(patience.readWait(0)).toBe(1_500);
+      patience.noteSilence(1_000);
+      vitest.expect(patience.readWait(4_000)).toBe(500);
+      vitest.expect(patience.readWait(8_000)).toBe(1_500);
+    },
+  );
+});
--- a/packages/core/test/workloads/load.test.ts
+++ b/packages/core/test/workloads/load.test.ts
@@ -168,3 +168,75 @@
     },
   );
 });
+
+vitest.describe('a gang that needs more VMs than are free', () => {
+  const small = worlds.createPolicy({ name: 'small', priority: 2, stretch: 8 });
+  const large = worlds.createPolicy({ name: 'large', priority: 1 });
+  const smallStep = worlds.createStep({
+    count: 5,
+    savesProgress: true,
+    estimateMs: 20_000,
+    size: { cores: 0.5, memoryMb: 10, gpus: 1 },
+  });
+
+  vitest.it(
+    'has only what stands in its way stopped (guards against gangs that wait beside a free VM)',
+    () => {
+      const world = worlds.createWorld();
+      world.addVm('a');
+      world.addJob('small', [smallStep], small);
+      world.advance(10);
+      world.addVm('b');
+      world.addJob(
+        'gang',
+        [
+          worlds.createStep({
+            count: 2,
+            gang: true,
+            size: { cores: 1, memoryMb: 10, gpus: 8 },
+          }),
+        ],
+        large,
+      );
+      for (let round = 0; round < 4; round += 1) world.advance(50);
+      vitest
+        .expect(world.listRuns().filter(({ task }) => task.startsWith('gang')))
+        .toHaveLength(2);
+    },
+  );
+
+  vitest.it(
+    'counts members that share a VM (guards against stops on more VMs than it uses)',
+    () => {
+      const world = worlds.createWorld();
+      world.addVm('a');
+      world.addJob('s1', [smallStep], small);
+      world.advance(10);
+      world.addVm('b');
+      world.addJob('s2', [smallStep], small);
+      world.advance(10);
+      vitest.expect(world.listRuns()).toHaveLength(10);
+      world.addJob(
+        'gang',
+        [
+          worlds.createStep({
+            count: 2,
+            gang: true,
+            size: { cores: 1, memoryMb: 10, gpus: 4 },
+          }),
+        ],
+        large,
+      );
+      for (let round = 0; round < 4; round += 1) world.advance(50);
+      const gang = world
+        .listRuns()
+        .filter(({ task }) => task.startsWith('gang'));
+      vitest.expect(gang).toHaveLength(2);
+      vitest
+        .expect(
+          world.commands.filter(({ command }) => command === 'stop').length,
+        )
+        .toBeLessThanOrEqual(5);
+    },
+  );
+});
