Keep one late job of each pool in its place, and let weak VMs own the cluster last

Ruled out: advice (answered in 0.7 s), room (others were started meanwhile). Change: in each pool the late job that is worthless first keeps its own place; strong nodes claim before weak ones, told by the settings' [machine].

--- a/packages/cluster/src/claims.ts
+++ b/packages/cluster/src/claims.ts
@@ -9,6 +9,7 @@
 import type * as contexts from './context.js';
 import type * as ports from './ports.js';
 import * as records from './records.js';
+import * as successorRanks from './successors.js';
 import * as tails from './tail.js';
 
 /** Time between renewals, in ms. */
@@ -285,7 +286,8 @@
     // No owner has told an order yet: nodes near the store claim first.
     return (
       roundTripMs * FIRST_CLAIM_ROUND_TRIPS +
-      context.readRandom() * FIRST_CLAIM_JITTER_MS
+      context.readRandom() * FIRST_CLAIM_JITTER_MS +
+      successorRanks.computeWeakWait(context.settings.cores)
     );
   }
 
--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -52,6 +52,7 @@
   let beatMs = 0;
   /** When each process of a peer first opened a link to this one. */
   const firstSeen = new Map<core.ids.InstanceId, number>();
+  const coresByPeer = new Map<core.ids.InstanceId, number>();
   let stopping = false;
   let releasing = false;
 
@@ -174,6 +175,10 @@
     if (!firstSeen.has(peer.instance))
       firstSeen.set(peer.instance, timers.readNow());
     log.write('debug', 'link.open', { peer: peer.name });
+    hub.notify(peer.instance, {
+      kind: 'cluster.member',
+      cores: settings.cores,
+    });
     const current = claim.readOwner();
     // The owner's process was replaced by another one.
     if (current?.node === peer.name && current.instance !== peer.instance)
@@ -201,6 +206,8 @@
       claim.noteBeat(notice.fence, notice.confirmedAgeMs);
     } else if (notice.kind === 'cluster.released') {
       claim.noteReleased(notice.fence, notice.unrecorded);
+    } else if (notice.kind === 'cluster.member') {
+      coresByPeer.set(from.instance, notice.cores);
     }
   }
 
@@ -305,6 +312,7 @@
           instance: peer.instance,
           near: peer.region === settings.region,
           firstSeenMs: firstSeen.get(peer.instance) ?? 0,
+          cores: coresByPeer.get(peer.instance) ?? settings.cores,
         })),
       ),
     };
--- a/packages/cluster/src/settings.ts
+++ b/packages/cluster/src/settings.ts
@@ -11,6 +11,10 @@
   .number({ error: 'expected a number of seconds' })
   .positive('expected a positive number of seconds');
 
+const share = zod.coerce
+  .number({ error: 'expected a number of cores' })
+  .positive('expected a positive number of cores');
+
 const schema = zod.object({
   process: zod.object({
     name,
@@ -26,6 +30,10 @@
   }),
   log_store: zod.object({ address }),
   advice: zod.object({ address: zod.union([address, zod.literal('')]) }),
+  /** Absent sections and keys stand for one whole core. */
+  machine: zod
+    .object({ core_share: share.default(1), core_speed: share.default(1) })
+    .default({ core_share: 1, core_speed: 1 }),
   terms: zod.object({
     lease_ms: milliseconds,
     stop_s: seconds,
@@ -47,6 +55,8 @@
   readonly logStoreAddress: string;
   /** Empty when there is no advice service. */
   readonly adviceAddress: string;
+  /** Processor time of this VM, in cores of usual speed. */
+  readonly cores: number;
   /** Longest lease that VMs grant, in ms. */
   readonly leaseMs: number;
   /** Time from the signal to stop until the process is killed, in ms. */
@@ -70,7 +80,7 @@
           `${file}: [${String(issue.path[0] ?? '')}] ${issue.path.slice(1).join('.')}: ${issue.message}`,
       ),
     };
-  const { process, listen, log_store, advice, terms } = result.data;
+  const { process, listen, log_store, advice, machine, terms } = result.data;
   return {
     settings: {
       name: process.name,
@@ -80,6 +90,7 @@
       listen,
       logStoreAddress: log_store.address,
       adviceAddress: advice.address,
+      cores: machine.core_share * machine.core_speed,
       leaseMs: terms.lease_ms,
       stopMs: terms.stop_s * 1_000,
     },
--- a/packages/cluster/test/fakes.ts
+++ b/packages/cluster/test/fakes.ts
@@ -174,6 +174,7 @@
       },
       logStoreAddress: '127.0.0.1:5',
       adviceAddress: '',
+      cores: 1,
       leaseMs: 6_000,
       stopMs: 6_000,
     },
--- a/packages/core/src/types/clusterMessages.ts
+++ b/packages/core/src/types/clusterMessages.ts
@@ -22,8 +22,15 @@
   readonly unrecorded: boolean;
 }
 
+/** What a node tells of itself when a link opens. */
+export interface ClusterMember {
+  readonly kind: 'cluster.member';
+  /** Processor time of its VM, in cores. */
+  readonly cores: number;
+}
+
 /** Notices of a cluster. */
-export type ClusterNotice = ClusterBeat | ClusterReleased;
+export type ClusterNotice = ClusterBeat | ClusterReleased | ClusterMember;
 
 /** Questions of a cluster. */
 export type ClusterQuestion =
--- a/packages/core/src/workloads/ranking.ts
+++ b/packages/core/src/workloads/ranking.ts
@@ -2,7 +2,9 @@
  * Order of service. Answers bursts of one kind of work: strict order of arrival lets
  * a burst push every later job past its objective, and pure least slack first spends
  * the room on jobs that are late already. Jobs that can still meet their objective
- * go first, by priority and then by objective; late ones follow.
+ * go first, by priority and then by objective; late ones follow. Behind a steady load
+ * a late job would wait for ever, so in each pool one of them at a time keeps its own
+ * place while it is still worth something.
  */
 import type * as types from './types.js';
 import * as tables from './tables.js';
@@ -20,6 +22,8 @@
   readonly step: tables.StepRow;
   readonly rank: number;
   readonly objectiveMs: number;
+  /** Late, but worth something until this time; undefined otherwise. */
+  readonly lateUntilMs: number | undefined;
 }
 
 /** Expected time of advice about a number of VMs, in ms. */
@@ -69,10 +73,35 @@
   const worthlessMs =
     occurrence.dueMs + WORTHLESS_OBJECTIVES * (objectiveMs - occurrence.dueMs);
   const expectedMs = nowMs + leftMs;
+  const late = !lasts && expectedMs > objectiveMs;
+  const worthless = !lasts && expectedMs > worthlessMs;
   let penalty = 0;
-  if (!lasts && expectedMs > objectiveMs) penalty = LATE_PENALTY;
-  if (!lasts && expectedMs > worthlessMs) penalty = WORTHLESS_PENALTY;
-  return { step, rank: policy.priority + penalty, objectiveMs };
+  if (late) penalty = LATE_PENALTY;
+  if (worthless) penalty = WORTHLESS_PENALTY;
+  return {
+    step,
+    rank: policy.priority + penalty,
+    objectiveMs,
+    lateUntilMs: late && !worthless ? worthlessMs : undefined,
+  };
+}
+
+/** Gives the late job of each pool that is worthless first its own place in the order. */
+export function placeLate(ranked: readonly RankedStep[]): RankedStep[] {
+  const rescued = new Map<types.PoolName, RankedStep>();
+  for (const entry of ranked) {
+    if (entry.lateUntilMs === undefined) continue;
+    const { pool } = entry.step.occurrence.job.policy;
+    const other = rescued.get(pool)?.lateUntilMs ?? Infinity;
+    if (entry.lateUntilMs < other) rescued.set(pool, entry);
+  }
+  return ranked.map((entry) => {
+    const { occurrence } = entry.step;
+    const { pool, priority } = occurrence.job.policy;
+    return rescued.get(pool)?.step.occurrence === occurrence
+      ? { ...entry, rank: priority }
+      : entry;
+  });
 }
 
 /** Orders ranked steps. */
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -34,8 +34,8 @@
     jobs.createDue(job, nowMs, nowDate);
     collectSteps(state, job, ranked, nowMs);
   }
-  ranked.sort(ranking.compareRanked);
-  startSteps(state, ranked, nowMs);
+  const order = ranking.placeLate(ranked).sort(ranking.compareRanked);
+  startSteps(state, order, nowMs);
 }
 
 function collectSteps(
--- a/packages/core/test/workloads/load.test.ts
+++ b/packages/core/test/workloads/load.test.ts
@@ -240,3 +240,56 @@
     },
   );
 });
+
+vitest.describe('a steady load behind which a job became late', () => {
+  vitest.it(
+    'leaves it a turn while it is worth something (guards against jobs that wait until nobody wants them)',
+    () => {
+      const world = worlds.createWorld();
+      world.addVm('a');
+      const step = worlds.createStep({
+        size: { cores: 8, memoryMb: 10, gpus: 0 },
+      });
+      // The objective is 3 s after arrival, and nothing is worth anything after 9 s.
+      const policy = worlds.createPolicy({ stretch: 2, slackMs: 1_000 });
+      world.addJob('first', [step], policy);
+      world.advance(10);
+      world.addJob('late', [step], policy);
+      for (let round = 0; round < 4; round += 1) world.advance(1_000);
+      for (let index = 0; index < 4; index += 1) {
+        world.addJob(`next${index}`, [step], policy);
+        for (const { vm, run } of world.listRuns())
+          world.endRun(vm, run, 'done');
+        world.advance(1_000);
+      }
+      const order = world.commands.flatMap((command) =>
+        command.command === 'start' ? [command.task.job] : [],
+      );
+      vitest.expect(order.indexOf('late')).toBe(1);
+      vitest.expect(order).toHaveLength(5);
+    },
+  );
+
+  vitest.it(
+    'serves no more than one late job of a pool before the others (guards against a load that makes every job late)',
+    () => {
+      const world = worlds.createWorld();
+      world.addVm('a');
+      world.addVm('b');
+      const step = worlds.createStep({
+        size: { cores: 8, memoryMb: 10, gpus: 0 },
+      });
+      const policy = worlds.createPolicy({ stretch: 2, slackMs: 1_000 });
+      for (const id of ['first', 'second']) world.addJob(id, [step], policy);
+      world.advance(10);
+      for (const id of ['late1', 'late2']) world.addJob(id, [step], policy);
+      for (let round = 0; round < 4; round += 1) world.advance(1_000);
+      for (const id of ['next1', 'next2']) world.addJob(id, [step], policy);
+      for (const { vm, run } of world.listRuns()) world.endRun(vm, run, 'done');
+      world.advance(10);
+      vitest
+        .expect(world.listRuns().map(({ task }) => task.split('.')[0]))
+        .toEqual(vitest.expect.arrayContaining(['late1', 'next1']));
+    },
+  );
+});
