Refuse at once what no VM of the pool could run

Cause: a job whose task is larger than every VM, whose label no VM has, or whose gang the pool can't hold was accepted and waited until its caller gave up; checkAdmission of the desk was wired but refused nothing. Ruled out: refusing what a long queue makes late. An earlier try whose answer was lost may become durable seconds later, so such a refusal could turn out untrue.

--- a/packages/cluster/src/desk.ts
+++ b/packages/cluster/src/desk.ts
@@ -15,6 +15,8 @@
 const ANSWER_MARGIN_MS = 300;
 /** When callers may come back while the store is away, in s: a few tries then outlast an outage of seconds. */
 const AWAY_RETRY_S = 2;
+/** When callers may come back with a job that no VM can run, in s: a larger VM may have been added. */
+const DECLINED_RETRY_S = 10;
 /** Time for which an owner's answer is awaited before the stream is read, in ms. */
 const OWNER_WAIT_MS = 1_200;
 const ASK_AGAIN_MS = 150;
@@ -34,11 +36,8 @@
     change: DurableWrite,
     timeoutMs: number,
   ): Promise<jobStores.WriteResult | undefined>;
-  /** Why a job must not be accepted now. */
-  checkAdmission(
-    submission: ports.Submission,
-    policy: core.workloads.QueuePolicy,
-  ): { readonly why: string; readonly retryAfterS: number } | undefined;
+  /** Why a job can never be run, as far as this node knows. */
+  checkAdmission(job: core.workloads.Job): string | undefined;
 }
 
 /** A change that must be durable before it is answered. */
@@ -102,9 +101,6 @@
     if (jobs.find(id) !== undefined) return { answer: 'accepted' };
     const decoded = context.ports.decodeSubmission(request.body);
     if (!decoded.readable) return { answer: 'malformed', why: decoded.why };
-    const refusal = questions.checkAdmission(decoded.value, policy);
-    if (refusal !== undefined)
-      return { answer: 'refused', cause: 'load', ...refusal };
     const job: core.workloads.Job = {
       id,
       queue: policy.name,
@@ -113,6 +109,8 @@
       acceptedAtMs: timers.readDate(),
       ...decoded.value,
     };
+    const why = questions.checkAdmission(job);
+    if (why !== undefined) return buildDeclined(why);
     const written = await write({ accept: job }, untilMs);
     return buildWritten(written, { answer: 'accepted' });
   }
@@ -131,7 +129,8 @@
       ownerMs > 0
         ? await questions.writeThroughOwner(change, ownerMs)
         : undefined;
-    if (through?.outcome === 'durable') return through;
+    if (through?.outcome === 'durable' || through?.outcome === 'declined')
+      return through;
     const { away, why } = jobs.readHealth();
     if (away) return through ?? { outcome: 'refused', why };
     const written =
@@ -220,6 +219,15 @@
   };
 }
 
+function buildDeclined(why: string): ports.CallerAnswer {
+  return {
+    answer: 'refused',
+    cause: 'load',
+    why,
+    retryAfterS: DECLINED_RETRY_S,
+  };
+}
+
 function buildWritten(
   written: jobStores.WriteResult,
   durable: ports.CallerAnswer,
@@ -229,6 +237,8 @@
       return durable;
     case 'refused':
       return buildUnavailable(written.why);
+    case 'declined':
+      return buildDeclined(written.why);
     case 'unknown':
       return { answer: 'outcome-unknown', why: written.why };
   }
--- a/packages/cluster/src/jobStore.ts
+++ b/packages/cluster/src/jobStore.ts
@@ -41,6 +41,8 @@
 /** What became of a durable write. */
 export type WriteResult =
   | { readonly outcome: 'durable'; readonly why?: string }
+  /** Nothing was written, because the owner refused the job for good. */
+  | { readonly outcome: 'declined'; readonly why: string }
   | { readonly outcome: 'refused'; readonly why: string }
   | { readonly outcome: 'unknown'; readonly why: string };
 
--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -258,6 +258,16 @@
   ): Promise<core.messages.Answer> {
     const { away, why } = jobs.readHealth();
     if (away) return { kind: 'cluster.write.answer', outcome: 'refused', why };
+    const declined =
+      'accept' in question.write
+        ? owner?.checkAdmission(question.write.accept)
+        : undefined;
+    if (declined !== undefined)
+      return {
+        kind: 'cluster.write.answer',
+        outcome: 'declined',
+        why: declined,
+      };
     const untilMs = timers.readNow() + question.timeoutMs;
     const written = await ('accept' in question.write
       ? jobs.accept(question.write.accept, untilMs)
@@ -363,7 +373,7 @@
     readState: askOwner,
     writeThroughOwner,
     countWaiting,
-    checkAdmission: () => undefined,
+    checkAdmission: (job) => owner?.checkAdmission(job),
   });
 
   const server = context.ports.createServer({
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -60,6 +60,8 @@
   readJob(
     id: core.ids.JobId,
   ): Promise<core.workloads.JobState | 'unknown' | undefined>;
+  /** Why a job can never be run; undefined when it can, or when this isn't known. */
+  checkAdmission(job: core.workloads.Job): string | undefined;
   /** Whether starts went out whose record isn't durable. */
   hasUnrecorded(): boolean;
   countWaiting(): ReadonlyMap<core.workloads.QueueName, number>;
@@ -483,6 +485,14 @@
     fence,
     readJob,
     countWaiting: () => (ready ? scheduler.countWaiting() : new Map()),
+    checkAdmission(job) {
+      // Entries of VMs may be missing while the store is away, and of known jobs none is refused.
+      if (!ready || options.readConfirmedAge() > UNRECORDED_AFTER_MS)
+        return undefined;
+      if (jobs.find(job.id) !== undefined) return undefined;
+      const { pool } = job.policy;
+      return scheduler.checkAdmission(job.steps, pool, timers.readNow());
+    },
     hasUnrecorded: () => scheduler.hasUnrecorded(),
     readCounts: () => scheduler.readCounts(),
     dump: () => scheduler.dump(),
--- /dev/null
+++ b/packages/cluster/test/desk.test.ts
@@ -0,0 +1,98 @@
+/** Answers to callers: at once where the outcome is known, and true. */
+import type * as core from '@flamingoward/core';
+import * as vitest from 'vitest';
+import * as desks from '../src/desk.js';
+import * as jobStores from '../src/jobStore.js';
+import type * as ports from '../src/ports.js';
+import * as fakes from './fakes.js';
+
+const policy: core.workloads.QueuePolicy = {
+  name: 'queue',
+  pool: 'pool',
+  priority: 0,
+  attempts: 1,
+  stretch: 1,
+  slackMs: 0,
+  advice: undefined,
+};
+
+function createSetup(
+  through: jobStores.WriteResult | undefined,
+  admission?: string,
+) {
+  const context = fakes.createFakeContext();
+  const store = jobStores.createJobStore(context);
+  const route: ports.Route = { host: 'h', pathPrefix: '/q/', policy };
+  const readable: ports.Ports = {
+    ...context.ports,
+    decodeSubmission: () => ({
+      readable: true,
+      value: { payload: '', steps: [], schedule: undefined },
+    }),
+  };
+  const desk = desks.createDesk(
+    { ...context, ports: readable },
+    {
+      read: () => ({ version: 1, routes: [route], maxBodyBytes: 1_000 }),
+      isStale: () => false,
+      findRoute: (_, path) => ({ route, rest: path.slice('/q/'.length) }),
+      readPolicies: () => ({ version: 1, policies: new Map() }),
+      open: () => undefined,
+      close: () => undefined,
+    },
+    store,
+    {
+      readState: () => Promise.resolve('unknown'),
+      writeThroughOwner: () => Promise.resolve(through),
+      countWaiting: () => 0,
+      checkAdmission: () => admission,
+    },
+  );
+  async function submit(): Promise<ports.CallerAnswer | undefined> {
+    let answer: ports.CallerAnswer | undefined;
+    void desk({
+      method: 'POST',
+      host: 'h',
+      path: '/q/0123456789abcdef',
+      body: new Uint8Array(),
+      deadlineMs: 3_000,
+    }).then((given) => {
+      answer = given;
+    });
+    await fakes.advance(context.fakeTimers, 100);
+    return answer;
+  }
+  return { context, submit };
+}
+
+vitest.describe('a job that no VM could run', () => {
+  const refused = {
+    answer: 'refused',
+    cause: 'load',
+    why: 'too large',
+    retryAfterS: 10,
+  };
+
+  vitest.it(
+    'is refused at once when the owner says so (guards against callers that wait for nothing)',
+    async () => {
+      const { context, submit } = createSetup({
+        outcome: 'declined',
+        why: 'too large',
+      });
+      vitest.expect(await submit()).toEqual(refused);
+      vitest.expect(context.store.streams.jobs.records).toEqual([]);
+    },
+  );
+
+  vitest.it('is refused by the owner itself', async () => {
+    const { context, submit } = createSetup(undefined, 'too large');
+    vitest.expect(await submit()).toEqual(refused);
+    vitest.expect(context.store.streams.jobs.records).toEqual([]);
+  });
+
+  vitest.it('is taken when no owner answers', async () => {
+    const { submit } = createSetup(undefined);
+    vitest.expect(await submit()).toEqual({ answer: 'accepted' });
+  });
+});
--- a/packages/core/src/types/clusterMessages.ts
+++ b/packages/core/src/types/clusterMessages.ts
@@ -57,7 +57,8 @@
 export type ClusterAnswer =
   | {
       readonly kind: 'cluster.write.answer';
-      readonly outcome: 'durable' | 'refused' | 'unknown';
+      /** `declined`: no VM could ever run the job; nothing was written. */
+      readonly outcome: 'durable' | 'declined' | 'refused' | 'unknown';
       readonly why: string;
     }
   | { readonly kind: 'cluster.store.answer'; readonly reached: boolean }
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -4,6 +4,7 @@
  * out what each tick returns, so a recorded load can be replayed through it.
  */
 import type * as ids from '../types/ids.js';
+import * as admission from './admission.js';
 import * as advice from './advice.js';
 import * as batches from './batch.js';
 import * as ends from './ends.js';
@@ -45,6 +46,12 @@
     nowMs: number,
     nowDate: number,
   ): void;
+  /** Why a job can never be run; undefined when it can. */
+  checkAdmission(
+    steps: readonly types.StepSpec[],
+    pool: types.PoolName,
+    nowMs: number,
+  ): string | undefined;
   cancelJob(job: ids.JobId, nowMs: number): void;
   /** Sets the other nodes that can ask for advice. */
   setHelpers(names: readonly types.HelperName[]): void;
@@ -170,6 +177,8 @@
       );
       ends.decideFinal(state, row, nowMs);
     },
+    checkAdmission: (steps, pool, nowMs) =>
+      admission.checkAdmission(state, steps, pool, nowMs),
     cancelJob(id, nowMs) {
       const job = state.jobs.get(id);
       if (job === undefined || job.cancelled) return;
