--- a/packages/cluster/src/desk.ts
+++ b/packages/cluster/src/desk.ts
@@ -211,21 +211,19 @@
 }
 
 function buildUnavailable(why: string): ports.CallerAnswer {
-  return {
-    answer: 'refused',
-    cause: 'unavailable',
-    why,
-    retryAfterS: AWAY_RETRY_S,
-  };
+  return buildRefused('unavailable', why, AWAY_RETRY_S);
 }
 
 function buildDeclined(why: string): ports.CallerAnswer {
-  return {
-    answer: 'refused',
-    cause: 'load',
-    why,
-    retryAfterS: DECLINED_RETRY_S,
-  };
+  return buildRefused('load', why, DECLINED_RETRY_S);
+}
+
+function buildRefused(
+  cause: 'load' | 'unavailable',
+  why: string,
+  retryAfterS: number,
+): ports.CallerAnswer {
+  return { answer: 'refused', cause, why, retryAfterS };
 }
 
 function buildWritten(
--- a/packages/cluster/test/desk.test.ts
+++ b/packages/cluster/test/desk.test.ts
@@ -1,28 +1,21 @@
 /** Answers to callers: at once where the outcome is known, and true. */
-import type * as core from '@flamingoward/core';
 import * as vitest from 'vitest';
 import * as desks from '../src/desk.js';
 import * as jobStores from '../src/jobStore.js';
 import type * as ports from '../src/ports.js';
 import * as fakes from './fakes.js';
 
-const policy: core.workloads.QueuePolicy = {
-  name: 'queue',
-  pool: 'pool',
-  priority: 0,
-  attempts: 1,
-  stretch: 1,
-  slackMs: 0,
-  advice: undefined,
-};
-
 function createSetup(
   through: jobStores.WriteResult | undefined,
   admission?: string,
 ) {
   const context = fakes.createFakeContext();
   const store = jobStores.createJobStore(context);
-  const route: ports.Route = { host: 'h', pathPrefix: '/q/', policy };
+  const route: ports.Route = {
+    host: 'h',
+    pathPrefix: '/q/',
+    policy: fakes.queuePolicy,
+  };
   const readable: ports.Ports = {
     ...context.ports,
     decodeSubmission: () => ({
--- a/packages/cluster/test/fakes.ts
+++ b/packages/cluster/test/fakes.ts
@@ -210,6 +210,17 @@
   };
 }
 
+/** Policy of a queue whose work needs no advice. */
+export const queuePolicy: core.workloads.QueuePolicy = {
+  name: 'queue',
+  pool: 'pool',
+  priority: 0,
+  attempts: 1,
+  stretch: 1,
+  slackMs: 0,
+  advice: undefined,
+};
+
 /** Moves the time in small steps and lets promises settle between them. */
 export async function advance(
   timers: core.VirtualTimers,
--- a/packages/cluster/test/jobStore.test.ts
+++ b/packages/cluster/test/jobStore.test.ts
@@ -13,15 +13,7 @@
     schedule: undefined,
     configVersion: 1,
     acceptedAtMs: 0,
-    policy: {
-      name: 'queue',
-      pool: 'pool',
-      priority: 0,
-      attempts: 1,
-      stretch: 1,
-      slackMs: 0,
-      advice: undefined,
-    },
+    policy: fakes.queuePolicy,
   };
 }
 
