Keep log lines of rare events when frequent ones flood, and show what was dropped

Ruled out: a slow reader (the bytes that wait stayed small). Change: 500 lines of the burst are left to events other than requests, steps, tasks and jobs; log_lines_dropped is on the metrics address.

--- a/packages/daemon/src/nodeMain.ts
+++ b/packages/daemon/src/nodeMain.ts
@@ -48,13 +48,20 @@
     secrets: [],
     writeLine: lines.write,
   });
+  const metrics = observability.createMetrics();
   const node = cluster.createClusterNode({
     settings,
     instance: crypto.randomBytes(INSTANCE_BYTES).toString('hex'),
     ports: platform.createPorts(settings, timers),
     timers,
     log,
-    metrics: observability.createMetrics(),
+    metrics: {
+      ...metrics,
+      render() {
+        metrics.set('log_lines_dropped', {}, lines.readDropped());
+        return metrics.render();
+      },
+    },
     readRandom: Math.random,
   });
 
--- a/packages/observability/src/lines.ts
+++ b/packages/observability/src/lines.ts
@@ -13,10 +13,16 @@
 /** Lines a second that are written on average, and the burst beyond. */
 const LINES_PER_S = 400;
 const BURST_LINES = 2_000;
+/** Part of the burst that lines of every request and task leave to others, such as a change of the owner. */
+const RESERVED_LINES = 500;
+
+/** Events that come with every request, step, task or job. */
+const frequentEvent = /^(request|step|task|job)\./;
 
 /** A writer of lines. */
 export interface LineWriter {
-  readonly write: (line: string) => void;
+  /** Writes a line; those of frequent events are dropped first. */
+  readonly write: (line: string, event: string) => void;
   /** Writes what is collected at once, blocking; for the end of the process. */
   flush(): void;
   readDropped(): number;
@@ -36,20 +42,21 @@
   let tokens = BURST_LINES;
   let filledMs = timers.readNow();
 
-  function takeToken(): boolean {
+  function takeToken(event: string): boolean {
     const nowMs = timers.readNow();
     tokens = Math.min(
       BURST_LINES,
       tokens + ((nowMs - filledMs) * LINES_PER_S) / 1_000,
     );
     filledMs = nowMs;
-    if (tokens < 1) return false;
+    const left = frequentEvent.test(event) ? RESERVED_LINES : 0;
+    if (tokens < 1 + left) return false;
     tokens -= 1;
     return true;
   }
 
-  function write(line: string): void {
-    if (pendingBytes + line.length > MAX_PENDING_BYTES || !takeToken()) {
+  function write(line: string, event: string): void {
+    if (pendingBytes + line.length > MAX_PENDING_BYTES || !takeToken(event)) {
       dropped += 1;
       return;
     }
--- a/packages/observability/src/logger.ts
+++ b/packages/observability/src/logger.ts
@@ -10,8 +10,8 @@
   readonly process: core.ids.ProcessName;
   /** Values that are masked wherever they appear, such as the operators' key. */
   readonly secrets: readonly string[];
-  /** Receives each line without its line break. */
-  readonly writeLine: (line: string) => void;
+  /** Receives each line without its line break, and its event. */
+  readonly writeLine: (line: string, event: string) => void;
 }
 
 /** Names of fields whose values are never printed. */
@@ -37,7 +37,7 @@
     reporters: [
       {
         log: (entry) => {
-          options.writeLine(String(entry.args[0]));
+          options.writeLine(String(entry.args[0]), String(entry.args[1]));
         },
       },
     ],
@@ -57,7 +57,8 @@
     const first = Object.entries(head).map(([name, value]) =>
       formatPair(name, value),
     );
-    instance[level](maskSecrets([...first, ...body].join(''), secrets).trim());
+    const line = maskSecrets([...first, ...body].join(''), secrets).trim();
+    instance[level](line, event);
   }
 
   return { write };
