Tell starts without a record apart from the age of the claim

Cause: a release that is recorded confirms the claim at that moment, so the successor saw a gap of nearly nothing and held nothing back, although the release said that starts have no record (found by reading the change; the test asked for too little). A VM that tells no life would also have been ignored after it started again, because its clock is behind the last report. Change: the previous owner's unrecorded starts are a fact of their own; a clock that is three seconds behind belongs to a new life. Both tests fail before.

--- a/packages/cluster/src/claims.ts
+++ b/packages/cluster/src/claims.ts
@@ -49,10 +49,12 @@
 /** What is known of the owner before this one. */
 export interface PreviousOwner {
   /**
-   * At least the time since the store last confirmed it, in ms; undefined when there
-   * was none, or when it gave up and had recorded all its starts.
+   * At least the time since the store last confirmed it, in ms; undefined when it gave
+   * up or when there was none.
    */
   readonly gapMs: number | undefined;
+  /** It gave up without a record of all its starts. */
+  readonly unrecorded: boolean;
   /** It gives no orders any more: its process has ended, or it gave up. */
   readonly ended: boolean;
 }
@@ -192,7 +194,11 @@
     events.onOwned(fence, previous);
   }
 
-  let previous: PreviousOwner = { gapMs: undefined, ended: true };
+  let previous: PreviousOwner = {
+    gapMs: undefined,
+    unrecorded: false,
+    ended: true,
+  };
 
   function endOwning(why: string): void {
     if (owned === undefined) return;
@@ -231,7 +237,8 @@
         ? owner.unrecorded
         : gaveUp && releasedUnrecorded;
     previous = {
-      gapMs: gaveUp && !unrecorded ? undefined : nowMs - confirmedByMs,
+      gapMs: gaveUp ? undefined : nowMs - confirmedByMs,
+      unrecorded,
       ended: gaveUp || knownGone,
     };
     const result = await appendClaim({});
--- a/packages/cluster/src/contacts.ts
+++ b/packages/cluster/src/contacts.ts
@@ -14,6 +14,8 @@
 const RETRY_MS = 250;
 /** Time between holds while ends can't be made durable, in ms: they would be answered at once. */
 const BLOCKED_WAIT_MS = 400;
+/** Answers overtake each other by less, in ms; a clock that is further back is that of a new life. */
+const OVERTAKEN_MS = 3_000;
 /** VM clocks may be this much slower than ours. */
 export const CLOCK_RATE = 0.98;
 /** Added to the computed end of a lease, in ms. */
@@ -150,8 +152,9 @@
     askedMs: number,
   ): void {
     // Answers on two connections overtake each other; an older one says nothing new.
-    if (result.report.life === newest.life && result.clockMs < newest.clockMs)
-      return;
+    const olderMs = newest.clockMs - result.clockMs;
+    const sameLife = result.report.life === newest.life;
+    if (sameLife && olderMs > 0 && olderMs < OVERTAKEN_MS) return;
     newest = { life: result.report.life, clockMs: result.clockMs };
     clock = { vmMs: result.clockMs, atMs: timers.readNow() };
     if (silent) log.write('info', 'vm.regained', { vm: target.id, lost });
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -95,7 +95,7 @@
       firstRun: fence * RUNS_PER_FENCE + 1,
     },
     unrecordedStarts:
-      previous.gapMs !== undefined && previous.gapMs > UNRECORDED_AFTER_MS,
+      previous.unrecorded || (previous.gapMs ?? 0) > UNRECORDED_AFTER_MS,
     nowMs: createdMs,
   });
   const patience = patiences.createOrderPatience();
--- a/packages/cluster/test/claims.test.ts
+++ b/packages/cluster/test/claims.test.ts
@@ -154,6 +154,7 @@
       vitest.expect(other.claim.readFence()).toBeGreaterThan(fence);
       vitest.expect(other.owned[0]!.previous).toEqual({
         gapMs: undefined,
+        unrecorded: false,
         ended: true,
       });
     },
@@ -184,9 +185,11 @@
       }
       await fakes.advance(timers, 2_000);
       vitest.expect(other.owned).toHaveLength(1);
-      vitest
-        .expect(other.owned[0]!.previous.gapMs !== undefined)
-        .toBe(unrecorded);
+      vitest.expect(other.owned[0]!.previous).toEqual({
+        gapMs: undefined,
+        unrecorded,
+        ended: true,
+      });
     },
   );
 });
--- a/packages/cluster/test/contacts.test.ts
+++ b/packages/cluster/test/contacts.test.ts
@@ -164,6 +164,22 @@
     },
   );
 
+  vitest.it(
+    'believes a clock that is far behind (guards against a VM that tells no life and is ignored after it started again)',
+    async () => {
+      const { setup, told, timers, contact } = createSetup(buildHeld(50_000));
+      await fakes.advance(timers, 100);
+      setup.answer = buildHeld(200);
+      const reports = told.filter((what) => what === 'report').length;
+      contact.poll();
+      await fakes.advance(timers, 20);
+      vitest
+        .expect(told.filter((what) => what === 'report'))
+        .toHaveLength(reports + 1);
+      contact.close();
+    },
+  );
+
   vitest.it(
     'asks again at once when one answer is lost (guards against ends that stay unseen for seconds)',
     async () => {
