--- a/packages/cluster/src/successors.ts
+++ b/packages/cluster/src/successors.ts
@@ -1,7 +1,7 @@
 /**
  * Order in which nodes claim after the owner. Answers a rolling restart: a node that
  * was restarted a moment ago is unlikely to be stopped again, so it goes first, and
- * the cluster changes its owner once or twice in a round instead of at most stops.
+ * the cluster changes its owner once or twice in a round instead of at most of its stops.
  * Answers VMs of unlike size: an owner decides for the whole cluster, so VMs too weak
  * for that come last.
  */
