--- /dev/null
+++ b/packages/cluster/test/settings.test.ts
@@ -0,0 +1,61 @@
+/** Settings of a node: read as a whole, with every fault named. */
+import * as vitest from 'vitest';
+import * as settings from '../src/settings.js';
+
+const complete = `
+[process]
+name = node-1
+region = r
+availability_zone = z
+
+[listen]
+callers = 10.0.0.1:80
+readiness = 10.0.0.1:81
+links = 10.0.0.1:82
+metrics = 10.0.0.1:83
+
+[log_store]
+address = 10.0.0.9:84
+
+[advice]
+address =
+
+[terms]
+lease_ms = 6000
+stop_s = 6
+`;
+
+vitest.describe('settings of a node', () => {
+  vitest.it('take absent machine keys for one whole core', () => {
+    vitest
+      .expect(settings.parseNodeSettings(complete, 'file'))
+      .toMatchObject({ settings: { name: 'node-1', cores: 1, stopMs: 6_000 } });
+  });
+
+  vitest.it('multiply the share of a core by its speed', () => {
+    const text = `${complete}\n[machine]\ncore_share = 0.675\ncore_speed = 2\n`;
+    vitest
+      .expect(settings.parseNodeSettings(text, 'file'))
+      .toMatchObject({ settings: { cores: 1.35 } });
+  });
+
+  vitest.it(
+    'name file, section, key and what is expected for every fault (guards against a start that fails one fault at a time)',
+    () => {
+      const text = complete
+        .replace('lease_ms = 6000', 'lease_ms = soon')
+        .replace('links = 10.0.0.1:82', 'links = here');
+      const result = settings.parseNodeSettings(
+        `${text}\n[machine]\ncore_share = none\n`,
+        'node.ini',
+      );
+      vitest.expect(result).toEqual({
+        faults: [
+          'node.ini: [listen] links: expected HOST:PORT',
+          'node.ini: [machine] core_share: expected a number of cores',
+          'node.ini: [terms] lease_ms: expected a number of milliseconds',
+        ],
+      });
+    },
+  );
+});
