Name kept VMs, orders and holds once; drop what nothing reads

Whether a VM is kept for a step was asked in four places and set in two; three orders repeated their common fields, in the adapter and in its interface; the poll repeated the call of the hold; a full list of VMs was copied on each question only to clear one field; Lane.sentMs, State.configVersion with its parameter and the result of askForStep were read by nobody; the claims tests repeated their start, the simulation an entry that the world builds. Change: placement.reserveVm and readReserved, ports.RunOrder, callHold, startPair.

--- a/packages/cluster/src/contacts.ts
+++ b/packages/cluster/src/contacts.ts
@@ -88,18 +88,25 @@
     leaseEndMs = Math.max(leaseEndMs, endMs);
   }
 
-  async function pollVm(): Promise<void> {
-    const askedMs = timers.readNow();
-    const result = await context.ports.vmCalls.hold(
+  function callHold(
+    untilMs: number | undefined,
+    waitMs: number,
+  ): Promise<ports.HoldResult> {
+    return context.ports.vmCalls.hold(
       target,
       {
         fence: terms.fence,
         lastSeen: events.readDurableEnd(target.id),
-        untilMs: undefined,
-        waitMs: 0,
+        untilMs,
+        waitMs,
       },
-      HOLD_TIMEOUT_MS,
+      waitMs + HOLD_TIMEOUT_MS,
     );
+  }
+
+  async function pollVm(): Promise<void> {
+    const askedMs = timers.readNow();
+    const result = await callHold(undefined, 0);
     if (isClosed()) return;
     metrics.count('polls', { outcome: result.outcome });
     // Whether the VM is silent is decided by the hold that waits.
@@ -113,16 +120,7 @@
     const untilMs = silent || missed ? undefined : computeUntil();
     const waitMs = untilMs === undefined ? 0 : terms.patience.readWait(askedMs);
     if (untilMs !== undefined) noteOrder(untilMs);
-    const result = await context.ports.vmCalls.hold(
-      target,
-      {
-        fence: terms.fence,
-        lastSeen: events.readDurableEnd(target.id),
-        untilMs,
-        waitMs,
-      },
-      waitMs + HOLD_TIMEOUT_MS,
-    );
+    const result = await callHold(untilMs, waitMs);
     if (isClosed()) return false;
     switch (result.outcome) {
       case 'held':
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -284,7 +284,7 @@
     const { version, policies } = options.readPolicies();
     if (version === policyVersion) return;
     policyVersion = version;
-    scheduler.setPolicies(policies, version);
+    scheduler.setPolicies(policies);
   }
 
   function tick(): void {
--- a/packages/cluster/src/ports.ts
+++ b/packages/cluster/src/ports.ts
@@ -147,6 +147,13 @@
   | { readonly outcome: 'other-life' }
   | { readonly outcome: 'failed'; readonly why: string };
 
+/** What every order about a run names. */
+export interface RunOrder {
+  readonly task: core.workloads.TaskKey;
+  readonly run: number;
+  readonly fence: number;
+}
+
 /** The calls to VMs. */
 export interface VmCalls {
   /** Renews the lease until `untilMs` of the VM's clock and returns what runs there. */
@@ -163,35 +170,23 @@
   ): Promise<HoldResult>;
   start(
     vm: VmTarget,
-    call: {
-      readonly task: core.workloads.TaskKey;
-      readonly run: number;
+    call: RunOrder & {
       readonly payload: string;
       readonly saved: string;
       readonly ticket: string | undefined;
       readonly untilMs: number;
-      readonly fence: number;
     },
     timeoutMs: number,
   ): Promise<core.workloads.StartOutcome>;
-  /** True when the VM answered that the run is closed. */
+  /** Closes a run at a VM; `closed` when the VM answered that it is. */
   stop(
     vm: VmTarget,
-    call: {
-      readonly task: core.workloads.TaskKey;
-      readonly run: number;
-      readonly fence: number;
-    },
+    call: RunOrder,
     timeoutMs: number,
   ): Promise<'closed' | 'fenced' | 'unknown'>;
   pace(
     vm: VmTarget,
-    call: {
-      readonly task: core.workloads.TaskKey;
-      readonly run: number;
-      readonly percent: number;
-      readonly fence: number;
-    },
+    call: RunOrder & { readonly percent: number },
     timeoutMs: number,
   ): Promise<boolean>;
   /** Closes the connections to a VM that is gone. */
--- a/packages/cluster/test/claims.test.ts
+++ b/packages/cluster/test/claims.test.ts
@@ -41,6 +41,16 @@
   return candidates.filter(({ claim }) => claim.readFence() !== undefined);
 }
 
+/** Two candidates of which one owns the cluster. */
+async function startPair() {
+  const { timers, candidates } = createCluster(['a', 'b']);
+  for (const { claim } of candidates) claim.open();
+  await fakes.advance(timers, 2_000);
+  const [owner] = listOwners(candidates);
+  const other = candidates.find((candidate) => candidate !== owner)!;
+  return { timers, candidates, owner, other };
+}
+
 vitest.describe('ownership', () => {
   vitest.it('goes to one of several that start together', async () => {
     const { timers, candidates } = createCluster(['a', 'b', 'c']);
@@ -75,11 +85,7 @@
   vitest.it(
     'stays with an owner that renews although its links break (guards against needless changes)',
     async () => {
-      const { timers, candidates } = createCluster(['a', 'b']);
-      for (const { claim } of candidates) claim.open();
-      await fakes.advance(timers, 2_000);
-      const [owner] = listOwners(candidates);
-      const other = candidates.find((candidate) => candidate !== owner)!;
+      const { timers, candidates, owner, other } = await startPair();
       for (let round = 0; round < 30; round += 1) {
         other.claim.suspect(owner!.context.instance, false);
         await fakes.advance(timers, 200);
@@ -140,11 +146,7 @@
   vitest.it(
     'is taken over sooner after a hand-over than after silence',
     async () => {
-      const { timers, candidates } = createCluster(['a', 'b']);
-      for (const { claim } of candidates) claim.open();
-      await fakes.advance(timers, 2_000);
-      const [owner] = listOwners(candidates);
-      const other = candidates.find((candidate) => candidate !== owner)!;
+      const { timers, owner, other } = await startPair();
       const fence = owner!.claim.readFence()!;
       const released = owner!.claim.release(false);
       await fakes.advance(timers, 20);
@@ -167,12 +169,8 @@
   ] as const)(
     'tells by $through that starts have no record: $unrecorded (guards against a second run of work that was started while the store was away)',
     async ({ unrecorded, through }) => {
-      const { timers, candidates } = createCluster(['a', 'b']);
-      for (const { claim } of candidates) claim.open();
       // A renewal is on its way at this moment.
-      await fakes.advance(timers, 2_000);
-      const [owner] = listOwners(candidates);
-      const other = candidates.find((candidate) => candidate !== owner)!;
+      const { timers, owner, other } = await startPair();
       const fence = owner!.claim.readFence()!;
       if (through === 'notice') {
         owner!.claim.resign('cut off');
--- a/packages/core/src/workloads/advice.ts
+++ b/packages/core/src/workloads/advice.ts
@@ -58,26 +58,24 @@
 }
 
 /**
- * Asks about a step, if that can bring a start nearer and a node is free for it; true
- * when it asked. Ahead of time it asks although no VM has room now, or although its
- * room is kept for others.
+ * Asks about a step, if that can bring a start nearer and a node is free for it. Ahead
+ * of time it asks although no VM has room now, or although its room is kept for others.
  */
 export function askForStep(
   state: states.State,
   step: tables.StepRow,
   may: { readonly start: boolean; readonly askAhead: boolean },
   nowMs: number,
-): boolean {
+): void {
   const policy = step.occurrence.job.policy.advice;
-  if (policy === undefined || isPending(step, nowMs)) return false;
+  if (policy === undefined || isPending(step, nowMs)) return;
   // Most questions of a long queue find no node; that is cheaper to see than the VMs.
-  if (!state.lanes.hasFree(ranking.estimateAdviceMs(policy, 1), nowMs))
-    return false;
+  if (!state.lanes.hasFree(ranking.estimateAdviceMs(policy, 1), nowMs)) return;
   const vms = chooseVms(state, step, policy, may, nowMs);
-  if (vms.length === 0) return false;
+  if (vms.length === 0) return;
   const costMs = ranking.estimateAdviceMs(policy, vms.length);
   const choice = state.lanes.choose(costMs, nowMs);
-  if (choice === undefined) return false;
+  if (choice === undefined) return;
   const key = tables.readStepKey(step);
   releaseLane(state, key, false, nowMs);
   state.questions.set(names.formatStep(key), choice);
@@ -91,7 +89,6 @@
     costMs,
     expectedMs: choice.expectedMs,
   });
-  return true;
 }
 
 function releaseLane(
@@ -120,9 +117,7 @@
   may: { readonly start: boolean; readonly askAhead: boolean },
   nowMs: number,
 ): readonly ids.VmId[] {
-  const fitting = listFitting(state, step, policy, nowMs).map((entry) =>
-    may.start ? entry : { ...entry, room: false },
-  );
+  const fitting = listFitting(state, step, policy, may.start, nowMs);
   const good = fitting.filter(({ vm }) => step.advice.good.has(vm.lifeKey));
   if (good.some(({ room }) => room))
     return chooseRenewals(step, policy, good, nowMs);
@@ -140,6 +135,7 @@
   state: states.State,
   step: tables.StepRow,
   policy: types.AdvicePolicy,
+  mayStart: boolean,
   nowMs: number,
 ): readonly Fitting[] {
   const fitting: Fitting[] = [];
@@ -152,12 +148,12 @@
       ticket: undefined,
       sameStep: placement.countSameStep(vm, step),
     };
-    const kept = vm.reservedUntilMs > nowMs && vm.reservedFor === step;
-    const room = kept
-      ? vm.reservedFromMs <= soonMs
-      : placement.canHold(candidate, step) &&
-        !placement.isReserved(vm, step, nowMs);
-    fitting.push({ vm, candidate, room });
+    const reserved = placement.readReserved(vm, nowMs);
+    const room =
+      reserved === step
+        ? vm.reservedFromMs <= soonMs
+        : reserved === undefined && placement.canHold(candidate, step);
+    fitting.push({ vm, candidate, room: mayStart && room });
   }
   return fitting;
 }
--- a/packages/core/src/workloads/lanes.ts
+++ b/packages/core/src/workloads/lanes.ts
@@ -24,7 +24,6 @@
 /** A question that is under way at a node. */
 interface Lane {
   readonly costMs: number;
-  readonly sentMs: number;
   /** Time at which the answer is expected without overhead. */
   readonly doneMs: number;
 }
@@ -117,7 +116,7 @@
       const row = helper === undefined ? undefined : rows.get(helper);
       if (helper === undefined || row === undefined) return undefined;
       const doneMs = readFreeAt(row, nowMs) + costMs;
-      const lane: Lane = { costMs, sentMs: nowMs, doneMs };
+      const lane: Lane = { costMs, doneMs };
       row.lanes.add(lane);
       return {
         helper,
--- a/packages/core/src/workloads/placement.ts
+++ b/packages/core/src/workloads/placement.ts
@@ -34,17 +34,33 @@
   return tables.hasRoom(entry.capacity, tables.readNeed(step.spec));
 }
 
+/** Keeps the room of a VM for a step; `readyMs` is the time at which it is expected to suffice. */
+export function reserveVm(
+  vm: tables.VmRow,
+  step: tables.StepRow,
+  times: { readonly untilMs: number; readonly readyMs: number },
+): void {
+  vm.reservedFor = step;
+  vm.reservedUntilMs = times.untilMs;
+  vm.reservedFromMs = times.readyMs;
+}
+
+/** Step for which a VM keeps its room now. */
+export function readReserved(
+  vm: tables.VmRow,
+  nowMs: number,
+): tables.StepRow | undefined {
+  return vm.reservedUntilMs > nowMs ? vm.reservedFor : undefined;
+}
+
 /** Tells whether a VM keeps its room for another step. */
 export function isReserved(
   vm: tables.VmRow,
   step: tables.StepRow,
   nowMs: number,
 ): boolean {
-  return (
-    vm.reservedFor !== undefined &&
-    vm.reservedFor !== step &&
-    vm.reservedUntilMs > nowMs
-  );
+  const reserved = readReserved(vm, nowMs);
+  return reserved !== undefined && reserved !== step;
 }
 
 /** Counts the tasks of a step on a VM. */
--- a/packages/core/src/workloads/preemption.ts
+++ b/packages/core/src/workloads/preemption.ts
@@ -41,9 +41,10 @@
     ? chooseGangPlans(state, step, nowMs)
     : chooseTaskPlans(state, step, nowMs);
   for (const { vm, victims } of plans) {
-    vm.reservedFor = step;
-    vm.reservedUntilMs = nowMs + RESERVE_MS;
-    vm.reservedFromMs = nowMs;
+    placement.reserveVm(vm, step, {
+      untilMs: nowMs + RESERVE_MS,
+      readyMs: nowMs,
+    });
     for (const run of victims) {
       run.task.preemptions += 1;
       states.stopRun(state, run, 'preempted', nowMs);
@@ -61,10 +62,9 @@
   const choices: { readonly plan: Plan; readonly cost: number }[] = [];
   for (const vm of state.vms.values()) {
     if (!placement.isEligible(vm, step, nowMs)) continue;
-    if (vm.reservedUntilMs > nowMs) {
-      if (vm.reservedFor === step) wanted -= 1;
-      continue;
-    }
+    const reserved = placement.readReserved(vm, nowMs);
+    if (reserved === step) wanted -= 1;
+    if (reserved !== undefined) continue;
     if (!advice.isAllowedOn(step, vm)) continue;
     const plan = createPlan(vm, step, nowMs);
     const cost = addTask(plan, step);
@@ -90,7 +90,7 @@
   for (const vm of state.vms.values()) {
     if (!placement.isEligible(vm, step, nowMs)) continue;
     // Its members start as soon as the runs have ended that were stopped for them.
-    if (vm.reservedUntilMs > nowMs && vm.reservedFor === step) return [];
+    if (placement.readReserved(vm, nowMs) === step) return [];
     if (placement.isReserved(vm, step, nowMs)) continue;
     if (advice.isAllowedOn(step, vm)) vms.push(vm);
   }
--- a/packages/core/src/workloads/reservation.ts
+++ b/packages/core/src/workloads/reservation.ts
@@ -22,11 +22,8 @@
 ): boolean {
   const ready = choosePlaces(state, step, nowMs);
   if (ready === undefined) return false;
-  for (const [vm, readyMs] of ready) {
-    vm.reservedFor = step;
-    vm.reservedUntilMs = nowMs + HOLD_MS;
-    vm.reservedFromMs = readyMs;
-  }
+  for (const [vm, readyMs] of ready)
+    placement.reserveVm(vm, step, { untilMs: nowMs + HOLD_MS, readyMs });
   return true;
 }
 
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -27,10 +27,7 @@
 /** The scheduler of workloads. */
 export interface WorkloadScheduler {
   /** Sets the queues of the configuration in force. */
-  setPolicies(
-    policies: ReadonlyMap<types.QueueName, types.QueuePolicy>,
-    version: number,
-  ): void;
+  setPolicies(policies: ReadonlyMap<types.QueueName, types.QueuePolicy>): void;
   /** Adds an accepted job; a known one is left as it is. `ageMs` is the time since its acceptance. */
   acceptJob(
     job: types.Job,
@@ -119,7 +116,6 @@
     jobs: new Map(),
     vms: new Map(),
     policies: new Map(),
-    configVersion: 0,
     createdMs: options.nowMs,
     nextRun: options.bounds.firstRun,
     dirty: new Set(),
@@ -154,9 +150,8 @@
   }
 
   return {
-    setPolicies(policies, version) {
+    setPolicies(policies) {
       state.policies = policies;
-      state.configVersion = version;
       for (const job of state.jobs.values())
         job.policy = policies.get(job.job.queue) ?? job.policy;
     },
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -27,7 +27,6 @@
   readonly jobs: Map<ids.JobId, tables.JobRow>;
   readonly vms: Map<ids.VmId, tables.VmRow>;
   policies: ReadonlyMap<types.QueueName, types.QueuePolicy>;
-  configVersion: number;
   readonly createdMs: number;
   nextRun: number;
   /** Jobs whose records are behind. */
--- a/packages/core/test/workloads/simulation.ts
+++ b/packages/core/test/workloads/simulation.ts
@@ -5,6 +5,7 @@
  * every start what must never happen.
  */
 import * as core from '../../src/index.js';
+import * as worlds from './world.js';
 
 type TaskKey = core.workloads.TaskKey;
 
@@ -113,17 +114,9 @@
 
   private addVm(id: string): void {
     this.vms.set(id, {
-      entry: {
-        id,
-        address: `${id}:1`,
-        life: 1,
-        pool: 'pool',
-        availabilityZone: 'zone',
-        rack: 'r1-1',
-        labels: [],
+      entry: worlds.createEntry(id, {
         capacity: { cores: 4, memoryMb: 4_000, gpus: 2 },
-        draining: false,
-      },
+      }),
       life: 1,
       up: true,
       cut: false,
