Find owed tasks: why a task that should run does not

A lasting task that should run and didn't left no line that said that it waited, since when, or for what. Rows get the times that only the log needs: the last report of a VM, the first stop of a run, and when a task last ran. No decision reads them.

The runs of service tasks that end are returned by each tick.

--- a/packages/core/src/workloads/ends.ts
+++ b/packages/core/src/workloads/ends.ts
@@ -26,7 +26,7 @@
   const run =
     task.run?.number === end.run && task.run.vm === vm ? task.run : undefined;
   recordVmOutcome(vm, end.how, run, nowMs);
-  if (run !== undefined) states.removeRun(state, run);
+  if (run !== undefined) states.removeRun(state, run, end.how, nowMs);
   if (end.saved !== '') saveProgress(task, end.saved);
   switch (end.how) {
     case 'done':
@@ -85,6 +85,7 @@
     if (member.state === 'waiting') member.step.waitingCount -= 1;
     member.state = 'done';
     member.step.doneCount += 1;
+    member.step.doneMs = nowMs;
     if (member.run !== undefined && !member.step.spec.gang)
       states.stopRun(state, member.run, 'done-elsewhere', nowMs);
   }
--- a/packages/core/src/workloads/index.ts
+++ b/packages/core/src/workloads/index.ts
@@ -2,9 +2,12 @@
 export type * from './types.js';
 export { formatStep, formatTask, parseTask } from './names.js';
 export { createWorkloadScheduler } from './scheduler.js';
+export type { Decision, WorkloadScheduler } from './scheduler.js';
+export type { Bounds, EndedRun, SchedulerOptions } from './state.js';
 export type {
-  Decision,
-  SchedulerOptions,
-  WorkloadScheduler,
-} from './scheduler.js';
-export type { Bounds } from './state.js';
+  Inconsistency,
+  OwedCause,
+  OwedQuery,
+  OwedReason,
+  OwedTask,
+} from './owed.js';
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -29,6 +29,7 @@
     beginIncarnation(state, vm, report.incarnation, nowMs);
   }
   vm.usable = true;
+  vm.reportedMs = nowMs;
   applyEnds(state, vm, report, nowMs);
   const listed = new Set<tables.RunRow>();
   clearStrayRuns(vm);
@@ -36,7 +37,7 @@
     applyRunning(state, vm, entry, listed, nowMs);
   for (const run of [...vm.runs])
     if (!listed.has(run) && isRunOver(run, report.requestSentMs))
-      loseRun(state, run, nowMs);
+      loseRun(state, run, 'not-reported', nowMs);
 }
 
 /**
@@ -71,12 +72,17 @@
   nowMs: number,
 ): void {
   clearStrayRuns(vm);
-  for (const run of [...vm.runs]) loseRun(state, run, nowMs);
+  for (const run of [...vm.runs]) loseRun(state, run, 'lost', nowMs);
 }
 
-function loseRun(state: states.State, run: tables.RunRow, nowMs: number): void {
+function loseRun(
+  state: states.State,
+  run: tables.RunRow,
+  how: states.RunRemoval,
+  nowMs: number,
+): void {
   if (run.phase !== 'stopping') states.countEvent(state, 'run.lost');
-  states.removeRun(state, run);
+  states.removeRun(state, run, how, nowMs);
   if (run.task.step.spec.gang) ends.stopGang(state, run.task.step, nowMs);
 }
 
@@ -139,7 +145,7 @@
 ): tables.RunRow | undefined {
   // The previous owner started this run without a record after the recorded run had ended.
   if (task?.run?.phase === 'inherited' && task.run.number < entry.run)
-    states.removeRun(state, task.run);
+    states.removeRun(state, task.run, 'superseded', nowMs);
   const canAdopt =
     task?.state === 'waiting' &&
     task.strayRunVms.size === 0 &&
@@ -242,7 +248,7 @@
   nowMs: number,
 ): void {
   const { vm, task } = run;
-  states.removeRun(state, run);
+  states.removeRun(state, run, outcome, nowMs);
   if (task.step.spec.gang) ends.stopGang(state, task.step, nowMs);
   if (outcome === 'ticket') advice.expireTicket(task.step, vm);
   if (
@@ -277,7 +283,7 @@
   for (const vm of state.vms.values())
     for (const run of [...vm.runs]) {
       if (run.phase === 'inherited' && inheritedExpired)
-        loseRun(state, run, nowMs);
+        loseRun(state, run, 'inherited-timeout', nowMs);
       if (run.phase !== 'stopping' || run.confirmedMs !== undefined) continue;
       if (!vm.usable) continue;
       if (nowMs - (run.stopSentMs ?? 0) > STOP_RETRY_MS)
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -9,7 +9,7 @@
 import * as batches from './batch.js';
 import * as ends from './ends.js';
 import * as jobs from './jobs.js';
-import * as adviceSlots from './adviceSlots.js';
+import * as owed from './owed.js';
 import * as progress from './progress.js';
 import * as reports from './reports.js';
 import * as states from './state.js';
@@ -22,6 +22,8 @@
 export interface Decision {
   readonly commands: readonly types.Command[];
   readonly batch: types.RecordBatch | undefined;
+  /** Runs of service tasks that have ended since the last tick. */
+  readonly endedRuns: readonly states.EndedRun[];
 }
 
 /** The scheduler of workloads. */
@@ -99,42 +101,17 @@
   /** Counts the jobs per queue without a started task; scheduled jobs don't count. */
   countWaiting(): ReadonlyMap<types.QueueName, number>;
   getCounts(): ReadonlyMap<string, number>;
+  /** Returns the tasks that should run and don't, with the cause of each, and counts them by cause. */
+  findOwed(query: owed.OwedQuery): readonly owed.OwedTask[];
   /** Returns a plain copy of the tables for operators. */
   dump(): unknown;
 }
 
-/** Options of a scheduler. */
-export interface SchedulerOptions {
-  readonly bounds: states.Bounds;
-  /** Whether a previous owner may have started tasks without a record. */
-  readonly unrecordedStarts: boolean;
-  readonly nowMs: number;
-}
-
 /** Creates a scheduler. */
 export function createWorkloadScheduler(
-  options: SchedulerOptions,
+  options: states.SchedulerOptions,
 ): WorkloadScheduler {
-  const state: states.State = {
-    bounds: options.bounds,
-    jobs: new Map(),
-    vms: new Map(),
-    policies: new Map(),
-    createdMs: options.nowMs,
-    nextRun: options.bounds.firstRun,
-    dirty: new Set(),
-    dropped: [],
-    batch: undefined,
-    nextBatch: 1,
-    newStarts: [],
-    unrecordedStartsBatch: undefined,
-    commands: [],
-    inheritedUnrecordedStarts: options.unrecordedStarts,
-    adviceRequests: new Map(),
-    adviceSlots: adviceSlots.createAdviceSlots(),
-    counts: new Map(),
-    urgentPeaks: new Map(),
-  };
+  const state = states.createState(options);
 
   function takeCommands(): readonly types.Command[] {
     const taken = state.commands;
@@ -220,7 +197,13 @@
     },
     tick(nowMs, nowUnixMs) {
       ticks.runRound(state, nowMs, nowUnixMs);
-      return { commands: takeCommands(), batch: batches.takeBatch(state) };
+      const { endedRuns } = state;
+      state.endedRuns = [];
+      return {
+        commands: takeCommands(),
+        batch: batches.takeBatch(state),
+        endedRuns,
+      };
     },
     confirmBatch() {
       batches.confirmBatch(state);
@@ -242,6 +225,12 @@
     },
     countWaiting: () => views.countWaiting(state),
     getCounts: () => state.counts,
+    findOwed(query) {
+      const found = owed.findOwed(state, query);
+      for (const { cause } of found)
+        states.countEvent(state, `owed.${cause.why}`);
+      return found;
+    },
     dump: () => views.dumpState(state),
   };
 }
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -1,6 +1,6 @@
 /** State of the workload scheduler, and the changes to runs that several of its modules make. */
 import type * as ids from '../types/ids.js';
-import type * as adviceSlots from './adviceSlots.js';
+import * as adviceSlots from './adviceSlots.js';
 import * as names from './names.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
@@ -21,6 +21,29 @@
   readonly finals: readonly tables.JobRow[];
 }
 
+/** End of a run of a service task. */
+export interface EndedRun {
+  readonly task: types.TaskKey;
+  readonly run: number;
+  readonly vm: ids.VmId;
+  readonly how: RunRemoval;
+}
+
+/** How a run left the tables: its reported end, the outcome of its start, or a decision of the scheduler. */
+export type RunRemoval =
+  | types.RunEnd
+  | types.StartOutcome
+  /** Its VM can't run anything any more. */
+  | 'lost'
+  /** A report of its VM doesn't list it. */
+  | 'not-reported'
+  /** Its VM hasn't reported within the timeout for inherited runs. */
+  | 'inherited-timeout'
+  /** Stopped before its start command was sent. */
+  | 'withdrawn'
+  /** Its VM reports a later run of the task. */
+  | 'superseded';
+
 /** State of the scheduler. */
 export interface State {
   readonly bounds: Bounds;
@@ -42,6 +65,8 @@
   /** Batch whose confirmation makes all starts durable that were sent without a record. */
   unrecordedStartsBatch: number | undefined;
   commands: types.Command[];
+  /** Ended runs of service tasks since the last tick. */
+  endedRuns: EndedRun[];
   /** Whether a previous owner may have started tasks without a record. */
   inheritedUnrecordedStarts: boolean;
   /** Slots of the advice requests in flight, by step. */
@@ -56,6 +81,39 @@
   >;
 }
 
+/** Options of a scheduler. */
+export interface SchedulerOptions {
+  readonly bounds: Bounds;
+  /** Whether a previous owner may have started tasks without a record. */
+  readonly unrecordedStarts: boolean;
+  readonly nowMs: number;
+}
+
+/** Creates the state of a scheduler without jobs and VMs. */
+export function createState(options: SchedulerOptions): State {
+  return {
+    bounds: options.bounds,
+    jobs: new Map(),
+    vms: new Map(),
+    policies: new Map(),
+    createdMs: options.nowMs,
+    nextRun: options.bounds.firstRun,
+    dirty: new Set(),
+    dropped: [],
+    batch: undefined,
+    nextBatch: 1,
+    newStarts: [],
+    unrecordedStartsBatch: undefined,
+    commands: [],
+    endedRuns: [],
+    inheritedUnrecordedStarts: options.unrecordedStarts,
+    adviceRequests: new Map(),
+    adviceSlots: adviceSlots.createAdviceSlots(),
+    counts: new Map(),
+    urgentPeaks: new Map(),
+  };
+}
+
 /** Adds to the counter of an event in the metrics. */
 export function countEvent(state: State, name: string, by = 1): void {
   state.counts.set(name, (state.counts.get(name) ?? 0) + by);
@@ -103,6 +161,8 @@
     phase: run.phase,
     confirmedMs: undefined,
     stopSentMs: undefined,
+    stoppingSinceMs: undefined,
+    stopsSent: 0,
     runningSinceMs: undefined,
     percent: 0,
     progressChangedMs: nowMs,
@@ -122,9 +182,23 @@
 }
 
 /** Removes a run that has ended or will never begin. Its task waits again unless it is done. */
-export function removeRun(state: State, run: tables.RunRow): void {
+export function removeRun(
+  state: State,
+  run: tables.RunRow,
+  how: RunRemoval,
+  nowMs: number,
+): void {
   if (!run.vm.runs.delete(run)) return;
   const { task } = run;
+  if (run.runningSinceMs !== undefined)
+    task.idleSinceMs = computeIdleSince(run, nowMs);
+  if (task.step.spec.lasts)
+    state.endedRuns.push({
+      task: tables.getTaskKey(task),
+      run: run.number,
+      vm: run.vm.id,
+      how,
+    });
   tables.addAmount(run.vm.used, tables.getNeed(task.step.spec), -1);
   task.step.occurrence.job.activeRuns -= 1;
   state.dirty.add(task.step.occurrence.job);
@@ -135,6 +209,13 @@
   task.step.waitingCount += 1;
 }
 
+/** Computes the time at which a run that isn't running now is last known to have run. */
+export function computeIdleSince(run: tables.RunRow, nowMs: number): number {
+  const { vm } = run;
+  const reportedMs = vm.reportedMs ?? run.runningSinceMs ?? nowMs;
+  return Math.min(vm.usable ? nowMs : reportedMs, run.stoppingSinceMs ?? nowMs);
+}
+
 /** Stops a run. A run whose start command hasn't been sent is removed at once. */
 export function stopRun(
   state: State,
@@ -144,7 +225,7 @@
 ): void {
   switch (run.phase) {
     case 'recording':
-      removeRun(state, run);
+      removeRun(state, run, 'withdrawn', nowMs);
       return;
     case 'stopping':
       return;
@@ -167,6 +248,8 @@
   nowMs: number,
 ): void {
   run.stopSentMs = nowMs;
+  run.stoppingSinceMs ??= nowMs;
+  run.stopsSent += 1;
   countEvent(state, `stop.${why}`);
   state.commands.push({
     command: 'stop',
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -29,6 +29,10 @@
   confirmedMs: number | undefined;
   /** Time at which the stop command was last sent. */
   stopSentMs: number | undefined;
+  /** Time at which the stop command was first sent. */
+  stoppingSinceMs: number | undefined;
+  /** Number of stop commands sent. */
+  stopsSent: number;
   runningSinceMs: number | undefined;
   /** Last reported progress, 0 to 100. */
   percent: number;
@@ -53,6 +57,8 @@
   /** Last saved progress; empty for none. */
   saved: string;
   preemptions: number;
+  /** Time at which its last run is known to have stopped running; undefined while none has. */
+  idleSinceMs: number | undefined;
   /** VMs that report a stray run of the task. The task isn't started while there are any. */
   readonly strayRunVms: Set<VmRow>;
   /** VMs on which a run of the task failed, stalled or was refused as malformed. */
@@ -79,6 +85,8 @@
   readonly spec: types.StepSpec;
   readonly tasks: TaskRow[];
   doneCount: number;
+  /** Time at which this owner saw the last task done; undefined until then. */
+  doneMs: number | undefined;
   waitingCount: number;
   readonly advice: AdviceRow;
   /** Run number of all members of the gang; 0 before the first run. */
@@ -126,6 +134,8 @@
   incarnationKey: string;
   /** Whether it has reported to this owner and no lease renewal or command is overdue. */
   usable: boolean;
+  /** Time of its last report to this owner. */
+  reportedMs: number | undefined;
   readonly runs: Set<RunRow>;
   used: { cores: number; memoryMb: number; gpus: number };
   /** Number of stray runs: the VM reports them, but they must be stopped. The size of some is unknown. */
@@ -201,6 +211,7 @@
     incarnation: undefined,
     incarnationKey: formatIncarnationKey(id, undefined),
     usable: false,
+    reportedMs: undefined,
     runs: new Set(),
     used: { cores: 0, memoryMb: 0, gpus: 0 },
     strayRunCount: 0,
@@ -245,6 +256,7 @@
       spec,
       tasks: [],
       doneCount: 0,
+      doneMs: undefined,
       waitingCount: spec.count,
       advice: {
         pendingUntilMs: undefined,
@@ -263,6 +275,7 @@
         failedRuns: [],
         saved: '',
         preemptions: 0,
+        idleSinceMs: undefined,
         strayRunVms: new Set(),
         avoidedVms: new Set(),
       });
