Log tasks that should run and don't, and jobs that the scheduler lost

Once a second the owner logs each owed task with its cause, what decides it and since when, and compares the accepted jobs of the store with those of the scheduler. Ended runs of service tasks are logged too. At most ten tasks and ten jobs are logged in a round, and each again only after 5 s or with another cause. The line writer keeps these lines when it drops those of single requests, steps, tasks and jobs.

--- /dev/null
+++ b/packages/cluster/src/owedReporter.ts
@@ -0,0 +1,252 @@
+/**
+ * Reports the work that an owner owes: tasks that should run and don't, with what each
+ * waits for and since when, accepted jobs that the scheduler doesn't know, and ended runs
+ * of service tasks. It only logs and counts. The lines of a round are bounded, because in
+ * an overload thousands of tasks are past their objective.
+ */
+import * as core from '@flamingoward/core';
+import type * as observability from '@flamingoward/observability';
+import type * as contexts from './context.js';
+import type * as jobStores from './jobStore.js';
+
+/** Time between rounds, in ms. */
+const ROUND_INTERVAL_MS = 1_000;
+/** Time after which an unchanged wait is logged again, in ms. */
+const REPEAT_AFTER_MS = 5_000;
+/** Maximum number of tasks, and of jobs, that one round logs. */
+const MAX_LINES_PER_ROUND = 10;
+/** Maximum number of VMs, runs or steps that one line names. */
+const MAX_NAMES_PER_LINE = 5;
+/** Gauge of the longest time for which a service task is owed. */
+const OLDEST_SERVICE_GAUGE = 'tasks_owed_oldest_service_ms';
+
+/** What the reporter reads from its owner. */
+export interface OwedSources {
+  readonly fence: number;
+  readonly findOwed: () => readonly core.workloads.OwedTask[];
+  readonly listJobs: () => Iterable<jobStores.StoredJob>;
+  /** Returns whether the scheduler knows a job. */
+  readonly hasJob: (id: core.ids.JobId) => boolean;
+}
+
+/** The reporter of an owner. */
+export interface OwedReporter {
+  /** Begins the rounds; called once the owner has restored all jobs. */
+  start(): void;
+  logEnds(ended: readonly core.workloads.EndedRun[]): void;
+  close(): void;
+}
+
+/** Last line about a task or job. */
+interface LoggedLine {
+  readonly why: string;
+  readonly atMs: number;
+}
+
+/** Creates a reporter. */
+export function createOwedReporter(
+  context: contexts.NodeContext,
+  sources: OwedSources,
+): OwedReporter {
+  const { timers, log, metrics } = context;
+  const { fence } = sources;
+  let loggedTasks: ReadonlyMap<string, LoggedLine> = new Map();
+  let loggedJobs: ReadonlyMap<string, LoggedLine> = new Map();
+  let summaryAtMs = -Infinity;
+  const reasons = new Set<string>();
+  let roundTimer: core.TimerSubscription | undefined;
+
+  function runRound(): void {
+    const startedMs = timers.getNow();
+    reportTasks(sources.findOwed(), startedMs);
+    reportMissingJobs(startedMs);
+    metrics.record('owed_round', {}, timers.getNow() - startedMs);
+  }
+
+  function reportTasks(
+    found: readonly core.workloads.OwedTask[],
+    nowMs: number,
+  ): void {
+    const logged = new Map<string, LoggedLine>();
+    const counts = new Map<string, number>();
+    let lines = 0;
+    let skipped = 0;
+    for (const owed of found) {
+      const { why } = owed.cause;
+      counts.set(why, (counts.get(why) ?? 0) + 1);
+      const task = core.workloads.formatTask(owed.task);
+      const previous = loggedTasks.get(task);
+      if (previous !== undefined && isFresh(previous, why, nowMs))
+        logged.set(task, previous);
+      else if (lines < MAX_LINES_PER_ROUND) {
+        lines += 1;
+        logged.set(task, { why, atMs: nowMs });
+        const isUrgent = owed.lasts || owed.gang || why === 'inconsistent';
+        log.write(isUrgent ? 'warn' : 'info', 'task.owed', {
+          task,
+          fence,
+          why,
+          sinceMs: Math.round(nowMs - owed.sinceMs),
+          lasts: owed.lasts,
+          ...describeCause(owed.cause, nowMs),
+        });
+      } else skipped += 1;
+    }
+    loggedTasks = logged;
+    setGauges(found, counts, nowMs);
+    if (skipped === 0 || nowMs - summaryAtMs < REPEAT_AFTER_MS) return;
+    summaryAtMs = nowMs;
+    log.write('info', 'task.owed-more', {
+      fence,
+      owed: found.length,
+      skipped,
+      ...Object.fromEntries(counts),
+    });
+  }
+
+  function setGauges(
+    found: readonly core.workloads.OwedTask[],
+    counts: ReadonlyMap<string, number>,
+    nowMs: number,
+  ): void {
+    for (const why of counts.keys()) reasons.add(why);
+    for (const why of reasons)
+      metrics.set('tasks_owed', { why }, counts.get(why) ?? 0);
+    let oldestServiceMs = nowMs;
+    for (const { lasts, sinceMs } of found)
+      if (lasts) oldestServiceMs = Math.min(oldestServiceMs, sinceMs);
+    metrics.set(OLDEST_SERVICE_GAUGE, {}, Math.round(nowMs - oldestServiceMs));
+  }
+
+  /** Logs accepted jobs of the store that haven't ended and that the scheduler doesn't know. */
+  function reportMissingJobs(nowMs: number): void {
+    const logged = new Map<string, LoggedLine>();
+    let missing = 0;
+    let lines = 0;
+    for (const { id, job, cancelled, final } of sources.listJobs()) {
+      if (job === undefined || cancelled || final !== undefined) continue;
+      if (sources.hasJob(id)) continue;
+      missing += 1;
+      const previous = loggedJobs.get(id);
+      if (previous !== undefined && isFresh(previous, '', nowMs))
+        logged.set(id, previous);
+      else if (lines < MAX_LINES_PER_ROUND) {
+        lines += 1;
+        logged.set(id, { why: '', atMs: nowMs });
+        log.write('error', 'job.missing', {
+          job: id,
+          fence,
+          queue: job.queue,
+          ageMs: Math.round(timers.getDate() - job.acceptedAtMs),
+        });
+      }
+    }
+    loggedJobs = logged;
+    metrics.set('jobs_missing', {}, missing);
+  }
+
+  return {
+    start() {
+      roundTimer ??= timers.subscribe(
+        { name: 'owner.owed', delayMs: ROUND_INTERVAL_MS, repeat: 'periodic' },
+        runRound,
+      );
+    },
+    logEnds(ended) {
+      for (const { task, run, vm, how } of ended)
+        log.write('info', 'task.ended', {
+          task: core.workloads.formatTask(task),
+          run,
+          vm,
+          fence,
+          how,
+        });
+    },
+    close() {
+      roundTimer?.end();
+      // Another process owns the cluster now, and reports what is owed from there.
+      for (const why of reasons) metrics.set('tasks_owed', { why }, 0);
+      metrics.set(OLDEST_SERVICE_GAUGE, {}, 0);
+      metrics.set('jobs_missing', {}, 0);
+    },
+  };
+}
+
+function isFresh(line: LoggedLine, why: string, nowMs: number): boolean {
+  return line.why === why && nowMs - line.atMs < REPEAT_AFTER_MS;
+}
+
+/** Describes what decides a cause. */
+function describeCause(
+  cause: core.workloads.OwedCause,
+  nowMs: number,
+): observability.LogFields {
+  switch (cause.why) {
+    case 'vm-silent':
+      return {
+        ...cause.run,
+        silentMs:
+          cause.silentSinceMs === undefined
+            ? 'always'
+            : Math.round(nowMs - cause.silentSinceMs),
+      };
+    case 'inherited':
+      return { ...cause.run, leftMs: Math.round(cause.untilMs - nowMs) };
+    case 'start-recording':
+    case 'start-sent':
+      return { ...cause.run };
+    case 'stopping':
+      return {
+        ...cause.run,
+        stoppingMs: Math.round(nowMs - cause.stoppingSinceMs),
+        stopsSent: cause.stopsSent,
+        confirmed: cause.confirmed,
+      };
+    case 'stray-run':
+      return { vms: formatNames(cause.vms) };
+    case 'gang-ending':
+      return {
+        runs: formatNames(
+          cause.runs.map(({ run, vm, phase }) => `${run}@${vm}:${phase}`),
+        ),
+      };
+    case 'reports-awaited':
+      return {
+        silent: cause.vms.length,
+        vms: formatNames(cause.vms),
+        leftMs: Math.round(cause.untilMs - nowMs),
+      };
+    case 'no-vm':
+    case 'no-room':
+    case 'no-room-for-gang':
+    case 'room-reserved':
+    case 'advice-not-requested':
+    case 'advice-pending':
+    case 'no-advice-slot':
+    case 'no-approved-room':
+    case 'ticket-expired':
+    case 'not-placed':
+      return {
+        ...cause.pool,
+        reservedFor: formatNames(
+          cause.reservedFor.map(core.workloads.formatStep),
+        ),
+        adviceLeftMs:
+          cause.adviceUntilMs === undefined
+            ? undefined
+            : Math.round(cause.adviceUntilMs - nowMs),
+      };
+    case 'not-examined':
+      return {};
+    case 'inconsistent':
+      return { what: cause.what, vm: cause.vm };
+  }
+}
+
+/** Formats names for a line; undefined when there are none. */
+function formatNames(names: readonly string[]): string | undefined {
+  if (names.length === 0) return undefined;
+  const shown = names.slice(0, MAX_NAMES_PER_LINE).join('+');
+  const left = names.length - MAX_NAMES_PER_LINE;
+  return left > 0 ? `${shown}+${left}-more` : shown;
+}
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -10,6 +10,7 @@
 import type * as contexts from './context.js';
 import type * as fleets from './fleet.js';
 import type * as jobStores from './jobStore.js';
+import * as owedReporters from './owedReporter.js';
 import * as timeouts from './timeouts.js';
 import * as recorders from './recorder.js';
 import type * as records from './records.js';
@@ -99,6 +100,17 @@
       (previous.unconfirmedMs ?? 0) > UNRECORDED_START_AFTER_MS,
     nowMs: createdMs,
   });
+  const owedReporter = owedReporters.createOwedReporter(context, {
+    fence,
+    findOwed: () =>
+      scheduler.findOwed({
+        nowMs: timers.getNow(),
+        nowUnixMs: timers.getDate(),
+        hasSession: (id) => sessionsByVm.has(id),
+      }),
+    listJobs: () => jobs.list(),
+    hasJob: (id) => scheduler.getJobState(id) !== undefined,
+  });
   const orderTimeout = timeouts.createOrderTimeout();
   const holdWait = timeouts.createHoldWait();
   let closed = false;
@@ -135,6 +147,7 @@
     fleet.setObserver(updateVm);
     jobs.setObserver(handleJobChange);
     ready = true;
+    owedReporter.start();
     log.write('info', 'owner.ready', {
       fence,
       restored: restoredJobs,
@@ -297,6 +310,7 @@
     const decision = scheduler.tick(startedMs, timers.getDate());
     lastTickMs = timers.getNow() - startedMs;
     metrics.record('tick', {}, lastTickMs);
+    owedReporter.logEnds(decision.endedRuns);
     for (const command of decision.commands) execute(command);
     if (decision.batch !== undefined) void record(decision.batch);
     else releaseUnrecorded();
@@ -518,6 +532,7 @@
       closed = true;
       idleTimer.end();
       dropExpiredTimer.end();
+      owedReporter.close();
       recorder.close();
       jobs.setObserver(undefined);
       fleet.setObserver(undefined);
--- a/packages/core/src/workloads/owed.ts
+++ b/packages/core/src/workloads/owed.ts
@@ -23,7 +23,7 @@
 
 /** VMs of a step's pool, as the step sees them. */
 export interface PoolView {
-  readonly vms: number;
+  readonly poolVms: number;
   readonly silent: number;
   readonly draining: number;
   /** VMs that get no new runs for now: a stray run is there, or runs failed, stalled or were refused. */
@@ -506,7 +506,7 @@
       nowMs,
     ),
     pool: {
-      vms: vms.length,
+      poolVms: vms.length,
       silent: vms.filter(({ usable }) => !usable).length,
       draining: vms.filter(({ entry }) => entry?.draining === true).length,
       avoided: vms.filter(
--- a/packages/core/test/workloads/owed.test.ts
+++ b/packages/core/test/workloads/owed.test.ts
@@ -108,7 +108,7 @@
       const [found] = findOwed(harness, reportedMs + 9_000);
       vitest.expect(found).toMatchObject({
         sinceMs: reportedMs,
-        cause: { why: 'no-vm', pool: { vms: 1, silent: 1, eligible: 0 } },
+        cause: { why: 'no-vm', pool: { poolVms: 1, silent: 1, eligible: 0 } },
       });
     },
   );
@@ -251,7 +251,7 @@
     advance(harness, 4_000);
     vitest.expect(findOwed(harness)[0]?.cause).toMatchObject({
       why: 'no-vm',
-      pool: { vms: 1, draining: 1, eligible: 0 },
+      pool: { poolVms: 1, draining: 1, eligible: 0 },
     });
   });
 
--- a/packages/observability/src/lines.ts
+++ b/packages/observability/src/lines.ts
@@ -16,8 +16,8 @@
 /** Tokens that frequent events must leave to rare ones, such as a change of a shard's owner. */
 const RESERVED_BURST_LINES = 500;
 
-/** Events that are logged for every request, step, task or job. */
-const frequentEvent = /^(request|step|task|job)\./;
+/** Events that are logged for every request, step, task or job; those of owed work are bounded by their source. */
+const frequentEvent = /^(request|step|task|job)\.(?!owed|missing)/;
 
 /** Writer of log lines with bounded memory and a bounded rate. */
 export interface LineWriter {
--- a/packages/observability/test/lines.test.ts
+++ b/packages/observability/test/lines.test.ts
@@ -18,11 +18,15 @@
       for (let index = 0; index < 5_000; index += 1)
         writer.write('event=task.start', 'task.start');
       writer.write('event=owner.ready', 'owner.ready');
+      writer.write('event=task.owed', 'task.owed');
+      writer.write('event=job.missing', 'job.missing');
       writer.flush();
       fs.closeSync(descriptor);
       const text = fs.readFileSync(file, 'utf8');
       fs.rmSync(folder, { recursive: true });
       vitest.expect(text).toContain('event=owner.ready');
+      vitest.expect(text).toContain('event=task.owed');
+      vitest.expect(text).toContain('event=job.missing');
       vitest.expect(text).toContain('event=log.dropped');
       vitest.expect(writer.getDroppedLines()).toBeGreaterThan(3_000);
     },
