--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -5,6 +5,7 @@
  * runs, and reports the VM as lost after it.
  */
 import * as core from '@flamingoward/core';
+import type * as observability from '@flamingoward/observability';
 import type * as contexts from './context.js';
 import type * as timeouts from './timeouts.js';
 import type * as ports from './ports.js';
@@ -136,7 +137,14 @@
         events.onFenced(target.id);
         return false;
       case 'other-life':
-        if (!lost) events.onLost(target.id, 'another incarnation answered');
+        if (!lost) {
+          log.write('warn', 'vm.lost', {
+            vm: target.id,
+            why: 'another incarnation answered',
+            ...describeSilence(timers.getNow()),
+          });
+          events.onLost(target.id, 'another incarnation answered');
+        }
         lost = true;
         return false;
       case 'failed':
@@ -178,6 +186,13 @@
     events.onReport(target.id, { ...result.report, requestSentMs: askedMs });
   }
 
+  function describeSilence(nowMs: number): observability.LogFields {
+    return {
+      silentMs: vmClock && Math.round(nowMs - vmClock.atMs),
+      leaseEndedMs: Math.round(nowMs - leaseEndMs),
+    };
+  }
+
   function handleNoResponse(why: string): void {
     const nowMs = timers.getNow();
     if (!unresponsive) {
@@ -191,7 +206,11 @@
     unresponsive = true;
     if (!lost && nowMs > leaseEndMs + LEASE_END_MARGIN_MS) {
       lost = true;
-      log.write('warn', 'vm.lost', { vm: target.id, why: 'lease expired' });
+      log.write('warn', 'vm.lost', {
+        vm: target.id,
+        why: 'lease expired',
+        ...describeSilence(nowMs),
+      });
       events.onLost(target.id, 'lease expired');
     }
   }
--- a/packages/cluster/test/vmSessions.test.ts
+++ b/packages/cluster/test/vmSessions.test.ts
@@ -210,6 +210,27 @@
     },
   );
 
+  vitest.it(
+    'logs for how long a lost VM has been silent (guards against a wait for a lease that no line shows)',
+    async () => {
+      const { setup, context, timers, session } = createSetup(
+        buildHeld(50_000),
+      );
+      await fakes.advance(timers, 1_600);
+      const answeredMs = timers.getNow();
+      setup.answer = undefined;
+      while (!context.lines.some(({ event }) => event === 'vm.lost'))
+        await fakes.advance(timers, 10);
+      const line = context.lines.find(({ event }) => event === 'vm.lost');
+      const silentMs = Number(line?.fields.silentMs);
+      const passedMs = timers.getNow() - answeredMs;
+      vitest.expect(silentMs).toBeLessThanOrEqual(passedMs);
+      vitest.expect(silentMs).toBeGreaterThan(passedMs - 1_600);
+      vitest.expect(line?.fields.leaseEndedMs).toBeGreaterThanOrEqual(50);
+      session.close();
+    },
+  );
+
   vitest.it('reports that the VM has seen a later owner', async () => {
     const { events, timers, session } = createSetup({ outcome: 'fenced' });
     await fakes.advance(timers, 100);
