Count a VM that refuses connections as terminated

Cause: the only way in which runs of a VM that doesn't answer ended was the expiry of its lease, also when its host refused the connection, which shows that no process, and so none of its runs, is left. The wait is up to one lease (10 s on this site), and after a takeover from an owner that may still be alive up to 20.7 s.

Change: a refused hold is an outcome of its own. After two in a row the session reports the VM as terminated, again with each further refusal, and the scheduler removes its runs. A start in flight is left to its own outcome, as it may reach a new process at that address. A VM that is silent is waited for as before.

--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -249,6 +249,9 @@
     onUnresponsive(id) {
       scheduler.suspendVm(id);
     },
+    onTerminated(id) {
+      scheduler.failVm(id, timers.getNow());
+    },
     onLost(id) {
       scheduler.loseVm(id, timers.getNow());
       if (fleet.find(id) === undefined) {
--- a/packages/cluster/src/ports.ts
+++ b/packages/cluster/src/ports.ts
@@ -146,6 +146,8 @@
     }
   | { readonly outcome: 'fenced' }
   | { readonly outcome: 'other-life' }
+  /** No process listens at the VM's address, so nothing that ran there is left. */
+  | { readonly outcome: 'refused'; readonly why: string }
   | { readonly outcome: 'failed'; readonly why: string };
 
 /** Fields of every order about a run. */
--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -31,6 +31,11 @@
   ) => void;
   /** The VM didn't answer two holds in a row; it may still have runs. */
   readonly onUnresponsive: (vm: core.ids.VmId, why: string) => void;
+  /**
+   * The VM's process has terminated, and its runs with it. Starts in flight may still
+   * reach a process that is started at its address. Called again while that lasts.
+   */
+  readonly onTerminated: (vm: core.ids.VmId) => void;
   /** No run of this incarnation can be left on the VM: its lease has expired, or a new incarnation answered. */
   readonly onLost: (vm: core.ids.VmId, why: string) => void;
   readonly onFenced: (vm: core.ids.VmId) => void;
@@ -71,6 +76,9 @@
   let closed = false;
   /** The last hold got no answer; a single answer may have been lost. */
   let responseMissed = false;
+  /** The last hold found no process at the address. */
+  let refused = false;
+  let terminated = false;
   let unresponsive = false;
   let lost = false;
   let highestEndNumber = 0;
@@ -129,6 +137,8 @@
     if (untilMs !== undefined) recordLeaseExtension(untilMs);
     const result = await callHold(untilMs, waitMs);
     if (isClosed()) return false;
+    const refusedBefore = refused;
+    refused = result.outcome === 'refused';
     switch (result.outcome) {
       case 'held':
         receiveReport(result, askedMs);
@@ -147,6 +157,11 @@
         }
         lost = true;
         return false;
+      case 'refused':
+        metrics.count('holds', { outcome: 'refused' });
+        responseMissed = true;
+        if (refusedBefore) handleTermination(result.why);
+        return false;
       case 'failed':
         metrics.count('holds', { outcome: 'failed' });
         options.holdWait.recordNoAnswer(timers.getNow());
@@ -176,6 +191,7 @@
     if (unresponsive) log.write('info', 'vm.regained', { vm: target.id, lost });
     unresponsive = false;
     responseMissed = false;
+    terminated = false;
     lost = false;
     metrics.count('holds', { outcome: 'held' });
     // A new incarnation numbers its ends from the start again.
@@ -193,6 +209,13 @@
     };
   }
 
+  function handleTermination(why: string): void {
+    handleNoResponse(why);
+    if (!terminated) log.write('warn', 'vm.terminated', { vm: target.id, why });
+    terminated = true;
+    events.onTerminated(target.id);
+  }
+
   function handleNoResponse(why: string): void {
     const nowMs = timers.getNow();
     if (!unresponsive) {
--- /dev/null
+++ b/packages/cluster/test/departedVms.test.ts
@@ -0,0 +1,166 @@
+/** The owner with its sessions: how tasks of VMs that are gone run again. */
+import * as vitest from 'vitest';
+import * as core from '@flamingoward/core';
+import * as fleets from '../src/fleet.js';
+import * as jobStores from '../src/jobStore.js';
+import * as owners from '../src/owner.js';
+import type * as ports from '../src/ports.js';
+import * as records from '../src/records.js';
+import * as fakes from './fakes.js';
+
+/** Longest time that a lasting task may be missing after its last run has ended, in ms. */
+const MISSING_LIMIT_MS = 9_000;
+
+const job: core.workloads.Job = {
+  id: 'job',
+  queue: 'queue',
+  payload: 'work',
+  steps: [
+    {
+      count: 1,
+      size: { cores: 1, memoryMb: 1, gpus: 0 },
+      estimateMs: 500,
+      after: [],
+      savesProgress: false,
+      gang: false,
+      oneRack: false,
+      label: undefined,
+      dataRack: undefined,
+      maxPerVm: undefined,
+      allowsCopies: false,
+      lasts: true,
+      image: undefined,
+      targetMs: undefined,
+      fills: false,
+      mayMiss: undefined,
+    },
+  ],
+  schedule: undefined,
+  configVersion: 1,
+  acceptedAtMs: 0,
+  policy: fakes.queuePolicy,
+};
+
+function buildEntry(id: string): core.workloads.VmEntry {
+  return {
+    id,
+    address: `${id}:1`,
+    incarnation: 1,
+    pool: 'pool',
+    availabilityZone: 'zone',
+    rack: undefined,
+    labels: [],
+    capacity: { cores: 4, memoryMb: 4_000, gpus: 0 },
+    draining: false,
+  };
+}
+
+/** Creates the owner of a cluster whose progress record places the job's task on VM `a`. */
+function createSetup(answerOfA: 'refused' | 'no answer') {
+  const context = fakes.createFakeContext();
+  const { timers, store } = context;
+  const started: string[] = [];
+  const running: core.workloads.ReportedRun[] = [];
+  const { key, value } = records.buildAccepted(job);
+  store.streams.jobs.add(key, value);
+  store.streams.progress.add(
+    'job',
+    JSON.stringify({
+      occurrences: [
+        { number: 0, steps: [{ done: '0', runs: [[0, 7, 'a', 1]] }] },
+      ],
+    }),
+  );
+  const vmStream = fakes.createFakeStream(timers);
+  for (const id of ['a', 'b']) vmStream.add(id, JSON.stringify(buildEntry(id)));
+  const vmCalls: ports.VmCalls = {
+    ...context.ports.vmCalls,
+    async hold(vm, { waitMs }, timeoutMs) {
+      if (vm.id === 'a' && answerOfA === 'no answer') {
+        await core.waitFor(timers, 'test.hold', timeoutMs);
+        return { outcome: 'failed', why: 'no answer' };
+      }
+      await core.waitFor(timers, 'test.hold', Math.max(1, waitMs));
+      return vm.id === 'a'
+        ? { outcome: 'refused', why: 'ECONNREFUSED' }
+        : {
+            outcome: 'held',
+            clockMs: timers.getNow(),
+            report: { incarnation: 1, running: [...running], ended: [] },
+          };
+    },
+    start(vm, { task, run }) {
+      started.push(vm.id);
+      running.push({ task, run, saved: '', percent: 100, load: 0 });
+      return Promise.resolve('started');
+    },
+    drop: () => undefined,
+  };
+  const nodeContext = {
+    ...context,
+    ports: {
+      ...context.ports,
+      vmCalls,
+      vms: {
+        ...vmStream,
+        decode: (record: ports.KeyedRecord) => ({
+          readable: true as const,
+          value: JSON.parse(record.value ?? '') as core.workloads.VmEntry,
+        }),
+      },
+    },
+  };
+  const jobs = jobStores.createJobStore(nodeContext);
+  const fleet = fleets.createFleet(nodeContext);
+  const owner = owners.createOwner(nodeContext, {
+    fence: 9,
+    previous: { unconfirmedMs: 1_000, unrecorded: false, inactive: false },
+    unconfirmedLimitMs: 10_000,
+    jobs,
+    fleet,
+    adviceRouter: {
+      ask: () => Promise.resolve(undefined),
+      listHelpers: () => [],
+    },
+    getPolicies: () => ({
+      version: 1,
+      policies: new Map([['queue', fakes.queuePolicy]]),
+    }),
+    getConfirmedAge: () => 0,
+    onAppendFailed: () => undefined,
+    onFenced: () => undefined,
+  });
+  return {
+    started,
+    timers: context.fakeTimers,
+    close: () => {
+      owner.close();
+      fleet.close();
+      jobs.close();
+    },
+  };
+}
+
+vitest.describe('a new owner', () => {
+  vitest.it(
+    'runs the lasting task of a VM that refuses connections again in time (guards against LOST on nilewave-vod-grown: the task of a VM that is gone waits for the leases of two owners)',
+    async () => {
+      const { started, timers, close } = createSetup('refused');
+      await fakes.advance(timers, MISSING_LIMIT_MS);
+      vitest.expect(started).toEqual(['b']);
+      close();
+    },
+  );
+
+  vitest.it(
+    'does not run the task of a silent VM again before its lease has expired (guards against a second run beside one on a disconnected VM)',
+    async () => {
+      const { started, timers, close } = createSetup('no answer');
+      await fakes.advance(timers, 16_000);
+      vitest.expect(started).toEqual([]);
+      await fakes.advance(timers, 3_000);
+      vitest.expect(started).toEqual(['b']);
+      close();
+    },
+  );
+});
--- a/packages/cluster/test/vmSessions.test.ts
+++ b/packages/cluster/test/vmSessions.test.ts
@@ -56,6 +56,7 @@
     {
       onReport: () => events.push('report'),
       onUnresponsive: () => events.push('unresponsive'),
+      onTerminated: () => events.push('terminated'),
       onLost: (_, why) => events.push(`lost: ${why}`),
       onFenced: () => events.push('fenced'),
       getDurableEnd: () => setup.durableEnd,
@@ -132,6 +133,36 @@
     },
   );
 
+  vitest.it(
+    'reports a VM that refuses connections as terminated without waiting for leases (guards against a lasting task that is missing until the longest lease of two owners has expired)',
+    async () => {
+      const { events, timers, session } = createSetup(
+        { outcome: 'refused', why: 'ECONNREFUSED' },
+        20_700,
+      );
+      await fakes.advance(timers, 1_000);
+      vitest.expect(events).toContain('unresponsive');
+      vitest.expect(events).toContain('terminated');
+      vitest.expect(events).not.toContain('lost: lease expired');
+      session.close();
+    },
+  );
+
+  vitest.it(
+    'does not report a VM as terminated whose refusal is followed by no answer (guards against a second run beside one on a VM that is only disconnected)',
+    async () => {
+      const { setup, events, timers, session } = createSetup(
+        { outcome: 'refused', why: 'ECONNREFUSED' },
+        20_700,
+      );
+      await fakes.advance(timers, 100);
+      setup.answer = undefined;
+      await fakes.advance(timers, 3_000);
+      vitest.expect(events).not.toContain('terminated');
+      session.close();
+    },
+  );
+
   vitest.it(
     'does not repeat holds at once while reported ends are not durable (guards against a storm of holds while the store is unavailable)',
     async () => {
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -75,6 +75,21 @@
   for (const run of [...vm.runs]) loseRun(state, run, 'lost', nowMs);
 }
 
+/**
+ * Removes the runs of a VM whose process has terminated. A start in flight stays until
+ * its outcome is known, because it may reach a new process at the VM's address.
+ */
+export function failRuns(
+  state: states.State,
+  vm: tables.VmRow,
+  nowMs: number,
+): void {
+  clearStrayRuns(vm);
+  for (const run of [...vm.runs])
+    if (run.phase !== 'recording' && run.phase !== 'sent')
+      loseRun(state, run, 'lost', nowMs);
+}
+
 function loseRun(
   state: states.State,
   run: tables.RunRow,
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -63,6 +63,8 @@
   applyReport(id: ids.VmId, report: types.VmReport, nowMs: number): void;
   /** Handles an unresponsive VM: it gets no new runs until it reports again. */
   suspendVm(id: ids.VmId): void;
+  /** Handles a VM whose process has terminated: its runs are removed, except starts that are still to be answered. */
+  failVm(id: ids.VmId, nowMs: number): void;
   /** Handles a lost VM: nothing can run there any more, so its runs are removed. */
   loseVm(id: ids.VmId, nowMs: number): void;
   applyStart(
@@ -177,6 +179,12 @@
       const vm = state.vms.get(id);
       if (vm !== undefined) vm.usable = false;
     },
+    failVm(id, nowMs) {
+      const vm = state.vms.get(id);
+      if (vm === undefined) return;
+      vm.usable = false;
+      reports.failRuns(state, vm, nowMs);
+    },
     loseVm(id, nowMs) {
       const vm = state.vms.get(id);
       if (vm === undefined) return;
