Move service tasks off a draining VM before it leaves

Cause: a draining VM got no new runs, but its lasting tasks stayed on it until it left. It leaves without a last report, and connections to it time out like those to a VM that is only disconnected, so the owner waited for its lease: 10 s on this site, more than such a task may be missing. With leases of 6 s the same wait is just short enough.

Change: each tick stops the running service tasks on draining VMs for which an eligible, approved VM has room; they then start there as after any end. Where there is no room the task stays as long as its VM does.

--- /dev/null
+++ b/packages/core/src/workloads/draining.ts
@@ -0,0 +1,50 @@
+/**
+ * Moves service tasks off VMs that are about to leave. A VM that leaves ends its runs,
+ * and its last answer may not tell that, so a task that stays to the end is missing until
+ * the VM is known to be gone. A task stays while no other VM has room for it.
+ */
+import * as advice from './advice.js';
+import * as placement from './placement.js';
+import * as states from './state.js';
+import * as tables from './tables.js';
+
+/** Stops the service tasks on draining VMs that can run elsewhere. */
+export function moveFromDraining(state: states.State, nowMs: number): void {
+  const placesByStep = new Map<tables.StepRow, placement.Candidate[]>();
+  for (const vm of state.vms.values()) {
+    if (vm.entry?.draining !== true || !vm.usable) continue;
+    for (const run of [...vm.runs]) {
+      const { step } = run.task;
+      if (!step.spec.lasts || run.phase !== 'running') continue;
+      const places =
+        placesByStep.get(step) ?? collectPlaces(state, step, nowMs);
+      placesByStep.set(step, places);
+      const place = places.find((candidate) =>
+        placement.canPlaceTask(candidate, step),
+      );
+      if (place === undefined) continue;
+      placement.takeRoom(place, step);
+      states.stopRun(state, run, 'draining', nowMs);
+    }
+  }
+}
+
+function collectPlaces(
+  state: states.State,
+  step: tables.StepRow,
+  nowMs: number,
+): placement.Candidate[] {
+  return [...state.vms.values()]
+    .filter(
+      (vm) =>
+        placement.isEligible(vm, step, nowMs) &&
+        !placement.isReservedForOther(vm, step, nowMs) &&
+        advice.isApproved(step, vm),
+    )
+    .map((vm) => ({
+      vm,
+      ticket: undefined,
+      free: { ...tables.getFree(vm) },
+      sameStep: placement.countSameStep(vm, step),
+    }));
+}
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -1,8 +1,9 @@
 /**
- * One scheduling round. It first handles expired and stalled runs and paces filler tasks,
- * then ranks the waiting steps and starts their tasks as far as room and advice allow.
+ * One scheduling round. It first handles expired and stalled runs and those on draining
+ * VMs and paces filler tasks, then ranks the waiting steps and starts their tasks as far as room and advice allow.
  */
 import * as advice from './advice.js';
+import * as draining from './draining.js';
 import * as headroom from './headroom.js';
 import * as jobs from './jobs.js';
 import * as pacing from './pacing.js';
@@ -29,6 +30,7 @@
 ): void {
   reports.expireRuns(state, nowMs);
   stalls.stopStalled(state, nowMs);
+  draining.moveFromDraining(state, nowMs);
   pacing.paceRuns(state, nowMs);
   const ranked: ranking.RankedStep[] = [];
   for (const job of state.jobs.values()) {
