Don't report an unknown count of waiting jobs as zero

Cause: an owner that still restores its tables returned an empty table of counts and sent it in its heartbeats; its peers took the missing queues as zero for up to 1.8 s, and so did the owner itself.

That the heartbeat was empty is read from the code, no line shows it.

Change: an owner that doesn't know its counts yet sends none. Its peers keep the counts of the heartbeat before for as long as they may be used, then count the unfinished jobs that they know, as without an owner.

--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -14,11 +14,10 @@
 import * as jobStores from './jobStore.js';
 import * as owners from './owner.js';
 import * as successors from './successors.js';
+import * as waiting from './waitingCounts.js';
 
 /** Time between the owner's heartbeats, in ms; counts of waiting jobs may be at most two seconds old. */
 const HEARTBEAT_INTERVAL_MS = 500;
-/** Age of a heartbeat from which its counts of waiting jobs are no longer used, in ms. */
-const HEARTBEAT_STALE_MS = 1_800;
 /** Timeout of a request for a job's state to the owner, in ms. */
 const STATE_TIMEOUT_MS = 600;
 /** Time without a heartbeat after which the owner is suspected, in ms. */
@@ -207,6 +206,7 @@
     if (notice.kind === 'cluster.beat') {
       if (ownership.getOwner()?.instance !== from.instance) return;
       lastHeartbeat = notice;
+      waitingCounts.record(notice.waiting);
       lastHeartbeatMs = timers.getNow();
       ownership.setSuccessors(notice.successors);
       ownership.handleHeartbeat(notice.fence, notice.confirmedAgeMs);
@@ -324,11 +324,12 @@
   function sendHeartbeat(): void {
     if (owner === undefined) return;
     const peers = hub.listConnected();
+    const counts = owner.countWaiting();
     const notice: core.clusterMessages.ClusterHeartbeat = {
       kind: 'cluster.beat',
       fence: owner.fence,
       confirmedAgeMs: ownership.getConfirmedAge(),
-      waiting: [...owner.countWaiting()],
+      ...(counts === undefined ? {} : { waiting: [...counts] }),
       successors: successors.rankSuccessors(
         peers.map((peer) => ({
           instance: peer.instance,
@@ -364,25 +365,9 @@
     }
   }
 
-  function countWaiting(queue: core.workloads.QueueName): number {
-    if (owner !== undefined) return owner.countWaiting().get(queue) ?? 0;
-    if (
-      lastHeartbeat !== undefined &&
-      timers.getNow() - lastHeartbeatMs < HEARTBEAT_STALE_MS
-    )
-      return lastHeartbeat.waiting.find(([name]) => name === queue)?.[1] ?? 0;
-    // Only the owner knows which jobs have started, so this counts all unfinished ones.
-    let count = 0;
-    for (const entry of jobs.list())
-      if (
-        entry.job?.queue === queue &&
-        entry.job.schedule === undefined &&
-        entry.final === undefined &&
-        !entry.cancelled
-      )
-        count += 1;
-    return count;
-  }
+  const waitingCounts = waiting.createWaitingCounts(timers, jobs, () =>
+    owner?.countWaiting(),
+  );
 
   const handleRequest = requestHandlers.createRequestHandler(
     context,
@@ -391,7 +376,7 @@
     {
       fetchState: askOwner,
       writeThroughOwner,
-      countWaiting,
+      countWaiting: waitingCounts.count,
       checkAdmission: (job) => owner?.checkAdmission(job),
     },
   );
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -65,7 +65,8 @@
   checkAdmission(job: core.workloads.Job): string | undefined;
   /** Returns whether starts were sent that aren't durably recorded. */
   hasUnrecorded(): boolean;
-  countWaiting(): ReadonlyMap<core.workloads.QueueName, number>;
+  /** Counts the waiting jobs per queue; undefined until the owner has restored its tables. */
+  countWaiting(): ReadonlyMap<core.workloads.QueueName, number> | undefined;
   getCounts(): ReadonlyMap<string, number>;
   dump(): unknown;
   close(): void;
@@ -519,7 +520,7 @@
   return {
     fence,
     getJobState,
-    countWaiting: () => (ready ? scheduler.countWaiting() : new Map()),
+    countWaiting: () => (ready ? scheduler.countWaiting() : undefined),
     checkAdmission(job) {
       // VM entries may be missing while the store is unavailable, and jobs already known are never declined.
       if (!ready || options.getConfirmedAge() > UNRECORDED_START_AFTER_MS)
--- /dev/null
+++ b/packages/cluster/src/waitingCounts.ts
@@ -0,0 +1,55 @@
+/**
+ * Counts of the waiting jobs of each queue. Only the owner knows which jobs have started,
+ * so its heartbeats carry its counts. Without recent ones, for example while a new owner
+ * still restores its tables, the accepted jobs that haven't ended are counted.
+ */
+import type * as core from '@flamingoward/core';
+import type * as jobStores from './jobStore.js';
+
+/** Age from which the counts of a heartbeat are no longer used, in ms; callers are promised counts of the last two seconds. */
+const STALE_MS = 1_800;
+
+/** Counts of waiting jobs by queue, as a heartbeat carries them. */
+type Counts = readonly (readonly [core.workloads.QueueName, number])[];
+
+/** The counts of a node. */
+export interface WaitingCounts {
+  /** Records the counts of an owner's heartbeat; undefined when the owner doesn't know them yet. */
+  record(counts: Counts | undefined): void;
+  readonly count: (queue: core.workloads.QueueName) => number;
+}
+
+/** Creates the counts; `getOwnCounts` returns those of this node while it is an owner that knows them. */
+export function createWaitingCounts(
+  timers: core.TimerService,
+  jobs: Pick<jobStores.JobStore, 'list'>,
+  getOwnCounts: () => ReadonlyMap<core.workloads.QueueName, number> | undefined,
+): WaitingCounts {
+  let newest: { readonly counts: Counts; readonly atMs: number } | undefined;
+
+  function countUnfinished(queue: core.workloads.QueueName): number {
+    let count = 0;
+    for (const { job, final, cancelled } of jobs.list())
+      if (
+        job?.queue === queue &&
+        job.schedule === undefined &&
+        final === undefined &&
+        !cancelled
+      )
+        count += 1;
+    return count;
+  }
+
+  return {
+    record(counts) {
+      if (counts !== undefined) newest = { counts, atMs: timers.getNow() };
+    },
+    count(queue) {
+      const own = getOwnCounts();
+      if (own !== undefined) return own.get(queue) ?? 0;
+      if (newest === undefined || timers.getNow() - newest.atMs >= STALE_MS)
+        return countUnfinished(queue);
+      return newest.counts.find(([name]) => name === queue)?.[1] ?? 0;
+    },
+  };
+}
