Move service tasks off draining VMs after a change of owner too

Cause: only an approved VM counted as a place for a task of a draining VM, and approvals are memory of the owner: a new one has none for a step until a task of it waits, which a step whose tasks all run never does. The lines said so: vm.changed draining=true at 4.15 s, no task.stop, task.owed why=vm-silent from 18.6 s on, vm.lost at 25.5 s.

Change: a VM that this owner hasn't asked about counts as a place as well.

Evidence: the new test fails before the change.

--- a/packages/core/src/workloads/advice.ts
+++ b/packages/core/src/workloads/advice.ts
@@ -51,6 +51,11 @@
   return step.advice.tickets.has(vm.incarnationKey);
 }
 
+/** Returns whether a VM is approved for a step or hasn't been asked about, as after a change of owner. */
+export function canBeApproved(step: tables.StepRow, vm: tables.VmRow): boolean {
+  return isApproved(step, vm) || !step.advice.askedVms.has(vm.incarnationKey);
+}
+
 /** Returns whether an advice request for the step is in flight. */
 export function isRequestPending(step: tables.StepRow, nowMs: number): boolean {
   const { pendingUntilMs } = step.advice;
--- a/packages/core/src/workloads/draining.ts
+++ b/packages/core/src/workloads/draining.ts
@@ -39,7 +39,7 @@
       (vm) =>
         placement.isEligible(vm, step, nowMs) &&
         !placement.isReservedForOther(vm, step, nowMs) &&
-        advice.isApproved(step, vm),
+        advice.canBeApproved(step, vm),
     )
     .map((vm) => ({
       vm,
--- a/packages/core/test/workloads/draining.test.ts
+++ b/packages/core/test/workloads/draining.test.ts
@@ -31,6 +31,48 @@
     },
   );
 
+  vitest.it(
+    'has them moved by a new owner too, which has asked for no advice yet (guards against LOST: the task of a VM that was drained about the time of a takeover)',
+    () => {
+      const policy = harnesses.createPolicy({
+        advice: { fixedMs: 100, perVmMs: 1, validMs: 1_500 },
+      });
+      const harness = harnesses.createHarness({ firstRun: 1_000 });
+      const steps = [harnesses.createStep({ lasts: true })];
+      harness.scheduler.restoreJob(
+        {
+          id: 'job',
+          queue: policy.name,
+          payload: 'work',
+          steps,
+          schedule: undefined,
+          configVersion: 1,
+          acceptedAtMs: 0,
+          policy,
+        },
+        JSON.stringify({
+          occurrences: [
+            { number: 0, steps: [{ done: '0', runs: [[0, 7, 'a', 1]] }] },
+          ],
+        }),
+        0,
+        harness.getNow(),
+        0,
+      );
+      harness.addVm('a', { draining: true });
+      harness.vms.get('a')!.running.set('7/job.0.0.0', {
+        task: { job: 'job', occurrence: 0, step: 0, index: 0 },
+        run: 7,
+        percent: 100,
+        load: 0,
+      });
+      harness.report('a');
+      harness.addVm('b');
+      for (let round = 0; round < 6; round += 1) harness.advance(50);
+      vitest.expect(harness.listRuns()).toMatchObject([{ vm: 'b' }]);
+    },
+  );
+
   vitest.it('keeps a service task that no other VM has room for', () => {
     const harness = createDrainingHarness(true);
     harness.addVm('b', { capacity: { cores: 0.5, memoryMb: 10, gpus: 0 } });
