Don't hold back a pool for a VM that has no unknown runs

Cause: the wait is for runs that the new owner doesn't know. It also counted VMs that had reported to this owner and then fell silent, and VMs that are known to be gone.

Evidence: the first two new tests fail before the change.

Change: only a VM that has never reported to this owner and isn't known to be empty is waited for. The third test keeps the wait for such a VM.

--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -30,6 +30,7 @@
   }
   vm.usable = true;
   vm.reportedMs = nowMs;
+  vm.knownEmpty = false;
   applyEnds(state, vm, report, nowMs);
   const listed = new Set<tables.RunRow>();
   clearStrayRuns(vm);
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -183,12 +183,14 @@
       const vm = state.vms.get(id);
       if (vm === undefined) return;
       vm.usable = false;
+      vm.knownEmpty = true;
       reports.failRuns(state, vm, nowMs);
     },
     loseVm(id, nowMs) {
       const vm = state.vms.get(id);
       if (vm === undefined) return;
       vm.usable = false;
+      vm.knownEmpty = true;
       reports.loseRuns(state, vm, nowMs);
       if (vm.entry === undefined) state.vms.delete(id);
     },
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -136,6 +136,8 @@
   usable: boolean;
   /** Time of its last report to this owner. */
   reportedMs: number | undefined;
+  /** Whether its process has terminated or it was lost, so that nothing runs there until it reports again. */
+  knownEmpty: boolean;
   readonly runs: Set<RunRow>;
   used: { cores: number; memoryMb: number; gpus: number };
   /** Number of stray runs: the VM reports them, but they must be stopped. The size of some is unknown. */
@@ -169,6 +171,11 @@
   return spec.fills ? { ...spec.size, cores: 0 } : spec.size;
 }
 
+/** Returns whether a VM may have runs that this owner doesn't know: it hasn't reported to this owner yet. */
+export function canHaveUnknownRuns(vm: VmRow): boolean {
+  return vm.reportedMs === undefined && !vm.knownEmpty;
+}
+
 /** Returns the free resources of a VM. */
 export function getFree(vm: VmRow): resources.Resources {
   const capacity = vm.entry?.capacity;
@@ -212,6 +219,7 @@
     incarnationKey: formatIncarnationKey(id, undefined),
     usable: false,
     reportedMs: undefined,
+    knownEmpty: false,
     runs: new Set(),
     used: { cores: 0, memoryMb: 0, gpus: 0 },
     strayRunCount: 0,
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -73,7 +73,8 @@
     return false;
   }
   for (const vm of state.vms.values())
-    if (!vm.usable && vm.entry?.pool === job.policy.pool) return true;
+    if (tables.canHaveUnknownRuns(vm) && vm.entry?.pool === job.policy.pool)
+      return true;
   return false;
 }
 
--- a/packages/core/test/workloads/takeover.test.ts
+++ b/packages/core/test/workloads/takeover.test.ts
@@ -115,6 +115,65 @@
   );
 });
 
+vitest.describe('a new owner after unrecorded starts', () => {
+  function createWaitingHarness() {
+    const harness = harnesses.createHarness({
+      firstRun: 1_000,
+      unrecordedStarts: true,
+    });
+    harness.addJob('job', [harnesses.createStep({ lasts: true })]);
+    harness.scheduler.setVmEntry(
+      'a',
+      harnesses.createEntry('a'),
+      harness.getNow(),
+    );
+    harness.addVm('b');
+    harness.advance(100);
+    vitest.expect(harness.listRuns()).toEqual([]);
+    return harness;
+  }
+
+  vitest.it(
+    'does not wait for a VM whose process has terminated (guards against all older jobs of a pool waiting for the lease of a VM that is gone)',
+    () => {
+      const harness = createWaitingHarness();
+      harness.scheduler.failVm('a', harness.getNow());
+      harness.advance(100);
+      vitest.expect(harness.listRuns()).toMatchObject([{ vm: 'b' }]);
+    },
+  );
+
+  vitest.it(
+    'does not wait again for a VM that has reported and then falls silent',
+    () => {
+      const harness = createWaitingHarness();
+      harness.scheduler.applyReport(
+        'a',
+        {
+          incarnation: 1,
+          running: [],
+          ended: [],
+          requestSentMs: harness.getNow(),
+        },
+        harness.getNow(),
+      );
+      harness.scheduler.suspendVm('a');
+      harness.advance(100);
+      vitest.expect(harness.listRuns()).toMatchObject([{ vm: 'b' }]);
+    },
+  );
+
+  vitest.it(
+    'waits for a VM that has not reported (guards against a second run beside an unrecorded one)',
+    () => {
+      const harness = createWaitingHarness();
+      harness.scheduler.suspendVm('a');
+      for (let round = 0; round < 100; round += 1) harness.advance(100);
+      vitest.expect(harness.listRuns()).toEqual([]);
+    },
+  );
+});
+
 vitest.describe('starts that were sent while the store was unreachable', () => {
   vitest.it(
     'count as unrecorded until a batch with all of them is durable (guards against a handover that does not mention them)',
