Don't call a service or team unknown before the release in force is read

A 404 tells a caller not to try again.

Cause: a submitted job is refused with 503 while the process doesn't know the release in force; a request was looked up in the empty table of services instead, and the team of either in the empty table of teams.

Evidence: both new tests fail on the code before the change (404 and 400).

Change: both answer 503 with not-run until the release is known.

--- a/packages/daemon/src/callers/routes.ts
+++ b/packages/daemon/src/callers/routes.ts
@@ -118,8 +118,12 @@
   const given = exchange.request.headers['flamingoward-team'];
   if (given === undefined) return DEFAULT_TEAM;
   const team = String(given);
-  const { teams } = dependencies.releases.getState();
-  if (team === DEFAULT_TEAM || teams.has(team)) return team;
+  const { releases } = dependencies;
+  if (team === DEFAULT_TEAM || releases.getState().teams.has(team)) return team;
+  if (!releases.isReady()) {
+    refuse(exchange, 503, "this process doesn't know the release in force");
+    return undefined;
+  }
   refuse(exchange, 400, `the release in force has no team ${team}`);
   return undefined;
 }
--- a/packages/daemon/src/requests/requestPath.ts
+++ b/packages/daemon/src/requests/requestPath.ts
@@ -134,6 +134,11 @@
   ): Promise<requests.CallerAnswer> {
     if (isDraining)
       return createNotRun({ reason: 'draining' }, DEFAULT_RETRY_AFTER_MS);
+    if (!releases.isReady())
+      return createNotRun(
+        "this process doesn't know the release in force",
+        DEFAULT_RETRY_AFTER_MS,
+      );
     const state = releases.getState();
     const service = state.services.get(request.service);
     if (service === undefined)
--- a/packages/daemon/test/callers.test.ts
+++ b/packages/daemon/test/callers.test.ts
@@ -70,9 +70,10 @@
     server: callers.CallersServer,
     submitted: core.jobs.JobSpec[],
   ) => Promise<void>,
+  changed: Partial<callers.CallersServerOptions> = {},
 ): Promise<void> {
   const { options, submitted } = createOptions(handle);
-  const server = callers.createCallersServer(options);
+  const server = callers.createCallersServer({ ...options, ...changed });
   const address = await server.start();
   try {
     await run(Number(address.split(':')[1]), server, submitted);
@@ -320,3 +321,21 @@
     expect((await call(port, 'GET', '/readyz')).status).toBe(200);
   });
 });
+
+test('a process that has not read the release in force does not refuse a team as unknown', async () => {
+  const releases = {
+    isReady: () => false,
+    getState: () => ({ teams: new Map() }),
+  } as unknown as types.Releases;
+  await withServer(
+    echo,
+    async (port) => {
+      const answer = await call(port, 'POST', '/jobs', '{}', {
+        'flamingoward-team': 'roof',
+      });
+      expect(answer.status).toBe(503);
+      expect(answer.text).toContain("doesn't know the release in force");
+    },
+    { releases },
+  );
+});
--- a/packages/daemon/test/requests.fakes.ts
+++ b/packages/daemon/test/requests.fakes.ts
@@ -59,6 +59,8 @@
     owner: undefined as number | undefined,
     epoch: 0,
     once: false,
+    /** Whether the processes have read the release in force. */
+    releaseKnown: true,
     /** Latency of an answer on a link, in ms. */
     answerMs: 3,
     /** Time before the first byte is written to a server in mode `late`, in ms. */
@@ -260,7 +262,11 @@
     return {
       current: 'r1',
       offset: 0,
-      services: new Map([['desk', { ...service, idempotent: !state.once }]]),
+      services: new Map(
+        state.releaseKnown
+          ? [['desk', { ...service, idempotent: !state.once }]]
+          : [],
+      ),
       classes: new Map(),
       teams: new Map(),
       backends: new Map([
@@ -321,7 +327,7 @@
       },
       releases: {
         getState,
-        isReady: () => true,
+        isReady: () => state.releaseKnown,
         changes: core.createSubject<core.releases.ReleaseHistoryItem>().stream,
       } as unknown as types.Releases,
     });
--- a/packages/daemon/test/requests.test.ts
+++ b/packages/daemon/test/requests.test.ts
@@ -68,6 +68,21 @@
   }
 });
 
+// Guards against 404 for a known service from a process that has just started (P3 of the planned stops).
+test('a process that has not read the release in force answers not-run with 503 and when to try again', async () => {
+  const harness = fakes.createHarness(1, 1);
+  harness.setOwner(0);
+  await harness.run(5);
+  harness.state.releaseKnown = false;
+  const answer = collect([harness.ask(0, 'a')]);
+  await harness.run(100);
+  expect(answer).toMatchObject([
+    { answer: 'not-run', status: 503, retryAfterMs: 1_000 },
+  ]);
+  harness.state.releaseKnown = true;
+  expect(await runOne(harness, 'a')).toEqual(['re:a']);
+});
+
 test('an idempotent request is retried on another server after a connection error, within the retry budget', async () => {
   const harness = fakes.createHarness(1, 8);
   harness.setOwner(0);
