Simulate a cluster in tests of changes of owner

Nodes with the real claims, owners and sessions share a log store in memory and call simulated VMs: VMs check fences, end their runs with their leases on a clock that is 2% slow, can be cut off, gone, started again or draining, and carry calls without an answer out up to 3 s late. Owners can be killed, stopped, frozen, removed for good or cut off from the store, whose appends are then carried out late. No logic has changed.

Both tests pass on this code: a task runs again once all leases are over, and it doesn't run twice while a replaced owner still reaches its VM.

--- /dev/null
+++ b/packages/cluster/test/clusterSimulation.ts
@@ -0,0 +1,707 @@
+/**
+ * Simulation of a cluster for tests of changes of owner: nodes with their claims, owners
+ * and sessions share a log store and call VMs that end their runs when their leases
+ * expire. The timers of a frozen node fire late, as those of a suspended process do.
+ */
+import * as core from '@flamingoward/core';
+import * as claims from '../src/claims.js';
+import * as fleets from '../src/fleet.js';
+import * as jobStores from '../src/jobStore.js';
+import * as owners from '../src/owner.js';
+import type * as ports from '../src/ports.js';
+import * as records from '../src/records.js';
+import * as fakes from './fakes.js';
+
+/** Longest lease that the VMs accept, in ms. */
+export const LONGEST_LEASE_MS = 6_000;
+/** Rate of the VMs' clocks; the protocol allows for clocks that are 2% slow. */
+export const VM_CLOCK_RATE = 0.98;
+const START_MS = 10_000;
+const STEP_MS = 10;
+const NETWORK_DELAY_MS = 2;
+const READ_FAILURE_MS = 300;
+const HEARTBEAT_INTERVAL_MS = 500;
+const HEARTBEAT_TIMEOUT_MS = 1_100;
+/** Time after which a silent VM is removed from the list, in ms. */
+const UNLISTED_AFTER_MS = 4_500;
+/** Time until a peer notices that a process has ended, or that a node follows it, in ms. */
+const LINK_DELAY_MS = 60;
+const RESTART_DELAY_MS = 1_000;
+/** Longest time by which a call or append without an answer is carried out late, in ms. */
+const LONGEST_DELAY_MS = 3_000;
+const NODE_NAMES = ['n0', 'n1', 'n2', 'n3'];
+
+interface SimVm {
+  entry: core.workloads.VmEntry;
+  /** `cut`: it can't be reached, and its runs continue; `gone`: it can't be reached, and its runs have ended. */
+  state: 'up' | 'cut' | 'gone';
+  /** Node that alone reaches it; undefined when all do. */
+  onlyNode: string | undefined;
+  silentSinceMs: number;
+  listed: boolean;
+  startedMs: number;
+  fence: number;
+  leaseEndMs: number;
+  readonly running: Map<string, core.workloads.ReportedRun>;
+  ended: core.workloads.ReportedEnd[];
+  nextEnd: number;
+  /** Highest run of each task that has been stopped or has ended. */
+  readonly overRuns: Map<string, number>;
+}
+
+interface SimNode {
+  readonly name: string;
+  readonly context: fakes.FakeContext;
+  claims: claims.Claims;
+  owner: owners.Owner | undefined;
+  state: 'up' | 'frozen' | 'dead';
+  storeCut: boolean;
+  heartbeatAtMs: number;
+  heartbeatFence: number | undefined;
+  /** What a frozen process does when it continues. */
+  readonly wakeUps: (() => void)[];
+  close: () => void;
+}
+
+const step: core.workloads.StepSpec = {
+  count: 1,
+  size: { cores: 1, memoryMb: 1, gpus: 0 },
+  estimateMs: 500,
+  after: [],
+  savesProgress: false,
+  gang: false,
+  oneRack: false,
+  label: undefined,
+  dataRack: undefined,
+  maxPerVm: undefined,
+  allowsCopies: false,
+  lasts: true,
+  image: undefined,
+  targetMs: undefined,
+  fills: false,
+  mayMiss: undefined,
+};
+
+/** A cluster of nodes and VMs that runs service jobs of one task each. */
+export class ClusterSimulation {
+  readonly violations: string[] = [];
+  readonly vms = new Map<core.ids.VmId, SimVm>();
+  readonly nodes: SimNode[] = [];
+  private readonly world = core.createVirtualTimers(START_MS);
+  private readonly store = fakes.createFakeStore(this.world);
+  private readonly vmStream = fakes.createFakeStream(this.world);
+  private readonly closedNodes: SimNode[] = [];
+  private readonly getRandom: () => number;
+  /** Time until which answers of VMs are lost, and calls carried out late, at random. */
+  private lossyUntilMs = 0;
+  private restarts = 0;
+  private incarnations = 1;
+
+  constructor(given: {
+    readonly jobs: number;
+    readonly vms: number;
+    readonly getRandom?: () => number;
+  }) {
+    this.getRandom = given.getRandom ?? (() => 0.5);
+    for (let index = 0; index < given.jobs; index += 1) {
+      const { key, value } = records.buildAccepted({
+        id: `job${index}`,
+        queue: 'queue',
+        payload: '',
+        steps: [step],
+        schedule: undefined,
+        configVersion: 1,
+        acceptedAtMs: 0,
+        policy: fakes.queuePolicy,
+      });
+      this.store.streams.jobs.add(key, value);
+    }
+    for (let index = 0; index < given.vms; index += 1) this.addVm(`vm${index}`);
+    for (const name of NODE_NAMES) this.addNode(name);
+    this.world.subscribe(
+      { name: 'sim.beat', delayMs: HEARTBEAT_INTERVAL_MS, repeat: 'periodic' },
+      () => {
+        this.sendHeartbeats();
+      },
+    );
+  }
+
+  getNow(): number {
+    return this.world.getNow();
+  }
+
+  private addVm(id: core.ids.VmId): void {
+    const entry: core.workloads.VmEntry = {
+      id,
+      address: `${id}:1`,
+      incarnation: 1,
+      pool: 'pool',
+      availabilityZone: 'zone',
+      rack: undefined,
+      labels: [],
+      capacity: { cores: 8, memoryMb: 8_000, gpus: 0 },
+      draining: false,
+    };
+    this.vms.set(id, {
+      entry,
+      state: 'up',
+      onlyNode: undefined,
+      silentSinceMs: 0,
+      listed: true,
+      startedMs: this.getNow(),
+      fence: 0,
+      leaseEndMs: 0,
+      running: new Map(),
+      ended: [],
+      nextEnd: 1,
+      overRuns: new Map(),
+    });
+    this.vmStream.add(id, JSON.stringify(entry));
+  }
+
+  private addNode(name: string): void {
+    const base = fakes.createFakeContext(
+      { timers: this.world, store: this.store },
+      name,
+    );
+    const node = {
+      name,
+      owner: undefined,
+      state: 'up',
+      storeCut: false,
+      heartbeatAtMs: this.getNow(),
+      heartbeatFence: undefined,
+      wakeUps: [],
+    } as unknown as SimNode;
+    const context: fakes.FakeContext = {
+      ...base,
+      timers: this.createNodeTimers(node),
+      instance: `${name}-${this.restarts}`,
+      getRandom: this.getRandom,
+      log: {
+        write: (_, event, fields) => {
+          const atMs = this.getNow();
+          base.lines.push({ event, fields: { atMs, node: name, ...fields } });
+        },
+      },
+      settings: { ...base.settings, leaseMs: LONGEST_LEASE_MS },
+    };
+    const nodeContext = {
+      ...context,
+      ports: {
+        ...context.ports,
+        store: this.wrapStore(node),
+        vmCalls: this.createVmCalls(node),
+        vms: {
+          ...this.wrapStream(node, this.vmStream),
+          decode: (record: ports.KeyedRecord) => ({
+            readable: true as const,
+            value: JSON.parse(record.value ?? '') as core.workloads.VmEntry,
+          }),
+        },
+      },
+    };
+    const jobs = jobStores.createJobStore(nodeContext);
+    const fleet = fleets.createFleet(nodeContext);
+    const ownership = claims.createClaims(nodeContext, {
+      onOwned: (fence, previous) => {
+        node.owner?.close();
+        node.owner = owners.createOwner(nodeContext, {
+          fence,
+          previous,
+          unconfirmedLimitMs: claims.UNCONFIRMED_LIMIT_MS,
+          jobs,
+          fleet,
+          adviceRouter: {
+            ask: () => Promise.resolve(undefined),
+            listHelpers: () => [],
+          },
+          getPolicies: () => ({
+            version: 1,
+            policies: new Map([['queue', fakes.queuePolicy]]),
+          }),
+          getConfirmedAge: () => ownership.getConfirmedAge(),
+          onAppendFailed: () => undefined,
+          onFenced: () => {
+            ownership.resign('fenced');
+          },
+        });
+      },
+      onLost: () => {
+        node.owner?.close();
+        node.owner = undefined;
+      },
+      onOwner: () => undefined,
+      onUnconfirmed: (fence) => {
+        this.releaseToPeers(node, fence);
+      },
+    });
+    Object.assign(node, {
+      context,
+      claims: ownership,
+      close: () => {
+        ownership.close();
+        node.owner?.close();
+        node.owner = undefined;
+        fleet.close();
+        jobs.close();
+      },
+    });
+    this.nodes.push(node);
+    ownership.open();
+  }
+
+  private createNodeTimers(node: SimNode): core.TimerService {
+    return {
+      getNow: () => this.world.getNow(),
+      getDate: () => this.world.getDate(),
+      subscribe: (request, onDue) => {
+        let ended = false;
+        let delayed = false;
+        const fire = () => {
+          delayed = false;
+          if (!ended && node.state !== 'dead') onDue(this.getNow());
+        };
+        const subscription = this.world.subscribe(request, () => {
+          if (node.state !== 'frozen') fire();
+          else if (!delayed) {
+            delayed = true;
+            node.wakeUps.push(fire);
+          }
+        });
+        return {
+          end: () => {
+            ended = true;
+            subscription.end();
+          },
+        };
+      },
+    };
+  }
+
+  private after(delayMs: number, action: () => void): void {
+    this.world.subscribe({ name: 'sim', delayMs, repeat: 'once' }, action);
+  }
+
+  private findNode(instance: core.ids.InstanceId): SimNode | undefined {
+    return this.nodes.find(({ context }) => context.instance === instance);
+  }
+
+  private listUp(): readonly SimNode[] {
+    return this.nodes.filter(({ state }) => state === 'up');
+  }
+
+  private releaseToPeers(node: SimNode, fence: number): void {
+    const peers = this.listUp().filter((peer) => peer !== node);
+    if (!node.storeCut || !peers.some(({ storeCut }) => !storeCut)) return;
+    const unrecorded = node.owner?.hasUnrecorded() ?? false;
+    node.claims.resign('the store answers a peer but not this node');
+    this.after(LINK_DELAY_MS, () => {
+      for (const peer of this.listUp())
+        if (peer !== node) peer.claims.handleRelease(fence, unrecorded);
+    });
+  }
+
+  private sendHeartbeats(): void {
+    for (const node of this.listUp()) {
+      const current = node.claims.getOwner();
+      if (current === undefined || node.owner !== undefined) continue;
+      const ownerNode = this.findNode(current.instance);
+      if (ownerNode?.state === 'up' && ownerNode.owner !== undefined) {
+        const { fence } = ownerNode.owner;
+        node.heartbeatAtMs = this.getNow();
+        node.heartbeatFence = fence;
+        node.claims.handleHeartbeat(fence, ownerNode.claims.getConfirmedAge());
+        node.claims.setSuccessors(
+          this.nodes
+            .filter((peer) => peer !== ownerNode && peer.state !== 'dead')
+            .map(({ context }) => context.instance),
+        );
+      } else if (
+        node.heartbeatFence === current.fence &&
+        this.getNow() - node.heartbeatAtMs > HEARTBEAT_TIMEOUT_MS
+      )
+        node.claims.suspect(current.instance, false);
+    }
+  }
+
+  /** Returns the newest owner, which may be frozen. */
+  getOwner(): SimNode | undefined {
+    return this.nodes
+      .filter(({ owner, state }) => owner !== undefined && state !== 'dead')
+      .sort((a, b) => (b.owner?.fence ?? 0) - (a.owner?.fence ?? 0))[0];
+  }
+
+  /** Keeps results from a node while it is frozen, and for good once it is dead. */
+  private async pass<Result>(
+    node: SimNode,
+    result: Promise<Result>,
+  ): Promise<Result> {
+    const value = await result;
+    while (node.state === 'frozen')
+      await new Promise<void>((resolve) => node.wakeUps.push(resolve));
+    return node.state === 'dead' ? new Promise(() => undefined) : value;
+  }
+
+  private async failRead(): Promise<{ outcome: 'failed'; why: string }> {
+    await core.waitFor(this.world, 'sim.read', READ_FAILURE_MS);
+    return { outcome: 'failed', why: 'no answer' };
+  }
+
+  private wrapStream(
+    node: SimNode,
+    source: ports.StreamSource,
+  ): ports.StreamSource {
+    return {
+      read: (from, options) =>
+        this.pass(
+          node,
+          node.storeCut ? this.failRead() : source.read(from, options),
+        ),
+      readNewest: (timeoutMs) =>
+        this.pass(
+          node,
+          node.storeCut ? this.failRead() : source.readNewest(timeoutMs),
+        ),
+    };
+  }
+
+  private wrapStore(node: SimNode): ports.LogStore {
+    const append = async (
+      ...[stream, newRecords, options]: Parameters<ports.LogStore['append']>
+    ): Promise<ports.AppendResult> => {
+      if (!node.storeCut) return this.store.append(stream, newRecords, options);
+      if (this.getRandom() < 0.5)
+        this.after(this.getRandom() * LONGEST_DELAY_MS, () => {
+          void this.store.append(stream, newRecords, options);
+        });
+      await core.waitFor(this.world, 'sim.append', options.timeoutMs);
+      return { outcome: 'unknown', why: 'no answer' };
+    };
+    return {
+      append: (...given) => this.pass(node, append(...given)),
+      openStream: (stream) =>
+        this.wrapStream(node, this.store.openStream(stream)),
+    };
+  }
+
+  private getVmClock(vm: SimVm): number {
+    return (this.getNow() - vm.startedMs) * VM_CLOCK_RATE;
+  }
+
+  private isReachable(vm: SimVm, node: SimNode): boolean {
+    return (
+      vm.state === 'up' &&
+      (vm.onlyNode === undefined || vm.onlyNode === node.name)
+    );
+  }
+
+  /** Carries a call out at a VM, and loses its answer at times; undefined without an answer. */
+  private async call<Result>(
+    node: SimNode,
+    id: core.ids.VmId,
+    timeoutMs: number,
+    handle: (vm: SimVm) => Promise<Result>,
+  ): Promise<Result | undefined> {
+    const vm = this.vms.get(id)!;
+    const { startedMs } = vm;
+    const isLost = this.getNow() < this.lossyUntilMs && this.getRandom() < 0.3;
+    const canAnswer = () =>
+      this.isReachable(vm, node) && vm.startedMs === startedMs;
+    const answer = async (): Promise<Result | undefined> => {
+      await core.waitFor(
+        this.world,
+        'sim.net',
+        isLost ? this.getRandom() * LONGEST_DELAY_MS : NETWORK_DELAY_MS,
+      );
+      const result = canAnswer() ? await handle(vm) : undefined;
+      if (result !== undefined && canAnswer() && !isLost) return result;
+      return new Promise(() => undefined);
+    };
+    const timeout = core
+      .waitFor(this.world, 'sim.timeout', timeoutMs)
+      .then(() => undefined);
+    return this.pass(node, Promise.race([answer(), timeout]));
+  }
+
+  private extendLease(vm: SimVm, untilMs: number | undefined): void {
+    if (untilMs === undefined) return;
+    vm.leaseEndMs = Math.max(
+      vm.leaseEndMs,
+      Math.min(untilMs, this.getVmClock(vm) + LONGEST_LEASE_MS),
+    );
+  }
+
+  private createVmCalls(node: SimNode): ports.VmCalls {
+    return {
+      hold: async (target, call, timeoutMs) => {
+        const handle = async (vm: SimVm): Promise<ports.HoldResult> => {
+          if (call.fence < vm.fence) return { outcome: 'fenced' };
+          vm.fence = call.fence;
+          this.extendLease(vm, call.untilMs);
+          vm.ended = vm.ended.filter(({ number }) => number > call.lastSeen);
+          if (call.waitMs > 0)
+            await core.waitFor(this.world, 'sim.hold', call.waitMs);
+          return {
+            outcome: 'held',
+            clockMs: this.getVmClock(vm),
+            report: {
+              incarnation: vm.entry.incarnation,
+              running: [...vm.running.values()],
+              ended: [...vm.ended],
+            },
+          };
+        };
+        return (
+          (await this.call(node, target.id, timeoutMs, handle)) ?? {
+            outcome: 'failed',
+            why: 'no answer',
+          }
+        );
+      },
+      start: async (target, call, timeoutMs) =>
+        (await this.call<core.workloads.StartOutcome>(
+          node,
+          target.id,
+          timeoutMs,
+          (vm) => {
+            if (call.fence < vm.fence) return Promise.resolve('fenced');
+            vm.fence = call.fence;
+            if (this.getVmClock(vm) >= call.untilMs)
+              return Promise.resolve('late');
+            this.extendLease(vm, call.untilMs);
+            return Promise.resolve(this.startRun(vm, call.task, call.run));
+          },
+        )) ?? 'unknown',
+      stop: async (target, call, timeoutMs) =>
+        (await this.call<'closed' | 'fenced'>(
+          node,
+          target.id,
+          timeoutMs,
+          (vm) => {
+            if (call.fence < vm.fence) return Promise.resolve('fenced');
+            vm.fence = call.fence;
+            const name = core.workloads.formatTask(call.task);
+            this.endRun(vm, name, 'stopped');
+            this.recordOver(vm, name, call.run);
+            return Promise.resolve('closed');
+          },
+        )) ?? 'unknown',
+      pace: () => Promise.resolve(true),
+      drop: () => undefined,
+    };
+  }
+
+  private recordOver(vm: SimVm, name: string, run: number): void {
+    vm.overRuns.set(name, Math.max(run, vm.overRuns.get(name) ?? 0));
+  }
+
+  private startRun(
+    vm: SimVm,
+    task: core.workloads.TaskKey,
+    run: number,
+  ): core.workloads.StartOutcome {
+    const name = core.workloads.formatTask(task);
+    if (run <= (vm.overRuns.get(name) ?? 0)) return 'old';
+    for (const other of this.vms.values())
+      if (other !== vm && other.running.has(name))
+        this.violations.push(
+          `${this.getNow()}: ${name} started on ${vm.entry.id} while it runs on ${other.entry.id}`,
+        );
+    vm.running.set(name, { task, run, saved: '', percent: 100, load: 0 });
+    return 'started';
+  }
+
+  private endRun(vm: SimVm, name: string, how: core.workloads.RunEnd): void {
+    const run = vm.running.get(name);
+    if (run === undefined) return;
+    vm.running.delete(name);
+    this.recordOver(vm, name, run.run);
+    vm.ended.push({
+      number: vm.nextEnd,
+      task: run.task,
+      run: run.run,
+      how,
+      saved: '',
+    });
+    vm.nextEnd += 1;
+  }
+
+  private stepVms(): void {
+    for (const vm of this.vms.values()) {
+      if (this.getVmClock(vm) >= vm.leaseEndMs)
+        for (const name of [...vm.running.keys()])
+          this.endRun(vm, name, 'lapsed');
+      const silentMs = this.getNow() - vm.silentSinceMs;
+      if (vm.state !== 'up' && vm.listed && silentMs >= UNLISTED_AFTER_MS) {
+        vm.listed = false;
+        this.vmStream.add(vm.entry.id, undefined);
+      }
+    }
+  }
+
+  private list(vm: SimVm): void {
+    vm.listed = true;
+    this.vmStream.add(vm.entry.id, JSON.stringify(vm.entry));
+  }
+
+  /** Makes a VM unreachable. */
+  silenceVm(id: core.ids.VmId, state: 'cut' | 'gone'): void {
+    const vm = this.vms.get(id)!;
+    if (vm.state !== 'up') return;
+    vm.state = state;
+    vm.silentSinceMs = this.getNow();
+    if (state === 'gone') vm.running.clear();
+  }
+
+  /** Makes a VM unreachable for all nodes but the owner. */
+  isolateWithOwner(id: core.ids.VmId): void {
+    this.vms.get(id)!.onlyNode = this.getOwner()?.name;
+  }
+
+  /** Reconnects a VM that was cut off. */
+  reconnectVm(id: core.ids.VmId): void {
+    const vm = this.vms.get(id)!;
+    vm.onlyNode = undefined;
+    if (vm.state !== 'cut') return;
+    vm.state = 'up';
+    if (!vm.listed) this.list(vm);
+  }
+
+  /** Starts a VM again as a new incarnation, which has seen no fence. */
+  restartVm(id: core.ids.VmId): void {
+    const vm = this.vms.get(id)!;
+    this.incarnations += 1;
+    Object.assign(vm, {
+      entry: {
+        ...vm.entry,
+        incarnation: this.incarnations,
+        draining: false,
+      },
+      state: 'up',
+      onlyNode: undefined,
+      startedMs: this.getNow(),
+      fence: 0,
+      leaseEndMs: 0,
+      ended: [],
+      nextEnd: 1,
+    });
+    vm.running.clear();
+    vm.overRuns.clear();
+    this.list(vm);
+  }
+
+  /** Announces that a VM is about to leave. */
+  drainVm(id: core.ids.VmId): void {
+    const vm = this.vms.get(id)!;
+    vm.entry = { ...vm.entry, draining: true };
+    if (vm.listed) this.list(vm);
+  }
+
+  /** Loses answers of VMs at random for a time, and carries their calls out late. */
+  loseAnswers(forMs: number): void {
+    this.lossyUntilMs = this.getNow() + forMs;
+  }
+
+  /** Stops the owner as planned; its node starts again. */
+  releaseOwner(): void {
+    const node = this.getOwner();
+    if (node?.state !== 'up') return;
+    void node.claims.release(node.owner?.hasUnrecorded() ?? false).then(() => {
+      this.endProcess(node);
+    });
+  }
+
+  /** Kills the owner's process; its node starts again. */
+  killOwner(): void {
+    const node = this.getOwner();
+    if (node?.state === 'up') this.endProcess(node);
+  }
+
+  /** Removes the owner's machine for good; its peers get no answers from it. */
+  removeOwner(): void {
+    const node = this.getOwner();
+    if (node === undefined) return;
+    node.state = 'dead';
+    this.closeNode(node);
+  }
+
+  private closeNode(node: SimNode): void {
+    node.close();
+    this.nodes.splice(this.nodes.indexOf(node), 1);
+    this.closedNodes.push(node);
+  }
+
+  private endProcess(node: SimNode): void {
+    if (node.state === 'dead') return;
+    node.state = 'dead';
+    this.closeNode(node);
+    this.after(LINK_DELAY_MS, () => {
+      for (const peer of this.listUp())
+        peer.claims.suspect(node.context.instance, true);
+    });
+    this.after(RESTART_DELAY_MS, () => {
+      this.restarts += 1;
+      this.addNode(node.name);
+    });
+  }
+
+  /** Suspends the owner's process for a time. */
+  freezeOwner(forMs: number): void {
+    const node = this.getOwner();
+    if (node?.state !== 'up') return;
+    node.state = 'frozen';
+    this.after(forMs, () => {
+      if (node.state !== 'frozen') return;
+      node.state = 'up';
+      for (const wake of node.wakeUps.splice(0)) wake();
+      node.claims.verify('the process was paused');
+    });
+  }
+
+  /** Cuts the owner off from the store for a time; its appends may be carried out late. */
+  cutStore(forMs: number): void {
+    const node = this.getOwner();
+    if (node === undefined) return;
+    node.storeCut = true;
+    this.after(forMs, () => {
+      node.storeCut = false;
+    });
+  }
+
+  async advance(byMs: number): Promise<void> {
+    for (let passed = 0; passed < byMs; passed += STEP_MS) {
+      this.world.advance(STEP_MS);
+      for (let turn = 0; turn < 30; turn += 1) await Promise.resolve();
+      this.stepVms();
+    }
+  }
+
+  /** Lists the jobs whose task doesn't run on a VM that can be reached. */
+  listMissing(): readonly string[] {
+    const running = new Set(
+      [...this.vms.values()]
+        .filter(
+          ({ state, onlyNode }) => state === 'up' && onlyNode === undefined,
+        )
+        .flatMap((vm) => [...vm.running.values()].map(({ task }) => task.job)),
+    );
+    return this.store.streams.jobs.records
+      .map((_, index) => `job${index}`)
+      .filter((id) => !running.has(id));
+  }
+
+  /** Returns the lines of all nodes for a failure message. */
+  formatLines(): string {
+    return [...this.closedNodes, ...this.nodes]
+      .flatMap(({ context }) => context.lines)
+      .filter(({ event }) => /^(vm|owner|task|leases|sim)/.test(event))
+      .sort((a, b) => Number(a.fields.atMs) - Number(b.fields.atMs))
+      .map(({ event, fields }) => `${event} ${JSON.stringify(fields)}`)
+      .join('\n');
+  }
+
+  close(): void {
+    for (const node of this.nodes) node.close();
+  }
+}
--- /dev/null
+++ b/packages/cluster/test/ownerChanges.test.ts
@@ -0,0 +1,51 @@
+/** Changes of owner while VMs don't answer: their service tasks run again in time, and never beside a run that may continue. */
+import * as vitest from 'vitest';
+import * as simulations from './clusterSimulation.js';
+
+/** Longest lease on the slowest clock of a VM, in ms. */
+const LEASE_MS = simulations.LONGEST_LEASE_MS / simulations.VM_CLOCK_RATE;
+/** Time for which a predecessor may go on without a confirmed claim, in ms. */
+const UNCONFIRMED_LIMIT_MS = 10_000;
+/** Time for a change of owner, the restart of a task and orders in flight, in ms. */
+const RESTART_MS = 3_000;
+
+async function createSettled(): Promise<simulations.ClusterSimulation> {
+  const simulation = new simulations.ClusterSimulation({ jobs: 6, vms: 4 });
+  await simulation.advance(6_000);
+  vitest.expect(simulation.listMissing()).toEqual([]);
+  return simulation;
+}
+
+function findBusyVm(simulation: simulations.ClusterSimulation): string {
+  return [...simulation.vms].find(([, { running }]) => running.size > 0)![0];
+}
+
+function expectSound(simulation: simulations.ClusterSimulation): void {
+  vitest.expect(simulation.violations).toEqual([]);
+  vitest.expect(simulation.listMissing(), simulation.formatLines()).toEqual([]);
+  simulation.close();
+}
+
+vitest.describe('a service task on a VM that does not answer', () => {
+  vitest.it('runs again once all leases are over', async () => {
+    const simulation = await createSettled();
+    simulation.silenceVm(findBusyVm(simulation), 'gone');
+    await simulation.advance(500);
+    simulation.freezeOwner(4_000);
+    await simulation.advance(UNCONFIRMED_LIMIT_MS + LEASE_MS + RESTART_MS);
+    expectSound(simulation);
+  });
+
+  vitest.it(
+    'does not run a second time while a replaced owner still extends its lease',
+    async () => {
+      const simulation = await createSettled();
+      simulation.isolateWithOwner(findBusyVm(simulation));
+      simulation.cutStore(8_000);
+      await simulation.advance(10_000);
+      vitest.expect(simulation.violations).toEqual([]);
+      await simulation.advance(UNCONFIRMED_LIMIT_MS + LEASE_MS + RESTART_MS);
+      expectSound(simulation);
+    },
+  );
+});
