Notice the end of a silent VM's lease by a timer

What callers could see: a service task that waits for the end of the lease of its VM runs again up to 1.4 s late.

Cause: the end was checked only when a call to the VM had failed, and a call to a silent VM takes seconds to time out.

Change: the session sets a timer to the end of the lease.

Evidence: the new test fails before the change, for each of its three leases.

--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -73,6 +73,7 @@
   const { leaseMs } = context.settings;
   let vmClock: { readonly vmMs: number; readonly atMs: number } | undefined;
   let leaseEndMs = options.inheritedLeaseEndMs;
+  let leaseEndTimer: core.TimerSubscription | undefined;
   let closed = false;
   /** The last hold got no answer; a single answer may have been lost. */
   let responseMissed = false;
@@ -227,15 +228,33 @@
       events.onUnresponsive(target.id, why);
     }
     unresponsive = true;
-    if (!lost && nowMs > leaseEndMs + LEASE_END_MARGIN_MS) {
-      lost = true;
-      log.write('warn', 'vm.lost', {
-        vm: target.id,
-        why: 'lease expired',
-        ...describeSilence(nowMs),
-      });
-      events.onLost(target.id, 'lease expired');
+    checkLeaseEnd();
+  }
+
+  /** Reports an unresponsive VM as lost once its lease has expired. */
+  function checkLeaseEnd(): void {
+    leaseEndTimer?.end();
+    if (!unresponsive || lost || isClosed()) return;
+    const nowMs = timers.getNow();
+    const leftMs = leaseEndMs + LEASE_END_MARGIN_MS - nowMs;
+    if (leftMs >= 0) {
+      leaseEndTimer = timers.subscribe(
+        {
+          name: 'session.lease-end',
+          delayMs: Math.floor(leftMs) + 1,
+          repeat: 'once',
+        },
+        checkLeaseEnd,
+      );
+      return;
     }
+    lost = true;
+    log.write('warn', 'vm.lost', {
+      vm: target.id,
+      why: 'lease expired',
+      ...describeSilence(nowMs),
+    });
+    events.onLost(target.id, 'lease expired');
   }
 
   function isClosed(): boolean {
@@ -267,6 +286,7 @@
     },
     close() {
       closed = true;
+      leaseEndTimer?.end();
     },
   };
 }
--- a/packages/cluster/test/vmSessions.test.ts
+++ b/packages/cluster/test/vmSessions.test.ts
@@ -121,6 +121,18 @@
     },
   );
 
+  vitest.it.each([8_000, 8_200, 8_400])(
+    'reports a silent VM as lost when its lease ends after %d ms (guards against a restart that waits for the next call without an answer)',
+    async (leaseMs) => {
+      const { events, timers, session } = createSetup(undefined, leaseMs);
+      await fakes.advance(timers, leaseMs);
+      vitest.expect(events).not.toContain('lost: lease expired');
+      await fakes.advance(timers, 100);
+      vitest.expect(events).toContain('lost: lease expired');
+      session.close();
+    },
+  );
+
   vitest.it(
     'waits for the leases of a previous owner to expire on a VM that never answered (guards against a second run after a change of the owner)',
     async () => {
