Bound the wait for earlier owners once a VM has answered the new one

Cause: the end of the leases of earlier owners was one time for all VMs. A VM that has answered rejects orders with lower fences, so from then on no earlier owner can extend its lease, and what they had granted lasts for one lease.

Change: the session bounds the earlier leases by one lease from the first answer of the incarnation. A new incarnation has seen no fence and begins anew.

Evidence: the new test fails before the change.

--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -10,6 +10,7 @@
 import type * as contexts from './context.js';
 import type * as fleets from './fleet.js';
 import type * as jobStores from './jobStore.js';
+import * as leases from './leases.js';
 import * as owedReporters from './owedReporter.js';
 import * as timeouts from './timeouts.js';
 import * as recorders from './recorder.js';
@@ -22,8 +23,6 @@
 const TICK_DELAY_MS = 4;
 /** Time without a confirmed claim and record after which starts are sent before they are durably recorded, in ms. */
 const UNRECORDED_START_AFTER_MS = 1_200;
-/** Added to the longest lease that a previous owner may have granted, in ms, for its orders in flight. */
-const INHERIT_MARGIN_MS = 500;
 /** Time between reads of the stream `jobs`, in ms; other nodes write to it only when this owner doesn't answer them. */
 const FOLLOW_INTERVAL_MS = 200;
 /** Time between rounds that drop the records of jobs past their retention, in ms. */
@@ -82,8 +81,7 @@
   const createdMs = timers.getNow();
   const inheritMs =
     (previous.inactive ? 0 : options.unconfirmedLimitMs) +
-    context.settings.leaseMs / vmSessions.MIN_CLOCK_RATE +
-    INHERIT_MARGIN_MS;
+    leases.computeLongestMs(context.settings.leaseMs);
   const recorder = recorders.createRecorder(
     context,
     fence,
--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -7,6 +7,7 @@
 import * as core from '@flamingoward/core';
 import type * as observability from '@flamingoward/observability';
 import type * as contexts from './context.js';
+import * as leases from './leases.js';
 import type * as timeouts from './timeouts.js';
 import type * as ports from './ports.js';
 
@@ -18,8 +19,6 @@
 const NOT_DURABLE_WAIT_MS = 400;
 /** Longest time by which answers overtake each other, in ms; a clock further back is that of a new incarnation. */
 const MAX_REORDERING_MS = 3_000;
-/** Lowest rate of a VM's clock relative to this node's. */
-export const MIN_CLOCK_RATE = 0.98;
 /** Added to the computed end of a lease, in ms. */
 const LEASE_END_MARGIN_MS = 50;
 
@@ -72,7 +71,9 @@
   const { timers, log, metrics } = context;
   const { leaseMs } = context.settings;
   let vmClock: { readonly vmMs: number; readonly atMs: number } | undefined;
-  let leaseEndMs = options.inheritedLeaseEndMs;
+  let ownLeaseEndMs = -Infinity;
+  /** Latest end of earlier owners' leases on this incarnation, which rejects their orders since it answered. */
+  let earlierLeaseLimitMs = Infinity;
   let leaseEndTimer: core.TimerSubscription | undefined;
   let closed = false;
   /** The last hold got no answer; a single answer may have been lost. */
@@ -89,6 +90,13 @@
     readonly clockMs: number;
   } = { incarnation: undefined, clockMs: -Infinity };
 
+  function getLeaseEnd(): number {
+    return Math.max(
+      ownLeaseEndMs,
+      Math.min(options.inheritedLeaseEndMs, earlierLeaseLimitMs),
+    );
+  }
+
   function computeLeaseUntil(): number | undefined {
     if (vmClock === undefined) return undefined;
     return Math.floor(
@@ -99,8 +107,9 @@
   /** Extends the known end of the lease to the latest time at which the VM's clock reaches `untilMs`. */
   function recordLeaseExtension(untilMs: number): void {
     if (vmClock === undefined) return;
-    const endMs = vmClock.atMs + (untilMs - vmClock.vmMs) / MIN_CLOCK_RATE;
-    leaseEndMs = Math.max(leaseEndMs, endMs);
+    const endMs =
+      vmClock.atMs + (untilMs - vmClock.vmMs) / leases.MIN_CLOCK_RATE;
+    ownLeaseEndMs = Math.max(ownLeaseEndMs, endMs);
   }
 
   function callHold(
@@ -189,6 +198,10 @@
       clockMs: result.clockMs,
     };
     vmClock = { vmMs: result.clockMs, atMs: timers.getNow() };
+    const limitMs = timers.getNow() + leases.computeLongestMs(leaseMs);
+    earlierLeaseLimitMs = sameIncarnation
+      ? Math.min(earlierLeaseLimitMs, limitMs)
+      : limitMs;
     if (unresponsive) log.write('info', 'vm.regained', { vm: target.id, lost });
     unresponsive = false;
     responseMissed = false;
@@ -206,7 +219,7 @@
   function describeSilence(nowMs: number): observability.LogFields {
     return {
       silentMs: vmClock && Math.round(nowMs - vmClock.atMs),
-      leaseEndedMs: Math.round(nowMs - leaseEndMs),
+      leaseEndedMs: Math.round(nowMs - getLeaseEnd()),
     };
   }
 
@@ -223,7 +236,7 @@
       log.write('warn', 'vm.silent', {
         vm: target.id,
         why,
-        leaseLeftMs: Math.round(leaseEndMs - nowMs),
+        leaseLeftMs: Math.round(getLeaseEnd() - nowMs),
       });
       events.onUnresponsive(target.id, why);
     }
@@ -236,7 +249,7 @@
     leaseEndTimer?.end();
     if (!unresponsive || lost || isClosed()) return;
     const nowMs = timers.getNow();
-    const leftMs = leaseEndMs + LEASE_END_MARGIN_MS - nowMs;
+    const leftMs = getLeaseEnd() + LEASE_END_MARGIN_MS - nowMs;
     if (leftMs >= 0) {
       leaseEndTimer = timers.subscribe(
         {
--- a/packages/cluster/test/ownerChanges.test.ts
+++ b/packages/cluster/test/ownerChanges.test.ts
@@ -36,6 +36,18 @@
     expectSound(simulation);
   });
 
+  vitest.it(
+    'runs again in time when it answered the new owner before it became silent (guards against a wait for leases of the previous owner that its fence has ended)',
+    async () => {
+      const simulation = await createSettled();
+      simulation.freezeOwner(30_000);
+      await simulation.advance(3_000);
+      simulation.silenceVm(findBusyVm(simulation), 'gone');
+      await simulation.advance(LEASE_MS + RESTART_MS);
+      expectSound(simulation);
+    },
+  );
+
   vitest.it(
     'does not run a second time while a replaced owner still extends its lease',
     async () => {
