Count a claim as confirmed only from a record of its own

What callers could see: two owners that both extend leases, so that a task may run in two places.

Cause: a renewal that conflicts counted as confirmed if this node still was the owner as far as it had read. When that read failed too, the owner never gave up although another node had claimed. When it succeeded, the claim counted from this renewal, while a successor counts from the earlier record that had caused the conflict. In the same way a claim whose append got no answer counted from when it was found in the stream.

Change: after a conflict the owner reads, and renews again if it is still the owner; only an append that is answered counts. A new owner's claim counts from the last read that didn't find it yet.

Evidence: the new test fails before the change: the owner stays for ever.

--- a/packages/cluster/src/claims.ts
+++ b/packages/cluster/src/claims.ts
@@ -24,7 +24,7 @@
 const OWNER_TIMEOUT_MS = 2_500;
 /** Delay between the claims of consecutive successors, in ms. */
 const CLAIM_DELAY_PER_RANK_MS = 250;
-/** Time without a confirmed renewal after which an owner gives up ownership, in ms. */
+/** Time without a confirmed renewal after which an owner extends no lease and gives up ownership, in ms. */
 export const UNCONFIRMED_LIMIT_MS = 10_000;
 /** Timeout for appending a claim or renewal, in ms. */
 const APPEND_TIMEOUT_MS = 800;
@@ -200,7 +200,8 @@
   function startOwnership(fence: number): void {
     if (ownedFence === fence || closing) return;
     ownedFence = fence;
-    claimConfirmedMs = timers.getNow();
+    // Others may have read the claim before this node, whose append may have got no answer.
+    claimConfirmedMs = ownerConfirmedMs;
     log.write('info', 'ownership.gained', { fence });
     events.onOwned(fence, previous);
   }
@@ -274,8 +275,18 @@
     const fence = ownedFence;
     if (fence === undefined || claiming) return;
     claiming = true;
-    const startedMs = timers.getNow();
-    const result = await appendClaim({ fence });
+    let startedMs = timers.getNow();
+    let result = await appendClaim({ fence });
+    // Either an earlier renewal was appended although its answer was lost, or another node has
+    // claimed. In the first case a successor may have read that renewal long ago.
+    if (
+      result.outcome === 'conflict' &&
+      (await tail.refresh()) &&
+      ownedFence === fence
+    ) {
+      startedMs = timers.getNow();
+      result = await appendClaim({ fence });
+    }
     claiming = false;
     switch (result.outcome) {
       case 'appended':
@@ -283,14 +294,11 @@
         await tail.refresh();
         return;
       case 'conflict':
-        // Either an earlier renewal was appended although its answer was lost, or another node has claimed.
-        await tail.refresh();
-        if (ownedFence === fence) claimConfirmedMs = startedMs;
-        return;
       case 'fenced':
       case 'sequence':
       case 'refused':
       case 'unknown':
+        if (ownedFence !== fence) return;
         log.write('warn', 'ownership.renewal-failed', {
           fence,
           outcome: result.outcome,
@@ -300,7 +308,7 @@
           endOwnership(
             'claim not confirmed within the limit; ownership given up',
           );
-        else if (ownedFence === fence) events.onUnconfirmed(fence);
+        else events.onUnconfirmed(fence);
         if (result.outcome === 'unknown') await tail.refresh();
     }
   }
--- a/packages/cluster/test/claims.test.ts
+++ b/packages/cluster/test/claims.test.ts
@@ -97,6 +97,25 @@
     },
   );
 
+  vitest.it(
+    'is given up when renewals conflict and the stream can not be read (guards against an owner that goes on beside its successor)',
+    async () => {
+      const { timers, candidates } = createCluster(['a']);
+      const { claim, context, lost } = candidates[0]!;
+      claim.open();
+      await fakes.advance(timers, 2_000);
+      const stream = context.store.streams.claims;
+      stream.unresponsive = true;
+      stream.add(
+        'owner',
+        JSON.stringify({ node: 'b', instance: 'b-1', address: 'b:1' }),
+      );
+      await fakes.advance(timers, 12_000);
+      vitest.expect(lost).toHaveLength(1);
+      vitest.expect(claim.getFence()).toBeUndefined();
+    },
+  );
+
   vitest.it(
     'is taken from the stream when the answer to the claim was lost (guards against a winning claim without an owner)',
     async () => {
