Extend no lease once a claim is unconfirmed for too long

What callers could see: an owner that was paused for longer than its successor waits for it could extend leases and send starts when it continues, until its renewal or a VM tells it of the successor.

Cause: the limit of 10 s was checked only after a failed renewal, so the last order could be sent up to 1.3 s after it, and after a pause at any time.

Change: each hold and start checks the age of the confirmed claim when it computes the lease. Holds without an extension go on, which tell the owner that it is replaced.

Evidence: the new test fails before the change.

--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -232,6 +232,8 @@
         {
           fence,
           inheritedLeaseEndMs: createdMs + inheritMs,
+          canExtendLease: () =>
+            options.getConfirmedAge() <= options.unconfirmedLimitMs,
           holdWait,
         },
         sessionEvents,
--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -19,6 +19,8 @@
 const NOT_DURABLE_WAIT_MS = 400;
 /** Longest time by which answers overtake each other, in ms; a clock further back is that of a new incarnation. */
 const MAX_REORDERING_MS = 3_000;
+/** Wait of holds that must not extend the lease now, in ms. */
+const UNEXTENDED_WAIT_MS = 200;
 /** Added to the computed end of a lease, in ms. */
 const LEASE_END_MARGIN_MS = 50;
 
@@ -47,7 +49,7 @@
 /** A session with a VM. */
 export interface VmSession {
   readonly target: ports.VmTarget;
-  /** Computes the time on the VM's clock until which a lease may be granted now; undefined before the first answer. */
+  /** Computes the time on the VM's clock until which a lease may be granted now; undefined before the first answer and while none may be granted. */
   computeLeaseUntil(): number | undefined;
   /** Requests a report at once, in parallel with the hold that waits. */
   poll(): void;
@@ -64,6 +66,8 @@
     readonly fence: number;
     /** Latest time at which leases granted by a previous owner expire. */
     readonly inheritedLeaseEndMs: number;
+    /** Returns whether the owner may still extend leases. */
+    readonly canExtendLease: () => boolean;
     readonly holdWait: timeouts.HoldWait;
   },
   events: VmSessionEvents,
@@ -98,7 +102,7 @@
   }
 
   function computeLeaseUntil(): number | undefined {
-    if (vmClock === undefined) return undefined;
+    if (vmClock === undefined || !options.canExtendLease()) return undefined;
     return Math.floor(
       vmClock.vmMs + (timers.getNow() - vmClock.atMs) + leaseMs,
     );
@@ -128,6 +132,13 @@
     );
   }
 
+  function getHoldWait(untilMs: number | undefined, nowMs: number): number {
+    if (vmClock === undefined) return 0;
+    return untilMs === undefined
+      ? UNEXTENDED_WAIT_MS
+      : options.holdWait.getMs(nowMs);
+  }
+
   async function pollVm(): Promise<void> {
     const askedMs = timers.getNow();
     const result = await callHold(undefined, 0);
@@ -141,9 +152,9 @@
     const askedMs = timers.getNow();
     // An unresponsive VM may carry out holds without answering them. Holds that extend the
     // lease would keep postponing its end, so they don't until the VM answers again.
-    const untilMs =
-      unresponsive || responseMissed ? undefined : computeLeaseUntil();
-    const waitMs = untilMs === undefined ? 0 : options.holdWait.getMs(askedMs);
+    const answers = !unresponsive && !responseMissed;
+    const untilMs = answers ? computeLeaseUntil() : undefined;
+    const waitMs = answers ? getHoldWait(untilMs, askedMs) : 0;
     if (untilMs !== undefined) recordLeaseExtension(untilMs);
     const result = await callHold(untilMs, waitMs);
     if (isClosed()) return false;
--- a/packages/cluster/test/vmSessions.test.ts
+++ b/packages/cluster/test/vmSessions.test.ts
@@ -21,6 +21,7 @@
     events,
     holdWait,
     durableEnd: 0,
+    canExtendLease: true,
     answer,
   };
   const { timers } = context;
@@ -51,6 +52,7 @@
     {
       fence: 7,
       inheritedLeaseEndMs: timers.getNow() + inheritedLeaseMs,
+      canExtendLease: () => setup.canExtendLease,
       holdWait,
     },
     {
@@ -121,6 +123,22 @@
     },
   );
 
+  vitest.it(
+    'does not extend the lease while the claim of its owner is unconfirmed for too long (guards against orders of an owner that was paused until its successor had started its tasks again)',
+    async () => {
+      const { setup, holds, timers, session } = createSetup(buildHeld(50_000));
+      await fakes.advance(timers, 1_700);
+      setup.canExtendLease = false;
+      vitest.expect(session.computeLeaseUntil()).toBeUndefined();
+      const sent = holds.length;
+      await fakes.advance(timers, 2_000);
+      vitest.expect(holds.length).toBeGreaterThan(sent);
+      for (const { untilMs } of holds.slice(sent))
+        vitest.expect(untilMs).toBeUndefined();
+      session.close();
+    },
+  );
+
   vitest.it.each([8_000, 8_200, 8_400])(
     'reports a silent VM as lost when its lease ends after %d ms (guards against a restart that waits for the next call without an answer)',
     async (leaseMs) => {
