--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -7,6 +7,7 @@
 import * as core from '@flamingoward/core';
 import type * as observability from '@flamingoward/observability';
 import type * as contexts from './context.js';
+import * as leases from './leases.js';
 import type * as timeouts from './timeouts.js';
 import type * as ports from './ports.js';
 
@@ -18,8 +19,8 @@
 const NOT_DURABLE_WAIT_MS = 400;
 /** Longest time by which answers overtake each other, in ms; a clock further back is that of a new incarnation. */
 const MAX_REORDERING_MS = 3_000;
-/** Lowest rate of a VM's clock relative to this node's. */
-export const MIN_CLOCK_RATE = 0.98;
+/** Wait of holds that must not extend the lease now, in ms. */
+const UNEXTENDED_WAIT_MS = 200;
 /** Added to the computed end of a lease, in ms. */
 const LEASE_END_MARGIN_MS = 50;
 
@@ -48,7 +49,7 @@
 /** A session with a VM. */
 export interface VmSession {
   readonly target: ports.VmTarget;
-  /** Computes the time on the VM's clock until which a lease may be granted now; undefined before the first answer. */
+  /** Computes the time on the VM's clock until which a lease may be granted now; undefined before the first answer and while none may be granted. */
   computeLeaseUntil(): number | undefined;
   /** Requests a report at once, in parallel with the hold that waits. */
   poll(): void;
@@ -65,6 +66,8 @@
     readonly fence: number;
     /** Latest time at which leases granted by a previous owner expire. */
     readonly inheritedLeaseEndMs: number;
+    /** Returns whether the owner may still extend leases. */
+    readonly canExtendLease: () => boolean;
     readonly holdWait: timeouts.HoldWait;
   },
   events: VmSessionEvents,
@@ -72,7 +75,10 @@
   const { timers, log, metrics } = context;
   const { leaseMs } = context.settings;
   let vmClock: { readonly vmMs: number; readonly atMs: number } | undefined;
-  let leaseEndMs = options.inheritedLeaseEndMs;
+  let ownLeaseEndMs = -Infinity;
+  /** Latest end of earlier owners' leases on this incarnation, which rejects their orders since it answered. */
+  let earlierLeaseLimitMs = Infinity;
+  let leaseEndTimer: core.TimerSubscription | undefined;
   let closed = false;
   /** The last hold got no answer; a single answer may have been lost. */
   let responseMissed = false;
@@ -88,8 +94,15 @@
     readonly clockMs: number;
   } = { incarnation: undefined, clockMs: -Infinity };
 
+  function getLeaseEnd(): number {
+    return Math.max(
+      ownLeaseEndMs,
+      Math.min(options.inheritedLeaseEndMs, earlierLeaseLimitMs),
+    );
+  }
+
   function computeLeaseUntil(): number | undefined {
-    if (vmClock === undefined) return undefined;
+    if (vmClock === undefined || !options.canExtendLease()) return undefined;
     return Math.floor(
       vmClock.vmMs + (timers.getNow() - vmClock.atMs) + leaseMs,
     );
@@ -98,8 +111,9 @@
   /** Extends the known end of the lease to the latest time at which the VM's clock reaches `untilMs`. */
   function recordLeaseExtension(untilMs: number): void {
     if (vmClock === undefined) return;
-    const endMs = vmClock.atMs + (untilMs - vmClock.vmMs) / MIN_CLOCK_RATE;
-    leaseEndMs = Math.max(leaseEndMs, endMs);
+    const endMs =
+      vmClock.atMs + (untilMs - vmClock.vmMs) / leases.MIN_CLOCK_RATE;
+    ownLeaseEndMs = Math.max(ownLeaseEndMs, endMs);
   }
 
   function callHold(
@@ -118,6 +132,13 @@
     );
   }
 
+  function getHoldWait(untilMs: number | undefined, nowMs: number): number {
+    if (vmClock === undefined) return 0;
+    return untilMs === undefined
+      ? UNEXTENDED_WAIT_MS
+      : options.holdWait.getMs(nowMs);
+  }
+
   async function pollVm(): Promise<void> {
     const askedMs = timers.getNow();
     const result = await callHold(undefined, 0);
@@ -131,9 +152,9 @@
     const askedMs = timers.getNow();
     // An unresponsive VM may carry out holds without answering them. Holds that extend the
     // lease would keep postponing its end, so they don't until the VM answers again.
-    const untilMs =
-      unresponsive || responseMissed ? undefined : computeLeaseUntil();
-    const waitMs = untilMs === undefined ? 0 : options.holdWait.getMs(askedMs);
+    const answers = !unresponsive && !responseMissed;
+    const untilMs = answers ? computeLeaseUntil() : undefined;
+    const waitMs = answers ? getHoldWait(untilMs, askedMs) : 0;
     if (untilMs !== undefined) recordLeaseExtension(untilMs);
     const result = await callHold(untilMs, waitMs);
     if (isClosed()) return false;
@@ -188,6 +209,10 @@
       clockMs: result.clockMs,
     };
     vmClock = { vmMs: result.clockMs, atMs: timers.getNow() };
+    const limitMs = timers.getNow() + leases.computeLongestMs(leaseMs);
+    earlierLeaseLimitMs = sameIncarnation
+      ? Math.min(earlierLeaseLimitMs, limitMs)
+      : limitMs;
     if (unresponsive) log.write('info', 'vm.regained', { vm: target.id, lost });
     unresponsive = false;
     responseMissed = false;
@@ -205,7 +230,7 @@
   function describeSilence(nowMs: number): observability.LogFields {
     return {
       silentMs: vmClock && Math.round(nowMs - vmClock.atMs),
-      leaseEndedMs: Math.round(nowMs - leaseEndMs),
+      leaseEndedMs: Math.round(nowMs - getLeaseEnd()),
     };
   }
 
@@ -222,20 +247,38 @@
       log.write('warn', 'vm.silent', {
         vm: target.id,
         why,
-        leaseLeftMs: Math.round(leaseEndMs - nowMs),
+        leaseLeftMs: Math.round(getLeaseEnd() - nowMs),
       });
       events.onUnresponsive(target.id, why);
     }
     unresponsive = true;
-    if (!lost && nowMs > leaseEndMs + LEASE_END_MARGIN_MS) {
-      lost = true;
-      log.write('warn', 'vm.lost', {
-        vm: target.id,
-        why: 'lease expired',
-        ...describeSilence(nowMs),
-      });
-      events.onLost(target.id, 'lease expired');
+    checkLeaseEnd();
+  }
+
+  /** Reports an unresponsive VM as lost once its lease has expired. */
+  function checkLeaseEnd(): void {
+    leaseEndTimer?.end();
+    if (!unresponsive || lost || isClosed()) return;
+    const nowMs = timers.getNow();
+    const leftMs = getLeaseEnd() + LEASE_END_MARGIN_MS - nowMs;
+    if (leftMs >= 0) {
+      leaseEndTimer = timers.subscribe(
+        {
+          name: 'session.lease-end',
+          delayMs: Math.floor(leftMs) + 1,
+          repeat: 'once',
+        },
+        checkLeaseEnd,
+      );
+      return;
     }
+    lost = true;
+    log.write('warn', 'vm.lost', {
+      vm: target.id,
+      why: 'lease expired',
+      ...describeSilence(nowMs),
+    });
+    events.onLost(target.id, 'lease expired');
   }
 
   function isClosed(): boolean {
@@ -267,6 +310,7 @@
     },
     close() {
       closed = true;
+      leaseEndTimer?.end();
     },
   };
 }
