Let only holds extend the lease of a VM

Cause: each start carried a full lease from its own time on, and a VM gets starts until two holds have timed out.

Change: a start carries what the last hold has granted. A start extends the lease itself only where less than 3 s of it is left, so no start is refused as late; what was granted on the clock of an earlier incarnation is never used.

The two tests of the session guard the cases in which the granted end can't be used.

--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -405,7 +405,7 @@
     command: CommandOf<'start'>,
   ): Promise<core.workloads.StartOutcome> {
     const session = sessionsByVm.get(command.vm);
-    const untilMs = session?.computeLeaseUntil();
+    const untilMs = session?.computeStartUntil();
     if (session === undefined || untilMs === undefined) return 'unreachable';
     session.recordLeaseExtension(untilMs);
     const sentMs = timers.getNow();
--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -22,6 +22,8 @@
 export const MIN_CLOCK_RATE = 0.98;
 /** Added to the computed end of a lease, in ms. */
 const LEASE_END_MARGIN_MS = 50;
+/** Lease left below which a start extends it, in ms; two unanswered holds must not end the run. */
+const MIN_START_LEASE_MS = 3_000;
 
 /** Callbacks to the owner. */
 export interface VmSessionEvents {
@@ -48,8 +50,8 @@
 /** A session with a VM. */
 export interface VmSession {
   readonly target: ports.VmTarget;
-  /** Computes the time on the VM's clock until which a lease may be granted now; undefined before the first answer. */
-  computeLeaseUntil(): number | undefined;
+  /** Computes the time on the VM's clock until which a start sent now holds its lease; undefined before the first answer. */
+  computeStartUntil(): number | undefined;
   /** Requests a report at once, in parallel with the hold that waits. */
   poll(): void;
   /** Records that an order may have extended the lease until `untilMs`, whether it is answered or not. */
@@ -73,6 +75,8 @@
   const { leaseMs } = context.settings;
   let vmClock: { readonly vmMs: number; readonly atMs: number } | undefined;
   let leaseEndMs = options.inheritedLeaseEndMs;
+  /** Time on the VM's clock until which the last extending hold granted the lease. */
+  let grantedUntilMs = -Infinity;
   let closed = false;
   /** The last hold got no answer; a single answer may have been lost. */
   let responseMissed = false;
@@ -95,6 +99,20 @@
     );
   }
 
+  /**
+   * Starts carry the lease that the last hold granted: a VM that has stopped answering gets
+   * starts until its silence is noticed, and each extension would postpone the end of its runs.
+   */
+  function computeStartUntil(): number | undefined {
+    const extendedMs = computeLeaseUntil();
+    if (extendedMs === undefined) return undefined;
+    // What was granted on the clock of an earlier incarnation can be far ahead of this one's.
+    const untilMs = Math.min(grantedUntilMs, extendedMs);
+    return extendedMs - untilMs > leaseMs - MIN_START_LEASE_MS
+      ? extendedMs
+      : untilMs;
+  }
+
   /** Extends the known end of the lease to the latest time at which the VM's clock reaches `untilMs`. */
   function recordLeaseExtension(untilMs: number): void {
     if (vmClock === undefined) return;
@@ -134,7 +152,10 @@
     const untilMs =
       unresponsive || responseMissed ? undefined : computeLeaseUntil();
     const waitMs = untilMs === undefined ? 0 : options.holdWait.getMs(askedMs);
-    if (untilMs !== undefined) recordLeaseExtension(untilMs);
+    if (untilMs !== undefined) {
+      grantedUntilMs = untilMs;
+      recordLeaseExtension(untilMs);
+    }
     const result = await callHold(untilMs, waitMs);
     if (isClosed()) return false;
     const refusedBefore = refused;
@@ -260,7 +281,7 @@
 
   return {
     target,
-    computeLeaseUntil,
+    computeStartUntil,
     recordLeaseExtension,
     poll() {
       void pollVm();
--- /dev/null
+++ b/packages/cluster/test/leaseGrants.test.ts
@@ -0,0 +1,186 @@
+/** How far the owner's orders extend the leases of VMs, and when the end of a silent VM's runs is known. */
+import * as vitest from 'vitest';
+import * as core from '@flamingoward/core';
+import * as jobStores from '../src/jobStore.js';
+import * as owners from '../src/owner.js';
+import type * as fleets from '../src/fleet.js';
+import type * as ports from '../src/ports.js';
+import * as records from '../src/records.js';
+import * as fakes from './fakes.js';
+
+const LEASE_MS = 10_000;
+
+function buildJob(id: string, acceptedAtMs: number): core.workloads.Job {
+  return {
+    id,
+    queue: 'queue',
+    payload: '',
+    steps: [
+      {
+        count: 1,
+        size: { cores: 1, memoryMb: 1, gpus: 0 },
+        estimateMs: 1_000,
+        after: [],
+        savesProgress: false,
+        gang: false,
+        oneRack: false,
+        label: undefined,
+        dataRack: undefined,
+        maxPerVm: undefined,
+        allowsCopies: false,
+        lasts: true,
+        image: undefined,
+        targetMs: undefined,
+        fills: false,
+        mayMiss: undefined,
+      },
+    ],
+    schedule: undefined,
+    configVersion: 1,
+    acceptedAtMs,
+    policy: fakes.queuePolicy,
+  };
+}
+
+function buildEntry(id: string, draining: boolean): core.workloads.VmEntry {
+  return {
+    id,
+    address: `${id}:1`,
+    incarnation: 1,
+    pool: 'pool',
+    availabilityZone: 'zone',
+    rack: undefined,
+    labels: [],
+    capacity: { cores: 4, memoryMb: 4_000, gpus: 0 },
+    draining,
+  };
+}
+
+/** Creates an owner of one VM that ends its runs when its lease expires, and records the orders. */
+function createSetup() {
+  const base = fakes.createFakeContext();
+  const { timers } = base;
+  const granted: { readonly by: 'hold' | 'start'; readonly untilMs: number }[] =
+    [];
+  const vm = {
+    silent: false,
+    entry: buildEntry('vm', false) as core.workloads.VmEntry | undefined,
+  };
+  const running: core.workloads.ReportedRun[] = [];
+  const vmCalls: ports.VmCalls = {
+    ...base.ports.vmCalls,
+    async hold(_, { untilMs, waitMs }, timeoutMs) {
+      if (untilMs !== undefined) granted.push({ by: 'hold', untilMs });
+      const wasSilent = vm.silent;
+      await core.waitFor(
+        timers,
+        'test.hold',
+        wasSilent ? timeoutMs : Math.max(1, waitMs),
+      );
+      if (wasSilent || vm.silent)
+        return { outcome: 'failed', why: 'no answer' };
+      return {
+        outcome: 'held',
+        clockMs: timers.getNow(),
+        report: { incarnation: 1, running: [...running], ended: [] },
+      };
+    },
+    async start(_, { task, run, untilMs }, timeoutMs) {
+      granted.push({ by: 'start', untilMs });
+      if (vm.silent) {
+        await core.waitFor(timers, 'test.start', timeoutMs);
+        return 'unknown';
+      }
+      running.push({ task, run, saved: '', percent: 100, load: 0 });
+      return 'started';
+    },
+    stop: () => Promise.resolve('unknown'),
+    drop: () => undefined,
+  };
+  const context = {
+    ...base,
+    settings: { ...base.settings, leaseMs: LEASE_MS },
+    ports: { ...base.ports, vmCalls },
+  };
+  let observer: fleets.FleetObserver | undefined;
+  const jobs = jobStores.createJobStore(context);
+  const owner = owners.createOwner(context, {
+    fence: 7,
+    previous: { inactive: true, unrecorded: false, unconfirmedMs: undefined },
+    unconfirmedLimitMs: 10_000,
+    jobs,
+    fleet: {
+      refresh: () => Promise.resolve(true),
+      list: () => (vm.entry === undefined ? [] : [vm.entry]),
+      find: () => vm.entry,
+      setObserver: (next) => {
+        observer = next;
+      },
+      close: () => undefined,
+    },
+    adviceRouter: {
+      ask: () => Promise.resolve(undefined),
+      listHelpers: () => [],
+    },
+    getPolicies: () => ({ version: 1, policies: new Map() }),
+    getConfirmedAge: () => 0,
+    onAppendFailed: () => undefined,
+    onFenced: () => undefined,
+  });
+  return {
+    granted,
+    vm,
+    timers: base.fakeTimers,
+    lines: base.lines,
+    submit: (id: string) => {
+      const { key, value } = records.buildAccepted(
+        buildJob(id, timers.getDate()),
+      );
+      base.store.streams.jobs.add(key, value);
+    },
+    setEntry: (entry: core.workloads.VmEntry | undefined) => {
+      vm.entry = entry;
+      observer?.('vm', entry);
+    },
+    close: () => {
+      owner.close();
+      jobs.close();
+    },
+  };
+}
+
+type Setup = ReturnType<typeof createSetup>;
+
+/** Advances until the owner knows that the runs of the VM are over; returns how long that took. */
+async function measureLoss({ timers, lines }: Setup): Promise<number> {
+  const sinceMs = timers.getNow();
+  while (!lines.some(({ event }) => event === 'vm.lost'))
+    await fakes.advance(timers, 10);
+  return timers.getNow() - sinceMs;
+}
+
+vitest.describe('the lease of a VM', () => {
+  vitest.it(
+    'is not extended by starts (guards against LOST: starts to a VM that has gone silent unnoticed postpone the end of its runs)',
+    async () => {
+      const setup = createSetup();
+      const { granted, vm, timers, submit, close } = setup;
+      submit('1111111111111111');
+      await fakes.advance(timers, 3_000);
+      vm.silent = true;
+      for (const id of ['2', '3', '4', '5']) {
+        submit(id.repeat(16));
+        await fakes.advance(timers, 400);
+      }
+      await measureLoss(setup);
+      vitest
+        .expect(granted.filter(({ by }) => by === 'start').length)
+        .toBeGreaterThan(1);
+      let heldUntilMs = -Infinity;
+      for (const { by, untilMs } of granted)
+        if (by === 'hold') heldUntilMs = Math.max(heldUntilMs, untilMs);
+        else vitest.expect(untilMs).toBeLessThanOrEqual(heldUntilMs);
+      close();
+    },
+  );
+});
--- a/packages/cluster/test/vmSessions.test.ts
+++ b/packages/cluster/test/vmSessions.test.ts
@@ -262,6 +262,38 @@
     },
   );
 
+  vitest.it(
+    'lets starts extend a lease of which little is left (guards against starts that are refused as late)',
+    async () => {
+      const { setup, timers, session } = createSetup(buildHeld(50_000));
+      await fakes.advance(timers, 200);
+      setup.answer = undefined;
+      await fakes.advance(timers, 2_000);
+      const startUntilMs = session.computeStartUntil();
+      // The lease was last extended at about 1.5 s.
+      await fakes.advance(timers, 3_000);
+      vitest.expect(session.computeStartUntil()).toBeGreaterThan(startUntilMs!);
+      session.close();
+    },
+  );
+
+  vitest.it(
+    'does not use what was granted on the clock of an earlier incarnation (guards against a computed end of the lease that is hours away)',
+    async () => {
+      const { setup, timers, session } = createSetup(buildHeld(50_000));
+      await fakes.advance(timers, 200);
+      for (const clockMs of [200, 900_000]) {
+        setup.answer = buildHeld(clockMs);
+        session.poll();
+        await fakes.advance(timers, 20);
+        const leftMs = session.computeStartUntil()! - clockMs;
+        vitest.expect(leftMs).toBeGreaterThan(2_900);
+        vitest.expect(leftMs).toBeLessThan(6_100);
+      }
+      session.close();
+    },
+  );
+
   vitest.it('reports that the VM has seen a later owner', async () => {
     const { events, timers, session } = createSetup({ outcome: 'fenced' });
     await fakes.advance(timers, 100);
