Give draining VMs short leases

Cause: a VM leaves without a last report, and connections to it then time out as to one that is only cut off, so the owner waits for the lease, which was extended by 10 s to the end.

Change: while a VM drains, its lease is extended by 4 s at most. That covers two lost answers in a row or a change of owner. Leases are never shortened, so what was granted before the drain was known still counts, and a VM that leaves within 6 s of its notice is waited for somewhat longer. A VM that was removed from the list keeps the short leases if it was draining. vm.silent says whether it was.

--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -224,6 +224,7 @@
       requestTick();
       return;
     }
+    session?.setDraining(vm.draining);
     if (session?.target.address === vm.address) return;
     session?.close();
     sessionsByVm.set(
@@ -234,6 +235,7 @@
         {
           fence,
           inheritedLeaseEndMs: createdMs + inheritMs,
+          draining: vm.draining,
           holdWait,
         },
         sessionEvents,
--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -25,6 +25,13 @@
 /** Lease left below which a start extends it, in ms; two unanswered holds must not end the run. */
 const MIN_START_LEASE_MS = 3_000;
 
+/**
+ * Longest lease of a draining VM, in ms. A VM leaves without a last report, so the end of
+ * its runs is known only when its lease has expired. This is long enough for a change of
+ * owner or two lost answers in a row.
+ */
+const DRAINING_LEASE_MS = 4_000;
+
 /** Callbacks to the owner. */
 export interface VmSessionEvents {
   readonly onReport: (
@@ -56,6 +63,8 @@
   poll(): void;
   /** Records that an order may have extended the lease until `untilMs`, whether it is answered or not. */
   recordLeaseExtension(untilMs: number): void;
+  /** Sets whether the VM is about to leave. What its lease was granted before still counts. */
+  setDraining(draining: boolean): void;
   close(): void;
 }
 
@@ -67,6 +76,7 @@
     readonly fence: number;
     /** Latest time at which leases granted by a previous owner expire. */
     readonly inheritedLeaseEndMs: number;
+    readonly draining: boolean;
     readonly holdWait: timeouts.HoldWait;
   },
   events: VmSessionEvents,
@@ -77,6 +87,7 @@
   let leaseEndMs = options.inheritedLeaseEndMs;
   /** Time on the VM's clock until which the last extending hold granted the lease. */
   let grantedUntilMs = -Infinity;
+  let draining = options.draining;
   let closed = false;
   /** The last hold got no answer; a single answer may have been lost. */
   let responseMissed = false;
@@ -92,10 +103,14 @@
     readonly clockMs: number;
   } = { incarnation: undefined, clockMs: -Infinity };
 
+  function getGrantMs(): number {
+    return draining ? Math.min(leaseMs, DRAINING_LEASE_MS) : leaseMs;
+  }
+
   function computeLeaseUntil(): number | undefined {
     if (vmClock === undefined) return undefined;
     return Math.floor(
-      vmClock.vmMs + (timers.getNow() - vmClock.atMs) + leaseMs,
+      vmClock.vmMs + (timers.getNow() - vmClock.atMs) + getGrantMs(),
     );
   }
 
@@ -108,7 +123,7 @@
     if (extendedMs === undefined) return undefined;
     // What was granted on the clock of an earlier incarnation can be far ahead of this one's.
     const untilMs = Math.min(grantedUntilMs, extendedMs);
-    return extendedMs - untilMs > leaseMs - MIN_START_LEASE_MS
+    return extendedMs - untilMs > getGrantMs() - MIN_START_LEASE_MS
       ? extendedMs
       : untilMs;
   }
@@ -243,6 +258,7 @@
       log.write('warn', 'vm.silent', {
         vm: target.id,
         why,
+        draining,
         leaseLeftMs: Math.round(leaseEndMs - nowMs),
       });
       events.onUnresponsive(target.id, why);
@@ -286,6 +302,9 @@
     poll() {
       void pollVm();
     },
+    setDraining(next) {
+      draining = next;
+    },
     close() {
       closed = true;
     },
--- a/packages/cluster/test/leaseGrants.test.ts
+++ b/packages/cluster/test/leaseGrants.test.ts
@@ -9,6 +9,8 @@
 import * as fakes from './fakes.js';
 
 const LEASE_MS = 10_000;
+/** Time after its last run within which the scheduler must be able to start a service task again, in ms. */
+const MISSING_LIMIT_MS = 6_000;
 
 function buildJob(id: string, acceptedAtMs: number): core.workloads.Job {
   return {
@@ -183,4 +185,68 @@
       close();
     },
   );
+
+  vitest.it(
+    'is short while the VM drains (guards against LOST: the task of a VM that left as planned is missing for a whole lease)',
+    async () => {
+      const setup = createSetup();
+      const { vm, timers, submit, setEntry, close } = setup;
+      submit('1111111111111111');
+      await fakes.advance(timers, 3_000);
+      setEntry(buildEntry('vm', true));
+      // A VM that is told to leave goes on for 4 s and longer.
+      await fakes.advance(timers, 8_000);
+      vm.silent = true;
+      setEntry(undefined);
+      vitest.expect(await measureLoss(setup)).toBeLessThan(MISSING_LIMIT_MS);
+      close();
+    },
+  );
+
+  vitest.it(
+    'counts as granted before the drain was known (guards against a second run beside one on a VM that is only disconnected)',
+    async () => {
+      const setup = createSetup();
+      const { granted, vm, timers, submit, setEntry, close } = setup;
+      submit('1111111111111111');
+      await fakes.advance(timers, 3_000);
+      const leftMs =
+        Math.max(...granted.map(({ untilMs }) => untilMs)) - timers.getNow();
+      vm.silent = true;
+      setEntry(buildEntry('vm', true));
+      vitest.expect(await measureLoss(setup)).toBeGreaterThan(leftMs);
+      close();
+    },
+  );
+
+  vitest.it(
+    'lasts on a draining VM while two answers in a row are lost (guards against runs that end before they could be moved)',
+    async () => {
+      const setup = createSetup();
+      const { granted, vm, timers, submit, setEntry, close } = setup;
+      submit('1111111111111111');
+      setEntry(buildEntry('vm', true));
+      await fakes.advance(timers, 3_000);
+      vm.silent = true;
+      await fakes.advance(timers, 2_500);
+      vm.silent = false;
+      await fakes.advance(timers, 1_000);
+      const ends = granted.map(({ untilMs }) => untilMs);
+      vitest.expect(ends.at(-2)).toBeGreaterThan(ends.at(-1)! - 4_000);
+      close();
+    },
+  );
+
+  vitest.it('is whole again when a VM no longer drains', async () => {
+    const setup = createSetup();
+    const { granted, timers, setEntry, close } = setup;
+    setEntry(buildEntry('vm', true));
+    await fakes.advance(timers, 3_000);
+    setEntry(buildEntry('vm', false));
+    await fakes.advance(timers, 3_000);
+    vitest
+      .expect(granted.at(-1)!.untilMs)
+      .toBeGreaterThan(timers.getNow() + LEASE_MS - 2_000);
+    close();
+  });
 });
--- a/packages/cluster/test/vmSessions.test.ts
+++ b/packages/cluster/test/vmSessions.test.ts
@@ -51,6 +51,7 @@
     {
       fence: 7,
       inheritedLeaseEndMs: timers.getNow() + inheritedLeaseMs,
+      draining: false,
       holdWait,
     },
     {
