Move service tasks off a draining VM whose entry has been removed too

Callers can see LOST when a draining VM is cut off from the store: its entry expires after three missed writes while its runs go on, and the tasks that had no other place until then are no longer moved.

Cause: whether a VM drains was read from its entry, which is gone then.

Change: a VM keeps the last known state of its drain until it is listed again.

Evidence: the test with a removed entry fails without the change. The test of a VM that was removed without a drain and the one of a gang on a VM that leaves passed before it and guard what was right already.

--- a/packages/core/src/workloads/draining.ts
+++ b/packages/core/src/workloads/draining.ts
@@ -12,7 +12,7 @@
 export function moveFromDraining(state: states.State, nowMs: number): void {
   const placesByStep = new Map<tables.StepRow, placement.Candidate[]>();
   for (const vm of state.vms.values()) {
-    if (vm.entry?.draining !== true || !vm.usable) continue;
+    if (!vm.leaving || !vm.usable) continue;
     for (const run of [...vm.runs]) {
       const { step } = run.task;
       if (!step.spec.lasts || run.phase !== 'running') continue;
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -171,6 +171,7 @@
     setVmEntry(id, entry, nowMs) {
       const vm = states.ensureVm(state, id, nowMs);
       vm.entry = entry;
+      if (entry !== undefined) vm.leaving = entry.draining;
     },
     applyReport(id, report, nowMs) {
       reports.applyReport(state, id, report, nowMs);
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -129,6 +129,8 @@
 export interface VmRow {
   readonly id: ids.VmId;
   entry: types.VmEntry | undefined;
+  /** Whether its last entry said that it drains, also once that entry has been removed. */
+  leaving: boolean;
   incarnation: types.VmIncarnation | undefined;
   /** Key of the VM and its incarnation. Advice about a VM is valid for one incarnation. */
   incarnationKey: string;
@@ -215,6 +217,7 @@
   return {
     id,
     entry: undefined,
+    leaving: false,
     incarnation: undefined,
     incarnationKey: formatIncarnationKey(id, undefined),
     usable: false,
--- a/packages/core/test/workloads/draining.test.ts
+++ b/packages/core/test/workloads/draining.test.ts
@@ -88,4 +88,51 @@
     for (let round = 0; round < 4; round += 1) harness.advance(50);
     vitest.expect(harness.listRuns()).toMatchObject([{ vm: 'a' }]);
   });
+
+  vitest.it(
+    'has its service tasks moved after it was removed from the list too (guards against LOST: the entry of a draining VM that is cut off from the store expires while its tasks go on)',
+    () => {
+      const harness = createDrainingHarness(true);
+      drain(harness, 'a');
+      harness.advance(50);
+      harness.scheduler.setVmEntry('a', undefined, harness.getNow());
+      harness.addVm('b');
+      for (let round = 0; round < 4; round += 1) harness.advance(50);
+      vitest.expect(harness.listRuns()).toMatchObject([{ vm: 'b' }]);
+    },
+  );
+
+  vitest.it(
+    'keeps the tasks of a VM that was removed from the list while it was not draining',
+    () => {
+      const harness = createDrainingHarness(true);
+      harness.addVm('b');
+      harness.scheduler.setVmEntry('a', undefined, harness.getNow());
+      for (let round = 0; round < 4; round += 1) harness.advance(50);
+      vitest.expect(harness.listRuns()).toMatchObject([{ vm: 'a' }]);
+    },
+  );
+
+  vitest.it(
+    'that leaves with a gang member has the whole gang started again (guards against a gang that waits for a member that is gone)',
+    () => {
+      const harness = harnesses.createHarness();
+      const capacity = { cores: 1, memoryMb: 100, gpus: 0 };
+      for (const id of ['a', 'b', 'c']) harness.addVm(id, { capacity });
+      harness.addJob('job', [harnesses.createStep({ count: 2, gang: true })]);
+      harness.settle();
+      const leaving = harness.listRuns()[0]!.vm;
+      drain(harness, leaving);
+      harness.advance(50);
+      harness.vms.delete(leaving);
+      harness.scheduler.setVmEntry(leaving, undefined, harness.getNow());
+      harness.scheduler.suspendVm(leaving);
+      harness.scheduler.loseVm(leaving, harness.getNow());
+      for (let round = 0; round < 4; round += 1) harness.advance(50);
+      const runs = harness.listRuns();
+      vitest.expect(runs).toHaveLength(2);
+      vitest.expect(runs[0]!.run).toBe(runs[1]!.run);
+      vitest.expect(runs.map(({ vm }) => vm)).not.toContain(leaving);
+    },
+  );
 });
