--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -222,6 +222,7 @@
       requestTick();
       return;
     }
+    session?.setDraining(vm.draining);
     if (session?.target.address === vm.address) return;
     session?.close();
     sessionsByVm.set(
@@ -234,6 +235,7 @@
           inheritedLeaseEndMs: createdMs + inheritMs,
           canExtendLease: () =>
             options.getConfirmedAge() <= options.unconfirmedLimitMs,
+          draining: vm.draining,
           holdWait,
         },
         sessionEvents,
@@ -405,7 +407,7 @@
     command: CommandOf<'start'>,
   ): Promise<core.workloads.StartOutcome> {
     const session = sessionsByVm.get(command.vm);
-    const untilMs = session?.computeLeaseUntil();
+    const untilMs = session?.computeStartUntil();
     if (session === undefined || untilMs === undefined) return 'unreachable';
     session.recordLeaseExtension(untilMs);
     const sentMs = timers.getNow();
--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -23,6 +23,15 @@
 const UNEXTENDED_WAIT_MS = 200;
 /** Added to the computed end of a lease, in ms. */
 const LEASE_END_MARGIN_MS = 50;
+/** Lease left below which a start extends it, in ms; two unanswered holds must not end the run. */
+const MIN_START_LEASE_MS = 3_000;
+
+/**
+ * Longest lease of a draining VM, in ms. A VM leaves without a last report, so the end of
+ * its runs is known only when its lease has expired. This is long enough for a change of
+ * owner or two lost answers in a row.
+ */
+const DRAINING_LEASE_MS = 4_000;
 
 /** Callbacks to the owner. */
 export interface VmSessionEvents {
@@ -49,12 +58,14 @@
 /** A session with a VM. */
 export interface VmSession {
   readonly target: ports.VmTarget;
-  /** Computes the time on the VM's clock until which a lease may be granted now; undefined before the first answer and while none may be granted. */
-  computeLeaseUntil(): number | undefined;
+  /** Computes the time on the VM's clock until which a start sent now holds its lease; undefined before the first answer and while no lease may be granted. */
+  computeStartUntil(): number | undefined;
   /** Requests a report at once, in parallel with the hold that waits. */
   poll(): void;
   /** Records that an order may have extended the lease until `untilMs`, whether it is answered or not. */
   recordLeaseExtension(untilMs: number): void;
+  /** Sets whether the VM is about to leave. What its lease was granted before still counts. */
+  setDraining(draining: boolean): void;
   close(): void;
 }
 
@@ -68,6 +79,7 @@
     readonly inheritedLeaseEndMs: number;
     /** Returns whether the owner may still extend leases. */
     readonly canExtendLease: () => boolean;
+    readonly draining: boolean;
     readonly holdWait: timeouts.HoldWait;
   },
   events: VmSessionEvents,
@@ -79,6 +91,9 @@
   /** Latest end of earlier owners' leases on this incarnation, which rejects their orders since it answered. */
   let earlierLeaseLimitMs = Infinity;
   let leaseEndTimer: core.TimerSubscription | undefined;
+  /** Time on the VM's clock until which the last extending hold granted the lease. */
+  let grantedUntilMs = -Infinity;
+  let draining = options.draining;
   let closed = false;
   /** The last hold got no answer; a single answer may have been lost. */
   let responseMissed = false;
@@ -101,13 +116,31 @@
     );
   }
 
+  function getGrantMs(): number {
+    return draining ? Math.min(leaseMs, DRAINING_LEASE_MS) : leaseMs;
+  }
+
   function computeLeaseUntil(): number | undefined {
     if (vmClock === undefined || !options.canExtendLease()) return undefined;
     return Math.floor(
-      vmClock.vmMs + (timers.getNow() - vmClock.atMs) + leaseMs,
+      vmClock.vmMs + (timers.getNow() - vmClock.atMs) + getGrantMs(),
     );
   }
 
+  /**
+   * Starts carry the lease that the last hold granted: a VM that has stopped answering gets
+   * starts until its silence is noticed, and each extension would postpone the end of its runs.
+   */
+  function computeStartUntil(): number | undefined {
+    const extendedMs = computeLeaseUntil();
+    if (extendedMs === undefined) return undefined;
+    // What was granted on the clock of an earlier incarnation can be far ahead of this one's.
+    const untilMs = Math.min(grantedUntilMs, extendedMs);
+    return extendedMs - untilMs > getGrantMs() - MIN_START_LEASE_MS
+      ? extendedMs
+      : untilMs;
+  }
+
   /** Extends the known end of the lease to the latest time at which the VM's clock reaches `untilMs`. */
   function recordLeaseExtension(untilMs: number): void {
     if (vmClock === undefined) return;
@@ -155,7 +188,10 @@
     const answers = !unresponsive && !responseMissed;
     const untilMs = answers ? computeLeaseUntil() : undefined;
     const waitMs = answers ? getHoldWait(untilMs, askedMs) : 0;
-    if (untilMs !== undefined) recordLeaseExtension(untilMs);
+    if (untilMs !== undefined) {
+      grantedUntilMs = untilMs;
+      recordLeaseExtension(untilMs);
+    }
     const result = await callHold(untilMs, waitMs);
     if (isClosed()) return false;
     const refusedBefore = refused;
@@ -247,6 +283,7 @@
       log.write('warn', 'vm.silent', {
         vm: target.id,
         why,
+        draining,
         leaseLeftMs: Math.round(getLeaseEnd() - nowMs),
       });
       events.onUnresponsive(target.id, why);
@@ -303,11 +340,14 @@
 
   return {
     target,
-    computeLeaseUntil,
+    computeStartUntil,
     recordLeaseExtension,
     poll() {
       void pollVm();
     },
+    setDraining(next) {
+      draining = next;
+    },
     close() {
       closed = true;
       leaseEndTimer?.end();
