End the reservation of preempted room once its step has started

Preemption reserves a whole VM for 1.5 s. The reservation stayed in force after the step's tasks had started, there or elsewhere, and after its job had ended, so that the rest of the VM's room was used by nobody. A service task may never use such a VM.

A reservation now counts only while its step has waiting tasks and its job goes on.

--- a/packages/core/src/workloads/placement.ts
+++ b/packages/core/src/workloads/placement.ts
@@ -4,6 +4,7 @@
  * many GPUs.
  */
 import * as speeds from './speed.js';
+import * as states from './state.js';
 import * as tables from './tables.js';
 
 /** Penalties added to a score. Without penalties a VM scores between 0 (full) and 3 (empty). */
@@ -46,12 +47,14 @@
   vm.reservedReadyMs = times.readyMs;
 }
 
-/** Returns the step for which a VM is reserved now. */
+/** Returns the step for which a VM is reserved now; undefined once that step has no waiting tasks. */
 export function getReservedStep(
   vm: tables.VmRow,
   nowMs: number,
 ): tables.StepRow | undefined {
-  return vm.reservedUntilMs > nowMs ? vm.reservedFor : undefined;
+  const step = vm.reservedUntilMs > nowMs ? vm.reservedFor : undefined;
+  if (step === undefined || step.waitingCount === 0) return undefined;
+  return states.isJobOver(step.occurrence.job) ? undefined : step;
 }
 
 /** Returns whether a VM is reserved for another step. */
