--- a/packages/cluster/test/vmSessions.test.ts
+++ b/packages/cluster/test/vmSessions.test.ts
@@ -130,7 +130,7 @@
       const { setup, holds, timers, session } = createSetup(buildHeld(50_000));
       await fakes.advance(timers, 1_700);
       setup.canExtendLease = false;
-      vitest.expect(session.computeLeaseUntil()).toBeUndefined();
+      vitest.expect(session.computeStartUntil()).toBeUndefined();
       const sent = holds.length;
       await fakes.advance(timers, 2_000);
       vitest.expect(holds.length).toBeGreaterThan(sent);
