Withdraw starts on a draining VM whose records are still being written

Callers can see DRAIN, or a task or gang that is started on a VM about to leave, when the store is slow: the start is sent once its record is durable, or after 1.2 s without, though the drain became known meanwhile.

Cause: whether a VM drains was looked at only when a start was decided.

Change: each round withdraws the starts on draining VMs that haven't been sent, of a gang those of all its members; the tasks wait again and start elsewhere.

Evidence: the two new tests fail without the change, with one and two start commands.

--- a/packages/core/src/workloads/draining.ts
+++ b/packages/core/src/workloads/draining.ts
@@ -1,13 +1,30 @@
 /**
  * Moves service tasks off VMs that are about to leave. A VM that leaves ends its runs,
  * and its last answer may not tell that, so a task that stays to the end is missing until
- * the VM is known to be gone. A task stays while no other VM has room for it.
+ * the VM is known to be gone. A task stays while no other VM has room for it. Starts on
+ * such a VM that haven't been sent yet are withdrawn.
  */
 import * as advice from './advice.js';
+import * as ends from './ends.js';
 import * as placement from './placement.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
 
+/** Withdraws starts on draining VMs whose records aren't durable yet. */
+export function cancelStartsOnDraining(
+  state: states.State,
+  nowMs: number,
+): void {
+  for (const vm of state.vms.values()) {
+    if (!vm.leaving) continue;
+    for (const run of [...vm.runs]) {
+      if (run.phase !== 'recording') continue;
+      if (run.task.step.spec.gang) ends.stopGang(state, run.task.step, nowMs);
+      else states.stopRun(state, run, 'draining', nowMs);
+    }
+  }
+}
+
 /** Stops the service tasks on draining VMs that can run elsewhere. */
 export function moveFromDraining(state: states.State, nowMs: number): void {
   const placesByStep = new Map<tables.StepRow, placement.Candidate[]>();
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -30,6 +30,7 @@
 ): void {
   reports.expireRuns(state, nowMs);
   stalls.stopStalled(state, nowMs);
+  draining.cancelStartsOnDraining(state, nowMs);
   draining.moveFromDraining(state, nowMs);
   pacing.paceRuns(state, nowMs);
   const ranked: ranking.RankedStep[] = [];
--- a/packages/core/test/workloads/draining.test.ts
+++ b/packages/core/test/workloads/draining.test.ts
@@ -113,6 +113,51 @@
     },
   );
 
+  vitest.it(
+    'gets no start whose record is written while the drain becomes known (guards against DRAIN with a slow store: a task that is started on a VM about to leave)',
+    () => {
+      const harness = harnesses.createHarness();
+      harness.addVm('a');
+      harness.addJob('job', [harnesses.createStep({ lasts: true })]);
+      const decision = harness.scheduler.tick(
+        harness.getNow(),
+        harness.getNow(),
+      );
+      vitest.expect(decision.batch).toBeDefined();
+      drain(harness, 'a');
+      harness.scheduler.tick(harness.getNow(), harness.getNow());
+      vitest.expect(harness.scheduler.confirmBatch()).toEqual([]);
+      harness.addVm('b');
+      for (let round = 0; round < 4; round += 1) harness.advance(50);
+      vitest.expect(harness.listRuns()).toMatchObject([{ vm: 'b' }]);
+    },
+  );
+
+  vitest.it(
+    'gets no start of a gang member either, and the gang starts elsewhere (guards against a gang that waits for a member on a VM about to leave)',
+    () => {
+      const harness = harnesses.createHarness();
+      const capacity = { cores: 1, memoryMb: 100, gpus: 0 };
+      harness.addVm('a', { capacity });
+      harness.addVm('b', { capacity });
+      harness.addJob('job', [harnesses.createStep({ count: 2, gang: true })]);
+      harness.scheduler.tick(harness.getNow(), harness.getNow());
+      drain(harness, 'a');
+      harness.scheduler.tick(harness.getNow(), harness.getNow());
+      vitest.expect(harness.scheduler.confirmBatch()).toEqual([]);
+      harness.addVm('c', { capacity });
+      for (let round = 0; round < 4; round += 1) harness.advance(50);
+      vitest
+        .expect(
+          harness
+            .listRuns()
+            .map(({ vm }) => vm)
+            .sort(),
+        )
+        .toEqual(['b', 'c']);
+    },
+  );
+
   vitest.it(
     'that leaves with a gang member has the whole gang started again (guards against a gang that waits for a member that is gone)',
     () => {
