Stop no more tasks on draining VMs than there is room for elsewhere

Callers can see service tasks that are missing for the whole notice of a drain though their VM still runs: with room for one task elsewhere, all tasks on draining VMs were stopped within a few rounds.

Cause: each step counted the free room by itself, and each round counted the room again that a task stopped in an earlier round was about to take.

Change: the steps share the free room of a VM, and service tasks that wait or are being moved take theirs first.

Evidence: the new test fails without the change: of four tasks with room for one of them elsewhere one ran.

--- a/packages/core/src/workloads/draining.ts
+++ b/packages/core/src/workloads/draining.ts
@@ -25,43 +25,95 @@
   }
 }
 
+/** Places of service tasks on other VMs. The candidates of all steps share the free room of a VM. */
+interface Places {
+  readonly freeByVm: Map<tables.VmRow, placement.Candidate['free']>;
+  readonly candidatesByStep: Map<tables.StepRow, placement.Candidate[]>;
+}
+
 /** Stops the service tasks on draining VMs that can run elsewhere. */
 export function moveFromDraining(state: states.State, nowMs: number): void {
-  const placesByStep = new Map<tables.StepRow, placement.Candidate[]>();
+  const runs = collectRuns(state, 'running');
+  if (runs.length === 0) return;
+  const places: Places = { freeByVm: new Map(), candidatesByStep: new Map() };
+  takeClaimedPlaces(state, places, nowMs);
+  for (const run of runs)
+    if (takePlace(state, places, run.task.step, nowMs))
+      states.stopRun(state, run, 'draining', nowMs);
+}
+
+/** Collects the runs of service tasks on draining VMs that answer. */
+function collectRuns(
+  state: states.State,
+  phase: tables.RunPhase,
+): readonly tables.RunRow[] {
+  const runs: tables.RunRow[] = [];
   for (const vm of state.vms.values()) {
     if (!vm.leaving || !vm.usable) continue;
-    for (const run of [...vm.runs]) {
-      const { step } = run.task;
-      if (!step.spec.lasts || run.phase !== 'running') continue;
-      const places =
-        placesByStep.get(step) ?? collectPlaces(state, step, nowMs);
-      placesByStep.set(step, places);
-      const place = places.find((candidate) =>
-        placement.canPlaceTask(candidate, step),
-      );
-      if (place === undefined) continue;
-      placement.takeRoom(place, step);
-      states.stopRun(state, run, 'draining', nowMs);
-    }
+    for (const run of vm.runs)
+      if (run.task.step.spec.lasts && run.phase === phase) runs.push(run);
+  }
+  return runs;
+}
+
+/** Takes the places of the service tasks that wait already, among them those that were stopped to be moved. */
+function takeClaimedPlaces(
+  state: states.State,
+  places: Places,
+  nowMs: number,
+): void {
+  for (const { task } of collectRuns(state, 'stopping'))
+    if (!states.isJobOver(task.step.occurrence.job))
+      takePlace(state, places, task.step, nowMs);
+  for (const job of state.jobs.values()) {
+    if (states.isJobOver(job)) continue;
+    for (const { steps } of job.occurrences)
+      for (const step of steps) {
+        if (!step.spec.lasts || !tables.isStepOpen(step)) continue;
+        for (let task = 0; task < step.waitingCount; task += 1)
+          if (!takePlace(state, places, step, nowMs)) break;
+      }
   }
 }
 
-function collectPlaces(
+/** Takes a place for one task of a step; returns false when no VM has room for it. */
+function takePlace(
   state: states.State,
+  places: Places,
+  step: tables.StepRow,
+  nowMs: number,
+): boolean {
+  const candidates =
+    places.candidatesByStep.get(step) ??
+    collectCandidates(state, places, step, nowMs);
+  places.candidatesByStep.set(step, candidates);
+  const place = candidates.find((candidate) =>
+    placement.canPlaceTask(candidate, step),
+  );
+  if (place === undefined) return false;
+  placement.takeRoom(place, step);
+  return true;
+}
+
+function collectCandidates(
+  state: states.State,
+  { freeByVm }: Places,
   step: tables.StepRow,
   nowMs: number,
 ): placement.Candidate[] {
-  return [...state.vms.values()]
-    .filter(
-      (vm) =>
-        placement.isEligible(vm, step, nowMs) &&
-        !placement.isReservedForOther(vm, step, nowMs) &&
-        advice.canBeApproved(step, vm),
-    )
-    .map((vm) => ({
+  const candidates: placement.Candidate[] = [];
+  for (const vm of state.vms.values()) {
+    if (!placement.isEligible(vm, step, nowMs)) continue;
+    if (placement.isReservedForOther(vm, step, nowMs)) continue;
+    if (!advice.canBeApproved(step, vm)) continue;
+    const free = freeByVm.get(vm) ?? { ...tables.getFree(vm) };
+    freeByVm.set(vm, free);
+    candidates.push({
       vm,
       ticket: undefined,
-      free: { ...tables.getFree(vm) },
+      free,
       sameStep: placement.countSameStep(vm, step),
-    }));
+    });
+  }
+  return candidates;
 }
--- a/packages/core/test/workloads/draining.test.ts
+++ b/packages/core/test/workloads/draining.test.ts
@@ -89,6 +89,34 @@
     vitest.expect(harness.listRuns()).toMatchObject([{ vm: 'a' }]);
   });
 
+  vitest.it(
+    'has no more tasks moved than there is room for elsewhere (guards against tasks that are stopped for a place which another one takes)',
+    () => {
+      const harness = harnesses.createHarness();
+      harness.addVm('a');
+      harness.addJob('job-1', [
+        harnesses.createStep({ count: 2, lasts: true }),
+      ]);
+      harness.addJob('job-2', [
+        harnesses.createStep({ count: 2, lasts: true }),
+      ]);
+      harness.settle();
+      harness.addVm('b', { capacity: { cores: 1, memoryMb: 100, gpus: 0 } });
+      drain(harness, 'a');
+      let running = Infinity;
+      for (let round = 0; round < 6; round += 1) {
+        // Rounds without reports leave the stopped tasks between two VMs.
+        harness.settle();
+        harness.settle();
+        harness.advance(50);
+        running = Math.min(running, harness.listRuns().length);
+      }
+      vitest.expect(running).toBeGreaterThanOrEqual(3);
+      const vms = harness.listRuns().map(({ vm }) => vm);
+      vitest.expect(vms.sort()).toEqual(['a', 'a', 'a', 'b']);
+    },
+  );
+
   vitest.it(
     'has its service tasks moved after it was removed from the list too (guards against LOST: the entry of a draining VM that is cut off from the store expires while its tasks go on)',
     () => {
