--- a/packages/core/test/workloads/draining.test.ts
+++ b/packages/core/test/workloads/draining.test.ts
@@ -89,6 +89,34 @@
     vitest.expect(harness.listRuns()).toMatchObject([{ vm: 'a' }]);
   });
 
+  vitest.it(
+    'has no more tasks moved than there is room for elsewhere (guards against tasks that are stopped for a place which another one takes)',
+    () => {
+      const harness = harnesses.createHarness();
+      harness.addVm('a');
+      harness.addJob('job-1', [
+        harnesses.createStep({ count: 2, lasts: true }),
+      ]);
+      harness.addJob('job-2', [
+        harnesses.createStep({ count: 2, lasts: true }),
+      ]);
+      harness.settle();
+      harness.addVm('b', { capacity: { cores: 1, memoryMb: 100, gpus: 0 } });
+      drain(harness, 'a');
+      let running = Infinity;
+      for (let round = 0; round < 6; round += 1) {
+        // Rounds without reports leave the stopped tasks between two VMs.
+        harness.settle();
+        harness.settle();
+        harness.advance(50);
+        running = Math.min(running, harness.listRuns().length);
+      }
+      vitest.expect(running).toBeGreaterThanOrEqual(3);
+      const vms = harness.listRuns().map(({ vm }) => vm);
+      vitest.expect(vms.sort()).toEqual(['a', 'a', 'a', 'b']);
+    },
+  );
+
   vitest.it(
     'has its service tasks moved after it was removed from the list too (guards against LOST: the entry of a draining VM that is cut off from the store expires while its tasks go on)',
     () => {
@@ -113,6 +141,51 @@
     },
   );
 
+  vitest.it(
+    'gets no start whose record is written while the drain becomes known (guards against DRAIN with a slow store: a task that is started on a VM about to leave)',
+    () => {
+      const harness = harnesses.createHarness();
+      harness.addVm('a');
+      harness.addJob('job', [harnesses.createStep({ lasts: true })]);
+      const decision = harness.scheduler.tick(
+        harness.getNow(),
+        harness.getNow(),
+      );
+      vitest.expect(decision.batch).toBeDefined();
+      drain(harness, 'a');
+      harness.scheduler.tick(harness.getNow(), harness.getNow());
+      vitest.expect(harness.scheduler.confirmBatch()).toEqual([]);
+      harness.addVm('b');
+      for (let round = 0; round < 4; round += 1) harness.advance(50);
+      vitest.expect(harness.listRuns()).toMatchObject([{ vm: 'b' }]);
+    },
+  );
+
+  vitest.it(
+    'gets no start of a gang member either, and the gang starts elsewhere (guards against a gang that waits for a member on a VM about to leave)',
+    () => {
+      const harness = harnesses.createHarness();
+      const capacity = { cores: 1, memoryMb: 100, gpus: 0 };
+      harness.addVm('a', { capacity });
+      harness.addVm('b', { capacity });
+      harness.addJob('job', [harnesses.createStep({ count: 2, gang: true })]);
+      harness.scheduler.tick(harness.getNow(), harness.getNow());
+      drain(harness, 'a');
+      harness.scheduler.tick(harness.getNow(), harness.getNow());
+      vitest.expect(harness.scheduler.confirmBatch()).toEqual([]);
+      harness.addVm('c', { capacity });
+      for (let round = 0; round < 4; round += 1) harness.advance(50);
+      vitest
+        .expect(
+          harness
+            .listRuns()
+            .map(({ vm }) => vm)
+            .sort(),
+        )
+        .toEqual(['b', 'c']);
+    },
+  );
+
   vitest.it(
     'that leaves with a gang member has the whole gang started again (guards against a gang that waits for a member that is gone)',
     () => {
