End inherited runs that are being stopped with their timeout too

A gang that two owners in a row had to start could stop for good: after a change of owner its recorded runs were on VMs that had left the list, the first of them ended with the timeout for inherited runs, and the gang never started again. A cancelled job with such a run stayed in the tables, and its progress record was never deleted.

Cause: the timeout looked only at runs in the phase 'inherited'. The end of the first member stops the others, which moves them to 'stopping' in the same round. A VM that isn't listed has no session, so the stop goes nowhere, nobody reports the VM as lost, and stops are retried only at usable VMs. Nothing was left that could end these runs, and a gang starts only when all its members wait. Cancelling a job with an inherited run leads to the same state.

The timeout now ends every run of a VM that hasn't reported to this owner yet. Only VMs that have reported get new runs, so all of these were started by a previous owner, and after the timeout none of its leases is left.

--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -292,17 +292,28 @@
     state.commands.push({ command: 'poll', vm: run.vm.id });
 }
 
-/** Retries unanswered stops, and removes inherited runs whose VM hasn't reported within the timeout. */
+/**
+ * Retries unanswered stops, and removes the runs of a previous owner whose VM hasn't
+ * reported within the timeout, also those that are being stopped.
+ */
 export function expireRuns(state: states.State, nowMs: number): void {
-  const inheritedExpired =
+  const isTimeoutOver =
     nowMs > state.createdMs + state.bounds.inheritedRunTimeoutMs;
   for (const vm of state.vms.values())
     for (const run of [...vm.runs]) {
-      if (run.phase === 'inherited' && inheritedExpired)
+      if (isTimeoutOver && isInherited(run)) {
         loseRun(state, run, 'inherited-timeout', nowMs);
+        continue;
+      }
       if (run.phase !== 'stopping' || run.confirmedMs !== undefined) continue;
       if (!vm.usable) continue;
       if (nowMs - (run.stopSentMs ?? 0) > STOP_RETRY_MS)
         states.sendStop(state, run, 'again', nowMs);
     }
 }
+
+/** Returns whether a previous owner started a run of which its VM hasn't reported anything yet. */
+function isInherited(run: tables.RunRow): boolean {
+  // Only VMs that have reported get new runs.
+  return run.phase === 'inherited' || run.vm.reportedMs === undefined;
+}
--- a/packages/core/test/workloads/harness.ts
+++ b/packages/core/test/workloads/harness.ts
@@ -183,6 +183,8 @@
         return;
       }
       case 'stop': {
+        // No command reaches a VM that isn't listed.
+        if (!vms.has(command.vm)) return;
         scheduler.applyStop(command.vm, command.task, command.run, true, nowMs);
         endTask(command.vm, command.task, command.run, 'stopped');
         return;
--- /dev/null
+++ b/packages/core/test/workloads/owedWork.test.ts
@@ -0,0 +1,41 @@
+/** Work that is owed and dropped out of the rounds: one test for each way in which that happened. */
+import * as vitest from 'vitest';
+import type * as core from '../../src/index.js';
+import * as harnesses from './harness.js';
+
+vitest.describe('a run of a previous owner on a VM that left the list', () => {
+  function restoreGang(harness: harnesses.Harness): void {
+    const job: core.workloads.Job = {
+      id: 'job',
+      queue: 'queue',
+      payload: 'work',
+      steps: [harnesses.createStep({ count: 2, gang: true })],
+      schedule: undefined,
+      configVersion: 1,
+      acceptedAtMs: 0,
+      policy: harnesses.createPolicy(),
+    };
+    const runs = [
+      [0, 7, 'gone-a', 1],
+      [1, 7, 'gone-b', 1],
+    ];
+    const progress = JSON.stringify({
+      occurrences: [{ number: 0, steps: [{ done: '00', runs }] }],
+    });
+    harness.scheduler.restoreJob(job, progress, 0, harness.getNow(), 0);
+  }
+
+  vitest.it(
+    'ends with the timeout for inherited runs although it is being stopped (guards against a gang that never starts again after a change of owner)',
+    () => {
+      const harness = harnesses.createHarness({ firstRun: 1_000 });
+      restoreGang(harness);
+      harness.addVm('c');
+      harness.addVm('d');
+      for (let round = 0; round < 20; round += 1) harness.advance(1_000);
+      vitest
+        .expect(harness.listRuns().map(({ task }) => task))
+        .toEqual(['job.0.0.0', 'job.0.0.1']);
+    },
+  );
+});
