End a run that a report brought back and the next one doesn't list

A service task could count as running for ever without running anywhere: the search for owed tasks doesn't name it, as the tables show a running run on a VM that answers. Callers would see LOST ("is to last and doesn't run").

Cause: a run that leaves the reports of its VM without an end is over once a report was requested after the run had been confirmed. A run that was adopted from a report never got that time, so it stayed in the tables. When a report with the end of a run is overtaken by an older one that still lists it, the older one adopts the run, its end is already applied, and no later report lists either. The session drops older reports by the VM's clock, which counts whole milliseconds, so two answers within one can still swap. A restart of the VM under the same id ended in the same state.

An adopted run is now confirmed by the report that lists it, like any other run, so the next report that was requested later and doesn't list it ends it.

--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -136,10 +136,8 @@
   if (run === undefined) return;
   listed.add(run);
   if (run.phase === 'stopping') return;
-  if (run.phase !== 'running') {
-    run.phase = 'running';
-    run.confirmedMs = nowMs;
-  }
+  run.phase = 'running';
+  run.confirmedMs ??= nowMs;
   run.runningSinceMs ??= nowMs;
   if (entry.percent !== run.percent) {
     run.percent = entry.percent;
--- a/packages/core/test/workloads/owedWork.test.ts
+++ b/packages/core/test/workloads/owedWork.test.ts
@@ -39,3 +39,30 @@
     },
   );
 });
+
+vitest.describe('a run that an overtaken report brings back', () => {
+  vitest.it(
+    'ends with the next report (guards against a service task that counts as running for ever)',
+    () => {
+      const harness = harnesses.createHarness();
+      harness.addVm('a');
+      harness.addJob('job', [harnesses.createStep({ lasts: true })]);
+      harness.advance(10);
+      const overtaken: core.workloads.VmReport = {
+        incarnation: 1,
+        running: [...harness.vms.get('a')!.running.values()].map((run) => ({
+          ...run,
+          saved: '',
+        })),
+        ended: [],
+        requestSentMs: harness.getNow(),
+      };
+      vitest.expect(overtaken.running).toHaveLength(1);
+      harness.endRun('a', 1, 'failed');
+      harness.report('a');
+      harness.scheduler.applyReport('a', overtaken, harness.getNow());
+      for (let round = 0; round < 5; round += 1) harness.advance(100);
+      vitest.expect(harness.listRuns()).toMatchObject([{ run: 2 }]);
+    },
+  );
+});
