Ask about more VMs while the approved ones have too few places for a gang

A gang on a queue with advice could wait for ever although there was room: its job stays pending, and findOwed names 'advice-not-requested' for it.

Cause: as soon as a task of the step could start on any approved VM, only tickets were renewed, and VMs that weren't asked about yet were left out. That is right for single tasks, which start there and use up that room. A gang starts only with places for all members, so its approved VMs kept their room, and no other VM was ever asked about, for example one that was added later, was silent during the first request, or is the 31st of its pool.

Approved VMs now suffice for a gang only if they have places for all members; otherwise VMs with room that no answered request named are asked about. Each is named once, so the requests end when all VMs are known. Single tasks are handled as before.

--- a/packages/core/src/workloads/advice.ts
+++ b/packages/core/src/workloads/advice.ts
@@ -130,12 +130,16 @@
   const approved = eligible.filter(({ vm }) =>
     step.advice.tickets.has(vm.incarnationKey),
   );
-  if (approved.some(({ canStart }) => canStart))
-    return chooseRenewals(step, policy, approved, nowMs);
   const notAsked = eligible.filter(
     ({ vm }) => !step.advice.askedVms.has(vm.incarnationKey),
   );
-  // No advice was received yet, or no approved VM has room: ask about other VMs.
+  if (
+    hasPlaces(approved, step) ||
+    (approved.some(({ canStart }) => canStart) &&
+      !notAsked.some(({ canStart }) => canStart))
+  )
+    return chooseRenewals(step, policy, approved, nowMs);
+  // No advice was received yet, or the approved VMs have too little room: ask about other VMs.
   const asksAhead = allowed.askAhead && step.advice.askedVms.size === 0;
   if (notAsked.some(({ canStart }) => canStart) || asksAhead)
     return sortByRoom(notAsked, step, nowMs)
@@ -144,6 +148,27 @@
   return allowed.askAhead ? chooseRenewals(step, policy, approved, nowMs) : [];
 }
 
+/** Returns whether VMs on which tasks may start have places for one task, or for all members of a gang. */
+function hasPlaces(
+  eligible: readonly EligibleVm[],
+  step: tables.StepRow,
+): boolean {
+  let missing = step.spec.gang ? step.spec.count : 1;
+  for (const { candidate, canStart } of eligible) {
+    if (!canStart) continue;
+    const trial = { ...candidate, free: { ...candidate.free } };
+    // A VM that is reserved for the step counts with the room that it will have.
+    missing -= 1;
+    placement.takeRoom(trial, step);
+    while (missing > 0 && placement.canPlaceTask(trial, step)) {
+      missing -= 1;
+      placement.takeRoom(trial, step);
+    }
+    if (missing <= 0) return true;
+  }
+  return false;
+}
+
 function listEligible(
   state: states.State,
   step: tables.StepRow,
--- a/packages/core/test/workloads/owedWork.test.ts
+++ b/packages/core/test/workloads/owedWork.test.ts
@@ -66,3 +66,26 @@
     },
   );
 });
+
+vitest.describe('a gang whose approved VMs have too few places', () => {
+  vitest.it(
+    'gets advice about VMs that were added later (guards against a gang that never starts although there is room)',
+    () => {
+      const harness = harnesses.createHarness();
+      harness.addVm('a');
+      harness.addJob(
+        'job',
+        [harnesses.createStep({ count: 2, gang: true, maxPerVm: 1 })],
+        harnesses.createPolicy({
+          advice: { fixedMs: 10, perVmMs: 1, validMs: 2_000 },
+        }),
+      );
+      for (let round = 0; round < 5; round += 1) harness.advance(100);
+      harness.addVm('b');
+      for (let round = 0; round < 20; round += 1) harness.advance(100);
+      vitest
+        .expect(harness.listRuns())
+        .toMatchObject([{ vm: 'a' }, { vm: 'b' }]);
+    },
+  );
+});
