--- a/packages/core/test/workloads/owedWork.test.ts
+++ b/packages/core/test/workloads/owedWork.test.ts
@@ -39,3 +39,53 @@
     },
   );
 });
+
+vitest.describe('a run that an overtaken report brings back', () => {
+  vitest.it(
+    'ends with the next report (guards against a service task that counts as running for ever)',
+    () => {
+      const harness = harnesses.createHarness();
+      harness.addVm('a');
+      harness.addJob('job', [harnesses.createStep({ lasts: true })]);
+      harness.advance(10);
+      const overtaken: core.workloads.VmReport = {
+        incarnation: 1,
+        running: [...harness.vms.get('a')!.running.values()].map((run) => ({
+          ...run,
+          saved: '',
+        })),
+        ended: [],
+        requestSentMs: harness.getNow(),
+      };
+      vitest.expect(overtaken.running).toHaveLength(1);
+      harness.endRun('a', 1, 'failed');
+      harness.report('a');
+      harness.scheduler.applyReport('a', overtaken, harness.getNow());
+      for (let round = 0; round < 5; round += 1) harness.advance(100);
+      vitest.expect(harness.listRuns()).toMatchObject([{ run: 2 }]);
+    },
+  );
+});
+
+vitest.describe('a gang whose approved VMs have too few places', () => {
+  vitest.it(
+    'gets advice about VMs that were added later (guards against a gang that never starts although there is room)',
+    () => {
+      const harness = harnesses.createHarness();
+      harness.addVm('a');
+      harness.addJob(
+        'job',
+        [harnesses.createStep({ count: 2, gang: true, maxPerVm: 1 })],
+        harnesses.createPolicy({
+          advice: { fixedMs: 10, perVmMs: 1, validMs: 2_000 },
+        }),
+      );
+      for (let round = 0; round < 5; round += 1) harness.advance(100);
+      harness.addVm('b');
+      for (let round = 0; round < 20; round += 1) harness.advance(100);
+      vitest
+        .expect(harness.listRuns())
+        .toMatchObject([{ vm: 'a' }, { vm: 'b' }]);
+    },
+  );
+});
