Tell a new owner that the previous one has given up

Cause: whether the predecessor is active was decided once, at the claim. What it does later, giving up or terminating, reached only the log.

Change: a node tells the owner which fence it follows, when their link opens and when it learns of the owner. It sends no order under a lower fence, so the owner counts its orders as ended from then on, as it does when a new process of that node connects, and shortens the wait of all sessions. A new line leases.inherited tells the wait at the takeover, leases.shortened each cut of it.

Evidence: the new test in ownerChanges fails when the notice is ignored.

--- a/packages/cluster/src/claims.ts
+++ b/packages/cluster/src/claims.ts
@@ -7,6 +7,7 @@
  */
 import * as core from '@flamingoward/core';
 import type * as contexts from './context.js';
+import type * as leases from './leases.js';
 import type * as ports from './ports.js';
 import * as records from './records.js';
 import * as successorRanks from './successors.js';
@@ -57,6 +58,8 @@
   readonly unrecorded: boolean;
   /** It sends no more orders: its process has terminated, or it released ownership. */
   readonly inactive: boolean;
+  /** The owners whose leases may not have ended. */
+  readonly owners: readonly leases.EarlierOwner[];
 }
 
 /** Callbacks to the node. */
@@ -210,6 +213,7 @@
     unconfirmedMs: undefined,
     unrecorded: false,
     inactive: true,
+    owners: [],
   };
 
   function endOwnership(why: string): void {
@@ -254,10 +258,21 @@
       currentOwner?.released === true
         ? currentOwner.unrecorded
         : ownerReleased && releasedUnrecorded;
+    // An earlier ownership of this process has ended with its orders.
+    const inactive =
+      ownerReleased || ownerTerminated || currentOwner?.instance === instance;
     previous = {
       unconfirmedMs: ownerReleased ? undefined : nowMs - ownerConfirmedMs,
       unrecorded,
-      inactive: ownerReleased || ownerTerminated,
+      inactive,
+      owners: [
+        {
+          node: currentOwner?.node ?? '',
+          instance: currentOwner?.instance ?? '',
+          leaseMs: context.settings.leaseMs,
+          lastOrderMs: inactive ? nowMs : nowMs + UNCONFIRMED_LIMIT_MS,
+        },
+      ],
     };
     const result = await appendClaim({});
     log.write('info', 'ownership.claim', {
--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -52,6 +52,8 @@
   /** Time at which each peer process first opened a link to this one. */
   const firstSeenMsByPeer = new Map<core.ids.InstanceId, number>();
   const coresByPeer = new Map<core.ids.InstanceId, number>();
+  /** Fence of the owner that each peer process follows. */
+  const followedFences = new Map<core.ids.InstanceId, number>();
   let stopping = false;
   let releasing = false;
 
@@ -113,6 +115,10 @@
           ownership.resign('a VM or the store has seen a higher fence');
         },
       });
+      for (const peer of hub.listConnected()) {
+        owner.handleProcess(peer.name, peer.instance);
+        reportFollower(peer.instance);
+      }
     },
     onUnconfirmed(fence) {
       void releaseToPeers(fence);
@@ -122,11 +128,29 @@
       owner = undefined;
     },
     onOwner(next) {
-      if (next.instance !== instance)
-        hub.setPeers(next.released ? [] : [next.address]);
+      if (next.instance === instance) return;
+      hub.setPeers(next.released ? [] : [next.address]);
+      notifyMember(next.instance);
     },
   });
 
+  function notifyMember(peer: core.ids.InstanceId): void {
+    const current = ownership.getOwner();
+    hub.notify(peer, {
+      kind: 'cluster.member',
+      cores: settings.cores,
+      ...(owner === undefined && current !== undefined
+        ? { follows: current.fence }
+        : {}),
+    });
+  }
+
+  /** Tells this node's owner of a peer process that follows it or a later one. */
+  function reportFollower(peer: core.ids.InstanceId): void {
+    if (owner !== undefined && (followedFences.get(peer) ?? 0) >= owner.fence)
+      owner.handleFollower(peer);
+  }
+
   /** Releases ownership if the store answers a connected peer but not this node. */
   async function releaseToPeers(fence: number): Promise<void> {
     if (releasing) return;
@@ -180,10 +204,8 @@
     if (!firstSeenMsByPeer.has(peer.instance))
       firstSeenMsByPeer.set(peer.instance, timers.getNow());
     log.write('debug', 'link.open', { peer: peer.name });
-    hub.notify(peer.instance, {
-      kind: 'cluster.member',
-      cores: settings.cores,
-    });
+    notifyMember(peer.instance);
+    owner?.handleProcess(peer.name, peer.instance);
     const current = ownership.getOwner();
     // A new process of the owner's node has connected, so the owner's process has terminated.
     if (current?.node === peer.name && current.instance !== peer.instance)
@@ -214,6 +236,9 @@
       ownership.handleRelease(notice.fence, notice.unrecorded);
     } else if (notice.kind === 'cluster.member') {
       coresByPeer.set(from.instance, notice.cores);
+      if (notice.follows !== undefined)
+        followedFences.set(from.instance, notice.follows);
+      reportFollower(from.instance);
     }
   }
 
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -67,6 +67,13 @@
   /** Counts the waiting jobs per queue; undefined until the owner has restored its tables. */
   countWaiting(): ReadonlyMap<core.workloads.QueueName, number> | undefined;
   getCounts(): ReadonlyMap<string, number>;
+  /** Applies that a process follows this owner, so that it sends no more orders as an earlier one. */
+  handleFollower(instance: core.ids.InstanceId): void;
+  /** Applies that a process has connected, so that earlier processes of its node have terminated. */
+  handleProcess(
+    node: core.ids.ProcessName,
+    instance: core.ids.InstanceId,
+  ): void;
   dump(): unknown;
   close(): void;
 }
@@ -79,9 +86,8 @@
   const { timers, log, metrics, ports: dependencies } = context;
   const { fence, jobs, fleet, previous } = options;
   const createdMs = timers.getNow();
-  const inheritMs =
-    (previous.inactive ? 0 : options.unconfirmedLimitMs) +
-    leases.computeLongestMs(context.settings.leaseMs);
+  let earlierOwners = previous.owners;
+  let earlierLeasesEndMs = leases.computeEndMs(earlierOwners);
   const recorder = recorders.createRecorder(
     context,
     fence,
@@ -91,7 +97,7 @@
   const durableWaiters = new Set<() => void>();
   const scheduler = core.workloads.createWorkloadScheduler({
     bounds: {
-      inheritedRunTimeoutMs: inheritMs,
+      inheritedRunTimeoutMs: earlierLeasesEndMs - createdMs,
       firstRun: fence * RUNS_PER_FENCE + 1,
     },
     unrecordedStarts:
@@ -110,6 +116,12 @@
     listJobs: () => jobs.list(),
     hasJob: (id) => scheduler.getJobState(id) !== undefined,
   });
+  log.write('info', 'leases.inherited', {
+    fence,
+    previous: earlierOwners.map(({ node }) => node).join(),
+    inactive: previous.inactive,
+    leftMs: Math.round(earlierLeasesEndMs - createdMs),
+  });
   const orderTimeout = timeouts.createOrderTimeout();
   const holdWait = timeouts.createHoldWait();
   let closed = false;
@@ -231,7 +243,7 @@
         { id, address: vm.address },
         {
           fence,
-          inheritedLeaseEndMs: createdMs + inheritMs,
+          getEarlierLeaseEnd: () => earlierLeasesEndMs,
           canExtendLease: () =>
             options.getConfirmedAge() <= options.unconfirmedLimitMs,
           holdWait,
@@ -282,6 +294,30 @@
     },
   };
 
+  /** Applies that earlier owners send no more orders. */
+  function endOrders(
+    hasEnded: (owner: leases.EarlierOwner) => boolean,
+    why: string,
+  ): void {
+    const nowMs = timers.getNow();
+    const ended = earlierOwners.filter(
+      (owner) => owner.lastOrderMs > nowMs && hasEnded(owner),
+    );
+    if (ended.length === 0 || isClosed()) return;
+    earlierOwners = earlierOwners.map((owner) =>
+      ended.includes(owner) ? { ...owner, lastOrderMs: nowMs } : owner,
+    );
+    earlierLeasesEndMs = leases.computeEndMs(earlierOwners);
+    log.write('info', 'leases.shortened', {
+      fence,
+      previous: ended.map(({ node }) => node).join(),
+      why,
+      leftMs: Math.round(earlierLeasesEndMs - nowMs),
+    });
+    scheduler.setInheritedUntil(earlierLeasesEndMs);
+    for (const session of sessionsByVm.values()) session.updateEarlierLeases();
+  }
+
   function requestTick(): void {
     if (tickScheduled || !ready) return;
     tickScheduled = true;
@@ -531,6 +567,15 @@
     },
     hasUnrecorded: () => scheduler.hasUnrecordedStarts(),
     getCounts: () => scheduler.getCounts(),
+    handleFollower(instance) {
+      endOrders((owner) => owner.instance === instance, 'follows this owner');
+    },
+    handleProcess(node, instance) {
+      endOrders(
+        (owner) => owner.node === node && owner.instance !== instance,
+        'process terminated',
+      );
+    },
     dump: () => scheduler.dump(),
     close() {
       closed = true;
--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -55,6 +55,8 @@
   poll(): void;
   /** Records that an order may have extended the lease until `untilMs`, whether it is answered or not. */
   recordLeaseExtension(untilMs: number): void;
+  /** Applies that the leases of earlier owners end sooner than was known. */
+  updateEarlierLeases(): void;
   close(): void;
 }
 
@@ -64,8 +66,8 @@
   target: ports.VmTarget,
   options: {
     readonly fence: number;
-    /** Latest time at which leases granted by a previous owner expire. */
-    readonly inheritedLeaseEndMs: number;
+    /** Returns the latest time at which leases granted by earlier owners end. */
+    readonly getEarlierLeaseEnd: () => number;
     /** Returns whether the owner may still extend leases. */
     readonly canExtendLease: () => boolean;
     readonly holdWait: timeouts.HoldWait;
@@ -97,7 +99,7 @@
   function getLeaseEnd(): number {
     return Math.max(
       ownLeaseEndMs,
-      Math.min(options.inheritedLeaseEndMs, earlierLeaseLimitMs),
+      Math.min(options.getEarlierLeaseEnd(), earlierLeaseLimitMs),
     );
   }
 
@@ -305,6 +307,7 @@
     target,
     computeLeaseUntil,
     recordLeaseExtension,
+    updateEarlierLeases: checkLeaseEnd,
     poll() {
       void pollVm();
     },
--- a/packages/cluster/test/claims.test.ts
+++ b/packages/cluster/test/claims.test.ts
@@ -180,6 +180,11 @@
         unconfirmedMs: undefined,
         unrecorded: false,
         inactive: true,
+        owners: [
+          vitest.expect.objectContaining({
+            instance: owner!.context.instance,
+          }),
+        ],
       });
     },
   );
@@ -209,6 +214,11 @@
         unconfirmedMs: undefined,
         unrecorded,
         inactive: true,
+        owners: [
+          vitest.expect.objectContaining({
+            instance: owner!.context.instance,
+          }),
+        ],
       });
     },
   );
--- a/packages/cluster/test/clusterSimulation.ts
+++ b/packages/cluster/test/clusterSimulation.ts
@@ -231,7 +231,11 @@
         node.owner?.close();
         node.owner = undefined;
       },
-      onOwner: () => undefined,
+      onOwner: (next) => {
+        this.after(LINK_DELAY_MS, () => {
+          this.linkFollower(node, next.instance);
+        });
+      },
       onUnconfirmed: (fence) => {
         this.releaseToPeers(node, fence);
       },
@@ -287,6 +291,18 @@
     return this.nodes.find(({ context }) => context.instance === instance);
   }
 
+  /** Opens the link of a node that follows the owner. */
+  private linkFollower(
+    node: SimNode,
+    ownerInstance: core.ids.InstanceId,
+  ): void {
+    const owner = this.findNode(ownerInstance);
+    if (node.state !== 'up' || node.owner !== undefined) return;
+    if (owner?.state !== 'up') return;
+    owner.owner?.handleProcess(node.name, node.context.instance);
+    owner.owner?.handleFollower(node.context.instance);
+  }
+
   private listUp(): readonly SimNode[] {
     return this.nodes.filter(({ state }) => state === 'up');
   }
--- a/packages/cluster/test/departedVms.test.ts
+++ b/packages/cluster/test/departedVms.test.ts
@@ -114,7 +114,10 @@
   const fleet = fleets.createFleet(nodeContext);
   const owner = owners.createOwner(nodeContext, {
     fence: 9,
-    previous: { unconfirmedMs: 1_000, unrecorded: false, inactive: false },
+    previous: fakes.createPreviousOwner(
+      { unconfirmedMs: 1_000, inactive: false },
+      timers.getNow() + 10_000,
+    ),
     unconfirmedLimitMs: 10_000,
     jobs,
     fleet,
--- a/packages/cluster/test/fakes.ts
+++ b/packages/cluster/test/fakes.ts
@@ -1,5 +1,6 @@
 /** Fakes of a node's ports: a log store in memory, and stubs that a test replaces. */
 import * as core from '@flamingoward/core';
+import type * as claims from '../src/claims.js';
 import type * as contexts from '../src/context.js';
 import type * as ports from '../src/ports.js';
 
@@ -210,6 +211,22 @@
   };
 }
 
+/** Creates what a new owner at 10 s knows of a previous one that granted leases of 6 s until `lastOrderMs`. */
+export function createPreviousOwner(
+  given: Partial<claims.PreviousOwner>,
+  lastOrderMs: number,
+): claims.PreviousOwner {
+  return {
+    unconfirmedMs: undefined,
+    unrecorded: false,
+    inactive: true,
+    owners: [
+      { node: 'node-0', instance: 'node-0-1', leaseMs: 6_000, lastOrderMs },
+    ],
+    ...given,
+  };
+}
+
 /** Policy of a queue whose work needs no advice. */
 export const queuePolicy: core.workloads.QueuePolicy = {
   name: 'queue',
--- a/packages/cluster/test/owner.test.ts
+++ b/packages/cluster/test/owner.test.ts
@@ -84,7 +84,7 @@
   context.store.streams.jobs.add(key, value);
   const owner = owners.createOwner(ownerContext, {
     fence: 7,
-    previous: { inactive: true, unrecorded: false, unconfirmedMs: undefined },
+    previous: fakes.createPreviousOwner({}, ownerContext.timers.getNow()),
     unconfirmedLimitMs: 10_000,
     jobs: jobStores.createJobStore(ownerContext),
     fleet: {
--- a/packages/cluster/test/ownerChanges.test.ts
+++ b/packages/cluster/test/ownerChanges.test.ts
@@ -36,6 +36,18 @@
     expectSound(simulation);
   });
 
+  vitest.it(
+    'runs again one lease after a frozen owner is awake again (guards against LOST on nilewave-vod-grown: the successor waits for an owner that has given up)',
+    async () => {
+      const simulation = await createSettled();
+      simulation.silenceVm(findBusyVm(simulation), 'gone');
+      await simulation.advance(500);
+      simulation.freezeOwner(4_000);
+      await simulation.advance(4_000 + LEASE_MS + RESTART_MS);
+      expectSound(simulation);
+    },
+  );
+
   vitest.it(
     'runs again in time when it answered the new owner before it became silent (guards against a wait for leases of the previous owner that its fence has ended)',
     async () => {
--- a/packages/cluster/test/vmSessions.test.ts
+++ b/packages/cluster/test/vmSessions.test.ts
@@ -25,6 +25,7 @@
     answer,
   };
   const { timers } = context;
+  const earlierLeaseEndMs = timers.getNow() + inheritedLeaseMs;
   const vmCalls: ports.VmCalls = {
     ...context.ports.vmCalls,
     async hold(_, call, timeoutMs) {
@@ -51,7 +52,7 @@
     { id: 'vm', address: 'vm:1' },
     {
       fence: 7,
-      inheritedLeaseEndMs: timers.getNow() + inheritedLeaseMs,
+      getEarlierLeaseEnd: () => earlierLeaseEndMs,
       canExtendLease: () => setup.canExtendLease,
       holdWait,
     },
--- a/packages/core/src/types/clusterMessages.ts
+++ b/packages/core/src/types/clusterMessages.ts
@@ -31,6 +31,8 @@
   readonly kind: 'cluster.member';
   /** CPU capacity of its VM, in cores. */
   readonly cores: number;
+  /** Fence of the owner that it follows, so that it sends no orders under a lower one; absent while it is the owner or knows none. */
+  readonly follows?: number;
 }
 
 /** Messages of a cluster that need no answer. */
--- a/packages/core/src/workloads/owed.ts
+++ b/packages/core/src/workloads/owed.ts
@@ -385,7 +385,7 @@
       return {
         why: 'inherited',
         run,
-        untilMs: state.createdMs + state.bounds.inheritedRunTimeoutMs,
+        untilMs: state.inheritedUntilMs,
       };
     case 'recording':
     case 'sent':
@@ -441,7 +441,7 @@
 ): OwedCause | undefined {
   if (!state.inheritedUnrecordedStarts || job.acceptedMs > state.createdMs)
     return undefined;
-  const untilMs = state.createdMs + state.bounds.inheritedRunTimeoutMs;
+  const untilMs = state.inheritedUntilMs;
   if (nowMs > untilMs) return undefined;
   const vms: ids.VmId[] = [];
   for (const vm of state.vms.values())
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -294,8 +294,7 @@
 
 /** Retries unanswered stops, and removes inherited runs whose VM hasn't reported within the timeout. */
 export function expireRuns(state: states.State, nowMs: number): void {
-  const inheritedExpired =
-    nowMs > state.createdMs + state.bounds.inheritedRunTimeoutMs;
+  const inheritedExpired = nowMs > state.inheritedUntilMs;
   for (const vm of state.vms.values())
     for (const run of [...vm.runs]) {
       if (run.phase === 'inherited' && inheritedExpired)
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -67,6 +67,8 @@
   failVm(id: ids.VmId, nowMs: number): void;
   /** Handles a lost VM: nothing can run there any more, so its runs are removed. */
   loseVm(id: ids.VmId, nowMs: number): void;
+  /** Sets the time at which the last lease of earlier owners ends, so that their runs on VMs without a report are over. */
+  setInheritedUntil(untilMs: number): void;
   applyStart(
     vm: ids.VmId,
     task: types.TaskKey,
@@ -194,6 +196,9 @@
       reports.loseRuns(state, vm, nowMs);
       if (vm.entry === undefined) state.vms.delete(id);
     },
+    setInheritedUntil(untilMs) {
+      state.inheritedUntilMs = untilMs;
+    },
     applyStart(vm, task, number, outcome, nowMs) {
       const run = findRun(vm, task, number);
       if (run !== undefined) reports.applyStart(state, run, outcome, nowMs);
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -69,6 +69,8 @@
   endedRuns: EndedRun[];
   /** Whether a previous owner may have started tasks without a record. */
   inheritedUnrecordedStarts: boolean;
+  /** Time from which runs that a previous owner recorded on VMs without a report count as ended. */
+  inheritedUntilMs: number;
   /** Slots of the advice requests in flight, by step. */
   readonly adviceRequests: Map<string, adviceSlots.AdviceSlot>;
   /** Advice slots of the nodes that send advice requests. */
@@ -107,6 +109,7 @@
     commands: [],
     endedRuns: [],
     inheritedUnrecordedStarts: options.unrecordedStarts,
+    inheritedUntilMs: options.nowMs + options.bounds.inheritedRunTimeoutMs,
     adviceRequests: new Map(),
     adviceSlots: adviceSlots.createAdviceSlots(),
     counts: new Map(),
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -68,7 +68,7 @@
 ): boolean {
   if (!state.inheritedUnrecordedStarts || job.acceptedMs > state.createdMs)
     return false;
-  if (nowMs > state.createdMs + state.bounds.inheritedRunTimeoutMs) {
+  if (nowMs > state.inheritedUntilMs) {
     state.inheritedUnrecordedStarts = false;
     return false;
   }
