--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -66,6 +66,8 @@
   recordLeaseExtension(untilMs: number): void;
   /** Sets whether the VM is about to leave. What its lease was granted before still counts. */
   setDraining(draining: boolean): void;
+  /** Applies that the leases of earlier owners end sooner than was known. */
+  updateEarlierLeases(): void;
   close(): void;
 }
 
@@ -75,8 +77,8 @@
   target: ports.VmTarget,
   options: {
     readonly fence: number;
-    /** Latest time at which leases granted by a previous owner expire. */
-    readonly inheritedLeaseEndMs: number;
+    /** Returns the latest time at which leases granted by earlier owners end. */
+    readonly getEarlierLeaseEnd: () => number;
     /** Returns whether the owner may still extend leases. */
     readonly canExtendLease: () => boolean;
     readonly draining: boolean;
@@ -112,7 +114,7 @@
   function getLeaseEnd(): number {
     return Math.max(
       ownLeaseEndMs,
-      Math.min(options.inheritedLeaseEndMs, earlierLeaseLimitMs),
+      Math.min(options.getEarlierLeaseEnd(), earlierLeaseLimitMs),
     );
   }
 
@@ -342,6 +344,7 @@
     target,
     computeStartUntil,
     recordLeaseExtension,
+    updateEarlierLeases: checkLeaseEnd,
     poll() {
       void pollVm();
     },
--- a/packages/cluster/test/leaseGrants.test.ts
+++ b/packages/cluster/test/leaseGrants.test.ts
@@ -108,7 +108,10 @@
   const jobs = jobStores.createJobStore(context);
   const owner = owners.createOwner(context, {
     fence: 7,
-    previous: { inactive: true, unrecorded: false, unconfirmedMs: undefined },
+    previous: fakes.createPreviousOwner(
+      { inactive: true },
+      context.timers.getNow(),
+    ),
     unconfirmedLimitMs: 10_000,
     jobs,
     fleet: {
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -295,8 +295,7 @@
  * reported within the timeout, also those that are being stopped.
  */
 export function expireRuns(state: states.State, nowMs: number): void {
-  const isTimeoutOver =
-    nowMs > state.createdMs + state.bounds.inheritedRunTimeoutMs;
+  const isTimeoutOver = nowMs > state.inheritedUntilMs;
   for (const vm of state.vms.values())
     for (const run of [...vm.runs]) {
       if (isTimeoutOver && isInherited(run)) {
