Send the pace of filler tasks that a previous owner has started

A filler task that was paused beside a busy service task stayed paused for ever after a change of owner: it makes no progress, its job never ends, and nothing reports it, as its run counts as running.

Cause: the new owner assumes that the runs it finds work at their full pace. Reports don't contain the pace, and a command is sent only when the pace changes, so the VM never heard that the cause of the pause was gone.

The pace of a run that this owner didn't start is now unknown until it has sent one, and the next round sends it.

--- a/packages/core/src/workloads/pacing.ts
+++ b/packages/core/src/workloads/pacing.ts
@@ -56,11 +56,11 @@
   latencyRatio: number,
   nowMs: number,
 ): number {
+  const { pace = 100 } = run;
   if (latencyRatio >= PAUSE_RATIO) return 0;
-  if (latencyRatio >= SLOW_RATIO)
-    return Math.min(run.pace, SLOWED_PACE_PERCENT);
+  if (latencyRatio >= SLOW_RATIO) return Math.min(pace, SLOWED_PACE_PERCENT);
   const mayRaise = nowMs - run.paceSentMs >= RAISE_INTERVAL_MS;
-  if (latencyRatio < RAISE_RATIO && mayRaise && run.pace < 100)
-    return Math.min(100, run.pace + RAISE_STEP_PERCENT);
-  return run.pace;
+  if (latencyRatio < RAISE_RATIO && mayRaise && pace < 100)
+    return Math.min(100, pace + RAISE_STEP_PERCENT);
+  return pace;
 }
--- a/packages/core/src/workloads/speed.ts
+++ b/packages/core/src/workloads/speed.ts
@@ -18,7 +18,7 @@
 /** Updates the speed of a VM from the progress of one of its runs. */
 export function measureSpeed(run: tables.RunRow, nowMs: number): void {
   const { spec } = run.task.step;
-  if (spec.lasts || spec.fills || spec.gang || run.pace < 100) return;
+  if (spec.lasts || spec.fills || spec.gang || (run.pace ?? 100) < 100) return;
   if (run.runningSinceMs === undefined || run.task.saved !== '') return;
   const ranMs = nowMs - run.runningSinceMs;
   if (ranMs < MIN_MEASURED_MS || spec.estimateMs <= 0) return;
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -167,7 +167,8 @@
     percent: 0,
     progressChangedMs: nowMs,
     load: 0,
-    pace: 100,
+    // A run of a previous owner may have been slowed by that owner.
+    pace: run.phase === 'recording' ? 100 : undefined,
     paceSentMs: 0,
     ticket: run.ticket,
   };
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -40,8 +40,8 @@
   progressChangedMs: number;
   /** Last reported load; see `ReportedRun.load`. */
   load: number;
-  /** Share of its full processor time that the run may use, in percent. */
-  pace: number;
+  /** Share of its full processor time that the run may use, in percent; undefined while it isn't known. */
+  pace: number | undefined;
   paceSentMs: number;
   readonly ticket: string | undefined;
 }
--- a/packages/core/test/workloads/owedWork.test.ts
+++ b/packages/core/test/workloads/owedWork.test.ts
@@ -89,3 +89,38 @@
     },
   );
 });
+
+vitest.describe('a filler task that the previous owner has paused', () => {
+  vitest.it(
+    'gets its pace from the new owner (guards against a task that stays paused for ever)',
+    () => {
+      const harness = harnesses.createHarness({ firstRun: 1_000 });
+      harness.addJob('job', [harnesses.createStep({ fills: true })]);
+      harness.scheduler.applyReport(
+        'a',
+        {
+          incarnation: 1,
+          running: [
+            {
+              task: { job: 'job', occurrence: 0, step: 0, index: 0 },
+              run: 7,
+              saved: '',
+              percent: 10,
+              load: 0,
+            },
+          ],
+          ended: [],
+          requestSentMs: harness.getNow(),
+        },
+        harness.getNow(),
+      );
+      const { commands } = harness.scheduler.tick(harness.getNow(), 0);
+      vitest
+        .expect(commands)
+        .toMatchObject([{ command: 'pace', vm: 'a', run: 7, percent: 100 }]);
+      vitest
+        .expect(harness.scheduler.tick(harness.getNow(), 0).commands)
+        .toEqual([]);
+    },
+  );
+});
