--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -109,12 +109,11 @@
   dump(): unknown;
 }
 
-/** Creates a scheduler. */
+/** Creates a scheduler. A caller that passes in its state can examine the tables. */
 export function createWorkloadScheduler(
   options: states.SchedulerOptions,
+  state: states.State = states.createState(options),
 ): WorkloadScheduler {
-  const state = states.createState(options);
-
   function takeCommands(): readonly types.Command[] {
     const taken = state.commands;
     state.commands = [];
