Let service tasks use nodes that are kept for short advice requests

Two thirds of the nodes were busy with the long requests of gangs and batch steps, and the rest is kept for short requests, so that the long request of a service step wasn't sent.

Such requests are few. They may now use any node without a long request as long as one more stays free for short ones. The new test failed before the change (no slot).

--- a/packages/core/src/workloads/advice.ts
+++ b/packages/core/src/workloads/advice.ts
@@ -76,13 +76,17 @@
   if (policy === undefined || isRequestPending(step, nowMs)) return;
   // With a long queue there is mostly no free slot, and this check is cheaper than choosing VMs.
   if (
-    !state.adviceSlots.hasFreeSlot(ranking.estimateAdviceMs(policy, 1), nowMs)
+    !state.adviceSlots.hasFreeSlot(
+      ranking.estimateAdviceMs(policy, 1),
+      nowMs,
+      step.spec.lasts,
+    )
   )
     return;
   const vms = chooseVmsToAsk(state, step, policy, allowed, nowMs);
   if (vms.length === 0) return;
   const costMs = ranking.estimateAdviceMs(policy, vms.length);
-  const slot = state.adviceSlots.reserve(costMs, nowMs);
+  const slot = state.adviceSlots.reserve(costMs, nowMs, step.spec.lasts);
   if (slot === undefined) return;
   const key = tables.getStepKey(step);
   releaseSlot(state, key, false, nowMs);
--- a/packages/core/src/workloads/adviceSlots.ts
+++ b/packages/core/src/workloads/adviceSlots.ts
@@ -2,8 +2,9 @@
  * Chooses the node that sends an advice request. The advice service handles one request
  * of each node at a time, so a short request of an urgent step behind a long one would
  * wait many times its own service time. A long request therefore gets a node to itself,
- * and some nodes are kept for short requests while there are any. A request without a
- * free node waits in the scheduler's order instead of in the service's queue.
+ * and some nodes are kept for short requests while there are any. Requests of service
+ * tasks are few and may use all of these but one. A request without a free node waits in
+ * the scheduler's order instead of in the service's queue.
  */
 import type * as types from './types.js';
 
@@ -48,10 +49,14 @@
 /** The nodes that send advice requests, with the requests in flight at each. */
 export interface AdviceSlots {
   setHelpers(names: readonly types.HelperName[]): void;
-  /** Returns whether a node has a slot for a request of a service time. */
-  hasFreeSlot(costMs: number, nowMs: number): boolean;
+  /** Returns whether a node has a slot for a request of a service time; `anyNode` includes the nodes for short requests. */
+  hasFreeSlot(costMs: number, nowMs: number, anyNode?: boolean): boolean;
   /** Reserves a slot for a request of a service time; undefined when there is none. */
-  reserve(costMs: number, nowMs: number): AdviceSlot | undefined;
+  reserve(
+    costMs: number,
+    nowMs: number,
+    anyNode?: boolean,
+  ): AdviceSlot | undefined;
 }
 
 /** Creates the table of nodes, which contains the owner from the start. */
@@ -106,23 +111,30 @@
   function chooseNode(
     costMs: number,
     nowMs: number,
+    anyNode: boolean,
   ): types.HelperName | undefined {
-    return costMs <= SHORT_REQUEST_MAX_MS
-      ? chooseForShort(nowMs)
-      : chooseForLong(nowMs);
+    if (costMs <= SHORT_REQUEST_MAX_MS) return chooseForShort(nowMs);
+    const node = chooseForLong(nowMs);
+    if (node !== undefined || !anyNode) return node;
+    // One node always stays free for short requests.
+    const nodesWithoutLong = [...rows.values()].filter(
+      (row) => !hasLongRequest(row),
+    ).length;
+    return nodesWithoutLong > 1 ? chooseForShort(nowMs) : undefined;
   }
 
   return {
-    hasFreeSlot: (costMs, nowMs) => chooseNode(costMs, nowMs) !== undefined,
+    hasFreeSlot: (costMs, nowMs, anyNode = false) =>
+      chooseNode(costMs, nowMs, anyNode) !== undefined,
     setHelpers(names) {
       for (const name of rows.keys())
         if (name !== '' && !names.includes(name)) rows.delete(name);
       for (const name of names)
         if (!rows.has(name)) rows.set(name, createNode());
     },
-    reserve(costMs, nowMs) {
+    reserve(costMs, nowMs, anyNode = false) {
       if (costMs <= SHORT_REQUEST_MAX_MS) lastShortRequestMs = nowMs;
-      const helper = chooseNode(costMs, nowMs);
+      const helper = chooseNode(costMs, nowMs, anyNode);
       const row = helper === undefined ? undefined : rows.get(helper);
       if (helper === undefined || row === undefined) return undefined;
       const doneMs = computeIdleMs(row, nowMs) + costMs;
--- a/packages/core/src/workloads/owed.ts
+++ b/packages/core/src/workloads/owed.ts
@@ -552,7 +552,11 @@
   if (hasPlaces(ticketed)) return 'not-placed';
   if (advice.isRequestPending(step, nowMs)) return 'advice-pending';
   if (
-    !state.adviceSlots.hasFreeSlot(ranking.estimateAdviceMs(policy, 1), nowMs)
+    !state.adviceSlots.hasFreeSlot(
+      ranking.estimateAdviceMs(policy, 1),
+      nowMs,
+      step.spec.lasts,
+    )
   )
     return 'no-advice-slot';
   if (hasPlaces(vms.approvedFree)) return 'ticket-expired';
--- a/packages/core/test/workloads/adviceSlots.test.ts
+++ b/packages/core/test/workloads/adviceSlots.test.ts
@@ -23,6 +23,21 @@
     },
   );
 
+  vitest.it(
+    'send the long request of a service task although all nodes for long ones are busy (guards against service tasks that wait for seconds in a burst)',
+    () => {
+      const slots = adviceSlots.createAdviceSlots();
+      slots.setHelpers(['a', 'b', 'c', 'd', 'e']);
+      slots.reserve(SHORT_REQUEST_MS, 0);
+      while (slots.reserve(LONG_REQUEST_MS, 0) !== undefined);
+      vitest
+        .expect(slots.reserve(LONG_REQUEST_MS, 0, true)?.expectedMs)
+        .toBeLessThanOrEqual(LONG_REQUEST_MS + SHORT_REQUEST_MS);
+      vitest.expect(slots.reserve(SHORT_REQUEST_MS, 0)).toBeDefined();
+      vitest.expect(slots.reserve(LONG_REQUEST_MS, 0, true)).toBeUndefined();
+    },
+  );
+
   vitest.it(
     'all accept long requests while there are no short ones (guards against idle nodes)',
     () => {
