Ask about all room for a service's tasks at once, the VMs with most room first

New services and replaced tasks waited for seconds beside free VMs.

Advice for a service takes over a second. Each request named 30 VMs, the fullest first, which have room for one or two tasks and none by the time of the answer. While a single approved VM had room, only tickets were renewed, and no other VM was asked about, however many tasks waited.

A request of a service step now names the approved VMs with room whose tickets have expired and, for the other waiting tasks, VMs that haven't been asked about, the ones with the most room first, as many as the share approved so far suggests, at most 100. Other steps ask as before.

Both tests of requests failed before the change (two requests; the fullest VM first). The new simulation of a pool compares waits with the room on approved VMs.

--- a/packages/core/src/workloads/advice.ts
+++ b/packages/core/src/workloads/advice.ts
@@ -18,6 +18,11 @@
 const MAX_VMS_PER_REQUEST = 30;
 /** A ticket isn't used in its last ms before expiry, so that the start reaches the VM in time. */
 const TICKET_MARGIN_MS = 250;
+/** Maximum number of VMs in one request for service tasks, which must find room wherever it is. */
+const MAX_VMS_PER_SERVICE_REQUEST = 100;
+/** Share of the VMs that is assumed to be approved before the first answer, and the lowest that is assumed after it. */
+const ASSUMED_APPROVED_SHARE = 0.5;
+const MIN_APPROVED_SHARE = 0.1;
 /** Approved VMs per waiting task in a renewal; more than one, because some VMs lose their room meanwhile. */
 const RENEWED_VMS_PER_TASK = 1.5;
 /** Additional VMs in a renewal may add this share of the request's fixed service time. */
@@ -134,6 +139,10 @@
   const approved = eligible.filter(({ vm }) =>
     step.advice.tickets.has(vm.incarnationKey),
   );
+  if (step.spec.lasts) {
+    const vms = chooseForService(step, eligible, nowMs);
+    if (vms.length > 0) return vms;
+  }
   if (approved.some(({ canStart }) => canStart))
     return chooseRenewals(step, policy, approved, nowMs);
   const notAsked = eligible.filter(
@@ -148,6 +157,65 @@
   return allowed.askAhead ? chooseRenewals(step, policy, approved, nowMs) : [];
 }
 
+/**
+ * Chooses VMs with room for the waiting tasks of a service: approved ones whose tickets
+ * have expired, and for the other tasks those that haven't been asked about. Those with
+ * the most room come first, as other steps take room until the answer arrives. None when
+ * no VM has room.
+ */
+function chooseForService(
+  step: tables.StepRow,
+  eligible: readonly EligibleVm[],
+  nowMs: number,
+): readonly ids.VmId[] {
+  const { tickets, askedVms } = step.advice;
+  const withRoom = eligible
+    .filter(({ canStart }) => canStart)
+    .map(({ vm, candidate }) => ({ vm, places: countPlaces(candidate, step) }))
+    .sort((a, b) => b.places - a.places);
+  const approvedShare =
+    askedVms.size === 0
+      ? ASSUMED_APPROVED_SHARE
+      : Math.max(MIN_APPROVED_SHARE, tickets.size / askedVms.size);
+  const chosen: tables.VmRow[] = [];
+  let expectedPlaces = 0;
+  for (const { vm, places } of withRoom) {
+    if (!tickets.has(vm.incarnationKey)) continue;
+    expectedPlaces += places;
+    if (findTicket(step, vm, nowMs) === undefined) chosen.push(vm);
+  }
+  for (const { vm, places } of withRoom) {
+    if (expectedPlaces >= step.waitingCount * RENEWED_VMS_PER_TASK) break;
+    if (askedVms.has(vm.incarnationKey)) continue;
+    expectedPlaces += places * approvedShare;
+    chosen.push(vm);
+  }
+  if (chosen.length === 0) return [];
+  // Further VMs cost little, and some of them have room by the time of the answer.
+  for (const { vm } of eligible) {
+    if (chosen.length >= MAX_VMS_PER_REQUEST) break;
+    const isKnown = tickets.has(vm.incarnationKey)
+      ? findTicket(step, vm, nowMs) !== undefined
+      : askedVms.has(vm.incarnationKey);
+    if (!isKnown && !chosen.includes(vm)) chosen.push(vm);
+  }
+  return chosen.slice(0, MAX_VMS_PER_SERVICE_REQUEST).map(({ id }) => id);
+}
+
+/** Counts the waiting tasks of a step for which a VM has room. */
+function countPlaces(
+  candidate: placement.Candidate,
+  step: tables.StepRow,
+): number {
+  const copy = { ...candidate, free: { ...candidate.free } };
+  let places = 0;
+  while (places < step.waitingCount && placement.canPlaceTask(copy, step)) {
+    placement.takeRoom(copy, step);
+    places += 1;
+  }
+  return places;
+}
+
 function listEligible(
   state: states.State,
   step: tables.StepRow,
--- /dev/null
+++ b/packages/core/test/workloads/poolSimulation.ts
@@ -0,0 +1,663 @@
+/**
+ * Simulation of one busy pool in virtual time: urgent, batch and service jobs whose
+ * advice takes time, VMs of different sizes, bursts and planned drains. It measures how
+ * long service tasks wait, and for how long of that an approved VM had room for them.
+ */
+import * as core from '../../src/index.js';
+import * as harnesses from './harness.js';
+
+type TaskKey = core.workloads.TaskKey;
+type StepSpec = core.workloads.StepSpec;
+type QueuePolicy = core.workloads.QueuePolicy;
+
+const TICK_MS = 20;
+const NETWORK_MS = 10;
+const WRITE_MS = 20;
+const STOP_MS = 400;
+const REPORT_INTERVAL_MS = 500;
+const START_MS = 10_000;
+/** A service task must run again this long after its last run. */
+const REPLACEMENT_MS = 6_000;
+/** Time for which a task may then wait although an approved VM has room. */
+const ROOM_MS = 3_000;
+
+interface RunOnVm {
+  readonly task: TaskKey;
+  readonly run: number;
+  readonly spec: StepSpec;
+  /** Time at which the run ends. */
+  endMs: number;
+  how: core.workloads.RunEnd;
+  readonly startedMs: number;
+}
+
+interface PoolVm {
+  entry: core.workloads.VmEntry;
+  readonly running: Map<string, RunOnVm>;
+  readonly free: { cores: number; memoryMb: number; gpus: number };
+  ended: core.workloads.ReportedEnd[];
+  nextEnd: number;
+  nextReportMs: number;
+  leavesAtMs: number;
+}
+
+/** Jobs of one kind. */
+interface JobKind {
+  readonly policy: QueuePolicy;
+  readonly jobsPerSecond: number;
+  readonly steps: number;
+  readonly meanWidth: number;
+  readonly meanCores: number;
+  readonly maxCores: number;
+  readonly meanMs: number;
+  readonly savesProgress: boolean;
+  readonly lasts: boolean;
+  /** Share of the VMs that advice approves for a step. */
+  readonly approvedShare: number;
+  /** Share of the jobs whose tasks must run on different VMs. */
+  readonly apartShare: number;
+}
+
+/** A time during which jobs of a kind arrive more often. */
+export interface Burst {
+  readonly kind: 'urgent' | 'batch' | 'service';
+  readonly fromMs: number;
+  readonly toMs: number;
+  readonly factor: number;
+}
+
+/** What happens during a simulation. */
+export interface PoolScenario {
+  readonly seed: number;
+  readonly vms: number;
+  readonly helpers: number;
+  readonly bursts: readonly Burst[];
+  /** Times at which a tenth of the VMs starts to drain; they leave 8 s later and others come. */
+  readonly drainsAtMs: readonly number[];
+  /** Mean time between failures of one service task. */
+  readonly failureIntervalMs: number;
+  /** Factor on the arrivals of urgent and batch jobs. */
+  readonly load: number;
+}
+
+interface ServiceWait {
+  sinceMs: number;
+  /** Time since which an approved VM has had room without a break. */
+  roomSinceMs: number | undefined;
+}
+
+/** Results of a simulation. */
+export interface PoolResult {
+  /** Service tasks that waited longer than allowed although an approved VM had room. */
+  readonly violations: readonly string[];
+  /** Times for which service tasks waited, in ms. */
+  readonly serviceWaitsMs: readonly number[];
+  /** Longest time for which a service task waited while an approved VM had room, in ms. */
+  readonly longestWithRoomMs: number;
+  /** Share of the urgent jobs that ended within their objective. */
+  readonly urgentInTime: number;
+  readonly urgentJobs: number;
+  readonly batchTasksDone: number;
+}
+
+const KINDS: Readonly<Record<Burst['kind'], JobKind>> = {
+  urgent: {
+    policy: harnesses.createPolicy({
+      name: 'urgent',
+      priority: 0,
+      stretch: 1.5,
+      slackMs: 600,
+      advice: { fixedMs: 20, perVmMs: 0.3, validMs: 1_500 },
+    }),
+    jobsPerSecond: 0.22,
+    steps: 1.5,
+    meanWidth: 10,
+    meanCores: 5.3,
+    maxCores: 16,
+    meanMs: 560,
+    savesProgress: false,
+    lasts: false,
+    approvedShare: 0.7,
+    apartShare: 0.12,
+  },
+  batch: {
+    policy: harnesses.createPolicy({
+      name: 'batch',
+      priority: 2,
+      attempts: 4,
+      stretch: 4,
+      slackMs: 3_000,
+      advice: { fixedMs: 250, perVmMs: 3.7, validMs: 1_500 },
+    }),
+    jobsPerSecond: 0.0098,
+    steps: 2,
+    meanWidth: 22,
+    meanCores: 9,
+    maxCores: 15,
+    meanMs: 4_500,
+    savesProgress: true,
+    lasts: false,
+    approvedShare: 0.45,
+    apartShare: 0.12,
+  },
+  service: {
+    policy: harnesses.createPolicy({
+      name: 'service',
+      priority: 1,
+      attempts: 4,
+      stretch: 2.2,
+      slackMs: 3_000,
+      advice: { fixedMs: 930, perVmMs: 13, validMs: 1_500 },
+    }),
+    jobsPerSecond: 0.001,
+    steps: 1,
+    meanWidth: 15,
+    meanCores: 9,
+    maxCores: 15,
+    meanMs: 500,
+    savesProgress: false,
+    lasts: true,
+    approvedShare: 0.3,
+    apartShare: 0.6,
+  },
+};
+
+/** Jobs of services per VM at the start. */
+const SERVICES_PER_VM = 0.045;
+/** Time for which a service job lasts on average before it is cancelled. */
+const SERVICE_LIFE_MS = 45_000;
+
+/** A simulation; the same scenario gives the same run. */
+export class PoolSimulation {
+  private nowMs = START_MS;
+  private readonly random: () => number;
+  private readonly vms = new Map<string, PoolVm>();
+  private readonly jobs = new Map<
+    string,
+    {
+      readonly kind: Burst['kind'];
+      readonly job: core.workloads.Job;
+      readonly acceptedMs: number;
+      cancelAtMs: number;
+      cancelled: boolean;
+    }
+  >();
+  private readonly scheduler: core.workloads.WorkloadScheduler;
+  private messages: { readonly dueMs: number; readonly deliver: () => void }[] =
+    [];
+  private batchDueMs: number | undefined;
+  private readonly adviceBusyUntilMs = new Map<string, number>();
+  private readonly waits = new Map<string, ServiceWait>();
+  private vmCount = 0;
+  private readonly violations: string[] = [];
+  private readonly violated = new Set<string>();
+  private readonly serviceWaitsMs: number[] = [];
+  private longestWithRoomMs = 0;
+  private urgentInTime = 0;
+  private urgentJobs = 0;
+  private batchTasksDone = 0;
+
+  constructor(private readonly scenario: PoolScenario) {
+    this.random = createRandom(scenario.seed);
+    this.scheduler = core.workloads.createWorkloadScheduler({
+      bounds: { inheritedRunTimeoutMs: 16_000, firstRun: 1 },
+      unrecordedStarts: false,
+      nowMs: this.nowMs,
+    });
+    this.scheduler.setHelpers(
+      Array.from({ length: scenario.helpers }, (_, index) => `helper${index}`),
+    );
+    for (let index = 0; index < scenario.vms; index += 1) this.addVm();
+    for (let index = 0; index < scenario.vms * SERVICES_PER_VM; index += 1)
+      this.addJob('service');
+  }
+
+  /** Runs the simulation for a time and returns its results. */
+  run(forMs: number): PoolResult {
+    const endMs = this.nowMs + forMs;
+    while (this.nowMs < endMs) this.step();
+    return {
+      violations: this.violations,
+      serviceWaitsMs: this.serviceWaitsMs,
+      longestWithRoomMs: this.longestWithRoomMs,
+      urgentInTime: this.urgentInTime / Math.max(1, this.urgentJobs),
+      urgentJobs: this.urgentJobs,
+      batchTasksDone: this.batchTasksDone,
+    };
+  }
+
+  private addVm(): void {
+    const id = `vm${this.vmCount}`;
+    const factor = [1, 1, 0.5, 2][this.vmCount % 4]!;
+    this.vmCount += 1;
+    const capacity = {
+      cores: 32 * factor,
+      memoryMb: 131_072 * factor,
+      gpus: 0,
+    };
+    const entry = harnesses.createEntry(id, {
+      capacity,
+      rack: `r${this.vmCount % 8}`,
+    });
+    this.vms.set(id, {
+      entry,
+      running: new Map(),
+      free: { ...capacity },
+      ended: [],
+      nextEnd: 1,
+      nextReportMs: this.nowMs,
+      leavesAtMs: Infinity,
+    });
+    this.scheduler.setVmEntry(id, entry, this.nowMs);
+  }
+
+  private draw(mean: number, max: number): number {
+    const factor = Math.exp(0.5 * this.drawNormal()) / Math.exp(0.125);
+    return Math.min(max, Math.max(mean * 0.2, mean * factor));
+  }
+
+  private drawNormal(): number {
+    return (
+      Math.sqrt(-2 * Math.log(1 - this.random())) *
+      Math.cos(2 * Math.PI * this.random())
+    );
+  }
+
+  private addJob(kind: Burst['kind']): void {
+    const spec = KINDS[kind];
+    const id = `${kind}${this.jobs.size}`;
+    const steps =
+      Math.floor(spec.steps) + Number(this.random() < spec.steps % 1);
+    const maxPerVm = this.random() < spec.apartShare ? 1 : undefined;
+    const job: core.workloads.Job = {
+      id,
+      queue: spec.policy.name,
+      payload: id,
+      schedule: undefined,
+      configVersion: 1,
+      acceptedAtMs: this.nowMs,
+      policy: spec.policy,
+      steps: Array.from({ length: steps }, (_, index) =>
+        harnesses.createStep({
+          count: Math.max(
+            1,
+            Math.round(
+              Math.min(
+                this.draw(spec.meanWidth, spec.meanWidth * 3),
+                // Wider steps with one task per VM may never fit on the approved ones.
+                maxPerVm === undefined
+                  ? Infinity
+                  : this.scenario.vms * spec.approvedShare * 0.4,
+              ),
+            ),
+          ),
+          size: {
+            cores: this.draw(spec.meanCores, spec.maxCores),
+            memoryMb: this.draw(22_000, 50_000),
+            gpus: 0,
+          },
+          estimateMs: spec.meanMs,
+          after: index === 0 ? [] : [index - 1],
+          savesProgress: spec.savesProgress,
+          lasts: spec.lasts,
+          maxPerVm,
+        }),
+      ),
+    };
+    this.jobs.set(id, {
+      kind,
+      job,
+      acceptedMs: this.nowMs,
+      cancelAtMs: spec.lasts
+        ? this.nowMs - SERVICE_LIFE_MS * Math.log(1 - this.random())
+        : Infinity,
+      cancelled: false,
+    });
+    if (kind === 'urgent') this.urgentJobs += 1;
+    this.scheduler.acceptJob(job, 0, this.nowMs, this.nowMs);
+    if (!spec.lasts) return;
+    for (let index = 0; index < job.steps[0]!.count; index += 1)
+      this.waits.set(`${id}.0.0.${index}`, {
+        sinceMs: this.nowMs,
+        roomSinceMs: undefined,
+      });
+  }
+
+  private send(delayMs: number, deliver: () => void): void {
+    this.messages.push({ dueMs: this.nowMs + delayMs, deliver });
+  }
+
+  private step(): void {
+    this.nowMs += TICK_MS;
+    const due = this.messages
+      .filter(({ dueMs }) => dueMs <= this.nowMs)
+      .sort((a, b) => a.dueMs - b.dueMs);
+    this.messages = this.messages.filter(({ dueMs }) => dueMs > this.nowMs);
+    for (const message of due) message.deliver();
+    this.addArrivals();
+    this.drainVms();
+    for (const vm of [...this.vms.values()]) this.advanceVm(vm);
+    const decision = this.scheduler.tick(this.nowMs, this.nowMs);
+    for (const command of decision.commands) this.execute(command);
+    if (decision.batch !== undefined) {
+      this.batchDueMs = this.nowMs + WRITE_MS;
+      this.recordFinals(decision.batch);
+    }
+    if (this.batchDueMs !== undefined && this.batchDueMs <= this.nowMs) {
+      this.batchDueMs = undefined;
+      for (const command of this.scheduler.confirmBatch())
+        this.execute(command);
+    }
+    this.checkServices();
+  }
+
+  private recordFinals(batch: core.workloads.RecordBatch): void {
+    for (const id of batch.finals.keys()) {
+      const row = this.jobs.get(id)!;
+      if (row.kind !== 'urgent') continue;
+      const { policy, steps } = row.job;
+      const allowedMs =
+        policy.stretch * steps.length * (KINDS.urgent.meanMs + 30) +
+        policy.slackMs;
+      if (this.nowMs - row.acceptedMs <= allowedMs) this.urgentInTime += 1;
+    }
+  }
+
+  private addArrivals(): void {
+    const { scenario } = this;
+    const atMs = this.nowMs - START_MS;
+    for (const kind of ['urgent', 'batch', 'service'] as const) {
+      const spec = KINDS[kind];
+      let rate =
+        spec.jobsPerSecond * scenario.vms * (spec.lasts ? 1 : scenario.load);
+      for (const burst of scenario.bursts)
+        if (burst.kind === kind && burst.fromMs <= atMs && atMs < burst.toMs)
+          rate *= burst.factor;
+      if (this.random() < (rate * TICK_MS) / 1_000) this.addJob(kind);
+    }
+    for (const [id, row] of this.jobs)
+      if (row.cancelAtMs <= this.nowMs && !row.cancelled) {
+        row.cancelled = true;
+        this.scheduler.cancelJob(id, this.nowMs);
+        for (const task of [...this.waits.keys()])
+          if (task.startsWith(`${id}.`)) this.waits.delete(task);
+      }
+  }
+
+  private drainVms(): void {
+    const atMs = this.nowMs - START_MS;
+    if (this.scenario.drainsAtMs.includes(atMs))
+      for (const vm of [...this.vms.values()]) {
+        if (this.random() > 0.1) continue;
+        vm.entry = { ...vm.entry, draining: true };
+        vm.leavesAtMs = this.nowMs + 8_000;
+        this.scheduler.setVmEntry(vm.entry.id, vm.entry, this.nowMs);
+      }
+    for (const [id, vm] of [...this.vms]) {
+      if (vm.leavesAtMs > this.nowMs) continue;
+      for (const run of vm.running.values()) this.beginWait(run);
+      this.vms.delete(id);
+      this.scheduler.setVmEntry(id, undefined, this.nowMs);
+      this.scheduler.loseVm(id, this.nowMs);
+      this.addVm();
+    }
+  }
+
+  private advanceVm(vm: PoolVm): void {
+    let changed = false;
+    for (const [key, run] of [...vm.running])
+      if (run.endMs <= this.nowMs) {
+        this.endRun(vm, key, run);
+        changed = true;
+      }
+    if (changed || vm.nextReportMs <= this.nowMs) this.report(vm);
+  }
+
+  private endRun(vm: PoolVm, key: string, run: RunOnVm): void {
+    vm.running.delete(key);
+    addSize(vm.free, run.spec, 1);
+    if (run.task.job.startsWith('batch') && run.how === 'done')
+      this.batchTasksDone += 1;
+    vm.ended.push({
+      number: vm.nextEnd,
+      task: run.task,
+      run: run.run,
+      how: run.how,
+      saved: '',
+    });
+    vm.nextEnd += 1;
+    this.beginWait(run);
+  }
+
+  private beginWait(run: RunOnVm): void {
+    if (!run.spec.lasts || this.jobs.get(run.task.job)!.cancelled) return;
+    this.waits.set(core.workloads.formatTask(run.task), {
+      sinceMs: this.nowMs,
+      roomSinceMs: undefined,
+    });
+  }
+
+  private report(vm: PoolVm): void {
+    vm.nextReportMs = this.nowMs + REPORT_INTERVAL_MS;
+    const { id, incarnation } = vm.entry;
+    const durableEnd = this.scheduler.getDurableEnd(id);
+    vm.ended = vm.ended.filter(({ number }) => number > durableEnd);
+    const report: core.workloads.VmReport = {
+      incarnation,
+      running: [...vm.running.values()].map((run) => ({
+        task: run.task,
+        run: run.run,
+        saved: '',
+        percent: run.spec.lasts
+          ? 100
+          : Math.min(
+              99,
+              Math.floor(
+                ((this.nowMs - run.startedMs) / (run.endMs - run.startedMs)) *
+                  100,
+              ),
+            ),
+        load: 0,
+      })),
+      ended: [...vm.ended],
+      requestSentMs: this.nowMs,
+    };
+    this.send(NETWORK_MS, () => {
+      if (this.vms.has(id)) this.scheduler.applyReport(id, report, this.nowMs);
+    });
+  }
+
+  private execute(command: core.workloads.Command): void {
+    switch (command.command) {
+      case 'start':
+        this.send(NETWORK_MS, () => {
+          this.receiveStart(command);
+        });
+        return;
+      case 'stop':
+        this.send(NETWORK_MS, () => {
+          this.receiveStop(command);
+        });
+        return;
+      case 'poll': {
+        const vm = this.vms.get(command.vm);
+        if (vm !== undefined) vm.nextReportMs = this.nowMs;
+        return;
+      }
+      case 'advise':
+        this.receiveAdvise(command);
+        return;
+      case 'pace':
+    }
+  }
+
+  private receiveStart(
+    command: Extract<core.workloads.Command, { command: 'start' }>,
+  ): void {
+    const vm = this.vms.get(command.vm);
+    const row = this.jobs.get(command.task.job)!;
+    const apply = (outcome: core.workloads.StartOutcome): void => {
+      this.send(NETWORK_MS, () => {
+        this.scheduler.applyStart(
+          command.vm,
+          command.task,
+          command.run,
+          outcome,
+          this.nowMs,
+        );
+      });
+    };
+    if (vm === undefined) {
+      apply('unreachable');
+      return;
+    }
+    const validUntilMs = Number(command.ticket);
+    if (validUntilMs < this.nowMs) {
+      apply('ticket');
+      return;
+    }
+    const spec = row.job.steps[command.task.step]!;
+    const task = core.workloads.formatTask(command.task);
+    const kind = KINDS[row.kind];
+    addSize(vm.free, spec, -1);
+    if (vm.free.cores < -1e-6 || vm.free.memoryMb < -1e-6)
+      this.violations.push(`${this.nowMs}: ${task} exceeds the capacity`);
+    const lastsMs = spec.lasts
+      ? -Math.log(1 - this.random()) * this.scenario.failureIntervalMs
+      : this.draw(kind.meanMs, kind.meanMs * 2.5);
+    vm.running.set(`${task}#${command.run}`, {
+      task: command.task,
+      run: command.run,
+      spec,
+      startedMs: this.nowMs,
+      endMs: this.nowMs + lastsMs,
+      how: spec.lasts ? 'failed' : 'done',
+    });
+    const wait = this.waits.get(task);
+    if (wait !== undefined) {
+      this.serviceWaitsMs.push(this.nowMs - wait.sinceMs);
+      this.waits.delete(task);
+    }
+    apply('started');
+  }
+
+  private receiveStop(
+    command: Extract<core.workloads.Command, { command: 'stop' }>,
+  ): void {
+    const { vm: id, task, run } = command;
+    const vm = this.vms.get(id);
+    if (vm === undefined) return;
+    const row = vm.running.get(`${core.workloads.formatTask(task)}#${run}`);
+    if (row !== undefined) {
+      row.how = 'stopped';
+      row.endMs = this.nowMs + STOP_MS * (0.5 + this.random() / 2);
+    }
+    this.send(NETWORK_MS, () => {
+      this.scheduler.applyStop(id, task, run, true, this.nowMs);
+    });
+  }
+
+  private receiveAdvise(
+    command: Extract<core.workloads.Command, { command: 'advise' }>,
+  ): void {
+    const { step, vms, helper, costMs } = command;
+    const idleMs = Math.max(
+      this.nowMs,
+      this.adviceBusyUntilMs.get(helper) ?? 0,
+    );
+    const doneMs = idleMs + costMs + 40 + this.random() * 160;
+    this.adviceBusyUntilMs.set(helper, idleMs + costMs);
+    const { kind, job } = this.jobs.get(step.job)!;
+    this.send(doneMs - this.nowMs, () => {
+      const validUntilMs = doneMs + job.policy.advice!.validMs;
+      this.scheduler.applyAdvice(
+        step,
+        vms,
+        vms
+          .filter((vm) => isApproved(step, vm, KINDS[kind].approvedShare))
+          .map((vm) => ({ vm, ticket: `${validUntilMs}` })),
+        this.nowMs,
+      );
+    });
+  }
+
+  /** Checks that no service task waits longer than it may while an approved VM has room for it. */
+  private checkServices(): void {
+    const rooms = new Map<string, boolean>();
+    for (const [task, wait] of this.waits) {
+      const [job = '', , step = ''] = task.split('.');
+      const key = `${job}.0.${step}`;
+      const hasRoom = rooms.get(key) ?? this.hasApprovedRoom(job, Number(step));
+      rooms.set(key, hasRoom);
+      if (!hasRoom) {
+        wait.roomSinceMs = undefined;
+        continue;
+      }
+      wait.roomSinceMs ??= this.nowMs;
+      const withRoomMs = this.nowMs - wait.roomSinceMs;
+      this.longestWithRoomMs = Math.max(this.longestWithRoomMs, withRoomMs);
+      const isOwed =
+        this.nowMs - wait.sinceMs > REPLACEMENT_MS + ROOM_MS &&
+        withRoomMs > ROOM_MS;
+      if (!isOwed || this.violated.has(`${task}@${wait.sinceMs}`)) continue;
+      this.violated.add(`${task}@${wait.sinceMs}`);
+      this.violations.push(
+        `${this.nowMs - START_MS}: ${task} hasn't run for ${this.nowMs - wait.sinceMs} ms and has had room for ${withRoomMs} ms`,
+      );
+    }
+  }
+
+  private hasApprovedRoom(jobId: string, index: number): boolean {
+    const { job, kind } = this.jobs.get(jobId)!;
+    const spec = job.steps[index]!;
+    const step = { job: jobId, occurrence: 0, step: index };
+    for (const [id, vm] of this.vms) {
+      if (vm.entry.draining) continue;
+      if (
+        vm.free.cores < spec.size.cores ||
+        vm.free.memoryMb < spec.size.memoryMb
+      )
+        continue;
+      if (!isApproved(step, id, KINDS[kind].approvedShare)) continue;
+      if (spec.maxPerVm === undefined) return true;
+      const same = [...vm.running.values()].filter(
+        ({ task }) => task.job === jobId,
+      ).length;
+      if (same < spec.maxPerVm) return true;
+    }
+    return false;
+  }
+}
+
+/** Returns whether advice approves a VM for a step; the same for every call. */
+function isApproved(
+  step: core.workloads.StepKey,
+  vm: string,
+  share: number,
+): boolean {
+  let hash = 2_166_136_261;
+  for (const char of `${step.job}.${step.step}@${vm}`)
+    hash = Math.imul(hash ^ char.charCodeAt(0), 16_777_619);
+  hash = Math.imul(hash ^ (hash >>> 15), 2_246_822_519);
+  hash = Math.imul(hash ^ (hash >>> 13), 3_266_489_917);
+  return ((hash ^ (hash >>> 16)) >>> 0) / 4_294_967_296 < share;
+}
+
+function addSize(
+  to: { cores: number; memoryMb: number },
+  spec: StepSpec,
+  times: number,
+): void {
+  to.cores += spec.size.cores * times;
+  to.memoryMb += spec.size.memoryMb * times;
+}
+
+function createRandom(seed: number): () => number {
+  let state = (seed * 2_654_435_761 + 1) >>> 0;
+  return () => {
+    state = (state + 0x6d2b79f5) >>> 0;
+    let mixed = Math.imul(state ^ (state >>> 15), state | 1);
+    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 4_294_967_296;
+  };
+}
--- a/packages/core/test/workloads/serviceTasks.test.ts
+++ b/packages/core/test/workloads/serviceTasks.test.ts
@@ -1,6 +1,7 @@
 /** Service tasks under load: one that isn't running starts again while a VM has room for it. */
 import * as vitest from 'vitest';
 import * as harnesses from './harness.js';
+import * as pools from './poolSimulation.js';
 
 vitest.describe('a VM on which runs were preempted', () => {
   vitest.it(
@@ -53,3 +54,84 @@
     },
   );
 });
+
+vitest.describe('a service whose tasks run on different VMs', () => {
+  vitest.it(
+    'is placed with one advice request (guards against service tasks that wait for one slow answer after another)',
+    () => {
+      const isApproved = (_: unknown, vm: string): boolean =>
+        Number(vm.slice(2)) % 2 === 0;
+      const harness = harnesses.createHarness({ isApproved });
+      for (let index = 0; index < 80; index += 1) harness.addVm(`vm${index}`);
+      harness.addJob(
+        'service',
+        [harnesses.createStep({ count: 30, maxPerVm: 1, lasts: true })],
+        harnesses.createPolicy({
+          advice: { fixedMs: 900, perVmMs: 13, validMs: 1_500 },
+        }),
+      );
+      for (let round = 0; round < 5; round += 1) harness.advance(10);
+      vitest.expect(harness.listRuns()).toHaveLength(30);
+      vitest.expect(harness.listAdvisedSteps()).toHaveLength(1);
+    },
+  );
+
+  vitest.it(
+    'asks about VMs with much room first (guards against answers about VMs that are full by then)',
+    () => {
+      const harness = harnesses.createHarness({ ignoresAdvice: true });
+      for (let index = 0; index < 40; index += 1)
+        harness.addVm(`small${index}`, {
+          capacity: { cores: 1, memoryMb: 8_000, gpus: 0 },
+        });
+      harness.addVm('large');
+      harness.addJob(
+        'service',
+        [harnesses.createStep({ count: 4, lasts: true })],
+        harnesses.createPolicy({
+          advice: { fixedMs: 900, perVmMs: 13, validMs: 1_500 },
+        }),
+      );
+      harness.advance(10);
+      const [asked] = harness.commands;
+      if (asked?.command !== 'advise')
+        throw new Error('no advice request was sent');
+      vitest.expect(asked.vms[0]).toBe('large');
+    },
+  );
+});
+
+const BURSTS: readonly pools.Burst[] = [
+  { kind: 'urgent', fromMs: 5_000, toMs: 13_000, factor: 2.3 },
+  { kind: 'batch', fromMs: 6_000, toMs: 14_000, factor: 2.2 },
+  { kind: 'service', fromMs: 8_000, toMs: 14_000, factor: 2.5 },
+  { kind: 'urgent', fromMs: 20_000, toMs: 28_000, factor: 2 },
+  { kind: 'batch', fromMs: 20_000, toMs: 28_000, factor: 2 },
+];
+
+vitest.describe('the service tasks of a busy pool', () => {
+  for (const { name, helpers, load, seeds } of [
+    { name: 'many nodes', helpers: 9, load: 1, seeds: [1, 2] },
+    { name: 'few nodes', helpers: 4, load: 0.7, seeds: [3, 5, 6] },
+  ])
+    vitest.it(
+      `run again in time in bursts and drains while approved VMs have room, with ${name} for advice`,
+      () => {
+        for (const seed of seeds) {
+          const simulation = new pools.PoolSimulation({
+            seed,
+            vms: 60,
+            helpers,
+            bursts: BURSTS,
+            drainsAtMs: [9_000, 18_000],
+            failureIntervalMs: 15_000,
+            load,
+          });
+          vitest
+            .expect(simulation.run(32_000).violations, `seed ${seed}`)
+            .toEqual([]);
+        }
+      },
+      60_000,
+    );
+});
