Record with the claim how long the leases of silent VMs last

Cause: a successor knew nothing of what its predecessor knew about leases. It also forgot the owners before its predecessor: when that one was known to have terminated, an owner before it could still extend leases unnoticed.

Change: each claim, renewal and release carries the owner's longest lease, the earlier owners with the time left for their last orders, and the silent VMs with the time left of their leases. Times count from when they are read, which is never too early. An owner that has recorded a VM as silent extends its lease only once the store has confirmed a later record without it; the claim of a successor succeeds only if the record it read is the last one. For the same reason 10 s count from the last record read. Records without the field, of older builds, count as before, and owners before them for 10 s from their claim; older builds ignore the field.

Evidence: the new test in ownerChanges fails before the change.

--- a/packages/cluster/src/claims.ts
+++ b/packages/cluster/src/claims.ts
@@ -7,7 +7,7 @@
  */
 import * as core from '@flamingoward/core';
 import type * as contexts from './context.js';
-import type * as leases from './leases.js';
+import * as leases from './leases.js';
 import type * as ports from './ports.js';
 import * as records from './records.js';
 import * as successorRanks from './successors.js';
@@ -45,6 +45,10 @@
   readonly released: boolean;
   /** It released ownership before all its starts were durably recorded. */
   readonly unrecorded: boolean;
+  /** Time at which its newest record was read. */
+  readonly readMs: number;
+  /** Undefined when its build doesn't record leases. */
+  readonly leases: leases.RecordedLeases | undefined;
 }
 
 /** What a new owner knows about its predecessor. */
@@ -60,6 +64,8 @@
   readonly inactive: boolean;
   /** The owners whose leases may not have ended. */
   readonly owners: readonly leases.EarlierOwner[];
+  /** Time at which the lease of each VM ends that didn't answer the previous owner. */
+  readonly silentVms: ReadonlyMap<core.ids.VmId, number>;
 }
 
 /** Callbacks to the node. */
@@ -72,6 +78,10 @@
   readonly onLost: (why: string) => void;
   /** Another node has become the owner, or has released ownership. */
   readonly onOwner: (owner: Owner) => void;
+  /** Builds what this node records about leases as the owner. */
+  readonly buildLeaseRecord: () => records.LeaseRecord | undefined;
+  /** The store has confirmed a renewal with this record. */
+  readonly onRenewed: (record: records.LeaseRecord) => void;
 }
 
 /** Claims, renews, watches and releases ownership of the cluster. */
@@ -157,6 +167,8 @@
       address: claim.address,
       released: claim.released === true,
       unrecorded: claim.unrecorded === true,
+      readMs: ownerRenewedMs,
+      leases: claim.leases && leases.parseLeases(claim.leases, ownerRenewedMs),
     };
     const changed =
       next.fence !== currentOwner?.fence ||
@@ -214,6 +226,7 @@
     unrecorded: false,
     inactive: true,
     owners: [],
+    silentVms: new Map(),
   };
 
   function endOwnership(why: string): void {
@@ -246,6 +259,34 @@
     );
   }
 
+  /** Lists the owners whose leases may not have ended when this node claims. */
+  function listEarlierOwners(
+    inactive: boolean,
+    nowMs: number,
+  ): readonly leases.EarlierOwner[] {
+    const recorded = currentOwner?.leases;
+    const leaseMs = recorded?.leaseMs ?? context.settings.leaseMs;
+    // This node's claim succeeds only if the owner's last confirmed record is the one read here.
+    const lastConfirmedMs =
+      recorded === undefined ? nowMs : (currentOwner?.readMs ?? nowMs);
+    const limitMs = lastConfirmedMs + UNCONFIRMED_LIMIT_MS;
+    const owner: leases.EarlierOwner = {
+      node: currentOwner?.node ?? '',
+      instance: currentOwner?.instance ?? '',
+      leaseMs,
+      lastOrderMs: inactive ? Math.min(nowMs, limitMs) : limitMs,
+    };
+    if (currentOwner === undefined) return [owner];
+    // Without a record, owners before it may have gone on since its claim.
+    const unknownOwner: leases.EarlierOwner = {
+      node: '',
+      instance: '',
+      leaseMs,
+      lastOrderMs: ownerChangedMs + UNCONFIRMED_LIMIT_MS,
+    };
+    return [...(recorded?.owners ?? [unknownOwner]), owner];
+  }
+
   async function claim(why: string): Promise<void> {
     if (claiming || closing || ownedFence !== undefined) return;
     claiming = true;
@@ -265,16 +306,13 @@
       unconfirmedMs: ownerReleased ? undefined : nowMs - ownerConfirmedMs,
       unrecorded,
       inactive,
-      owners: [
-        {
-          node: currentOwner?.node ?? '',
-          instance: currentOwner?.instance ?? '',
-          leaseMs: context.settings.leaseMs,
-          lastOrderMs: inactive ? nowMs : nowMs + UNCONFIRMED_LIMIT_MS,
-        },
-      ],
+      owners: listEarlierOwners(inactive, nowMs),
+      silentVms: currentOwner?.leases?.silentVms ?? new Map(),
     };
-    const result = await appendClaim({});
+    const { leaseMs } = context.settings;
+    const result = await appendClaim({
+      leases: leases.buildRecord({ leaseMs, ...previous }, nowMs),
+    });
     log.write('info', 'ownership.claim', {
       why,
       outcome: result.outcome,
@@ -291,7 +329,8 @@
     if (fence === undefined || claiming) return;
     claiming = true;
     let startedMs = timers.getNow();
-    let result = await appendClaim({ fence });
+    const record = events.buildLeaseRecord();
+    let result = await appendClaim({ fence, leases: record });
     // Either an earlier renewal was appended although its answer was lost, or another node has
     // claimed. In the first case a successor may have read that renewal long ago.
     if (
@@ -300,12 +339,14 @@
       ownedFence === fence
     ) {
       startedMs = timers.getNow();
-      result = await appendClaim({ fence });
+      result = await appendClaim({ fence, leases: record });
     }
     claiming = false;
     switch (result.outcome) {
       case 'appended':
         claimConfirmedMs = startedMs;
+        if (ownedFence === fence && record !== undefined)
+          events.onRenewed(record);
         await tail.refresh();
         return;
       case 'conflict':
@@ -460,12 +501,14 @@
     async release(unrecorded) {
       const fence = ownedFence;
       if (fence === undefined) return;
+      const record = events.buildLeaseRecord();
       endOwnership('released');
       closing = true;
       for (let attempts = 0; attempts < MAX_RELEASE_ATTEMPTS; attempts += 1) {
         const result = await appendClaim({
           fence,
           released: true,
+          leases: record,
           ...(unrecorded ? { unrecorded } : {}),
         });
         log.write('info', 'ownership.released', {
--- a/packages/cluster/src/leases.ts
+++ b/packages/cluster/src/leases.ts
@@ -3,6 +3,7 @@
  * lease that any owner granted it ends, on the slowest clock that a VM may have.
  */
 import type * as core from '@flamingoward/core';
+import type * as records from './records.js';
 
 /** Lowest rate of a VM's clock relative to this node's. */
 export const MIN_CLOCK_RATE = 0.98;
@@ -19,6 +20,53 @@
   readonly lastOrderMs: number;
 }
 
+/** What the record of an owner tells about leases. */
+export interface RecordedLeases {
+  /** Longest lease that the owner grants, in ms. */
+  readonly leaseMs: number;
+  /** The owners before it. */
+  readonly owners: readonly EarlierOwner[];
+  /** Time at which the lease of each VM ends that doesn't answer the owner. */
+  readonly silentVms: ReadonlyMap<core.ids.VmId, number>;
+}
+
+/** Parses a record. Its times count from when it is read, which is never too early. */
+export function parseLeases(
+  record: records.LeaseRecord,
+  nowMs: number,
+): RecordedLeases {
+  return {
+    leaseMs: record.leaseMs,
+    owners: record.owners.map(({ ordersLeftMs, ...owner }) => ({
+      ...owner,
+      lastOrderMs: nowMs + ordersLeftMs,
+    })),
+    silentVms: new Map(
+      record.silentVms.map(([vm, leftMs]) => [vm, nowMs + leftMs]),
+    ),
+  };
+}
+
+/** Builds a record; owners whose leases have ended are left out. */
+export function buildRecord(
+  { leaseMs, owners, silentVms }: RecordedLeases,
+  nowMs: number,
+): records.LeaseRecord {
+  return {
+    leaseMs,
+    owners: owners
+      .filter((owner) => computeEndMs([owner]) > nowMs)
+      .map(({ lastOrderMs, ...owner }) => ({
+        ...owner,
+        ordersLeftMs: Math.ceil(lastOrderMs - nowMs),
+      })),
+    silentVms: [...silentVms].map(([vm, endMs]) => [
+      vm,
+      Math.max(0, Math.ceil(endMs - nowMs)),
+    ]),
+  };
+}
+
 /** Computes how long after its last order a lease can end, in ms. */
 export function computeLongestMs(leaseMs: number): number {
   return leaseMs / MIN_CLOCK_RATE + CLOCK_AGE_MARGIN_MS;
--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -127,6 +127,10 @@
       owner?.close();
       owner = undefined;
     },
+    buildLeaseRecord: () => owner?.buildLeaseRecord(),
+    onRenewed(record) {
+      owner?.confirmLeaseRecord(record);
+    },
     onOwner(next) {
       if (next.instance === instance) return;
       hub.setPeers(next.released ? [] : [next.address]);
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -67,6 +67,10 @@
   /** Counts the waiting jobs per queue; undefined until the owner has restored its tables. */
   countWaiting(): ReadonlyMap<core.workloads.QueueName, number> | undefined;
   getCounts(): ReadonlyMap<string, number>;
+  /** Builds the record of what a successor may assume about leases. */
+  buildLeaseRecord(): records.LeaseRecord;
+  /** Applies that the store has confirmed a record about leases. */
+  confirmLeaseRecord(record: records.LeaseRecord): void;
   /** Applies that a process follows this owner, so that it sends no more orders as an earlier one. */
   handleFollower(instance: core.ids.InstanceId): void;
   /** Applies that a process has connected, so that earlier processes of its node have terminated. */
@@ -86,8 +90,15 @@
   const { timers, log, metrics, ports: dependencies } = context;
   const { fence, jobs, fleet, previous } = options;
   const createdMs = timers.getNow();
+  const { leaseMs } = context.settings;
   let earlierOwners = previous.owners;
   let earlierLeasesEndMs = leases.computeEndMs(earlierOwners);
+  /** Lease ends of VMs that didn't answer the previous owner and haven't answered this one. */
+  const inheritedSilentVms = new Map(previous.silentVms);
+  /** VMs that a record may name as silent; their leases aren't extended. */
+  let recordedSilentVms: ReadonlySet<core.ids.VmId> = new Set(
+    inheritedSilentVms.keys(),
+  );
   const recorder = recorders.createRecorder(
     context,
     fence,
@@ -121,6 +132,7 @@
     previous: earlierOwners.map(({ node }) => node).join(),
     inactive: previous.inactive,
     leftMs: Math.round(earlierLeasesEndMs - createdMs),
+    silentVms: inheritedSilentVms.size,
   });
   const orderTimeout = timeouts.createOrderTimeout();
   const holdWait = timeouts.createHoldWait();
@@ -243,8 +255,14 @@
         { id, address: vm.address },
         {
           fence,
-          getEarlierLeaseEnd: () => earlierLeasesEndMs,
+          silentBefore: inheritedSilentVms.has(id),
+          getEarlierLeaseEnd: () =>
+            Math.min(
+              earlierLeasesEndMs,
+              inheritedSilentVms.get(id) ?? Infinity,
+            ),
           canExtendLease: () =>
+            !recordedSilentVms.has(id) &&
             options.getConfirmedAge() <= options.unconfirmedLimitMs,
           holdWait,
         },
@@ -256,6 +274,7 @@
   const sessionEvents: vmSessions.VmSessionEvents = {
     onReport(id, report) {
       if (isClosed()) return;
+      inheritedSilentVms.delete(id);
       scheduler.applyReport(id, report, timers.getNow());
       requestTick();
     },
@@ -294,6 +313,32 @@
     },
   };
 
+  /** Loses the VMs that only the previous owner's record names, because they aren't listed any more. */
+  function expireUnlisted(nowMs: number): void {
+    for (const [id, endMs] of inheritedSilentVms) {
+      if (sessionsByVm.has(id) || nowMs <= endMs) continue;
+      inheritedSilentVms.delete(id);
+      log.write('warn', 'vm.lost', {
+        vm: id,
+        why: 'lease expired',
+        listed: false,
+        leaseEndedMs: Math.round(nowMs - endMs),
+      });
+      scheduler.loseVm(id, nowMs);
+    }
+  }
+
+  function collectSilentVms(): ReadonlyMap<core.ids.VmId, number> {
+    const ends = new Map<core.ids.VmId, number>();
+    for (const [id, endMs] of inheritedSilentVms)
+      if (!sessionsByVm.has(id)) ends.set(id, endMs);
+    for (const [id, session] of sessionsByVm) {
+      const endMs = session.getSilentLeaseEnd();
+      if (endMs !== undefined) ends.set(id, endMs);
+    }
+    return ends;
+  }
+
   /** Applies that earlier owners send no more orders. */
   function endOrders(
     hasEnded: (owner: leases.EarlierOwner) => boolean,
@@ -346,6 +391,7 @@
     if (isClosed() || !ready) return;
     updatePolicies();
     const startedMs = timers.getNow();
+    expireUnlisted(startedMs);
     scheduler.setHelpers(options.adviceRouter.listHelpers());
     const decision = scheduler.tick(startedMs, timers.getDate());
     lastTickMs = timers.getNow() - startedMs;
@@ -567,6 +613,17 @@
     },
     hasUnrecorded: () => scheduler.hasUnrecordedStarts(),
     getCounts: () => scheduler.getCounts(),
+    buildLeaseRecord() {
+      const silentVms = collectSilentVms();
+      recordedSilentVms = new Set([...recordedSilentVms, ...silentVms.keys()]);
+      return leases.buildRecord(
+        { leaseMs, owners: earlierOwners, silentVms },
+        timers.getNow(),
+      );
+    },
+    confirmLeaseRecord(record) {
+      recordedSilentVms = new Set(record.silentVms.map(([id]) => id));
+    },
     handleFollower(instance) {
       endOrders((owner) => owner.instance === instance, 'follows this owner');
     },
--- a/packages/cluster/src/records.ts
+++ b/packages/cluster/src/records.ts
@@ -114,6 +114,27 @@
   readonly released?: boolean;
   /** The owner released ownership before all its starts were durably recorded. */
   readonly unrecorded?: boolean;
+  /** Absent in records of earlier builds. */
+  readonly leases?: LeaseRecord | undefined;
+}
+
+/** What an owner records about leases, so that a successor waits for no longer than runs may last. */
+export interface LeaseRecord {
+  /** Longest lease that the owner grants, in ms. */
+  readonly leaseMs: number;
+  /** Earlier owners whose leases may not have ended. */
+  readonly owners: readonly {
+    readonly node: core.ids.ProcessName;
+    readonly instance: core.ids.InstanceId;
+    readonly leaseMs: number;
+    /** Time until its last order at the latest, in ms; negative when that is past. */
+    readonly ordersLeftMs: number;
+  }[];
+  /**
+   * VMs that don't answer, each with the time until its lease ends, in ms. The owner
+   * grants them no lease until a later record without them is confirmed.
+   */
+  readonly silentVms: readonly (readonly [core.ids.VmId, number])[];
 }
 
 /** Parses a claim; undefined when it is malformed. */
--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -55,6 +55,8 @@
   poll(): void;
   /** Records that an order may have extended the lease until `untilMs`, whether it is answered or not. */
   recordLeaseExtension(untilMs: number): void;
+  /** Returns the time at which the lease of a VM that doesn't answer ends; undefined while it answers. */
+  getSilentLeaseEnd(): number | undefined;
   /** Applies that the leases of earlier owners end sooner than was known. */
   updateEarlierLeases(): void;
   close(): void;
@@ -66,6 +68,8 @@
   target: ports.VmTarget,
   options: {
     readonly fence: number;
+    /** Whether the VM didn't answer the previous owner. */
+    readonly silentBefore: boolean;
     /** Returns the latest time at which leases granted by earlier owners end. */
     readonly getEarlierLeaseEnd: () => number;
     /** Returns whether the owner may still extend leases. */
@@ -87,7 +91,7 @@
   /** The last hold found no process at the address. */
   let refused = false;
   let terminated = false;
-  let unresponsive = false;
+  let unresponsive = options.silentBefore;
   let lost = false;
   let highestEndNumber = 0;
   /** Incarnation and VM clock of the newest report. */
@@ -264,14 +268,7 @@
     const nowMs = timers.getNow();
     const leftMs = getLeaseEnd() + LEASE_END_MARGIN_MS - nowMs;
     if (leftMs >= 0) {
-      leaseEndTimer = timers.subscribe(
-        {
-          name: 'session.lease-end',
-          delayMs: Math.floor(leftMs) + 1,
-          repeat: 'once',
-        },
-        checkLeaseEnd,
-      );
+      scheduleLeaseCheck(leftMs);
       return;
     }
     lost = true;
@@ -283,6 +280,17 @@
     events.onLost(target.id, 'lease expired');
   }
 
+  function scheduleLeaseCheck(delayMs: number): void {
+    leaseEndTimer = timers.subscribe(
+      {
+        name: 'session.lease-end',
+        delayMs: Math.floor(delayMs) + 1,
+        repeat: 'once',
+      },
+      checkLeaseEnd,
+    );
+  }
+
   function isClosed(): boolean {
     return closed;
   }
@@ -302,11 +310,20 @@
   }
 
   void run();
+  if (options.silentBefore) {
+    log.write('warn', 'vm.silent', {
+      vm: target.id,
+      why: 'no answer to the previous owner',
+      leaseLeftMs: Math.round(getLeaseEnd() - timers.getNow()),
+    });
+    scheduleLeaseCheck(0);
+  }
 
   return {
     target,
     computeLeaseUntil,
     recordLeaseExtension,
+    getSilentLeaseEnd: () => (unresponsive ? getLeaseEnd() : undefined),
     updateEarlierLeases: checkLeaseEnd,
     poll() {
       void pollVm();
--- a/packages/cluster/test/claims.test.ts
+++ b/packages/cluster/test/claims.test.ts
@@ -24,6 +24,8 @@
     onLost: (why) => lost.push(why),
     onOwner: () => undefined,
     onUnconfirmed: () => undefined,
+    buildLeaseRecord: () => ({ leaseMs: 6_000, owners: [], silentVms: [] }),
+    onRenewed: () => undefined,
   });
   return { name, context, claim, owned, lost };
 }
@@ -185,6 +187,7 @@
             instance: owner!.context.instance,
           }),
         ],
+        silentVms: new Map(),
       });
     },
   );
@@ -219,6 +222,7 @@
             instance: owner!.context.instance,
           }),
         ],
+        silentVms: new Map(),
       });
     },
   );
--- a/packages/cluster/test/clusterSimulation.ts
+++ b/packages/cluster/test/clusterSimulation.ts
@@ -236,6 +236,8 @@
           this.linkFollower(node, next.instance);
         });
       },
+      buildLeaseRecord: () => node.owner?.buildLeaseRecord(),
+      onRenewed: (record) => node.owner?.confirmLeaseRecord(record),
       onUnconfirmed: (fence) => {
         this.releaseToPeers(node, fence);
       },
--- a/packages/cluster/test/fakes.ts
+++ b/packages/cluster/test/fakes.ts
@@ -223,6 +223,7 @@
     owners: [
       { node: 'node-0', instance: 'node-0-1', leaseMs: 6_000, lastOrderMs },
     ],
+    silentVms: new Map(),
     ...given,
   };
 }
--- a/packages/cluster/test/ownerChanges.test.ts
+++ b/packages/cluster/test/ownerChanges.test.ts
@@ -36,6 +36,18 @@
     expectSound(simulation);
   });
 
+  vitest.it(
+    'runs again one lease after the VM became silent when the owner is restarted meanwhile (guards against LOST on nilewave-vod-grown: each planned change of owner counts the lease anew)',
+    async () => {
+      const simulation = await createSettled();
+      simulation.silenceVm(findBusyVm(simulation), 'gone');
+      await simulation.advance(4_500);
+      simulation.releaseOwner();
+      await simulation.advance(LEASE_MS + RESTART_MS - 4_500);
+      expectSound(simulation);
+    },
+  );
+
   vitest.it(
     'runs again one lease after a frozen owner is awake again (guards against LOST on nilewave-vod-grown: the successor waits for an owner that has given up)',
     async () => {
--- a/packages/cluster/test/vmSessions.test.ts
+++ b/packages/cluster/test/vmSessions.test.ts
@@ -52,6 +52,7 @@
     { id: 'vm', address: 'vm:1' },
     {
       fence: 7,
+      silentBefore: false,
       getEarlierLeaseEnd: () => earlierLeaseEndMs,
       canExtendLease: () => setup.canExtendLease,
       holdWait,
