Apply advice to the incarnations of the VMs that the request named

A VM that restarted under its id between an advice request and its answer was taken as asked about in its new incarnation. If the answer didn't name it, the step never asked about it again; on a pool of one such VM, a service task didn't start in 10 s of calm. On this platform a restart gives a new id, so callers can't have seen it there.

Cause: the answer was recorded under the incarnation at the time of the answer. Advice is valid for one incarnation.

The request now keeps the incarnation keys of its VMs, and the answer is recorded under these.

--- a/packages/core/src/workloads/advice.ts
+++ b/packages/core/src/workloads/advice.ts
@@ -86,7 +86,10 @@
   if (slot === undefined) return;
   const key = tables.getStepKey(step);
   releaseSlot(state, key, false, nowMs);
-  state.adviceRequests.set(names.formatStep(key), slot);
+  state.adviceRequests.set(names.formatStep(key), {
+    slot,
+    incarnationKeys: collectIncarnationKeys(state, vms),
+  });
   step.advice.pendingUntilMs =
     nowMs + slot.expectedMs + ANSWER_TIMEOUT_MARGIN_MS;
   states.countEvent(state, 'advice.asked');
@@ -100,6 +103,18 @@
   });
 }
 
+function collectIncarnationKeys(
+  state: states.State,
+  vms: readonly ids.VmId[],
+): ReadonlyMap<ids.VmId, string> {
+  const keys = new Map<ids.VmId, string>();
+  for (const id of vms) {
+    const vm = state.vms.get(id);
+    if (vm !== undefined) keys.set(id, vm.incarnationKey);
+  }
+  return keys;
+}
+
 function releaseSlot(
   state: states.State,
   key: types.StepKey,
@@ -107,7 +122,7 @@
   nowMs: number,
 ): void {
   const name = names.formatStep(key);
-  state.adviceRequests.get(name)?.release(answered, nowMs);
+  state.adviceRequests.get(name)?.slot.release(answered, nowMs);
   state.adviceRequests.delete(name);
 }
 
@@ -256,6 +271,10 @@
     state,
     tickets === undefined ? 'advice.missed' : 'advice.answered',
   );
+  // A VM may have restarted since the request; the answer is about the incarnation before.
+  const incarnationKeys =
+    state.adviceRequests.get(names.formatStep(key))?.incarnationKeys ??
+    collectIncarnationKeys(state, askedVms);
   releaseSlot(state, key, tickets !== undefined, nowMs);
   const step = states.findTask(state, { ...key, index: 0 })?.step;
   if (step === undefined) return;
@@ -263,13 +282,13 @@
   const validMs = step.occurrence.job.policy.advice?.validMs ?? 0;
   if (tickets === undefined) return;
   for (const id of askedVms) {
-    const vm = state.vms.get(id);
-    if (vm !== undefined) step.advice.askedVms.add(vm.incarnationKey);
+    const incarnationKey = incarnationKeys.get(id);
+    if (incarnationKey !== undefined) step.advice.askedVms.add(incarnationKey);
   }
   for (const { vm: id, ticket } of tickets) {
-    const vm = state.vms.get(id);
-    if (vm !== undefined)
-      step.advice.tickets.set(vm.incarnationKey, {
+    const incarnationKey = incarnationKeys.get(id);
+    if (incarnationKey !== undefined)
+      step.advice.tickets.set(incarnationKey, {
         ticket,
         untilMs: nowMs + validMs,
       });
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -44,6 +44,13 @@
   /** Its VM reports a later run of the task. */
   | 'superseded';
 
+/** An advice request in flight. */
+export interface AdviceRequest {
+  readonly slot: adviceSlots.AdviceSlot;
+  /** Incarnation keys of the VMs that it names. */
+  readonly incarnationKeys: ReadonlyMap<ids.VmId, string>;
+}
+
 /** State of the scheduler. */
 export interface State {
   readonly bounds: Bounds;
@@ -69,8 +76,8 @@
   endedRuns: EndedRun[];
   /** Whether a previous owner may have started tasks without a record. */
   inheritedUnrecordedStarts: boolean;
-  /** Slots of the advice requests in flight, by step. */
-  readonly adviceRequests: Map<string, adviceSlots.AdviceSlot>;
+  /** Advice requests in flight, by step. */
+  readonly adviceRequests: Map<string, AdviceRequest>;
   /** Advice slots of the nodes that send advice requests. */
   readonly adviceSlots: adviceSlots.AdviceSlots;
   readonly counts: Map<string, number>;
--- a/packages/core/test/workloads/owedWork.test.ts
+++ b/packages/core/test/workloads/owedWork.test.ts
@@ -124,3 +124,31 @@
     },
   );
 });
+
+vitest.describe(
+  'a VM that restarts while advice about it is on its way',
+  () => {
+    vitest.it(
+      'is asked about again (guards against a VM that a step never uses)',
+      () => {
+        const harness = harnesses.createHarness({ ignoresAdvice: true });
+        harness.addVm('a');
+        harness.addJob(
+          'job',
+          [harnesses.createStep({ lasts: true })],
+          harnesses.createPolicy({
+            advice: { fixedMs: 10, perVmMs: 1, validMs: 2_000 },
+          }),
+        );
+        harness.advance(100);
+        const vm = harness.vms.get('a')!;
+        vm.entry = { ...vm.entry, incarnation: 2 };
+        harness.report('a');
+        const [step] = harness.listAdvisedSteps();
+        harness.scheduler.applyAdvice(step!, ['a'], [], harness.getNow());
+        harness.advance(100);
+        vitest.expect(harness.listAdvisedSteps()).toHaveLength(2);
+      },
+    );
+  },
+);
