End no lease while a hold waits and the claim is confirmed

Callers could see all runs of all VMs end at once in an outage of the store of 8.2 s and longer, although claims are confirmed again before the limit of 10 s: service tasks start again, and the work of batch tasks since their last save is lost.

Cause: since a lease ends at the latest 10 s after the last confirmed claim, and a hold waits at the VM for up to 1.5 s. The last hold before the claim was confirmed could be answered only after the lease had ended, so the next one, which carries a whole lease, came too late.

Change: a hold waits for no more than a quarter of the time that the claim leaves, at least 100 ms. Waits are as before while claims are confirmed.

--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -21,6 +21,13 @@
 const MAX_REORDERING_MS = 3_000;
 /** Wait of holds that must not extend the lease now, in ms. */
 const UNEXTENDED_WAIT_MS = 200;
+/**
+ * Share of the time left by the owner's claim for which a hold waits at most: the next one
+ * must arrive before the lease ends, as the claim may be confirmed meanwhile.
+ */
+const CLAIM_WAIT_SHARE = 1 / 4;
+/** Shortest such wait, in ms. */
+const MIN_CLAIM_WAIT_MS = 100;
 /** Added to the computed end of a lease, in ms. */
 const LEASE_END_MARGIN_MS = 50;
 /** Lease left below which a start extends it, in ms; two unanswered holds must not end the run. */
@@ -180,9 +187,12 @@
 
   function getHoldWait(untilMs: number | undefined, nowMs: number): number {
     if (vmClock === undefined) return 0;
-    return untilMs === undefined
-      ? UNEXTENDED_WAIT_MS
-      : options.holdWait.getMs(nowMs);
+    if (untilMs === undefined) return UNEXTENDED_WAIT_MS;
+    const claimWaitMs = Math.max(
+      MIN_CLAIM_WAIT_MS,
+      Math.floor(options.getLeaseLimit() * CLAIM_WAIT_SHARE),
+    );
+    return Math.min(options.holdWait.getMs(nowMs), claimWaitMs);
   }
 
   async function pollVm(): Promise<void> {
--- a/packages/cluster/test/clusterSimulation.ts
+++ b/packages/cluster/test/clusterSimulation.ts
@@ -12,9 +12,9 @@
 import * as records from '../src/records.js';
 import * as fakes from './fakes.js';
 
-/** Longest lease that the VMs accept, in ms. */
+/** Longest lease that the VMs accept unless a test sets another, in ms. */
 export const LONGEST_LEASE_MS = 6_000;
-/** Rate of the VMs' clocks; the protocol allows for clocks that are 2% slow. */
+/** Rate of the VMs' clocks unless a test sets others; the protocol allows for clocks that are 2% slow. */
 export const VM_CLOCK_RATE = 0.98;
 const START_MS = 10_000;
 const STEP_MS = 10;
@@ -24,6 +24,8 @@
 const HEARTBEAT_TIMEOUT_MS = 1_100;
 /** Time after which a silent VM is removed from the list, in ms. */
 const UNLISTED_AFTER_MS = 4_500;
+/** Time within which VMs whose entries have expired write them again, in ms. */
+const RELISTED_WITHIN_MS = 2_000;
 /** Time until a peer notices that a process has ended, or that a node follows it, in ms. */
 const LINK_DELAY_MS = 60;
 const RESTART_DELAY_MS = 1_000;
@@ -31,8 +33,15 @@
 const LONGEST_DELAY_MS = 3_000;
 const NODE_NAMES = ['n0', 'n1', 'n2', 'n3'];
 
+/** How the store fails for all nodes: appends and reads get no answer, or are refused at once. */
+export type StoreFailure = 'silent' | 'refusing';
+
 interface SimVm {
   entry: core.workloads.VmEntry;
+  /** Rate of its clock. */
+  clockRate: number;
+  /** Holds are answered, but starts and stops are neither carried out nor answered. */
+  ignoresOrders: boolean;
   /** `cut`: it can't be reached, and its runs continue; `gone`: it can't be reached, and its runs have ended. */
   state: 'up' | 'cut' | 'gone';
   /** Node that alone reaches it; undefined when all do. */
@@ -85,6 +94,10 @@
 /** A cluster of nodes and VMs that runs service jobs of one task each. */
 export class ClusterSimulation {
   readonly violations: string[] = [];
+  /** Leases that expired on VMs that all nodes reach, with runs. */
+  readonly lapses: string[] = [];
+  /** Longest time for which no run of a task was anywhere, by job, in ms. */
+  readonly longestGaps = new Map<core.ids.JobId, number>();
   readonly vms = new Map<core.ids.VmId, SimVm>();
   readonly nodes: SimNode[] = [];
   private readonly world = core.createVirtualTimers(START_MS);
@@ -92,6 +105,10 @@
   private readonly vmStream = fakes.createFakeStream(this.world);
   private readonly closedNodes: SimNode[] = [];
   private readonly getRandom: () => number;
+  private readonly leaseMs: number;
+  private readonly getClockRate: () => number;
+  private readonly lastRanMs = new Map<core.ids.JobId, number>();
+  private storeFailure: StoreFailure | undefined;
   /** Time until which answers of VMs are lost, and calls carried out late, at random. */
   private lossyUntilMs = 0;
   private restarts = 0;
@@ -101,8 +118,12 @@
     readonly jobs: number;
     readonly vms: number;
     readonly getRandom?: () => number;
+    readonly leaseMs?: number;
+    readonly getClockRate?: () => number;
   }) {
     this.getRandom = given.getRandom ?? (() => 0.5);
+    this.leaseMs = given.leaseMs ?? LONGEST_LEASE_MS;
+    this.getClockRate = given.getClockRate ?? (() => VM_CLOCK_RATE);
     for (let index = 0; index < given.jobs; index += 1) {
       const { key, value } = records.buildAccepted({
         id: `job${index}`,
@@ -144,6 +165,8 @@
     };
     this.vms.set(id, {
       entry,
+      clockRate: this.getClockRate(),
+      ignoresOrders: false,
       state: 'up',
       onlyNode: undefined,
       silentSinceMs: 0,
@@ -184,7 +207,7 @@
           base.lines.push({ event, fields: { atMs, node: name, ...fields } });
         },
       },
-      settings: { ...base.settings, leaseMs: LONGEST_LEASE_MS },
+      settings: { ...base.settings, leaseMs: this.leaseMs },
     };
     const nodeContext = {
       ...context,
@@ -361,9 +384,21 @@
     return node.state === 'dead' ? new Promise(() => undefined) : value;
   }
 
-  private async failRead(): Promise<{ outcome: 'failed'; why: string }> {
-    await core.waitFor(this.world, 'sim.read', READ_FAILURE_MS);
-    return { outcome: 'failed', why: 'no answer' };
+  private async failRead(
+    timeoutMs: number,
+  ): Promise<{ outcome: 'failed'; why: string }> {
+    const delaysMs = {
+      silent: timeoutMs,
+      refusing: NETWORK_DELAY_MS,
+      cut: READ_FAILURE_MS,
+    };
+    const why = this.storeFailure ?? 'cut';
+    await core.waitFor(this.world, 'sim.read', delaysMs[why]);
+    return { outcome: 'failed', why };
+  }
+
+  private reachesStore(node: SimNode): boolean {
+    return !node.storeCut && this.storeFailure === undefined;
   }
 
   private wrapStream(
@@ -374,12 +409,16 @@
       read: (from, options) =>
         this.pass(
           node,
-          node.storeCut ? this.failRead() : source.read(from, options),
+          this.reachesStore(node)
+            ? source.read(from, options)
+            : this.failRead(options.timeoutMs),
         ),
       readNewest: (timeoutMs) =>
         this.pass(
           node,
-          node.storeCut ? this.failRead() : source.readNewest(timeoutMs),
+          this.reachesStore(node)
+            ? source.readNewest(timeoutMs)
+            : this.failRead(timeoutMs),
         ),
     };
   }
@@ -388,10 +427,16 @@
     const append = async (
       ...[stream, newRecords, options]: Parameters<ports.LogStore['append']>
     ): Promise<ports.AppendResult> => {
-      if (!node.storeCut) return this.store.append(stream, newRecords, options);
+      if (this.reachesStore(node))
+        return this.store.append(stream, newRecords, options);
+      if (this.storeFailure === 'refusing') {
+        await core.waitFor(this.world, 'sim.append', NETWORK_DELAY_MS);
+        return { outcome: 'refused', why: 'status 503' };
+      }
       if (this.getRandom() < 0.5)
         this.after(this.getRandom() * LONGEST_DELAY_MS, () => {
-          void this.store.append(stream, newRecords, options);
+          if (this.storeFailure === undefined)
+            void this.store.append(stream, newRecords, options);
         });
       await core.waitFor(this.world, 'sim.append', options.timeoutMs);
       return { outcome: 'unknown', why: 'no answer' };
@@ -404,7 +449,7 @@
   }
 
   private getVmClock(vm: SimVm): number {
-    return (this.getNow() - vm.startedMs) * VM_CLOCK_RATE;
+    return (this.getNow() - vm.startedMs) * vm.clockRate;
   }
 
   private isReachable(vm: SimVm, node: SimNode): boolean {
@@ -446,7 +491,7 @@
     if (untilMs === undefined) return;
     vm.leaseEndMs = Math.max(
       vm.leaseEndMs,
-      Math.min(untilMs, this.getVmClock(vm) + LONGEST_LEASE_MS),
+      Math.min(untilMs, this.getVmClock(vm) + this.leaseMs),
     );
   }
 
@@ -483,6 +528,7 @@
           target.id,
           timeoutMs,
           (vm) => {
+            if (vm.ignoresOrders) return new Promise(() => undefined);
             if (call.fence < vm.fence) return Promise.resolve('fenced');
             vm.fence = call.fence;
             if (this.getVmClock(vm) >= call.untilMs)
@@ -497,6 +543,7 @@
           target.id,
           timeoutMs,
           (vm) => {
+            if (vm.ignoresOrders) return new Promise(() => undefined);
             if (call.fence < vm.fence) return Promise.resolve('fenced');
             vm.fence = call.fence;
             const name = core.workloads.formatTask(call.task);
@@ -547,9 +594,14 @@
 
   private stepVms(): void {
     for (const vm of this.vms.values()) {
-      if (this.getVmClock(vm) >= vm.leaseEndMs)
+      if (this.getVmClock(vm) >= vm.leaseEndMs && vm.running.size > 0) {
+        if (vm.state === 'up' && vm.onlyNode === undefined)
+          this.lapses.push(
+            `${this.getNow()}: ${vm.entry.id} with ${vm.running.size} runs`,
+          );
         for (const name of [...vm.running.keys()])
           this.endRun(vm, name, 'lapsed');
+      }
       const silentMs = this.getNow() - vm.silentSinceMs;
       if (vm.state !== 'up' && vm.listed && silentMs >= UNLISTED_AFTER_MS) {
         vm.listed = false;
@@ -558,6 +610,22 @@
     }
   }
 
+  private measureGaps(): void {
+    for (const vm of this.vms.values())
+      for (const { task } of vm.running.values())
+        this.lastRanMs.set(task.job, this.getNow());
+    for (const [job, atMs] of this.lastRanMs)
+      this.longestGaps.set(
+        job,
+        Math.max(this.longestGaps.get(job) ?? 0, this.getNow() - atMs),
+      );
+  }
+
+  /** Returns the longest time for which a task that has run before was missing, in ms. */
+  getLongestGap(): number {
+    return Math.max(0, ...this.longestGaps.values());
+  }
+
   private list(vm: SimVm): void {
     vm.listed = true;
     this.vmStream.add(vm.entry.id, JSON.stringify(vm.entry));
@@ -609,6 +677,19 @@
     this.list(vm);
   }
 
+  /** Gives a VM another address; the process and its runs stay the same. */
+  readdressVm(id: core.ids.VmId): void {
+    const vm = this.vms.get(id)!;
+    const [host, port] = vm.entry.address.split(':');
+    vm.entry = { ...vm.entry, address: `${host}:${Number(port) + 1}` };
+    this.list(vm);
+  }
+
+  /** Makes a VM answer holds but no starts and stops, or answer these again. */
+  ignoreOrders(id: core.ids.VmId, ignores: boolean): void {
+    this.vms.get(id)!.ignoresOrders = ignores;
+  }
+
   /** Announces that a VM is about to leave. */
   drainVm(id: core.ids.VmId): void {
     const vm = this.vms.get(id)!;
@@ -687,11 +768,32 @@
     });
   }
 
+  /** Makes the store fail for all nodes for a time. */
+  failStore(forMs: number, failure: StoreFailure): void {
+    this.storeFailure = failure;
+    this.after(forMs, () => {
+      this.storeFailure = undefined;
+    });
+  }
+
+  /** Removes the entries of all VMs that are up; the VMs write them again. */
+  expireEntries(): void {
+    for (const vm of this.vms.values()) {
+      if (!vm.listed) continue;
+      vm.listed = false;
+      this.vmStream.add(vm.entry.id, undefined);
+      this.after(this.getRandom() * RELISTED_WITHIN_MS, () => {
+        if (vm.state === 'up') this.list(vm);
+      });
+    }
+  }
+
   async advance(byMs: number): Promise<void> {
     for (let passed = 0; passed < byMs; passed += STEP_MS) {
       this.world.advance(STEP_MS);
       for (let turn = 0; turn < 30; turn += 1) await Promise.resolve();
       this.stepVms();
+      this.measureGaps();
     }
   }
 
@@ -713,7 +815,7 @@
   formatLines(): string {
     return [...this.closedNodes, ...this.nodes]
       .flatMap(({ context }) => context.lines)
-      .filter(({ event }) => /^(vm|owner|task|leases|sim)/.test(event))
+      .filter(({ event }) => /^(vm|owner|task|leases|sim|claims)/.test(event))
       .sort((a, b) => Number(a.fields.atMs) - Number(b.fields.atMs))
       .map(({ event, fields }) => `${event} ${JSON.stringify(fields)}`)
       .join('\n');
