Keep the end of a VM's lease when its address changes

A task could run twice: when the entry of a VM names another address and the VM doesn't answer there, its runs were taken as over after two calls, while they went on at the VM until its lease ended. Callers can't have seen it on a platform where a change of address means a new process.

Cause: a change of address opens a new session, which knew nothing of the leases that the one before it had granted.

Change: a session starts with the end of the lease of the one that it replaces, as with those of earlier owners.

Evidence: both new tests fail without the change.

--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -248,6 +248,7 @@
     }
     session?.setDraining(vm.draining);
     if (session?.target.address === vm.address) return;
+    const replacedLeaseEndMs = session?.getLeaseEnd() ?? -Infinity;
     session?.close();
     sessionsByVm.set(
       id,
@@ -258,9 +259,12 @@
           fence,
           silentBefore: inheritedSilentVms.has(id),
           getEarlierLeaseEnd: () =>
-            Math.min(
-              earlierLeasesEndMs,
-              inheritedSilentVms.get(id) ?? Infinity,
+            Math.max(
+              replacedLeaseEndMs,
+              Math.min(
+                earlierLeasesEndMs,
+                inheritedSilentVms.get(id) ?? Infinity,
+              ),
             ),
           getLeaseLimit: () =>
             options.unconfirmedLimitMs - options.getConfirmedAge(),
--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -73,6 +73,8 @@
   recordLeaseExtension(untilMs: number): void;
   /** Sets whether the VM is about to leave. What its lease was granted before still counts. */
   setDraining(draining: boolean): void;
+  /** Returns the time at which the lease of the VM ends at the latest. */
+  getLeaseEnd(): number;
   /** Returns the time at which the lease of a VM that doesn't answer ends; undefined while it answers. */
   getSilentLeaseEnd(): number | undefined;
   /** Applies that the leases of earlier owners end sooner than was known. */
@@ -88,7 +90,7 @@
     readonly fence: number;
     /** Whether the VM didn't answer the previous owner. */
     readonly silentBefore: boolean;
-    /** Returns the latest time at which leases granted by earlier owners end. */
+    /** Returns the latest time at which leases granted by earlier owners and sessions end. */
     readonly getEarlierLeaseEnd: () => number;
     /** Returns whether the owner may still extend leases. */
     readonly canExtendLease: () => boolean;
@@ -377,6 +379,7 @@
     target,
     computeStartUntil,
     recordLeaseExtension,
+    getLeaseEnd,
     getSilentLeaseEnd: () => (unresponsive ? getLeaseEnd() : undefined),
     updateEarlierLeases: checkLeaseEnd,
     poll() {
--- a/packages/cluster/test/ownerChanges.test.ts
+++ b/packages/cluster/test/ownerChanges.test.ts
@@ -87,6 +87,19 @@
     },
   );
 
+  vitest.it.each([0, 2_500])(
+    'does not run a second time when its address changes %d ms later (guards against TWICE: the session with the new address knows no lease)',
+    async (afterMs) => {
+      const simulation = await createSettled();
+      const vm = findBusyVm(simulation);
+      simulation.silenceVm(vm, 'cut');
+      await simulation.advance(afterMs);
+      simulation.readdressVm(vm);
+      await simulation.advance(LEASE_MS + RESTART_MS);
+      expectSound(simulation);
+    },
+  );
+
   vitest.it(
     'does not run a second time while a replaced owner still extends its lease',
     async () => {
