--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -21,6 +21,13 @@
 const MAX_REORDERING_MS = 3_000;
 /** Wait of holds that must not extend the lease now, in ms. */
 const UNEXTENDED_WAIT_MS = 200;
+/**
+ * Share of the time left by the owner's claim for which a hold waits at most: the next one
+ * must arrive before the lease ends, as the claim may be confirmed meanwhile.
+ */
+const CLAIM_WAIT_SHARE = 1 / 4;
+/** Shortest such wait, in ms. */
+const MIN_CLAIM_WAIT_MS = 100;
 /** Added to the computed end of a lease, in ms. */
 const LEASE_END_MARGIN_MS = 50;
 /** Lease left below which a start extends it, in ms; two unanswered holds must not end the run. */
@@ -66,6 +73,8 @@
   recordLeaseExtension(untilMs: number): void;
   /** Sets whether the VM is about to leave. What its lease was granted before still counts. */
   setDraining(draining: boolean): void;
+  /** Returns the time at which the lease of the VM ends at the latest. */
+  getLeaseEnd(): number;
   /** Returns the time at which the lease of a VM that doesn't answer ends; undefined while it answers. */
   getSilentLeaseEnd(): number | undefined;
   /** Applies that the leases of earlier owners end sooner than was known. */
@@ -81,7 +90,7 @@
     readonly fence: number;
     /** Whether the VM didn't answer the previous owner. */
     readonly silentBefore: boolean;
-    /** Returns the latest time at which leases granted by earlier owners end. */
+    /** Returns the latest time at which leases granted by earlier owners and sessions end. */
     readonly getEarlierLeaseEnd: () => number;
     /** Returns whether the owner may still extend leases. */
     readonly canExtendLease: () => boolean;
@@ -180,9 +189,12 @@
 
   function getHoldWait(untilMs: number | undefined, nowMs: number): number {
     if (vmClock === undefined) return 0;
-    return untilMs === undefined
-      ? UNEXTENDED_WAIT_MS
-      : options.holdWait.getMs(nowMs);
+    if (untilMs === undefined) return UNEXTENDED_WAIT_MS;
+    const claimWaitMs = Math.max(
+      MIN_CLAIM_WAIT_MS,
+      Math.floor(options.getLeaseLimit() * CLAIM_WAIT_SHARE),
+    );
+    return Math.min(options.holdWait.getMs(nowMs), claimWaitMs);
   }
 
   async function pollVm(): Promise<void> {
@@ -367,6 +379,7 @@
     target,
     computeStartUntil,
     recordLeaseExtension,
+    getLeaseEnd,
     getSilentLeaseEnd: () => (unresponsive ? getLeaseEnd() : undefined),
     updateEarlierLeases: checkLeaseEnd,
     poll() {
