Count the wait for a predecessor's claim from when the claim was sent

LOST was possible for up to 18.8 s after the last run: the owner's machine was removed for good in an outage of the store, and the task of a VM that went silent in the same outage waited for 10.7 s from the end of the outage on.

Cause: leases end 10 s after the last confirmed claim, and a successor counts them from when it read that claim. It reads once a second, so in an outage of 9 s it reads the last claim 9 s late, and without an outage up to 1 s late.

Change: heartbeats carry the offset of the newest confirmed renewal beside its age. If that is also the newest record that the successor read when it claims, times count from when it was sent: the end of the owner's leases, and the times in the record. Heartbeats without the field, of older builds, change nothing. The record is built before the append counts as sent, so that none of its times is counted from too early. ownership.claim logs the age as `sentAgeMs`.

--- a/packages/cluster/src/claims.ts
+++ b/packages/cluster/src/claims.ts
@@ -52,7 +52,7 @@
   /** Time at which its newest record was read. */
   readonly readMs: number;
   /** Undefined when its build doesn't record leases. */
-  readonly leases: leases.RecordedLeases | undefined;
+  readonly leases: records.LeaseRecord | undefined;
 }
 
 /** What a new owner knows about its predecessor. */
@@ -93,8 +93,12 @@
   open(): void;
   /** Reports a failed link or missed heartbeats of the owner; `terminated` when its process is known to have ended. */
   suspect(instance: core.ids.InstanceId, terminated: boolean): void;
-  /** Handles a heartbeat, which carries the time since the store last confirmed the owner's claim. */
-  handleHeartbeat(fence: number, confirmedAgeMs: number): void;
+  /** Handles a heartbeat, which carries the time since the store last confirmed the owner's claim, and the offset of that renewal. */
+  handleHeartbeat(
+    fence: number,
+    confirmedAgeMs: number,
+    confirmedOffset: core.ids.Offset | undefined,
+  ): void;
   /** Returns whether the store answered this node's last read. */
   isStoreReachable(): boolean;
   /** Reads from the store and returns whether it answered. */
@@ -113,6 +117,8 @@
   getFence(): number | undefined;
   /** Time since the store last confirmed this node's claim, in ms. */
   getConfirmedAge(): number;
+  /** Offset of the newest renewal that the store has confirmed; undefined before the first one. */
+  getConfirmedOffset(): core.ids.Offset | undefined;
   close(): void;
 }
 
@@ -132,6 +138,9 @@
   let newestOffset = -1;
   let ownedFence: number | undefined;
   let claimConfirmedMs = 0;
+  let claimConfirmedOffset: core.ids.Offset | undefined;
+  /** Newest renewal of which the owner has told, and the latest time at which it was sent. */
+  let toldRenewal: { offset: core.ids.Offset; sentByMs: number } | undefined;
   let suspectedSinceMs: number | undefined;
   let ownerTerminated = false;
   /** Offset of the newest record once the owner's process was known to have terminated. */
@@ -172,7 +181,7 @@
       released: claim.released === true,
       unrecorded: claim.unrecorded === true,
       readMs: ownerRenewedMs,
-      leases: claim.leases && leases.parseLeases(claim.leases, ownerRenewedMs),
+      leases: claim.leases,
     };
     const changed =
       next.fence !== currentOwner?.fence ||
@@ -221,6 +230,7 @@
     ownedFence = fence;
     // Others may have read the claim before this node, whose append may have got no answer.
     claimConfirmedMs = ownerConfirmedMs;
+    claimConfirmedOffset = undefined;
     log.write('info', 'ownership.gained', { fence });
     events.onOwned(fence, previous);
   }
@@ -263,16 +273,28 @@
     );
   }
 
+  /**
+   * Computes the latest time at which the newest record was sent. It may have been read
+   * much later, for example after an outage of the store.
+   */
+  function computeSentBy({ readMs }: Owner): number {
+    return toldRenewal?.offset === newestOffset
+      ? Math.min(readMs, toldRenewal.sentByMs)
+      : readMs;
+  }
+
   /** Lists the owners whose leases may not have ended when this node claims. */
   function listEarlierOwners(
+    recorded: leases.RecordedLeases | undefined,
     inactive: boolean,
     nowMs: number,
   ): readonly leases.EarlierOwner[] {
-    const recorded = currentOwner?.leases;
     const leaseMs = recorded?.leaseMs ?? context.settings.leaseMs;
     // This node's claim succeeds only if the owner's last confirmed record is the one read here.
     const lastConfirmedMs =
-      recorded === undefined ? nowMs : (currentOwner?.readMs ?? nowMs);
+      recorded === undefined || currentOwner === undefined
+        ? nowMs
+        : computeSentBy(currentOwner);
     const limitMs = lastConfirmedMs + UNCONFIRMED_LIMIT_MS;
     const owner: leases.EarlierOwner = {
       node: currentOwner?.node ?? '',
@@ -311,12 +333,17 @@
     // An earlier ownership of this process has ended with its orders.
     const inactive =
       ownerReleased || ownerTerminated || currentOwner?.instance === instance;
+    const sentByMs = currentOwner && computeSentBy(currentOwner);
+    const sentAgeMs = sentByMs && Math.round(nowMs - sentByMs);
+    const recorded =
+      currentOwner?.leases &&
+      leases.parseLeases(currentOwner.leases, sentByMs ?? nowMs);
     previous = {
       unconfirmedMs: ownerReleased ? undefined : nowMs - ownerConfirmedMs,
       unrecorded,
       inactive,
-      owners: listEarlierOwners(inactive, nowMs),
-      silentVms: currentOwner?.leases?.silentVms ?? new Map(),
+      owners: listEarlierOwners(recorded, inactive, nowMs),
+      silentVms: recorded?.silentVms ?? new Map(),
     };
     const { leaseMs } = context.settings;
     const result = await appendClaim({
@@ -327,6 +354,7 @@
       outcome: result.outcome,
       after: tail.getNextOffset(),
       renewedAgeMs: Math.round(nowMs - ownerRenewedMs),
+      sentAgeMs,
     });
     // The stream decides who owns the cluster, also when the outcome of the append is unknown.
     await tail.refresh();
@@ -337,8 +365,9 @@
     const fence = ownedFence;
     if (fence === undefined || claiming) return;
     claiming = true;
-    let startedMs = timers.getNow();
+    // Successors count the times of the record from when its append began, or from later.
     const record = events.buildLeaseRecord();
+    let startedMs = timers.getNow();
     let result = await appendClaim({ fence, leases: record });
     // Either an earlier renewal was appended although its answer was lost, or another node has
     // claimed. In the first case a successor may have read that renewal long ago.
@@ -354,6 +383,7 @@
     switch (result.outcome) {
       case 'appended':
         claimConfirmedMs = startedMs;
+        claimConfirmedOffset = result.offset;
         if (ownedFence === fence && record !== undefined)
           events.onRenewed(record);
         await tail.refresh();
@@ -490,9 +520,16 @@
       ownerTerminated = ownerTerminated || terminated;
       scheduleWatch(terminated ? computeClaimDelay() : 0);
     },
-    handleHeartbeat(fence, confirmedAgeMs) {
+    handleHeartbeat(fence, confirmedAgeMs, confirmedOffset) {
       if (currentOwner?.fence !== fence) return;
       const atMs = timers.getNow() - confirmedAgeMs;
+      if (confirmedOffset !== undefined) {
+        const sentByMs =
+          toldRenewal?.offset === confirmedOffset
+            ? Math.min(atMs, toldRenewal.sentByMs)
+            : atMs;
+        toldRenewal = { offset: confirmedOffset, sentByMs };
+      }
       ownerConfirmedMs = Math.max(ownerConfirmedMs, atMs);
       ownerRenewedMs = Math.max(ownerRenewedMs, atMs);
     },
@@ -542,6 +579,7 @@
     getOwner: () => currentOwner,
     getFence: () => ownedFence,
     getConfirmedAge: () => timers.getNow() - claimConfirmedMs,
+    getConfirmedOffset: () => claimConfirmedOffset,
     close() {
       closing = true;
       renewTimer?.end();
--- a/packages/cluster/src/leases.ts
+++ b/packages/cluster/src/leases.ts
@@ -32,20 +32,20 @@
   readonly silentVms: ReadonlyMap<core.ids.VmId, number>;
 }
 
-/** Parses a record. Its times count from when it is read, which is never too early. */
+/** Parses a record. Its times count from when it was sent, or from later, which is never too early. */
 export function parseLeases(
   record: records.LeaseRecord,
-  nowMs: number,
+  sentByMs: number,
 ): RecordedLeases {
   return {
     leaseMs: record.leaseMs,
     owners: record.owners.map(({ ordersLeftMs, claimLeftMs, ...owner }) => ({
       ...owner,
-      lastOrderMs: nowMs + ordersLeftMs,
-      claimEndMs: nowMs + (claimLeftMs ?? Infinity),
+      lastOrderMs: sentByMs + ordersLeftMs,
+      claimEndMs: sentByMs + (claimLeftMs ?? Infinity),
     })),
     silentVms: new Map(
-      record.silentVms.map(([vm, leftMs]) => [vm, nowMs + leftMs]),
+      record.silentVms.map(([vm, leftMs]) => [vm, sentByMs + leftMs]),
     ),
   };
 }
--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -235,7 +235,11 @@
       waitingCounts.record(notice.waiting);
       lastHeartbeatMs = timers.getNow();
       ownership.setSuccessors(notice.successors);
-      ownership.handleHeartbeat(notice.fence, notice.confirmedAgeMs);
+      ownership.handleHeartbeat(
+        notice.fence,
+        notice.confirmedAgeMs,
+        notice.confirmedOffset,
+      );
     } else if (notice.kind === 'cluster.released') {
       ownership.handleRelease(notice.fence, notice.unrecorded);
     } else if (notice.kind === 'cluster.member') {
@@ -354,10 +358,12 @@
     if (owner === undefined) return;
     const peers = hub.listConnected();
     const counts = owner.countWaiting();
+    const confirmedOffset = ownership.getConfirmedOffset();
     const notice: core.clusterMessages.ClusterHeartbeat = {
       kind: 'cluster.beat',
       fence: owner.fence,
       confirmedAgeMs: ownership.getConfirmedAge(),
+      ...(confirmedOffset === undefined ? {} : { confirmedOffset }),
       ...(counts === undefined ? {} : { waiting: [...counts] }),
       successors: successors.rankSuccessors(
         peers.map((peer) => ({
--- a/packages/cluster/test/clusterSimulation.ts
+++ b/packages/cluster/test/clusterSimulation.ts
@@ -359,7 +359,11 @@
         const { fence } = ownerNode.owner;
         node.heartbeatAtMs = this.getNow();
         node.heartbeatFence = fence;
-        node.claims.handleHeartbeat(fence, ownerNode.claims.getConfirmedAge());
+        node.claims.handleHeartbeat(
+          fence,
+          ownerNode.claims.getConfirmedAge(),
+          ownerNode.claims.getConfirmedOffset(),
+        );
         node.claims.setSuccessors(
           this.nodes
             .filter((peer) => peer !== ownerNode && peer.state !== 'dead')
--- a/packages/cluster/test/ownerChanges.test.ts
+++ b/packages/cluster/test/ownerChanges.test.ts
@@ -12,8 +12,14 @@
 /** A service task must run 6 s after its last run, or once the cluster has been calm for 7 s, with 3 s to start it. */
 const RESTORED_WITHIN_MS = 12_000;
 
-async function createSettled(): Promise<simulations.ClusterSimulation> {
-  const simulation = new simulations.ClusterSimulation({ jobs: 6, vms: 4 });
+async function createSettled(
+  leaseMs = simulations.LONGEST_LEASE_MS,
+): Promise<simulations.ClusterSimulation> {
+  const simulation = new simulations.ClusterSimulation({
+    jobs: 6,
+    vms: 4,
+    leaseMs,
+  });
   await simulation.advance(6_000);
   vitest.expect(simulation.listMissing()).toEqual([]);
   return simulation;
@@ -100,6 +106,23 @@
     },
   );
 
+  vitest.it.each([6_000, 10_000])(
+    'runs again in time when the owner is removed in an outage of the store, with a lease of %d ms (guards against LOST: the successor counts the time of an unconfirmed claim from the end of the outage)',
+    async (leaseMs) => {
+      const simulation = await createSettled(leaseMs);
+      simulation.failStore(9_000, 'silent');
+      await simulation.advance(1_000);
+      simulation.silenceVm(findBusyVm(simulation), 'gone');
+      await simulation.advance(4_000);
+      simulation.removeOwner();
+      await simulation.advance(18_000);
+      vitest
+        .expect(simulation.getLongestGap(), simulation.formatLines())
+        .toBeLessThan(leaseMs / simulations.VM_CLOCK_RATE + 6_000);
+      expectSound(simulation);
+    },
+  );
+
   vitest.it(
     'does not run a second time while a replaced owner still extends its lease',
     async () => {
--- a/packages/core/src/types/clusterMessages.ts
+++ b/packages/core/src/types/clusterMessages.ts
@@ -12,6 +12,8 @@
   readonly fence: number;
   /** Time since the store last confirmed the claim, in ms. */
   readonly confirmedAgeMs: number;
+  /** Offset of the newest renewal that the store has confirmed; absent before the first one. */
+  readonly confirmedOffset?: ids.Offset;
   /** Number of jobs per queue of which no task has started; absent while the owner restores its tables. */
   readonly waiting?: readonly (readonly [workload.QueueName, number])[];
   /** Connected instances in the order in which they should claim if the owner fails. */
