Record the lease ends of VMs that a new owner never called

LOST was possible for up to 18.3 s after the last run where a lease lasts 10 s: a VM went silent in an outage of the store, so that no record names it, and its entry expired before the successor claimed; a planned change of owner 1 s later made the second successor count the lease anew.

Cause: the record of an owner names the VMs whose sessions get no answer, and those that its predecessor's record named. A VM that isn't listed has no session; only the progress of jobs names it.

Change: VMs without a session that have runs of an earlier owner are recorded with the end of that owner's leases. This owner has sent them no order, and as with all recorded VMs it extends their leases only once a later record without them is confirmed.

Evidence: the new test fails without the change (18300 ms where 16204 are allowed).

--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -336,6 +336,9 @@
 
   function collectSilentVms(): ReadonlyMap<core.ids.VmId, number> {
     const ends = new Map<core.ids.VmId, number>();
+    // Without a session, this owner has extended no lease.
+    for (const id of scheduler.listInheritedVms())
+      if (!sessionsByVm.has(id)) ends.set(id, earlierLeasesEndMs);
     for (const [id, endMs] of inheritedSilentVms)
       if (!sessionsByVm.has(id)) ends.set(id, endMs);
     for (const [id, session] of sessionsByVm) {
--- a/packages/cluster/test/ownerChanges.test.ts
+++ b/packages/cluster/test/ownerChanges.test.ts
@@ -123,6 +123,26 @@
     },
   );
 
+  vitest.it(
+    'runs again in time when its entry is gone before the first of two changes of owner (guards against LOST: the second owner counts the lease of a VM anew that the first one never called)',
+    async () => {
+      const leaseMs = 10_000;
+      const simulation = await createSettled(leaseMs);
+      simulation.failStore(6_000, 'silent');
+      await simulation.advance(500);
+      simulation.silenceVm(findBusyVm(simulation), 'gone');
+      await simulation.advance(4_000);
+      simulation.removeOwner();
+      await simulation.advance(3_500);
+      simulation.releaseOwner();
+      await simulation.advance(12_000);
+      vitest
+        .expect(simulation.getLongestGap(), simulation.formatLines())
+        .toBeLessThan(leaseMs / simulations.VM_CLOCK_RATE + 6_000);
+      expectSound(simulation);
+    },
+  );
+
   vitest.it(
     'does not run a second time while a replaced owner still extends its lease',
     async () => {
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -309,6 +309,13 @@
     }
 }
 
+/** Lists the VMs with runs of a previous owner that haven't reported to this one. */
+export function listInheritedVms(state: states.State): readonly ids.VmId[] {
+  return [...state.vms.values()]
+    .filter((vm) => vm.reportedMs === undefined && vm.runs.size > 0)
+    .map(({ id }) => id);
+}
+
 /** Returns whether a previous owner started a run of which its VM hasn't reported anything yet. */
 function isInherited(run: tables.RunRow): boolean {
   // Only VMs that have reported get new runs.
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -67,6 +67,8 @@
   failVm(id: ids.VmId, nowMs: number): void;
   /** Handles a lost VM: nothing can run there any more, so its runs are removed. */
   loseVm(id: ids.VmId, nowMs: number): void;
+  /** Lists the VMs with runs of a previous owner that haven't reported to this one. */
+  listInheritedVms(): readonly ids.VmId[];
   /** Sets the time at which the last lease of earlier owners ends, so that their runs on VMs without a report are over. */
   setInheritedUntil(untilMs: number): void;
   applyStart(
@@ -196,6 +198,7 @@
       reports.loseRuns(state, vm, nowMs);
       if (vm.entry === undefined) state.vms.delete(id);
     },
+    listInheritedVms: () => reports.listInheritedVms(state),
     setInheritedUntil(untilMs) {
       state.inheritedUntilMs = untilMs;
     },
