Send a heartbeat with each confirmed renewal

LOST was possible where leases last 6 s, for up to 12.5 s after the last run: two owners' machines were removed for good, one after the other, while a VM was silent. After one removal it took up to 11.8 s. Found in virtual time.

Cause: a successor knows when a renewal was sent if a heartbeat after it has told. Heartbeats and renewals had timers of their own, so the owner's end could come between the two, and the successor counted from its own read, up to 1 s later.

Change: a heartbeat follows each confirmed renewal; the periodic one is left out when another was sent in the last 250 ms.

--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -49,6 +49,7 @@
   let owner: owners.Owner | undefined;
   let lastHeartbeat: core.clusterMessages.ClusterHeartbeat | undefined;
   let lastHeartbeatMs = 0;
+  let heartbeatSentMs = -Infinity;
   /** Time at which each peer process first opened a link to this one. */
   const firstSeenMsByPeer = new Map<core.ids.InstanceId, number>();
   const coresByPeer = new Map<core.ids.InstanceId, number>();
@@ -130,6 +131,8 @@
     buildLeaseRecord: () => owner?.buildLeaseRecord(),
     onRenewed(record) {
       owner?.confirmLeaseRecord(record);
+      // If this process ends now, successors count from this renewal on.
+      sendHeartbeat();
     },
     onOwner(next) {
       if (next.instance === instance) return;
@@ -375,6 +378,13 @@
       ),
     };
     for (const peer of peers) hub.notify(peer.instance, notice);
+    heartbeatSentMs = timers.getNow();
+  }
+
+  /** Sends a heartbeat unless a renewal has just been followed by one. */
+  function sendPeriodicHeartbeat(): void {
+    if (timers.getNow() - heartbeatSentMs >= HEARTBEAT_INTERVAL_MS / 2)
+      sendHeartbeat();
   }
 
   async function askOwner(
@@ -465,7 +475,7 @@
             delayMs: HEARTBEAT_INTERVAL_MS,
             repeat: 'periodic',
           },
-          sendHeartbeat,
+          sendPeriodicHeartbeat,
         ),
         timers.subscribe(
           {
--- a/packages/cluster/test/clusterSimulation.ts
+++ b/packages/cluster/test/clusterSimulation.ts
@@ -267,7 +267,10 @@
         });
       },
       buildLeaseRecord: () => node.owner?.buildLeaseRecord(),
-      onRenewed: (record) => node.owner?.confirmLeaseRecord(record),
+      onRenewed: (record) => {
+        node.owner?.confirmLeaseRecord(record);
+        this.sendHeartbeats();
+      },
       onUnconfirmed: (fence) => {
         this.releaseToPeers(node, fence);
       },
--- a/packages/cluster/test/ownerChanges.test.ts
+++ b/packages/cluster/test/ownerChanges.test.ts
@@ -123,6 +123,23 @@
     },
   );
 
+  vitest.it.each([0, 300, 600, 900])(
+    'runs again in time when the machines of two owners are removed for good, the second one %d ms later (guards against LOST: each successor counts from a claim that it read late)',
+    async (laterMs) => {
+      const simulation = await createSettled();
+      simulation.silenceVm(findBusyVm(simulation), 'gone');
+      await simulation.advance(500);
+      simulation.removeOwner();
+      await simulation.advance(3_500 + laterMs);
+      simulation.removeOwner();
+      await simulation.advance(12_000);
+      vitest
+        .expect(simulation.getLongestGap(), simulation.formatLines())
+        .toBeLessThan(LEASE_MS + 6_000);
+      expectSound(simulation);
+    },
+  );
+
   vitest.it(
     'runs again in time when its entry is gone before the first of two changes of owner (guards against LOST: the second owner counts the lease of a VM anew that the first one never called)',
     async () => {
