--- a/packages/cluster/src/leases.ts
+++ b/packages/cluster/src/leases.ts
@@ -34,28 +34,28 @@
   readonly lastEnds?: ReadonlyMap<core.ids.VmId, number> | undefined;
 }
 
-/** Parses a record. Its times count from when it is read, which is never too early. */
+/** Parses a record. Its times count from when it was sent, or from later, which is never too early. */
 export function parseLeases(
   record: records.LeaseRecord,
-  nowMs: number,
+  sentByMs: number,
 ): RecordedLeases {
   return {
     leaseMs: record.leaseMs,
     owners: record.owners.map(({ ordersLeftMs, claimLeftMs, ...owner }) => ({
       ...owner,
-      lastOrderMs: nowMs + ordersLeftMs,
-      claimEndMs: nowMs + (claimLeftMs ?? Infinity),
+      lastOrderMs: sentByMs + ordersLeftMs,
+      claimEndMs: sentByMs + (claimLeftMs ?? Infinity),
     })),
-    silentVms: parseEnds(record.silentVms, nowMs),
-    lastEnds: record.lastEnds && parseEnds(record.lastEnds, nowMs),
+    silentVms: parseEnds(record.silentVms, sentByMs),
+    lastEnds: record.lastEnds && parseEnds(record.lastEnds, sentByMs),
   };
 }
 
 function parseEnds(
   stored: StoredEnds,
-  nowMs: number,
+  sentByMs: number,
 ): ReadonlyMap<core.ids.VmId, number> {
-  return new Map(stored.map(([vm, leftMs]) => [vm, nowMs + leftMs]));
+  return new Map(stored.map(([vm, leftMs]) => [vm, sentByMs + leftMs]));
 }
 
 type StoredEnds = records.LeaseRecord['silentVms'];
--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -49,6 +49,7 @@
   let owner: owners.Owner | undefined;
   let lastHeartbeat: core.clusterMessages.ClusterHeartbeat | undefined;
   let lastHeartbeatMs = 0;
+  let heartbeatSentMs = -Infinity;
   /** Time at which each peer process first opened a link to this one. */
   const firstSeenMsByPeer = new Map<core.ids.InstanceId, number>();
   const coresByPeer = new Map<core.ids.InstanceId, number>();
@@ -131,6 +132,8 @@
     buildFinalLeaseRecord: () => owner?.buildFinalLeaseRecord(),
     onRenewed(record) {
       owner?.confirmLeaseRecord(record);
+      // If this process ends now, successors count from this renewal on.
+      sendHeartbeat();
     },
     onOwner(next) {
       if (next.instance === instance) return;
@@ -236,7 +239,11 @@
       waitingCounts.record(notice.waiting);
       lastHeartbeatMs = timers.getNow();
       ownership.setSuccessors(notice.successors);
-      ownership.handleHeartbeat(notice.fence, notice.confirmedAgeMs);
+      ownership.handleHeartbeat(
+        notice.fence,
+        notice.confirmedAgeMs,
+        notice.confirmedOffset,
+      );
     } else if (notice.kind === 'cluster.released') {
       ownership.handleRelease(notice.fence, notice.unrecorded);
     } else if (notice.kind === 'cluster.member') {
@@ -355,10 +362,12 @@
     if (owner === undefined) return;
     const peers = hub.listConnected();
     const counts = owner.countWaiting();
+    const confirmedOffset = ownership.getConfirmedOffset();
     const notice: core.clusterMessages.ClusterHeartbeat = {
       kind: 'cluster.beat',
       fence: owner.fence,
       confirmedAgeMs: ownership.getConfirmedAge(),
+      ...(confirmedOffset === undefined ? {} : { confirmedOffset }),
       ...(counts === undefined ? {} : { waiting: [...counts] }),
       successors: successors.rankSuccessors(
         peers.map((peer) => ({
@@ -370,6 +379,13 @@
       ),
     };
     for (const peer of peers) hub.notify(peer.instance, notice);
+    heartbeatSentMs = timers.getNow();
+  }
+
+  /** Sends a heartbeat unless a renewal has just been followed by one. */
+  function sendPeriodicHeartbeat(): void {
+    if (timers.getNow() - heartbeatSentMs >= HEARTBEAT_INTERVAL_MS / 2)
+      sendHeartbeat();
   }
 
   async function askOwner(
@@ -460,7 +476,7 @@
             delayMs: HEARTBEAT_INTERVAL_MS,
             repeat: 'periodic',
           },
-          sendHeartbeat,
+          sendPeriodicHeartbeat,
         ),
         timers.subscribe(
           {
--- a/packages/cluster/test/clusterSimulation.ts
+++ b/packages/cluster/test/clusterSimulation.ts
@@ -268,7 +268,10 @@
       },
       buildLeaseRecord: () => node.owner?.buildLeaseRecord(),
       buildFinalLeaseRecord: () => node.owner?.buildFinalLeaseRecord(),
-      onRenewed: (record) => node.owner?.confirmLeaseRecord(record),
+      onRenewed: (record) => {
+        node.owner?.confirmLeaseRecord(record);
+        this.sendHeartbeats();
+      },
       onUnconfirmed: (fence) => {
         this.releaseToPeers(node, fence);
       },
@@ -360,7 +363,11 @@
         const { fence } = ownerNode.owner;
         node.heartbeatAtMs = this.getNow();
         node.heartbeatFence = fence;
-        node.claims.handleHeartbeat(fence, ownerNode.claims.getConfirmedAge());
+        node.claims.handleHeartbeat(
+          fence,
+          ownerNode.claims.getConfirmedAge(),
+          ownerNode.claims.getConfirmedOffset(),
+        );
         node.claims.setSuccessors(
           this.nodes
             .filter((peer) => peer !== ownerNode && peer.state !== 'dead')
--- a/packages/cluster/test/ownerChanges.test.ts
+++ b/packages/cluster/test/ownerChanges.test.ts
@@ -12,8 +12,14 @@
 /** A service task must run 6 s after its last run, or once the cluster has been calm for 7 s, with 3 s to start it. */
 const RESTORED_WITHIN_MS = 12_000;
 
-async function createSettled(): Promise<simulations.ClusterSimulation> {
-  const simulation = new simulations.ClusterSimulation({ jobs: 6, vms: 4 });
+async function createSettled(
+  leaseMs = simulations.LONGEST_LEASE_MS,
+): Promise<simulations.ClusterSimulation> {
+  const simulation = new simulations.ClusterSimulation({
+    jobs: 6,
+    vms: 4,
+    leaseMs,
+  });
   await simulation.advance(6_000);
   vitest.expect(simulation.listMissing()).toEqual([]);
   return simulation;
@@ -137,6 +143,60 @@
     },
   );
 
+  vitest.it.each([6_000, 10_000])(
+    'runs again in time when the owner is removed in an outage of the store, with a lease of %d ms (guards against LOST: the successor counts the time of an unconfirmed claim from the end of the outage)',
+    async (leaseMs) => {
+      const simulation = await createSettled(leaseMs);
+      simulation.failStore(9_000, 'silent');
+      await simulation.advance(1_000);
+      simulation.silenceVm(findBusyVm(simulation), 'gone');
+      await simulation.advance(4_000);
+      simulation.removeOwner();
+      await simulation.advance(18_000);
+      vitest
+        .expect(simulation.getLongestGap(), simulation.formatLines())
+        .toBeLessThan(leaseMs / simulations.VM_CLOCK_RATE + 6_000);
+      expectSound(simulation);
+    },
+  );
+
+  vitest.it.each([0, 300, 600, 900])(
+    'runs again in time when the machines of two owners are removed for good, the second one %d ms later (guards against LOST: each successor counts from a claim that it read late)',
+    async (laterMs) => {
+      const simulation = await createSettled();
+      simulation.silenceVm(findBusyVm(simulation), 'gone');
+      await simulation.advance(500);
+      simulation.removeOwner();
+      await simulation.advance(3_500 + laterMs);
+      simulation.removeOwner();
+      await simulation.advance(12_000);
+      vitest
+        .expect(simulation.getLongestGap(), simulation.formatLines())
+        .toBeLessThan(LEASE_MS + 6_000);
+      expectSound(simulation);
+    },
+  );
+
+  vitest.it(
+    'runs again in time when its entry is gone before the first of two changes of owner (guards against LOST: the second owner counts the lease of a VM anew that the first one never called)',
+    async () => {
+      const leaseMs = 10_000;
+      const simulation = await createSettled(leaseMs);
+      simulation.failStore(6_000, 'silent');
+      await simulation.advance(500);
+      simulation.silenceVm(findBusyVm(simulation), 'gone');
+      await simulation.advance(4_000);
+      simulation.removeOwner();
+      await simulation.advance(3_500);
+      simulation.releaseOwner();
+      await simulation.advance(12_000);
+      vitest
+        .expect(simulation.getLongestGap(), simulation.formatLines())
+        .toBeLessThan(leaseMs / simulations.VM_CLOCK_RATE + 6_000);
+      expectSound(simulation);
+    },
+  );
+
   vitest.it(
     'does not run a second time while a replaced owner still extends its lease',
     async () => {
@@ -150,3 +210,29 @@
     },
   );
 });
+
+vitest.describe('a service task on a VM that answers holds', () => {
+  vitest.it(
+    'runs again elsewhere while the VM answers neither starts nor stops (guards against LOST: a start without an answer blocks the task for as long as its stop has none)',
+    async () => {
+      const simulation = new simulations.ClusterSimulation({
+        jobs: 6,
+        vms: 3,
+        coresPerVm: 4,
+      });
+      await simulation.advance(6_000);
+      const [fullest, , emptiest] = [...simulation.vms]
+        .sort(([, a], [, b]) => b.running.size - a.running.size)
+        .map(([id]) => id);
+      simulation.ignoreOrders(emptiest!, true);
+      simulation.silenceVm(fullest!, 'gone', 'always');
+      await simulation.advance(2_000);
+      simulation.restartVm(fullest!);
+      await simulation.advance(LEASE_MS + RESTORED_WITHIN_MS);
+      vitest
+        .expect(simulation.getLongestGap(), simulation.formatLines())
+        .toBeLessThan(LEASE_MS + 6_000);
+      expectSound(simulation);
+    },
+  );
+});
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -67,6 +67,8 @@
   failVm(id: ids.VmId, nowMs: number): void;
   /** Handles a lost VM: nothing can run there any more, so its runs are removed. */
   loseVm(id: ids.VmId, nowMs: number): void;
+  /** Lists the VMs with runs of a previous owner that haven't reported to this one. */
+  listInheritedVms(): readonly ids.VmId[];
   /** Sets the time at which the last lease of earlier owners ends, so that their runs on VMs without a report are over. */
   setInheritedUntil(untilMs: number): void;
   applyStart(
@@ -75,6 +77,8 @@
     run: number,
     outcome: types.StartOutcome,
     nowMs: number,
+    /** Time on the VM's clock from which it refuses the command. */
+    untilMs?: number,
   ): void;
   applyStop(
     vm: ids.VmId,
@@ -95,8 +99,6 @@
   confirmBatch(): readonly types.Command[];
   /** Returns the waiting start commands without their records, because the store is unreachable. */
   releaseStarts(): readonly types.Command[];
-  /** Lists the VMs on which an earlier owner started runs that they haven't reported yet. */
-  listInheritedVms(): readonly ids.VmId[];
   /** Returns whether starts were sent whose record isn't durable yet. */
   hasUnrecordedStarts(): boolean;
   /** Returns the number of the latest end of a VM whose effect is durable. */
@@ -201,9 +203,11 @@
     setInheritedUntil(untilMs) {
       state.inheritedUntilMs = untilMs;
     },
-    applyStart(vm, task, number, outcome, nowMs) {
+    applyStart(vm, task, number, outcome, nowMs, untilMs) {
       const run = findRun(vm, task, number);
-      if (run !== undefined) reports.applyStart(state, run, outcome, nowMs);
+      if (run === undefined) return;
+      if (outcome === 'unknown') run.startUntilMs = untilMs;
+      reports.applyStart(state, run, outcome, nowMs);
     },
     applyStop(vm, task, number, answered, nowMs) {
       const run = findRun(vm, task, number);
