Let overdue service tasks get advice although short requests keep all nodes busy

Callers saw a task of a service that lasts missing although VMs had room for it. With few nodes to send advice requests (after the loss of nodes, or in a large pool with bursts), its step waited for a slot for as long as urgent work kept coming: a long request needs an idle node, or a second node without a long one that has fewer than three short requests in flight. A steady flow of short requests takes every place that becomes free, as urgent steps come first in the order.

A service whose task has waited for 2 s now asks before the other steps of the round, unless its task can start at once, and may queue its request behind the short ones of a node without a long request. Services hold at most half of the nodes in this way, and the last node without a long request is left to short requests afterwards for as long as that request took.

The pool simulation with fewer nodes fails on the code before.

--- a/packages/core/src/workloads/advice.ts
+++ b/packages/core/src/workloads/advice.ts
@@ -7,12 +7,14 @@
  * therefore renewed together, and those of the first steps in the order ahead of time.
  */
 import type * as ids from '../types/ids.js';
+import type * as adviceSlots from './adviceSlots.js';
 import * as names from './names.js';
 import * as placement from './placement.js';
 import * as ranking from './ranking.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
+import * as waits from './waits.js';
 
 /** Maximum number of VMs in one request. */
 const MAX_VMS_PER_REQUEST = 30;
@@ -79,19 +81,20 @@
 ): void {
   const policy = step.occurrence.job.policy.advice;
   if (policy === undefined || isRequestPending(step, nowMs)) return;
+  const use = chooseSlotUse(step, nowMs);
   // With a long queue there is mostly no free slot, and this check is cheaper than choosing VMs.
   if (
     !state.adviceSlots.hasFreeSlot(
       ranking.estimateAdviceMs(policy, 1),
       nowMs,
-      step.spec.lasts,
+      use,
     )
   )
     return;
   const vms = chooseVmsToAsk(state, step, policy, allowed, nowMs);
   if (vms.length === 0) return;
   const costMs = ranking.estimateAdviceMs(policy, vms.length);
-  const slot = state.adviceSlots.reserve(costMs, nowMs, step.spec.lasts);
+  const slot = state.adviceSlots.reserve(costMs, nowMs, use);
   if (slot === undefined) return;
   const key = tables.getStepKey(step);
   releaseSlot(state, key, false, nowMs);
@@ -112,6 +115,15 @@
   });
 }
 
+/** Returns the use for which a request of a step gets a slot. */
+export function chooseSlotUse(
+  step: tables.StepRow,
+  nowMs: number,
+): adviceSlots.SlotUse {
+  if (waits.isServiceOverdue(step, nowMs)) return 'overdue-service';
+  return step.spec.lasts ? 'service' : 'usual';
+}
+
 function collectIncarnationKeys(
   state: states.State,
   vms: readonly ids.VmId[],
--- a/packages/core/src/workloads/adviceSlots.ts
+++ b/packages/core/src/workloads/adviceSlots.ts
@@ -3,8 +3,9 @@
  * of each node at a time, so a short request of an urgent step behind a long one would
  * wait many times its own service time. A long request therefore gets a node to itself,
  * and some nodes are kept for short requests while there are any. Requests of service
- * tasks are few and may use all of these but one. A request without a free node waits in
- * the scheduler's order instead of in the service's queue.
+ * tasks are few and may use all of these but one, and overdue ones also nodes that are
+ * busy with short requests. A request without a free node waits in the scheduler's order
+ * instead of in the service's queue.
  */
 import type * as types from './types.js';
 
@@ -21,8 +22,12 @@
 /** Weight of a new sample in the moving average of a node's overhead. */
 const OVERHEAD_EWMA_WEIGHT = 0.2;
 
+/** Whose tasks a request is for. */
+export type SlotUse = 'usual' | 'service' | 'overdue-service';
+
 /** An advice request in flight at a node. */
 interface InFlightRequest {
+  readonly use: SlotUse;
   /** Service time. */
   readonly costMs: number;
   /** Time at which the service is expected to finish the request, without overhead. */
@@ -49,20 +54,18 @@
 /** The nodes that send advice requests, with the requests in flight at each. */
 export interface AdviceSlots {
   setHelpers(names: readonly types.HelperName[]): void;
-  /** Returns whether a node has a slot for a request of a service time; `anyNode` includes the nodes for short requests. */
-  hasFreeSlot(costMs: number, nowMs: number, anyNode?: boolean): boolean;
+  /** Returns whether a node has a slot for a request of a service time. */
+  hasFreeSlot(costMs: number, nowMs: number, use?: SlotUse): boolean;
   /** Reserves a slot for a request of a service time; undefined when there is none. */
-  reserve(
-    costMs: number,
-    nowMs: number,
-    anyNode?: boolean,
-  ): AdviceSlot | undefined;
+  reserve(costMs: number, nowMs: number, use?: SlotUse): AdviceSlot | undefined;
 }
 
 /** Creates the table of nodes, which contains the owner from the start. */
 export function createAdviceSlots(): AdviceSlots {
   const rows = new Map<types.HelperName, NodeRow>();
   let lastShortRequestMs = -Infinity;
+  /** Time until which the last node without a long request is left to short ones. */
+  let lastNodeKeptUntilMs = -Infinity;
   rows.set('', createNode());
 
   function listResponsive(
@@ -108,37 +111,66 @@
     return best;
   }
 
+  /**
+   * Chooses a node for an overdue service, which waits behind the short requests that are
+   * in flight there. Otherwise a steady flow of short requests keeps a few nodes busy for ever.
+   */
+  function chooseForOverdue(nowMs: number): types.HelperName | undefined {
+    if (countNodes(hasServiceRequest) >= Math.ceil(rows.size / 2))
+      return undefined;
+    if (isLastWithoutLong() && nowMs < lastNodeKeptUntilMs) return undefined;
+    let best: types.HelperName | undefined;
+    let bestMs = Infinity;
+    for (const [name, row] of listResponsive(nowMs)) {
+      if (hasLongRequest(row)) continue;
+      const atMs = computeIdleMs(row, nowMs) + row.overheadMs;
+      if (atMs >= bestMs) continue;
+      best = name;
+      bestMs = atMs;
+    }
+    return best;
+  }
+
+  function countNodes(isCounted: (row: NodeRow) => boolean): number {
+    return [...rows.values()].filter(isCounted).length;
+  }
+
+  function isLastWithoutLong(): boolean {
+    return countNodes(hasLongRequest) === rows.size - 1;
+  }
+
   function chooseNode(
     costMs: number,
     nowMs: number,
-    anyNode: boolean,
+    use: SlotUse,
   ): types.HelperName | undefined {
     if (costMs <= SHORT_REQUEST_MAX_MS) return chooseForShort(nowMs);
     const node = chooseForLong(nowMs);
-    if (node !== undefined || !anyNode) return node;
-    // One node always stays free for short requests.
-    const nodesWithoutLong = [...rows.values()].filter(
-      (row) => !hasLongRequest(row),
-    ).length;
-    return nodesWithoutLong > 1 ? chooseForShort(nowMs) : undefined;
+    if (node !== undefined || use === 'usual') return node;
+    // One node stays free for short requests.
+    const shared = isLastWithoutLong() ? undefined : chooseForShort(nowMs);
+    if (shared !== undefined || use === 'service') return shared;
+    return chooseForOverdue(nowMs);
   }
 
   return {
-    hasFreeSlot: (costMs, nowMs, anyNode = false) =>
-      chooseNode(costMs, nowMs, anyNode) !== undefined,
+    hasFreeSlot: (costMs, nowMs, use = 'usual') =>
+      chooseNode(costMs, nowMs, use) !== undefined,
     setHelpers(names) {
       for (const name of rows.keys())
         if (name !== '' && !names.includes(name)) rows.delete(name);
       for (const name of names)
         if (!rows.has(name)) rows.set(name, createNode());
     },
-    reserve(costMs, nowMs, anyNode = false) {
+    reserve(costMs, nowMs, use = 'usual') {
       if (costMs <= SHORT_REQUEST_MAX_MS) lastShortRequestMs = nowMs;
-      const helper = chooseNode(costMs, nowMs, anyNode);
+      const helper = chooseNode(costMs, nowMs, use);
       const row = helper === undefined ? undefined : rows.get(helper);
       if (helper === undefined || row === undefined) return undefined;
       const doneMs = computeIdleMs(row, nowMs) + costMs;
-      const request: InFlightRequest = { costMs, doneMs };
+      const request: InFlightRequest = { use, costMs, doneMs };
+      if (use === 'overdue-service' && isLastWithoutLong())
+        lastNodeKeptUntilMs = doneMs + costMs;
       row.inFlight.add(request);
       return {
         helper,
@@ -160,6 +192,11 @@
   return { inFlight: new Set(), avoidUntilMs: -Infinity, overheadMs: 0 };
 }
 
+function hasServiceRequest(row: NodeRow): boolean {
+  for (const { use } of row.inFlight) if (use !== 'usual') return true;
+  return false;
+}
+
 function hasLongRequest(row: NodeRow): boolean {
   for (const { costMs } of row.inFlight)
     if (costMs > SHORT_REQUEST_MAX_MS) return true;
--- a/packages/core/src/workloads/owed.ts
+++ b/packages/core/src/workloads/owed.ts
@@ -13,6 +13,7 @@
 import * as states from './state.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
+import * as waits from './waits.js';
 
 /** Time for which a task may be due without running before it counts as owed, in ms. Other tasks than those of services and gangs must also be past their objective. */
 export const OWED_AFTER_MS = 3_000;
@@ -255,7 +256,7 @@
 ): void {
   const { found, waiting } = results;
   const { nowMs } = query;
-  const turnMs = computeTurnMs(state, step);
+  const turnMs = Math.max(state.createdMs, waits.computeTurnMs(step));
   checkCounts(step, turnMs, found);
   const isOwed =
     !step.occurrence.done &&
@@ -288,15 +289,6 @@
   if (waitingTasks.length > 0) waiting.push({ step, tasks: waitingTasks });
 }
 
-/** Returns the time from which the tasks of a step may run, as far as this owner knows. */
-function computeTurnMs(state: states.State, step: tables.StepRow): number {
-  const { occurrence } = step;
-  let turnMs = Math.max(occurrence.dueMs, state.createdMs);
-  for (const index of step.spec.after)
-    turnMs = Math.max(turnMs, occurrence.steps[index]?.doneMs ?? turnMs);
-  return turnMs;
-}
-
 function isBoundOver(
   step: tables.StepRow,
   turnMs: number,
@@ -555,7 +547,7 @@
     !state.adviceSlots.hasFreeSlot(
       ranking.estimateAdviceMs(policy, 1),
       nowMs,
-      step.spec.lasts,
+      advice.chooseSlotUse(step, nowMs),
     )
   )
     return 'no-advice-slot';
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -16,6 +16,7 @@
 import * as states from './state.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
+import * as waits from './waits.js';
 
 /** Number of blocked steps per pool for which runs are preempted or advice is requested ahead of time. */
 const LOOKAHEAD_STEPS = 3;
@@ -87,6 +88,7 @@
   const blockedSteps = new Map<types.PoolName, number>();
   const rooms = headroom.measureRooms(state, nowMs);
   const poolsWithReservation = new Set<types.PoolName>();
+  askForOverdueServices(state, ranked, nowMs);
   for (const { step } of ranked) {
     const { pool } = step.occurrence.job.policy;
     const waitingBefore = step.waitingCount;
@@ -121,6 +123,27 @@
   }
 }
 
+/** Requests advice for overdue services before other steps take the free slots. */
+function askForOverdueServices(
+  state: states.State,
+  ranked: readonly ranking.RankedStep[],
+  nowMs: number,
+): void {
+  for (const { step } of ranked) {
+    if (!waits.isServiceOverdue(step, nowMs)) continue;
+    const canStart = collectCandidates(state, step, nowMs).some((candidate) =>
+      placement.canPlaceTask(candidate, step),
+    );
+    if (!canStart)
+      advice.requestAdvice(
+        state,
+        step,
+        { start: true, askAhead: false },
+        nowMs,
+      );
+  }
+}
+
 function placeStep(
   state: states.State,
   step: tables.StepRow,
--- a/packages/core/test/workloads/adviceSlots.test.ts
+++ b/packages/core/test/workloads/adviceSlots.test.ts
@@ -31,10 +31,52 @@
       slots.reserve(SHORT_REQUEST_MS, 0);
       while (slots.reserve(LONG_REQUEST_MS, 0) !== undefined);
       vitest
-        .expect(slots.reserve(LONG_REQUEST_MS, 0, true)?.expectedMs)
+        .expect(slots.reserve(LONG_REQUEST_MS, 0, 'service')?.expectedMs)
         .toBeLessThanOrEqual(LONG_REQUEST_MS + SHORT_REQUEST_MS);
       vitest.expect(slots.reserve(SHORT_REQUEST_MS, 0)).toBeDefined();
-      vitest.expect(slots.reserve(LONG_REQUEST_MS, 0, true)).toBeUndefined();
+      vitest
+        .expect(slots.reserve(LONG_REQUEST_MS, 0, 'service'))
+        .toBeUndefined();
+    },
+  );
+
+  vitest.it(
+    'send the long request of an overdue service between short ones, and then short ones for as long (guards against service tasks that a flow of short requests keeps waiting)',
+    () => {
+      const slots = adviceSlots.createAdviceSlots();
+      const shorts = [0, 1, 2].map(() => slots.reserve(SHORT_REQUEST_MS, 0));
+      vitest
+        .expect(slots.reserve(LONG_REQUEST_MS, 0, 'service'))
+        .toBe(undefined);
+      const first = slots.reserve(LONG_REQUEST_MS, 0, 'overdue-service');
+      vitest
+        .expect(first?.expectedMs)
+        .toBeLessThanOrEqual(LONG_REQUEST_MS + 3 * SHORT_REQUEST_MS);
+      const answeredMs = first?.expectedMs ?? 0;
+      for (const slot of shorts) slot?.release(true, SHORT_REQUEST_MS);
+      first?.release(true, answeredMs);
+      const short = slots.reserve(SHORT_REQUEST_MS, answeredMs);
+      vitest.expect(short).toBeDefined();
+      const reserveAt = (nowMs: number): unknown =>
+        slots.reserve(LONG_REQUEST_MS, nowMs, 'overdue-service');
+      vitest
+        .expect(reserveAt(answeredMs + LONG_REQUEST_MS / 2))
+        .toBe(undefined);
+      vitest.expect(reserveAt(answeredMs + LONG_REQUEST_MS)).toBeDefined();
+    },
+  );
+
+  vitest.it(
+    'send requests of overdue services from half of the nodes at most (guards against urgent steps that get no advice)',
+    () => {
+      const slots = adviceSlots.createAdviceSlots();
+      slots.setHelpers(['a', 'b', 'c', 'd', 'e']);
+      for (let index = 0; index < 18; index += 1)
+        slots.reserve(SHORT_REQUEST_MS, 0);
+      let requests = 0;
+      while (slots.reserve(LONG_REQUEST_MS, 0, 'overdue-service') !== undefined)
+        requests += 1;
+      vitest.expect(requests).toBe(3);
     },
   );
 
--- a/packages/core/test/workloads/poolSimulation.ts
+++ b/packages/core/test/workloads/poolSimulation.ts
@@ -42,7 +42,7 @@
 }
 
 /** Jobs of one kind. */
-interface JobKind {
+export interface JobKind {
   readonly policy: QueuePolicy;
   readonly jobsPerSecond: number;
   readonly steps: number;
@@ -78,6 +78,8 @@
   readonly failureIntervalMs: number;
   /** Factor on the arrivals of urgent and batch jobs. */
   readonly load: number;
+  /** What differs from the usual service jobs. */
+  readonly service?: Partial<JobKind>;
 }
 
 interface ServiceWait {
@@ -197,8 +199,14 @@
   private urgentJobs = 0;
   private batchTasksDone = 0;
 
+  private readonly kinds: Readonly<Record<Burst['kind'], JobKind>>;
+
   constructor(private readonly scenario: PoolScenario) {
     this.random = createRandom(scenario.seed);
+    this.kinds = {
+      ...KINDS,
+      service: { ...KINDS.service, ...scenario.service },
+    };
     this.scheduler = core.workloads.createWorkloadScheduler({
       bounds: { inheritedRunTimeoutMs: 16_000, firstRun: 1 },
       unrecordedStarts: false,
@@ -264,7 +272,7 @@
   }
 
   private addJob(kind: Burst['kind']): void {
-    const spec = KINDS[kind];
+    const spec = this.kinds[kind];
     const id = `${kind}${this.jobs.size}`;
     const steps =
       Math.floor(spec.steps) + Number(this.random() < spec.steps % 1);
@@ -357,7 +365,7 @@
       if (row.kind !== 'urgent') continue;
       const { policy, steps } = row.job;
       const allowedMs =
-        policy.stretch * steps.length * (KINDS.urgent.meanMs + 30) +
+        policy.stretch * steps.length * (this.kinds.urgent.meanMs + 30) +
         policy.slackMs;
       if (this.nowMs - row.acceptedMs <= allowedMs) this.urgentInTime += 1;
     }
@@ -367,7 +375,7 @@
     const { scenario } = this;
     const atMs = this.nowMs - START_MS;
     for (const kind of ['urgent', 'batch', 'service'] as const) {
-      const spec = KINDS[kind];
+      const spec = this.kinds[kind];
       let rate =
         spec.jobsPerSecond * scenario.vms * (spec.lasts ? 1 : scenario.load);
       for (const burst of scenario.bursts)
@@ -518,7 +526,7 @@
     }
     const spec = row.job.steps[command.task.step]!;
     const task = core.workloads.formatTask(command.task);
-    const kind = KINDS[row.kind];
+    const kind = this.kinds[row.kind];
     addSize(vm.free, spec, -1);
     if (vm.free.cores < -1e-6 || vm.free.memoryMb < -1e-6)
       this.violations.push(`${this.nowMs}: ${task} exceeds the capacity`);
@@ -574,7 +582,7 @@
         step,
         vms,
         vms
-          .filter((vm) => isApproved(step, vm, KINDS[kind].approvedShare))
+          .filter((vm) => isApproved(step, vm, this.kinds[kind].approvedShare))
           .map((vm) => ({ vm, ticket: `${validUntilMs}` })),
         this.nowMs,
       );
@@ -618,7 +626,7 @@
         vm.free.memoryMb < spec.size.memoryMb
       )
         continue;
-      if (!isApproved(step, id, KINDS[kind].approvedShare)) continue;
+      if (!isApproved(step, id, this.kinds[kind].approvedShare)) continue;
       if (spec.maxPerVm === undefined) return true;
       const same = [...vm.running.values()].filter(
         ({ task }) => task.job === jobId,
--- a/packages/core/test/workloads/serviceTasks.test.ts
+++ b/packages/core/test/workloads/serviceTasks.test.ts
@@ -110,22 +110,44 @@
 ];
 
 vitest.describe('the service tasks of a busy pool', () => {
-  for (const { name, helpers, load, seeds } of [
-    { name: 'many nodes', helpers: 9, load: 1, seeds: [1, 2] },
-    { name: 'few nodes', helpers: 4, load: 0.7, seeds: [3, 5, 6] },
+  const pool = { vms: 60, load: 0.7, failureIntervalMs: 15_000 };
+  for (const { name, seeds, ...given } of [
+    { ...pool, name: 'many nodes', helpers: 9, load: 1, seeds: [1, 2] },
+    { ...pool, name: 'few nodes', helpers: 4, seeds: [3, 5, 6] },
+    { ...pool, name: 'three nodes', helpers: 2, seeds: [11, 12] },
+    {
+      ...pool,
+      name: 'two nodes',
+      helpers: 1,
+      failureIntervalMs: 60_000,
+      seeds: [11, 12, 13],
+    },
+    {
+      ...pool,
+      name: 'one node for a small pool',
+      vms: 24,
+      helpers: 0,
+      failureIntervalMs: 60_000,
+      seeds: [11, 12, 13],
+    },
+    {
+      name: 'six nodes for a large pool',
+      vms: 252,
+      helpers: 5,
+      load: 0.8,
+      failureIntervalMs: 150_000,
+      seeds: [22],
+    },
   ])
     vitest.it(
       `run again in time in bursts and drains while approved VMs have room, with ${name} for advice`,
       () => {
         for (const seed of seeds) {
           const simulation = new pools.PoolSimulation({
+            ...given,
             seed,
-            vms: 60,
-            helpers,
             bursts: BURSTS,
             drainsAtMs: [9_000, 18_000],
-            failureIntervalMs: 15_000,
-            load,
           });
           vitest
             .expect(simulation.run(32_000).violations, `seed ${seed}`)
