Ask for advice before the lease of a silent VM ends

Callers saw a service task missing for one or two seconds more than its lease lasted. After the loss of VMs, all services that ran there asked for advice only then, at the same time: about 1 s for one answer on a large site, and more when the slots were taken.

The owner tells the scheduler when the runs of each silent VM have ended at the latest, and of VMs that aren't listed it knows that from the leases of earlier owners. The scheduler requests advice for the service tasks there so that the answer arrives shortly before; its tickets are still valid when the VM is lost, and the task starts in that round.

The new tests fail on the code before (no request before the loss).

--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -395,6 +395,7 @@
     const startedMs = timers.getNow();
     expireUnlisted(startedMs);
     scheduler.setHelpers(options.adviceRouter.listHelpers());
+    scheduler.setSilentVms(collectSilentVms());
     const decision = scheduler.tick(startedMs, timers.getDate());
     lastTickMs = timers.getNow() - startedMs;
     metrics.record('tick', {}, lastTickMs);
--- a/packages/core/src/workloads/advice.ts
+++ b/packages/core/src/workloads/advice.ts
@@ -29,6 +29,8 @@
 const RENEWED_VMS_PER_TASK = 1.5;
 /** Additional VMs in a renewal may add this share of the request's fixed service time. */
 const RENEWAL_COST_SHARE = 0.25;
+/** Time that an answer is assumed to take beyond the service time, when it is needed at a known time, in ms. */
+const ANSWER_OVERHEAD_MS = 400;
 /** Time that the timeout of a request adds to its expected time, in ms. */
 const ANSWER_TIMEOUT_MARGIN_MS = 3_000;
 
@@ -69,19 +71,26 @@
   return pendingUntilMs !== undefined && pendingUntilMs > nowMs;
 }
 
-/**
- * Sends an advice request for a step if the answer can lead to a start and a node has a
- * free slot. `askAhead` allows a request although no VM has room for the step yet.
- */
+/** What a request for advice may be sent for. */
+export interface AllowedAdvice {
+  /** A start at once. */
+  readonly start: boolean;
+  /** A later start, although no VM has room for the step yet. */
+  readonly askAhead: boolean;
+  /** Number of running tasks of a service that are about to need another place. */
+  readonly endingTasks?: number;
+}
+
+/** Sends an advice request for a step if the answer can lead to a start and a node has a free slot. */
 export function requestAdvice(
   state: states.State,
   step: tables.StepRow,
-  allowed: { readonly start: boolean; readonly askAhead: boolean },
+  allowed: AllowedAdvice,
   nowMs: number,
 ): void {
   const policy = step.occurrence.job.policy.advice;
   if (policy === undefined || isRequestPending(step, nowMs)) return;
-  const use = chooseSlotUse(step, nowMs);
+  const use = chooseSlotUse(step, nowMs, allowed.endingTasks);
   // With a long queue there is mostly no free slot, and this check is cheaper than choosing VMs.
   if (
     !state.adviceSlots.hasFreeSlot(
@@ -115,12 +124,60 @@
   });
 }
 
+/**
+ * Requests advice for service tasks on VMs that don't answer, so that the answer arrives
+ * shortly before their runs have ended and may be replaced.
+ */
+export function requestForEndingTasks(
+  state: states.State,
+  nowMs: number,
+): void {
+  const endingTasks = new Map<tables.StepRow, number>();
+  for (const vm of state.vms.values()) {
+    const endMs = findRunsEnd(state, vm);
+    if (endMs === undefined) continue;
+    for (const { task } of vm.runs) {
+      const { step } = task;
+      const { job } = step.occurrence;
+      const policy = job.policy.advice;
+      if (!step.spec.lasts || policy === undefined) continue;
+      const answerMs =
+        nowMs +
+        ranking.estimateAdviceMs(policy, MAX_VMS_PER_REQUEST) +
+        ANSWER_OVERHEAD_MS;
+      if (endMs > answerMs || states.isJobOver(job)) continue;
+      endingTasks.set(step, (endingTasks.get(step) ?? 0) + 1);
+    }
+  }
+  for (const [step, tasks] of endingTasks)
+    requestAdvice(
+      state,
+      step,
+      { start: true, askAhead: false, endingTasks: tasks },
+      nowMs,
+    );
+}
+
+/** Returns the time at which the runs of a VM that doesn't answer have ended; undefined while it may answer. */
+function findRunsEnd(
+  state: states.State,
+  vm: tables.VmRow,
+): number | undefined {
+  const isUnlisted = vm.entry === undefined && vm.reportedMs === undefined;
+  return (
+    state.silentVms.get(vm.id) ??
+    (isUnlisted ? state.inheritedUntilMs : undefined)
+  );
+}
+
 /** Returns the use for which a request of a step gets a slot. */
 export function chooseSlotUse(
   step: tables.StepRow,
   nowMs: number,
+  endingTasks = 0,
 ): adviceSlots.SlotUse {
-  if (waits.isServiceOverdue(step, nowMs)) return 'overdue-service';
+  if (endingTasks > 0 || waits.isServiceOverdue(step, nowMs))
+    return 'overdue-service';
   return step.spec.lasts ? 'service' : 'usual';
 }
 
@@ -159,7 +216,7 @@
   state: states.State,
   step: tables.StepRow,
   policy: types.AdvicePolicy,
-  allowed: { readonly start: boolean; readonly askAhead: boolean },
+  allowed: AllowedAdvice,
   nowMs: number,
 ): readonly ids.VmId[] {
   const eligible = listEligible(state, step, policy, allowed.start, nowMs);
@@ -167,8 +224,10 @@
     step.advice.tickets.has(vm.incarnationKey),
   );
   if (step.spec.lasts) {
-    const vms = chooseForService(step, eligible, nowMs);
-    if (vms.length > 0) return vms;
+    const { endingTasks = 0 } = allowed;
+    const tasks = step.waitingCount + endingTasks;
+    const vms = chooseForService(step, eligible, tasks, nowMs);
+    if (vms.length > 0 || endingTasks > 0) return vms;
   }
   const notAsked = eligible.filter(
     ({ vm }) => !step.advice.askedVms.has(vm.incarnationKey),
@@ -210,7 +269,7 @@
 }
 
 /**
- * Chooses VMs with room for the waiting tasks of a service: approved ones whose tickets
+ * Chooses VMs with room for a number of tasks of a service: approved ones whose tickets
  * have expired, and for the other tasks those that haven't been asked about. Those with
  * the most room come first, as other steps take room until the answer arrives. None when
  * no VM has room.
@@ -218,12 +277,16 @@
 function chooseForService(
   step: tables.StepRow,
   eligible: readonly EligibleVm[],
+  tasks: number,
   nowMs: number,
 ): readonly ids.VmId[] {
   const { tickets, askedVms } = step.advice;
   const withRoom = eligible
     .filter(({ canStart }) => canStart)
-    .map(({ vm, candidate }) => ({ vm, places: countPlaces(candidate, step) }))
+    .map(({ vm, candidate }) => ({
+      vm,
+      places: countPlaces(candidate, step, tasks),
+    }))
     .sort((a, b) => b.places - a.places);
   const approvedShare =
     askedVms.size === 0
@@ -237,7 +300,7 @@
     if (findTicket(step, vm, nowMs) === undefined) chosen.push(vm);
   }
   for (const { vm, places } of withRoom) {
-    if (expectedPlaces >= step.waitingCount * RENEWED_VMS_PER_TASK) break;
+    if (expectedPlaces >= tasks * RENEWED_VMS_PER_TASK) break;
     if (askedVms.has(vm.incarnationKey)) continue;
     expectedPlaces += places * approvedShare;
     chosen.push(vm);
@@ -254,14 +317,15 @@
   return chosen.slice(0, MAX_VMS_PER_SERVICE_REQUEST).map(({ id }) => id);
 }
 
-/** Counts the waiting tasks of a step for which a VM has room. */
+/** Counts for how many of a number of tasks a VM has room. */
 function countPlaces(
   candidate: placement.Candidate,
   step: tables.StepRow,
+  tasks: number,
 ): number {
   const copy = { ...candidate, free: { ...candidate.free } };
   let places = 0;
-  while (places < step.waitingCount && placement.canPlaceTask(copy, step)) {
+  while (places < tasks && placement.canPlaceTask(copy, step)) {
     placement.takeRoom(copy, step);
     places += 1;
   }
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -63,6 +63,8 @@
   applyReport(id: ids.VmId, report: types.VmReport, nowMs: number): void;
   /** Handles an unresponsive VM: it gets no new runs until it reports again. */
   suspendVm(id: ids.VmId): void;
+  /** Sets the VMs that don't answer, each with the time at which its runs have ended at the latest. */
+  setSilentVms(ends: ReadonlyMap<ids.VmId, number>): void;
   /** Handles a VM whose process has terminated: its runs are removed, except starts that are still to be answered. */
   failVm(id: ids.VmId, nowMs: number): void;
   /** Handles a lost VM: nothing can run there any more, so its runs are removed. */
@@ -181,6 +183,9 @@
       const vm = state.vms.get(id);
       if (vm !== undefined) vm.usable = false;
     },
+    setSilentVms(ends) {
+      state.silentVms = ends;
+    },
     failVm(id, nowMs) {
       const vm = state.vms.get(id);
       if (vm === undefined) return;
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -78,6 +78,8 @@
   inheritedUnrecordedStarts: boolean;
   /** Time from which runs that a previous owner recorded on VMs without a report count as ended. */
   inheritedUntilMs: number;
+  /** VMs that don't answer, each with the time at which its runs have ended at the latest. */
+  silentVms: ReadonlyMap<ids.VmId, number>;
   /** Advice requests in flight, by step. */
   readonly adviceRequests: Map<string, AdviceRequest>;
   /** Advice slots of the nodes that send advice requests. */
@@ -117,6 +119,7 @@
     endedRuns: [],
     inheritedUnrecordedStarts: options.unrecordedStarts,
     inheritedUntilMs: options.nowMs + options.bounds.inheritedRunTimeoutMs,
+    silentVms: new Map(),
     adviceRequests: new Map(),
     adviceSlots: adviceSlots.createAdviceSlots(),
     counts: new Map(),
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -89,6 +89,7 @@
   const rooms = headroom.measureRooms(state, nowMs);
   const poolsWithReservation = new Set<types.PoolName>();
   askForOverdueServices(state, ranked, nowMs);
+  advice.requestForEndingTasks(state, nowMs);
   for (const { step } of ranked) {
     const { pool } = step.occurrence.job.policy;
     const waitingBefore = step.waitingCount;
--- a/packages/core/test/workloads/poolSimulation.ts
+++ b/packages/core/test/workloads/poolSimulation.ts
@@ -16,6 +16,7 @@
 const STOP_MS = 400;
 const REPORT_INTERVAL_MS = 500;
 const START_MS = 10_000;
+const LEASE_MS = 10_000;
 /** A service task must run again this long after its last run. */
 const REPLACEMENT_MS = 6_000;
 /** Time for which a task may then wait although an approved VM has room. */
@@ -39,6 +40,8 @@
   nextEnd: number;
   nextReportMs: number;
   leavesAtMs: number;
+  /** Time at which it is lost; it doesn't answer until then. */
+  lostAtMs: number;
 }
 
 /** Jobs of one kind. */
@@ -74,6 +77,8 @@
   readonly bursts: readonly Burst[];
   /** Times at which a tenth of the VMs starts to drain; they leave 8 s later and others come. */
   readonly drainsAtMs: readonly number[];
+  /** Times at which a tenth of the VMs becomes silent; their leases end 10 s later. */
+  readonly silencesAtMs?: readonly number[];
   /** Mean time between failures of one service task. */
   readonly failureIntervalMs: number;
   /** Factor on the arrivals of urgent and batch jobs. */
@@ -84,6 +89,8 @@
 
 interface ServiceWait {
   sinceMs: number;
+  /** Whether its VM was lost. */
+  isAfterLoss: boolean;
   /** Time since which an approved VM has had room without a break. */
   roomSinceMs: number | undefined;
 }
@@ -94,6 +101,8 @@
   readonly violations: readonly string[];
   /** Times for which service tasks waited, in ms. */
   readonly serviceWaitsMs: readonly number[];
+  /** Those of tasks whose VMs were lost, in ms. */
+  readonly lossWaitsMs: readonly number[];
   /** Longest time for which a service task waited while an approved VM had room, in ms. */
   readonly longestWithRoomMs: number;
   /** Share of the urgent jobs that ended within their objective. */
@@ -194,6 +203,7 @@
   private readonly violations: string[] = [];
   private readonly violated = new Set<string>();
   private readonly serviceWaitsMs: number[] = [];
+  private readonly lossWaitsMs: number[] = [];
   private longestWithRoomMs = 0;
   private urgentInTime = 0;
   private urgentJobs = 0;
@@ -227,6 +237,7 @@
     return {
       violations: this.violations,
       serviceWaitsMs: this.serviceWaitsMs,
+      lossWaitsMs: this.lossWaitsMs,
       longestWithRoomMs: this.longestWithRoomMs,
       urgentInTime: this.urgentInTime / Math.max(1, this.urgentJobs),
       urgentJobs: this.urgentJobs,
@@ -255,6 +266,7 @@
       nextEnd: 1,
       nextReportMs: this.nowMs,
       leavesAtMs: Infinity,
+      lostAtMs: Infinity,
     });
     this.scheduler.setVmEntry(id, entry, this.nowMs);
   }
@@ -327,6 +339,7 @@
     for (let index = 0; index < job.steps[0]!.count; index += 1)
       this.waits.set(`${id}.0.0.${index}`, {
         sinceMs: this.nowMs,
+        isAfterLoss: false,
         roomSinceMs: undefined,
       });
   }
@@ -344,6 +357,7 @@
     for (const message of due) message.deliver();
     this.addArrivals();
     this.drainVms();
+    this.silenceVms();
     for (const vm of [...this.vms.values()]) this.advanceVm(vm);
     const decision = this.scheduler.tick(this.nowMs, this.nowMs);
     for (const command of decision.commands) this.execute(command);
@@ -411,7 +425,29 @@
     }
   }
 
+  private silenceVms(): void {
+    if (this.scenario.silencesAtMs?.includes(this.nowMs - START_MS) === true)
+      for (const [id, vm] of this.vms) {
+        if (this.random() > 0.1) continue;
+        vm.lostAtMs = this.nowMs + LEASE_MS;
+        this.scheduler.suspendVm(id);
+      }
+    const silent = [...this.vms].filter(([, vm]) => isSilent(vm));
+    this.scheduler.setSilentVms(
+      new Map(silent.map(([id, { lostAtMs }]) => [id, lostAtMs])),
+    );
+    for (const [id, vm] of silent) {
+      if (vm.lostAtMs > this.nowMs) continue;
+      for (const run of vm.running.values()) this.beginWait(run, true);
+      this.vms.delete(id);
+      this.scheduler.setVmEntry(id, undefined, this.nowMs);
+      this.scheduler.loseVm(id, this.nowMs);
+      this.addVm();
+    }
+  }
+
   private advanceVm(vm: PoolVm): void {
+    if (isSilent(vm)) return;
     let changed = false;
     for (const [key, run] of [...vm.running])
       if (run.endMs <= this.nowMs) {
@@ -437,10 +473,11 @@
     this.beginWait(run);
   }
 
-  private beginWait(run: RunOnVm): void {
+  private beginWait(run: RunOnVm, isAfterLoss = false): void {
     if (!run.spec.lasts || this.jobs.get(run.task.job)!.cancelled) return;
     this.waits.set(core.workloads.formatTask(run.task), {
       sinceMs: this.nowMs,
+      isAfterLoss,
       roomSinceMs: undefined,
     });
   }
@@ -471,7 +508,8 @@
       requestSentMs: this.nowMs,
     };
     this.send(NETWORK_MS, () => {
-      if (this.vms.has(id)) this.scheduler.applyReport(id, report, this.nowMs);
+      if (this.vms.has(id) && !isSilent(vm))
+        this.scheduler.applyReport(id, report, this.nowMs);
     });
   }
 
@@ -515,7 +553,7 @@
         );
       });
     };
-    if (vm === undefined) {
+    if (vm === undefined || isSilent(vm)) {
       apply('unreachable');
       return;
     }
@@ -544,6 +582,7 @@
     const wait = this.waits.get(task);
     if (wait !== undefined) {
       this.serviceWaitsMs.push(this.nowMs - wait.sinceMs);
+      if (wait.isAfterLoss) this.lossWaitsMs.push(this.nowMs - wait.sinceMs);
       this.waits.delete(task);
     }
     apply('started');
@@ -554,7 +593,7 @@
   ): void {
     const { vm: id, task, run } = command;
     const vm = this.vms.get(id);
-    if (vm === undefined) return;
+    if (vm === undefined || isSilent(vm)) return;
     const row = vm.running.get(`${core.workloads.formatTask(task)}#${run}`);
     if (row !== undefined) {
       row.how = 'stopped';
@@ -620,7 +659,7 @@
     const spec = job.steps[index]!;
     const step = { job: jobId, occurrence: 0, step: index };
     for (const [id, vm] of this.vms) {
-      if (vm.entry.draining) continue;
+      if (vm.entry.draining || isSilent(vm)) continue;
       if (
         vm.free.cores < spec.size.cores ||
         vm.free.memoryMb < spec.size.memoryMb
@@ -651,6 +690,10 @@
   return ((hash ^ (hash >>> 16)) >>> 0) / 4_294_967_296 < share;
 }
 
+function isSilent(vm: PoolVm): boolean {
+  return vm.lostAtMs < Infinity;
+}
+
 function addSize(
   to: { cores: number; memoryMb: number },
   spec: StepSpec,
--- a/packages/core/test/workloads/serviceTasks.test.ts
+++ b/packages/core/test/workloads/serviceTasks.test.ts
@@ -101,6 +101,55 @@
   );
 });
 
+vitest.describe(
+  'a service task on a VM that is silent until it is lost',
+  () => {
+    const leaseMs = 10_000;
+
+    function silenceVm(isListed: boolean): harnesses.Harness {
+      const harness = harnesses.createHarness();
+      const policy = harnesses.createPolicy({
+        advice: { fixedMs: 900, perVmMs: 10, validMs: 2_000 },
+      });
+      harness.addVm('a');
+      harness.addJob(
+        'service',
+        [harnesses.createStep({ lasts: true })],
+        policy,
+      );
+      harness.advance(10);
+      vitest.expect(harness.listRuns()).toMatchObject([{ vm: 'a' }]);
+      harness.addVm('b');
+      harness.vms.delete('a');
+      harness.scheduler.suspendVm('a');
+      if (!isListed)
+        harness.scheduler.setVmEntry('a', undefined, harness.getNow());
+      harness.scheduler.setSilentVms(
+        new Map([['a', harness.getNow() + leaseMs]]),
+      );
+      return harness;
+    }
+
+    for (const isListed of [true, false])
+      vitest.it(
+        `starts elsewhere at once when the lease has ended and the VM is ${isListed ? 'listed' : 'unlisted'} (guards against service tasks that wait for advice after they have waited for the lease)`,
+        () => {
+          const harness = silenceVm(isListed);
+          for (let round = 0; round < 80; round += 1) harness.advance(100);
+          const before = harness.listAdvisedSteps().length;
+          for (let round = 0; round < 20; round += 1) harness.advance(100);
+          const after = harness.listAdvisedSteps().length;
+          vitest.expect(after).toBe(before + 1);
+          harness.scheduler.setSilentVms(new Map());
+          harness.scheduler.loseVm('a', harness.getNow());
+          harness.settle();
+          vitest.expect(harness.listRuns()).toMatchObject([{ vm: 'b' }]);
+          vitest.expect(harness.listAdvisedSteps()).toHaveLength(after);
+        },
+      );
+  },
+);
+
 const BURSTS: readonly pools.Burst[] = [
   { kind: 'urgent', fromMs: 5_000, toMs: 13_000, factor: 2.3 },
   { kind: 'batch', fromMs: 6_000, toMs: 14_000, factor: 2.2 },
@@ -138,6 +187,15 @@
       failureIntervalMs: 150_000,
       seeds: [22],
     },
+    {
+      name: 'twelve nodes and silent VMs in a large pool',
+      vms: 252,
+      helpers: 11,
+      load: 0.8,
+      failureIntervalMs: 150_000,
+      silencesAtMs: [8_000, 16_000],
+      seeds: [23],
+    },
   ])
     vitest.it(
       `run again in time in bursts and drains while approved VMs have room, with ${name} for advice`,
