Let an overdue service task use room that is kept for a gang

Callers saw a service task missing beside a VM with room. A gang that waits for several VMs keeps those that are ready already, and renews that in each round until the last one is ready, which takes as long as the longest run there. A service task may not use a reserved VM however long it has waited, as it doesn't end in time.

A service whose task has waited for 2 s may now use room that is kept for a gang, and asks for advice about it; the gang keeps other VMs from the next round on. Room on which runs were preempted for single tasks stays reserved, as it is used within 1.5 s. `task.owed why=room-reserved` names such waits.

The new test fails before: with one VM busy for 60 s and the other kept for a gang of two whole VMs, the service task isn't started; now it starts after 2 s.

--- a/packages/core/src/workloads/advice.ts
+++ b/packages/core/src/workloads/advice.ts
@@ -349,11 +349,11 @@
       ticket: undefined,
       sameStep: placement.countSameStep(vm, step),
     };
-    const reserved = placement.getReservedStep(vm, nowMs);
     const hasRoom =
-      reserved === step
+      placement.getReservedStep(vm, nowMs) === step
         ? vm.reservedReadyMs <= soonMs
-        : reserved === undefined && placement.canPlaceTask(candidate, step);
+        : !placement.isReservedForOther(vm, step, nowMs) &&
+          placement.canPlaceTask(candidate, step);
     eligible.push({ vm, candidate, canStart: mayStart && hasRoom });
   }
   return eligible;
--- a/packages/core/src/workloads/placement.ts
+++ b/packages/core/src/workloads/placement.ts
@@ -6,6 +6,7 @@
 import * as speeds from './speed.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
+import * as waits from './waits.js';
 
 /** Penalties added to a score. Without penalties a VM scores between 0 (full) and 3 (empty). */
 const AVOIDED_VM_PENALTY = 20;
@@ -57,14 +58,18 @@
   return states.isJobOver(step.occurrence.job) ? undefined : step;
 }
 
-/** Returns whether a VM is reserved for another step. */
+/**
+ * Returns whether a VM is reserved for another step. An overdue service may use what is
+ * kept for a gang: that room can stay unused until the last of the gang's VMs is ready.
+ */
 export function isReservedForOther(
   vm: tables.VmRow,
   step: tables.StepRow,
   nowMs: number,
 ): boolean {
   const reserved = getReservedStep(vm, nowMs);
-  return reserved !== undefined && reserved !== step;
+  if (reserved === undefined || reserved === step) return false;
+  return !(reserved.spec.gang && waits.isServiceOverdue(step, nowMs));
 }
 
 /** Counts the tasks of a step on a VM. */
--- a/packages/core/test/workloads/serviceTasks.test.ts
+++ b/packages/core/test/workloads/serviceTasks.test.ts
@@ -150,6 +150,37 @@
   },
 );
 
+vitest.describe('a VM that is reserved for a gang', () => {
+  vitest.it(
+    'runs a service task that has no other place (guards against service tasks that wait beside room that a gang keeps for long)',
+    () => {
+      const harness = harnesses.createHarness();
+      const wholeVm = harnesses.createStep({
+        size: { cores: 8, memoryMb: 100, gpus: 0 },
+        estimateMs: 60_000,
+      });
+      harness.addVm('busy');
+      harness.addJob('long', [wholeVm]);
+      harness.advance(10);
+      harness.addVm('free');
+      harness.addJob('gang', [{ ...wholeVm, count: 2, gang: true }]);
+      harness.advance(10);
+      harness.addJob('service', [
+        harnesses.createStep({
+          size: { cores: 4, memoryMb: 100, gpus: 0 },
+          lasts: true,
+        }),
+      ]);
+      const listTasks = (): readonly string[] =>
+        harness.listRuns().map(({ task }) => task);
+      for (let round = 0; round < 10; round += 1) harness.advance(100);
+      vitest.expect(listTasks()).toEqual(['long.0.0.0']);
+      for (let round = 0; round < 20; round += 1) harness.advance(100);
+      vitest.expect(listTasks()).toEqual(['long.0.0.0', 'service.0.0.0']);
+    },
+  );
+});
+
 const BURSTS: readonly pools.Burst[] = [
   { kind: 'urgent', fromMs: 5_000, toMs: 13_000, factor: 2.3 },
   { kind: 'batch', fromMs: 6_000, toMs: 14_000, factor: 2.2 },
