--- a/packages/core/test/workloads/serviceTasks.test.ts
+++ b/packages/core/test/workloads/serviceTasks.test.ts
@@ -101,6 +101,86 @@
   );
 });
 
+vitest.describe(
+  'a service task on a VM that is silent until it is lost',
+  () => {
+    const leaseMs = 10_000;
+
+    function silenceVm(isListed: boolean): harnesses.Harness {
+      const harness = harnesses.createHarness();
+      const policy = harnesses.createPolicy({
+        advice: { fixedMs: 900, perVmMs: 10, validMs: 2_000 },
+      });
+      harness.addVm('a');
+      harness.addJob(
+        'service',
+        [harnesses.createStep({ lasts: true })],
+        policy,
+      );
+      harness.advance(10);
+      vitest.expect(harness.listRuns()).toMatchObject([{ vm: 'a' }]);
+      harness.addVm('b');
+      harness.vms.delete('a');
+      harness.scheduler.suspendVm('a');
+      if (!isListed)
+        harness.scheduler.setVmEntry('a', undefined, harness.getNow());
+      harness.scheduler.setSilentVms(
+        new Map([['a', harness.getNow() + leaseMs]]),
+      );
+      return harness;
+    }
+
+    for (const isListed of [true, false])
+      vitest.it(
+        `starts elsewhere at once when the lease has ended and the VM is ${isListed ? 'listed' : 'unlisted'} (guards against service tasks that wait for advice after they have waited for the lease)`,
+        () => {
+          const harness = silenceVm(isListed);
+          for (let round = 0; round < 80; round += 1) harness.advance(100);
+          const before = harness.listAdvisedSteps().length;
+          for (let round = 0; round < 20; round += 1) harness.advance(100);
+          const after = harness.listAdvisedSteps().length;
+          vitest.expect(after).toBe(before + 1);
+          harness.scheduler.setSilentVms(new Map());
+          harness.scheduler.loseVm('a', harness.getNow());
+          harness.settle();
+          vitest.expect(harness.listRuns()).toMatchObject([{ vm: 'b' }]);
+          vitest.expect(harness.listAdvisedSteps()).toHaveLength(after);
+        },
+      );
+  },
+);
+
+vitest.describe('a VM that is reserved for a gang', () => {
+  vitest.it(
+    'runs a service task that has no other place (guards against service tasks that wait beside room that a gang keeps for long)',
+    () => {
+      const harness = harnesses.createHarness();
+      const wholeVm = harnesses.createStep({
+        size: { cores: 8, memoryMb: 100, gpus: 0 },
+        estimateMs: 60_000,
+      });
+      harness.addVm('busy');
+      harness.addJob('long', [wholeVm]);
+      harness.advance(10);
+      harness.addVm('free');
+      harness.addJob('gang', [{ ...wholeVm, count: 2, gang: true }]);
+      harness.advance(10);
+      harness.addJob('service', [
+        harnesses.createStep({
+          size: { cores: 4, memoryMb: 100, gpus: 0 },
+          lasts: true,
+        }),
+      ]);
+      const listTasks = (): readonly string[] =>
+        harness.listRuns().map(({ task }) => task);
+      for (let round = 0; round < 10; round += 1) harness.advance(100);
+      vitest.expect(listTasks()).toEqual(['long.0.0.0']);
+      for (let round = 0; round < 20; round += 1) harness.advance(100);
+      vitest.expect(listTasks()).toEqual(['long.0.0.0', 'service.0.0.0']);
+    },
+  );
+});
+
 const BURSTS: readonly pools.Burst[] = [
   { kind: 'urgent', fromMs: 5_000, toMs: 13_000, factor: 2.3 },
   { kind: 'batch', fromMs: 6_000, toMs: 14_000, factor: 2.2 },
@@ -110,22 +190,53 @@
 ];
 
 vitest.describe('the service tasks of a busy pool', () => {
-  for (const { name, helpers, load, seeds } of [
-    { name: 'many nodes', helpers: 9, load: 1, seeds: [1, 2] },
-    { name: 'few nodes', helpers: 4, load: 0.7, seeds: [3, 5, 6] },
+  const pool = { vms: 60, load: 0.7, failureIntervalMs: 15_000 };
+  for (const { name, seeds, ...given } of [
+    { ...pool, name: 'many nodes', helpers: 9, load: 1, seeds: [1, 2] },
+    { ...pool, name: 'few nodes', helpers: 4, seeds: [3, 5, 6] },
+    { ...pool, name: 'three nodes', helpers: 2, seeds: [11, 12] },
+    {
+      ...pool,
+      name: 'two nodes',
+      helpers: 1,
+      failureIntervalMs: 60_000,
+      seeds: [11, 12, 13],
+    },
+    {
+      ...pool,
+      name: 'one node for a small pool',
+      vms: 24,
+      helpers: 0,
+      failureIntervalMs: 60_000,
+      seeds: [11, 12, 13],
+    },
+    {
+      name: 'six nodes for a large pool',
+      vms: 252,
+      helpers: 5,
+      load: 0.8,
+      failureIntervalMs: 150_000,
+      seeds: [22],
+    },
+    {
+      name: 'twelve nodes and silent VMs in a large pool',
+      vms: 252,
+      helpers: 11,
+      load: 0.8,
+      failureIntervalMs: 150_000,
+      silencesAtMs: [8_000, 16_000],
+      seeds: [23],
+    },
   ])
     vitest.it(
       `run again in time in bursts and drains while approved VMs have room, with ${name} for advice`,
       () => {
         for (const seed of seeds) {
           const simulation = new pools.PoolSimulation({
+            ...given,
             seed,
-            vms: 60,
-            helpers,
             bursts: BURSTS,
             drainsAtMs: [9_000, 18_000],
-            failureIntervalMs: 15_000,
-            load,
           });
           vitest
             .expect(simulation.run(32_000).violations, `seed ${seed}`)
