Apply the inventories again that came before their jobs were known

Cause: a provisional owner applies the inventories of the workers while it can't read the log, so attempts of jobs that were accepted during the partition belong to jobs that it doesn't know, and aren't adopted. After the partition it reads those jobs and holds their tasks, but the inventories stayed marked as complete: the take-over was concluded without applying them again, and freed tasks that were running, or had ended without a record, on the workers. The same could happen to an owner that claimed just before the log became unreachable.

Change: an inventory remembers the unknown jobs of its attempts. When one of them becomes known before the take-over is concluded, the inventory no longer counts as complete and is requested again.

Evidence: the new tests (a task that ends, and one that still runs, at the end of the partition) fail on the code before the change with "j1#0" begun twice and with "j1#0 runs on w0 and w1"; both pass now.

--- a/packages/daemon/src/workers/reports.ts
+++ b/packages/daemon/src/workers/reports.ts
@@ -17,6 +17,7 @@
 ): void {
   const reported = new Set<core.ids.AttemptId>();
   entry.strayAttempts = 0;
+  entry.unknownJobs.clear();
   for (const task of report.tasks) {
     reported.add(task.attemptId);
     const known = state.attempts.get(entry.vm.id, task.attemptId);
@@ -96,6 +97,7 @@
     job !== undefined ||
     state.dependencies.jobs.table.ended.has(jobId) ||
     state.isConcluded;
+  if (!isJobKnown) entry.unknownJobs.add(jobId);
   if (task.state === 'ended') {
     if (isJobKnown) entry.session.forget(task.attemptId);
     return;
--- a/packages/daemon/src/workers/shard.ts
+++ b/packages/daemon/src/workers/shard.ts
@@ -207,6 +207,7 @@
       isListed: true,
       isInventoryComplete: false,
       strayAttempts: 0,
+      unknownJobs: new Set(),
       handledEnds: new Map(),
       session: session.createSession(
         {
--- a/packages/daemon/src/workers/shardJobs.ts
+++ b/packages/daemon/src/workers/shardJobs.ts
@@ -30,13 +30,30 @@
   state.knownJobs.add(job.id);
   const ended = core.listTaskEnds(state.tasks.table, job.id);
   state.apply({ event: 'job.accepted', job, ended });
-  if (!state.isConcluded && job.acceptedAt < state.takeOverOffset)
+  if (!state.isConcluded && job.acceptedAt < state.takeOverOffset) {
+    requestInventories(state, job.id);
     holdTasks(state, job, ended);
+  }
   if (job.cancelRequested)
     state.apply({ event: 'job.cancelled', job: job.id, by: 'a caller' });
   endFinishedJob(state, job.id);
 }
 
+/**
+ * Requests the inventories again that were applied before the job was known: their
+ * attempts of the job weren't adopted.
+ */
+function requestInventories(
+  state: states.ShardState,
+  job: core.ids.JobId,
+): void {
+  for (const entry of state.workers.values()) {
+    if (!entry.unknownJobs.has(job)) continue;
+    entry.isInventoryComplete = false;
+    void entry.session.sync();
+  }
+}
+
 function holdTasks(
   state: states.ShardState,
   job: core.jobs.Job,
--- a/packages/daemon/src/workers/state.ts
+++ b/packages/daemon/src/workers/state.ts
@@ -18,6 +18,8 @@
   isInventoryComplete: boolean;
   /** Number of running attempts that this owner doesn't manage; the worker gets no new tasks while there are any. */
   strayAttempts: number;
+  /** Jobs with attempts in the last applied inventory that weren't known when it was applied. */
+  readonly unknownJobs: Set<core.ids.JobId>;
   /** Ended attempts that were handled and that the worker still reports; it may forget those marked forgettable. */
   readonly handledEnds: Map<core.ids.AttemptId, 'recording' | 'forgettable'>;
 }
--- a/packages/daemon/test/cluster.ts
+++ b/packages/daemon/test/cluster.ts
@@ -61,6 +61,8 @@
   /** Whether appends take effect but their outcome is unknown. */
   loseAppendReplies = false;
   appendDelayMs = 5;
+  /** Whether only this process can't reach the log. */
+  isCutOffFromLog = false;
   /** Whether the process receives no heartbeats. */
   receivesNoHeartbeats = false;
   epoch: core.ids.Epoch | undefined;
@@ -141,7 +143,7 @@
   claimShard(): void {
     if (this.isPaused) return;
     const { log } = this.cluster;
-    if (log.isUnavailable) {
+    if (this.isLogUnavailable()) {
       const highest = this.cluster.getHighestEpoch();
       this.gainShard({ ...highest, provisional: highest.provisional + 1 });
       return;
@@ -152,6 +154,10 @@
     this.deliver('claims', offset + 1);
   }
 
+  private isLogUnavailable(): boolean {
+    return this.cluster.log.isUnavailable || this.isCutOffFromLog;
+  }
+
   /** Gives up the shard, as after learning of a higher epoch. */
   loseShard(): void {
     const { epoch } = this;
@@ -194,7 +200,7 @@
 
   /** Reads all open streams up to their heads; the records arrive after the read lag. */
   poll(): void {
-    if (this.cluster.log.isUnavailable || this.isPaused) return;
+    if (this.isLogUnavailable() || this.isPaused) return;
     for (const stream of this.readers.keys()) {
       const below = this.cluster.log.getRecords(stream).length;
       const lagMs = stream === 'claims' ? this.claimsLagMs : 0;
@@ -218,7 +224,7 @@
         new Promise((resolve) => {
           // Delays the call on the way to the log, and the reply on the way back.
           this.cluster.runLater(this.appendDelayMs, () => {
-            if (log.isUnavailable) {
+            if (this.isLogUnavailable()) {
               const refused = {
                 outcome: 'not-appended',
                 reason: 'log-away',
@@ -254,7 +260,7 @@
           waitForHead: () =>
             new Promise((resolve, reject) => {
               this.cluster.runLater(5, () => {
-                const refused = log.isUnavailable;
+                const refused = this.isLogUnavailable();
                 const head = log.getRecords(stream).length;
                 this.runLater(5, () => {
                   if (refused) {
@@ -268,7 +274,7 @@
             }),
         };
       },
-      getUnreachableSinceMs: () => (log.isUnavailable ? 0 : undefined),
+      getUnreachableSinceMs: () => (this.isLogUnavailable() ? 0 : undefined),
       close: () => Promise.resolve(),
     };
   }
--- a/packages/daemon/test/owner.test.ts
+++ b/packages/daemon/test/owner.test.ts
@@ -294,6 +294,27 @@
   },
 );
 
+// Guards against concluding from inventories that were applied before the jobs of their attempts were known.
+vitest.test.each([{ runMs: 2_000 }, { runMs: 20_000 }])(
+  'a task of a job that a provisional owner reads only after the partition does not run again ($runMs ms)',
+  async (work) => {
+    const cluster = createCluster();
+    const [old, next] = cluster.processes;
+    old!.claimShard();
+    await run(cluster, 3_000);
+    next!.isCutOffFromLog = true;
+    const job = cluster.submit({ work });
+    await run(cluster, 1_000);
+    next!.claimShard();
+    await run(cluster, 10_000);
+    vitest.expect(getJobState(cluster, job)).toBeUndefined();
+    next!.isCutOffFromLog = false;
+    await run(cluster, 25_000);
+    vitest.expect(listBegun(cluster)).toEqual([`${job}#0`]);
+    vitest.expect(getJobState(cluster, job)).toBe('done');
+  },
+);
+
 // Guards against losing records of live jobs that the log drops by age, and against
 // writing them again more often than needed.
 vitest.test(
