--- a/packages/standins/test/cell/outage.test.ts
+++ b/packages/standins/test/cell/outage.test.ts
@@ -80,6 +80,11 @@
   return [...new Set(tries.map(({ reply }) => reply?.answer ?? reply?.status))];
 }
 
+function countAnswers(load: loads.Load, phase: string): number {
+  const tries = load.listTries('quote', phase);
+  return tries.filter(({ reply }) => reply !== undefined).length;
+}
+
 vitest.test.concurrent(
   'log outage under load: quotes and placements continue, orders and jobs are refused as not run (guards P4, P5)',
   async () => {
@@ -185,3 +190,37 @@
     );
   },
 );
+
+// Guards against 404 for a service in force from a process that has just started.
+vitest.test.concurrent(
+  'a process that starts during a log outage refuses requests as not run until it has read the release in force (guards P3)',
+  async () => {
+    await cells.runCell({}, async (cell) => {
+      for (const name of cell.names) {
+        cell.mayBreakConnections.add(name);
+        cell.signal(name, 'SIGTERM');
+      }
+      await Promise.all(cell.names.map((name) => cell.waitForExit(name)));
+      cell.platform.log.setFaults({ outage: true });
+      const load = new loads.Load(cell, { seed: 305, kinds: ['quote'] });
+      load.phase = 'outage';
+      cell.launch('p1');
+      load.start();
+      await cell.waitFor('20 answers', () =>
+        Promise.resolve(countAnswers(load, 'outage') >= 20),
+      );
+      load.phase = 'recovery';
+      cell.platform.log.setFaults({});
+      await Promise.all(['p2', 'p3'].map((name) => cell.startProcess(name)));
+      await load.waitFor('quote', 'done', 20);
+      await load.stop();
+      const answers = new Set(
+        load
+          .listTries('quote', 'outage')
+          .flatMap(({ reply }) => reply?.status ?? []),
+      );
+      vitest.expect([...answers]).toEqual([503]);
+      vitest.expect(await checks.listViolations(cell, load)).toEqual([]);
+    });
+  },
+);
