End an unanswered start once the VM's clock has passed its limit

LOST was possible for as long as a VM answers holds but no orders, as one may that hangs: the task of an unanswered start stayed blocked there, 20 s in the test, beside room on other VMs.

Cause: a start without an answer is stopped, and its run was over only once a stop had been answered, since the start could still be carried out.

A report that was made later and doesn't list the run shows that it will never begin, so the task waits again, at most one lease after the start.

--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -478,7 +478,8 @@
 
   async function start(command: CommandOf<'start'>): Promise<void> {
     const { vm, task, run } = command;
-    const outcome = await sendStart(command);
+    const untilMs = sessionsByVm.get(vm)?.computeStartUntil();
+    const outcome = await sendStart(command, untilMs);
     if (isClosed()) return;
     log.write(outcome === 'started' ? 'info' : 'warn', 'task.start', {
       task: core.workloads.formatTask(task),
@@ -487,16 +488,16 @@
       fence,
       outcome,
     });
-    scheduler.applyStart(vm, task, run, outcome, timers.getNow());
+    scheduler.applyStart(vm, task, run, outcome, timers.getNow(), untilMs);
     if (outcome === 'fenced') options.onFenced();
     if (outcome !== 'started') requestTick();
   }
 
   async function sendStart(
     command: CommandOf<'start'>,
+    untilMs: number | undefined,
   ): Promise<core.workloads.StartOutcome> {
     const session = sessionsByVm.get(command.vm);
-    const untilMs = session?.computeStartUntil();
     if (session === undefined || untilMs === undefined) return 'unreachable';
     session.recordLeaseExtension(untilMs);
     const sentMs = timers.getNow();
--- a/packages/cluster/src/ports.ts
+++ b/packages/cluster/src/ports.ts
@@ -140,7 +140,10 @@
 export type HoldResult =
   | {
       readonly outcome: 'held';
-      readonly report: Omit<core.workloads.VmReport, 'requestSentMs'>;
+      readonly report: Omit<
+        core.workloads.VmReport,
+        'requestSentMs' | 'clockMs'
+      >;
       /** Clock of the VM, in ms. */
       readonly clockMs: number;
     }
--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -285,7 +285,11 @@
       0,
       ...result.report.ended.map(({ number }) => number),
     );
-    events.onReport(target.id, { ...result.report, requestSentMs: askedMs });
+    events.onReport(target.id, {
+      ...result.report,
+      requestSentMs: askedMs,
+      clockMs: result.clockMs,
+    });
   }
 
   function describeSilence(nowMs: number): observability.LogFields {
--- a/packages/cluster/test/ownerChanges.test.ts
+++ b/packages/cluster/test/ownerChanges.test.ts
@@ -173,3 +173,29 @@
     },
   );
 });
+
+vitest.describe('a service task on a VM that answers holds', () => {
+  vitest.it(
+    'runs again elsewhere while the VM answers neither starts nor stops (guards against LOST: a start without an answer blocks the task for as long as its stop has none)',
+    async () => {
+      const simulation = new simulations.ClusterSimulation({
+        jobs: 6,
+        vms: 3,
+        coresPerVm: 4,
+      });
+      await simulation.advance(6_000);
+      const [fullest, , emptiest] = [...simulation.vms]
+        .sort(([, a], [, b]) => b.running.size - a.running.size)
+        .map(([id]) => id);
+      simulation.ignoreOrders(emptiest!, true);
+      simulation.silenceVm(fullest!, 'gone', 'always');
+      await simulation.advance(2_000);
+      simulation.restartVm(fullest!);
+      await simulation.advance(LEASE_MS + RESTORED_WITHIN_MS);
+      vitest
+        .expect(simulation.getLongestGap(), simulation.formatLines())
+        .toBeLessThan(LEASE_MS + 6_000);
+      expectSound(simulation);
+    },
+  );
+});
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -37,7 +37,7 @@
   for (const entry of report.running)
     applyRunning(state, vm, entry, listed, nowMs);
   for (const run of [...vm.runs])
-    if (!listed.has(run) && isRunOver(run, report.requestSentMs))
+    if (!listed.has(run) && isRunOver(run, report))
       loseRun(state, run, 'not-reported', nowMs);
 }
 
@@ -195,7 +195,10 @@
   return undefined;
 }
 
-function isRunOver(run: tables.RunRow, requestSentMs: number): boolean {
+function isRunOver(
+  run: tables.RunRow,
+  { requestSentMs, clockMs }: types.VmReport,
+): boolean {
   switch (run.phase) {
     case 'recording':
     case 'sent':
@@ -206,7 +209,13 @@
     case 'running':
     case 'unknown':
     case 'stopping':
-      return run.confirmedMs !== undefined && requestSentMs > run.confirmedMs;
+      return (
+        (run.confirmedMs !== undefined && requestSentMs > run.confirmedMs) ||
+        // The VM refuses the start from now on if it hasn't carried it out.
+        (run.startUntilMs !== undefined &&
+          clockMs !== undefined &&
+          clockMs > run.startUntilMs)
+      );
   }
 }
 
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -77,6 +77,8 @@
     run: number,
     outcome: types.StartOutcome,
     nowMs: number,
+    /** Time on the VM's clock from which it refuses the command. */
+    untilMs?: number,
   ): void;
   applyStop(
     vm: ids.VmId,
@@ -202,9 +204,11 @@
     setInheritedUntil(untilMs) {
       state.inheritedUntilMs = untilMs;
     },
-    applyStart(vm, task, number, outcome, nowMs) {
+    applyStart(vm, task, number, outcome, nowMs, untilMs) {
       const run = findRun(vm, task, number);
-      if (run !== undefined) reports.applyStart(state, run, outcome, nowMs);
+      if (run === undefined) return;
+      if (outcome === 'unknown') run.startUntilMs = untilMs;
+      reports.applyStart(state, run, outcome, nowMs);
     },
     applyStop(vm, task, number, answered, nowMs) {
       const run = findRun(vm, task, number);
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -170,6 +170,7 @@
     number: run.number,
     phase: run.phase,
     confirmedMs: undefined,
+    startUntilMs: undefined,
     stopSentMs: undefined,
     stoppingSinceMs: undefined,
     stopsSent: 0,
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -27,6 +27,8 @@
    * that was requested later and doesn't list the run means that the run is over.
    */
   confirmedMs: number | undefined;
+  /** Time on the VM's clock from which it refuses the start command, to which it gave no answer; undefined otherwise. */
+  startUntilMs: number | undefined;
   /** Time at which the stop command was last sent. */
   stopSentMs: number | undefined;
   /** Time at which the stop command was first sent. */
--- a/packages/core/src/workloads/types.ts
+++ b/packages/core/src/workloads/types.ts
@@ -166,6 +166,8 @@
   readonly ended: readonly ReportedEnd[];
   /** Monotonic time at which the request for the report was sent. */
   readonly requestSentMs: number;
+  /** Time on the VM's clock at which the report was made; absent if unknown. */
+  readonly clockMs?: number;
 }
 
 /** Outcome of a start command. */
