Record with the claim that starts may be unrecorded

A task could run twice: an owner sent starts without a record in an outage of the store, its successor waited for the reports of all VMs, and an owner after that one, following it within seconds, didn't know of such starts and started the tasks again.

Cause: whether starts may be unrecorded was known from the notice or record of a release, and otherwise guessed from the age of the claim, and only for the predecessor's own starts. A successor that still waited passed nothing on, and neither did one that was killed.

Change: claims, renewals and releases say it, until all listed VMs have reported or the leases of earlier owners are over, and the runs that the reports brought back are recorded. The simulation lets an owner release only when a peer reaches the store in an outage for all, too; the tests of hasUnrecordedStarts pass the time, and check as before.

Evidence: both new tests (release and kill of the waiting successor) fail without the change.

--- a/packages/cluster/src/claims.ts
+++ b/packages/cluster/src/claims.ts
@@ -31,6 +31,8 @@
  * to wait for their end.
  */
 export const UNCONFIRMED_LIMIT_MS = 10_000;
+/** Time without a confirmed claim and record after which starts are sent before they are durably recorded, in ms. */
+export const UNRECORDED_START_AFTER_MS = 1_200;
 /** Timeout for appending a claim or renewal, in ms. */
 const APPEND_TIMEOUT_MS = 800;
 /** Attempts to append a release record; a renewal in flight makes one of them conflict, rarely two. */
@@ -47,7 +49,7 @@
   readonly node: core.ids.ProcessName;
   readonly address: core.ids.Address;
   readonly released: boolean;
-  /** It released ownership before all its starts were durably recorded. */
+  /** Its starts, or those of an owner before it, may not all be durably recorded. */
   readonly unrecorded: boolean;
   /** Time at which its newest record was read. */
   readonly readMs: number;
@@ -62,7 +64,7 @@
    * when it released ownership or when there was no owner.
    */
   readonly unconfirmedMs: number | undefined;
-  /** It released ownership before all its starts were durably recorded. */
+  /** Its starts, or those of an owner before it, may not all be durably recorded. */
   readonly unrecorded: boolean;
   /** It sends no more orders: its process has terminated, or it released ownership. */
   readonly inactive: boolean;
@@ -84,6 +86,8 @@
   readonly onOwner: (owner: Owner) => void;
   /** Builds what this node records about leases as the owner. */
   readonly buildLeaseRecord: () => records.LeaseRecord | undefined;
+  /** Returns whether starts of this owner, or of one before it, may not be durably recorded. */
+  readonly hasUnrecorded: () => boolean;
   /** The store has confirmed a renewal with this record. */
   readonly onRenewed: (record: records.LeaseRecord) => void;
 }
@@ -326,10 +330,13 @@
       currentOwner === undefined ||
       currentOwner.released ||
       releasedFence === currentOwner.fence;
+    const unconfirmedMs = ownerReleased ? undefined : nowMs - ownerConfirmedMs;
+    const toldUnrecorded =
+      releasedFence === currentOwner?.fence && releasedUnrecorded;
     const unrecorded =
-      currentOwner?.released === true
-        ? currentOwner.unrecorded
-        : ownerReleased && releasedUnrecorded;
+      currentOwner?.unrecorded === true ||
+      (toldUnrecorded && currentOwner?.released !== true) ||
+      (unconfirmedMs ?? 0) > UNRECORDED_START_AFTER_MS;
     // An earlier ownership of this process has ended with its orders.
     const inactive =
       ownerReleased || ownerTerminated || currentOwner?.instance === instance;
@@ -339,7 +346,7 @@
       currentOwner?.leases &&
       leases.parseLeases(currentOwner.leases, sentByMs ?? nowMs);
     previous = {
-      unconfirmedMs: ownerReleased ? undefined : nowMs - ownerConfirmedMs,
+      unconfirmedMs,
       unrecorded,
       inactive,
       owners: listEarlierOwners(recorded, inactive, nowMs),
@@ -348,6 +355,7 @@
     const { leaseMs } = context.settings;
     const result = await appendClaim({
       leases: leases.buildRecord({ leaseMs, ...previous }, nowMs),
+      ...(unrecorded ? { unrecorded } : {}),
     });
     log.write('info', 'ownership.claim', {
       why,
@@ -367,8 +375,13 @@
     claiming = true;
     // Successors count the times of the record from when its append began, or from later.
     const record = events.buildLeaseRecord();
+    const renewal = {
+      fence,
+      leases: record,
+      ...(events.hasUnrecorded() ? { unrecorded: true } : {}),
+    };
     let startedMs = timers.getNow();
-    let result = await appendClaim({ fence, leases: record });
+    let result = await appendClaim(renewal);
     // Either an earlier renewal was appended although its answer was lost, or another node has
     // claimed. In the first case a successor may have read that renewal long ago.
     if (
@@ -377,7 +390,7 @@
       ownedFence === fence
     ) {
       startedMs = timers.getNow();
-      result = await appendClaim({ fence, leases: record });
+      result = await appendClaim(renewal);
     }
     claiming = false;
     switch (result.outcome) {
--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -129,6 +129,7 @@
       owner = undefined;
     },
     buildLeaseRecord: () => owner?.buildLeaseRecord(),
+    hasUnrecorded: () => owner?.hasUnrecorded() ?? false,
     onRenewed(record) {
       owner?.confirmLeaseRecord(record);
       // If this process ends now, successors count from this renewal on.
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -6,7 +6,7 @@
 import * as core from '@flamingoward/core';
 import * as adviceRouters from './adviceRouter.js';
 import * as vmSessions from './vmSessions.js';
-import type * as claims from './claims.js';
+import * as claims from './claims.js';
 import type * as contexts from './context.js';
 import type * as fleets from './fleet.js';
 import type * as jobStores from './jobStore.js';
@@ -21,8 +21,6 @@
 const IDLE_TICK_INTERVAL_MS = 100;
 /** Delay of a tick after an event, in ms, so that events close together share one tick. */
 const TICK_DELAY_MS = 4;
-/** Time without a confirmed claim and record after which starts are sent before they are durably recorded, in ms. */
-const UNRECORDED_START_AFTER_MS = 1_200;
 /** Time between reads of the stream `jobs`, in ms; other nodes write to it only when this owner doesn't answer them. */
 const FOLLOW_INTERVAL_MS = 200;
 /** Time between rounds that drop the records of jobs past their retention, in ms. */
@@ -62,7 +60,7 @@
   ): Promise<core.workloads.JobState | 'unknown' | undefined>;
   /** Returns the reason why no VM can ever run a job; undefined when one can, or when this isn't known. */
   checkAdmission(job: core.workloads.Job): string | undefined;
-  /** Returns whether starts were sent that aren't durably recorded. */
+  /** Returns whether starts of this owner, or of one before it, may not be durably recorded. */
   hasUnrecorded(): boolean;
   /** Counts the waiting jobs per queue; undefined until the owner has restored its tables. */
   countWaiting(): ReadonlyMap<core.workloads.QueueName, number> | undefined;
@@ -106,14 +104,15 @@
   );
   const sessionsByVm = new Map<core.ids.VmId, vmSessions.VmSession>();
   const durableWaiters = new Set<() => void>();
+  const inheritedUnrecorded =
+    previous.unrecorded ||
+    (previous.unconfirmedMs ?? 0) > claims.UNRECORDED_START_AFTER_MS;
   const scheduler = core.workloads.createWorkloadScheduler({
     bounds: {
       inheritedRunTimeoutMs: earlierLeasesEndMs - createdMs,
       firstRun: fence * RUNS_PER_FENCE + 1,
     },
-    unrecordedStarts:
-      previous.unrecorded ||
-      (previous.unconfirmedMs ?? 0) > UNRECORDED_START_AFTER_MS,
+    unrecordedStarts: inheritedUnrecorded,
     nowMs: createdMs,
   });
   const owedReporter = owedReporters.createOwedReporter(context, {
@@ -447,8 +446,8 @@
   function releaseUnrecorded(): void {
     if (recordingSinceMs === undefined) return;
     const nowMs = timers.getNow();
-    if (nowMs - recordingSinceMs < UNRECORDED_START_AFTER_MS) return;
-    if (options.getConfirmedAge() < UNRECORDED_START_AFTER_MS) return;
+    if (nowMs - recordingSinceMs < claims.UNRECORDED_START_AFTER_MS) return;
+    if (options.getConfirmedAge() < claims.UNRECORDED_START_AFTER_MS) return;
     for (const command of scheduler.releaseStarts()) execute(command);
   }
 
@@ -615,13 +614,19 @@
     countWaiting: () => (ready ? scheduler.countWaiting() : undefined),
     checkAdmission(job) {
       // VM entries may be missing while the store is unavailable, and jobs already known are never declined.
-      if (!ready || options.getConfirmedAge() > UNRECORDED_START_AFTER_MS)
+      if (
+        !ready ||
+        options.getConfirmedAge() > claims.UNRECORDED_START_AFTER_MS
+      )
         return undefined;
       if (jobs.find(job.id) !== undefined) return undefined;
       const { pool } = job.policy;
       return scheduler.checkAdmission(job.steps, pool, timers.getNow());
     },
-    hasUnrecorded: () => scheduler.hasUnrecordedStarts(),
+    hasUnrecorded: () =>
+      ready
+        ? scheduler.hasUnrecordedStarts(timers.getNow())
+        : inheritedUnrecorded,
     getCounts: () => scheduler.getCounts(),
     buildLeaseRecord() {
       const silentVms = collectSilentVms();
--- a/packages/cluster/src/records.ts
+++ b/packages/cluster/src/records.ts
@@ -112,7 +112,7 @@
   readonly fence?: number;
   /** The owner has released ownership. */
   readonly released?: boolean;
-  /** The owner released ownership before all its starts were durably recorded. */
+  /** Starts of the owner, or of one before it, may not be durably recorded. */
   readonly unrecorded?: boolean;
   /** Absent in records of earlier builds. */
   readonly leases?: LeaseRecord | undefined;
--- a/packages/cluster/test/claims.test.ts
+++ b/packages/cluster/test/claims.test.ts
@@ -25,6 +25,7 @@
     onOwner: () => undefined,
     onUnconfirmed: () => undefined,
     buildLeaseRecord: () => ({ leaseMs: 6_000, owners: [], silentVms: [] }),
+    hasUnrecorded: () => false,
     onRenewed: () => undefined,
   });
   return { name, context, claim, owned, lost };
--- a/packages/cluster/test/clusterSimulation.ts
+++ b/packages/cluster/test/clusterSimulation.ts
@@ -267,6 +267,7 @@
         });
       },
       buildLeaseRecord: () => node.owner?.buildLeaseRecord(),
+      hasUnrecorded: () => node.owner?.hasUnrecorded() ?? false,
       onRenewed: (record) => {
         node.owner?.confirmLeaseRecord(record);
         this.sendHeartbeats();
@@ -344,7 +345,8 @@
 
   private releaseToPeers(node: SimNode, fence: number): void {
     const peers = this.listUp().filter((peer) => peer !== node);
-    if (!node.storeCut || !peers.some(({ storeCut }) => !storeCut)) return;
+    if (this.reachesStore(node)) return;
+    if (!peers.some((peer) => this.reachesStore(peer))) return;
     const unrecorded = node.owner?.hasUnrecorded() ?? false;
     node.claims.resign('the store answers a peer but not this node');
     this.after(LINK_DELAY_MS, () => {
--- a/packages/cluster/test/ownerChanges.test.ts
+++ b/packages/cluster/test/ownerChanges.test.ts
@@ -160,6 +160,32 @@
     },
   );
 
+  vitest.it.each(['release', 'kill'] as const)(
+    'does not run a second time after a %s of the owner that waits for reports of unrecorded starts (guards against TWICE: the next owner does not know that an earlier one sent starts without a record)',
+    async (change) => {
+      const simulation = new simulations.ClusterSimulation({
+        jobs: 4,
+        vms: 2,
+        coresPerVm: 4,
+      });
+      await simulation.advance(6_000);
+      const busy = findBusyVm(simulation);
+      const idle = [...simulation.vms.keys()].find((id) => id !== busy)!;
+      simulation.isolateWithOwner(idle);
+      simulation.silenceVm(busy, 'gone', 'always');
+      simulation.failStore(5_000, 'refusing');
+      simulation.cutStore(10_000);
+      await simulation.advance(4_500);
+      vitest.expect(simulation.vms.get(idle)?.running.size).toBe(4);
+      simulation.restartVm(busy);
+      await simulation.advance(2_500);
+      if (change === 'release') simulation.releaseOwner();
+      else simulation.killOwner();
+      await simulation.advance(UNCONFIRMED_LIMIT_MS + LEASE_MS + RESTART_MS);
+      expectSound(simulation);
+    },
+  );
+
   vitest.it(
     'does not run a second time while a replaced owner still extends its lease',
     async () => {
--- a/packages/core/src/workloads/batch.ts
+++ b/packages/core/src/workloads/batch.ts
@@ -74,7 +74,11 @@
   state.newStarts = [];
   const open = state.batch?.starts.some((run) => run.phase === 'recording');
   if (waiting.length > 0) state.unrecordedStartsBatch = state.nextBatch;
-  else if (open === true) state.unrecordedStartsBatch = state.batch?.number;
+  else if (open === true)
+    state.unrecordedStartsBatch = Math.max(
+      state.unrecordedStartsBatch ?? 0,
+      state.batch?.number ?? 0,
+    );
   sendStarts(state, [...(state.batch?.starts ?? []), ...waiting]);
 }
 
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -169,6 +169,7 @@
       task.step.gangRun === entry.run);
   if (task !== undefined && canAdopt) {
     states.countEvent(state, 'run.adopted');
+    state.unrecordedStartsBatch = state.nextBatch;
     if (task.step.spec.gang) task.step.gangRun = entry.run;
     state.dirty.add(task.step.occurrence.job);
     return states.addRun(
@@ -318,6 +319,20 @@
     }
 }
 
+/** Returns whether a listed VM that hasn't reported may have runs that a previous owner started without a record. */
+export function isAwaitingUnrecorded(
+  state: states.State,
+  nowMs: number,
+): boolean {
+  return (
+    state.inheritedUnrecordedStarts &&
+    nowMs <= state.inheritedUntilMs &&
+    [...state.vms.values()].some(
+      (vm) => tables.canHaveUnknownRuns(vm) && vm.entry !== undefined,
+    )
+  );
+}
+
 /** Lists the VMs with runs of a previous owner that haven't reported to this one. */
 export function listInheritedVms(state: states.State): readonly ids.VmId[] {
   return [...state.vms.values()]
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -99,8 +99,8 @@
   confirmBatch(): readonly types.Command[];
   /** Returns the waiting start commands without their records, because the store is unreachable. */
   releaseStarts(): readonly types.Command[];
-  /** Returns whether starts were sent whose record isn't durable yet. */
-  hasUnrecordedStarts(): boolean;
+  /** Returns whether starts may have been sent, by this owner or one before it, whose record isn't durable yet. */
+  hasUnrecordedStarts(nowMs: number): boolean;
   /** Returns the number of the latest end of a VM whose effect is durable. */
   getDurableEnd(vm: ids.VmId): number;
   getJobState(job: ids.JobId): types.JobState | undefined;
@@ -235,7 +235,9 @@
       batches.releaseStarts(state);
       return takeCommands();
     },
-    hasUnrecordedStarts: () => state.unrecordedStartsBatch !== undefined,
+    hasUnrecordedStarts: (nowMs) =>
+      state.unrecordedStartsBatch !== undefined ||
+      reports.isAwaitingUnrecorded(state, nowMs),
     getDurableEnd: (vm) => state.vms.get(vm)?.durableEnd ?? 0,
     getJobState(id) {
       const job = state.jobs.get(id);
--- a/packages/core/test/workloads/disturbedCluster.ts
+++ b/packages/core/test/workloads/disturbedCluster.ts
@@ -303,7 +303,7 @@
     old.isAlive = false;
     if (old.batch !== undefined && this.chance(0.5))
       this.writeBatch(old.batch.batch);
-    const isUnrecorded = old.scheduler.hasUnrecordedStarts();
+    const isUnrecorded = old.scheduler.hasUnrecordedStarts(this.nowMs);
     const ids = [...this.progress.keys()];
     if (ids.length > 0 && this.chance(0.3)) {
       const id = this.pick(ids);
--- a/packages/core/test/workloads/takeover.test.ts
+++ b/packages/core/test/workloads/takeover.test.ts
@@ -186,15 +186,15 @@
       scheduler.tick(nowMs, nowMs);
       harness.addJob('second', [harnesses.createStep()]);
       scheduler.tick(nowMs, nowMs);
-      vitest.expect(scheduler.hasUnrecordedStarts()).toBe(false);
+      vitest.expect(scheduler.hasUnrecordedStarts(nowMs)).toBe(false);
       vitest.expect(scheduler.releaseStarts()).toHaveLength(2);
-      vitest.expect(scheduler.hasUnrecordedStarts()).toBe(true);
+      vitest.expect(scheduler.hasUnrecordedStarts(nowMs)).toBe(true);
       scheduler.confirmBatch();
       // The second start is in the next batch.
-      vitest.expect(scheduler.hasUnrecordedStarts()).toBe(true);
+      vitest.expect(scheduler.hasUnrecordedStarts(nowMs)).toBe(true);
       vitest.expect(scheduler.tick(nowMs, nowMs).batch).toBeDefined();
       scheduler.confirmBatch();
-      vitest.expect(scheduler.hasUnrecordedStarts()).toBe(false);
+      vitest.expect(scheduler.hasUnrecordedStarts(nowMs)).toBe(false);
     },
   );
 });
