--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -130,6 +130,7 @@
     },
     buildLeaseRecord: () => owner?.buildLeaseRecord(),
     buildFinalLeaseRecord: () => owner?.buildFinalLeaseRecord(),
+    hasUnrecorded: () => owner?.hasUnrecorded() ?? false,
     onRenewed(record) {
       owner?.confirmLeaseRecord(record);
       // If this process ends now, successors count from this renewal on.
--- a/packages/cluster/test/claims.test.ts
+++ b/packages/cluster/test/claims.test.ts
@@ -30,6 +30,7 @@
       owners: [],
       silentVms: [],
     }),
+    hasUnrecorded: () => false,
     onRenewed: () => undefined,
   });
   return { name, context, claim, owned, lost };
