Split appends that are larger than the store takes

No caller is known to have met this; it is one of the ways in which all starts could wait for ever. The owner writes all changes since its last batch with one append per stream, and the store refuses an append of more than its limit for one call (2 MB). The refusal counted as an unanswered append and was retried as it was, without end: nothing more would start or end, and as the claims stay confirmed, not even the starts without records go out. In the same way, large jobs that arrive together were sent in one append, and none of them got a true answer before its deadline.

Appends are now split by size, with the limit from the settings (`max_append_bytes`, filled in by the platform, 1 MiB by default). The records of a batch are about different jobs, so it doesn't matter that they are written one part after the other; the batch is durable once all parts are.

One record that is larger than the store's limit for a record (256 kB, a job with thousands of running tasks) would still block; the sites' largest jobs have 550 tasks, about 50 kB.

--- a/packages/cluster/src/jobStore.ts
+++ b/packages/cluster/src/jobStore.ts
@@ -217,10 +217,19 @@
     });
   }
 
+  /** Takes the writes of the next append from the queue. */
+  function takeGroup(): readonly PendingWrite[] {
+    const [first = []] = records.splitBySize(
+      queue.slice(0, MAX_GROUP_RECORDS).map(({ record }) => record),
+      context.settings.maxAppendBytes,
+    );
+    return queue.splice(0, first.length);
+  }
+
   async function writeQueue(): Promise<void> {
     writing = true;
     while (queue.length > 0) {
-      const group = queue.splice(0, MAX_GROUP_RECORDS);
+      const group = takeGroup();
       const startedMs = timers.getNow();
       const slowAppendProbe = timers.subscribe(
         { name: 'jobs.doubt', delayMs: SLOW_APPEND_MS, repeat: 'once' },
--- a/packages/cluster/src/recorder.ts
+++ b/packages/cluster/src/recorder.ts
@@ -1,6 +1,7 @@
 /**
- * Appends the owner's batches: progress records, final states and dropped keys. Each
- * append carries the fence as its epoch and a sequence number, so that a late append of
+ * Appends the owner's batches: progress records, final states and dropped keys. A batch
+ * that is too large for one append is split: its records are about different jobs, and it
+ * counts as durable once all of them are. Each append carries the fence as its epoch and a sequence number, so that a late append of
  * an earlier owner is refused and a retried one is written once.
  */
 import * as core from '@flamingoward/core';
@@ -90,6 +91,15 @@
     throw createReplacedFault(stream);
   }
 
+  async function appendAll(
+    stream: ports.StreamName,
+    newRecords: readonly ports.NewRecord[],
+  ): Promise<void> {
+    const { maxAppendBytes } = context.settings;
+    for (const group of records.splitBySize(newRecords, maxAppendBytes))
+      await append(stream, group);
+  }
+
   function createReplacedFault(stream: string): Error {
     return core.createFault(
       'not-owner',
@@ -110,8 +120,8 @@
         records.buildFinal(id, state),
       );
       await Promise.all([
-        finals.length > 0 ? append('jobs', finals) : undefined,
-        progress.length > 0 ? append('progress', progress) : undefined,
+        appendAll('jobs', finals),
+        appendAll('progress', progress),
       ]);
     },
     close() {
--- a/packages/cluster/src/records.ts
+++ b/packages/cluster/src/records.ts
@@ -103,6 +103,38 @@
   }));
 }
 
+/** Assumed size of a record beyond its key and value, in bytes. */
+const RECORD_OVERHEAD_BYTES = 16;
+
+/** Splits records into groups of at most a total size, in their order. A larger record is a group of its own. */
+export function splitBySize(
+  newRecords: readonly ports.NewRecord[],
+  maxBytes: number,
+): readonly (readonly ports.NewRecord[])[] {
+  const groups: ports.NewRecord[][] = [];
+  let group: ports.NewRecord[] = [];
+  let groupBytes = 0;
+  for (const record of newRecords) {
+    const bytes = measureRecord(record);
+    if (group.length > 0 && groupBytes + bytes > maxBytes) {
+      groups.push(group);
+      group = [];
+      groupBytes = 0;
+    }
+    group.push(record);
+    groupBytes += bytes;
+  }
+  if (group.length > 0) groups.push(group);
+  return groups;
+}
+
+/** Returns an upper bound of the size of a record in an append, in bytes. */
+export function measureRecord({ key, value = '' }: ports.NewRecord): number {
+  return (
+    Buffer.byteLength(key) + Buffer.byteLength(value) + RECORD_OVERHEAD_BYTES
+  );
+}
+
 /** A claim of ownership, its renewal or its release. */
 export interface ClaimRecord {
   readonly node: core.ids.ProcessName;
--- a/packages/cluster/src/settings.ts
+++ b/packages/cluster/src/settings.ts
@@ -11,6 +11,9 @@
   .number({ error: 'expected a number of seconds' })
   .positive('expected a positive number of seconds');
 
+/** Largest append when the settings name none, in bytes. */
+const DEFAULT_MAX_APPEND_BYTES = 1_048_576;
+
 const coreCount = zod.coerce
   .number({ error: 'expected a number of cores' })
   .positive('expected a positive number of cores');
@@ -28,7 +31,17 @@
     links: address,
     metrics: address,
   }),
-  log_store: zod.object({ address }),
+  log_store: zod.object({
+    address,
+    max_append_bytes: zod.preprocess(
+      // A template writes nothing for a value that it doesn't have.
+      (value) => (value === '' ? undefined : value),
+      zod.coerce
+        .number({ error: 'expected a number of bytes' })
+        .positive('expected a positive number of bytes')
+        .default(DEFAULT_MAX_APPEND_BYTES),
+    ),
+  }),
   advice: zod.object({ address: zod.union([address, zod.literal('')]) }),
   /** Absent sections and keys default to one whole core of usual speed. */
   machine: zod
@@ -56,6 +69,8 @@
     readonly metrics: string;
   };
   readonly logStoreAddress: string;
+  /** Largest total size of the records of one append, in bytes. */
+  readonly maxAppendBytes: number;
   /** Empty when there is no advice service. */
   readonly adviceAddress: string;
   /** Processor capacity of this VM, in cores of usual speed. */
@@ -92,6 +107,7 @@
       logLevel: process.log_level,
       listen,
       logStoreAddress: log_store.address,
+      maxAppendBytes: log_store.max_append_bytes,
       adviceAddress: advice.address,
       cores: machine.core_share * machine.core_speed,
       leaseMs: terms.lease_ms,
--- a/packages/cluster/test/fakes.ts
+++ b/packages/cluster/test/fakes.ts
@@ -174,6 +174,7 @@
         metrics: '127.0.0.1:4',
       },
       logStoreAddress: '127.0.0.1:5',
+      maxAppendBytes: 1_048_576,
       adviceAddress: '',
       cores: 1,
       leaseMs: 6_000,
--- a/packages/cluster/test/jobStore.test.ts
+++ b/packages/cluster/test/jobStore.test.ts
@@ -45,6 +45,32 @@
       .toEqual(['job:a']);
   });
 
+  vitest.it(
+    'is accepted although all waiting ones together are larger than one append may be (guards against callers that get no answer in a burst of large jobs)',
+    async () => {
+      const context = fakes.createFakeContext();
+      const store = jobStores.createJobStore(context);
+      const { maxAppendBytes } = context.settings;
+      context.store.intercept = (_, given) =>
+        given.reduce((sum, { value = '' }) => sum + value.length, 0) >
+        maxAppendBytes
+          ? core
+              .waitFor(context.timers, 'test.refusal', 20)
+              .then(() => ({ outcome: 'unknown', why: 'status 400' }))
+          : undefined;
+      const results: string[] = [];
+      for (let index = 0; index < 20; index += 1)
+        void store
+          .accept(
+            { ...createJob(`job-${index}`), payload: '1'.repeat(100_000) },
+            context.timers.getNow() + 2_700,
+          )
+          .then(({ outcome }) => results.push(outcome));
+      await fakes.advance(context.fakeTimers, 500);
+      vitest.expect(results).toEqual(Array(20).fill('durable'));
+    },
+  );
+
   vitest.it(
     'that was never sent is refused soon when the store becomes unresponsive (guards against callers that wait until their deadline)',
     async () => {
--- a/packages/cluster/test/settings.test.ts
+++ b/packages/cluster/test/settings.test.ts
@@ -47,6 +47,24 @@
     },
   );
 
+  vitest.it(
+    'limit appends to a default size when the platform names none (guards against a node that does not start there)',
+    () => {
+      for (const [given, maxAppendBytes] of [
+        ['2097152', 2_097_152],
+        ['', 1_048_576],
+      ] as const) {
+        const text = complete.replace(
+          '[advice]',
+          `max_append_bytes = ${given}\n[advice]`,
+        );
+        vitest
+          .expect(settings.parseNodeSettings(text, 'file'))
+          .toMatchObject({ settings: { maxAppendBytes } });
+      }
+    },
+  );
+
   vitest.it(
     'report all faults at once, each with its file, section, key and expected value (guards against a start that fails on one fault at a time)',
     () => {
