Name service tasks on VMs that have stopped reporting but count as usable

The search for owed tasks took a run for running as long as its VM counts as usable. If nothing asks the VM any more, for example because its session has stopped, the task is missing without a line, and the counts agree with the tables. A run counts as running now only if its VM has reported within 3 s; longer than the longest wait of a report with its retry. The new test fails before: nothing is found for a VM that reported 3.1 s ago.

--- a/packages/core/src/workloads/owed.ts
+++ b/packages/core/src/workloads/owed.ts
@@ -278,7 +278,7 @@
     const sinceMs = computeSinceMs(row, turnMs, nowMs);
     if (sinceMs === undefined || sinceMs + OWED_AFTER_MS > nowMs) continue;
     const cause =
-      explainRun(state, row) ??
+      explainRun(state, row, nowMs) ??
       explainStray(row) ??
       explainGang(step) ??
       reportsCause;
@@ -309,12 +309,27 @@
   nowMs: number,
 ): number | undefined {
   const { run } = task;
-  if (run?.phase === 'running' && run.vm.usable) return undefined;
-  const sinceMs =
-    run?.runningSinceMs === undefined
-      ? task.idleSinceMs
-      : states.computeIdleSince(run, nowMs);
-  return Math.max(turnMs, sinceMs ?? turnMs);
+  if (run?.phase === 'running' && isReporting(run.vm, nowMs)) return undefined;
+  return Math.max(turnMs, findIdleSince(task, nowMs) ?? turnMs);
+}
+
+function findIdleSince(
+  { run, idleSinceMs }: tables.TaskRow,
+  nowMs: number,
+): number | undefined {
+  if (run?.runningSinceMs === undefined) return idleSinceMs;
+  return isReporting(run.vm, nowMs)
+    ? states.computeIdleSince(run, nowMs)
+    : run.vm.reportedMs;
+}
+
+/** Returns whether a VM has reported lately. One that only counts as usable may have stopped being asked. */
+function isReporting(vm: tables.VmRow, nowMs: number): boolean {
+  return (
+    vm.usable &&
+    vm.reportedMs !== undefined &&
+    nowMs - vm.reportedMs < OWED_AFTER_MS
+  );
 }
 
 function checkCounts(
@@ -369,6 +384,7 @@
 function explainRun(
   state: states.State,
   { run: row }: tables.TaskRow,
+  nowMs: number,
 ): OwedCause | undefined {
   if (row === undefined) return undefined;
   const run = buildRunView(row);
@@ -403,7 +419,9 @@
         confirmed: row.confirmedMs !== undefined,
       };
     case 'running':
-      return undefined;
+      return isReporting(row.vm, nowMs)
+        ? undefined
+        : { why: 'vm-silent', run, silentSinceMs: row.vm.reportedMs };
   }
 }
 
--- a/packages/core/test/workloads/owed.test.ts
+++ b/packages/core/test/workloads/owed.test.ts
@@ -70,6 +70,24 @@
 });
 
 vitest.describe('the cause of an owed task', () => {
+  vitest.it(
+    'is a VM without reports, also while it counts as usable (guards against a session that has stopped and whose tasks count as running)',
+    () => {
+      const harness = harnesses.createHarness();
+      harness.addVm('a');
+      harness.addJob('service', [lasting]);
+      advance(harness, 2_000);
+      const reportedMs = harness.getNow();
+      vitest.expect(findOwed(harness, reportedMs + 2_900)).toEqual([]);
+      vitest.expect(findOwed(harness, reportedMs + 3_100)).toMatchObject([
+        {
+          sinceMs: reportedMs,
+          cause: { why: 'vm-silent', silentSinceMs: reportedMs },
+        },
+      ]);
+    },
+  );
+
   vitest.it('is a silent VM, with the time of its last report', () => {
     const harness = harnesses.createHarness();
     harness.addVm('a');
