Wait for the tickets of silent processes after a change of owner

Cause: a new owner of a service shard asked only the peers that it didn't count as dead for their tickets, and after 1 s of silence a peer counts as dead. When all links stall, every process sees all others as dead, so each new owner waited for nobody but itself (the lines of a run: dozens of changes of owner 40 ms apart, each with holders=1). It then freed slots by the status of the servers, which doesn't show a ticket that its holder has not used yet; the previous owner, alive and silent, still sent requests with its tickets.

Change: a peer counts as gone only when it is known to have ended (its address refuses connections, or another instance has its name). The report of a silent one is awaited; it comes when the link is open again. Without it, slots are freed CLAIM_MAX_AGE_MS plus the longest term after the gain, when an earlier owner no longer grants and its last tickets have ended.

Price: when the machine of a process fails without refusing connections, or the process is paused, a new owner of a service grants nothing until then (5 s with a timeout of 2 s), where it continued at once before. A killed process is not affected.

Evidence: the new tests fail with the previous rules ("expected 2 to be 1" busy slots of 1) and pass now.

--- a/packages/core/src/slots/scheduler.ts
+++ b/packages/core/src/slots/scheduler.ts
@@ -48,6 +48,8 @@
   let decisions: types.SlotDecision[] = [];
   // Undefined when no take-over is in progress.
   let takeOverEndsMs: number | undefined;
+  /** Time from which no ticket of an earlier owner is valid, also without the reports of its holders. */
+  let oldTicketsEndMs = 0;
   let meanServiceMs: number | undefined;
   let grantCount = 0;
 
@@ -75,10 +77,16 @@
         returnTicket(event.ticket, event.result, nowMs);
         return;
       case 'holder.gone':
-        dropHolder(event.holder);
+        unreportedHolders.delete(event.holder);
+        dropAsks(event.holder);
+        return;
+      case 'holder.silent':
+        dropAsks(event.holder);
         return;
       case 'taken-over':
-        startTakeOver(event.holders, nowMs + event.longestTermMs);
+        takeOverEndsMs = nowMs + event.longestTermMs;
+        oldTicketsEndMs = takeOverEndsMs + event.lastGrantMs;
+        startTakeOver(event.holders);
         return;
       case 'holder.reported':
         receiveReport(event.holder, event.tickets, nowMs);
@@ -132,11 +140,7 @@
 
   // --- take-over ---
 
-  function startTakeOver(
-    holders: readonly ids.InstanceId[],
-    endsMs: number,
-  ): void {
-    takeOverEndsMs = endsMs;
+  function startTakeOver(holders: readonly ids.InstanceId[]): void {
     for (const holder of holders) unreportedHolders.add(holder);
     for (const row of rows.values()) markUnknownSlots(row);
   }
@@ -192,6 +196,7 @@
 
   function endTakeOver(nowMs: number): void {
     if (takeOverEndsMs === undefined || nowMs < takeOverEndsMs) return;
+    if (nowMs >= oldTicketsEndMs) unreportedHolders.clear();
     if (unreportedHolders.size > 0) return;
     takeOverEndsMs = undefined;
     for (const [id, row] of rows) {
@@ -266,8 +271,7 @@
     if (ticket !== undefined) releaseTicket(ticket);
   }
 
-  function dropHolder(holder: ids.InstanceId): void {
-    unreportedHolders.delete(holder);
+  function dropAsks(holder: ids.InstanceId): void {
     for (const entry of [...waiting.listAll()])
       if (entry.ask.holder === holder) waiting.remove(entry);
   }
@@ -541,7 +545,10 @@
     dropPast(ticketEnds, (row) => tickets.get(row.id) === row);
     dropPast(waitEnds, (row) => waiting.find(row.ask.id) === row);
     const times = [ticketEnds.peek()?.atMs, waitEnds.peek()?.atMs];
-    if (unreportedHolders.size === 0) times.push(takeOverEndsMs);
+    if (takeOverEndsMs !== undefined)
+      times.push(
+        unreportedHolders.size === 0 ? takeOverEndsMs : oldTicketsEndMs,
+      );
     for (const row of rows.values()) times.push(row.status?.settledMs);
     if (waiting.getLength() > 0)
       for (const row of rows.values()) times.push(servers.getTrialDueMs(row));
--- a/packages/core/src/slots/types.ts
+++ b/packages/core/src/slots/types.ts
@@ -77,12 +77,16 @@
     }
   /** The process has terminated: its asks are dropped, its tickets count until their term ends. */
   | { readonly event: 'holder.gone'; readonly holder: ids.InstanceId }
+  /** The process doesn't answer and may still run: its asks are dropped, and its report after a take-over is still awaited. */
+  | { readonly event: 'holder.silent'; readonly holder: ids.InstanceId }
   /** This process became the owner; `holders` are the processes that may hold tickets of earlier owners. */
   | {
       readonly event: 'taken-over';
       readonly holders: readonly ids.InstanceId[];
       /** Longest term that a ticket of an earlier owner may have. */
       readonly longestTermMs: number;
+      /** Longest time from now on for which an earlier owner may still grant tickets. */
+      readonly lastGrantMs: number;
     }
   /** A holder's answer to the new owner: the tickets that it holds. */
   | {
--- a/packages/core/test/slots.property.test.ts
+++ b/packages/core/test/slots.property.test.ts
@@ -174,7 +174,12 @@
     scheduler = createScheduler(listed);
     const live = holders.filter((holder) => !terminated.has(holder));
     scheduler.apply(
-      { event: 'taken-over', holders: live, longestTermMs: TERM_MS },
+      {
+        event: 'taken-over',
+        holders: live,
+        longestTermMs: TERM_MS,
+        lastGrantMs: 0,
+      },
       nowMs,
     );
     if (!listed) listServers(scheduler);
--- a/packages/core/test/slots.test.ts
+++ b/packages/core/test/slots.test.ts
@@ -178,7 +178,12 @@
   };
   const { scheduler } = shard;
   scheduler.apply(
-    { event: 'taken-over', holders: ['p', 'q'], longestTermMs: 1_000 },
+    {
+      event: 'taken-over',
+      holders: ['p', 'q'],
+      longestTermMs: 1_000,
+      lastGrantMs: 0,
+    },
     0,
   );
   scheduler.apply(
--- a/packages/daemon/src/membership/peers.ts
+++ b/packages/daemon/src/membership/peers.ts
@@ -109,6 +109,7 @@
       availabilityZone: peer.hello.availabilityZone,
       heardMs: peer.heardMs,
       health: computeHealth(peer, nowMs),
+      ended: peer.ended,
       heartbeat: peer.heartbeat,
     }));
   }
--- a/packages/daemon/src/requests/ticketIssuer.ts
+++ b/packages/daemon/src/requests/ticketIssuer.ts
@@ -4,6 +4,7 @@
  * loss, and learns the tickets of an earlier owner from their holders.
  */
 import * as core from '@flamingoward/core';
+import * as ownerships from '../ownership/ownership.js';
 import type * as types from '../types.js';
 import type * as requests from './types.js';
 import * as shards from './serviceShards.js';
@@ -88,8 +89,8 @@
   const { context, links, membership, ownership, releases } = dependencies;
   const { timers, identity, log, metrics } = context;
   const ownedShards = new Map<core.ids.ShardName, OwnedShard>();
-  // Dead processes whose asks were dropped already; the list of peers still contains them.
-  let droppedPeers = new Set<core.ids.InstanceId>();
+  // Dead processes that were dropped already, by whether they have ended; the list of peers still contains them.
+  let droppedPeers = new Map<core.ids.InstanceId, boolean>();
 
   // --- gain and loss of shards ---
 
@@ -137,7 +138,8 @@
     const service = state.services.get(shard.service);
     const holders = membership
       .listPeers()
-      .filter((peer) => peer.health !== 'dead')
+      // A silent process may hold tickets that no status of a server shows yet.
+      .filter((peer) => !peer.ended)
       .map((peer) => peer.instance);
     const longestTermMs =
       service === undefined ? 0 : shards.computeLongestTerm(service, state);
@@ -146,6 +148,7 @@
         event: 'taken-over',
         holders: [...new Set([...holders, identity.instance])],
         longestTermMs,
+        lastGrantMs: ownerships.CLAIM_MAX_AGE_MS,
       },
       timers.getNow(),
     );
@@ -213,20 +216,27 @@
   function updatePeers(): void {
     const peers = membership.listPeers();
     const dead = peers.filter((peer) => peer.health === 'dead');
-    const fresh = dead.filter((peer) => !droppedPeers.has(peer.instance));
-    droppedPeers = new Set(dead.map((peer) => peer.instance));
+    const fresh = dead.filter(
+      (peer) => droppedPeers.get(peer.instance) !== peer.ended,
+    );
+    droppedPeers = new Map(dead.map((peer) => [peer.instance, peer.ended]));
     const known = new Set(peers.map((peer) => peer.instance));
     known.add(identity.instance);
     for (const shard of ownedShards.values()) {
-      for (const peer of fresh) dropHolder(shard, peer.instance);
+      for (const { instance, ended } of fresh)
+        dropHolder(shard, instance, ended ? 'holder.gone' : 'holder.silent');
       for (const holder of shard.scheduler.listUnreportedHolders())
-        if (!known.has(holder)) dropHolder(shard, holder);
+        if (!known.has(holder)) dropHolder(shard, holder, 'holder.gone');
       runShard(shard);
     }
   }
 
-  function dropHolder(shard: OwnedShard, holder: core.ids.InstanceId): void {
-    shard.scheduler.apply({ event: 'holder.gone', holder }, timers.getNow());
+  function dropHolder(
+    shard: OwnedShard,
+    holder: core.ids.InstanceId,
+    event: 'holder.gone' | 'holder.silent',
+  ): void {
+    shard.scheduler.apply({ event, holder }, timers.getNow());
     const refusal = refuse({ reason: 'no-owner', shard: shard.name });
     for (const [ask, pending] of shard.pendingAsks) {
       if (pending.holder !== holder) continue;
--- a/packages/daemon/src/types.ts
+++ b/packages/daemon/src/types.ts
@@ -48,6 +48,8 @@
   readonly heardMs: number;
   /** `suspect`: avoided for routing; `dead`: may lose its shards. */
   readonly health: 'live' | 'suspect' | 'dead';
+  /** Whether the process is known to have ended; a silent one is dead too and may still run. */
+  readonly ended: boolean;
   readonly heartbeat: core.messages.Heartbeat;
 }
 
--- a/packages/daemon/test/fakes.releases.ts
+++ b/packages/daemon/test/fakes.releases.ts
@@ -119,6 +119,7 @@
     availabilityZone: 'muscat-a',
     heardMs,
     health: 'live',
+    ended: false,
     heartbeat: {
       kind: 'heartbeat',
       instance: `${name}#1`,
--- a/packages/daemon/test/ownership.test.ts
+++ b/packages/daemon/test/ownership.test.ts
@@ -77,6 +77,7 @@
           availabilityZone: 'r-a',
           heardMs,
           health: timers.getNow() - heardMs >= DEATH_TERM_MS ? 'dead' : 'live',
+          ended: false,
           heartbeat: this.heartbeats.get(`${self}<${instance}`)!,
         }),
       );
--- a/packages/daemon/test/requests.fakes.ts
+++ b/packages/daemon/test/requests.fakes.ts
@@ -40,6 +40,8 @@
   readonly journal: journals.RequestJournal;
   readonly instance: string;
   alive: boolean;
+  /** Whether its links are cut while it runs on. */
+  silent: boolean;
 }
 
 export function createHarness(processCount: number, slots: number) {
@@ -169,7 +171,9 @@
     }>();
     noticeSubjects.set(own, subject);
     const isUp = (name: string) =>
-      processes.find((one) => one.instance === name)?.alive === true;
+      processes.some(
+        (one) => one.instance === name && one.alive && !one.silent,
+      );
     async function ask(
       peer: string,
       question: core.messages.Question,
@@ -302,7 +306,8 @@
                 ({
                   instance: one.instance,
                   availabilityZone: 'muscat-a',
-                  health: one.alive ? 'live' : 'dead',
+                  health: one.alive && !one.silent ? 'live' : 'dead',
+                  ended: !one.alive,
                 }) as types.PeerView,
             ),
         listCandidates: () => [],
@@ -331,7 +336,7 @@
         changes: core.createSubject<core.releases.ReleaseHistoryItem>().stream,
       } as unknown as types.Releases,
     });
-    processes.push({ path, journal, instance, alive: true });
+    processes.push({ path, journal, instance, alive: true, silent: false });
   }
 
   for (let index = 0; index < processCount; index += 1) startProcess(index);
@@ -352,6 +357,11 @@
     for (const membership of memberships) membership.push('peers');
   }
 
+  function setSilent(index: number, silent: boolean) {
+    getProcess(index).silent = silent;
+    for (const membership of memberships) membership.push('peers');
+  }
+
   let nextId = 0;
   function ask(
     index: number,
@@ -382,6 +392,7 @@
     run,
     setOwner,
     stop,
+    setSilent,
     ask,
     getProcess,
   };
--- a/packages/daemon/test/requests.test.ts
+++ b/packages/daemon/test/requests.test.ts
@@ -68,6 +68,45 @@
   }
 });
 
+// Guards against a status that doesn't show the held, unsent tickets of a process that is only silent.
+test.each([100, 900])(
+  'the slots of a silent owner that sends late are not granted again, and are free after its report (%i ms)',
+  async (silentMs) => {
+    const harness = fakes.createHarness(3, 1);
+    harness.setOwner(0);
+    await harness.run(20);
+    harness.state.lateMs = 60;
+    for (const server of harness.servers)
+      Object.assign(server, { mode: 'late', takesMs: 150 });
+    for (const body of ['a', 'b']) void harness.ask(0, body);
+    await harness.run(5);
+    for (const server of harness.servers) server.mode = 'ok';
+    harness.setSilent(0, true);
+    harness.setOwner(2);
+    for (const body of ['c', 'd']) void harness.ask(2, body);
+    await harness.run(silentMs);
+    harness.setSilent(0, false);
+    const later = collect(['e', 'f'].map((body) => harness.ask(2, body)));
+    await harness.run(700);
+    for (const server of harness.servers) expect(server.maxBusy).toBe(1);
+    expect(later.map(fakes.getText).sort()).toEqual(['re:e', 're:f']);
+  },
+);
+
+test('the slots of a silent owner that never reports are free once its last tickets have ended', async () => {
+  const harness = fakes.createHarness(3, 1);
+  harness.setOwner(0);
+  await harness.run(20);
+  harness.setSilent(0, true);
+  harness.setOwner(2);
+  await harness.run(3_500);
+  const answers = collect([harness.ask(2, 'a')]);
+  await harness.run(450);
+  expect(harness.servers.map((server) => server.runs)).toEqual([[], []]);
+  await harness.run(150);
+  expect(answers.map(fakes.getText)).toEqual(['re:a']);
+});
+
 // Guards against 404 for a known service from a process that has just started (P3 of the planned stops).
 test('a process that has not read the release in force answers not-run with 503 and when to try again', async () => {
   const harness = fakes.createHarness(1, 1);
