Log which bound a new owner waits for, and leases that aren't extended

leases.inherited has ordersLeftMs and claimLeftMs of each earlier owner, and whether starts may be unrecorded; vm.regained has what is left of the lease and whether it is extended, as it isn't while a record names the VM as silent.

--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -129,6 +129,13 @@
   log.write('info', 'leases.inherited', {
     fence,
     previous: earlierOwners.map(({ node }) => node).join(),
+    ordersLeftMs: earlierOwners
+      .map(({ lastOrderMs }) => Math.round(lastOrderMs - createdMs))
+      .join(),
+    claimLeftMs: earlierOwners
+      .map(({ claimEndMs }) => Math.round(claimEndMs - createdMs))
+      .join(),
+    unrecorded: inheritedUnrecorded,
     inactive: previous.inactive,
     leftMs: Math.round(earlierLeasesEndMs - createdMs),
     silentVms: inheritedSilentVms.size,
--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -274,7 +274,13 @@
     earlierLeaseLimitMs = sameIncarnation
       ? Math.min(earlierLeaseLimitMs, limitMs)
       : limitMs;
-    if (unresponsive) log.write('info', 'vm.regained', { vm: target.id, lost });
+    if (unresponsive)
+      log.write('info', 'vm.regained', {
+        vm: target.id,
+        lost,
+        leaseLeftMs: Math.round(getLeaseEnd() - timers.getNow()),
+        extends: options.canExtendLease(),
+      });
     unresponsive = false;
     responseMissed = false;
     terminated = false;
