Wait for unlisted VMs that may have runs without a record

A task could run twice: it was started on a second VM while a run without a record went on at a VM that had been cut off and had left the list.

Cause: after an owner that sent starts during an outage of the store, jobs wait until all VMs of their pool have reported or are lost. The pool was taken from the VM's entry, so a VM whose entry had expired wasn't waited for, and neither was one that had left the list before the new owner read it.

Change: a VM keeps the pool of its last entry; without one it counts for every pool. VMs that only records of the previous owner name get a row until their lease has ended, after such an owner also those that only its release names.

--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -183,8 +183,13 @@
       restoredJobs += 1;
     }
     for (const vm of fleet.list()) updateVm(vm.id, vm);
-    for (const id of scheduler.listInheritedVms())
+    for (const id of [
+      ...scheduler.listInheritedVms(),
+      ...listReleasedVms(nowMs),
+    ])
       if (!sessionsByVm.has(id)) unlistedVms.add(id);
+    // Jobs wait for VMs in the tables only.
+    for (const id of unlistedVms) scheduler.setVmEntry(id, undefined, nowMs);
     fleet.setObserver(updateVm);
     jobs.setObserver(handleJobChange);
     ready = true;
@@ -338,6 +343,15 @@
     return Math.min(earlierLeasesEndMs, recordedLeaseEnds.get(id) ?? Infinity);
   }
 
+  /** Lists the VMs that the previous owner named on its release and that may have runs without a record. */
+  function listReleasedVms(nowMs: number): readonly core.ids.VmId[] {
+    return previous.unrecorded
+      ? [...previous.leaseEnds.keys()].filter(
+          (id) => getInheritedLeaseEnd(id) >= nowMs,
+        )
+      : [];
+  }
+
   /** Loses the VMs that only records of earlier owners name, because they aren't listed any more. */
   function expireUnlisted(nowMs: number): void {
     for (const id of unlistedVms) {
--- a/packages/core/src/workloads/owed.ts
+++ b/packages/core/src/workloads/owed.ts
@@ -455,8 +455,7 @@
   if (nowMs > untilMs) return undefined;
   const vms: ids.VmId[] = [];
   for (const vm of state.vms.values())
-    if (tables.canHaveUnknownRuns(vm) && vm.entry?.pool === job.policy.pool)
-      vms.push(vm.id);
+    if (tables.canHaveUnknownRunsOf(vm, job.policy.pool)) vms.push(vm.id);
   return vms.length === 0
     ? undefined
     : { why: 'reports-awaited', vms, untilMs };
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -178,7 +178,9 @@
     setVmEntry(id, entry, nowMs) {
       const vm = states.ensureVm(state, id, nowMs);
       vm.entry = entry;
-      if (entry !== undefined) vm.leaving = entry.draining;
+      if (entry === undefined) return;
+      vm.leaving = entry.draining;
+      vm.pool = entry.pool;
     },
     applyReport(id, report, nowMs) {
       reports.applyReport(state, id, report, nowMs);
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -131,6 +131,8 @@
 export interface VmRow {
   readonly id: ids.VmId;
   entry: types.VmEntry | undefined;
+  /** Pool of its last entry, also once that entry has been removed; undefined before the first one. */
+  pool: types.PoolName | undefined;
   /** Whether its last entry said that it drains, also once that entry has been removed. */
   leaving: boolean;
   incarnation: types.VmIncarnation | undefined;
@@ -180,6 +182,11 @@
   return vm.reportedMs === undefined && !vm.knownEmpty;
 }
 
+/** Returns whether a VM may have runs that this owner doesn't know of jobs that use a pool. */
+export function canHaveUnknownRunsOf(vm: VmRow, pool: types.PoolName): boolean {
+  return canHaveUnknownRuns(vm) && (vm.pool === undefined || vm.pool === pool);
+}
+
 /** Returns the free resources of a VM. */
 export function getFree(vm: VmRow): resources.Resources {
   const capacity = vm.entry?.capacity;
@@ -219,6 +226,7 @@
   return {
     id,
     entry: undefined,
+    pool: undefined,
     leaving: false,
     incarnation: undefined,
     incarnationKey: formatIncarnationKey(id, undefined),
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -75,8 +75,7 @@
     return false;
   }
   for (const vm of state.vms.values())
-    if (tables.canHaveUnknownRuns(vm) && vm.entry?.pool === job.policy.pool)
-      return true;
+    if (tables.canHaveUnknownRunsOf(vm, job.policy.pool)) return true;
   return false;
 }
 
