Count unlisted VMs while starts may be unrecorded, and name lease ends alike

An owner told its successors of starts without a record until all listed VMs had reported.

The ends of last leases have one name in the record of a release and at its reader.

--- a/packages/cluster/src/claims.ts
+++ b/packages/cluster/src/claims.ts
@@ -73,7 +73,7 @@
   /** Time at which the lease of each VM ends that didn't answer the previous owner. */
   readonly silentVms: ReadonlyMap<core.ids.VmId, number>;
   /** Time at which the last lease of any owner ends, by VM, if the previous owner recorded it on its release. */
-  readonly leaseEnds: ReadonlyMap<core.ids.VmId, number>;
+  readonly lastEnds: ReadonlyMap<core.ids.VmId, number>;
 }
 
 /** Callbacks to the node. */
@@ -249,7 +249,7 @@
     inactive: true,
     owners: [],
     silentVms: new Map(),
-    leaseEnds: new Map(),
+    lastEnds: new Map(),
   };
 
   function endOwnership(why: string): void {
@@ -356,7 +356,7 @@
       inactive,
       owners: listEarlierOwners(recorded, inactive, nowMs),
       silentVms: recorded?.silentVms ?? new Map(),
-      leaseEnds: recorded?.lastEnds ?? new Map(),
+      lastEnds: recorded?.lastEnds ?? new Map(),
     };
     const { leaseMs } = context.settings;
     const result = await appendClaim({
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -94,9 +94,9 @@
   let earlierOwners = previous.owners;
   let earlierLeasesEndMs = leases.computeEndMs(earlierOwners);
   /** Lease ends that the previous owner recorded. */
-  const recordedLeaseEnds: ReadonlyMap<core.ids.VmId, number> = new Map([
+  const recordedEnds: ReadonlyMap<core.ids.VmId, number> = new Map([
     ...previous.silentVms,
-    ...previous.leaseEnds,
+    ...previous.lastEnds,
   ]);
   /** VMs that didn't answer the previous owner and haven't answered this one. */
   const inheritedSilentVms = new Set(previous.silentVms.keys());
@@ -148,7 +148,7 @@
     inactive: previous.inactive,
     leftMs: Math.round(earlierLeasesEndMs - createdMs),
     silentVms: inheritedSilentVms.size,
-    recordedEnds: recordedLeaseEnds.size,
+    recordedEnds: recordedEnds.size,
   });
   const orderTimeout = timeouts.createOrderTimeout();
   const holdWait = timeouts.createHoldWait();
@@ -340,13 +340,13 @@
 
   /** Returns the time at which the last lease of earlier owners ends on a VM. */
   function getInheritedLeaseEnd(id: core.ids.VmId): number {
-    return Math.min(earlierLeasesEndMs, recordedLeaseEnds.get(id) ?? Infinity);
+    return Math.min(earlierLeasesEndMs, recordedEnds.get(id) ?? Infinity);
   }
 
   /** Lists the VMs that the previous owner named on its release and that may have runs without a record. */
   function listReleasedVms(nowMs: number): readonly core.ids.VmId[] {
     return previous.unrecorded
-      ? [...previous.leaseEnds.keys()].filter(
+      ? [...previous.lastEnds.keys()].filter(
           (id) => getInheritedLeaseEnd(id) >= nowMs,
         )
       : [];
@@ -380,7 +380,7 @@
   /** Collects when the last lease ends on each VM that may have one. */
   function collectLeaseEnds(): ReadonlyMap<core.ids.VmId, number> {
     const ends = new Map<core.ids.VmId, number>();
-    for (const id of [...recordedLeaseEnds.keys(), ...unlistedVms])
+    for (const id of [...recordedEnds.keys(), ...unlistedVms])
       ends.set(id, getInheritedLeaseEnd(id));
     for (const [id, session] of sessionsByVm)
       ends.set(id, session.getLeaseEnd());
--- a/packages/cluster/test/claims.test.ts
+++ b/packages/cluster/test/claims.test.ts
@@ -194,7 +194,7 @@
           }),
         ],
         silentVms: new Map(),
-        leaseEnds: new Map(),
+        lastEnds: new Map(),
       });
     },
   );
@@ -230,7 +230,7 @@
           }),
         ],
         silentVms: new Map(),
-        leaseEnds: new Map(),
+        lastEnds: new Map(),
       });
     },
   );
--- a/packages/cluster/test/fakes.ts
+++ b/packages/cluster/test/fakes.ts
@@ -231,7 +231,7 @@
       },
     ],
     silentVms: new Map(),
-    leaseEnds: new Map(),
+    lastEnds: new Map(),
     ...given,
   };
 }
--- a/packages/cluster/test/unrecordedStarts.test.ts
+++ b/packages/cluster/test/unrecordedStarts.test.ts
@@ -53,4 +53,30 @@
       expectSound(simulation);
     },
   );
+
+  vitest.it.each([0, 500, 1_000, 1_500, 2_000])(
+    'does not run a second time when its VM is cut off, with owners stopped in a row from %d ms after the cut on (guards against TWICE: only the first successor knows of starts without a record)',
+    async (cutForMs) => {
+      const simulation = createCluster();
+      await startUnrecorded(simulation, cutForMs);
+      for (let stops = 0; stops < 4; stops += 1) {
+        await simulation.advance(400);
+        simulation.releaseOwner();
+      }
+      await simulation.advance(RESTORED_WITHIN_MS);
+      expectSound(simulation);
+    },
+  );
+
+  vitest.it.each([0, 500, 1_000, 1_500, 2_000])(
+    'does not run a second time when its VM is cut off, with an owner stopped %d ms after the cut and its successor killed (guards against TWICE: only the first successor knows of starts without a record)',
+    async (cutForMs) => {
+      const simulation = createCluster();
+      await startUnrecorded(simulation, cutForMs);
+      await simulation.advance(800);
+      simulation.killOwner();
+      await simulation.advance(RESTORED_WITHIN_MS);
+      expectSound(simulation);
+    },
+  );
 });
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -319,7 +319,7 @@
     }
 }
 
-/** Returns whether a listed VM that hasn't reported may have runs that a previous owner started without a record. */
+/** Returns whether a VM that hasn't reported may have runs that a previous owner started without a record. */
 export function isAwaitingUnrecorded(
   state: states.State,
   nowMs: number,
@@ -327,9 +327,7 @@
   return (
     state.inheritedUnrecordedStarts &&
     nowMs <= state.inheritedUntilMs &&
-    [...state.vms.values()].some(
-      (vm) => tables.canHaveUnknownRuns(vm) && vm.entry !== undefined,
-    )
+    [...state.vms.values()].some(tables.canHaveUnknownRuns)
   );
 }
 
