--- a/packages/cluster/src/leases.ts
+++ b/packages/cluster/src/leases.ts
@@ -96,7 +96,7 @@
   return leaseMs / MIN_CLOCK_RATE + CLOCK_AGE_MARGIN_MS;
 }
 
-/** Computes the time at which the last lease of earlier owners ends. */
+/** Computes the time at which the last lease of earlier owners ends; -Infinity without any. */
 export function computeEndMs(owners: readonly EarlierOwner[]): number {
   return Math.max(
     -Infinity,
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -679,18 +679,20 @@
     },
     buildFinalLeaseRecord() {
       const lastEnds = collectLeaseEnds();
+      const silentVms = collectSilentVms();
       log.write('info', 'leases.released', {
         fence,
         ready,
         vms: lastEnds.size,
-        silentVms: collectSilentVms().size,
+        silentVms: silentVms.size,
         unlisted: unlistedVms.size,
       });
       return leases.buildRecord(
         {
+          // Without sessions it has granted none.
           leaseMs: ready ? leaseMs : 0,
           owners: earlierOwners,
-          silentVms: collectSilentVms(),
+          silentVms,
           lastEnds,
         },
         timers.getNow(),
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -79,7 +79,7 @@
     run: number,
     outcome: types.StartOutcome,
     nowMs: number,
-    /** Time on the VM's clock from which it refuses the command. */
+    /** Time on the VM's clock from which it refuses the command; used for the outcome `unknown` only. */
     untilMs?: number,
   ): void;
   applyStop(
