Choose nodes for short and overdue requests with one loop

The choice for an overdue service repeated the one for short requests but for the limit of requests in flight. The request for an overdue service also looked for places before it knew that one is already in flight, in each round.

--- a/packages/core/src/workloads/adviceSlots.ts
+++ b/packages/core/src/workloads/adviceSlots.ts
@@ -75,15 +75,15 @@
     return responsive.length > 0 ? responsive : [...rows];
   }
 
-  function chooseForShort(nowMs: number): types.HelperName | undefined {
+  /** Chooses the node without a long request that is idle first, among those with fewer requests in flight than given. */
+  function chooseIdleFirst(
+    maxInFlight: number,
+    nowMs: number,
+  ): types.HelperName | undefined {
     let best: types.HelperName | undefined;
     let bestMs = Infinity;
     for (const [name, row] of listResponsive(nowMs)) {
-      if (
-        hasLongRequest(row) ||
-        row.inFlight.size >= MAX_SHORT_REQUESTS_PER_NODE
-      )
-        continue;
+      if (hasLongRequest(row) || row.inFlight.size >= maxInFlight) continue;
       const atMs = computeIdleMs(row, nowMs) + row.overheadMs;
       if (atMs >= bestMs) continue;
       best = name;
@@ -92,6 +92,10 @@
     return best;
   }
 
+  function chooseForShort(nowMs: number): types.HelperName | undefined {
+    return chooseIdleFirst(MAX_SHORT_REQUESTS_PER_NODE, nowMs);
+  }
+
   function chooseForLong(nowMs: number): types.HelperName | undefined {
     const shortOnlyNodes =
       nowMs - lastShortRequestMs < SHORT_REQUEST_WINDOW_MS
@@ -119,16 +123,7 @@
     if (countNodes(hasServiceRequest) >= Math.ceil(rows.size / 2))
       return undefined;
     if (isLastWithoutLong() && nowMs < lastNodeKeptUntilMs) return undefined;
-    let best: types.HelperName | undefined;
-    let bestMs = Infinity;
-    for (const [name, row] of listResponsive(nowMs)) {
-      if (hasLongRequest(row)) continue;
-      const atMs = computeIdleMs(row, nowMs) + row.overheadMs;
-      if (atMs >= bestMs) continue;
-      best = name;
-      bestMs = atMs;
-    }
-    return best;
+    return chooseIdleFirst(Infinity, nowMs);
   }
 
   function countNodes(isCounted: (row: NodeRow) => boolean): number {
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -130,6 +130,7 @@
   nowMs: number,
 ): void {
   for (const { step } of ranked) {
+    if (advice.isRequestPending(step, nowMs)) continue;
     if (!waits.isServiceOverdue(step, nowMs)) continue;
     const canStart = collectCandidates(state, step, nowMs).some((candidate) =>
       placement.canPlaceTask(candidate, step),
