--- a/packages/cluster/src/leases.ts
+++ b/packages/cluster/src/leases.ts
@@ -52,14 +52,12 @@
 }
 
 function parseEnds(
-  stored: StoredEnds,
+  stored: records.LeaseEnds,
   sentByMs: number,
 ): ReadonlyMap<core.ids.VmId, number> {
   return new Map(stored.map(([vm, leftMs]) => [vm, sentByMs + leftMs]));
 }
 
-type StoredEnds = records.LeaseRecord['silentVms'];
-
 /** Builds a record; owners whose leases have ended are left out. */
 export function buildRecord(
   { leaseMs, owners, silentVms, lastEnds }: RecordedLeases,
@@ -84,7 +82,7 @@
 function buildEnds(
   ends: ReadonlyMap<core.ids.VmId, number>,
   nowMs: number,
-): StoredEnds {
+): records.LeaseEnds {
   return [...ends].map(([vm, endMs]) => [
     vm,
     Math.max(0, Math.ceil(endMs - nowMs)),
--- a/packages/cluster/src/recorder.ts
+++ b/packages/cluster/src/recorder.ts
@@ -1,8 +1,9 @@
 /**
  * Appends the owner's batches: progress records, final states and dropped keys. A batch
  * that is too large for one append is split: its records are about different jobs, and it
- * counts as durable once all of them are. Each append carries the fence as its epoch and a sequence number, so that a late append of
- * an earlier owner is refused and a retried one is written once.
+ * counts as durable once all of them are. Each append carries the fence as its epoch and
+ * a sequence number, so that a late append of an earlier owner is refused and a retried
+ * one is written once.
  */
 import * as core from '@flamingoward/core';
 import type * as contexts from './context.js';
--- a/packages/cluster/src/records.ts
+++ b/packages/cluster/src/records.ts
@@ -150,6 +150,9 @@
   readonly leases?: LeaseRecord | undefined;
 }
 
+/** VMs, each with the time until a lease ends there, in ms. */
+export type LeaseEnds = readonly (readonly [core.ids.VmId, number])[];
+
 /** What an owner records about leases, so that a successor waits for no longer than runs may last. */
 export interface LeaseRecord {
   /** Longest lease that the owner grants, in ms; 0 when it releases ownership before it could grant any. */
@@ -168,12 +171,12 @@
    * VMs that don't answer, each with the time until its lease ends, in ms. The owner
    * grants them no lease until a later record without them is confirmed.
    */
-  readonly silentVms: readonly (readonly [core.ids.VmId, number])[];
+  readonly silentVms: LeaseEnds;
   /**
    * VMs with the time until the last lease of any owner ends there, in ms. Only in the
    * record of a release, after which the owner grants no lease.
    */
-  readonly lastEnds?: readonly (readonly [core.ids.VmId, number])[];
+  readonly lastEnds?: LeaseEnds;
 }
 
 /** Parses a claim; undefined when it is malformed. */
