Decide once whether starts of earlier owners may be unrecorded

The claim decides it, also from the age of the claim that it replaces, and records it; the owner worked out the second part again. The age has no other reader, so the new owner is no longer told. Tests leave out the property, which was undefined or below the limit; their expectations are the same. No change of behaviour.

--- a/packages/cluster/src/claims.ts
+++ b/packages/cluster/src/claims.ts
@@ -59,11 +59,6 @@
 
 /** What a new owner knows about its predecessor. */
 export interface PreviousOwner {
-  /**
-   * Upper bound of the time since the store last confirmed its claim, in ms; undefined
-   * when it released ownership or when there was no owner.
-   */
-  readonly unconfirmedMs: number | undefined;
   /** Its starts, or those of an owner before it, may not all be durably recorded. */
   readonly unrecorded: boolean;
   /** It sends no more orders: its process has terminated, or it released ownership. */
@@ -244,7 +239,6 @@
   }
 
   let previous: PreviousOwner = {
-    unconfirmedMs: undefined,
     unrecorded: false,
     inactive: true,
     owners: [],
@@ -335,13 +329,14 @@
       currentOwner === undefined ||
       currentOwner.released ||
       releasedFence === currentOwner.fence;
-    const unconfirmedMs = ownerReleased ? undefined : nowMs - ownerConfirmedMs;
+    // An upper bound of the time since the store last confirmed the owner's claim.
+    const unconfirmedMs = ownerReleased ? 0 : nowMs - ownerConfirmedMs;
     const toldUnrecorded =
       releasedFence === currentOwner?.fence && releasedUnrecorded;
     const unrecorded =
       currentOwner?.unrecorded === true ||
       (toldUnrecorded && currentOwner?.released !== true) ||
-      (unconfirmedMs ?? 0) > UNRECORDED_START_AFTER_MS;
+      unconfirmedMs > UNRECORDED_START_AFTER_MS;
     // An earlier ownership of this process has ended with its orders.
     const inactive =
       ownerReleased || ownerTerminated || currentOwner?.instance === instance;
@@ -351,7 +346,6 @@
       currentOwner?.leases &&
       leases.parseLeases(currentOwner.leases, sentByMs ?? nowMs);
     previous = {
-      unconfirmedMs,
       unrecorded,
       inactive,
       owners: listEarlierOwners(recorded, inactive, nowMs),
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -113,15 +113,12 @@
   );
   const sessionsByVm = new Map<core.ids.VmId, vmSessions.VmSession>();
   const durableWaiters = new Set<() => void>();
-  const inheritedUnrecorded =
-    previous.unrecorded ||
-    (previous.unconfirmedMs ?? 0) > claims.UNRECORDED_START_AFTER_MS;
   const scheduler = core.workloads.createWorkloadScheduler({
     bounds: {
       inheritedRunTimeoutMs: earlierLeasesEndMs - createdMs,
       firstRun: fence * RUNS_PER_FENCE + 1,
     },
-    unrecordedStarts: inheritedUnrecorded,
+    unrecordedStarts: previous.unrecorded,
     nowMs: createdMs,
   });
   const owedReporter = owedReporters.createOwedReporter(context, {
@@ -144,7 +141,7 @@
     claimLeftMs: earlierOwners
       .map(({ claimEndMs }) => Math.round(claimEndMs - createdMs))
       .join(),
-    unrecorded: inheritedUnrecorded,
+    unrecorded: previous.unrecorded,
     inactive: previous.inactive,
     leftMs: Math.round(earlierLeasesEndMs - createdMs),
     silentVms: inheritedSilentVms.size,
@@ -667,7 +664,7 @@
     hasUnrecorded: () =>
       ready
         ? scheduler.hasUnrecordedStarts(timers.getNow())
-        : inheritedUnrecorded,
+        : previous.unrecorded,
     getCounts: () => scheduler.getCounts(),
     buildLeaseRecord() {
       const silentVms = collectSilentVms();
--- a/packages/cluster/test/claims.test.ts
+++ b/packages/cluster/test/claims.test.ts
@@ -185,7 +185,6 @@
       await fakes.advance(timers, 200);
       vitest.expect(other.claim.getFence()).toBeGreaterThan(fence);
       vitest.expect(other.owned[0]!.previous).toEqual({
-        unconfirmedMs: undefined,
         unrecorded: false,
         inactive: true,
         owners: [
@@ -221,7 +220,6 @@
       await fakes.advance(timers, 2_000);
       vitest.expect(other.owned).toHaveLength(1);
       vitest.expect(other.owned[0]!.previous).toEqual({
-        unconfirmedMs: undefined,
         unrecorded,
         inactive: true,
         owners: [
--- a/packages/cluster/test/departedVms.test.ts
+++ b/packages/cluster/test/departedVms.test.ts
@@ -115,7 +115,7 @@
   const owner = owners.createOwner(nodeContext, {
     fence: 9,
     previous: fakes.createPreviousOwner(
-      { unconfirmedMs: 1_000, inactive: false },
+      { inactive: false },
       timers.getNow() + 10_000,
     ),
     unconfirmedLimitMs: 10_000,
--- a/packages/cluster/test/fakes.ts
+++ b/packages/cluster/test/fakes.ts
@@ -218,7 +218,6 @@
   lastOrderMs: number,
 ): claims.PreviousOwner {
   return {
-    unconfirmedMs: undefined,
     unrecorded: false,
     inactive: true,
     owners: [
