Log whose tables a count of waiting jobs was taken from

The logs couldn't tell which tables the answer came from: those of the owner itself, the counts of an owner's heartbeat, or the jobs that the node happens to know.

request.waiting now gives the count, its source, the fence of the owner and the age of its heartbeat. No decision changes.

--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -237,7 +237,7 @@
     if (notice.kind === 'cluster.beat') {
       if (ownership.getOwner()?.instance !== from.instance) return;
       lastHeartbeat = notice;
-      waitingCounts.record(notice.waiting);
+      waitingCounts.record(notice.fence, notice.waiting);
       lastHeartbeatMs = timers.getNow();
       ownership.setSuccessors(notice.successors);
       ownership.handleHeartbeat(
--- a/packages/cluster/src/requestHandler.ts
+++ b/packages/cluster/src/requestHandler.ts
@@ -8,6 +8,7 @@
 import type * as contexts from './context.js';
 import type * as jobStores from './jobStore.js';
 import type * as ports from './ports.js';
+import type * as waiting from './waitingCounts.js';
 
 /** Deadline of requests that carry none, in ms. */
 const DEFAULT_DEADLINE_MS = 3_000;
@@ -30,7 +31,7 @@
   fetchState(
     id: core.ids.JobId,
   ): Promise<core.workloads.JobState | 'unknown' | undefined>;
-  countWaiting(queue: core.workloads.QueueName): number;
+  countWaiting(queue: core.workloads.QueueName): waiting.WaitingCount;
   /** Writes through the owner; undefined when it certainly wrote nothing. */
   writeThroughOwner(
     change: DurableWrite,
@@ -76,7 +77,7 @@
       ANSWER_MARGIN_MS;
     if (match.rest === '')
       return request.method === 'GET'
-        ? { answer: 'waiting', waiting: jobQueries.countWaiting(policy.name) }
+        ? answerWaiting(policy.name)
         : { answer: 'unknown-method' };
     if (!jobIdPattern.test(match.rest))
       return { answer: 'malformed', why: 'a job id has 16 hexadecimal digits' };
@@ -92,6 +93,16 @@
     }
   }
 
+  function answerWaiting(queue: core.workloads.QueueName): ports.CallerAnswer {
+    const count = jobQueries.countWaiting(queue);
+    log.write('info', 'request.waiting', {
+      queue,
+      ...count,
+      ageMs: count.ageMs && Math.round(count.ageMs),
+    });
+    return { answer: 'waiting', waiting: count.waiting };
+  }
+
   async function submit(
     id: core.ids.JobId,
     policy: core.workloads.QueuePolicy,
--- a/packages/cluster/src/waitingCounts.ts
+++ b/packages/cluster/src/waitingCounts.ts
@@ -12,11 +12,22 @@
 /** Counts of waiting jobs by queue, as a heartbeat carries them. */
 type Counts = readonly (readonly [core.workloads.QueueName, number])[];
 
+/** A count of waiting jobs, and whose tables it was taken from. */
+export interface WaitingCount {
+  readonly waiting: number;
+  /** The tables of this node's owner, a heartbeat of another node's owner, or the jobs that this node knows. */
+  readonly source: 'owner' | 'heartbeat' | 'known-jobs';
+  /** Fence of the owner whose heartbeat it was; undefined for other sources. */
+  readonly fence?: number;
+  /** Time since the heartbeat arrived, in ms; undefined for other sources. */
+  readonly ageMs?: number;
+}
+
 /** The counts of a node. */
 export interface WaitingCounts {
   /** Records the counts of an owner's heartbeat; undefined when the owner doesn't know them yet. */
-  record(counts: Counts | undefined): void;
-  readonly count: (queue: core.workloads.QueueName) => number;
+  record(fence: number, counts: Counts | undefined): void;
+  readonly count: (queue: core.workloads.QueueName) => WaitingCount;
 }
 
 /** Creates the counts; `getOwnCounts` returns those of this node while it is an owner that knows them. */
@@ -25,7 +36,13 @@
   jobs: Pick<jobStores.JobStore, 'list'>,
   getOwnCounts: () => ReadonlyMap<core.workloads.QueueName, number> | undefined,
 ): WaitingCounts {
-  let newest: { readonly counts: Counts; readonly atMs: number } | undefined;
+  let newest:
+    | {
+        readonly fence: number;
+        readonly counts: Counts;
+        readonly atMs: number;
+      }
+    | undefined;
 
   function countUnfinished(queue: core.workloads.QueueName): number {
     let count = 0;
@@ -41,15 +58,23 @@
   }
 
   return {
-    record(counts) {
-      if (counts !== undefined) newest = { counts, atMs: timers.getNow() };
+    record(fence, counts) {
+      if (counts !== undefined)
+        newest = { fence, counts, atMs: timers.getNow() };
     },
     count(queue) {
       const own = getOwnCounts();
-      if (own !== undefined) return own.get(queue) ?? 0;
-      if (newest === undefined || timers.getNow() - newest.atMs >= STALE_MS)
-        return countUnfinished(queue);
-      return newest.counts.find(([name]) => name === queue)?.[1] ?? 0;
+      if (own !== undefined)
+        return { waiting: own.get(queue) ?? 0, source: 'owner' };
+      const ageMs = timers.getNow() - (newest?.atMs ?? -Infinity);
+      if (newest === undefined || ageMs >= STALE_MS)
+        return { waiting: countUnfinished(queue), source: 'known-jobs' };
+      return {
+        waiting: newest.counts.find(([name]) => name === queue)?.[1] ?? 0,
+        source: 'heartbeat',
+        fence: newest.fence,
+        ageMs,
+      };
     },
   };
 }
--- a/packages/cluster/test/requestHandler.test.ts
+++ b/packages/cluster/test/requestHandler.test.ts
@@ -37,7 +37,7 @@
     {
       fetchState: () => Promise.resolve('unknown'),
       writeThroughOwner: () => Promise.resolve(ownerResult),
-      countWaiting: () => 0,
+      countWaiting: () => ({ waiting: 0, source: 'owner' }),
       checkAdmission: () => admissionRefusal,
     },
   );
--- a/packages/cluster/test/waitingCounts.test.ts
+++ b/packages/cluster/test/waitingCounts.test.ts
@@ -40,13 +40,13 @@
     'is not zero while a new owner does not know it yet (guards against MIXED: no jobs are said to wait after a change of owner)',
     () => {
       const { timers, counts } = createSetup();
-      counts.record([['queue', 7]]);
+      counts.record(3, [['queue', 7]]);
       timers.advance(500);
-      counts.record(undefined);
-      vitest.expect(counts.count('queue')).toBe(7);
+      counts.record(3, undefined);
+      vitest.expect(counts.count('queue').waiting).toBe(7);
       timers.advance(2_000);
-      counts.record(undefined);
-      vitest.expect(counts.count('queue')).toBe(2);
+      counts.record(3, undefined);
+      vitest.expect(counts.count('queue').waiting).toBe(2);
     },
   );
 
@@ -54,9 +54,9 @@
     'is that of all unfinished jobs at an owner that restores its tables',
     () => {
       const { setup, counts } = createSetup();
-      vitest.expect(counts.count('queue')).toBe(2);
+      vitest.expect(counts.count('queue').waiting).toBe(2);
       setup.own = new Map();
-      vitest.expect(counts.count('queue')).toBe(0);
+      vitest.expect(counts.count('queue').waiting).toBe(0);
     },
   );
 });
