Log when a node has the counts of its new owner, and slow reads of the jobs

The logs show that this takes 3 to 5 s in the other region, but not on what it spends them: until the node learns of the owner, until the link to it is open, until the owner has counts, or on the way. Nor do they show when a node reads the whole stream of jobs, which shares the links between the regions.

owner.counts gives these times once for each owner, jobs.read those of reads that take 500 ms or longer. No decision changes.

Measured: nothing yet; the lines are for the timeline of the incident. Tests of packages/cluster without those of whole cells: 163 passed.

--- a/packages/cluster/src/jobStore.ts
+++ b/packages/cluster/src/jobStore.ts
@@ -25,6 +25,9 @@
 const PROBE_INTERVAL_MS = 400;
 /** Age of an unanswered append after which the store is probed, in ms. */
 const SLOW_APPEND_MS = 350;
+/** Duration of a read to the end of the stream from which it is logged, in ms. */
+const SLOW_READ_MS = 500;
+
 /** Timeout of a probe, in ms. */
 const PROBE_TIMEOUT_MS = 600;
 
@@ -321,7 +324,17 @@
   }
 
   async function refresh(): Promise<boolean> {
+    const startedMs = timers.getNow();
+    const fromOffset = tail.getNextOffset();
     const storeAnswered = await tail.refresh();
+    const tookMs = timers.getNow() - startedMs;
+    if (tookMs >= SLOW_READ_MS)
+      context.log.write('info', 'jobs.read', {
+        answered: storeAnswered,
+        from: fromOffset,
+        to: tail.getNextOffset(),
+        tookMs: Math.round(tookMs),
+      });
     if (storeAnswered) markAvailable();
     return storeAnswered;
   }
--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -55,6 +55,14 @@
   const coresByPeer = new Map<core.ids.InstanceId, number>();
   /** Fence of the owner that each peer process follows. */
   const followedFences = new Map<core.ids.InstanceId, number>();
+  /** Times at which this node learned of its owner and opened the link to it, and what that owner's heartbeats lacked since. */
+  let following = {
+    fence: 0,
+    learnedMs: 0,
+    linkedMs: 0,
+    withoutCounts: 0,
+    counted: false,
+  };
   let stopping = false;
   let releasing = false;
 
@@ -138,6 +146,14 @@
     },
     onOwner(next) {
       if (next.instance === instance) return;
+      if (next.fence !== following.fence)
+        following = {
+          fence: next.fence,
+          learnedMs: timers.getNow(),
+          linkedMs: 0,
+          withoutCounts: 0,
+          counted: false,
+        };
       hub.setPeers(next.released ? [] : [next.address]);
       notifyMember(next.instance);
     },
@@ -154,6 +170,22 @@
     });
   }
 
+  /** Logs for how long this node was without the counts of its new owner. */
+  function logFirstCounts(notice: core.clusterMessages.ClusterHeartbeat): void {
+    if (following.counted || notice.fence !== following.fence) return;
+    if (notice.waiting === undefined) {
+      following.withoutCounts += 1;
+      return;
+    }
+    following.counted = true;
+    log.write('info', 'owner.counts', {
+      fence: notice.fence,
+      linkedAfterMs: Math.round(following.linkedMs - following.learnedMs),
+      afterMs: Math.round(timers.getNow() - following.learnedMs),
+      withoutCounts: following.withoutCounts,
+    });
+  }
+
   /** Tells this node's owner of a peer process that follows it or a later one. */
   function reportFollower(peer: core.ids.InstanceId): void {
     if (owner !== undefined && (followedFences.get(peer) ?? 0) >= owner.fence)
@@ -216,6 +248,8 @@
     notifyMember(peer.instance);
     owner?.handleProcess(peer.name, peer.instance);
     const current = ownership.getOwner();
+    if (current?.instance === peer.instance)
+      following.linkedMs = timers.getNow();
     // A new process of the owner's node has connected, so the owner's process has terminated.
     if (current?.node === peer.name && current.instance !== peer.instance)
       ownership.suspect(current.instance, true);
@@ -238,6 +272,7 @@
       if (ownership.getOwner()?.instance !== from.instance) return;
       lastHeartbeat = notice;
       waitingCounts.record(notice.fence, notice.waiting);
+      logFirstCounts(notice);
       lastHeartbeatMs = timers.getNow();
       ownership.setSuccessors(notice.successors);
       ownership.handleHeartbeat(
