--- a/packages/cluster/src/jobStore.ts
+++ b/packages/cluster/src/jobStore.ts
@@ -88,6 +88,7 @@
   let unavailableWhy = '';
   let unavailable = false;
   let unansweredAppends = 0;
+  let newestRead: Promise<boolean> | undefined;
   const appendTimeout = timeouts.createAppendTimeout();
   let recoveryProbe: core.TimerSubscription | undefined;
 
@@ -326,9 +327,13 @@
   async function refresh(): Promise<boolean> {
     const startedMs = timers.getNow();
     const fromOffset = tail.getNextOffset();
-    const storeAnswered = await tail.refresh();
+    const read = tail.refresh();
+    // Callers that wait for the same read share its promise.
+    const isFirstCaller = read !== newestRead;
+    newestRead = read;
+    const storeAnswered = await read;
     const tookMs = timers.getNow() - startedMs;
-    if (tookMs >= SLOW_READ_MS)
+    if (isFirstCaller && tookMs >= SLOW_READ_MS)
       context.log.write('info', 'jobs.read', {
         answered: storeAnswered,
         from: fromOffset,
