Refuse a count of waiting jobs that no owner knows

Callers saw "0 jobs are said to wait; 9 have waited" about two seconds after an owner had handed over.

Cause: when the counts of the last heartbeat were over 1.8 s old, a node counted the unfinished jobs that it had read itself. A node that isn't the owner reads the stream `jobs` only when it has to, so it knows a part of the jobs, often none. It can't know the count, and said one.

Change: without an owner's counts the request is refused with 503, a Retry-After of 1 s and the reason, and the line request.waiting says so. The source `known-jobs` is gone.

Why it works: a count is only given from an owner's tables.

--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -412,7 +412,7 @@
     }
   }
 
-  const waitingCounts = waiting.createWaitingCounts(timers, jobs, () =>
+  const waitingCounts = waiting.createWaitingCounts(timers, () =>
     owner?.countWaiting(),
   );
 
--- a/packages/cluster/src/requestHandler.ts
+++ b/packages/cluster/src/requestHandler.ts
@@ -16,6 +16,8 @@
 const ANSWER_MARGIN_MS = 300;
 /** Retry-after while the store is unavailable, in s; a few retries outlast an outage of seconds. */
 const UNAVAILABLE_RETRY_S = 2;
+/** Retry-after while no owner knows the counts, in s; a change of owner takes a second or two. */
+const COUNTS_RETRY_S = 1;
 /** Retry-after for a job that no VM can run, in s; a larger VM may be added meanwhile. */
 const DECLINED_RETRY_S = 10;
 /** Time for which the owner is asked for a state before this node reads the stream itself, in ms. */
@@ -31,7 +33,10 @@
   fetchState(
     id: core.ids.JobId,
   ): Promise<core.workloads.JobState | 'unknown' | undefined>;
-  countWaiting(queue: core.workloads.QueueName): waiting.WaitingCount;
+  /** Returns the count of a queue's waiting jobs; undefined when no owner's count is known. */
+  countWaiting(
+    queue: core.workloads.QueueName,
+  ): waiting.WaitingCount | undefined;
   /** Writes through the owner; undefined when it certainly wrote nothing. */
   writeThroughOwner(
     change: DurableWrite,
@@ -95,6 +100,11 @@
 
   function answerWaiting(queue: core.workloads.QueueName): ports.CallerAnswer {
     const count = jobQueries.countWaiting(queue);
+    if (count === undefined) {
+      const why = 'no owner knows the counts at present';
+      log.write('info', 'request.waiting', { queue, why });
+      return buildRefused('unavailable', why, COUNTS_RETRY_S);
+    }
     log.write('info', 'request.waiting', {
       queue,
       ...count,
