Tell counts of waiting jobs only with a known age

A node told counts that could be older than the two seconds that callers are promised, and so could miss jobs that had waited for longer.

Cause: counts were pushed with the owner's heartbeats and used for 1.8 s after they arrived. Neither their time on the way nor the age of the owner's tables was known: a link that was held up delivers old heartbeats, and an owner that was frozen, cut off from the store or replaced sends counts of tables that lack the jobs of that time.

Evidence, by a test on the old code: an owner whose reads of the stream `jobs` have failed for 2.1 s still gives its counts, and so does an owner whose claim was last confirmed 2 s ago.

Change: counts are pulled. A node asks the owner (cluster.waiting), which answers with its fence, its counts and the age of its tables: the time since its last complete read of the jobs began, or since its claim was last confirmed, whichever is longer. It answers nothing while it restores its tables, or from an age of 2 s on. The asking node adds the time since it sent the question, asks again for counts over 1 s old, shares a question among callers and gives no count of 2 s or more. While no owner tells its counts it asks for as long as for a job's state, and then refuses. Heartbeats carry no counts any more.

Why it works: each part of the age is measured from before the event that it depends on, on one clock, so the age can only be overstated. A frozen owner wakes with tables as old as its freeze, and a replaced owner with a claim as old as its successor's.

A node of this build gets no counts from an owner of an earlier one, so while a cluster is upgraded counts may be refused.

--- a/packages/cluster/src/jobStore.ts
+++ b/packages/cluster/src/jobStore.ts
@@ -54,6 +54,8 @@
   find(id: core.ids.JobId): StoredJob | undefined;
   /** Reads to the end of the stream; resolves with false when the store doesn't answer. */
   refresh(): Promise<boolean>;
+  /** Returns the time since the last read to the end of the stream began, in ms. */
+  getReadAge(): number;
   list(): Iterable<StoredJob>;
   /** Adds a final state that this node has made durable to the view. */
   recordFinal(id: core.ids.JobId, state: core.workloads.FinalState): void;
@@ -85,6 +87,8 @@
   let unavailableWhy = '';
   let unavailable = false;
   let unansweredAppends = 0;
+  /** Time before which all appended records have been read. */
+  let readToMs = -Infinity;
   const appendTimeout = timeouts.createAppendTimeout();
   let recoveryProbe: core.TimerSubscription | undefined;
 
@@ -321,8 +325,12 @@
   }
 
   async function refresh(): Promise<boolean> {
+    const startedMs = timers.getNow();
     const storeAnswered = await tail.refresh();
-    if (storeAnswered) markAvailable();
+    if (storeAnswered) {
+      readToMs = Math.max(readToMs, startedMs);
+      markAvailable();
+    }
     return storeAnswered;
   }
 
@@ -331,6 +339,7 @@
     cancel,
     find: (id) => jobs.get(id),
     refresh,
+    getReadAge: () => timers.getNow() - readToMs,
     list: () => jobs.values(),
     recordFinal(id, state) {
       applyChange({ change: 'final', id, state });
--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -16,9 +16,9 @@
 import * as successors from './successors.js';
 import * as waiting from './waitingCounts.js';
 
-/** Time between the owner's heartbeats, in ms; counts of waiting jobs may be at most two seconds old. */
+/** Time between the owner's heartbeats, in ms. */
 const HEARTBEAT_INTERVAL_MS = 500;
-/** Timeout of a request for a job's state to the owner, in ms. */
+/** Timeout of a request for a job's state or the counts to the owner, in ms. */
 const STATE_TIMEOUT_MS = 600;
 /** Time without a heartbeat after which the owner is suspected, in ms. */
 const HEARTBEAT_TIMEOUT_MS = 1_100;
@@ -237,7 +237,6 @@
     if (notice.kind === 'cluster.beat') {
       if (ownership.getOwner()?.instance !== from.instance) return;
       lastHeartbeat = notice;
-      waitingCounts.record(notice.fence, notice.waiting);
       lastHeartbeatMs = timers.getNow();
       ownership.setSuccessors(notice.successors);
       ownership.handleHeartbeat(
@@ -264,6 +263,11 @@
           kind: 'cluster.job.answer',
           state: await owner?.getJobState(question.job),
         };
+      case 'cluster.waiting':
+        return {
+          kind: 'cluster.waiting.answer',
+          counts: owner?.countWaiting(),
+        };
       case 'cluster.write':
         return writeForPeer(question);
       case 'cluster.store':
@@ -362,14 +366,12 @@
   function sendHeartbeat(): void {
     if (owner === undefined) return;
     const peers = hub.listConnected();
-    const counts = owner.countWaiting();
     const confirmedOffset = ownership.getConfirmedOffset();
     const notice: core.clusterMessages.ClusterHeartbeat = {
       kind: 'cluster.beat',
       fence: owner.fence,
       confirmedAgeMs: ownership.getConfirmedAge(),
       ...(confirmedOffset === undefined ? {} : { confirmedOffset }),
-      ...(counts === undefined ? {} : { waiting: [...counts] }),
       successors: successors.rankSuccessors(
         peers.map((peer) => ({
           instance: peer.instance,
@@ -412,9 +414,32 @@
     }
   }
 
-  const waitingCounts = waiting.createWaitingCounts(timers, () =>
-    owner?.countWaiting(),
-  );
+  async function askCounts(): Promise<
+    core.clusterMessages.OwnerCounts | undefined
+  > {
+    if (owner !== undefined) return owner.countWaiting();
+    const current = ownership.getOwner();
+    if (current === undefined) return undefined;
+    try {
+      const answer = await hub.ask(
+        current.instance,
+        { kind: 'cluster.waiting' },
+        STATE_TIMEOUT_MS,
+      );
+      return answer.kind === 'cluster.waiting.answer'
+        ? answer.counts
+        : undefined;
+    } catch (cause) {
+      metrics.count('owner_questions_failed', {});
+      log.write('debug', 'owner.no-answer', {
+        question: 'cluster.waiting',
+        why: core.describeError(cause),
+      });
+      return undefined;
+    }
+  }
+
+  const waitingCounts = waiting.createWaitingCounts(timers, askCounts);
 
   const handleRequest = requestHandlers.createRequestHandler(
     context,
@@ -423,7 +448,7 @@
     {
       fetchState: askOwner,
       writeThroughOwner,
-      countWaiting: waitingCounts.count,
+      fetchWaiting: (queue, untilMs) => waitingCounts.fetch(queue, untilMs),
       checkAdmission: (job) => owner?.checkAdmission(job),
     },
   );
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -25,6 +25,8 @@
 const FOLLOW_INTERVAL_MS = 200;
 /** Time between rounds that drop the records of jobs past their retention, in ms. */
 const DROP_EXPIRED_INTERVAL_MS = 10_000;
+/** Age from which the owner's tables are too old to tell counts from, in ms; callers are promised counts of the last two seconds. */
+const STALE_TABLES_MS = 2_000;
 /** Run numbers reserved for each fence, so that a new owner's runs are numbered above all earlier ones. */
 const RUNS_PER_FENCE = 1_000_000;
 
@@ -62,8 +64,8 @@
   checkAdmission(job: core.workloads.Job): string | undefined;
   /** Returns whether starts of this owner, or of one before it, may not be durably recorded. */
   hasUnrecorded(): boolean;
-  /** Counts the waiting jobs per queue; undefined until the owner has restored its tables. */
-  countWaiting(): ReadonlyMap<core.workloads.QueueName, number> | undefined;
+  /** Counts the waiting jobs per queue; undefined while the owner's tables aren't complete or are too old. */
+  countWaiting(): core.clusterMessages.OwnerCounts | undefined;
   getCounts(): ReadonlyMap<string, number>;
   /** Builds the record of what a successor may assume about leases. */
   buildLeaseRecord(): records.LeaseRecord;
@@ -624,6 +626,16 @@
     return getKnownState(id) ?? 'unknown';
   }
 
+  /**
+   * Returns the age of the tables, in ms: all jobs accepted before are in them, and no
+   * later owner had claimed by then, so no other one had started any.
+   */
+  function getTablesAge(): number {
+    return ready && !isClosed()
+      ? Math.max(jobs.getReadAge(), options.getConfirmedAge())
+      : Infinity;
+  }
+
   const dropExpiredTimer = timers.subscribe(
     {
       name: 'owner.forget',
@@ -649,7 +661,12 @@
   return {
     fence,
     getJobState,
-    countWaiting: () => (ready ? scheduler.countWaiting() : undefined),
+    countWaiting() {
+      const ageMs = getTablesAge();
+      return ageMs < STALE_TABLES_MS
+        ? { fence, ageMs, waiting: [...scheduler.countWaiting()] }
+        : undefined;
+    },
     checkAdmission(job) {
       // VM entries may be missing while the store is unavailable, and jobs already known are never declined.
       if (
--- a/packages/cluster/src/requestHandler.ts
+++ b/packages/cluster/src/requestHandler.ts
@@ -20,7 +20,7 @@
 const COUNTS_RETRY_S = 1;
 /** Retry-after for a job that no VM can run, in s; a larger VM may be added meanwhile. */
 const DECLINED_RETRY_S = 10;
-/** Time for which the owner is asked for a state before this node reads the stream itself, in ms. */
+/** Time for which the owner is asked for a state, before this node reads the stream itself, or for the counts, in ms. */
 const OWNER_ANSWER_TIMEOUT_MS = 1_200;
 const ASK_INTERVAL_MS = 150;
 /** Timeout of a write through the owner, in ms. */
@@ -33,10 +33,11 @@
   fetchState(
     id: core.ids.JobId,
   ): Promise<core.workloads.JobState | 'unknown' | undefined>;
-  /** Returns the count of a queue's waiting jobs; undefined when no owner's count is known. */
-  countWaiting(
+  /** Fetches the count of a queue's waiting jobs; undefined when no owner has told it until `untilMs`. */
+  fetchWaiting(
     queue: core.workloads.QueueName,
-  ): waiting.WaitingCount | undefined;
+    untilMs: number,
+  ): Promise<waiting.WaitingCount | undefined>;
   /** Writes through the owner; undefined when it certainly wrote nothing. */
   writeThroughOwner(
     change: DurableWrite,
@@ -82,7 +83,7 @@
       ANSWER_MARGIN_MS;
     if (match.rest === '')
       return request.method === 'GET'
-        ? answerWaiting(policy.name)
+        ? answerWaiting(policy.name, untilMs)
         : { answer: 'unknown-method' };
     if (!jobIdPattern.test(match.rest))
       return { answer: 'malformed', why: 'a job id has 16 hexadecimal digits' };
@@ -98,8 +99,14 @@
     }
   }
 
-  function answerWaiting(queue: core.workloads.QueueName): ports.CallerAnswer {
-    const count = jobQueries.countWaiting(queue);
+  async function answerWaiting(
+    queue: core.workloads.QueueName,
+    untilMs: number,
+  ): Promise<ports.CallerAnswer> {
+    const count = await jobQueries.fetchWaiting(
+      queue,
+      Math.min(untilMs, timers.getNow() + OWNER_ANSWER_TIMEOUT_MS),
+    );
     if (count === undefined) {
       const why = 'no owner knows the counts at present';
       log.write('info', 'request.waiting', { queue, why });
@@ -108,7 +115,7 @@
     log.write('info', 'request.waiting', {
       queue,
       ...count,
-      ageMs: count.ageMs && Math.round(count.ageMs),
+      ageMs: Math.round(count.ageMs),
     });
     return { answer: 'waiting', waiting: count.waiting };
   }
--- a/packages/cluster/src/waitingCounts.ts
+++ b/packages/cluster/src/waitingCounts.ts
@@ -1,66 +1,78 @@
 /**
  * Counts of the waiting jobs of each queue. Only the owner knows which jobs have started,
- * so its heartbeats carry its counts. Without recent ones, for example while a new owner
- * still restores its tables, no count is known: the jobs that another node has read are
- * only part of those that were accepted.
+ * so a node asks it and keeps the answer for a while. An answer's age is the time since
+ * the question was sent plus the age of the owner's tables, so time on the way counts. A
+ * count that may be older than callers are promised is never given.
  */
-import type * as core from '@flamingoward/core';
+import * as core from '@flamingoward/core';
 
-/** Age from which the counts of a heartbeat are no longer used, in ms; callers are promised counts of the last two seconds. */
-const STALE_MS = 1_800;
-
-/** Counts of waiting jobs by queue, as a heartbeat carries them. */
-type Counts = readonly (readonly [core.workloads.QueueName, number])[];
+/** Age from which a count isn't given, in ms; callers are promised counts of the last two seconds. */
+const STALE_MS = 2_000;
+/** Age from which the owner is asked again, in ms. */
+const REFRESH_MS = 1_000;
+const ASK_INTERVAL_MS = 150;
 
 /** A count of waiting jobs, and whose tables it was taken from. */
 export interface WaitingCount {
   readonly waiting: number;
-  /** The tables of this node's owner, or a heartbeat of another node's owner. */
-  readonly source: 'owner' | 'heartbeat';
-  /** Fence of the owner whose heartbeat it was; undefined for other sources. */
-  readonly fence?: number;
-  /** Time since the heartbeat arrived, in ms; undefined for other sources. */
-  readonly ageMs?: number;
+  /** Fence of the owner. */
+  readonly fence: number;
+  /** Age of the count, in ms. */
+  readonly ageMs: number;
 }
 
 /** The counts of a node. */
 export interface WaitingCounts {
-  /** Records the counts of an owner's heartbeat; undefined when the owner doesn't know them yet. */
-  record(fence: number, counts: Counts | undefined): void;
-  /** Returns the count of a queue; undefined when no owner's count is known. */
-  readonly count: (queue: core.workloads.QueueName) => WaitingCount | undefined;
+  /** Resolves with the count of a queue; undefined when no owner has told it until `untilMs`. */
+  fetch(
+    queue: core.workloads.QueueName,
+    untilMs: number,
+  ): Promise<WaitingCount | undefined>;
 }
 
-/** Creates the counts; `getOwnCounts` returns those of this node while it is an owner that knows them. */
+/** Creates the counts; `askOwner` resolves with undefined when the owner doesn't answer or doesn't know them. */
 export function createWaitingCounts(
   timers: core.TimerService,
-  getOwnCounts: () => ReadonlyMap<core.workloads.QueueName, number> | undefined,
+  askOwner: () => Promise<core.clusterMessages.OwnerCounts | undefined>,
 ): WaitingCounts {
   let newest:
     | {
-        readonly fence: number;
-        readonly counts: Counts;
+        readonly counts: core.clusterMessages.OwnerCounts;
+        /** Time at which the counts were complete. */
         readonly atMs: number;
       }
     | undefined;
+  let asking: Promise<void> | undefined;
+
+  function getAge(): number {
+    return timers.getNow() - (newest?.atMs ?? -Infinity);
+  }
+
+  async function ask(): Promise<void> {
+    const sentMs = timers.getNow();
+    const counts = await askOwner();
+    asking = undefined;
+    if (counts === undefined) return;
+    const atMs = sentMs - counts.ageMs;
+    if (newest === undefined || atMs >= newest.atMs) newest = { counts, atMs };
+  }
 
   return {
-    record(fence, counts) {
-      if (counts !== undefined)
-        newest = { fence, counts, atMs: timers.getNow() };
-    },
-    count(queue) {
-      const own = getOwnCounts();
-      if (own !== undefined)
-        return { waiting: own.get(queue) ?? 0, source: 'owner' };
-      const ageMs = timers.getNow() - (newest?.atMs ?? -Infinity);
-      if (newest === undefined || ageMs >= STALE_MS) return undefined;
-      return {
-        waiting: newest.counts.find(([name]) => name === queue)?.[1] ?? 0,
-        source: 'heartbeat',
-        fence: newest.fence,
-        ageMs,
-      };
+    async fetch(queue, untilMs) {
+      for (;;) {
+        if (getAge() >= REFRESH_MS) await (asking ??= ask());
+        const ageMs = getAge();
+        if (newest !== undefined && ageMs < STALE_MS) {
+          const { fence, waiting } = newest.counts;
+          return {
+            waiting: waiting.find(([name]) => name === queue)?.[1] ?? 0,
+            fence,
+            ageMs,
+          };
+        }
+        if (timers.getNow() + ASK_INTERVAL_MS > untilMs) return undefined;
+        await core.waitFor(timers, 'counts.ask', ASK_INTERVAL_MS);
+      }
     },
   };
 }
--- a/packages/cluster/test/owner.test.ts
+++ b/packages/cluster/test/owner.test.ts
@@ -1,4 +1,4 @@
-/** The owner with one VM: what its lines say about a service task that doesn't run. */
+/** The owner with one VM: what its lines say about a service task that doesn't run, and when it counts jobs. */
 import * as vitest from 'vitest';
 import * as core from '@flamingoward/core';
 import * as jobStores from '../src/jobStore.js';
@@ -57,6 +57,7 @@
   const { timers } = context;
   const running = new Map<number, core.workloads.ReportedRun>();
   const vm = { silent: false };
+  const claim = { confirmedMs: undefined as number | undefined };
   const vmCalls: ports.VmCalls = {
     ...context.ports.vmCalls,
     async hold(_, { waitMs }, timeoutMs) {
@@ -99,15 +100,67 @@
       listHelpers: () => [],
     },
     getPolicies: () => ({ version: 1, policies: new Map() }),
-    getConfirmedAge: () => 0,
+    getConfirmedAge: () =>
+      timers.getNow() - (claim.confirmedMs ?? timers.getNow()),
     onAppendFailed: () => undefined,
     onFenced: () => undefined,
   });
   const listEvents = (event: string) =>
     context.lines.filter((line) => line.event === event);
-  return { owner, vm, listEvents, timers: context.fakeTimers };
+  return {
+    owner,
+    vm,
+    claim,
+    jobs: context.store.streams.jobs,
+    listEvents,
+    timers: context.fakeTimers,
+  };
 }
 
+vitest.describe('the counts of an owner', () => {
+  vitest.it('are unknown until it has restored its tables', async () => {
+    const { owner, timers } = createSetup();
+    vitest.expect(owner.countWaiting()).toBeUndefined();
+    await fakes.advance(timers, 1_000);
+    vitest.expect(owner.countWaiting()).toMatchObject({ fence: 7 });
+    owner.close();
+    vitest.expect(owner.countWaiting()).toBeUndefined();
+  });
+
+  vitest.it(
+    'are unknown once it has not read the accepted jobs for two seconds (guards against MIXED: an owner that was cut off or frozen counts too few jobs)',
+    async () => {
+      const { owner, jobs, timers } = createSetup();
+      await fakes.advance(timers, 1_000);
+      jobs.failure = 'cut';
+      await fakes.advance(timers, 1_000);
+      vitest.expect(owner.countWaiting()?.ageMs).toBeGreaterThan(900);
+      await fakes.advance(timers, 1_100);
+      vitest.expect(owner.countWaiting()).toBeUndefined();
+      jobs.failure = undefined;
+      await fakes.advance(timers, 300);
+      vitest.expect(owner.countWaiting()?.ageMs).toBeLessThan(300);
+      timers.advance(3_000);
+      vitest.expect(owner.countWaiting()).toBeUndefined();
+      owner.close();
+    },
+  );
+
+  vitest.it(
+    'are unknown once its claim has not been confirmed for two seconds (guards against MIXED: counts of an owner that has been replaced)',
+    async () => {
+      const { owner, claim, timers } = createSetup();
+      await fakes.advance(timers, 1_000);
+      claim.confirmedMs = timers.getNow();
+      await fakes.advance(timers, 1_500);
+      vitest.expect(owner.countWaiting()?.ageMs).toBe(1_500);
+      await fakes.advance(timers, 500);
+      vitest.expect(owner.countWaiting()).toBeUndefined();
+      owner.close();
+    },
+  );
+});
+
 vitest.describe('the lines of an owner', () => {
   vitest.it(
     'explain a service task that does not run, from its id to its VM (guards against a silent VM whose task waits without a line)',
--- a/packages/cluster/test/requestHandler.test.ts
+++ b/packages/cluster/test/requestHandler.test.ts
@@ -40,7 +40,7 @@
     {
       fetchState: () => Promise.resolve('unknown'),
       writeThroughOwner: () => Promise.resolve(ownerResult),
-      countWaiting: () => ({ waiting: 0, source: 'owner' }),
+      fetchWaiting: () => Promise.resolve(undefined),
       checkAdmission: () => admissionRefusal,
       ...queries,
     },
@@ -109,9 +109,7 @@
   vitest.it(
     'is refused while no owner knows it (guards against MIXED: no jobs are said to wait)',
     async () => {
-      const { context, request } = createSetup(undefined, undefined, {
-        countWaiting: () => undefined,
-      });
+      const { context, request } = createSetup(undefined);
       vitest.expect(await request('GET', '', 3_000)).toEqual({
         answer: 'refused',
         cause: 'unavailable',
--- a/packages/cluster/test/waitingCounts.test.ts
+++ b/packages/cluster/test/waitingCounts.test.ts
@@ -2,38 +2,101 @@
 import * as vitest from 'vitest';
 import * as core from '@flamingoward/core';
 import * as waitingCounts from '../src/waitingCounts.js';
+import * as fakes from './fakes.js';
 
+/** Creates the counts of a node whose owner answers after `delayMs`. */
 function createSetup() {
   const timers = core.createVirtualTimers(10_000);
-  const setup = {
-    own: undefined as ReadonlyMap<string, number> | undefined,
+  const owner = {
+    counts: undefined as core.clusterMessages.OwnerCounts | undefined,
+    delayMs: 0,
+    questions: 0,
   };
-  const counts = waitingCounts.createWaitingCounts(timers, () => setup.own);
-  return { timers, setup, counts };
+  const counts = waitingCounts.createWaitingCounts(timers, async () => {
+    owner.questions += 1;
+    const { counts: told } = owner;
+    await core.waitFor(timers, 'test.owner', owner.delayMs);
+    return told;
+  });
+  /** Fetches a count for up to `forMs`. */
+  async function fetch(forMs: number) {
+    let result: waitingCounts.WaitingCount | undefined;
+    void counts.fetch('queue', timers.getNow() + forMs).then((count) => {
+      result = count;
+    });
+    await fakes.advance(timers, forMs);
+    return result;
+  }
+  return { timers, owner, fetch };
+}
+
+function createCounts(waiting: number, ageMs = 0, fence = 3) {
+  return { fence, ageMs, waiting: [['queue', waiting]] } as const;
 }
 
 vitest.describe('the count of waiting jobs', () => {
   vitest.it(
     'is not zero while a new owner does not know it yet (guards against MIXED: no jobs are said to wait after a change of owner)',
-    () => {
-      const { timers, counts } = createSetup();
-      counts.record(3, [['queue', 7]]);
+    async () => {
+      const { timers, owner, fetch } = createSetup();
+      owner.counts = createCounts(7);
+      vitest.expect((await fetch(100))?.waiting).toBe(7);
+      owner.counts = undefined;
       timers.advance(500);
-      counts.record(3, undefined);
-      vitest.expect(counts.count('queue')?.waiting).toBe(7);
+      vitest.expect((await fetch(100))?.waiting).toBe(7);
       timers.advance(2_000);
-      counts.record(3, undefined);
-      vitest.expect(counts.count('queue')).toBeUndefined();
+      vitest.expect(await fetch(1_200)).toBeUndefined();
+    },
+  );
+
+  vitest.it(
+    'is unknown until an owner knows it (guards against MIXED: a node counts the jobs that it happens to know)',
+    async () => {
+      const { owner, fetch } = createSetup();
+      vitest.expect(await fetch(1_200)).toBeUndefined();
+      owner.counts = { ...createCounts(0), waiting: [] };
+      vitest.expect((await fetch(100))?.waiting).toBe(0);
+    },
+  );
+
+  vitest.it(
+    'is not given when it took two seconds on the way (guards against MIXED: a count that a slow link held up counts as new)',
+    async () => {
+      const { owner, fetch } = createSetup();
+      owner.counts = createCounts(7);
+      owner.delayMs = 2_050;
+      vitest.expect(await fetch(3_000)).toBeUndefined();
+      owner.delayMs = 1_000;
+      vitest.expect(await fetch(3_000)).toMatchObject({ waiting: 7 });
+    },
+  );
+
+  vitest.it(
+    'is not given two seconds after the owner last knew all jobs (guards against MIXED: counts of an owner that has been replaced)',
+    async () => {
+      const { timers, owner, fetch } = createSetup();
+      owner.counts = createCounts(7, 1_500);
+      vitest.expect((await fetch(100))?.ageMs).toBeGreaterThanOrEqual(1_500);
+      owner.counts = undefined;
+      timers.advance(500);
+      vitest.expect(await fetch(1_200)).toBeUndefined();
     },
   );
 
   vitest.it(
-    'is unknown while no owner knows it (guards against MIXED: a node counts the jobs that it happens to know)',
-    () => {
-      const { setup, counts } = createSetup();
-      vitest.expect(counts.count('queue')).toBeUndefined();
-      setup.own = new Map();
-      vitest.expect(counts.count('queue')?.waiting).toBe(0);
+    'is fetched again from the newest owner when it is a second old, once for all callers',
+    async () => {
+      const { timers, owner, fetch } = createSetup();
+      owner.counts = createCounts(7);
+      owner.delayMs = 50;
+      const both = await Promise.all([fetch(100), fetch(100)]);
+      vitest.expect(both.map((count) => count?.waiting)).toEqual([7, 7]);
+      vitest.expect(owner.questions).toBe(1);
+      owner.counts = createCounts(2, 0, 4);
+      vitest.expect((await fetch(100))?.waiting).toBe(7);
+      timers.advance(1_000);
+      vitest.expect(await fetch(100)).toMatchObject({ waiting: 2, fence: 4 });
+      vitest.expect(owner.questions).toBe(2);
     },
   );
 });
--- a/packages/core/src/types/clusterMessages.ts
+++ b/packages/core/src/types/clusterMessages.ts
@@ -14,8 +14,6 @@
   readonly confirmedAgeMs: number;
   /** Offset of the newest renewal that the store has confirmed; absent before the first one. */
   readonly confirmedOffset?: ids.Offset;
-  /** Number of jobs per queue of which no task has started; absent while the owner restores its tables. */
-  readonly waiting?: readonly (readonly [workload.QueueName, number])[];
   /** Connected instances in the order in which they should claim if the owner fails. */
   readonly successors: readonly ids.InstanceId[];
 }
@@ -37,6 +35,18 @@
   readonly follows?: number;
 }
 
+/** Counts of an owner's tables. */
+export interface OwnerCounts {
+  readonly fence: number;
+  /**
+   * Age of the tables, in ms: they contain all jobs that were accepted before, and no
+   * later owner had claimed by then.
+   */
+  readonly ageMs: number;
+  /** Number of jobs per queue of which no task has started; queues without such jobs may be absent. */
+  readonly waiting: readonly (readonly [workload.QueueName, number])[];
+}
+
 /** Messages of a cluster that need no answer. */
 export type ClusterNotice = ClusterHeartbeat | ClusterReleased | ClusterMember;
 
@@ -44,6 +54,8 @@
 export type ClusterQuestion =
   /** To the owner: the state of a job. */
   | { readonly kind: 'cluster.job'; readonly job: ids.JobId }
+  /** To the owner: the counts of waiting jobs. */
+  | { readonly kind: 'cluster.waiting' }
   /** From a node that can't reach the store: accept or cancel a job on its behalf. */
   | {
       readonly kind: 'cluster.write';
@@ -81,6 +93,11 @@
       /** Undefined if the node is not the owner or does not know the state at present. */
       readonly state: workload.JobState | 'unknown' | undefined;
     }
+  | {
+      readonly kind: 'cluster.waiting.answer';
+      /** Undefined if the node is not the owner or can't tell how old its tables are. */
+      readonly counts: OwnerCounts | undefined;
+    }
   | {
       readonly kind: 'cluster.advise.answer';
       readonly good: readonly workload.Ticket[] | undefined;
