Refuse the state of a job that neither an owner nor the stream tells

A caller who asked a node for the state of a job while no owner answered was told `running` for any job that the node knew, also for one that no VM had begun, and, when the store didn't answer either, for one that had ended long before.

Cause: after 1.2 s without an owner's answer the node read the stream `jobs` and took a job without a stored end as running, whether or not that read had succeeded. The stream tells that a job was accepted, how it ended and that it was cancelled, but not whether it has started.

Change: a stored end or cancellation is told as before, and 410 after a complete read. Any other state is refused with 503, a Retry-After and the reason: the store's error when it doesn't answer, otherwise that no owner knows the state at present.

Evidence: the two tests fail on the old code, which answers `running` where they expect a refusal: for an accepted job that nothing has started, and when the store's reads fail. The third test, that an end and an unknown job are still told, passed before.

Why it works: what is told now rests on a stored record that can't change, on a complete read, or on an owner.

--- a/packages/cluster/src/requestHandler.ts
+++ b/packages/cluster/src/requestHandler.ts
@@ -16,8 +16,8 @@
 const ANSWER_MARGIN_MS = 300;
 /** Retry-after while the store is unavailable, in s; a few retries outlast an outage of seconds. */
 const UNAVAILABLE_RETRY_S = 2;
-/** Retry-after while no owner knows the counts, in s; a change of owner takes a second or two. */
-const COUNTS_RETRY_S = 1;
+/** Retry-after while no owner answers, in s; a change of owner takes a second or two. */
+const OWNER_RETRY_S = 1;
 /** Retry-after for a job that no VM can run, in s; a larger VM may be added meanwhile. */
 const DECLINED_RETRY_S = 10;
 /** Time for which the owner is asked for a state, before this node reads the stream itself, or for the counts, in ms. */
@@ -110,7 +110,7 @@
     if (count === undefined) {
       const why = 'no owner knows the counts at present';
       log.write('info', 'request.waiting', { queue, why });
-      return buildRefused('unavailable', why, COUNTS_RETRY_S);
+      return buildRefused('unavailable', why, OWNER_RETRY_S);
     }
     log.write('info', 'request.waiting', {
       queue,
@@ -192,13 +192,18 @@
       if (nowMs - startedMs > OWNER_ANSWER_TIMEOUT_MS || nowMs > untilMs) break;
       await core.waitFor(timers, 'desk.owner', ASK_INTERVAL_MS);
     }
-    // No owner answered in time, so the state is taken from the stream.
+    // Without an owner, the stream tells whether the job exists and how it ended, but not whether it has started.
     const storeAnswered = await jobs.refresh();
-    const state = getStoredState(id) ?? (jobs.find(id) && 'running');
+    const state = getStoredState(id);
     if (state !== undefined) return { answer: 'state', state };
-    return storeAnswered
+    if (!storeAnswered) return buildUnavailable(jobs.getHealth().why);
+    return jobs.find(id) === undefined
       ? { answer: 'unknown-job' }
-      : buildUnavailable(jobs.getHealth().why);
+      : buildRefused(
+          'unavailable',
+          'no owner knows the state at present',
+          OWNER_RETRY_S,
+        );
   }
 
   /** Returns the stored state if it is final or cancelled, since that can't change any more. */
--- a/packages/cluster/test/requestHandler.test.ts
+++ b/packages/cluster/test/requestHandler.test.ts
@@ -1,11 +1,23 @@
 /** Answers to callers about jobs that no VM can run, and about what no owner knows. */
 import * as vitest from 'vitest';
+import type * as core from '@flamingoward/core';
+import * as records from '../src/records.js';
 import * as requestHandlers from '../src/requestHandler.js';
 import * as jobStores from '../src/jobStore.js';
 import type * as ports from '../src/ports.js';
 import * as fakes from './fakes.js';
 
 const JOB_ID = '0123456789abcdef';
+const job: core.workloads.Job = {
+  id: JOB_ID,
+  queue: 'queue',
+  payload: '',
+  steps: [],
+  schedule: undefined,
+  configVersion: 1,
+  acceptedAtMs: 0,
+  policy: fakes.queuePolicy,
+};
 
 function createSetup(
   ownerResult: jobStores.WriteResult | undefined,
@@ -132,3 +144,56 @@
     },
   );
 });
+
+vitest.describe('the state of a job while no owner knows it', () => {
+  function createWithoutOwner() {
+    const setup = createSetup(undefined, undefined, {
+      fetchState: () => Promise.resolve(undefined),
+    });
+    const { jobs } = setup.context.store.streams;
+    const { key, value } = records.buildAccepted(job);
+    jobs.add(key, value);
+    return { ...setup, jobs };
+  }
+
+  vitest.it(
+    'is refused, since the job may still wait (guards against MIXED: a job is shown as running that no VM has begun)',
+    async () => {
+      const { request } = createWithoutOwner();
+      vitest.expect(await request('GET', JOB_ID, 3_000)).toEqual({
+        answer: 'refused',
+        cause: 'unavailable',
+        why: 'no owner knows the state at present',
+        retryAfterS: 1,
+      });
+    },
+  );
+
+  vitest.it(
+    'is refused when the store does not answer either (guards against MIXED: a job that has ended is shown as running)',
+    async () => {
+      const { request, jobs } = createWithoutOwner();
+      await request('GET', JOB_ID, 3_000);
+      jobs.failure = 'cut';
+      vitest.expect(await request('GET', JOB_ID, 3_000)).toMatchObject({
+        answer: 'refused',
+        why: 'cut',
+      });
+    },
+  );
+
+  vitest.it(
+    'is its end, or that there is no such job, if the stream tells so',
+    async () => {
+      const { request, jobs } = createWithoutOwner();
+      const { key, value } = records.buildCancelled(JOB_ID);
+      jobs.add(key, value);
+      vitest
+        .expect(await request('GET', JOB_ID, 3_000))
+        .toEqual({ answer: 'state', state: 'cancelled' });
+      vitest
+        .expect(await request('GET', 'fedcba9876543210', 3_000))
+        .toEqual({ answer: 'unknown-job' });
+    },
+  );
+});
