Tell no state of a job from tables that are too old

An owner told the state of a job however old its tables were: an owner that was frozen, cut off from the store or replaced went on to call a job `pending` or `running` that another owner had started or ended. A job that the stream has but the scheduler hasn't was said to be `pending`, as when the owner lost ownership while it read the stream for that request.

Cause: the owner asked for neither the age of its claim nor that of its last complete read, and replaced a state that it didn't know by a likely one.

Change: `pending` and `running` are told while the tables are less than 2 s old, by the same age as the counts; otherwise nothing is told, and the asking node reads the stream and refuses unless that tells the end. A stored end and a cancellation are told at any age, and `unknown` after a complete read, which needs no claim. A state that the scheduler doesn't have isn't replaced by another.

Evidence: two tests fail on the old code: it answers `running` with a claim last confirmed 2 s ago, and `pending` for a job that it read after it had lost ownership.

Why it works: until its claim's last confirmation no other owner existed that could have started or ended a job, and all that other nodes had accepted or cancelled before its last read has been applied. So what it tells was true at most 2 s ago.

--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -25,7 +25,7 @@
 const FOLLOW_INTERVAL_MS = 200;
 /** Time between rounds that drop the records of jobs past their retention, in ms. */
 const DROP_EXPIRED_INTERVAL_MS = 10_000;
-/** Age from which the owner's tables are too old to tell counts from, in ms; callers are promised counts of the last two seconds. */
+/** Age from which the owner's tables are too old to tell counts and states from, in ms; callers are promised counts of the last two seconds. */
 const STALE_TABLES_MS = 2_000;
 /** Run numbers reserved for each fence, so that a new owner's runs are numbered above all earlier ones. */
 const RUNS_PER_FENCE = 1_000_000;
@@ -56,7 +56,10 @@
 /** The owner of the cluster. */
 export interface Owner {
   readonly fence: number;
-  /** Resolves with the state of a job, with `unknown` only after the stream was read to its end. */
+  /**
+   * Resolves with the state of a job, with `unknown` only after the stream was read to its
+   * end, and with undefined while the owner's tables aren't complete or are too old.
+   */
   getJobState(
     id: core.ids.JobId,
   ): Promise<core.workloads.JobState | 'unknown' | undefined>;
@@ -607,33 +610,36 @@
     requestTick();
   }
 
+  /**
+   * Returns the age of the tables, in ms: all jobs accepted before are in them, and no
+   * later owner had claimed by then, so no other one had started any.
+   */
+  function getTablesAge(): number {
+    return ready && !isClosed()
+      ? Math.max(jobs.getReadAge(), options.getConfirmedAge())
+      : Infinity;
+  }
+
+  /** Returns the state of a job if its end is stored or the tables are recent. */
   function getKnownState(
     id: core.ids.JobId,
   ): core.workloads.JobState | undefined {
     const stored = jobs.find(id);
     if (stored?.final !== undefined) return stored.final;
     if (stored?.cancelled === true) return 'cancelled';
-    return scheduler.getJobState(id) ?? (stored?.job && 'pending');
+    return getTablesAge() < STALE_TABLES_MS
+      ? scheduler.getJobState(id)
+      : undefined;
   }
 
   async function getJobState(
     id: core.ids.JobId,
   ): Promise<core.workloads.JobState | 'unknown' | undefined> {
     if (!ready || isClosed()) return undefined;
-    const knownState = getKnownState(id);
-    if (knownState !== undefined) return knownState;
+    const isKnown = () => jobs.find(id) !== undefined;
+    if (isKnown()) return getKnownState(id);
     if (!(await jobs.refresh())) return undefined;
-    return getKnownState(id) ?? 'unknown';
-  }
-
-  /**
-   * Returns the age of the tables, in ms: all jobs accepted before are in them, and no
-   * later owner had claimed by then, so no other one had started any.
-   */
-  function getTablesAge(): number {
-    return ready && !isClosed()
-      ? Math.max(jobs.getReadAge(), options.getConfirmedAge())
-      : Infinity;
+    return isKnown() ? getKnownState(id) : 'unknown';
   }
 
   const dropExpiredTimer = timers.subscribe(
--- a/packages/cluster/test/owner.test.ts
+++ b/packages/cluster/test/owner.test.ts
@@ -19,9 +19,14 @@
   draining: false,
 };
 
-function createService(acceptedAtMs: number): core.workloads.Job {
+const JOB_ID = '27aa65599c0db4e2';
+
+function createService(
+  id: core.ids.JobId,
+  acceptedAtMs: number,
+): core.workloads.Job {
   return {
-    id: '27aa65599c0db4e2',
+    id,
     queue: 'queue',
     payload: '',
     steps: [
@@ -77,10 +82,14 @@
       running.set(run, { task, run, saved: '', percent: 100, load: 0 });
       return Promise.resolve('started');
     },
+    stop(_, { run }) {
+      running.delete(run);
+      return Promise.resolve('closed');
+    },
     drop: () => undefined,
   };
   const ownerContext = { ...context, ports: { ...context.ports, vmCalls } };
-  const job = createService(timers.getDate());
+  const job = createService(JOB_ID, timers.getDate());
   const { key, value } = records.buildAccepted(job);
   context.store.streams.jobs.add(key, value);
   const owner = owners.createOwner(ownerContext, {
@@ -161,6 +170,59 @@
   );
 });
 
+vitest.describe('the state of a job that an owner tells', () => {
+  vitest.it(
+    'is unknown while its tables are too old (guards against MIXED: the state of a job at an owner that has been replaced)',
+    async () => {
+      const { owner, claim, jobs, timers } = createSetup();
+      await fakes.advance(timers, 1_000);
+      vitest.expect(await owner.getJobState(JOB_ID)).toBe('running');
+      claim.confirmedMs = timers.getNow();
+      await fakes.advance(timers, 2_000);
+      vitest.expect(await owner.getJobState(JOB_ID)).toBeUndefined();
+      claim.confirmedMs = undefined;
+      vitest.expect(await owner.getJobState(JOB_ID)).toBe('running');
+      jobs.failure = 'cut';
+      await fakes.advance(timers, 2_100);
+      vitest.expect(await owner.getJobState(JOB_ID)).toBeUndefined();
+      owner.close();
+    },
+  );
+
+  vitest.it(
+    'is told however old the tables are once its end is stored, as is an unknown id after a complete read',
+    async () => {
+      const { owner, claim, jobs, timers } = createSetup();
+      await fakes.advance(timers, 1_000);
+      const { key, value } = records.buildCancelled(JOB_ID);
+      jobs.add(key, value);
+      await fakes.advance(timers, 500);
+      claim.confirmedMs = timers.getNow() - 5_000;
+      vitest.expect(await owner.getJobState(JOB_ID)).toBe('cancelled');
+      vitest.expect(await owner.getJobState('other')).toBe('unknown');
+      jobs.failure = 'cut';
+      vitest.expect(await owner.getJobState(JOB_ID)).toBe('cancelled');
+      vitest.expect(await owner.getJobState('other')).toBeUndefined();
+      owner.close();
+    },
+  );
+
+  vitest.it(
+    'is unknown when the owner loses ownership meanwhile (guards against MIXED: a job that the owner has not scheduled is shown as pending)',
+    async () => {
+      const { owner, jobs, timers } = createSetup();
+      await fakes.advance(timers, 1_000);
+      const { key, value } = records.buildAccepted(
+        createService('other', timers.getDate()),
+      );
+      jobs.add(key, value);
+      const state = owner.getJobState('other');
+      owner.close();
+      vitest.expect(await state).toBeUndefined();
+    },
+  );
+});
+
 vitest.describe('the lines of an owner', () => {
   vitest.it(
     'explain a service task that does not run, from its id to its VM (guards against a silent VM whose task waits without a line)',
