Cancel no job that isn't known to exist

A DELETE for an id that nobody had submitted was answered 200 by a node that didn't know the id while no owner answered, and a GET for it then showed a cancelled job.

Cause: only an owner's answer that there is no such job led to 410. Without an answer the node wrote a cancellation without knowing whether there was a job.

Change: without an owner's answer the node reads the stream `jobs` first. It answers 410 after a complete read without the job, and refuses when the store doesn't answer; in both cases nothing is written.

Evidence: the test "is unknown after a cancellation that nothing was submitted for" fails on the old code, which answers `cancelled`.

Why it works: an accepted job is in the stream before its submission is answered, so a complete read that begins after the DELETE finds it.

--- a/packages/cluster/src/requestHandler.ts
+++ b/packages/cluster/src/requestHandler.ts
@@ -219,11 +219,15 @@
     id: core.ids.JobId,
     untilMs: number,
   ): Promise<ports.CallerAnswer> {
-    if (
-      jobs.find(id) === undefined &&
-      (await jobQueries.fetchState(id)) === 'unknown'
-    )
-      return { answer: 'unknown-job' };
+    if (jobs.find(id) === undefined) {
+      const state = await jobQueries.fetchState(id);
+      if (state === 'unknown') return { answer: 'unknown-job' };
+      if (state === undefined) {
+        if (!(await jobs.refresh()))
+          return buildUnavailable(jobs.getHealth().why);
+        if (jobs.find(id) === undefined) return { answer: 'unknown-job' };
+      }
+    }
     const written = await write({ cancel: id }, untilMs);
     return buildWriteAnswer(written, { answer: 'cancelled' });
   }
--- a/packages/cluster/test/requestHandler.test.ts
+++ b/packages/cluster/test/requestHandler.test.ts
@@ -182,6 +182,37 @@
     },
   );
 
+  vitest.it(
+    'is unknown after a cancellation that nothing was submitted for (guards against MIXED: a job that nobody submitted is shown as cancelled)',
+    async () => {
+      const { request, jobs } = createWithoutOwner();
+      const unknown = 'fedcba9876543210';
+      vitest
+        .expect(await request('DELETE', unknown, 3_000))
+        .toEqual({ answer: 'unknown-job' });
+      vitest
+        .expect(await request('GET', unknown, 3_000))
+        .toEqual({ answer: 'unknown-job' });
+      vitest
+        .expect(await request('DELETE', JOB_ID, 3_000))
+        .toEqual({ answer: 'cancelled' });
+      vitest.expect(jobs.records).toHaveLength(2);
+    },
+  );
+
+  vitest.it(
+    'does not let a cancellation be written that may be for no job',
+    async () => {
+      const { request, jobs } = createWithoutOwner();
+      jobs.failure = 'cut';
+      vitest.expect(await request('DELETE', JOB_ID, 3_000)).toMatchObject({
+        answer: 'refused',
+        cause: 'unavailable',
+        why: 'cut',
+      });
+    },
+  );
+
   vitest.it(
     'is its end, or that there is no such job, if the stream tells so',
     async () => {
