Show in the dump whether an owner's tables are in force

The dump of an owner that still restored its tables showed no jobs, and one of a replaced owner showed its old tables; nothing told either from the tables of the cluster.

Cause: the dump was a plain copy of the scheduler's tables.

Change: the dump names the node, its instance and whether it owns the cluster; an owner adds its fence, whether its tables are restored and recent, and the ages from which that follows. Tables that aren't restored are left out. Other nodes show which owner they follow. The tables are now under `tables`; nothing in the repository reads them.

Evidence: the test fails on the old code, which gives the tables only, also while they are being restored.

--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -458,11 +458,30 @@
     isReady: () =>
       !stopping && configuration.getCurrent() !== undefined && !isIsolated(),
     renderMetrics,
-    renderDump: () => JSON.stringify(owner?.dump() ?? { owner: false }),
+    renderDump,
     getMaxBodyBytes: () =>
       configuration.getCurrent()?.maxBodyBytes ?? MAX_FRAME_BYTES,
   });
 
+  /** Renders the tables of this node's owner, or which owner this node follows. */
+  function renderDump(): string {
+    const current = ownership.getOwner();
+    return JSON.stringify({
+      node: settings.name,
+      instance,
+      owner: owner !== undefined,
+      ...(owner === undefined
+        ? {
+            follows: current && {
+              node: current.node,
+              fence: current.fence,
+              released: current.released,
+            },
+          }
+        : owner.dump()),
+    });
+  }
+
   function renderMetrics(): string {
     metrics.set('owner', {}, owner === undefined ? 0 : 1);
     for (const [event, count] of owner?.getCounts() ?? [])
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -53,6 +53,20 @@
   readonly onFenced: () => void;
 }
 
+/** A copy of an owner's tables for operators. */
+export interface OwnerDump {
+  readonly fence: number;
+  /** Whether it has restored its tables. */
+  readonly ready: boolean;
+  /** Whether they are recent enough to answer callers from. */
+  readonly recent: boolean;
+  /** Time since its last complete read of the jobs began, in ms. */
+  readonly readAgeMs: number;
+  /** Time since the store last confirmed its claim, in ms. */
+  readonly confirmedAgeMs: number;
+  readonly tables: unknown;
+}
+
 /** The owner of the cluster. */
 export interface Owner {
   readonly fence: number;
@@ -83,7 +97,8 @@
     node: core.ids.ProcessName,
     instance: core.ids.InstanceId,
   ): void;
-  dump(): unknown;
+  /** Returns its tables, which are left out until they are restored, with what tells whether they are still in force. */
+  dump(): OwnerDump;
   close(): void;
 }
 
@@ -730,7 +745,14 @@
         'process terminated',
       );
     },
-    dump: () => scheduler.dump(),
+    dump: () => ({
+      fence,
+      ready,
+      recent: getTablesAge() < STALE_TABLES_MS,
+      readAgeMs: Math.round(jobs.getReadAge()),
+      confirmedAgeMs: Math.round(options.getConfirmedAge()),
+      tables: ready ? scheduler.dump() : undefined,
+    }),
     close() {
       closed = true;
       idleTimer.end();
--- a/packages/cluster/test/owner.test.ts
+++ b/packages/cluster/test/owner.test.ts
@@ -223,6 +223,30 @@
   );
 });
 
+vitest.describe('the dump of an owner', () => {
+  vitest.it(
+    'tells whether its tables are in force (guards against tables of a replaced owner, or incomplete ones, that pass for those of the cluster)',
+    async () => {
+      const { owner, claim, timers } = createSetup();
+      vitest.expect(owner.dump()).toMatchObject({
+        fence: 7,
+        ready: false,
+        recent: false,
+        tables: undefined,
+      });
+      await fakes.advance(timers, 1_000);
+      const { ready, recent, tables } = owner.dump();
+      vitest.expect({ ready, recent }).toEqual({ ready: true, recent: true });
+      vitest.expect(tables).toMatchObject({ jobs: [{ state: 'running' }] });
+      claim.confirmedMs = timers.getNow() - 5_000;
+      vitest
+        .expect(owner.dump())
+        .toMatchObject({ ready: true, recent: false, confirmedAgeMs: 5_000 });
+      owner.close();
+    },
+  );
+});
+
 vitest.describe('the lines of an owner', () => {
   vitest.it(
     'explain a service task that does not run, from its id to its VM (guards against a silent VM whose task waits without a line)',
