Show a job's stored end after a later cancellation

A caller cancelled a job that had just completed, at a node that hadn't read its end, and was then shown a cancelled job by that node while the others showed a completed one.

Cause: after writing a cancellation a node added it to its own view, ahead of the records that it hadn't read. A state that is told at any age rested on a partial view.

Change: the cancellation enters the view by a read, which begins at once, so ends that were stored before are in it too. The scheduler of an owner still learns of it at once.

The test fails on the old code, which shows `cancelled`.

Why it works: the view is now a prefix of the stream, except for the jobs that the node itself has accepted and the ends that it has stored as the owner.

--- a/packages/cluster/src/jobStore.ts
+++ b/packages/cluster/src/jobStore.ts
@@ -320,7 +320,11 @@
     deadlineMs: number,
   ): Promise<WriteResult> {
     const result = await write(records.buildCancelled(id), deadlineMs);
-    if (result.outcome === 'durable') handleChange({ change: 'cancelled', id });
+    if (result.outcome === 'durable') {
+      observer?.({ change: 'cancelled', id });
+      // The view is changed by a read, since an end may have been stored before the cancellation.
+      void refresh();
+    }
     return result;
   }
 
--- a/packages/cluster/test/requestHandler.test.ts
+++ b/packages/cluster/test/requestHandler.test.ts
@@ -213,6 +213,22 @@
     },
   );
 
+  vitest.it(
+    'is its stored end after a later cancellation (guards against MIXED: a completed job is shown as cancelled by the node that wrote the cancellation)',
+    async () => {
+      const { request, jobs } = createWithoutOwner();
+      await request('GET', JOB_ID, 3_000);
+      const [end] = records.buildFinal(JOB_ID, 'completed');
+      jobs.add(end!.key, end!.value);
+      vitest
+        .expect(await request('DELETE', JOB_ID, 100))
+        .toEqual({ answer: 'cancelled' });
+      vitest
+        .expect(await request('GET', JOB_ID, 100))
+        .toEqual({ answer: 'state', state: 'completed' });
+    },
+  );
+
   vitest.it(
     'is its end, or that there is no such job, if the stream tells so',
     async () => {
