Tell states and counts only after the VMs have reported to a new owner

For a moment after a change of owner, a job that had run for seconds was shown as `pending` and counted as waiting.

Cause: a new owner answered as soon as it had read the store. A start is recorded before it is sent, and whether it has begun is seen by the VMs only, so until they have reported the owner can't tell a job that runs from one that waits.

Change: the tables count as complete once each listed VM has reported, doesn't respond, has terminated or is lost. Until then the owner tells stored ends only, and nodes ask again as while it restores its tables.

The test fails on the old code, which answers `pending` for a job whose VM reports its run 300 ms later.

What remains: a VM that doesn't respond to a new owner may run a job that is told as pending. Waiting for its lease to end would refuse all answers for as long.

--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -132,6 +132,8 @@
     options.onAppendFailed,
   );
   const sessionsByVm = new Map<core.ids.VmId, vmSessions.VmSession>();
+  /** VMs that haven't yet shown this owner which runs of earlier owners have begun on them. */
+  const unreportedVms = new Set<core.ids.VmId>();
   const durableWaiters = new Set<() => void>();
   const scheduler = core.workloads.createWorkloadScheduler({
     bounds: {
@@ -199,7 +201,10 @@
       if (entry.cancelled) scheduler.cancelJob(job.id, nowMs);
       restoredJobs += 1;
     }
-    for (const vm of fleet.list()) updateVm(vm.id, vm);
+    for (const vm of fleet.list()) {
+      updateVm(vm.id, vm);
+      if (!inheritedSilentVms.has(vm.id)) unreportedVms.add(vm.id);
+    }
     for (const id of [
       ...scheduler.listInheritedVms(),
       ...listReleasedVms(nowMs),
@@ -317,16 +322,20 @@
     onReport(id, report) {
       if (isClosed()) return;
       inheritedSilentVms.delete(id);
+      unreportedVms.delete(id);
       scheduler.applyReport(id, report, timers.getNow());
       requestTick();
     },
     onUnresponsive(id) {
+      unreportedVms.delete(id);
       scheduler.suspendVm(id);
     },
     onTerminated(id) {
+      unreportedVms.delete(id);
       scheduler.failVm(id, timers.getNow());
     },
     onLost(id) {
+      unreportedVms.delete(id);
       scheduler.loseVm(id, timers.getNow());
       if (fleet.find(id) === undefined) {
         const session = sessionsByVm.get(id);
@@ -627,10 +636,11 @@
 
   /**
    * Returns the age of the tables, in ms: all jobs accepted before are in them, and no
-   * later owner had claimed by then, so no other one had started any.
+   * later owner had claimed by then, so no other one had started any. They aren't complete
+   * until the VMs have shown what earlier owners started.
    */
   function getTablesAge(): number {
-    return ready && !isClosed()
+    return ready && unreportedVms.size === 0 && !isClosed()
       ? Math.max(jobs.getReadAge(), options.getConfirmedAge())
       : Infinity;
   }
--- a/packages/cluster/test/owner.test.ts
+++ b/packages/cluster/test/owner.test.ts
@@ -61,7 +61,7 @@
   const context = fakes.createFakeContext();
   const { timers } = context;
   const running = new Map<number, core.workloads.ReportedRun>();
-  const vm = { silent: false };
+  const vm = { silent: false, answerMs: 1 };
   const claim = { confirmedMs: undefined as number | undefined };
   const vmCalls: ports.VmCalls = {
     ...context.ports.vmCalls,
@@ -69,7 +69,7 @@
       await core.waitFor(
         timers,
         'test.hold',
-        vm.silent ? timeoutMs : Math.max(1, waitMs),
+        vm.silent ? timeoutMs : Math.max(vm.answerMs, waitMs),
       );
       if (vm.silent) return { outcome: 'failed', why: 'no answer' };
       return {
@@ -119,6 +119,7 @@
   return {
     owner,
     vm,
+    running,
     claim,
     jobs: context.store.streams.jobs,
     listEvents,
@@ -189,6 +190,36 @@
     },
   );
 
+  vitest.it(
+    'is unknown until the VMs have reported to a new owner (guards against MIXED: a running job is shown as pending after a change of owner)',
+    async () => {
+      const { owner, vm, running, timers } = createSetup();
+      vm.answerMs = 300;
+      running.set(1, {
+        task: { job: JOB_ID, occurrence: 0, step: 0, index: 0 },
+        run: 1,
+        saved: '',
+        percent: 100,
+        load: 0,
+      });
+      await fakes.advance(timers, 200);
+      vitest.expect(await owner.getJobState(JOB_ID)).toBeUndefined();
+      vitest.expect(owner.countWaiting()).toBeUndefined();
+      await fakes.advance(timers, 300);
+      vitest.expect(await owner.getJobState(JOB_ID)).toBe('running');
+      vitest.expect(owner.countWaiting()?.waiting).toEqual([]);
+      owner.close();
+    },
+  );
+
+  vitest.it('does not depend on a VM that never reports', async () => {
+    const { owner, vm, timers } = createSetup();
+    vm.silent = true;
+    await fakes.advance(timers, 2_000);
+    vitest.expect(await owner.getJobState(JOB_ID)).toBe('pending');
+    owner.close();
+  });
+
   vitest.it(
     'is told however old the tables are once its end is stored, as is an unknown id after a complete read',
     async () => {
