--- a/packages/cluster/src/jobStore.ts
+++ b/packages/cluster/src/jobStore.ts
@@ -57,6 +57,8 @@
   find(id: core.ids.JobId): StoredJob | undefined;
   /** Reads to the end of the stream; resolves with false when the store doesn't answer. */
   refresh(): Promise<boolean>;
+  /** Returns the time since the last read to the end of the stream began, in ms. */
+  getReadAge(): number;
   list(): Iterable<StoredJob>;
   /** Adds a final state that this node has made durable to the view. */
   recordFinal(id: core.ids.JobId, state: core.workloads.FinalState): void;
@@ -89,6 +91,8 @@
   let unavailable = false;
   let unansweredAppends = 0;
   let newestRead: Promise<boolean> | undefined;
+  /** Time before which all appended records have been read. */
+  let readToMs = -Infinity;
   const appendTimeout = timeouts.createAppendTimeout();
   let recoveryProbe: core.TimerSubscription | undefined;
 
@@ -320,7 +324,11 @@
     deadlineMs: number,
   ): Promise<WriteResult> {
     const result = await write(records.buildCancelled(id), deadlineMs);
-    if (result.outcome === 'durable') handleChange({ change: 'cancelled', id });
+    if (result.outcome === 'durable') {
+      observer?.({ change: 'cancelled', id });
+      // The view is changed by a read, since an end may have been stored before the cancellation.
+      void refresh();
+    }
     return result;
   }
 
@@ -340,7 +348,10 @@
         to: tail.getNextOffset(),
         tookMs: Math.round(tookMs),
       });
-    if (storeAnswered) markAvailable();
+    if (storeAnswered) {
+      readToMs = Math.max(readToMs, startedMs);
+      markAvailable();
+    }
     return storeAnswered;
   }
 
@@ -349,6 +360,7 @@
     cancel,
     find: (id) => jobs.get(id),
     refresh,
+    getReadAge: () => timers.getNow() - readToMs,
     list: () => jobs.values(),
     recordFinal(id, state) {
       applyChange({ change: 'final', id, state });
--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -16,9 +16,9 @@
 import * as successors from './successors.js';
 import * as waiting from './waitingCounts.js';
 
-/** Time between the owner's heartbeats, in ms; counts of waiting jobs may be at most two seconds old. */
+/** Time between the owner's heartbeats, in ms. */
 const HEARTBEAT_INTERVAL_MS = 500;
-/** Timeout of a request for a job's state to the owner, in ms. */
+/** Timeout of a request for a job's state or the counts to the owner, in ms. */
 const STATE_TIMEOUT_MS = 600;
 /** Time without a heartbeat after which the owner is suspected, in ms. */
 const HEARTBEAT_TIMEOUT_MS = 1_100;
@@ -55,14 +55,6 @@
   const coresByPeer = new Map<core.ids.InstanceId, number>();
   /** Fence of the owner that each peer process follows. */
   const followedFences = new Map<core.ids.InstanceId, number>();
-  /** Times at which this node learned of its owner and opened the link to it, and what that owner's heartbeats lacked since. */
-  let following = {
-    fence: 0,
-    learnedMs: 0,
-    linkedMs: 0,
-    withoutCounts: 0,
-    counted: false,
-  };
   let stopping = false;
   let releasing = false;
 
@@ -146,14 +138,6 @@
     },
     onOwner(next) {
       if (next.instance === instance) return;
-      if (next.fence !== following.fence)
-        following = {
-          fence: next.fence,
-          learnedMs: timers.getNow(),
-          linkedMs: 0,
-          withoutCounts: 0,
-          counted: false,
-        };
       hub.setPeers(next.released ? [] : [next.address]);
       notifyMember(next.instance);
     },
@@ -170,22 +154,6 @@
     });
   }
 
-  /** Logs for how long this node was without the counts of its new owner. */
-  function logFirstCounts(notice: core.clusterMessages.ClusterHeartbeat): void {
-    if (following.counted || notice.fence !== following.fence) return;
-    if (notice.waiting === undefined) {
-      following.withoutCounts += 1;
-      return;
-    }
-    following.counted = true;
-    log.write('info', 'owner.counts', {
-      fence: notice.fence,
-      linkedAfterMs: Math.round(following.linkedMs - following.learnedMs),
-      afterMs: Math.round(timers.getNow() - following.learnedMs),
-      withoutCounts: following.withoutCounts,
-    });
-  }
-
   /** Tells this node's owner of a peer process that follows it or a later one. */
   function reportFollower(peer: core.ids.InstanceId): void {
     if (owner !== undefined && (followedFences.get(peer) ?? 0) >= owner.fence)
@@ -248,8 +216,6 @@
     notifyMember(peer.instance);
     owner?.handleProcess(peer.name, peer.instance);
     const current = ownership.getOwner();
-    if (current?.instance === peer.instance)
-      following.linkedMs = timers.getNow();
     // A new process of the owner's node has connected, so the owner's process has terminated.
     if (current?.node === peer.name && current.instance !== peer.instance)
       ownership.suspect(current.instance, true);
@@ -271,8 +237,6 @@
     if (notice.kind === 'cluster.beat') {
       if (ownership.getOwner()?.instance !== from.instance) return;
       lastHeartbeat = notice;
-      waitingCounts.record(notice.fence, notice.waiting);
-      logFirstCounts(notice);
       lastHeartbeatMs = timers.getNow();
       ownership.setSuccessors(notice.successors);
       ownership.handleHeartbeat(
@@ -299,6 +263,11 @@
           kind: 'cluster.job.answer',
           state: await owner?.getJobState(question.job),
         };
+      case 'cluster.waiting':
+        return {
+          kind: 'cluster.waiting.answer',
+          counts: owner?.countWaiting(),
+        };
       case 'cluster.write':
         return writeForPeer(question);
       case 'cluster.store':
@@ -397,14 +366,12 @@
   function sendHeartbeat(): void {
     if (owner === undefined) return;
     const peers = hub.listConnected();
-    const counts = owner.countWaiting();
     const confirmedOffset = ownership.getConfirmedOffset();
     const notice: core.clusterMessages.ClusterHeartbeat = {
       kind: 'cluster.beat',
       fence: owner.fence,
       confirmedAgeMs: ownership.getConfirmedAge(),
       ...(confirmedOffset === undefined ? {} : { confirmedOffset }),
-      ...(counts === undefined ? {} : { waiting: [...counts] }),
       successors: successors.rankSuccessors(
         peers.map((peer) => ({
           instance: peer.instance,
@@ -447,9 +414,32 @@
     }
   }
 
-  const waitingCounts = waiting.createWaitingCounts(timers, jobs, () =>
-    owner?.countWaiting(),
-  );
+  async function askCounts(): Promise<
+    core.clusterMessages.OwnerCounts | undefined
+  > {
+    if (owner !== undefined) return owner.countWaiting();
+    const current = ownership.getOwner();
+    if (current === undefined) return undefined;
+    try {
+      const answer = await hub.ask(
+        current.instance,
+        { kind: 'cluster.waiting' },
+        STATE_TIMEOUT_MS,
+      );
+      return answer.kind === 'cluster.waiting.answer'
+        ? answer.counts
+        : undefined;
+    } catch (cause) {
+      metrics.count('owner_questions_failed', {});
+      log.write('debug', 'owner.no-answer', {
+        question: 'cluster.waiting',
+        why: core.describeError(cause),
+      });
+      return undefined;
+    }
+  }
+
+  const waitingCounts = waiting.createWaitingCounts(timers, askCounts);
 
   const handleRequest = requestHandlers.createRequestHandler(
     context,
@@ -458,7 +448,7 @@
     {
       fetchState: askOwner,
       writeThroughOwner,
-      countWaiting: waitingCounts.count,
+      fetchWaiting: (queue, untilMs) => waitingCounts.fetch(queue, untilMs),
       checkAdmission: (job) => owner?.checkAdmission(job),
     },
   );
@@ -468,11 +458,30 @@
     isReady: () =>
       !stopping && configuration.getCurrent() !== undefined && !isIsolated(),
     renderMetrics,
-    renderDump: () => JSON.stringify(owner?.dump() ?? { owner: false }),
+    renderDump,
     getMaxBodyBytes: () =>
       configuration.getCurrent()?.maxBodyBytes ?? MAX_FRAME_BYTES,
   });
 
+  /** Renders the tables of this node's owner, or which owner this node follows. */
+  function renderDump(): string {
+    const current = ownership.getOwner();
+    return JSON.stringify({
+      node: settings.name,
+      instance,
+      owner: owner !== undefined,
+      ...(owner === undefined
+        ? {
+            follows: current && {
+              node: current.node,
+              fence: current.fence,
+              released: current.released,
+            },
+          }
+        : owner.dump()),
+    });
+  }
+
   function renderMetrics(): string {
     metrics.set('owner', {}, owner === undefined ? 0 : 1);
     for (const [event, count] of owner?.getCounts() ?? [])
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -25,6 +25,8 @@
 const FOLLOW_INTERVAL_MS = 200;
 /** Time between rounds that drop the records of jobs past their retention, in ms. */
 const DROP_EXPIRED_INTERVAL_MS = 10_000;
+/** Age from which the owner's tables are too old to tell counts and states from, in ms; callers are promised counts of the last two seconds. */
+const STALE_TABLES_MS = 2_000;
 /** Run numbers reserved for each fence, so that a new owner's runs are numbered above all earlier ones. */
 const RUNS_PER_FENCE = 1_000_000;
 
@@ -51,10 +53,27 @@
   readonly onFenced: () => void;
 }
 
+/** A copy of an owner's tables for operators. */
+export interface OwnerDump {
+  readonly fence: number;
+  /** Whether it has restored its tables. */
+  readonly ready: boolean;
+  /** Whether they are recent enough to answer callers from. */
+  readonly recent: boolean;
+  /** Time since its last complete read of the jobs began, in ms. */
+  readonly readAgeMs: number;
+  /** Time since the store last confirmed its claim, in ms. */
+  readonly confirmedAgeMs: number;
+  readonly tables: unknown;
+}
+
 /** The owner of the cluster. */
 export interface Owner {
   readonly fence: number;
-  /** Resolves with the state of a job, with `unknown` only after the stream was read to its end. */
+  /**
+   * Resolves with the state of a job, with `unknown` only after the stream was read to its
+   * end, and with undefined while the owner's tables aren't complete or are too old.
+   */
   getJobState(
     id: core.ids.JobId,
   ): Promise<core.workloads.JobState | 'unknown' | undefined>;
@@ -62,8 +81,8 @@
   checkAdmission(job: core.workloads.Job): string | undefined;
   /** Returns whether starts of this owner, or of one before it, may not be durably recorded. */
   hasUnrecorded(): boolean;
-  /** Counts the waiting jobs per queue; undefined until the owner has restored its tables. */
-  countWaiting(): ReadonlyMap<core.workloads.QueueName, number> | undefined;
+  /** Counts the waiting jobs per queue; undefined while the owner's tables aren't complete or are too old. */
+  countWaiting(): core.clusterMessages.OwnerCounts | undefined;
   getCounts(): ReadonlyMap<string, number>;
   /** Builds the record of what a successor may assume about leases. */
   buildLeaseRecord(): records.LeaseRecord;
@@ -78,7 +97,8 @@
     node: core.ids.ProcessName,
     instance: core.ids.InstanceId,
   ): void;
-  dump(): unknown;
+  /** Returns its tables, which are left out until they are restored, with what tells whether they are still in force. */
+  dump(): OwnerDump;
   close(): void;
 }
 
@@ -112,6 +132,8 @@
     options.onAppendFailed,
   );
   const sessionsByVm = new Map<core.ids.VmId, vmSessions.VmSession>();
+  /** VMs that haven't yet shown this owner which runs of earlier owners have begun on them. */
+  const unreportedVms = new Set<core.ids.VmId>();
   const durableWaiters = new Set<() => void>();
   const scheduler = core.workloads.createWorkloadScheduler({
     bounds: {
@@ -179,7 +201,10 @@
       if (entry.cancelled) scheduler.cancelJob(job.id, nowMs);
       restoredJobs += 1;
     }
-    for (const vm of fleet.list()) updateVm(vm.id, vm);
+    for (const vm of fleet.list()) {
+      updateVm(vm.id, vm);
+      if (!inheritedSilentVms.has(vm.id)) unreportedVms.add(vm.id);
+    }
     for (const id of [
       ...scheduler.listInheritedVms(),
       ...listReleasedVms(nowMs),
@@ -297,16 +322,20 @@
     onReport(id, report) {
       if (isClosed()) return;
       inheritedSilentVms.delete(id);
+      unreportedVms.delete(id);
       scheduler.applyReport(id, report, timers.getNow());
       requestTick();
     },
     onUnresponsive(id) {
+      unreportedVms.delete(id);
       scheduler.suspendVm(id);
     },
     onTerminated(id) {
+      unreportedVms.delete(id);
       scheduler.failVm(id, timers.getNow());
     },
     onLost(id) {
+      unreportedVms.delete(id);
       scheduler.loseVm(id, timers.getNow());
       if (fleet.find(id) === undefined) {
         const session = sessionsByVm.get(id);
@@ -605,23 +634,37 @@
     requestTick();
   }
 
+  /**
+   * Returns the age of the tables, in ms: all jobs accepted before are in them, and no
+   * later owner had claimed by then, so no other one had started any. They aren't complete
+   * until the VMs have shown what earlier owners started.
+   */
+  function getTablesAge(): number {
+    return ready && unreportedVms.size === 0 && !isClosed()
+      ? Math.max(jobs.getReadAge(), options.getConfirmedAge())
+      : Infinity;
+  }
+
+  /** Returns the state of a job if its end is stored or the tables are recent. */
   function getKnownState(
     id: core.ids.JobId,
   ): core.workloads.JobState | undefined {
     const stored = jobs.find(id);
     if (stored?.final !== undefined) return stored.final;
     if (stored?.cancelled === true) return 'cancelled';
-    return scheduler.getJobState(id) ?? (stored?.job && 'pending');
+    return getTablesAge() < STALE_TABLES_MS
+      ? scheduler.getJobState(id)
+      : undefined;
   }
 
   async function getJobState(
     id: core.ids.JobId,
   ): Promise<core.workloads.JobState | 'unknown' | undefined> {
     if (!ready || isClosed()) return undefined;
-    const knownState = getKnownState(id);
-    if (knownState !== undefined) return knownState;
+    const isKnown = () => jobs.find(id) !== undefined;
+    if (isKnown()) return getKnownState(id);
     if (!(await jobs.refresh())) return undefined;
-    return getKnownState(id) ?? 'unknown';
+    return isKnown() ? getKnownState(id) : 'unknown';
   }
 
   const dropExpiredTimer = timers.subscribe(
@@ -649,7 +692,12 @@
   return {
     fence,
     getJobState,
-    countWaiting: () => (ready ? scheduler.countWaiting() : undefined),
+    countWaiting() {
+      const ageMs = getTablesAge();
+      return ageMs < STALE_TABLES_MS
+        ? { fence, ageMs, waiting: [...scheduler.countWaiting()] }
+        : undefined;
+    },
     checkAdmission(job) {
       // VM entries may be missing while the store is unavailable, and jobs already known are never declined.
       if (
@@ -707,7 +755,14 @@
         'process terminated',
       );
     },
-    dump: () => scheduler.dump(),
+    dump: () => ({
+      fence,
+      ready,
+      recent: getTablesAge() < STALE_TABLES_MS,
+      readAgeMs: Math.round(jobs.getReadAge()),
+      confirmedAgeMs: Math.round(options.getConfirmedAge()),
+      tables: ready ? scheduler.dump() : undefined,
+    }),
     close() {
       closed = true;
       idleTimer.end();
--- a/packages/cluster/src/requestHandler.ts
+++ b/packages/cluster/src/requestHandler.ts
@@ -16,9 +16,11 @@
 const ANSWER_MARGIN_MS = 300;
 /** Retry-after while the store is unavailable, in s; a few retries outlast an outage of seconds. */
 const UNAVAILABLE_RETRY_S = 2;
+/** Retry-after while no owner answers, in s; a change of owner takes a second or two. */
+const OWNER_RETRY_S = 1;
 /** Retry-after for a job that no VM can run, in s; a larger VM may be added meanwhile. */
 const DECLINED_RETRY_S = 10;
-/** Time for which the owner is asked for a state before this node reads the stream itself, in ms. */
+/** Time for which the owner is asked for a state, before this node reads the stream itself, or for the counts, in ms. */
 const OWNER_ANSWER_TIMEOUT_MS = 1_200;
 const ASK_INTERVAL_MS = 150;
 /** Timeout of a write through the owner, in ms. */
@@ -31,7 +33,11 @@
   fetchState(
     id: core.ids.JobId,
   ): Promise<core.workloads.JobState | 'unknown' | undefined>;
-  countWaiting(queue: core.workloads.QueueName): waiting.WaitingCount;
+  /** Fetches the count of a queue's waiting jobs; undefined when no owner has told it until `untilMs`. */
+  fetchWaiting(
+    queue: core.workloads.QueueName,
+    untilMs: number,
+  ): Promise<waiting.WaitingCount | undefined>;
   /** Writes through the owner; undefined when it certainly wrote nothing. */
   writeThroughOwner(
     change: DurableWrite,
@@ -77,7 +83,7 @@
       ANSWER_MARGIN_MS;
     if (match.rest === '')
       return request.method === 'GET'
-        ? answerWaiting(policy.name)
+        ? answerWaiting(policy.name, untilMs)
         : { answer: 'unknown-method' };
     if (!jobIdPattern.test(match.rest))
       return { answer: 'malformed', why: 'a job id has 16 hexadecimal digits' };
@@ -93,12 +99,23 @@
     }
   }
 
-  function answerWaiting(queue: core.workloads.QueueName): ports.CallerAnswer {
-    const count = jobQueries.countWaiting(queue);
+  async function answerWaiting(
+    queue: core.workloads.QueueName,
+    untilMs: number,
+  ): Promise<ports.CallerAnswer> {
+    const count = await jobQueries.fetchWaiting(
+      queue,
+      Math.min(untilMs, timers.getNow() + OWNER_ANSWER_TIMEOUT_MS),
+    );
+    if (count === undefined) {
+      const why = 'no owner knows the counts at present';
+      log.write('info', 'request.waiting', { queue, why });
+      return buildRefused('unavailable', why, OWNER_RETRY_S);
+    }
     log.write('info', 'request.waiting', {
       queue,
       ...count,
-      ageMs: count.ageMs && Math.round(count.ageMs),
+      ageMs: Math.round(count.ageMs),
     });
     return { answer: 'waiting', waiting: count.waiting };
   }
@@ -175,13 +192,18 @@
       if (nowMs - startedMs > OWNER_ANSWER_TIMEOUT_MS || nowMs > untilMs) break;
       await core.waitFor(timers, 'desk.owner', ASK_INTERVAL_MS);
     }
-    // No owner answered in time, so the state is taken from the stream.
+    // Without an owner, the stream tells whether the job exists and how it ended, but not whether it has started.
     const storeAnswered = await jobs.refresh();
-    const state = getStoredState(id) ?? (jobs.find(id) && 'running');
+    const state = getStoredState(id);
     if (state !== undefined) return { answer: 'state', state };
-    return storeAnswered
+    if (!storeAnswered) return buildUnavailable(jobs.getHealth().why);
+    return jobs.find(id) === undefined
       ? { answer: 'unknown-job' }
-      : buildUnavailable(jobs.getHealth().why);
+      : buildRefused(
+          'unavailable',
+          'no owner knows the state at present',
+          OWNER_RETRY_S,
+        );
   }
 
   /** Returns the stored state if it is final or cancelled, since that can't change any more. */
@@ -197,11 +219,15 @@
     id: core.ids.JobId,
     untilMs: number,
   ): Promise<ports.CallerAnswer> {
-    if (
-      jobs.find(id) === undefined &&
-      (await jobQueries.fetchState(id)) === 'unknown'
-    )
-      return { answer: 'unknown-job' };
+    if (jobs.find(id) === undefined) {
+      const state = await jobQueries.fetchState(id);
+      if (state === 'unknown') return { answer: 'unknown-job' };
+      if (state === undefined) {
+        if (!(await jobs.refresh()))
+          return buildUnavailable(jobs.getHealth().why);
+        if (jobs.find(id) === undefined) return { answer: 'unknown-job' };
+      }
+    }
     const written = await write({ cancel: id }, untilMs);
     return buildWriteAnswer(written, { answer: 'cancelled' });
   }
--- a/packages/cluster/test/owner.test.ts
+++ b/packages/cluster/test/owner.test.ts
@@ -1,4 +1,4 @@
-/** The owner with one VM: what its lines say about a service task that doesn't run. */
+/** The owner with one VM: what its lines say about a service task that doesn't run, and when it counts jobs. */
 import * as vitest from 'vitest';
 import * as core from '@flamingoward/core';
 import * as jobStores from '../src/jobStore.js';
@@ -19,9 +19,14 @@
   draining: false,
 };
 
-function createService(acceptedAtMs: number): core.workloads.Job {
+const JOB_ID = '27aa65599c0db4e2';
+
+function createService(
+  id: core.ids.JobId,
+  acceptedAtMs: number,
+): core.workloads.Job {
   return {
-    id: '27aa65599c0db4e2',
+    id,
     queue: 'queue',
     payload: '',
     steps: [
@@ -56,14 +61,15 @@
   const context = fakes.createFakeContext();
   const { timers } = context;
   const running = new Map<number, core.workloads.ReportedRun>();
-  const vm = { silent: false };
+  const vm = { silent: false, answerMs: 1 };
+  const claim = { confirmedMs: undefined as number | undefined };
   const vmCalls: ports.VmCalls = {
     ...context.ports.vmCalls,
     async hold(_, { waitMs }, timeoutMs) {
       await core.waitFor(
         timers,
         'test.hold',
-        vm.silent ? timeoutMs : Math.max(1, waitMs),
+        vm.silent ? timeoutMs : Math.max(vm.answerMs, waitMs),
       );
       if (vm.silent) return { outcome: 'failed', why: 'no answer' };
       return {
@@ -76,10 +82,14 @@
       running.set(run, { task, run, saved: '', percent: 100, load: 0 });
       return Promise.resolve('started');
     },
+    stop(_, { run }) {
+      running.delete(run);
+      return Promise.resolve('closed');
+    },
     drop: () => undefined,
   };
   const ownerContext = { ...context, ports: { ...context.ports, vmCalls } };
-  const job = createService(timers.getDate());
+  const job = createService(JOB_ID, timers.getDate());
   const { key, value } = records.buildAccepted(job);
   context.store.streams.jobs.add(key, value);
   const owner = owners.createOwner(ownerContext, {
@@ -99,15 +109,175 @@
       listHelpers: () => [],
     },
     getPolicies: () => ({ version: 1, policies: new Map() }),
-    getConfirmedAge: () => 0,
+    getConfirmedAge: () =>
+      timers.getNow() - (claim.confirmedMs ?? timers.getNow()),
     onAppendFailed: () => undefined,
     onFenced: () => undefined,
   });
   const listEvents = (event: string) =>
     context.lines.filter((line) => line.event === event);
-  return { owner, vm, listEvents, timers: context.fakeTimers };
+  return {
+    owner,
+    vm,
+    running,
+    claim,
+    jobs: context.store.streams.jobs,
+    listEvents,
+    timers: context.fakeTimers,
+  };
 }
 
+vitest.describe('the counts of an owner', () => {
+  vitest.it('are unknown until it has restored its tables', async () => {
+    const { owner, timers } = createSetup();
+    vitest.expect(owner.countWaiting()).toBeUndefined();
+    await fakes.advance(timers, 1_000);
+    vitest.expect(owner.countWaiting()).toMatchObject({ fence: 7 });
+    owner.close();
+    vitest.expect(owner.countWaiting()).toBeUndefined();
+  });
+
+  vitest.it(
+    'are unknown once it has not read the accepted jobs for two seconds (guards against MIXED: an owner that was cut off or frozen counts too few jobs)',
+    async () => {
+      const { owner, jobs, timers } = createSetup();
+      await fakes.advance(timers, 1_000);
+      jobs.failure = 'cut';
+      await fakes.advance(timers, 1_000);
+      vitest.expect(owner.countWaiting()?.ageMs).toBeGreaterThan(900);
+      await fakes.advance(timers, 1_100);
+      vitest.expect(owner.countWaiting()).toBeUndefined();
+      jobs.failure = undefined;
+      await fakes.advance(timers, 300);
+      vitest.expect(owner.countWaiting()?.ageMs).toBeLessThan(300);
+      timers.advance(3_000);
+      vitest.expect(owner.countWaiting()).toBeUndefined();
+      owner.close();
+    },
+  );
+
+  vitest.it(
+    'are unknown once its claim has not been confirmed for two seconds (guards against MIXED: counts of an owner that has been replaced)',
+    async () => {
+      const { owner, claim, timers } = createSetup();
+      await fakes.advance(timers, 1_000);
+      claim.confirmedMs = timers.getNow();
+      await fakes.advance(timers, 1_500);
+      vitest.expect(owner.countWaiting()?.ageMs).toBe(1_500);
+      await fakes.advance(timers, 500);
+      vitest.expect(owner.countWaiting()).toBeUndefined();
+      owner.close();
+    },
+  );
+});
+
+vitest.describe('the state of a job that an owner tells', () => {
+  vitest.it(
+    'is unknown while its tables are too old (guards against MIXED: the state of a job at an owner that has been replaced)',
+    async () => {
+      const { owner, claim, jobs, timers } = createSetup();
+      await fakes.advance(timers, 1_000);
+      vitest.expect(await owner.getJobState(JOB_ID)).toBe('running');
+      claim.confirmedMs = timers.getNow();
+      await fakes.advance(timers, 2_000);
+      vitest.expect(await owner.getJobState(JOB_ID)).toBeUndefined();
+      claim.confirmedMs = undefined;
+      vitest.expect(await owner.getJobState(JOB_ID)).toBe('running');
+      jobs.failure = 'cut';
+      await fakes.advance(timers, 2_100);
+      vitest.expect(await owner.getJobState(JOB_ID)).toBeUndefined();
+      owner.close();
+    },
+  );
+
+  vitest.it(
+    'is unknown until the VMs have reported to a new owner (guards against MIXED: a running job is shown as pending after a change of owner)',
+    async () => {
+      const { owner, vm, running, timers } = createSetup();
+      vm.answerMs = 300;
+      running.set(1, {
+        task: { job: JOB_ID, occurrence: 0, step: 0, index: 0 },
+        run: 1,
+        saved: '',
+        percent: 100,
+        load: 0,
+      });
+      await fakes.advance(timers, 200);
+      vitest.expect(await owner.getJobState(JOB_ID)).toBeUndefined();
+      vitest.expect(owner.countWaiting()).toBeUndefined();
+      await fakes.advance(timers, 300);
+      vitest.expect(await owner.getJobState(JOB_ID)).toBe('running');
+      vitest.expect(owner.countWaiting()?.waiting).toEqual([]);
+      owner.close();
+    },
+  );
+
+  vitest.it('does not depend on a VM that never reports', async () => {
+    const { owner, vm, timers } = createSetup();
+    vm.silent = true;
+    await fakes.advance(timers, 2_000);
+    vitest.expect(await owner.getJobState(JOB_ID)).toBe('pending');
+    owner.close();
+  });
+
+  vitest.it(
+    'is told however old the tables are once its end is stored, as is an unknown id after a complete read',
+    async () => {
+      const { owner, claim, jobs, timers } = createSetup();
+      await fakes.advance(timers, 1_000);
+      const { key, value } = records.buildCancelled(JOB_ID);
+      jobs.add(key, value);
+      await fakes.advance(timers, 500);
+      claim.confirmedMs = timers.getNow() - 5_000;
+      vitest.expect(await owner.getJobState(JOB_ID)).toBe('cancelled');
+      vitest.expect(await owner.getJobState('other')).toBe('unknown');
+      jobs.failure = 'cut';
+      vitest.expect(await owner.getJobState(JOB_ID)).toBe('cancelled');
+      vitest.expect(await owner.getJobState('other')).toBeUndefined();
+      owner.close();
+    },
+  );
+
+  vitest.it(
+    'is unknown when the owner loses ownership meanwhile (guards against MIXED: a job that the owner has not scheduled is shown as pending)',
+    async () => {
+      const { owner, jobs, timers } = createSetup();
+      await fakes.advance(timers, 1_000);
+      const { key, value } = records.buildAccepted(
+        createService('other', timers.getDate()),
+      );
+      jobs.add(key, value);
+      const state = owner.getJobState('other');
+      owner.close();
+      vitest.expect(await state).toBeUndefined();
+    },
+  );
+});
+
+vitest.describe('the dump of an owner', () => {
+  vitest.it(
+    'tells whether its tables are in force (guards against tables of a replaced owner, or incomplete ones, that pass for those of the cluster)',
+    async () => {
+      const { owner, claim, timers } = createSetup();
+      vitest.expect(owner.dump()).toMatchObject({
+        fence: 7,
+        ready: false,
+        recent: false,
+        tables: undefined,
+      });
+      await fakes.advance(timers, 1_000);
+      const { ready, recent, tables } = owner.dump();
+      vitest.expect({ ready, recent }).toEqual({ ready: true, recent: true });
+      vitest.expect(tables).toMatchObject({ jobs: [{ state: 'running' }] });
+      claim.confirmedMs = timers.getNow() - 5_000;
+      vitest
+        .expect(owner.dump())
+        .toMatchObject({ ready: true, recent: false, confirmedAgeMs: 5_000 });
+      owner.close();
+    },
+  );
+});
+
 vitest.describe('the lines of an owner', () => {
   vitest.it(
     'explain a service task that does not run, from its id to its VM (guards against a silent VM whose task waits without a line)',
--- a/packages/cluster/test/requestHandler.test.ts
+++ b/packages/cluster/test/requestHandler.test.ts
@@ -1,13 +1,28 @@
-/** Answers to callers about jobs that no VM can run. */
+/** Answers to callers about jobs that no VM can run, and about what no owner knows. */
 import * as vitest from 'vitest';
+import type * as core from '@flamingoward/core';
+import * as records from '../src/records.js';
 import * as requestHandlers from '../src/requestHandler.js';
 import * as jobStores from '../src/jobStore.js';
 import type * as ports from '../src/ports.js';
 import * as fakes from './fakes.js';
 
+const JOB_ID = '0123456789abcdef';
+const job: core.workloads.Job = {
+  id: JOB_ID,
+  queue: 'queue',
+  payload: '',
+  steps: [],
+  schedule: undefined,
+  configVersion: 1,
+  acceptedAtMs: 0,
+  policy: fakes.queuePolicy,
+};
+
 function createSetup(
   ownerResult: jobStores.WriteResult | undefined,
   admissionRefusal?: string,
+  queries: Partial<requestHandlers.JobQueries> = {},
 ) {
   const context = fakes.createFakeContext();
   const store = jobStores.createJobStore(context);
@@ -37,25 +52,34 @@
     {
       fetchState: () => Promise.resolve('unknown'),
       writeThroughOwner: () => Promise.resolve(ownerResult),
-      countWaiting: () => ({ waiting: 0, source: 'owner' }),
+      fetchWaiting: () => Promise.resolve(undefined),
       checkAdmission: () => admissionRefusal,
+      ...queries,
     },
   );
-  async function submit(): Promise<ports.CallerAnswer | undefined> {
+  async function request(
+    method: string,
+    rest: string,
+    forMs: number,
+  ): Promise<ports.CallerAnswer | undefined> {
     let answer: ports.CallerAnswer | undefined;
     void handleRequest({
-      method: 'POST',
+      method,
       host: 'h',
-      path: '/q/0123456789abcdef',
+      path: `/q/${rest}`,
       body: new Uint8Array(),
       deadlineMs: 3_000,
     }).then((result) => {
       answer = result;
     });
-    await fakes.advance(context.fakeTimers, 100);
+    await fakes.advance(context.fakeTimers, forMs);
     return answer;
   }
-  return { context, submit };
+  return {
+    context,
+    request,
+    submit: () => request('POST', JOB_ID, 100),
+  };
 }
 
 vitest.describe('a job that no VM could run', () => {
@@ -92,3 +116,131 @@
     vitest.expect(await submit()).toEqual({ answer: 'accepted' });
   });
 });
+
+vitest.describe('the count of waiting jobs of a queue', () => {
+  vitest.it(
+    'is refused while no owner knows it (guards against MIXED: no jobs are said to wait)',
+    async () => {
+      const { context, request } = createSetup(undefined);
+      vitest.expect(await request('GET', '', 3_000)).toEqual({
+        answer: 'refused',
+        cause: 'unavailable',
+        why: 'no owner knows the counts at present',
+        retryAfterS: 1,
+      });
+      vitest
+        .expect(
+          context.lines.filter(({ event }) => event === 'request.waiting'),
+        )
+        .toEqual([
+          {
+            event: 'request.waiting',
+            fields: {
+              queue: 'queue',
+              why: 'no owner knows the counts at present',
+            },
+          },
+        ]);
+    },
+  );
+});
+
+vitest.describe('the state of a job while no owner knows it', () => {
+  function createWithoutOwner() {
+    const setup = createSetup(undefined, undefined, {
+      fetchState: () => Promise.resolve(undefined),
+    });
+    const { jobs } = setup.context.store.streams;
+    const { key, value } = records.buildAccepted(job);
+    jobs.add(key, value);
+    return { ...setup, jobs };
+  }
+
+  vitest.it(
+    'is refused, since the job may still wait (guards against MIXED: a job is shown as running that no VM has begun)',
+    async () => {
+      const { request } = createWithoutOwner();
+      vitest.expect(await request('GET', JOB_ID, 3_000)).toEqual({
+        answer: 'refused',
+        cause: 'unavailable',
+        why: 'no owner knows the state at present',
+        retryAfterS: 1,
+      });
+    },
+  );
+
+  vitest.it(
+    'is refused when the store does not answer either (guards against MIXED: a job that has ended is shown as running)',
+    async () => {
+      const { request, jobs } = createWithoutOwner();
+      await request('GET', JOB_ID, 3_000);
+      jobs.failure = 'cut';
+      vitest.expect(await request('GET', JOB_ID, 3_000)).toMatchObject({
+        answer: 'refused',
+        why: 'cut',
+      });
+    },
+  );
+
+  vitest.it(
+    'is unknown after a cancellation that nothing was submitted for (guards against MIXED: a job that nobody submitted is shown as cancelled)',
+    async () => {
+      const { request, jobs } = createWithoutOwner();
+      const unknown = 'fedcba9876543210';
+      vitest
+        .expect(await request('DELETE', unknown, 3_000))
+        .toEqual({ answer: 'unknown-job' });
+      vitest
+        .expect(await request('GET', unknown, 3_000))
+        .toEqual({ answer: 'unknown-job' });
+      vitest
+        .expect(await request('DELETE', JOB_ID, 3_000))
+        .toEqual({ answer: 'cancelled' });
+      vitest.expect(jobs.records).toHaveLength(2);
+    },
+  );
+
+  vitest.it(
+    'does not let a cancellation be written that may be for no job',
+    async () => {
+      const { request, jobs } = createWithoutOwner();
+      jobs.failure = 'cut';
+      vitest.expect(await request('DELETE', JOB_ID, 3_000)).toMatchObject({
+        answer: 'refused',
+        cause: 'unavailable',
+        why: 'cut',
+      });
+    },
+  );
+
+  vitest.it(
+    'is its stored end after a later cancellation (guards against MIXED: a completed job is shown as cancelled by the node that wrote the cancellation)',
+    async () => {
+      const { request, jobs } = createWithoutOwner();
+      await request('GET', JOB_ID, 3_000);
+      const [end] = records.buildFinal(JOB_ID, 'completed');
+      jobs.add(end!.key, end!.value);
+      vitest
+        .expect(await request('DELETE', JOB_ID, 100))
+        .toEqual({ answer: 'cancelled' });
+      vitest
+        .expect(await request('GET', JOB_ID, 100))
+        .toEqual({ answer: 'state', state: 'completed' });
+    },
+  );
+
+  vitest.it(
+    'is its end, or that there is no such job, if the stream tells so',
+    async () => {
+      const { request, jobs } = createWithoutOwner();
+      const { key, value } = records.buildCancelled(JOB_ID);
+      jobs.add(key, value);
+      vitest
+        .expect(await request('GET', JOB_ID, 3_000))
+        .toEqual({ answer: 'state', state: 'cancelled' });
+      vitest
+        .expect(await request('GET', 'fedcba9876543210', 3_000))
+        .toEqual({ answer: 'unknown-job' });
+    },
+  );
+});
