Log the jobs whose decided start no VM has confirmed

A job counts as started from the moment when its first start is decided. Nothing showed how many of these jobs a VM has in fact begun, so this couldn't be told apart from the counts of an old owner or a restore that lacks jobs.

The tables now also keep what a VM has shown: a start answered as started, a run that a report lists, or an end. Each second the owner logs starts.unconfirmed for the queues with a job whose start was decided over a second ago without such evidence, and the dump says which jobs have begun. Counts and states are as before.

--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -13,6 +13,7 @@
 import * as leases from './leases.js';
 import * as owedReporters from './owedReporter.js';
 import * as timeouts from './timeouts.js';
+import * as startReporters from './startReporter.js';
 import * as recorders from './recorder.js';
 import type * as records from './records.js';
 import * as tails from './tail.js';
@@ -132,6 +133,10 @@
     listJobs: () => jobs.list(),
     hasJob: (id) => scheduler.getJobState(id) !== undefined,
   });
+  const startReporter = startReporters.createStartReporter(context, {
+    fence,
+    measureStarts: () => scheduler.measureStarts(timers.getNow()),
+  });
   log.write('info', 'leases.inherited', {
     fence,
     previous: earlierOwners.map(({ node }) => node).join(),
@@ -191,6 +196,7 @@
     jobs.setObserver(handleJobChange);
     ready = true;
     owedReporter.start();
+    startReporter.start();
     log.write('info', 'owner.ready', {
       fence,
       restored: restoredJobs,
@@ -713,6 +719,7 @@
       idleTimer.end();
       dropExpiredTimer.end();
       owedReporter.close();
+      startReporter.close();
       recorder.close();
       jobs.setObserver(undefined);
       fleet.setObserver(undefined);
--- a/packages/core/src/workloads/ends.ts
+++ b/packages/core/src/workloads/ends.ts
@@ -2,6 +2,7 @@
  * Applies the end of a run to its task, gang, job and VM. Failures are recorded by run
  * number, so that an end that is reported twice counts once.
  */
+import * as begins from './begins.js';
 import * as states from './state.js';
 import type * as tables from './tables.js';
 import type * as types from './types.js';
@@ -22,6 +23,7 @@
   const task = states.findTask(state, end.task);
   if (job === undefined || task === undefined) return;
   state.dirty.add(job);
+  begins.recordBegin(state, job.job.id);
   states.countEvent(state, `end.${end.how}`);
   const run =
     task.run?.number === end.run && task.run.vm === vm ? task.run : undefined;
--- a/packages/core/src/workloads/jobs.ts
+++ b/packages/core/src/workloads/jobs.ts
@@ -18,6 +18,8 @@
     occurrences: [],
     occurrencesLeft: job.schedule?.times ?? 0,
     hasStarted: false,
+    hasBegun: false,
+    startDecidedMs: undefined,
     cancelled: false,
     final: undefined,
     durableFinal: undefined,
--- a/packages/core/src/workloads/progress.ts
+++ b/packages/core/src/workloads/progress.ts
@@ -113,6 +113,7 @@
 function finishOccurrence(occurrence: tables.OccurrenceRow): void {
   occurrence.done = true;
   occurrence.job.hasStarted = true;
+  occurrence.job.hasBegun = true;
   for (const step of occurrence.steps) {
     step.doneCount = step.spec.count;
     step.waitingCount = 0;
@@ -127,6 +128,12 @@
   nowMs: number,
 ): void {
   step.gangFailures = [...(stored.gangFailures ?? [])];
+  if (
+    step.gangFailures.length > 0 ||
+    stored.failed !== undefined ||
+    stored.saved !== undefined
+  )
+    step.occurrence.job.hasBegun = true;
   for (const task of step.tasks) {
     task.failedRuns = [...(stored.failed?.[task.index] ?? [])];
     task.saved = stored.saved?.[task.index] ?? '';
@@ -135,6 +142,7 @@
     step.doneCount += 1;
     step.waitingCount -= 1;
     step.occurrence.job.hasStarted = true;
+    step.occurrence.job.hasBegun = true;
   }
   for (const [index, number, vmId] of stored.runs ?? []) {
     const task = step.tasks[index];
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -5,6 +5,7 @@
  */
 import type * as ids from '../types/ids.js';
 import * as advice from './advice.js';
+import * as begins from './begins.js';
 import * as ends from './ends.js';
 import * as speeds from './speed.js';
 import * as states from './state.js';
@@ -128,6 +129,7 @@
   listed: Set<tables.RunRow>,
   nowMs: number,
 ): void {
+  begins.recordBegin(state, entry.task.job);
   const task = states.findTask(state, entry.task);
   const own = [...vm.runs].find(
     (run) => run.task === task && run.number === entry.run,
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -7,6 +7,7 @@
 import * as admission from './admission.js';
 import * as advice from './advice.js';
 import * as batches from './batch.js';
+import * as begins from './begins.js';
 import * as ends from './ends.js';
 import * as jobs from './jobs.js';
 import * as owed from './owed.js';
@@ -110,6 +111,8 @@
   getTiming(job: ids.JobId, nowMs: number): views.JobTiming | undefined;
   /** Counts the jobs per queue without a started task; scheduled jobs don't count. */
   countWaiting(): ReadonlyMap<types.QueueName, number>;
+  /** Measures, by queue, the jobs whose decided start no VM has confirmed. */
+  measureStarts(nowMs: number): readonly begins.StartSummary[];
   getCounts(): ReadonlyMap<string, number>;
   /** Returns the tasks that should run and don't, with the cause of each, and counts them by cause. */
   findOwed(query: owed.OwedQuery): readonly owed.OwedTask[];
@@ -211,6 +214,7 @@
       state.inheritedUntilMs = untilMs;
     },
     applyStart(vm, task, number, outcome, nowMs, untilMs) {
+      if (outcome === 'started') begins.recordBegin(state, task.job);
       const run = findRun(vm, task, number);
       if (run === undefined) return;
       if (outcome === 'unknown') run.startUntilMs = untilMs;
@@ -255,6 +259,8 @@
       return job === undefined ? undefined : views.measureTiming(job, nowMs);
     },
     countWaiting: () => views.countWaiting(state),
+    measureStarts: (nowMs) =>
+      begins.measureStarts(state, views.countWaiting(state), nowMs),
     getCounts: () => state.counts,
     findOwed(query) {
       const found = owed.findOwed(state, query);
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -118,6 +118,10 @@
   occurrencesLeft: number;
   /** Whether a run of any of its tasks has been decided. */
   hasStarted: boolean;
+  /** Whether a VM has shown that one of its tasks was started. */
+  hasBegun: boolean;
+  /** Time at which its first run was decided or restored. */
+  startDecidedMs: number | undefined;
   cancelled: boolean;
   /** Final state, possibly not durable yet. */
   final: types.FinalState | undefined;
--- a/packages/core/src/workloads/views.ts
+++ b/packages/core/src/workloads/views.ts
@@ -76,6 +76,7 @@
         id: job.job.id,
         queue: job.job.queue,
         state: describeJob(job),
+        begun: job.hasBegun,
         steps: job.occurrences.flatMap((occurrence) =>
           occurrence.steps.map((step) => ({
             step: `${occurrence.number}.${step.index}`,
