Count a job as started only when a VM has shown it

Cause: hasStarted of a job was set when a run was added to the tables, so when a start was only decided. Nothing took it back when that start was withdrawn, rejected, lost with its VM or never answered. The count of waiting jobs and the state `running` both rested on it.

A job now counts as started from a VM's word on: its answer `started`, a run that its report lists, or an end that it reports. A VM reports no end of a run that it never began, so each kind of end is such a word. A start whose outcome is unknown counts as waiting until the VM lists the run.

The tests failed before: with the old hasStarted, 15 of the 24 cases of begins.test.ts gave `running` where `pending` is expected (a start that is being recorded, sent, withdrawn, rejected for each of the nine reasons, unanswered, or lost with its VM; a service and a scheduled job). After the change all 24 pass, as do the other tests of the scheduler and of packages/cluster.

Why it works: the flag can't be ahead of the facts any more, since no decision or record sets it. What remains is a new owner, which can't tell yet about recorded runs.

--- a/packages/core/src/workloads/begins.ts
+++ b/packages/core/src/workloads/begins.ts
@@ -11,9 +11,9 @@
 /** Unscheduled jobs of a queue that haven't ended, by what is known of their first start. */
 export interface StartSummary {
   readonly queue: types.QueueName;
-  /** Jobs that callers are told to wait. */
+  /** Jobs of which no VM has shown that a task was started. */
   readonly waiting: number;
-  /** Jobs with a decided start that no VM has confirmed. */
+  /** Those of them with a decided start. */
   readonly unconfirmed: number;
   /** Longest time since the first of those starts was decided or restored, in ms. */
   readonly oldestMs: number;
--- a/packages/core/src/workloads/jobs.ts
+++ b/packages/core/src/workloads/jobs.ts
@@ -17,7 +17,6 @@
     acceptedMs,
     occurrences: [],
     occurrencesLeft: job.schedule?.times ?? 0,
-    hasStarted: false,
     hasBegun: false,
     startDecidedMs: undefined,
     cancelled: false,
--- a/packages/core/src/workloads/progress.ts
+++ b/packages/core/src/workloads/progress.ts
@@ -112,7 +112,6 @@
 
 function finishOccurrence(occurrence: tables.OccurrenceRow): void {
   occurrence.done = true;
-  occurrence.job.hasStarted = true;
   occurrence.job.hasBegun = true;
   for (const step of occurrence.steps) {
     step.doneCount = step.spec.count;
@@ -141,7 +140,6 @@
     task.state = 'done';
     step.doneCount += 1;
     step.waitingCount -= 1;
-    step.occurrence.job.hasStarted = true;
     step.occurrence.job.hasBegun = true;
   }
   for (const [index, number, vmId] of stored.runs ?? []) {
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -109,7 +109,7 @@
   getJobState(job: ids.JobId): types.JobState | undefined;
   /** Returns the time that a job has taken and the time that its objective allows. */
   getTiming(job: ids.JobId, nowMs: number): views.JobTiming | undefined;
-  /** Counts the jobs per queue without a started task; scheduled jobs don't count. */
+  /** Counts the jobs per queue of which no VM has shown that a task was started; scheduled jobs don't count. */
   countWaiting(): ReadonlyMap<types.QueueName, number>;
   /** Measures, by queue, the jobs whose decided start no VM has confirmed. */
   measureStarts(nowMs: number): readonly begins.StartSummary[];
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -190,7 +190,6 @@
   task.state = 'active';
   task.run = row;
   task.step.occurrence.job.activeRuns += 1;
-  task.step.occurrence.job.hasStarted = true;
   task.step.occurrence.job.startDecidedMs ??= nowMs;
   vm.runs.add(row);
   tables.addAmount(vm.used, tables.getNeed(task.step.spec), 1);
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -116,8 +116,6 @@
   readonly occurrences: OccurrenceRow[];
   /** Number of occurrences that aren't due yet. */
   occurrencesLeft: number;
-  /** Whether a run of any of its tasks has been decided. */
-  hasStarted: boolean;
   /** Whether a VM has shown that one of its tasks was started. */
   hasBegun: boolean;
   /** Time at which its first run was decided or restored. */
--- a/packages/core/src/workloads/views.ts
+++ b/packages/core/src/workloads/views.ts
@@ -8,7 +8,7 @@
 export function describeJob(job: tables.JobRow): types.JobState {
   if (job.durableFinal !== undefined) return job.durableFinal;
   if (job.cancelled) return 'cancelled';
-  return job.hasStarted ? 'running' : 'pending';
+  return job.hasBegun ? 'running' : 'pending';
 }
 
 /** Time that a job has taken and time that its objective allows. */
@@ -39,17 +39,13 @@
   };
 }
 
-/** Counts the jobs per queue without a started task; scheduled jobs don't count. */
+/** Counts the jobs per queue of which no VM has shown that a task was started; scheduled jobs don't count. */
 export function countWaiting(
   state: states.State,
 ): ReadonlyMap<types.QueueName, number> {
   const counts = new Map<types.QueueName, number>();
   for (const job of state.jobs.values()) {
-    if (
-      job.hasStarted ||
-      states.isJobOver(job) ||
-      job.job.schedule !== undefined
-    )
+    if (job.hasBegun || states.isJobOver(job) || job.job.schedule !== undefined)
       continue;
     counts.set(job.job.queue, (counts.get(job.job.queue) ?? 0) + 1);
   }
--- /dev/null
+++ b/packages/core/test/workloads/begins.test.ts
@@ -0,0 +1,276 @@
+/** Which jobs count as started: those of which a VM has shown that a task was started. */
+import * as vitest from 'vitest';
+import * as core from '../../src/index.js';
+import * as harnesses from './harness.js';
+
+type StartOutcome = core.workloads.StartOutcome;
+type StartCommand = Extract<
+  core.workloads.Command,
+  { readonly command: 'start' }
+>;
+
+const TIMEOUT_MS = 16_000;
+
+function createJob(
+  given: Partial<core.workloads.Job> = {},
+): core.workloads.Job {
+  return {
+    id: 'job',
+    queue: 'queue',
+    payload: 'work',
+    steps: [harnesses.createStep()],
+    schedule: undefined,
+    configVersion: 1,
+    acceptedAtMs: 0,
+    policy: harnesses.createPolicy(),
+    ...given,
+  };
+}
+
+/** An owner whose commands the test carries out. */
+class TestOwner {
+  nowMs = 1_000;
+  readonly scheduler: core.workloads.WorkloadScheduler;
+  /** Stored progress of the job. */
+  record: string | undefined;
+
+  constructor(firstRun = 1, unrecordedStarts = false) {
+    this.scheduler = core.workloads.createWorkloadScheduler({
+      bounds: { inheritedRunTimeoutMs: TIMEOUT_MS, firstRun },
+      unrecordedStarts,
+      nowMs: this.nowMs,
+    });
+  }
+
+  accept(job = createJob()): void {
+    this.scheduler.acceptJob(job, 0, this.nowMs, this.nowMs);
+  }
+
+  /** Creates the next owner, which restores the job from the record. */
+  createSuccessor(unrecordedStarts = false, job = createJob()): TestOwner {
+    const successor = new TestOwner(1_000, unrecordedStarts);
+    successor.record = this.record;
+    successor.scheduler.restoreJob(job, this.record, 0, this.nowMs, this.nowMs);
+    return successor;
+  }
+
+  report(
+    vm: string,
+    given: Partial<core.workloads.VmReport> = {},
+    entry: Partial<core.workloads.VmEntry> = {},
+  ): void {
+    this.nowMs += 10;
+    this.scheduler.setVmEntry(vm, harnesses.createEntry(vm, entry), this.nowMs);
+    this.scheduler.applyReport(
+      vm,
+      {
+        incarnation: 1,
+        running: [],
+        ended: [],
+        requestSentMs: this.nowMs,
+        ...given,
+      },
+      this.nowMs,
+    );
+  }
+
+  /** Runs a round without confirming its records. */
+  tick(): void {
+    this.nowMs += 10;
+    const { batch } = this.scheduler.tick(this.nowMs, this.nowMs);
+    this.record = batch?.progress.get('job') ?? this.record;
+  }
+
+  /** Runs a round and returns the starts that it sends. */
+  sendStarts(): readonly StartCommand[] {
+    this.tick();
+    return this.scheduler
+      .confirmBatch()
+      .filter((command) => command.command === 'start');
+  }
+
+  answer(start: StartCommand | undefined, outcome: StartOutcome): void {
+    if (start === undefined) throw new Error('no start was sent');
+    this.scheduler.applyStart(
+      start.vm,
+      start.task,
+      start.run,
+      outcome,
+      this.nowMs,
+    );
+  }
+
+  countWaiting(): number {
+    return this.scheduler.countWaiting().get('queue') ?? 0;
+  }
+
+  getState(): string | undefined {
+    return this.scheduler.getJobState('job');
+  }
+
+  expectWaiting(): void {
+    vitest.expect(this.getState()).toBe('pending');
+    vitest.expect(this.countWaiting()).toBe(1);
+  }
+
+  expectBegun(): void {
+    vitest.expect(this.getState()).toBe('running');
+    vitest.expect(this.countWaiting()).toBe(0);
+  }
+}
+
+/** Creates an owner with an idle VM and one accepted job. */
+function createOwner(job?: core.workloads.Job): TestOwner {
+  const owner = new TestOwner();
+  owner.report('a');
+  owner.accept(job);
+  return owner;
+}
+
+function createReportedRun(
+  start: StartCommand | undefined,
+): core.workloads.ReportedRun {
+  if (start === undefined) throw new Error('no start was sent');
+  const { task, run } = start;
+  return { task, run, saved: '', percent: 0, load: 0 };
+}
+
+function createEnd(
+  start: StartCommand | undefined,
+  how: core.workloads.RunEnd,
+): core.workloads.ReportedEnd {
+  if (start === undefined) throw new Error('no start was sent');
+  const { task, run } = start;
+  return { number: 1, task, run, how, saved: '' };
+}
+
+vitest.describe('a job of which no task has begun', () => {
+  vitest.it(
+    'waits while the record of its start is written (guards against a decided start that counts as begun)',
+    () => {
+      const owner = createOwner();
+      owner.tick();
+      owner.expectWaiting();
+      vitest.expect(owner.scheduler.confirmBatch()).toHaveLength(1);
+      owner.expectWaiting();
+    },
+  );
+
+  vitest.it.each([
+    'fenced',
+    'old',
+    'late',
+    'no-room',
+    'ticket',
+    'malformed',
+    'other-life',
+    'unhealthy',
+    'unreachable',
+  ] as const)(
+    'waits after its start was rejected as %s (guards against a rejected start that counts as begun)',
+    (outcome) => {
+      const owner = createOwner();
+      owner.answer(owner.sendStarts()[0], outcome);
+      owner.expectWaiting();
+    },
+  );
+
+  vitest.it(
+    'waits after its start was withdrawn (guards against an unsent start that counts as begun)',
+    () => {
+      const owner = createOwner();
+      owner.tick();
+      owner.report('a', {}, { draining: true });
+      owner.tick();
+      vitest.expect(owner.scheduler.confirmBatch()).toEqual([]);
+      owner.expectWaiting();
+    },
+  );
+
+  vitest.it(
+    'waits after its VM was lost before it answered the start (guards against a lost start that counts as begun)',
+    () => {
+      const owner = createOwner();
+      vitest.expect(owner.sendStarts()).toHaveLength(1);
+      owner.scheduler.loseVm('a', owner.nowMs);
+      owner.expectWaiting();
+    },
+  );
+
+  vitest.it(
+    'waits after its start got no answer, until its VM lists the delayed run (guards against an unanswered start that counts as begun)',
+    () => {
+      const owner = createOwner();
+      const [start] = owner.sendStarts();
+      owner.answer(start, 'unknown');
+      owner.expectWaiting();
+      owner.report('a');
+      owner.expectWaiting();
+      owner.report('a', { running: [createReportedRun(start)] });
+      owner.expectBegun();
+    },
+  );
+
+  vitest.it('of a service waits like any other', () => {
+    const owner = createOwner(
+      createJob({ steps: [harnesses.createStep({ lasts: true })] }),
+    );
+    const [start] = owner.sendStarts();
+    owner.expectWaiting();
+    owner.answer(start, 'started');
+    owner.expectBegun();
+  });
+
+  vitest.it('of a schedule is pending and not counted', () => {
+    const owner = createOwner(
+      createJob({ schedule: { times: 1, firstAtMs: 0, intervalMs: 100 } }),
+    );
+    const [start] = owner.sendStarts();
+    vitest.expect(owner.getState()).toBe('pending');
+    vitest.expect(owner.countWaiting()).toBe(0);
+    owner.answer(start, 'started');
+    vitest.expect(owner.getState()).toBe('running');
+  });
+});
+
+vitest.describe('a job of which a task has begun', () => {
+  vitest.it('does not wait from the answer to its start on', () => {
+    const owner = createOwner();
+    owner.answer(owner.sendStarts()[0], 'started');
+    owner.expectBegun();
+  });
+
+  vitest.it(
+    'does not wait although the answer came after its VM was lost',
+    () => {
+      const owner = createOwner();
+      const [start] = owner.sendStarts();
+      owner.scheduler.loseVm('a', owner.nowMs);
+      owner.answer(start, 'started');
+      owner.expectBegun();
+    },
+  );
+
+  vitest.it.each([
+    'done',
+    'failed',
+    'stopped',
+    'lapsed',
+    'broken',
+    'alone',
+  ] as const)('does not wait after a run was reported as %s', (how) => {
+    const owner = createOwner(
+      createJob({ steps: [harnesses.createStep({ count: 2 })] }),
+    );
+    const [start] = owner.sendStarts();
+    owner.report('a', { ended: [createEnd(start, how)] });
+    owner.expectBegun();
+  });
+
+  vitest.it('does not wait after its run was lost with its VM', () => {
+    const owner = createOwner();
+    owner.answer(owner.sendStarts()[0], 'started');
+    owner.scheduler.loseVm('a', owner.nowMs);
+    owner.expectBegun();
+  });
+});
