Keep in a job's record that it has begun

What callers saw: after a change of the owner, a job whose runs had all been stopped or lost was counted as waiting again and its state went from running back to pending.

Cause: a record shows a begin only through what it left: a task that is done, a failed run, saved progress. A run that was stopped, lapsed or lost leaves none, and its end is forgotten by the VM once it is acknowledged.

The record now has an optional field for it, written with the job's next record; a start alone causes no further write. For an earlier record without the field, the begin is inferred from done, failed and saved as before.

The test failed before: a successor of an owner that had acknowledged the end `stopped` of a job's only run answered `pending` where `running` is expected.

Why it works: an end is acknowledged only after the record with its effect is durable, and that record has the field. Until then the VM reports the run or its end again.

--- a/packages/core/src/workloads/progress.ts
+++ b/packages/core/src/workloads/progress.ts
@@ -1,6 +1,6 @@
 /**
- * Encodes the durable progress of a job: the tasks that are done, the failed runs, the
- * saved progress of tasks, and the VMs of the current runs. A new owner restores its
+ * Encodes the durable progress of a job: whether it has begun, the tasks that are done, the
+ * failed runs, the saved progress of tasks, and the VMs of the current runs. A new owner restores its
  * tables from it and needs to query only the VMs that may run something.
  */
 import * as states from './state.js';
@@ -26,12 +26,15 @@
 }
 
 interface StoredProgress {
+  /** Absent in earlier records, and while no VM has shown that a task was started. */
+  readonly begun?: true;
   readonly occurrences: readonly StoredOccurrence[];
 }
 
 /** Encodes the progress of a job. */
 export function encodeProgress(job: tables.JobRow): string {
   const stored: StoredProgress = {
+    ...(job.hasBegun ? { begun: true } : {}),
     occurrences: job.occurrences.map((occurrence) =>
       occurrence.done
         ? { number: occurrence.number }
@@ -87,6 +90,7 @@
   } catch {
     return false;
   }
+  if (stored.begun === true) job.hasBegun = true;
   for (const entry of stored.occurrences) {
     const occurrence =
       job.occurrences.find(({ number }) => number === entry.number) ??
--- a/packages/core/test/workloads/begins.test.ts
+++ b/packages/core/test/workloads/begins.test.ts
@@ -274,3 +274,40 @@
     owner.expectBegun();
   });
 });
+
+vitest.describe('a new owner', () => {
+  vitest.it(
+    'knows of a begin whose run has ended and left no other trace (guards against a begun job that waits after a takeover)',
+    () => {
+      const owner = createOwner();
+      const [start] = owner.sendStarts();
+      owner.answer(start, 'started');
+      owner.report('a', { ended: [createEnd(start, 'stopped')] });
+      owner.scheduler.suspendVm('a');
+      owner.tick();
+      owner.scheduler.confirmBatch();
+      vitest.expect(owner.scheduler.getDurableEnd('a')).toBe(1);
+      const successor = owner.createSuccessor();
+      successor.report('a');
+      successor.expectBegun();
+    },
+  );
+
+  vitest.it.each([
+    { done: '10' },
+    { done: '00', failed: { 1: [7] } },
+    { done: '00', saved: { 1: 'half' } },
+    { done: '00', gangFailures: [7] },
+  ])('infers a begin from the earlier record %j', (step) => {
+    const owner = new TestOwner();
+    owner.record = JSON.stringify({
+      occurrences: [{ number: 0, steps: [step] }],
+    });
+    owner
+      .createSuccessor(
+        false,
+        createJob({ steps: [harnesses.createStep({ count: 2 })] }),
+      )
+      .expectBegun();
+  });
+});
