Tell nothing of a recorded start until its VM has reported to the new owner

Cause: a record names a run before its start is sent. A new owner can't know whether the VM carried it out until that VM reports, or the run is lost or expires.

Such a job is now unresolved. Its state isn't told, and countWaiting counts it apart from the waiting jobs, so that a caller can be refused a count that isn't known. Final and cancelled states are always told. A VM's report resolves it; so does the end of the run with its VM or its timeout. Then nobody can tell any more whether it had begun, and it counts as waiting, which it does: none of its tasks runs. The owner's own count, of one number a queue, includes the unresolved jobs.

Why it works: an owner speaks of a begin only when it, or the record of an earlier one, has a VM's word; without a word it says so instead of choosing one of the two answers.

--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -55,7 +55,7 @@
 /** The owner of the cluster. */
 export interface Owner {
   readonly fence: number;
-  /** Resolves with the state of a job, with `unknown` only after the stream was read to its end. */
+  /** Resolves with the state of a job: `unknown` only after the stream was read to its end, undefined while it can't be known. */
   getJobState(
     id: core.ids.JobId,
   ): Promise<core.workloads.JobState | 'unknown' | undefined>;
@@ -63,7 +63,7 @@
   checkAdmission(job: core.workloads.Job): string | undefined;
   /** Returns whether starts of this owner, or of one before it, may not be durably recorded. */
   hasUnrecorded(): boolean;
-  /** Counts the waiting jobs per queue; undefined until the owner has restored its tables. */
+  /** Counts the waiting jobs per queue, and those that may wait; undefined until the owner has restored its tables. */
   countWaiting(): ReadonlyMap<core.workloads.QueueName, number> | undefined;
   getCounts(): ReadonlyMap<string, number>;
   /** Builds the record of what a successor may assume about leases. */
@@ -613,7 +613,7 @@
 
   function getKnownState(
     id: core.ids.JobId,
-  ): core.workloads.JobState | undefined {
+  ): core.workloads.JobState | 'unresolved' | undefined {
     const stored = jobs.find(id);
     if (stored?.final !== undefined) return stored.final;
     if (stored?.cancelled === true) return 'cancelled';
@@ -624,10 +624,12 @@
     id: core.ids.JobId,
   ): Promise<core.workloads.JobState | 'unknown' | undefined> {
     if (!ready || isClosed()) return undefined;
-    const knownState = getKnownState(id);
-    if (knownState !== undefined) return knownState;
-    if (!(await jobs.refresh())) return undefined;
-    return getKnownState(id) ?? 'unknown';
+    let state = getKnownState(id);
+    if (state === undefined) {
+      if (!(await jobs.refresh())) return undefined;
+      state = getKnownState(id);
+    }
+    return state === 'unresolved' ? undefined : (state ?? 'unknown');
   }
 
   const dropExpiredTimer = timers.subscribe(
@@ -655,7 +657,13 @@
   return {
     fence,
     getJobState,
-    countWaiting: () => (ready ? scheduler.countWaiting() : undefined),
+    countWaiting() {
+      if (!ready) return undefined;
+      const counts = new Map<core.workloads.QueueName, number>();
+      for (const [queue, { waiting, unresolved }] of scheduler.countWaiting())
+        counts.set(queue, waiting + unresolved);
+      return counts;
+    },
     checkAdmission(job) {
       // VM entries may be missing while the store is unavailable, and jobs already known are never declined.
       if (
--- a/packages/cluster/test/owner.test.ts
+++ b/packages/cluster/test/owner.test.ts
@@ -1,4 +1,4 @@
-/** The owner with one VM: what its lines say about a service task that doesn't run. */
+/** The owner with one VM: what its lines say about a service task that doesn't run, and what callers learn of its job. */
 import * as vitest from 'vitest';
 import * as core from '@flamingoward/core';
 import * as jobStores from '../src/jobStore.js';
@@ -51,8 +51,8 @@
   };
 }
 
-/** Creates an owner of a cluster with one VM, which runs a service task. */
-function createSetup() {
+/** Creates an owner of a cluster with one VM, which runs a service task; `progress` is the task's record. */
+function createSetup(progress?: string) {
   const context = fakes.createFakeContext();
   const { timers } = context;
   const running = new Map<number, core.workloads.ReportedRun>();
@@ -82,6 +82,8 @@
   const job = createService(timers.getDate());
   const { key, value } = records.buildAccepted(job);
   context.store.streams.jobs.add(key, value);
+  if (progress !== undefined)
+    context.store.streams.progress.add(job.id, progress);
   const owner = owners.createOwner(ownerContext, {
     fence: 7,
     previous: fakes.createPreviousOwner({}, ownerContext.timers.getNow()),
@@ -105,7 +107,7 @@
   });
   const listEvents = (event: string) =>
     context.lines.filter((line) => line.event === event);
-  return { owner, vm, listEvents, timers: context.fakeTimers };
+  return { owner, vm, job, running, listEvents, timers: context.fakeTimers };
 }
 
 vitest.describe('the lines of an owner', () => {
@@ -150,3 +152,33 @@
     },
   );
 });
+
+vitest.describe('the state of a job', () => {
+  vitest.it(
+    'is not told while the recorded VM has not answered a new owner (guards against a recorded start that counts as begun)',
+    async () => {
+      const { owner, vm, job, running, timers } = createSetup(
+        JSON.stringify({
+          occurrences: [
+            { number: 0, steps: [{ done: '0', runs: [[0, 5, 'vm-1', 1]] }] },
+          ],
+        }),
+      );
+      vm.silent = true;
+      await fakes.advance(timers, 500);
+      vitest.expect(await owner.getJobState(job.id)).toBeUndefined();
+      vm.silent = false;
+      running.set(5, {
+        task: { job: job.id, occurrence: 0, step: 0, index: 0 },
+        run: 5,
+        saved: '',
+        percent: 100,
+        load: 0,
+      });
+      await fakes.advance(timers, 3_000);
+      vitest.expect(await owner.getJobState(job.id)).toBe('running');
+      vitest.expect([...running.keys()]).toEqual([5]);
+      owner.close();
+    },
+  );
+});
--- a/packages/cluster/test/startReporter.test.ts
+++ b/packages/cluster/test/startReporter.test.ts
@@ -16,8 +16,20 @@
       });
       reporter.start();
       starts = [
-        { queue: 'slow', waiting: 0, unconfirmed: 9, oldestMs: 1_000.4 },
-        { queue: 'usual', waiting: 4, unconfirmed: 3, oldestMs: 999 },
+        {
+          queue: 'slow',
+          waiting: 0,
+          unresolved: 2,
+          unconfirmed: 9,
+          oldestMs: 1_000.4,
+        },
+        {
+          queue: 'usual',
+          waiting: 4,
+          unresolved: 0,
+          unconfirmed: 3,
+          oldestMs: 999,
+        },
       ];
       await fakes.advance(context.fakeTimers, 1_000);
       reporter.close();
@@ -33,6 +45,7 @@
             fence: 7,
             queue: 'slow',
             waiting: 0,
+            unresolved: 2,
             unconfirmed: 9,
             oldestMs: 1_000,
           },
--- a/packages/core/src/workloads/begins.ts
+++ b/packages/core/src/workloads/begins.ts
@@ -1,19 +1,26 @@
 /**
  * Evidence that a job has begun. A decided start may still be withdrawn, refused or lost
  * on its way, so only what a VM says shows that a task was started: the answer to a start
- * command, a run that it lists, or the end of one.
+ * command, a run that it lists, or the end of one. A new owner has only records of
+ * starts until the VMs report, so for some jobs it can't tell.
  */
 import type * as ids from '../types/ids.js';
 import * as states from './state.js';
-import type * as tables from './tables.js';
+import * as tables from './tables.js';
 import type * as types from './types.js';
 
-/** Unscheduled jobs of a queue that haven't ended, by what is known of their first start. */
-export interface StartSummary {
-  readonly queue: types.QueueName;
-  /** Jobs of which no VM has shown that a task was started. */
+/** Unscheduled jobs of a queue that haven't ended and of which no VM has shown that a task was started. */
+export interface UnstartedJobs {
+  /** Jobs that wait for their first start, or for a VM's word about it. */
   readonly waiting: number;
-  /** Those of them with a decided start. */
+  /** Jobs that an earlier owner may have started on a VM that hasn't reported to this one yet. */
+  readonly unresolved: number;
+}
+
+/** Unstarted jobs of a queue, and how many of them have a decided start. */
+export interface StartSummary extends UnstartedJobs {
+  readonly queue: types.QueueName;
+  /** Jobs with a decided start, also those that are unresolved. */
   readonly unconfirmed: number;
   /** Longest time since the first of those starts was decided or restored, in ms. */
   readonly oldestMs: number;
@@ -25,6 +32,41 @@
   if (job !== undefined) job.hasBegun = true;
 }
 
+/**
+ * Returns whether this owner can't know if a job has begun. Once the recorded run is lost
+ * or its timeout has passed, nobody can tell, and the job counts as waiting.
+ */
+export function isUnresolved(job: tables.JobRow): boolean {
+  if (job.hasBegun || job.activeRuns === 0) return false;
+  return job.occurrences.some(({ steps }) =>
+    steps.some(({ tasks }) =>
+      tasks.some(({ run }) => run !== undefined && tables.isInherited(run)),
+    ),
+  );
+}
+
+/** Counts the unstarted jobs of each queue; scheduled jobs don't count. */
+export function countUnstarted(
+  state: states.State,
+): ReadonlyMap<types.QueueName, UnstartedJobs> {
+  const counts = new Map<types.QueueName, UnstartedJobs>();
+  for (const job of state.jobs.values()) {
+    if (job.hasBegun || states.isJobOver(job) || job.job.schedule !== undefined)
+      continue;
+    const { queue } = job.job;
+    const { waiting, unresolved } = counts.get(queue) ?? NONE;
+    counts.set(
+      queue,
+      isUnresolved(job)
+        ? { waiting, unresolved: unresolved + 1 }
+        : { waiting: waiting + 1, unresolved },
+    );
+  }
+  return counts;
+}
+
+const NONE: UnstartedJobs = { waiting: 0, unresolved: 0 };
+
 /** Returns whether a start of a job was decided that no VM has confirmed. */
 function isUnconfirmed(job: tables.JobRow): boolean {
   return !job.hasBegun && job.startDecidedMs !== undefined;
@@ -33,9 +75,9 @@
 /** Measures, for each queue with such jobs, the jobs whose decided start no VM has confirmed. */
 export function measureStarts(
   state: states.State,
-  waiting: ReadonlyMap<types.QueueName, number>,
   nowMs: number,
 ): readonly StartSummary[] {
+  const counts = countUnstarted(state);
   const summaries = new Map<types.QueueName, StartSummary>();
   for (const job of state.jobs.values()) {
     if (job.job.schedule !== undefined || states.isJobOver(job)) continue;
@@ -44,7 +86,7 @@
     const previous = summaries.get(queue);
     summaries.set(queue, {
       queue,
-      waiting: waiting.get(queue) ?? 0,
+      ...(counts.get(queue) ?? NONE),
       unconfirmed: (previous?.unconfirmed ?? 0) + 1,
       oldestMs: Math.max(
         previous?.oldestMs ?? 0,
--- a/packages/core/src/workloads/index.ts
+++ b/packages/core/src/workloads/index.ts
@@ -1,7 +1,7 @@
 /** The job model and its scheduler. */
 export type * from './types.js';
 export { formatStep, formatTask, parseTask } from './names.js';
-export type { StartSummary } from './begins.js';
+export type { StartSummary, UnstartedJobs } from './begins.js';
 export { createWorkloadScheduler } from './scheduler.js';
 export type { Decision, WorkloadScheduler } from './scheduler.js';
 export type { Bounds, EndedRun, SchedulerOptions } from './state.js';
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -310,7 +310,7 @@
   const isTimeoutOver = nowMs > state.inheritedUntilMs;
   for (const vm of state.vms.values())
     for (const run of [...vm.runs]) {
-      if (isTimeoutOver && isInherited(run)) {
+      if (isTimeoutOver && tables.isInherited(run)) {
         loseRun(state, run, 'inherited-timeout', nowMs);
         continue;
       }
@@ -339,9 +339,3 @@
     .filter((vm) => vm.reportedMs === undefined && vm.runs.size > 0)
     .map(({ id }) => id);
 }
-
-/** Returns whether a previous owner started a run of which its VM hasn't reported anything yet. */
-function isInherited(run: tables.RunRow): boolean {
-  // Only VMs that have reported get new runs.
-  return run.phase === 'inherited' || run.vm.reportedMs === undefined;
-}
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -106,11 +106,12 @@
   hasUnrecordedStarts(nowMs: number): boolean;
   /** Returns the number of the latest end of a VM whose effect is durable. */
   getDurableEnd(vm: ids.VmId): number;
-  getJobState(job: ids.JobId): types.JobState | undefined;
+  /** Returns the state of a job: `unresolved` while this owner can't know whether it has begun, undefined for an unknown job. */
+  getJobState(job: ids.JobId): types.JobState | 'unresolved' | undefined;
   /** Returns the time that a job has taken and the time that its objective allows. */
   getTiming(job: ids.JobId, nowMs: number): views.JobTiming | undefined;
   /** Counts the jobs per queue of which no VM has shown that a task was started; scheduled jobs don't count. */
-  countWaiting(): ReadonlyMap<types.QueueName, number>;
+  countWaiting(): ReadonlyMap<types.QueueName, begins.UnstartedJobs>;
   /** Measures, by queue, the jobs whose decided start no VM has confirmed. */
   measureStarts(nowMs: number): readonly begins.StartSummary[];
   getCounts(): ReadonlyMap<string, number>;
@@ -258,9 +259,8 @@
       const job = state.jobs.get(id);
       return job === undefined ? undefined : views.measureTiming(job, nowMs);
     },
-    countWaiting: () => views.countWaiting(state),
-    measureStarts: (nowMs) =>
-      begins.measureStarts(state, views.countWaiting(state), nowMs),
+    countWaiting: () => begins.countUnstarted(state),
+    measureStarts: (nowMs) => begins.measureStarts(state, nowMs),
     getCounts: () => state.counts,
     findOwed(query) {
       const found = owed.findOwed(state, query);
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -189,6 +189,12 @@
   return canHaveUnknownRuns(vm) && (vm.pool === undefined || vm.pool === pool);
 }
 
+/** Returns whether a previous owner started a run of which its VM hasn't reported anything yet. */
+export function isInherited(run: RunRow): boolean {
+  // Only VMs that have reported get new runs.
+  return run.phase === 'inherited' || run.vm.reportedMs === undefined;
+}
+
 /** Returns the free resources of a VM. */
 export function getFree(vm: VmRow): resources.Resources {
   const capacity = vm.entry?.capacity;
--- a/packages/core/src/workloads/views.ts
+++ b/packages/core/src/workloads/views.ts
@@ -1,14 +1,16 @@
 /** Views of the tables for callers, metrics and operators. */
+import * as begins from './begins.js';
 import * as ranking from './ranking.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
 
 /** Returns the state of a job as reported to callers; a final state only once it is durable. */
-export function describeJob(job: tables.JobRow): types.JobState {
+export function describeJob(job: tables.JobRow): types.JobState | 'unresolved' {
   if (job.durableFinal !== undefined) return job.durableFinal;
   if (job.cancelled) return 'cancelled';
-  return job.hasBegun ? 'running' : 'pending';
+  if (job.hasBegun) return 'running';
+  return begins.isUnresolved(job) ? 'unresolved' : 'pending';
 }
 
 /** Time that a job has taken and time that its objective allows. */
@@ -39,19 +41,6 @@
   };
 }
 
-/** Counts the jobs per queue of which no VM has shown that a task was started; scheduled jobs don't count. */
-export function countWaiting(
-  state: states.State,
-): ReadonlyMap<types.QueueName, number> {
-  const counts = new Map<types.QueueName, number>();
-  for (const job of state.jobs.values()) {
-    if (job.hasBegun || states.isJobOver(job) || job.job.schedule !== undefined)
-      continue;
-    counts.set(job.job.queue, (counts.get(job.job.queue) ?? 0) + 1);
-  }
-  return counts;
-}
-
 /** Returns a plain copy of the tables for operators. */
 export function dumpState(state: states.State): unknown {
   return {
--- a/packages/core/test/workloads/begins.test.ts
+++ b/packages/core/test/workloads/begins.test.ts
@@ -101,7 +101,11 @@
   }
 
   countWaiting(): number {
-    return this.scheduler.countWaiting().get('queue') ?? 0;
+    return this.scheduler.countWaiting().get('queue')?.waiting ?? 0;
+  }
+
+  countUnresolved(): number {
+    return this.scheduler.countWaiting().get('queue')?.unresolved ?? 0;
   }
 
   getState(): string | undefined {
@@ -111,11 +115,19 @@
   expectWaiting(): void {
     vitest.expect(this.getState()).toBe('pending');
     vitest.expect(this.countWaiting()).toBe(1);
+    vitest.expect(this.countUnresolved()).toBe(0);
+  }
+
+  expectUnresolved(): void {
+    vitest.expect(this.getState()).toBe('unresolved');
+    vitest.expect(this.countWaiting()).toBe(0);
+    vitest.expect(this.countUnresolved()).toBe(1);
   }
 
   expectBegun(): void {
     vitest.expect(this.getState()).toBe('running');
     vitest.expect(this.countWaiting()).toBe(0);
+    vitest.expect(this.countUnresolved()).toBe(0);
   }
 }
 
@@ -293,6 +305,66 @@
     },
   );
 
+  vitest.it(
+    'counts a job whose start was recorded and never sent only once its VM has reported (guards against a recorded start that counts as begun)',
+    () => {
+      const owner = createOwner();
+      owner.tick();
+      const successor = owner.createSuccessor();
+      successor.expectUnresolved();
+      successor.report('b');
+      successor.expectUnresolved();
+      successor.report('a');
+      successor.expectWaiting();
+    },
+  );
+
+  vitest.it(
+    'counts a job as begun that the recorded VM runs (guards against a begun job that waits after a takeover)',
+    () => {
+      const owner = createOwner();
+      const [start] = owner.sendStarts();
+      owner.answer(start, 'started');
+      const successor = owner.createSuccessor();
+      successor.expectUnresolved();
+      successor.report('a', { running: [createReportedRun(start)] });
+      successor.expectBegun();
+    },
+  );
+
+  vitest.it(
+    'counts a job as waiting whose recorded VM is lost before it has reported',
+    () => {
+      const owner = createOwner();
+      vitest.expect(owner.sendStarts()).toHaveLength(1);
+      const successor = owner.createSuccessor();
+      successor.scheduler.loseVm('a', successor.nowMs);
+      successor.expectWaiting();
+    },
+  );
+
+  vitest.it(
+    'counts a job as waiting whose recorded VM does not report within the timeout',
+    () => {
+      const owner = createOwner();
+      vitest.expect(owner.sendStarts()).toHaveLength(1);
+      const successor = owner.createSuccessor();
+      successor.nowMs += TIMEOUT_MS;
+      successor.expectUnresolved();
+      successor.tick();
+      successor.expectWaiting();
+    },
+  );
+
+  vitest.it('knows the state of a cancelled job with an unresolved run', () => {
+    const owner = createOwner();
+    vitest.expect(owner.sendStarts()).toHaveLength(1);
+    const successor = owner.createSuccessor();
+    successor.scheduler.cancelJob('job', successor.nowMs);
+    vitest.expect(successor.getState()).toBe('cancelled');
+    vitest.expect(successor.countUnresolved()).toBe(0);
+  });
+
   vitest.it.each([
     { done: '10' },
     { done: '00', failed: { 1: [7] } },
