--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -13,6 +13,7 @@
 import * as leases from './leases.js';
 import * as owedReporters from './owedReporter.js';
 import * as timeouts from './timeouts.js';
+import * as startReporters from './startReporter.js';
 import * as recorders from './recorder.js';
 import type * as records from './records.js';
 import * as tails from './tail.js';
@@ -72,7 +73,7 @@
   readonly fence: number;
   /**
    * Resolves with the state of a job, with `unknown` only after the stream was read to its
-   * end, and with undefined while the owner's tables aren't complete or are too old.
+   * end, and with undefined while the owner can't know it.
    */
   getJobState(
     id: core.ids.JobId,
@@ -81,7 +82,10 @@
   checkAdmission(job: core.workloads.Job): string | undefined;
   /** Returns whether starts of this owner, or of one before it, may not be durably recorded. */
   hasUnrecorded(): boolean;
-  /** Counts the waiting jobs per queue; undefined while the owner's tables aren't complete or are too old. */
+  /**
+   * Counts the waiting jobs per queue, and those that may wait; undefined while the owner's
+   * tables aren't complete or are too old.
+   */
   countWaiting(): core.clusterMessages.OwnerCounts | undefined;
   getCounts(): ReadonlyMap<string, number>;
   /** Builds the record of what a successor may assume about leases. */
@@ -154,6 +158,10 @@
     listJobs: () => jobs.list(),
     hasJob: (id) => scheduler.getJobState(id) !== undefined,
   });
+  const startReporter = startReporters.createStartReporter(context, {
+    fence,
+    measureStarts: () => scheduler.measureStarts(timers.getNow()),
+  });
   log.write('info', 'leases.inherited', {
     fence,
     previous: earlierOwners.map(({ node }) => node).join(),
@@ -216,6 +224,7 @@
     jobs.setObserver(handleJobChange);
     ready = true;
     owedReporter.start();
+    startReporter.start();
     log.write('info', 'owner.ready', {
       fence,
       restored: restoredJobs,
@@ -652,9 +661,9 @@
     const stored = jobs.find(id);
     if (stored?.final !== undefined) return stored.final;
     if (stored?.cancelled === true) return 'cancelled';
-    return getTablesAge() < STALE_TABLES_MS
-      ? scheduler.getJobState(id)
-      : undefined;
+    if (getTablesAge() >= STALE_TABLES_MS) return undefined;
+    const state = scheduler.getJobState(id);
+    return state === 'unresolved' ? undefined : state;
   }
 
   async function getJobState(
@@ -694,9 +703,12 @@
     getJobState,
     countWaiting() {
       const ageMs = getTablesAge();
-      return ageMs < STALE_TABLES_MS
-        ? { fence, ageMs, waiting: [...scheduler.countWaiting()] }
-        : undefined;
+      if (ageMs >= STALE_TABLES_MS) return undefined;
+      const counts = [...scheduler.countWaiting()].map(
+        ([queue, { waiting, unresolved }]) =>
+          [queue, waiting + unresolved] as const,
+      );
+      return { fence, ageMs, waiting: counts };
     },
     checkAdmission(job) {
       // VM entries may be missing while the store is unavailable, and jobs already known are never declined.
@@ -768,6 +780,7 @@
       idleTimer.end();
       dropExpiredTimer.end();
       owedReporter.close();
+      startReporter.close();
       recorder.close();
       jobs.setObserver(undefined);
       fleet.setObserver(undefined);
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -5,6 +5,7 @@
  */
 import type * as ids from '../types/ids.js';
 import * as advice from './advice.js';
+import * as begins from './begins.js';
 import * as ends from './ends.js';
 import * as speeds from './speed.js';
 import * as states from './state.js';
@@ -128,6 +129,7 @@
   listed: Set<tables.RunRow>,
   nowMs: number,
 ): void {
+  begins.recordBegin(state, entry.task.job);
   const task = states.findTask(state, entry.task);
   const own = [...vm.runs].find(
     (run) => run.task === task && run.number === entry.run,
@@ -308,7 +310,7 @@
   const isTimeoutOver = nowMs > state.inheritedUntilMs;
   for (const vm of state.vms.values())
     for (const run of [...vm.runs]) {
-      if (isTimeoutOver && isInherited(run)) {
+      if (isTimeoutOver && tables.isInherited(run)) {
         loseRun(state, run, 'inherited-timeout', nowMs);
         continue;
       }
@@ -337,9 +339,3 @@
     .filter((vm) => vm.reportedMs === undefined && vm.runs.size > 0)
     .map(({ id }) => id);
 }
-
-/** Returns whether a previous owner started a run of which its VM hasn't reported anything yet. */
-function isInherited(run: tables.RunRow): boolean {
-  // Only VMs that have reported get new runs.
-  return run.phase === 'inherited' || run.vm.reportedMs === undefined;
-}
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -7,6 +7,7 @@
 import * as admission from './admission.js';
 import * as advice from './advice.js';
 import * as batches from './batch.js';
+import * as begins from './begins.js';
 import * as ends from './ends.js';
 import * as jobs from './jobs.js';
 import * as owed from './owed.js';
@@ -105,11 +106,14 @@
   hasUnrecordedStarts(nowMs: number): boolean;
   /** Returns the number of the latest end of a VM whose effect is durable. */
   getDurableEnd(vm: ids.VmId): number;
-  getJobState(job: ids.JobId): types.JobState | undefined;
+  /** Returns the state of a job: `unresolved` while this owner can't know whether it has begun, undefined for an unknown job. */
+  getJobState(job: ids.JobId): types.JobState | 'unresolved' | undefined;
   /** Returns the time that a job has taken and the time that its objective allows. */
   getTiming(job: ids.JobId, nowMs: number): views.JobTiming | undefined;
-  /** Counts the jobs per queue without a started task; scheduled jobs don't count. */
-  countWaiting(): ReadonlyMap<types.QueueName, number>;
+  /** Counts the jobs per queue of which no VM has shown that a task was started; scheduled jobs don't count. */
+  countWaiting(): ReadonlyMap<types.QueueName, begins.UnstartedJobs>;
+  /** Measures, by queue, the jobs whose decided start no VM has confirmed. */
+  measureStarts(nowMs: number): readonly begins.StartSummary[];
   getCounts(): ReadonlyMap<string, number>;
   /** Returns the tasks that should run and don't, with the cause of each, and counts them by cause. */
   findOwed(query: owed.OwedQuery): readonly owed.OwedTask[];
@@ -211,6 +215,7 @@
       state.inheritedUntilMs = untilMs;
     },
     applyStart(vm, task, number, outcome, nowMs, untilMs) {
+      if (outcome === 'started') begins.recordBegin(state, task.job);
       const run = findRun(vm, task, number);
       if (run === undefined) return;
       if (outcome === 'unknown') run.startUntilMs = untilMs;
@@ -254,7 +259,8 @@
       const job = state.jobs.get(id);
       return job === undefined ? undefined : views.measureTiming(job, nowMs);
     },
-    countWaiting: () => views.countWaiting(state),
+    countWaiting: () => begins.countUnstarted(state),
+    measureStarts: (nowMs) => begins.measureStarts(state, nowMs),
     getCounts: () => state.counts,
     findOwed(query) {
       const found = owed.findOwed(state, query);
