Walk at random over what nodes tell of jobs

No test asked the nodes anything while owners change.

The test submits, cancels and asks for jobs at random nodes while owners are stopped, killed, frozen or cut off from the store, the store fails, or questions between nodes are held up. The simulation notes when each job was stored, begun and ended on a VM, cancelled and stored as ended. Each count must have been right at some time in the 2 s before the answer, each state in the time of the question or the 2 s before it, 410 is only for jobs that weren't stored when they were asked for, and seven seconds after the last disturbance every node answers. The nodes of the simulation now have a request handler, and tasks that don't last end.

--- a/packages/cluster/test/clusterSimulation.ts
+++ b/packages/cluster/test/clusterSimulation.ts
@@ -4,12 +4,15 @@
  * expire. The timers of a frozen node fire late, as those of a suspended process do.
  */
 import * as core from '@flamingoward/core';
+import type * as configurations from '../src/configuration.js';
 import * as claims from '../src/claims.js';
 import * as fleets from '../src/fleet.js';
 import * as jobStores from '../src/jobStore.js';
 import * as owners from '../src/owner.js';
 import type * as ports from '../src/ports.js';
 import * as records from '../src/records.js';
+import * as requestHandlers from '../src/requestHandler.js';
+import * as waitingCounts from '../src/waitingCounts.js';
 import * as fakes from './fakes.js';
 
 /** Longest lease that the VMs accept unless a test sets another, in ms. */
@@ -31,6 +34,11 @@
 const RESTART_DELAY_MS = 1_000;
 /** Longest time by which a call or append without an answer is carried out late, in ms. */
 const LONGEST_DELAY_MS = 3_000;
+/** Timeout of a question from one node to another, in ms. */
+const QUESTION_TIMEOUT_MS = 600;
+const QUEUE_PATH = '/q/';
+/** Longest time that a task runs which doesn't last, in ms. */
+const LONGEST_TASK_MS = 3_000;
 const NODE_NAMES = ['n0', 'n1', 'n2', 'n3'];
 
 /** How the store fails for all nodes: appends and reads get no answer, or are refused at once. */
@@ -69,11 +77,34 @@
   storeCut: boolean;
   heartbeatAtMs: number;
   heartbeatFence: number | undefined;
+  handleRequest: requestHandlers.RequestHandler;
   /** What a frozen process does when it continues. */
   readonly wakeUps: (() => void)[];
   close: () => void;
 }
 
+/** What happened to a job, by time in ms. */
+export interface JobHistory {
+  readonly acceptedMs: number;
+  /** Time at which a VM first began its task. */
+  begunMs: number;
+  /** Time at which its task ended `done` on a VM. */
+  doneMs: number;
+  /** Time at which its cancellation was stored. */
+  cancelledMs: number;
+  /** Time at which its end was stored. */
+  finalMs: number;
+  final: core.workloads.FinalState | undefined;
+}
+
+/** An answer to a caller. */
+export interface GivenAnswer {
+  readonly node: string;
+  readonly askedMs: number;
+  readonly answeredMs: number;
+  readonly answer: ports.CallerAnswer;
+}
+
 const step: core.workloads.StepSpec = {
   count: 1,
   size: { cores: 1, memoryMb: 1, gpus: 0 },
@@ -93,6 +124,34 @@
   mayMiss: undefined,
 };
 
+/** Decodes a submission, which tells whether the job's task lasts. */
+function decodeSubmission(
+  body: Uint8Array,
+): ports.Decoded<Pick<core.workloads.Job, 'payload' | 'steps' | 'schedule'>> {
+  const lasts = new TextDecoder().decode(body) === 'lasts';
+  return {
+    readable: true,
+    value: { payload: '', steps: [{ ...step, lasts }], schedule: undefined },
+  };
+}
+
+/** Creates a configuration with one queue. */
+function createQueueView(): configurations.ConfigurationView {
+  const route = {
+    host: 'host',
+    pathPrefix: QUEUE_PATH,
+    policy: fakes.queuePolicy,
+  };
+  return {
+    getCurrent: () => ({ version: 1, routes: [route], maxBodyBytes: 1_000 }),
+    isStale: () => false,
+    findRoute: (_, path) => ({ route, rest: path.slice(QUEUE_PATH.length) }),
+    getPolicies: () => ({ version: 1, policies: new Map() }),
+    open: () => undefined,
+    close: () => undefined,
+  };
+}
+
 /** A cluster of nodes and VMs that runs service jobs of one task each. */
 export class ClusterSimulation {
   readonly violations: string[] = [];
@@ -102,6 +161,8 @@
   readonly longestGaps = new Map<core.ids.JobId, number>();
   readonly vms = new Map<core.ids.VmId, SimVm>();
   readonly nodes: SimNode[] = [];
+  /** What happened to each job according to the store and the VMs. */
+  readonly histories = new Map<core.ids.JobId, JobHistory>();
   private readonly world = core.createVirtualTimers(START_MS);
   private readonly store = fakes.createFakeStore(this.world);
   private readonly vmStream = fakes.createFakeStream(this.world);
@@ -111,9 +172,18 @@
   private readonly coresPerVm: number;
   private readonly getClockRate: () => number;
   private readonly lastRanMs = new Map<core.ids.JobId, number>();
+  private readonly begunMs = new Map<core.ids.JobId, number>();
+  private readonly doneMs = new Map<core.ids.JobId, number>();
+  /** Times at which runs end by themselves, by task and run. */
+  private readonly runEndsMs = new Map<string, number>();
+  private jobRecordsRead = 0;
+  /** Time until which questions between nodes and their answers are held up at random. */
+  private slowLinksUntilMs = 0;
   private storeFailure: StoreFailure | undefined;
   /** Time until which answers of VMs are lost, and calls carried out late, at random. */
   private lossyUntilMs = 0;
+  /** Jobs whose tasks end by themselves. */
+  private readonly shortJobs = new Set<core.ids.JobId>();
   private restarts = 0;
   private incarnations = 1;
 
@@ -232,6 +302,9 @@
       },
     };
     const jobs = jobStores.createJobStore(nodeContext);
+    const counts = waitingCounts.createWaitingCounts(nodeContext.timers, () =>
+      this.askOwner(node, (owner) => Promise.resolve(owner.countWaiting())),
+    );
     const fleet = fleets.createFleet(nodeContext);
     const ownership = claims.createClaims(nodeContext, {
       onOwned: (fence, previous) => {
@@ -280,6 +353,21 @@
     Object.assign(node, {
       context,
       claims: ownership,
+      handleRequest: requestHandlers.createRequestHandler(
+        {
+          ...nodeContext,
+          ports: { ...nodeContext.ports, decodeSubmission },
+        },
+        createQueueView(),
+        jobs,
+        {
+          fetchState: (id) =>
+            this.askOwner(node, (owner) => owner.getJobState(id)),
+          fetchWaiting: (queue, untilMs) => counts.fetch(queue, untilMs),
+          writeThroughOwner: () => Promise.resolve(undefined),
+          checkAdmission: () => undefined,
+        },
+      ),
       close: () => {
         ownership.close();
         node.owner?.close();
@@ -383,6 +471,109 @@
     }
   }
 
+  /** Asks the owner that a node follows; undefined without an answer. */
+  private async askOwner<Result>(
+    node: SimNode,
+    ask: (owner: owners.Owner) => Promise<Result>,
+  ): Promise<Result | undefined> {
+    if (node.owner !== undefined) return ask(node.owner);
+    const instance = node.claims.getOwner()?.instance;
+    if (instance === undefined) return undefined;
+    const delayLink = () =>
+      core.waitFor(
+        this.world,
+        'sim.link',
+        this.getNow() < this.slowLinksUntilMs
+          ? this.getRandom() * QUESTION_TIMEOUT_MS
+          : NETWORK_DELAY_MS,
+      );
+    const answer = async (): Promise<Result | undefined> => {
+      await delayLink();
+      const peer = this.findNode(instance);
+      if (peer === undefined) return undefined;
+      await this.pass(peer, Promise.resolve());
+      const { owner } = peer;
+      if (owner === undefined) return undefined;
+      const result = await this.pass(peer, ask(owner));
+      await delayLink();
+      return result;
+    };
+    const timeout = core
+      .waitFor(this.world, 'sim.timeout', QUESTION_TIMEOUT_MS)
+      .then(() => undefined);
+    return this.pass(node, Promise.race([answer(), timeout]));
+  }
+
+  /** Sends a request to a node; the answer is undefined when the node ends before. */
+  request(
+    node: SimNode,
+    method: string,
+    rest: string,
+    onAnswer: (given: GivenAnswer) => void,
+    body = '',
+  ): void {
+    const askedMs = this.getNow();
+    const answer = node.handleRequest({
+      method,
+      host: 'host',
+      path: `${QUEUE_PATH}${rest}`,
+      body: new TextEncoder().encode(body),
+      deadlineMs: undefined,
+    });
+    void this.pass(node, answer).then((result) => {
+      onAnswer({
+        node: node.name,
+        askedMs,
+        answeredMs: this.getNow(),
+        answer: result,
+      });
+    });
+  }
+
+  /** Holds up questions between nodes and their answers at random for a time. */
+  slowLinks(forMs: number): void {
+    this.slowLinksUntilMs = this.getNow() + forMs;
+  }
+
+  /** Notes what the store has learned of jobs. */
+  private noteJobs(): void {
+    const nowMs = this.getNow();
+    const { records: stored } = this.store.streams.jobs;
+    for (const record of stored.slice(this.jobRecordsRead)) {
+      const change = records.parseJobChange(record);
+      if (change === undefined) continue;
+      if (change.change === 'accepted') {
+        if (change.job.steps.every(({ lasts }) => !lasts))
+          this.shortJobs.add(change.job.id);
+        if (!this.histories.has(change.job.id))
+          this.histories.set(change.job.id, {
+            acceptedMs: nowMs,
+            begunMs: Infinity,
+            doneMs: Infinity,
+            cancelledMs: Infinity,
+            finalMs: Infinity,
+            final: undefined,
+          });
+      } else if (change.change === 'final') {
+        const history = this.histories.get(change.id);
+        if (history === undefined || history.final !== undefined) continue;
+        history.finalMs = nowMs;
+        history.final = change.state;
+      } else if (change.change === 'cancelled') {
+        const history = this.histories.get(change.id);
+        if (history !== undefined)
+          history.cancelledMs = Math.min(history.cancelledMs, nowMs);
+      }
+    }
+    this.jobRecordsRead = stored.length;
+    for (const [id, atMs] of this.begunMs) {
+      const history = this.histories.get(id);
+      if (history === undefined) continue;
+      history.begunMs = atMs;
+      history.doneMs = this.doneMs.get(id) ?? Infinity;
+    }
+  }
+
   /** Returns the newest owner, which may be frozen. */
   getOwner(): SimNode | undefined {
     return this.nodes
@@ -608,6 +799,12 @@
           `${this.getNow()}: ${name} started on ${vm.entry.id} while it runs on ${other.entry.id}`,
         );
     vm.running.set(name, { task, run, saved: '', percent: 100, load: 0 });
+    if (!this.begunMs.has(task.job)) this.begunMs.set(task.job, this.getNow());
+    if (this.shortJobs.has(task.job))
+      this.runEndsMs.set(
+        `${name} ${run}`,
+        this.getNow() + this.getRandom() * LONGEST_TASK_MS,
+      );
     return 'started';
   }
 
@@ -636,6 +833,13 @@
         for (const name of [...vm.running.keys()])
           this.endRun(vm, name, 'lapsed');
       }
+      for (const [name, { task, run }] of [...vm.running]) {
+        const endsMs = this.runEndsMs.get(`${name} ${run}`) ?? Infinity;
+        if (this.getNow() < endsMs) continue;
+        this.endRun(vm, name, 'done');
+        if (!this.doneMs.has(task.job))
+          this.doneMs.set(task.job, this.getNow());
+      }
       const silentMs = this.getNow() - vm.silentSinceMs;
       if (vm.state !== 'up' && vm.listed && silentMs >= UNLISTED_AFTER_MS) {
         vm.listed = false;
@@ -833,6 +1037,7 @@
       for (let turn = 0; turn < 30; turn += 1) await Promise.resolve();
       this.stepVms();
       this.measureGaps();
+      this.noteJobs();
     }
   }
 
@@ -853,7 +1058,9 @@
   formatLines(): string {
     return [...this.closedNodes, ...this.nodes]
       .flatMap(({ context }) => context.lines)
-      .filter(({ event }) => /^(vm|owner|task|leases|sim|claims)/.test(event))
+      .filter(({ event }) =>
+        /^(vm|owner|task|leases|sim|claims|request)/.test(event),
+      )
       .sort((a, b) => Number(a.fields.atMs) - Number(b.fields.atMs))
       .map(({ event, fields }) => `${event} ${JSON.stringify(fields)}`)
       .join('\n');
