--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -116,8 +116,10 @@
   readonly occurrences: OccurrenceRow[];
   /** Number of occurrences that aren't due yet. */
   occurrencesLeft: number;
-  /** Whether a run of any of its tasks has been decided. */
-  hasStarted: boolean;
+  /** Whether a VM has shown that one of its tasks was started. */
+  hasBegun: boolean;
+  /** Time at which its first run was decided or restored. */
+  startDecidedMs: number | undefined;
   cancelled: boolean;
   /** Final state, possibly not durable yet. */
   final: types.FinalState | undefined;
@@ -187,6 +189,12 @@
   return canHaveUnknownRuns(vm) && (vm.pool === undefined || vm.pool === pool);
 }
 
+/** Returns whether a previous owner started a run of which its VM hasn't reported anything yet. */
+export function isInherited(run: RunRow): boolean {
+  // Only VMs that have reported get new runs.
+  return run.phase === 'inherited' || run.vm.reportedMs === undefined;
+}
+
 /** Returns the free resources of a VM. */
 export function getFree(vm: VmRow): resources.Resources {
   const capacity = vm.entry?.capacity;
