Compare the jobs that count as begun with the simulated VMs at every step

DisturbedCluster now keeps each start that a VM carries out and checks at every step: a job counts as begun only if a VM has begun one of its tasks; a begin is known 2 s after the VM was reachable, the age that a count may have; what an owner knew when a record was written, later owners know; a job with a recorded run on a VM that hasn't reported isn't said to wait, and isn't unresolved past the timeout of that run; the counts of each queue agree with the states. A begin whose VM has restarted or left, or whose record the walk itself destroyed, may be unknown. The new walk adds cold starts, in which no owner is there for up to 3 s and the VMs go on or all restart.

--- a/packages/core/test/workloads/disturbedCluster.ts
+++ b/packages/core/test/workloads/disturbedCluster.ts
@@ -2,7 +2,8 @@
  * Model of a cluster for random walks of disturbances: VMs, their sessions, the store, the
  * advice service and the owner in virtual time. Unlike `simulation.ts`, which checks each
  * start, it checks that no work is left out: once the disturbances end, everything that is
- * owed runs within a bound.
+ * owed runs within a bound. It also compares the jobs that count as begun with what the VMs
+ * have started.
  */
 import * as core from '../../src/index.js';
 import * as states from '../../src/workloads/state.js';
@@ -21,6 +22,8 @@
 const RUNS_PER_FENCE = 1_000_000;
 /** Time without the other members after which a member of a gang ends. */
 const GANG_WAIT_MS = 1_000;
+/** Age that a count of waiting jobs may have. */
+const COUNT_AGE_MS = 2_000;
 /** Time after which an owed task must be named: its threshold, and the time until its VM's silence or end is known. */
 const NAMED_AFTER_MS = 3_000 + 1_500;
 
@@ -52,6 +55,15 @@
   ignoresStops: boolean;
   ignoresPace: boolean;
   reportDelayMs: number;
+  /** Time since which the owner's session has reached it without a break. */
+  reachableSinceMs: number;
+}
+
+/** A start that a VM has carried out. */
+interface Begin {
+  readonly vm: ClusterVm;
+  readonly incarnation: number;
+  readonly atMs: number;
 }
 
 interface Session {
@@ -69,7 +81,14 @@
   readonly scheduler: core.workloads.WorkloadScheduler;
   readonly sessions: Map<string, Session>;
   readonly openStarts: Set<string>;
-  batch: { batch: core.workloads.RecordBatch; dueMs: number } | undefined;
+  batch:
+    | {
+        batch: core.workloads.RecordBatch;
+        /** Jobs that count as begun for this owner. */
+        begunJobs: readonly string[];
+        dueMs: number;
+      }
+    | undefined;
   isAlive: boolean;
 }
 
@@ -90,6 +109,12 @@
   private readonly progress = new Map<string, string>();
   private readonly finals = new Map<string, core.workloads.FinalState>();
   private readonly lastRanMs = new Map<string, number>();
+  /** Carried out starts by job. */
+  private readonly begins = new Map<string, Begin[]>();
+  /** Jobs whose record was changed by a disturbance, with the time. */
+  private readonly recordChangedMs = new Map<string, number>();
+  /** Jobs that counted as begun for an owner when their record was written. */
+  private readonly recordedBegins = new Set<string>();
   private owner: Owner;
   private fences = 0;
   private vmCount = 0;
@@ -172,6 +197,7 @@
       ignoresStops: false,
       ignoresPace: false,
       reportDelayMs: 5,
+      reachableSinceMs: this.nowMs,
     };
     this.vms.set(id, vm);
     return vm;
@@ -301,14 +327,15 @@
   private replaceOwner(): void {
     const old = this.owner;
     old.isAlive = false;
-    if (old.batch !== undefined && this.chance(0.5))
-      this.writeBatch(old.batch.batch);
+    if (old.batch !== undefined && this.chance(0.5)) this.writeBatch(old.batch);
     const isUnrecorded = old.scheduler.hasUnrecordedStarts(this.nowMs);
     const ids = [...this.progress.keys()];
     if (ids.length > 0 && this.chance(0.3)) {
       const id = this.pick(ids);
       const how = this.pick(['lost', 'unreadable', 'gone-vm'] as const);
       this.log(`record of ${id} ${how}`);
+      this.recordChangedMs.set(id, this.nowMs);
+      this.recordedBegins.delete(id);
       if (how === 'lost') this.progress.delete(id);
       if (how === 'unreadable') this.progress.set(id, '{"occurrences": [');
       if (how === 'gone-vm')
@@ -333,7 +360,8 @@
     });
   }
 
-  private writeBatch(batch: core.workloads.RecordBatch): void {
+  private writeBatch({ batch, begunJobs }: NonNullable<Owner['batch']>): void {
+    for (const id of begunJobs) this.recordedBegins.add(id);
     for (const [id, text] of batch.progress) this.progress.set(id, text);
     for (const [id, final] of batch.finals) this.finals.set(id, final);
     for (const id of batch.dropped) this.progress.delete(id);
@@ -446,7 +474,7 @@
     vm.leaseEndMs = Math.max(vm.leaseEndMs, untilMs);
     if (command.run <= (vm.closedRuns.get(task) ?? 0)) return 'old';
     const key = `${task}#${command.run}`;
-    if (!vm.running.has(key))
+    if (!vm.running.has(key)) {
       vm.running.set(key, {
         task: command.task,
         run: command.run,
@@ -454,6 +482,10 @@
         percent: 0,
         pace: 100,
       });
+      const { job } = command.task;
+      const begin = { vm, incarnation, atMs: this.nowMs };
+      this.begins.set(job, [...(this.begins.get(job) ?? []), begin]);
+    }
     return 'started';
   }
 
@@ -657,13 +689,16 @@
     if (decision.batch !== undefined)
       owner.batch = {
         batch: decision.batch,
+        begunJobs: [...decision.batch.progress.keys()].filter(
+          (id) => owner.scheduler.getJobState(id) === 'running',
+        ),
         dueMs: this.nowMs + this.storeDelayMs,
       };
     else if (this.storeDelayMs > 500 && this.chance(0.05))
       for (const command of owner.scheduler.releaseStarts())
         this.execute(owner, command);
     if (owner.batch === undefined || owner.batch.dueMs > this.nowMs) return;
-    this.writeBatch(owner.batch.batch);
+    this.writeBatch(owner.batch);
     owner.batch = undefined;
     for (const command of owner.scheduler.confirmBatch())
       this.execute(owner, command);
@@ -855,13 +890,34 @@
       this.disturbances[name]!();
     }
     const { owner } = this;
+    if (!owner.isAlive) return;
     for (const [id, session] of [...owner.sessions])
       this.holdVm(owner, id, session);
     this.tick(owner);
     this.checkTables(owner);
+    this.trackReachable(owner);
+    this.checkBegins(owner);
     if (this.nowMs % (10 * TICK_MS) === 0) this.checkNamed(owner);
   }
 
+  /** Stops the owner; the next one follows only after a while. With `losesVms`, all VMs restart meanwhile. */
+  startCold(losesVms: boolean): void {
+    this.log(`cold start, VMs ${losesVms ? 'restart' : 'go on'}`);
+    const { owner } = this;
+    owner.isAlive = false;
+    if (losesVms)
+      for (const vm of this.vms.values()) {
+        if (!vm.isUp || !vm.isListed) continue;
+        this.crash(vm);
+        vm.isUp = true;
+        vm.incarnation += 1;
+        vm.entry = { ...vm.entry, incarnation: vm.incarnation };
+      }
+    this.send(this.random() * 3_000, () => {
+      if (this.owner === owner) this.replaceOwner();
+    });
+  }
+
   /** Ends all disturbances: VMs that are left answer, commands succeed, and there is plenty of room. */
   calm(): void {
     this.log('calm');
@@ -896,6 +952,83 @@
       this.addViolation(`tables: ${what}`);
   }
 
+  private trackReachable(owner: Owner): void {
+    for (const vm of this.vms.values())
+      if (
+        !vm.isUp ||
+        !vm.isLinked ||
+        owner.sessions.get(vm.id)?.address !== vm.entry.address
+      )
+        vm.reachableSinceMs = this.nowMs;
+  }
+
+  /** Compares the jobs that count as begun, and the counts, with the starts that the VMs have carried out. */
+  private checkBegins(owner: Owner): void {
+    const counts = new Map(
+      [...this.initialPolicies.keys()].map((queue) => [
+        queue,
+        { waiting: 0, unresolved: 0 },
+      ]),
+    );
+    for (const [id, { job, cancelled }] of this.jobs) {
+      if (cancelled || owner.state.jobs.get(id)?.final !== undefined) continue;
+      const state = owner.scheduler.getJobState(id);
+      if (state === undefined) continue;
+      if (state === 'running') {
+        if (!this.begins.has(id))
+          this.addViolation(`${id} counts as begun, and no task has begun`);
+        continue;
+      }
+      if (job.schedule === undefined)
+        counts.get(job.queue)![
+          state === 'unresolved' ? 'unresolved' : 'waiting'
+        ] += 1;
+      if (this.recordedBegins.has(id))
+        this.addViolation(`${id} has begun by its record and is ${state}`);
+      if (state === 'unresolved') {
+        if (
+          this.nowMs - owner.createdMs >
+          INHERITED_RUN_TIMEOUT_MS + 2 * TICK_MS
+        )
+          this.addViolation(`${id} is unresolved after the timeout`);
+      } else if (this.isBeginShown(owner, id))
+        this.addViolation(`${id} has begun and counts as waiting`);
+    }
+    for (const vm of owner.state.vms.values()) {
+      if (vm.reportedMs !== undefined) continue;
+      for (const { task } of vm.runs) {
+        const { id } = task.step.occurrence.job.job;
+        if (owner.scheduler.getJobState(id) === 'pending')
+          this.addViolation(
+            `${id} may have begun on ${vm.id}, which hasn't reported, and counts as waiting`,
+          );
+      }
+    }
+    const told = owner.scheduler.countWaiting();
+    for (const [queue, count] of counts) {
+      const { waiting, unresolved } = told.get(queue) ?? {
+        waiting: 0,
+        unresolved: 0,
+      };
+      if (waiting !== count.waiting || unresolved !== count.unresolved)
+        this.addViolation(
+          `${queue}: ${waiting} wait and ${unresolved} are unresolved instead of ${count.waiting} and ${count.unresolved}`,
+        );
+    }
+  }
+
+  /** Returns whether a VM that has begun a task of a job was reachable for long enough since then to show it. */
+  private isBeginShown(owner: Owner, id: string): boolean {
+    return (this.begins.get(id) ?? []).some(
+      ({ vm, incarnation, atMs }) =>
+        vm.incarnation === incarnation &&
+        !vm.hasLeft &&
+        atMs > (this.recordChangedMs.get(id) ?? -Infinity) &&
+        this.nowMs - Math.max(atMs, vm.reachableSinceMs, owner.createdMs) >
+          COUNT_AGE_MS,
+    );
+  }
+
   private addViolation(what: string): void {
     if (this.violations.length < 20)
       this.violations.push(`${this.nowMs}: ${what}`);
