Refuse counts and states of jobs whose recorded start is unresolved

After a change of owner, callers were told counts that took jobs that ran as waiting, and `pending` for a job that ran, while its VM didn't answer the new owner.

Cause: a new owner knows from a record, or may have to assume without one, that an earlier owner has started a job on a VM that hasn't reported yet. The owner's count of a queue added such unresolved jobs to the waiting ones. Starts without a record were allowed for only until each VM had reported or missed two calls, and then taken as not begun.

Change: the scheduler takes a job as unresolved also while an earlier owner may have started it without a record on a VM of its pool that hasn't reported, by the same rule that keeps it from starting that job. An owner names the queues with unresolved jobs beside its counts, and tells `unresolved` for such a job. A node asks again for a while, as it does while no owner answers, and then refuses with the reason. It doesn't read the stream for an unresolved job, which couldn't tell more. Other answers no longer wait for the reports of all VMs.

The test "is unknown until the VMs have reported to a new owner" had a run without a record under a previous owner that had recorded all its starts, which can't happen. It now has one that may not have, and expects `unresolved` for the state and for the queue. The test of a recorded start expects `unresolved` where it expected no answer.

Evidence: the random walk over answers now also cuts off VMs for up to 3 s.

What remains: a run that was lost with its VM before any owner had a word of it counts as not begun, since nobody can tell.

--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -393,7 +393,7 @@
 
   async function askOwner(
     id: core.ids.JobId,
-  ): Promise<core.workloads.JobState | 'unknown' | undefined> {
+  ): Promise<core.clusterMessages.JobAnswer | undefined> {
     if (owner !== undefined) return owner.getJobState(id);
     const current = ownership.getOwner();
     if (current === undefined) return undefined;
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -72,20 +72,17 @@
 export interface Owner {
   readonly fence: number;
   /**
-   * Resolves with the state of a job, with `unknown` only after the stream was read to its
-   * end, and with undefined while the owner can't know it.
+   * Resolves with what this owner can tell of a job: `unknown` only after the stream was read
+   * to its end, undefined while its tables aren't restored or are too old.
    */
   getJobState(
     id: core.ids.JobId,
-  ): Promise<core.workloads.JobState | 'unknown' | undefined>;
+  ): Promise<core.clusterMessages.JobAnswer | undefined>;
   /** Returns the reason why no VM can ever run a job; undefined when one can, or when this isn't known. */
   checkAdmission(job: core.workloads.Job): string | undefined;
   /** Returns whether starts of this owner, or of one before it, may not be durably recorded. */
   hasUnrecorded(): boolean;
-  /**
-   * Counts the waiting jobs per queue, and those that may wait; undefined while the owner's
-   * tables aren't complete or are too old.
-   */
+  /** Counts the waiting jobs per queue; undefined while the tables aren't restored or are too old. */
   countWaiting(): core.clusterMessages.OwnerCounts | undefined;
   getCounts(): ReadonlyMap<string, number>;
   /** Builds the record of what a successor may assume about leases. */
@@ -136,8 +133,6 @@
     options.onAppendFailed,
   );
   const sessionsByVm = new Map<core.ids.VmId, vmSessions.VmSession>();
-  /** VMs that haven't yet shown this owner which runs of earlier owners have begun on them. */
-  const unreportedVms = new Set<core.ids.VmId>();
   const durableWaiters = new Set<() => void>();
   const scheduler = core.workloads.createWorkloadScheduler({
     bounds: {
@@ -156,7 +151,7 @@
         hasSession: (id) => sessionsByVm.has(id),
       }),
     listJobs: () => jobs.list(),
-    hasJob: (id) => scheduler.getJobState(id) !== undefined,
+    hasJob: (id) => scheduler.hasJob(id),
   });
   const startReporter = startReporters.createStartReporter(context, {
     fence,
@@ -209,10 +204,7 @@
       if (entry.cancelled) scheduler.cancelJob(job.id, nowMs);
       restoredJobs += 1;
     }
-    for (const vm of fleet.list()) {
-      updateVm(vm.id, vm);
-      if (!inheritedSilentVms.has(vm.id)) unreportedVms.add(vm.id);
-    }
+    for (const vm of fleet.list()) updateVm(vm.id, vm);
     for (const id of [
       ...scheduler.listInheritedVms(),
       ...listReleasedVms(nowMs),
@@ -331,20 +323,16 @@
     onReport(id, report) {
       if (isClosed()) return;
       inheritedSilentVms.delete(id);
-      unreportedVms.delete(id);
       scheduler.applyReport(id, report, timers.getNow());
       requestTick();
     },
     onUnresponsive(id) {
-      unreportedVms.delete(id);
       scheduler.suspendVm(id);
     },
     onTerminated(id) {
-      unreportedVms.delete(id);
       scheduler.failVm(id, timers.getNow());
     },
     onLost(id) {
-      unreportedVms.delete(id);
       scheduler.loseVm(id, timers.getNow());
       if (fleet.find(id) === undefined) {
         const session = sessionsByVm.get(id);
@@ -645,11 +633,10 @@
 
   /**
    * Returns the age of the tables, in ms: all jobs accepted before are in them, and no
-   * later owner had claimed by then, so no other one had started any. They aren't complete
-   * until the VMs have shown what earlier owners started.
+   * later owner had claimed by then, so no other one had started any.
    */
   function getTablesAge(): number {
-    return ready && unreportedVms.size === 0 && !isClosed()
+    return ready && !isClosed()
       ? Math.max(jobs.getReadAge(), options.getConfirmedAge())
       : Infinity;
   }
@@ -657,18 +644,17 @@
   /** Returns the state of a job if its end is stored or the tables are recent. */
   function getKnownState(
     id: core.ids.JobId,
-  ): core.workloads.JobState | undefined {
+  ): core.clusterMessages.JobAnswer | undefined {
     const stored = jobs.find(id);
     if (stored?.final !== undefined) return stored.final;
     if (stored?.cancelled === true) return 'cancelled';
     if (getTablesAge() >= STALE_TABLES_MS) return undefined;
-    const state = scheduler.getJobState(id);
-    return state === 'unresolved' ? undefined : state;
+    return scheduler.getJobState(id, timers.getNow());
   }
 
   async function getJobState(
     id: core.ids.JobId,
-  ): Promise<core.workloads.JobState | 'unknown' | undefined> {
+  ): Promise<core.clusterMessages.JobAnswer | undefined> {
     if (!ready || isClosed()) return undefined;
     const isKnown = () => jobs.find(id) !== undefined;
     if (isKnown()) return getKnownState(id);
@@ -704,11 +690,15 @@
     countWaiting() {
       const ageMs = getTablesAge();
       if (ageMs >= STALE_TABLES_MS) return undefined;
-      const counts = [...scheduler.countWaiting()].map(
-        ([queue, { waiting, unresolved }]) =>
-          [queue, waiting + unresolved] as const,
-      );
-      return { fence, ageMs, waiting: counts };
+      const counts = [...scheduler.countWaiting(timers.getNow())];
+      return {
+        fence,
+        ageMs,
+        waiting: counts.map(([queue, { waiting }]) => [queue, waiting]),
+        unresolved: counts.flatMap(([queue, { unresolved }]) =>
+          unresolved > 0 ? [queue] : [],
+        ),
+      };
     },
     checkAdmission(job) {
       // VM entries may be missing while the store is unavailable, and jobs already known are never declined.
@@ -773,7 +763,7 @@
       recent: getTablesAge() < STALE_TABLES_MS,
       readAgeMs: Math.round(jobs.getReadAge()),
       confirmedAgeMs: Math.round(options.getConfirmedAge()),
-      tables: ready ? scheduler.dump() : undefined,
+      tables: ready ? scheduler.dump(timers.getNow()) : undefined,
     }),
     close() {
       closed = true;
--- a/packages/cluster/src/requestHandler.ts
+++ b/packages/cluster/src/requestHandler.ts
@@ -29,10 +29,10 @@
 
 /** Functions of the node through which requests about jobs are answered. */
 export interface JobQueries {
-  /** Fetches a job's state from the owner; undefined when no owner answers. */
+  /** Fetches what the owner tells of a job; undefined when no owner tells anything. */
   fetchState(
     id: core.ids.JobId,
-  ): Promise<core.workloads.JobState | 'unknown' | undefined>;
+  ): Promise<core.clusterMessages.JobAnswer | undefined>;
   /** Fetches the count of a queue's waiting jobs; undefined when no owner has told it until `untilMs`. */
   fetchWaiting(
     queue: core.workloads.QueueName,
@@ -182,16 +182,22 @@
     untilMs: number,
   ): Promise<ports.CallerAnswer> {
     const startedMs = timers.getNow();
+    let told: core.clusterMessages.JobAnswer | undefined;
     for (;;) {
-      const knownState =
-        getStoredState(id) ?? (await jobQueries.fetchState(id));
-      if (knownState === 'unknown') return { answer: 'unknown-job' };
-      if (knownState !== undefined)
-        return { answer: 'state', state: knownState };
+      told = getStoredState(id) ?? (await jobQueries.fetchState(id));
+      if (told === 'unknown') return { answer: 'unknown-job' };
+      if (told !== undefined && told !== 'unresolved')
+        return { answer: 'state', state: told };
       const nowMs = timers.getNow();
       if (nowMs - startedMs > OWNER_ANSWER_TIMEOUT_MS || nowMs > untilMs) break;
       await core.waitFor(timers, 'desk.owner', ASK_INTERVAL_MS);
     }
+    if (told === 'unresolved')
+      return buildRefused(
+        'unavailable',
+        'whether the job has started is not known at present',
+        OWNER_RETRY_S,
+      );
     // Without an owner, the stream tells whether the job exists and how it ended, but not whether it has started.
     const storeAnswered = await jobs.refresh();
     const state = getStoredState(id);
--- a/packages/cluster/src/waitingCounts.ts
+++ b/packages/cluster/src/waitingCounts.ts
@@ -2,7 +2,8 @@
  * Counts of the waiting jobs of each queue. Only the owner knows which jobs have started,
  * so a node asks it and keeps the answer for a while. An answer's age is the time since
  * the question was sent plus the age of the owner's tables, so time on the way counts. A
- * count that may be older than callers are promised is never given.
+ * count that may be older than callers are promised is never given, nor is that of a queue
+ * with jobs of which the owner can't know yet whether they have started.
  */
 import * as core from '@flamingoward/core';
 
@@ -48,6 +49,10 @@
     return timers.getNow() - (newest?.atMs ?? -Infinity);
   }
 
+  function isUnresolved(queue: core.workloads.QueueName): boolean {
+    return newest?.counts.unresolved.includes(queue) === true;
+  }
+
   async function ask(): Promise<void> {
     const sentMs = timers.getNow();
     const counts = await askOwner();
@@ -60,9 +65,10 @@
   return {
     async fetch(queue, untilMs) {
       for (;;) {
-        if (getAge() >= REFRESH_MS) await (asking ??= ask());
+        if (getAge() >= REFRESH_MS || isUnresolved(queue))
+          await (asking ??= ask());
         const ageMs = getAge();
-        if (newest !== undefined && ageMs < STALE_MS) {
+        if (newest !== undefined && ageMs < STALE_MS && !isUnresolved(queue)) {
           const { fence, waiting } = newest.counts;
           return {
             waiting: waiting.find(([name]) => name === queue)?.[1] ?? 0,
--- a/packages/cluster/test/answers.property.test.ts
+++ b/packages/cluster/test/answers.property.test.ts
@@ -17,6 +17,10 @@
 const WALK_MS = 15_000;
 /** Time after the last disturbance within which every node answers again, in ms. */
 const CALM_MS = 7_000;
+/** Longest time for which VMs are cut off, in ms; their leases outlast it. */
+const LONGEST_CUT_MS = 3_000;
+/** Time for which VMs stay connected after that, in ms: a begin that no owner has heard of when its lease ends is not known to any. */
+const CONNECTED_MS = 8_000;
 const VMS = 2;
 const CORES_PER_VM = 4;
 
@@ -38,10 +42,11 @@
   return values[Math.floor(getRandom() * values.length)]!;
 }
 
-/** Disturbs owners, links or the store; returns the time that it lasts, in ms. */
+/** Disturbs owners, links, the store or a VM; returns the time that it lasts, in ms. */
 function disturb(
   simulation: simulations.ClusterSimulation,
   getRandom: () => number,
+  canCutVm: boolean,
   note: (text: string) => void,
 ): number {
   const lastsMs = Math.round(500 + getRandom() * 6_000);
@@ -70,6 +75,12 @@
       simulation.slowLinks(lastsMs);
       return lastsMs;
     },
+    cutVm: () => {
+      const id = choose([...simulation.vms.keys()], getRandom);
+      if (!canCutVm) return 0;
+      simulation.silenceVm(id, 'cut');
+      return Math.min(lastsMs, LONGEST_CUT_MS);
+    },
   };
   const name = choose(Object.keys(actions), getRandom);
   note(`${simulation.getNow()}: ${name} ${lastsMs}`);
@@ -195,17 +206,22 @@
   const endMs = simulation.getNow() + WALK_MS;
   let calmFromMs = 0;
   let disturbAtMs = simulation.getNow();
+  const isCutTime = () =>
+    simulation.getNow() % (LONGEST_CUT_MS + CONNECTED_MS) < LONGEST_CUT_MS;
   while (simulation.getNow() < endMs) {
     if (simulation.getNow() >= disturbAtMs) {
-      const lastsMs = disturb(simulation, getRandom, (text) =>
+      const lastsMs = disturb(simulation, getRandom, isCutTime(), (text) =>
         notes.push(text),
       );
       calmFromMs = Math.max(calmFromMs, simulation.getNow() + lastsMs);
       disturbAtMs = simulation.getNow() + getRandom() * 3_000;
     }
+    if (!isCutTime())
+      for (const id of simulation.vms.keys()) simulation.reconnectVm(id);
     if (listUp().length > 0) act();
     await simulation.advance(10 + Math.floor(getRandom() * 10) * 10);
   }
+  for (const id of simulation.vms.keys()) simulation.reconnectVm(id);
   while (simulation.getNow() < calmFromMs + CALM_MS) {
     if (listUp().length > 0) act();
     await simulation.advance(50);
--- a/packages/cluster/test/owner.test.ts
+++ b/packages/cluster/test/owner.test.ts
@@ -1,6 +1,7 @@
 /** The owner with one VM: what its lines say about a service task that doesn't run, and what callers learn of its job. */
 import * as vitest from 'vitest';
 import * as core from '@flamingoward/core';
+import type * as claims from '../src/claims.js';
 import * as jobStores from '../src/jobStore.js';
 import * as owners from '../src/owner.js';
 import type * as ports from '../src/ports.js';
@@ -57,7 +58,10 @@
 }
 
 /** Creates an owner of a cluster with one VM, which runs a service task; `progress` is the task's record. */
-function createSetup(progress?: string) {
+function createSetup(
+  progress?: string,
+  previous: Partial<claims.PreviousOwner> = {},
+) {
   const context = fakes.createFakeContext();
   const { timers } = context;
   const running = new Map<number, core.workloads.ReportedRun>();
@@ -96,7 +100,7 @@
     context.store.streams.progress.add(job.id, progress);
   const owner = owners.createOwner(ownerContext, {
     fence: 7,
-    previous: fakes.createPreviousOwner({}, ownerContext.timers.getNow()),
+    previous: fakes.createPreviousOwner(previous, ownerContext.timers.getNow()),
     unconfirmedLimitMs: 10_000,
     jobs: jobStores.createJobStore(ownerContext),
     fleet: {
@@ -194,9 +198,11 @@
   );
 
   vitest.it(
-    'is unknown until the VMs have reported to a new owner (guards against MIXED: a running job is shown as pending after a change of owner)',
+    'is unresolved until the VMs have reported to a new owner, if its start may lack a record (guards against MIXED: a running job is shown as pending after a change of owner)',
     async () => {
-      const { owner, vm, running, timers } = createSetup();
+      const { owner, vm, running, timers } = createSetup(undefined, {
+        unrecorded: true,
+      });
       vm.answerMs = 300;
       running.set(1, {
         task: { job: JOB_ID, occurrence: 0, step: 0, index: 0 },
@@ -206,11 +212,12 @@
         load: 0,
       });
       await fakes.advance(timers, 200);
-      vitest.expect(await owner.getJobState(JOB_ID)).toBeUndefined();
-      vitest.expect(owner.countWaiting()).toBeUndefined();
+      vitest.expect(await owner.getJobState(JOB_ID)).toBe('unresolved');
+      vitest.expect(owner.countWaiting()?.unresolved).toEqual(['queue']);
       await fakes.advance(timers, 300);
       vitest.expect(await owner.getJobState(JOB_ID)).toBe('running');
       vitest.expect(owner.countWaiting()?.waiting).toEqual([]);
+      vitest.expect(owner.countWaiting()?.unresolved).toEqual([]);
       owner.close();
     },
   );
@@ -337,7 +344,7 @@
       );
       vm.silent = true;
       await fakes.advance(timers, 500);
-      vitest.expect(await owner.getJobState(job.id)).toBeUndefined();
+      vitest.expect(await owner.getJobState(job.id)).toBe('unresolved');
       vm.silent = false;
       running.set(5, {
         task: { job: job.id, occurrence: 0, step: 0, index: 0 },
--- a/packages/cluster/test/waitingCounts.test.ts
+++ b/packages/cluster/test/waitingCounts.test.ts
@@ -31,7 +31,12 @@
 }
 
 function createCounts(waiting: number, ageMs = 0, fence = 3) {
-  return { fence, ageMs, waiting: [['queue', waiting]] } as const;
+  return {
+    fence,
+    ageMs,
+    waiting: [['queue', waiting]],
+    unresolved: [] as readonly string[],
+  } as const;
 }
 
 vitest.describe('the count of waiting jobs', () => {
@@ -99,4 +104,15 @@
       vitest.expect(owner.questions).toBe(2);
     },
   );
+
+  vitest.it(
+    'is not given while a job of the queue may have started (guards against MIXED: recorded starts that count as begun, or as waiting, before their VM has reported)',
+    async () => {
+      const { owner, fetch } = createSetup();
+      owner.counts = { ...createCounts(7), unresolved: ['queue'] };
+      vitest.expect(await fetch(1_200)).toBeUndefined();
+      owner.counts = { ...createCounts(7), unresolved: ['other'] };
+      vitest.expect(await fetch(1_200)).toMatchObject({ waiting: 7 });
+    },
+  );
 });
--- a/packages/core/src/types/clusterMessages.ts
+++ b/packages/core/src/types/clusterMessages.ts
@@ -45,6 +45,8 @@
   readonly ageMs: number;
   /** Number of jobs per queue of which no task has started; queues without such jobs may be absent. */
   readonly waiting: readonly (readonly [workload.QueueName, number])[];
+  /** Queues with jobs of which the owner can't know yet whether a task has started. */
+  readonly unresolved: readonly workload.QueueName[];
 }
 
 /** Messages of a cluster that need no answer. */
@@ -76,6 +78,13 @@
       readonly timeoutMs: number;
     };
 
+/**
+ * What an owner tells of a job: its state, `unknown` if there is no such job, `unresolved`
+ * if it can't know yet whether a task has started. An owner that knows nothing of the job
+ * at present, and a node that isn't the owner, tells none of these.
+ */
+export type JobAnswer = workload.JobState | 'unknown' | 'unresolved';
+
 /** Answers to the requests of a cluster. */
 export type ClusterAnswer =
   | {
@@ -90,8 +99,7 @@
   | { readonly kind: 'cluster.store.answer'; readonly reached: boolean }
   | {
       readonly kind: 'cluster.job.answer';
-      /** Undefined if the node is not the owner or does not know the state at present. */
-      readonly state: workload.JobState | 'unknown' | undefined;
+      readonly state: JobAnswer | undefined;
     }
   | {
       readonly kind: 'cluster.waiting.answer';
--- a/packages/core/src/workloads/begins.ts
+++ b/packages/core/src/workloads/begins.ts
@@ -33,22 +33,32 @@
 }
 
 /**
- * Returns whether this owner can't know if a job has begun. Once the recorded run is lost
- * or its timeout has passed, nobody can tell, and the job counts as waiting.
+ * Returns whether this owner can't know if a job has begun: an earlier owner may have
+ * started it, with or without a record, on a VM that hasn't reported to this one. Once
+ * that VM is lost or the timeout has passed, nobody can tell, and the job counts as waiting.
  */
-export function isUnresolved(job: tables.JobRow): boolean {
-  if (job.hasBegun || job.activeRuns === 0) return false;
-  return job.occurrences.some(({ steps }) =>
-    steps.some(({ tasks }) =>
-      tasks.some(({ run }) => run !== undefined && tables.isInherited(run)),
-    ),
+export function isUnresolved(
+  job: tables.JobRow,
+  unrecorded: states.UnrecordedStarts,
+): boolean {
+  if (job.hasBegun) return false;
+  if (states.canHaveUnrecordedStart(job, unrecorded)) return true;
+  return (
+    job.activeRuns > 0 &&
+    job.occurrences.some(({ steps }) =>
+      steps.some(({ tasks }) =>
+        tasks.some(({ run }) => run !== undefined && tables.isInherited(run)),
+      ),
+    )
   );
 }
 
 /** Counts the unstarted jobs of each queue; scheduled jobs don't count. */
 export function countUnstarted(
   state: states.State,
+  nowMs: number,
 ): ReadonlyMap<types.QueueName, UnstartedJobs> {
+  const unrecorded = states.findUnrecordedStarts(state, nowMs);
   const counts = new Map<types.QueueName, UnstartedJobs>();
   for (const job of state.jobs.values()) {
     if (job.hasBegun || states.isJobOver(job) || job.job.schedule !== undefined)
@@ -57,7 +67,7 @@
     const { waiting, unresolved } = counts.get(queue) ?? NONE;
     counts.set(
       queue,
-      isUnresolved(job)
+      isUnresolved(job, unrecorded)
         ? { waiting, unresolved: unresolved + 1 }
         : { waiting: waiting + 1, unresolved },
     );
@@ -77,7 +87,7 @@
   state: states.State,
   nowMs: number,
 ): readonly StartSummary[] {
-  const counts = countUnstarted(state);
+  const counts = countUnstarted(state, nowMs);
   const summaries = new Map<types.QueueName, StartSummary>();
   for (const job of state.jobs.values()) {
     if (job.job.schedule !== undefined || states.isJobOver(job)) continue;
--- a/packages/core/src/workloads/owed.ts
+++ b/packages/core/src/workloads/owed.ts
@@ -443,22 +443,21 @@
   return undefined;
 }
 
-/** Explains a wait for reports after a change of owner; see `isAwaitingReports` of the tick. */
+/** Explains a wait for reports after a change of owner. */
 function explainAwaitedReports(
   state: states.State,
   job: tables.JobRow,
   nowMs: number,
 ): OwedCause | undefined {
-  if (!state.inheritedUnrecordedStarts || job.acceptedMs > state.createdMs)
-    return undefined;
-  const untilMs = state.inheritedUntilMs;
-  if (nowMs > untilMs) return undefined;
-  const vms: ids.VmId[] = [];
-  for (const vm of state.vms.values())
-    if (tables.canHaveUnknownRunsOf(vm, job.policy.pool)) vms.push(vm.id);
-  return vms.length === 0
-    ? undefined
-    : { why: 'reports-awaited', vms, untilMs };
+  const unrecorded = states.findUnrecordedStarts(state, nowMs);
+  if (!states.canHaveUnrecordedStart(job, unrecorded)) return undefined;
+  return {
+    why: 'reports-awaited',
+    vms: unrecorded.vms
+      .filter((vm) => tables.canHaveUnknownRunsOf(vm, job.policy.pool))
+      .map(({ id }) => id),
+    untilMs: state.inheritedUntilMs,
+  };
 }
 
 function explainWaiting(
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -326,11 +326,7 @@
   state: states.State,
   nowMs: number,
 ): boolean {
-  return (
-    state.inheritedUnrecordedStarts &&
-    nowMs <= state.inheritedUntilMs &&
-    [...state.vms.values()].some(tables.canHaveUnknownRuns)
-  );
+  return states.findUnrecordedStarts(state, nowMs).vms.length > 0;
 }
 
 /** Lists the VMs with runs of a previous owner that haven't reported to this one. */
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -107,18 +107,24 @@
   /** Returns the number of the latest end of a VM whose effect is durable. */
   getDurableEnd(vm: ids.VmId): number;
   /** Returns the state of a job: `unresolved` while this owner can't know whether it has begun, undefined for an unknown job. */
-  getJobState(job: ids.JobId): types.JobState | 'unresolved' | undefined;
+  getJobState(
+    job: ids.JobId,
+    nowMs: number,
+  ): types.JobState | 'unresolved' | undefined;
+  hasJob(job: ids.JobId): boolean;
   /** Returns the time that a job has taken and the time that its objective allows. */
   getTiming(job: ids.JobId, nowMs: number): views.JobTiming | undefined;
   /** Counts the jobs per queue of which no VM has shown that a task was started; scheduled jobs don't count. */
-  countWaiting(): ReadonlyMap<types.QueueName, begins.UnstartedJobs>;
+  countWaiting(
+    nowMs: number,
+  ): ReadonlyMap<types.QueueName, begins.UnstartedJobs>;
   /** Measures, by queue, the jobs whose decided start no VM has confirmed. */
   measureStarts(nowMs: number): readonly begins.StartSummary[];
   getCounts(): ReadonlyMap<string, number>;
   /** Returns the tasks that should run and don't, with the cause of each, and counts them by cause. */
   findOwed(query: owed.OwedQuery): readonly owed.OwedTask[];
   /** Returns a plain copy of the tables for operators. */
-  dump(): unknown;
+  dump(nowMs: number): unknown;
 }
 
 /** Creates a scheduler. A caller that passes in its state can examine the tables. */
@@ -251,15 +257,18 @@
       state.unrecordedStartsBatch !== undefined ||
       reports.isAwaitingUnrecorded(state, nowMs),
     getDurableEnd: (vm) => state.vms.get(vm)?.durableEnd ?? 0,
-    getJobState(id) {
+    getJobState(id, nowMs) {
       const job = state.jobs.get(id);
-      return job === undefined ? undefined : views.describeJob(job);
+      return job === undefined
+        ? undefined
+        : views.describeJob(job, states.findUnrecordedStarts(state, nowMs));
     },
+    hasJob: (id) => state.jobs.has(id),
     getTiming(id, nowMs) {
       const job = state.jobs.get(id);
       return job === undefined ? undefined : views.measureTiming(job, nowMs);
     },
-    countWaiting: () => begins.countUnstarted(state),
+    countWaiting: (nowMs) => begins.countUnstarted(state, nowMs),
     measureStarts: (nowMs) => begins.measureStarts(state, nowMs),
     getCounts: () => state.counts,
     findOwed(query) {
@@ -268,6 +277,6 @@
         states.countEvent(state, `owed.${cause.why}`);
       return found;
     },
-    dump: () => views.dumpState(state),
+    dump: (nowMs) => views.dumpState(state, nowMs),
   };
 }
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -75,7 +75,7 @@
   /** Ended runs of service tasks since the last tick. */
   endedRuns: EndedRun[];
   /** Whether a previous owner may have started tasks without a record. */
-  inheritedUnrecordedStarts: boolean;
+  readonly inheritedUnrecordedStarts: boolean;
   /** Time from which runs that a previous owner recorded on VMs without a report count as ended. */
   inheritedUntilMs: number;
   /** VMs that don't answer, each with the time at which its runs have ended at the latest. */
@@ -282,6 +282,41 @@
   return number;
 }
 
+/** What an owner must allow for while an earlier one may have started tasks without a record. */
+export interface UnrecordedStarts {
+  /** Monotonic time until which accepted jobs may have been started. */
+  readonly acceptedUntilMs: number;
+  /** VMs that haven't reported yet; none once no such start can be running. */
+  readonly vms: readonly tables.VmRow[];
+}
+
+/** Finds the VMs on which an earlier owner may have started tasks without a record. */
+export function findUnrecordedStarts(
+  state: State,
+  nowMs: number,
+): UnrecordedStarts {
+  return {
+    acceptedUntilMs: state.createdMs,
+    vms:
+      state.inheritedUnrecordedStarts && nowMs <= state.inheritedUntilMs
+        ? [...state.vms.values()].filter(tables.canHaveUnknownRuns)
+        : [],
+  };
+}
+
+/** Returns whether an earlier owner may have started a job without a record, on a VM of its pool that hasn't reported yet. */
+export function canHaveUnrecordedStart(
+  job: tables.JobRow,
+  unrecorded: UnrecordedStarts,
+): boolean {
+  return (
+    job.acceptedMs <= unrecorded.acceptedUntilMs &&
+    unrecorded.vms.some((vm) =>
+      tables.canHaveUnknownRunsOf(vm, job.policy.pool),
+    )
+  );
+}
+
 /** Returns whether a job is cancelled or has ended, so that none of its tasks may start. */
 export function isJobOver(job: tables.JobRow): boolean {
   return job.cancelled || job.final !== undefined;
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -34,23 +34,24 @@
   draining.cancelStartsOnDraining(state, nowMs);
   draining.moveFromDraining(state, nowMs);
   pacing.paceRuns(state, nowMs);
+  const unrecorded = states.findUnrecordedStarts(state, nowMs);
   const ranked: ranking.RankedStep[] = [];
   for (const job of state.jobs.values()) {
     if (states.isJobOver(job)) continue;
     jobs.createDueOccurrences(job, nowMs, nowUnixMs);
-    collectSteps(state, job, ranked, nowMs);
+    // After a change of owner, its tasks may already run without a record.
+    if (states.canHaveUnrecordedStart(job, unrecorded)) continue;
+    collectSteps(job, ranked, nowMs);
   }
   const order = ranking.rankOverdue(ranked).sort(ranking.compareRanked);
   startSteps(state, order, nowMs);
 }
 
 function collectSteps(
-  state: states.State,
   job: tables.JobRow,
   ranked: ranking.RankedStep[],
   nowMs: number,
 ): void {
-  if (isAwaitingReports(state, job, nowMs)) return;
   for (const occurrence of job.occurrences) {
     if (occurrence.done) continue;
     for (const step of occurrence.steps)
@@ -59,26 +60,6 @@
   }
 }
 
-/**
- * Returns whether a job waits for reports after a change of owner: its tasks may already
- * run, without a record, on VMs of its pool that haven't reported yet.
- */
-function isAwaitingReports(
-  state: states.State,
-  job: tables.JobRow,
-  nowMs: number,
-): boolean {
-  if (!state.inheritedUnrecordedStarts || job.acceptedMs > state.createdMs)
-    return false;
-  if (nowMs > state.inheritedUntilMs) {
-    state.inheritedUnrecordedStarts = false;
-    return false;
-  }
-  for (const vm of state.vms.values())
-    if (tables.canHaveUnknownRunsOf(vm, job.policy.pool)) return true;
-  return false;
-}
-
 function startSteps(
   state: states.State,
   ranked: readonly ranking.RankedStep[],
--- a/packages/core/src/workloads/views.ts
+++ b/packages/core/src/workloads/views.ts
@@ -6,11 +6,14 @@
 import type * as types from './types.js';
 
 /** Returns the state of a job as reported to callers; a final state only once it is durable. */
-export function describeJob(job: tables.JobRow): types.JobState | 'unresolved' {
+export function describeJob(
+  job: tables.JobRow,
+  unrecorded: states.UnrecordedStarts,
+): types.JobState | 'unresolved' {
   if (job.durableFinal !== undefined) return job.durableFinal;
   if (job.cancelled) return 'cancelled';
   if (job.hasBegun) return 'running';
-  return begins.isUnresolved(job) ? 'unresolved' : 'pending';
+  return begins.isUnresolved(job, unrecorded) ? 'unresolved' : 'pending';
 }
 
 /** Time that a job has taken and time that its objective allows. */
@@ -42,7 +45,8 @@
 }
 
 /** Returns a plain copy of the tables for operators. */
-export function dumpState(state: states.State): unknown {
+export function dumpState(state: states.State, nowMs: number): unknown {
+  const unrecorded = states.findUnrecordedStarts(state, nowMs);
   return {
     vms: [...state.vms.values()].map((vm) => ({
       id: vm.id,
@@ -60,7 +64,7 @@
       .map((job) => ({
         id: job.job.id,
         queue: job.job.queue,
-        state: describeJob(job),
+        state: describeJob(job, unrecorded),
         begun: job.hasBegun,
         steps: job.occurrences.flatMap((occurrence) =>
           occurrence.steps.map((step) => ({
--- a/packages/core/test/workloads/begins.test.ts
+++ b/packages/core/test/workloads/begins.test.ts
@@ -101,15 +101,17 @@
   }
 
   countWaiting(): number {
-    return this.scheduler.countWaiting().get('queue')?.waiting ?? 0;
+    return this.scheduler.countWaiting(this.nowMs).get('queue')?.waiting ?? 0;
   }
 
   countUnresolved(): number {
-    return this.scheduler.countWaiting().get('queue')?.unresolved ?? 0;
+    return (
+      this.scheduler.countWaiting(this.nowMs).get('queue')?.unresolved ?? 0
+    );
   }
 
   getState(): string | undefined {
-    return this.scheduler.getJobState('job');
+    return this.scheduler.getJobState('job', this.nowMs);
   }
 
   expectWaiting(): void {
--- a/packages/core/test/workloads/disturbedCluster.ts
+++ b/packages/core/test/workloads/disturbedCluster.ts
@@ -690,7 +690,7 @@
       owner.batch = {
         batch: decision.batch,
         begunJobs: [...decision.batch.progress.keys()].filter(
-          (id) => owner.scheduler.getJobState(id) === 'running',
+          (id) => owner.scheduler.getJobState(id, this.nowMs) === 'running',
         ),
         dueMs: this.nowMs + this.storeDelayMs,
       };
@@ -972,7 +972,7 @@
     );
     for (const [id, { job, cancelled }] of this.jobs) {
       if (cancelled || owner.state.jobs.get(id)?.final !== undefined) continue;
-      const state = owner.scheduler.getJobState(id);
+      const state = owner.scheduler.getJobState(id, this.nowMs);
       if (state === undefined) continue;
       if (state === 'running') {
         if (!this.begins.has(id))
@@ -998,13 +998,13 @@
       if (vm.reportedMs !== undefined) continue;
       for (const { task } of vm.runs) {
         const { id } = task.step.occurrence.job.job;
-        if (owner.scheduler.getJobState(id) === 'pending')
+        if (owner.scheduler.getJobState(id, this.nowMs) === 'pending')
           this.addViolation(
             `${id} may have begun on ${vm.id}, which hasn't reported, and counts as waiting`,
           );
       }
     }
-    const told = owner.scheduler.countWaiting();
+    const told = owner.scheduler.countWaiting(this.nowMs);
     for (const [queue, count] of counts) {
       const { waiting, unresolved } = told.get(queue) ?? {
         waiting: 0,
--- a/packages/core/test/workloads/memory.test.ts
+++ b/packages/core/test/workloads/memory.test.ts
@@ -21,8 +21,8 @@
       }
       vitest.expect(harness.finals.size).toBe(10);
       vitest.expect(harness.progress.size).toBe(0);
-      vitest.expect(harness.scheduler.getJobState('job0')).toBeUndefined();
-      vitest.expect(harness.scheduler.getJobState('job1')).toBeUndefined();
+      vitest.expect(harness.scheduler.getJobState('job0', 0)).toBeUndefined();
+      vitest.expect(harness.scheduler.getJobState('job1', 0)).toBeUndefined();
     },
   );
 });
