Tell a cancellation only from a recent read

A node that hadn't read the jobs for seconds showed a job as cancelled that the others showed as completed.

Cause: a cancellation was told at any age as if it were final. An owner that learns of a cancellation late, as while it is cut off from the store, stores the end of the job after it, and a stored end replaces a cancellation.

The test fails on the old code, which answers `cancelled`.

What remains: the state of such a job changes from cancelled to completed. To let the first of the two records decide needs an order of the owner's own ends and the records that it reads.

--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -660,7 +660,9 @@
   ): core.workloads.JobState | undefined {
     const stored = jobs.find(id);
     if (stored?.final !== undefined) return stored.final;
-    if (stored?.cancelled === true) return 'cancelled';
+    // An end may be stored after the cancellation and replaces it.
+    if (stored?.cancelled === true && jobs.getReadAge() < STALE_TABLES_MS)
+      return 'cancelled';
     if (getTablesAge() >= STALE_TABLES_MS) return undefined;
     const state = scheduler.getJobState(id);
     return state === 'unresolved' ? undefined : state;
--- a/packages/cluster/src/requestHandler.ts
+++ b/packages/cluster/src/requestHandler.ts
@@ -25,6 +25,8 @@
 const ASK_INTERVAL_MS = 150;
 /** Timeout of a write through the owner, in ms. */
 const OWNER_WRITE_TIMEOUT_MS = 1_200;
+/** Age of a read of the jobs up to which a cancellation in it is told, in ms. */
+const RECENT_READ_MS = 2_000;
 const jobIdPattern = /^[0-9a-f]{16}$/;
 
 /** Functions of the node through which requests about jobs are answered. */
@@ -206,13 +208,15 @@
         );
   }
 
-  /** Returns the stored state if it is final or cancelled, since that can't change any more. */
+  /** Returns the stored state if it is final, or cancelled according to a recent read, since an end that is stored later replaces a cancellation. */
   function getStoredState(
     id: core.ids.JobId,
   ): core.workloads.JobState | undefined {
     const stored = jobs.find(id);
     if (stored?.final !== undefined) return stored.final;
-    return stored?.cancelled === true ? 'cancelled' : undefined;
+    return stored?.cancelled === true && jobs.getReadAge() < RECENT_READ_MS
+      ? 'cancelled'
+      : undefined;
   }
 
   async function cancel(
--- a/packages/cluster/test/requestHandler.test.ts
+++ b/packages/cluster/test/requestHandler.test.ts
@@ -229,6 +229,22 @@
     },
   );
 
+  vitest.it(
+    'is its end that was stored after a cancellation (guards against MIXED: a node that has not read for seconds shows a completed job as cancelled)',
+    async () => {
+      const { request, jobs, context } = createWithoutOwner();
+      const { key, value } = records.buildCancelled(JOB_ID);
+      jobs.add(key, value);
+      await request('GET', JOB_ID, 3_000);
+      const [end] = records.buildFinal(JOB_ID, 'completed');
+      jobs.add(end!.key, end!.value);
+      await fakes.advance(context.fakeTimers, 2_000);
+      vitest
+        .expect(await request('GET', JOB_ID, 3_000))
+        .toEqual({ answer: 'state', state: 'completed' });
+    },
+  );
+
   vitest.it(
     'is its end, or that there is no such job, if the stream tells so',
     async () => {
