--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -647,7 +647,9 @@
   ): core.clusterMessages.JobAnswer | undefined {
     const stored = jobs.find(id);
     if (stored?.final !== undefined) return stored.final;
-    if (stored?.cancelled === true) return 'cancelled';
+    // An end may be stored after the cancellation and replaces it.
+    if (stored?.cancelled === true && jobs.getReadAge() < STALE_TABLES_MS)
+      return 'cancelled';
     if (getTablesAge() >= STALE_TABLES_MS) return undefined;
     return scheduler.getJobState(id, timers.getNow());
   }
