Say that there is no job only after reading the log to its end

A process that hadn't read the record of an accepted job answered "there is no job" (404) to its state, its explanation and its cancellation: right after its start, while a relay delivers late, and for the whole time that it is cut off from the log. A caller who got 504 to a submission and asks for the id, as the answer advises, takes that 404 for "not accepted" and submits the job a second time.

The state and the explanation looked only at the table of what had been read. The cancellation read up to the head of the log first, but took a failed read for an empty one.

A new lookup has three results: found, none, and unreadable. It reads up to the head before it says none, and callers and operators get 503 when that read fails. A cancellation is then refused as not recorded.

The new test failed before: at a process that is behind and cut off, the cancellation of an accepted job ended with "unknown-job", and the job was missing from the table that the other answers used.

--- a/packages/daemon/src/callers/routes.ts
+++ b/packages/daemon/src/callers/routes.ts
@@ -259,11 +259,31 @@
   exchange: Exchange,
   id: core.ids.JobId,
 ): Promise<void> {
-  const job = dependencies.jobs.get(id);
-  if (job === undefined) {
-    refuse(exchange, 404, `there is no job ${id}`);
-    return;
+  const found = await dependencies.jobs.find(id);
+  switch (found.lookup) {
+    case 'none':
+      refuse(exchange, 404, `there is no job ${id}`);
+      return;
+    case 'unreadable':
+      refuse(
+        exchange,
+        503,
+        `the log service does not answer, so whether there is a job ${id} is not known`,
+        RETRY_AFTER_MS,
+      );
+      return;
+    case 'found':
+      await sendFoundJob(dependencies, exchange, found.job);
+      return;
   }
+}
+
+async function sendFoundJob(
+  dependencies: RouteDependencies,
+  exchange: Exchange,
+  job: core.jobs.Job,
+): Promise<void> {
+  const { id } = job;
   const states = await dependencies.jobs.fetchTasks(id);
   const tasks =
     states === undefined ? countEndedTasks(job) : countTasks(states);
--- a/packages/daemon/src/jobs/jobs.ts
+++ b/packages/daemon/src/jobs/jobs.ts
@@ -209,15 +209,32 @@
       : `${text}; whether an earlier one with this key was accepted isn't known`;
   }
 
+  async function find(id: core.ids.JobId): Promise<types.JobLookup> {
+    const known = table.jobs.get(id);
+    if (known !== undefined) return { lookup: 'found', job: known };
+    // Another process may have accepted the job, and its record hasn't been read here yet.
+    try {
+      await store.reader.waitForHead();
+    } catch {
+      return { lookup: 'unreadable' };
+    }
+    const job = table.jobs.get(id);
+    return job === undefined ? { lookup: 'none' } : { lookup: 'found', job };
+  }
+
   async function cancel(
     job: core.ids.JobId,
     by: string,
   ): ReturnType<types.Jobs['cancel']> {
-    if (!table.jobs.has(job)) {
-      // Another process may have accepted the job, and its record hasn't been read here yet.
-      await store.reader.waitForHead().catch(() => undefined);
+    const found = await find(job);
+    switch (found.lookup) {
+      case 'none':
+        return { outcome: 'unknown-job' };
+      case 'unreadable':
+        return { outcome: 'not-appended', reason: 'log-away' };
+      case 'found':
+        break;
     }
-    if (!table.jobs.has(job)) return { outcome: 'unknown-job' };
     const body: core.records.JobRecord = { type: 'cancel', job, by };
     return await streams.append('jobs', body, {
       flush: 'grouped',
@@ -307,6 +324,7 @@
     submit,
     cancel,
     get: (id) => table.jobs.get(id),
+    find,
     list: () => [...table.jobs.values()],
     fetchTasks,
     explain,
--- a/packages/daemon/src/operators/jobs.ts
+++ b/packages/daemon/src/operators/jobs.ts
@@ -127,13 +127,34 @@
 function refuseUnknownJob(id: string): http.Reply {
   return http.refuse(
     404,
-    `job ${id} isn't known to this process; "flamingoward job list" lists the jobs`,
+    `there is no job ${id}; "flamingoward job list" lists the jobs`,
+  );
+}
+
+function refuseUnreadableJob(id: string): http.Reply {
+  return http.refuse(
+    503,
+    `the log service does not answer, so whether there is a job ${id} isn't known`,
   );
 }
 
 async function describeJob(jobs: types.Jobs, id: string): Promise<http.Reply> {
-  const job = jobs.get(id);
-  if (job === undefined) return refuseUnknownJob(id);
+  const found = await jobs.find(id);
+  switch (found.lookup) {
+    case 'none':
+      return refuseUnknownJob(id);
+    case 'unreadable':
+      return refuseUnreadableJob(id);
+    case 'found':
+      return await describeFoundJob(jobs, found.job);
+  }
+}
+
+async function describeFoundJob(
+  jobs: types.Jobs,
+  job: core.jobs.Job,
+): Promise<http.Reply> {
+  const { id } = job;
   const tasks = await jobs.fetchTasks(id);
   return {
     status: 200,
@@ -193,6 +214,13 @@
 }
 
 async function explainJob(jobs: types.Jobs, id: string): Promise<http.Reply> {
-  if (jobs.get(id) === undefined) return refuseUnknownJob(id);
-  return { status: 200, body: { id, lines: await jobs.explain(id) } };
+  const found = await jobs.find(id);
+  switch (found.lookup) {
+    case 'none':
+      return refuseUnknownJob(id);
+    case 'unreadable':
+      return refuseUnreadableJob(id);
+    case 'found':
+      return { status: 200, body: { id, lines: await jobs.explain(id) } };
+  }
 }
--- a/packages/daemon/src/types.ts
+++ b/packages/daemon/src/types.ts
@@ -173,7 +173,10 @@
     job: core.ids.JobId,
     by: string,
   ): Promise<clients.AppendOutcome | { readonly outcome: 'unknown-job' }>;
+  /** Returns a job that this process has read from the log. */
   get(job: core.ids.JobId): core.jobs.Job | undefined;
+  /** Finds a job; says that there is none only after reading the log up to its head. */
+  find(job: core.ids.JobId): Promise<JobLookup>;
   list(): readonly core.jobs.Job[];
   /** Fetches the states of the tasks from the owner of the shard; undefined when it doesn't answer. */
   fetchTasks(
@@ -182,6 +185,13 @@
   explain(job: core.ids.JobId): Promise<readonly string[]>;
 }
 
+/** Result of looking for a job. */
+export type JobLookup =
+  | { readonly lookup: 'found'; readonly job: core.jobs.Job }
+  | { readonly lookup: 'none' }
+  /** The log doesn't answer, so whether there is such a job isn't known. */
+  | { readonly lookup: 'unreadable' };
+
 /** Result of submitting a job. */
 export type SubmitResult =
   | { readonly result: 'accepted'; readonly job: core.ids.JobId }
--- a/packages/daemon/test/callers.test.ts
+++ b/packages/daemon/test/callers.test.ts
@@ -41,7 +41,11 @@
         submitted.push(spec);
         return Promise.resolve({ result: 'accepted', job: 'j1' });
       },
-      get: (id: string) => (id === 'j1' ? job : undefined),
+      find: (id: string) => {
+        const lookup = id === 'unread' ? 'unreadable' : 'none';
+        const found = { lookup: 'found', job };
+        return Promise.resolve(id === 'j1' ? found : { lookup });
+      },
       fetchTasks: () =>
         Promise.resolve([
           {
@@ -317,6 +321,11 @@
       reason: expect.stringContaining('2 tasks wait in all') as string,
     });
     expect((await call(port, 'GET', '/jobs/j2')).status).toBe(404);
+    const unread = await call(port, 'GET', '/jobs/unread');
+    expect([unread.status, unread.headers['flamingoward-answer']]).toEqual([
+      503,
+      'not-run',
+    ]);
     expect((await call(port, 'GET', '/keys/k')).status).toBe(503);
     expect((await call(port, 'GET', '/readyz')).status).toBe(200);
   });
--- a/packages/daemon/test/jobs.test.ts
+++ b/packages/daemon/test/jobs.test.ts
@@ -168,3 +168,31 @@
       .toEqual({ outcome: 'unknown-job' });
   },
 );
+
+// Guards against "there is no job" from a process that hasn't read the record of an accepted job.
+vitest.test(
+  'an accepted job is not denied by a process that is behind the log or cut off from it',
+  async () => {
+    const { cluster, processJobs } = createSetup();
+    const [a, b] = processJobs;
+    const behind = cluster.processes[1]!;
+    behind.readLagMs = 100_000;
+    const answer = await getAnswer(cluster, a!.submit(fakes.baseSpec, 'k'));
+    const job = answer.result === 'accepted' ? answer.job : '';
+    vitest.expect(b!.get(job)).toBeUndefined();
+    behind.isCutOffFromLog = true;
+    vitest
+      .expect(await getAnswer(cluster, b!.find(job)))
+      .toEqual({ lookup: 'unreadable' });
+    vitest
+      .expect(await getAnswer(cluster, b!.cancel(job, 'op')))
+      .toEqual({ outcome: 'not-appended', reason: 'log-away' });
+    behind.isCutOffFromLog = false;
+    vitest
+      .expect(await getAnswer(cluster, b!.find(job)))
+      .toMatchObject({ lookup: 'found', job: { id: job } });
+    vitest
+      .expect(await getAnswer(cluster, b!.find('none')))
+      .toEqual({ lookup: 'none' });
+  },
+);
--- a/packages/daemon/test/operators.test.ts
+++ b/packages/daemon/test/operators.test.ts
@@ -57,6 +57,14 @@
           : { outcome: 'unknown-job' },
       ),
     get: (id) => known.get(id),
+    find: (id) => {
+      const found = known.get(id);
+      return Promise.resolve(
+        found === undefined
+          ? { lookup: id === 'unread' ? 'unreadable' : 'none' }
+          : { lookup: 'found', job: found },
+      );
+    },
     list: () => [...known.values()],
     fetchTasks: () => Promise.resolve([{ state: 'waiting', sinceMs: 0 }]),
     explain: () => Promise.resolve(['waits for a free core']),
@@ -339,6 +347,8 @@
   for (const path of ['/jobs/x', '/jobs/x/explain', '/requests/x/explain'])
     vitest.expect((await ask('GET', path)).status).toBe(404);
   vitest.expect((await ask('DELETE', '/jobs/x')).status).toBe(404);
+  for (const path of ['/jobs/unread', '/jobs/unread/explain'])
+    vitest.expect((await ask('GET', path)).status).toBe(503);
   vitest.expect((await ask('GET', '/requests/r1/explain')).status).toBe(200);
 });
 
