Read the log to its head before listing jobs, or say that the list is incomplete

`GET /jobs` and `job list` showed the jobs that the answering process had read so far, with their number as the total. A process that was starting, behind its relay or cut off from the log showed a part, or "0 of 0 jobs", in the same form as a whole list, and showed ended jobs as accepted.

The list now reads up to the head first. When the log doesn't answer, the answer has `incomplete: true`, and the command prints a line below the table.

--- a/packages/cli/src/jobs.ts
+++ b/packages/cli/src/jobs.ts
@@ -247,6 +247,11 @@
           jobs.map(listJobCells),
         ),
         `${jobs.length} of ${total} jobs`,
+        ...(body.incomplete === true
+          ? [
+              'the log service does not answer this process, so later jobs and ends may be missing',
+            ]
+          : []),
       ];
     });
   }
--- a/packages/cli/test/cli.test.ts
+++ b/packages/cli/test/cli.test.ts
@@ -375,3 +375,17 @@
     vitest.expect((await runCommand(['settings', 'print', file])).code).toBe(1);
   },
 );
+
+// Guards against a list that a process cut off from the log prints like a whole one.
+vitest.test('says below a list of jobs that it may be incomplete', async () => {
+  const path = 'GET /jobs?limit=100';
+  const partial = await runCommand(['job', 'list'], {
+    [path]: [[200, { total: 0, jobs: [], incomplete: true }]],
+  });
+  vitest.expect(partial.code).toBe(0);
+  vitest.expect(partial.out).toContain('0 of 0 jobs\nthe log service does not');
+  const whole = await runCommand(['job', 'list'], {
+    [path]: [[200, { total: 0, jobs: [] }]],
+  });
+  vitest.expect(whole.out).toMatch(/0 of 0 jobs\n$/);
+});
--- a/packages/daemon/src/jobs/jobs.ts
+++ b/packages/daemon/src/jobs/jobs.ts
@@ -209,15 +209,24 @@
       : `${text}; whether an earlier one with this key was accepted isn't known`;
   }
 
+  /** Reads the jobs up to the head of the log; returns false when the log doesn't answer. */
+  function tryRefresh(): Promise<boolean> {
+    return store.reader.waitForHead().then(
+      () => true,
+      () => false,
+    );
+  }
+
+  async function readList(): Promise<types.JobListing> {
+    const isIncomplete = !(await tryRefresh());
+    return { jobs: [...table.jobs.values()], isIncomplete };
+  }
+
   async function find(id: core.ids.JobId): Promise<types.JobLookup> {
     const known = table.jobs.get(id);
     if (known !== undefined) return { lookup: 'found', job: known };
     // Another process may have accepted the job, and its record hasn't been read here yet.
-    try {
-      await store.reader.waitForHead();
-    } catch {
-      return { lookup: 'unreadable' };
-    }
+    if (!(await tryRefresh())) return { lookup: 'unreadable' };
     const job = table.jobs.get(id);
     return job === undefined ? { lookup: 'none' } : { lookup: 'found', job };
   }
@@ -325,7 +334,7 @@
     cancel,
     get: (id) => table.jobs.get(id),
     find,
-    list: () => [...table.jobs.values()],
+    readList,
     fetchTasks,
     explain,
   };
--- a/packages/daemon/src/operators/jobs.ts
+++ b/packages/daemon/src/operators/jobs.ts
@@ -70,7 +70,10 @@
   ];
 }
 
-function listJobs(jobs: types.Jobs, query: URLSearchParams): http.Reply {
+async function listJobs(
+  jobs: types.Jobs,
+  query: URLSearchParams,
+): Promise<http.Reply> {
   const limit = Number(query.get('limit') ?? DEFAULT_LIMIT);
   if (!Number.isSafeInteger(limit) || limit < 1 || limit > MAX_LIMIT)
     return http.refuse(
@@ -78,14 +81,18 @@
       `limit: expected a whole number from 1 to ${MAX_LIMIT}`,
     );
   const [team, state] = [query.get('team'), query.get('state')];
-  const matching = jobs
-    .list()
+  const listing = await jobs.readList();
+  const matching = listing.jobs
     .filter((job) => team === null || job.spec.team === team)
     .filter((job) => state === null || job.state === state)
     .sort((a, b) => b.acceptedAt - a.acceptedAt);
   return {
     status: 200,
-    body: { total: matching.length, jobs: matching.slice(0, limit) },
+    body: {
+      total: matching.length,
+      jobs: matching.slice(0, limit),
+      ...(listing.isIncomplete && { incomplete: true }),
+    },
   };
 }
 
--- a/packages/daemon/src/types.ts
+++ b/packages/daemon/src/types.ts
@@ -177,7 +177,8 @@
   get(job: core.ids.JobId): core.jobs.Job | undefined;
   /** Finds a job; says that there is none only after reading the log up to its head. */
   find(job: core.ids.JobId): Promise<JobLookup>;
-  list(): readonly core.jobs.Job[];
+  /** Reads the log up to its head and lists the jobs. */
+  readList(): Promise<JobListing>;
   /** Fetches the states of the tasks from the owner of the shard; undefined when it doesn't answer. */
   fetchTasks(
     job: core.ids.JobId,
@@ -192,6 +193,13 @@
   /** The log doesn't answer, so whether there is such a job isn't known. */
   | { readonly lookup: 'unreadable' };
 
+/** The jobs of the cell. */
+export interface JobListing {
+  readonly jobs: readonly core.jobs.Job[];
+  /** Whether the log doesn't answer, so that later jobs and ends may be missing. */
+  readonly isIncomplete: boolean;
+}
+
 /** Result of submitting a job. */
 export type SubmitResult =
   | { readonly result: 'accepted'; readonly job: core.ids.JobId }
