Tell states of tasks only while the owner may decide for its shard

The state and the explanation of a job come from the owner of its shard. A process answered from its tables whenever it had the shard in its list: also after a pause during which another owner had taken over and the job had ended, and before it had read the jobs after its own take-over. Callers saw tasks in the state of an old owner, and operators read that a job "isn't known to this shard, or it ended long ago" while the new owner was reading.

The tables of a shard are valid only while the process may decide for it: after it has read the jobs, with the epoch that its ownership confirms, and not right after a pause. Decisions are held in just these cases, so the same condition now covers the answers: tasks are "not known" until then, here and at processes that ask the owner.

Both new tests failed before: the resumed owner told a state of the task after the job was done in the log, and the explanation of the new owner said nothing about what it didn't know.

--- a/packages/cli/src/jobs.ts
+++ b/packages/cli/src/jobs.ts
@@ -186,7 +186,7 @@
       ? []
       : [`ended: ${command.formatCell(endReason)}`]),
     body.tasksUnknown === true
-      ? 'tasks: not known now, because the owner of the shard does not answer'
+      ? 'tasks: not known now, because the owner of the shard does not answer or is taking over'
       : `tasks: ${counts.map(([state, count]) => `${command.formatCell(count)} ${state}`).join(', ')}`,
   ];
 }
--- a/packages/daemon/src/callers/routes.ts
+++ b/packages/daemon/src/callers/routes.ts
@@ -318,7 +318,7 @@
 ): string | undefined {
   if (states === undefined)
     return job.state === 'accepted'
-      ? `the process that decides for ${job.shard} does not answer, so the tasks are not known`
+      ? `the process that decides for ${job.shard} does not answer or is taking over, so the tasks are not known`
       : undefined;
   for (const state of states)
     if (state.state === 'waiting' && state.reason !== undefined)
--- a/packages/daemon/src/jobs/jobs.ts
+++ b/packages/daemon/src/jobs/jobs.ts
@@ -21,7 +21,7 @@
 /** Queries about jobs that the owner of a shard answers. */
 export interface LocalShard {
   getTasks(job: core.ids.JobId): readonly core.jobs.TaskState[] | undefined;
-  explain(job: core.ids.JobId): readonly string[];
+  explain(job: core.ids.JobId): readonly string[] | undefined;
 }
 
 /** Dependencies of the jobs component. */
@@ -292,16 +292,23 @@
   async function explain(id: core.ids.JobId): Promise<readonly string[]> {
     const job = table.jobs.get(id);
     if (job === undefined) return [`${id} isn't known to this process`];
-    const local = options.getLocalShard(job.shard);
-    if (local !== undefined) return [...describeJob(job), ...local.explain(id)];
-    const question = { kind: 'job.explain', job: id } as const;
-    const answer = await askOwner(job.shard, question, 'job.explain.answer');
-    const detail = answer?.lines ?? [
-      `the owner of ${job.shard} doesn't answer, so the states of the tasks aren't known`,
+    const lines = await fetchExplanation(job);
+    const detail = lines ?? [
+      `the owner of ${job.shard} doesn't answer or is taking over, so the states of the tasks aren't known`,
     ];
     return [...describeJob(job), ...detail];
   }
 
+  async function fetchExplanation(
+    job: core.jobs.Job,
+  ): Promise<readonly string[] | undefined> {
+    const local = options.getLocalShard(job.shard);
+    if (local !== undefined) return local.explain(job.id);
+    const question = { kind: 'job.explain', job: job.id } as const;
+    const answer = await askOwner(job.shard, question, 'job.explain.answer');
+    return answer?.lines;
+  }
+
   links.handle('job.detail', (question) => {
     const tasks = findLocalShard(question.job)?.getTasks(question.job);
     return Promise.resolve({
@@ -311,12 +318,9 @@
     });
   });
   links.handle('job.explain', (question) => {
-    const shard = findLocalShard(question.job);
-    if (shard !== undefined)
-      return Promise.resolve({
-        kind: 'job.explain.answer',
-        lines: shard.explain(question.job),
-      });
+    const lines = findLocalShard(question.job)?.explain(question.job);
+    if (lines !== undefined)
+      return Promise.resolve({ kind: 'job.explain.answer', lines });
     return Promise.resolve({
       kind: 'refused',
       code: 'not-owner',
--- a/packages/daemon/src/operators/jobs.ts
+++ b/packages/daemon/src/operators/jobs.ts
@@ -168,7 +168,7 @@
     body: {
       job,
       counts: countStates(tasks ?? []),
-      // Only the owner of the shard knows the states, and it didn't answer.
+      // Only the owner of the shard knows the states, and it can't tell them now.
       ...(tasks === undefined ? { tasksUnknown: true } : { tasks }),
     },
   };
--- a/packages/daemon/src/types.ts
+++ b/packages/daemon/src/types.ts
@@ -179,7 +179,7 @@
   find(job: core.ids.JobId): Promise<JobLookup>;
   /** Reads the log up to its head and lists the jobs. */
   readList(): Promise<JobListing>;
-  /** Fetches the states of the tasks from the owner of the shard; undefined when it doesn't answer. */
+  /** Fetches the states of the tasks from the owner of the shard; undefined when it doesn't answer or may not decide now. */
   fetchTasks(
     job: core.ids.JobId,
   ): Promise<readonly core.jobs.TaskState[] | undefined>;
--- a/packages/daemon/src/workers/shard.ts
+++ b/packages/daemon/src/workers/shard.ts
@@ -442,8 +442,10 @@
     shard,
     epoch,
     check: (spec) => scheduler.check(spec, timers.getNow()),
-    getTasks: (job) => scheduler.listTaskStates(job),
-    explain: (job) => scheduler.explain(job),
+    // Another owner may have changed the tasks while this process may not decide.
+    getTasks: (job) =>
+      isDeciding() ? scheduler.listTaskStates(job) : undefined,
+    explain: (job) => (isDeciding() ? scheduler.explain(job) : undefined),
     getTeamUse: () =>
       [...scheduler.getTeamUse()].map(([team, used]) => ({ team, used })),
     listWorkers: () =>
--- a/packages/daemon/src/workers/types.ts
+++ b/packages/daemon/src/workers/types.ts
@@ -96,8 +96,10 @@
   readonly shard: core.ids.ShardName;
   readonly epoch: core.ids.Epoch;
   check(spec: core.jobs.JobSpec): core.scheduling.AdmissionVerdict;
+  /** Returns the states of the tasks; undefined while this process may not decide for the shard, or when it doesn't know the job. */
   getTasks(job: core.ids.JobId): readonly core.jobs.TaskState[] | undefined;
-  explain(job: core.ids.JobId): readonly string[];
+  /** Explains the state of a job; undefined while this process may not decide for the shard. */
+  explain(job: core.ids.JobId): readonly string[] | undefined;
   getTeamUse(): readonly core.messages.TeamUse[];
   listWorkers(): readonly WorkerView[];
   /** Returns whether the take-over is concluded: every earlier task was found or ruled out. */
--- a/packages/daemon/test/jobs.test.ts
+++ b/packages/daemon/test/jobs.test.ts
@@ -217,3 +217,45 @@
       .toMatchObject({ jobs: [{ state: 'accepted' }], isIncomplete: false });
   },
 );
+
+// Guards against states of tasks from the tables of an owner that was replaced during a pause.
+vitest.test(
+  'a resumed owner does not tell the states of tasks before it has verified its ownership',
+  async () => {
+    const { cluster, processJobs } = createSetup();
+    const [old, next] = cluster.processes;
+    old!.claimShard();
+    await cluster.run(3_000);
+    const job = cluster.submit({ work: { runMs: 10_000 } });
+    await cluster.run(1_000);
+    vitest
+      .expect(await getAnswer(cluster, processJobs[0]!.fetchTasks(job)))
+      .toHaveLength(1);
+    old!.isPaused = true;
+    await cluster.run(1_000);
+    next!.claimShard();
+    await cluster.run(20_000);
+    vitest.expect(next!.jobs.table.jobs.get(job)?.state).toBe('done');
+    // Requests that arrived during the pause are handled before overdue timers.
+    old!.isPaused = false;
+    vitest.expect(await processJobs[0]!.fetchTasks(job)).toBeUndefined();
+    const lines = await processJobs[0]!.explain(job);
+    vitest.expect(lines.at(-1)).toContain("aren't known");
+  },
+);
+
+// Guards against "this job isn't known" from a new owner that hasn't read the jobs yet.
+vitest.test(
+  'a new owner that has not read the jobs says that the states of tasks are not known',
+  async () => {
+    const { cluster, processJobs } = createSetup();
+    const job = cluster.submit({});
+    await cluster.run(1_000);
+    cluster.processes[0]!.claimShard();
+    vitest.expect(await processJobs[0]!.fetchTasks(job)).toBeUndefined();
+    const lines = await processJobs[0]!.explain(job);
+    vitest.expect(lines.at(-1)).toContain("aren't known");
+    await cluster.run(1_000);
+    vitest.expect(await processJobs[0]!.fetchTasks(job)).toHaveLength(1);
+  },
+);
