Show tasks that a new owner has not found yet as held instead of waiting

During a take-over the state of a job counted tasks as `waiting` that ran on workers the new owner hadn't heard from: "4 waiting, 0 running" for up to 17 s, while all four ran. The reason, when it was shown at all, said that one "may still run".

The scheduler distinguishes held tasks from waiting ones; only the view of the task states merged the two.

The new test failed before with `waiting` in place of `held`. The exact comparison of the counts in the callers' test got the additional field.

--- a/packages/core/src/scheduler/views.ts
+++ b/packages/core/src/scheduler/views.ts
@@ -9,20 +9,20 @@
 import type * as states from './state.js';
 import * as waiting from './waiting.js';
 
-function buildWaiting(
+function buildUnstarted(
+  state: 'waiting' | 'held',
   sinceMs: number,
   reason: reasons.Reason | undefined,
 ): job.TaskState {
-  return reason === undefined
-    ? { state: 'waiting', sinceMs }
-    : { state: 'waiting', sinceMs, reason };
+  return reason === undefined ? { state, sinceMs } : { state, sinceMs, reason };
 }
 
 function buildTaskState(row: rows.JobRow, index: number): job.TaskState {
   const task = row.tasks.get(index);
   if (task === undefined && row.ending !== undefined)
     return { state: 'ended', result: 'stopped' };
-  if (task === undefined) return buildWaiting(row.sinceMs, row.reason);
+  if (task === undefined)
+    return buildUnstarted('waiting', row.sinceMs, row.reason);
   const { attempt } = task;
   if (attempt !== undefined) {
     const { id: attemptId, sinceMs, why } = attempt;
@@ -34,7 +34,10 @@
   if (task.state === 'ended')
     return { state: 'ended', result: task.result ?? 'unknown' };
   if (row.closed) return { state: 'ended', result: 'stopped' };
-  return buildWaiting(task.sinceMs, task.reason ?? row.reason);
+  const reason = task.reason ?? row.reason;
+  return task.state === 'held'
+    ? buildUnstarted('held', task.sinceMs, reason)
+    : buildUnstarted('waiting', task.sinceMs, reason);
 }
 
 /** Lists the states of the tasks of a job; undefined for an unknown job. */
--- a/packages/core/src/types/job.ts
+++ b/packages/core/src/types/job.ts
@@ -41,6 +41,12 @@
       readonly sinceMs: number;
       readonly reason?: reasons.Reason;
     }
+  /** An earlier owner may have started it; the current one hasn't found it or ruled it out yet. */
+  | {
+      readonly state: 'held';
+      readonly sinceMs: number;
+      readonly reason?: reasons.Reason;
+    }
   | {
       readonly state: 'starting';
       readonly attemptId: ids.AttemptId;
--- a/packages/core/test/scheduler.test.ts
+++ b/packages/core/test/scheduler.test.ts
@@ -539,3 +539,27 @@
     });
   });
 });
+
+describe('take-over', () => {
+  // Guards against showing a task that may be running on a worker without a report as waiting.
+  it('shows a task that is neither found nor ruled out as held', () => {
+    const cluster = new Cluster(1, 16);
+    const job = cluster.submit('bulk', { count: 2 });
+    const reason = {
+      reason: 'waiting-for-lease',
+      worker: 'w0',
+      untilMs: 17_000,
+    } as const;
+    cluster.apply({ event: 'task.held', job, index: 0, reason });
+    cluster.tick();
+    expect(cluster.scheduler.listTaskStates(job)).toMatchObject([
+      { state: 'held', reason },
+      { state: 'starting' },
+    ]);
+    cluster.apply({ event: 'task.freed', job, index: 0 });
+    expect(cluster.scheduler.listTaskStates(job)).toMatchObject([
+      { state: 'waiting' },
+      { state: 'starting' },
+    ]);
+  });
+});
--- a/packages/daemon/src/callers/routes.ts
+++ b/packages/daemon/src/callers/routes.ts
@@ -309,7 +309,14 @@
 }
 
 function createZeroCounts(): TaskCounts {
-  return { waiting: 0, starting: 0, running: 0, stopping: 0, ended: 0 };
+  return {
+    waiting: 0,
+    held: 0,
+    starting: 0,
+    running: 0,
+    stopping: 0,
+    ended: 0,
+  };
 }
 
 function describeWaitReason(
@@ -320,9 +327,12 @@
     return job.state === 'accepted'
       ? `the process that decides for ${job.shard} does not answer or is taking over, so the tasks are not known`
       : undefined;
-  for (const state of states)
-    if (state.state === 'waiting' && state.reason !== undefined)
-      return core.describeReason(state.reason).join(' ');
+  for (const task of states)
+    if (
+      (task.state === 'waiting' || task.state === 'held') &&
+      task.reason !== undefined
+    )
+      return core.describeReason(task.reason).join(' ');
   return undefined;
 }
 
--- a/packages/daemon/test/callers.test.ts
+++ b/packages/daemon/test/callers.test.ts
@@ -317,7 +317,14 @@
     expect(JSON.parse((await call(port, 'GET', '/jobs/j1')).text)).toEqual({
       id: 'j1',
       state: 'accepted',
-      tasks: { waiting: 1, starting: 0, running: 0, stopping: 0, ended: 1 },
+      tasks: {
+        waiting: 1,
+        held: 0,
+        starting: 0,
+        running: 0,
+        stopping: 0,
+        ended: 1,
+      },
       reason: expect.stringContaining('2 tasks wait in all') as string,
     });
     expect((await call(port, 'GET', '/jobs/j2')).status).toBe(404);
