Leave out the number of tasks of a worker whose inventory is not known

`workers` showed 0 tasks for each worker that had not reported to a new owner yet, while its tasks ran on; the owner counted the attempts that it had adopted so far. The number is now absent, which the command prints as a dash, until the inventory of the worker is complete, and while the process may not decide for the shard.

--- a/packages/daemon/src/operators/views.ts
+++ b/packages/daemon/src/operators/views.ts
@@ -26,7 +26,7 @@
 ): readonly WorkerDetail[] {
   return workers.map(({ id, attempts, closedBy }) => ({
     id,
-    running: attempts,
+    ...(attempts === undefined ? {} : { running: attempts }),
     ...(closedBy === undefined ? {} : { closedBy }),
   }));
 }
--- a/packages/daemon/src/workers/shard.ts
+++ b/packages/daemon/src/workers/shard.ts
@@ -451,7 +451,10 @@
     listWorkers: () =>
       [...workers.values()].map((entry) => ({
         id: entry.vm.id,
-        attempts: state.attempts.list(entry.vm.id).length,
+        attempts:
+          entry.isInventoryComplete && isDeciding()
+            ? state.attempts.list(entry.vm.id).length
+            : undefined,
         closedBy: describeBlocked(entry),
       })),
     isSettled: () => state.isConcluded,
--- a/packages/daemon/src/workers/types.ts
+++ b/packages/daemon/src/workers/types.ts
@@ -111,8 +111,8 @@
 /** One worker as the owner of its shard sees it. */
 export interface WorkerView {
   readonly id: core.ids.VmId;
-  /** Number of attempts that exist or may exist on it. */
-  readonly attempts: number;
+  /** Number of attempts that exist or may exist on it; undefined while its inventory isn't known, or while this process may not decide for the shard. */
+  readonly attempts: number | undefined;
   /** Why it gets no new tasks now; undefined when it may get some. */
   readonly closedBy: string | undefined;
 }
--- a/packages/daemon/test/owner.test.ts
+++ b/packages/daemon/test/owner.test.ts
@@ -363,6 +363,37 @@
   },
 );
 
+// Guards against "0 tasks" on a worker whose tasks the new owner doesn't know yet.
+vitest.test(
+  'a new owner tells the number of tasks of a worker only when it knows its inventory',
+  async () => {
+    const cluster = createCluster(1);
+    const [old, next] = cluster.processes;
+    old!.claimShard();
+    cluster.submit({ work: longWork });
+    await run(cluster, 3_000);
+    cluster.getLinkFault(next!, 'w0').losesCalls = true;
+    old!.isPaused = true;
+    next!.claimShard();
+    await run(cluster, 1_000);
+    vitest.expect(cluster.workers[0]!.listRunning()).toHaveLength(1);
+    vitest
+      .expect(next!.workers.listWorkers())
+      .toEqual([
+        {
+          id: 'w0',
+          attempts: undefined,
+          closedBy: vitest.expect.any(String) as string,
+        },
+      ]);
+    cluster.getLinkFault(next!, 'w0').losesCalls = false;
+    await run(cluster, 5_000);
+    vitest
+      .expect(next!.workers.listWorkers())
+      .toMatchObject([{ id: 'w0', attempts: 1 }]);
+  },
+);
+
 // Guards against regions that together use more than the quota of a team.
 vitest.test(
   'quotas are split among the regions by their share of the capacity',
