Refuse to show or check releases before the release in force is known

A process that was still reading the log answered from what it had read: "release 1 isn't known to this process" (404) for the release in force, a release as in force that a later one had replaced, and faults such as "the release in force is none; expected base = none" for a correct note. An operator who believes the last one publishes a note on the wrong base.

`release show` and `release check` are now refused with 503 until the process knows the release in force; publications already were. The list of releases keeps its `ready` field for diagnosis, and `release history` prints it above the lines.

The new tests failed before: 404 in place of 503, and a history without the line.

--- a/packages/cli/src/release.ts
+++ b/packages/cli/src/release.ts
@@ -207,7 +207,14 @@
 
   protected async runWith(target: client.Client): Promise<number> {
     const answer = await target.ask({ method: 'GET', path: '/releases' });
-    return this.reportAnswer(answer, (body) => command.toTextList(body.lines));
+    return this.reportAnswer(answer, (body) => [
+      ...(body.ready === false
+        ? [
+            'this process does not know the release in force yet, so later releases may be missing',
+          ]
+        : []),
+      ...command.toTextList(body.lines),
+    ]);
   }
 }
 
--- a/packages/cli/test/cli.test.ts
+++ b/packages/cli/test/cli.test.ts
@@ -376,6 +376,22 @@
   },
 );
 
+// Guards against a history that a process which hasn't read the log prints like a whole one.
+vitest.test(
+  'says above the history that a process does not know the release in force',
+  async () => {
+    const lines = ['the cluster does nothing'];
+    const shown = await runCommand(['release', 'history'], {
+      'GET /releases': [[200, { ready: false, lines }]],
+    });
+    vitest.expect(shown.out).toMatch(/^this process does not know/);
+    const known = await runCommand(['release', 'history'], {
+      'GET /releases': [[200, { ready: true, lines }]],
+    });
+    vitest.expect(known.out).toBe('the cluster does nothing\n');
+  },
+);
+
 // Guards against a list that a process cut off from the log prints like a whole one.
 vitest.test('says below a list of jobs that it may be incomplete', async () => {
   const path = 'GET /jobs?limit=100';
--- a/packages/daemon/src/operators/releases.ts
+++ b/packages/daemon/src/operators/releases.ts
@@ -58,6 +58,13 @@
   };
 }
 
+function refuseUnready(): http.Reply {
+  return http.refuse(
+    503,
+    'this process does not know the release in force yet; ask another one, or try again',
+  );
+}
+
 async function describeRelease(
   releases: types.Releases,
   timers: core.TimerService,
@@ -67,6 +74,7 @@
   const waitMs = Number(waitText ?? 0);
   if (!(waitMs >= 0 && waitMs <= MAX_WAIT_MS))
     return http.refuse(400, `wait_ms: expected 0 to ${MAX_WAIT_MS}`);
+  if (!releases.isReady()) return refuseUnready();
   const item = views.findHistoryItem(releases.getState(), id);
   if (item === undefined)
     return http.refuse(
@@ -133,6 +141,7 @@
 ): http.Reply {
   const { text } = publication;
   if (text === undefined) return http.refuse(400, expectedBody);
+  if (!releases.isReady()) return refuseUnready();
   const state = releases.getState();
   const result = checkText(state, text);
   if ('faults' in result)
--- a/packages/daemon/test/operators.test.ts
+++ b/packages/daemon/test/operators.test.ts
@@ -3,6 +3,8 @@
 import * as vitest from 'vitest';
 import * as core from '@flamingoward/core';
 import * as fakes from './fakes.releases.js';
+import * as operatorsHttp from '../src/operators/http.js';
+import * as releaseRoutes from '../src/operators/releases.js';
 import * as operators from '../src/operators/server.js';
 import * as releases from '../src/releases/releases.js';
 import type * as types from '../src/types.js';
@@ -297,6 +299,44 @@
   },
 );
 
+// Guards against "no such release" and "expected base = none" from a process that hasn't read the log.
+vitest.test(
+  'a process that does not know the release in force neither denies a release nor checks a note',
+  async () => {
+    const context = fakes.buildContext(timers, 'c');
+    const unread = releases.createReleases({
+      context,
+      streams: log,
+      membership: fakes.createFakeMembership(),
+      links: new fakes.FakeNetwork().buildLinks('c#1'),
+      peers: [],
+    });
+    const routes = releaseRoutes.buildReleaseRoutes(unread, timers);
+    const answer = async (method: string, path: string, body = '') => {
+      const match = operatorsHttp.findRoute(routes, method, path);
+      if (match.match !== 'route') throw new Error(`no route ${path}`);
+      const query = new URLSearchParams();
+      const { params } = match;
+      return await match.route.handle({ params, query, headers: {}, body });
+    };
+    for (const id of ['1', 'current'])
+      vitest
+        .expect(await answer('GET', `/releases/${id}`))
+        .toMatchObject({ status: 503 });
+    vitest
+      .expect(await answer('POST', '/releases/check', buildNote('2', '1')))
+      .toMatchObject({ status: 503 });
+    vitest
+      .expect(await answer('GET', '/releases'))
+      .toMatchObject({ status: 200, body: { ready: false } });
+    log.deliver();
+    vitest
+      .expect(await answer('GET', '/releases/1'))
+      .toMatchObject({ status: 200 });
+    unread.close();
+  },
+);
+
 vitest.test(
   'answers not-run to a publication while the log does not answer',
   async () => {
