Say that the state of a live job may be stale while the log is away

A process that is cut off from the log went on to show a job as `accepted` after the job had ended or been cancelled, for as long as the cut lasted and without a sign, and so did a process that was in the middle of the log after its start.

A final state never changes, so it is told as it is. For a job without one the answer now has `stale: true` while the log doesn't answer, for callers and for operators, and `job status` prints what that means. A process that hasn't reached the head yet reads up to it first.

In the new test the process that is cut off still tells `accepted` 10 s later, when the job is done in the log; the answer had no field that shows the difference.

--- a/packages/cli/src/jobs.ts
+++ b/packages/cli/src/jobs.ts
@@ -182,6 +182,11 @@
   return [
     `${command.formatCell(job.id)}: ${command.formatCell(job.state)}${job.cancelRequested === true ? ', cancellation requested' : ''}`,
     `${command.formatCell(spec.kind)} ${command.formatCell(spec.name)} of team ${command.formatCell(spec.team)}, class ${command.formatCell(spec.jobClass)}, decided in ${command.formatCell(job.shard)}`,
+    ...(body.stale === true
+      ? [
+          'the log service does not answer this process, so the job may have been cancelled or have ended',
+        ]
+      : []),
     ...(endReason === undefined
       ? []
       : [`ended: ${command.formatCell(endReason)}`]),
--- a/packages/cli/test/cli.test.ts
+++ b/packages/cli/test/cli.test.ts
@@ -405,3 +405,17 @@
   });
   vitest.expect(whole.out).toMatch(/0 of 0 jobs\n$/);
 });
+
+// Guards against the state of a job at a process cut off from the log that looks like the current one.
+vitest.test('says that the state of a job may be stale', async () => {
+  const spec = { kind: 'batch', name: 'cut', team: 'roof', jobClass: 'c' };
+  const job = { id: 'j1', state: 'accepted', shard: 'workers/muscat', spec };
+  const show = (body: object) =>
+    runCommand(['job', 'status', 'j1'], {
+      'GET /jobs/j1': [[200, { job, counts: { waiting: 1 }, ...body }]],
+    });
+  vitest
+    .expect((await show({ stale: true })).out)
+    .toContain('may have been cancelled or have ended');
+  vitest.expect((await show({})).out).not.toContain('may have');
+});
--- a/packages/daemon/src/callers/routes.ts
+++ b/packages/daemon/src/callers/routes.ts
@@ -273,7 +273,7 @@
       );
       return;
     case 'found':
-      await sendFoundJob(dependencies, exchange, found.job);
+      await sendFoundJob(dependencies, exchange, found);
       return;
   }
 }
@@ -281,7 +281,7 @@
 async function sendFoundJob(
   dependencies: RouteDependencies,
   exchange: Exchange,
-  job: core.jobs.Job,
+  { job, isStale }: Extract<types.JobLookup, { lookup: 'found' }>,
 ): Promise<void> {
   const { id } = job;
   const states = await dependencies.jobs.fetchTasks(id);
@@ -293,6 +293,7 @@
     state: job.state,
     tasks,
     ...(reason === undefined ? {} : { reason }),
+    ...(isStale && { stale: true }),
   });
 }
 
--- a/packages/daemon/src/jobs/jobs.ts
+++ b/packages/daemon/src/jobs/jobs.ts
@@ -224,11 +224,27 @@
 
   async function find(id: core.ids.JobId): Promise<types.JobLookup> {
     const known = table.jobs.get(id);
-    if (known !== undefined) return { lookup: 'found', job: known };
+    if (known !== undefined) return await buildFound(known);
     // Another process may have accepted the job, and its record hasn't been read here yet.
     if (!(await tryRefresh())) return { lookup: 'unreadable' };
     const job = table.jobs.get(id);
-    return job === undefined ? { lookup: 'none' } : { lookup: 'found', job };
+    return job === undefined
+      ? { lookup: 'none' }
+      : { lookup: 'found', job, isStale: false };
+  }
+
+  async function buildFound(known: core.jobs.Job): Promise<types.JobLookup> {
+    if (known.state !== 'accepted')
+      return { lookup: 'found', job: known, isStale: false };
+    const isAway = streams.getUnreachableSinceMs() !== undefined;
+    // A process that has just started may be in the middle of the log.
+    const isBehind = store.reader.getHeadReadMs() === undefined;
+    const isStale = isAway || (isBehind && !(await tryRefresh()));
+    return {
+      lookup: 'found',
+      job: table.jobs.get(known.id) ?? known,
+      isStale,
+    };
   }
 
   async function cancel(
--- a/packages/daemon/src/operators/jobs.ts
+++ b/packages/daemon/src/operators/jobs.ts
@@ -153,13 +153,13 @@
     case 'unreadable':
       return refuseUnreadableJob(id);
     case 'found':
-      return await describeFoundJob(jobs, found.job);
+      return await describeFoundJob(jobs, found);
   }
 }
 
 async function describeFoundJob(
   jobs: types.Jobs,
-  job: core.jobs.Job,
+  { job, isStale }: Extract<types.JobLookup, { lookup: 'found' }>,
 ): Promise<http.Reply> {
   const { id } = job;
   const tasks = await jobs.fetchTasks(id);
@@ -167,6 +167,7 @@
     status: 200,
     body: {
       job,
+      ...(isStale && { stale: true }),
       counts: countStates(tasks ?? []),
       // Only the owner of the shard knows the states, and it can't tell them now.
       ...(tasks === undefined ? { tasksUnknown: true } : { tasks }),
--- a/packages/daemon/src/types.ts
+++ b/packages/daemon/src/types.ts
@@ -188,7 +188,12 @@
 
 /** Result of looking for a job. */
 export type JobLookup =
-  | { readonly lookup: 'found'; readonly job: core.jobs.Job }
+  | {
+      readonly lookup: 'found';
+      readonly job: core.jobs.Job;
+      /** Whether the log doesn't answer, so that a job shown as accepted may have been cancelled or have ended. */
+      readonly isStale: boolean;
+    }
   | { readonly lookup: 'none' }
   /** The log doesn't answer, so whether there is such a job isn't known. */
   | { readonly lookup: 'unreadable' };
--- a/packages/daemon/test/callers.test.ts
+++ b/packages/daemon/test/callers.test.ts
@@ -43,8 +43,9 @@
       },
       find: (id: string) => {
         const lookup = id === 'unread' ? 'unreadable' : 'none';
-        const found = { lookup: 'found', job };
-        return Promise.resolve(id === 'j1' ? found : { lookup });
+        const isStale = id === 'stale';
+        const found = { lookup: 'found', job, isStale };
+        return Promise.resolve(id === 'j1' || isStale ? found : { lookup });
       },
       fetchTasks: () =>
         Promise.resolve([
@@ -327,6 +328,8 @@
       },
       reason: expect.stringContaining('2 tasks wait in all') as string,
     });
+    const stale = await call(port, 'GET', '/jobs/stale');
+    expect(JSON.parse(stale.text)).toMatchObject({ stale: true });
     expect((await call(port, 'GET', '/jobs/j2')).status).toBe(404);
     const unread = await call(port, 'GET', '/jobs/unread');
     expect([unread.status, unread.headers['flamingoward-answer']]).toEqual([
--- a/packages/daemon/test/jobs.test.ts
+++ b/packages/daemon/test/jobs.test.ts
@@ -259,3 +259,28 @@
     vitest.expect(await processJobs[0]!.fetchTasks(job)).toHaveLength(1);
   },
 );
+
+// Guards against "accepted" for a job that has ended since the process was cut off from the log.
+vitest.test(
+  'a process that is cut off from the log says that the state of a live job may be stale',
+  async () => {
+    const { cluster, processJobs } = createSetup();
+    const [a, b] = processJobs;
+    cluster.processes[0]!.claimShard();
+    await cluster.run(3_000);
+    const answer = await getAnswer(cluster, a!.submit(fakes.baseSpec, 'k'));
+    const job = answer.result === 'accepted' ? answer.job : '';
+    vitest.expect(await b!.find(job)).toMatchObject({ isStale: false });
+    cluster.processes[1]!.isCutOffFromLog = true;
+    await cluster.run(10_000);
+    vitest.expect(a!.get(job)?.state).toBe('done');
+    vitest
+      .expect(await b!.find(job))
+      .toMatchObject({ job: { state: 'accepted' }, isStale: true });
+    cluster.processes[1]!.isCutOffFromLog = false;
+    await cluster.run(1_000);
+    vitest
+      .expect(await b!.find(job))
+      .toMatchObject({ job: { state: 'done' }, isStale: false });
+  },
+);
--- a/packages/daemon/test/operators.test.ts
+++ b/packages/daemon/test/operators.test.ts
@@ -65,7 +65,7 @@
       return Promise.resolve(
         found === undefined
           ? { lookup: id === 'unread' ? 'unreadable' : 'none' }
-          : { lookup: 'found', job: found },
+          : { lookup: 'found', job: found, isStale: isLogAway },
       );
     },
     readList: () =>
@@ -384,6 +384,9 @@
   vitest
     .expect((await ask('GET', '/jobs')).body)
     .toMatchObject({ total: 1, incomplete: true });
+  vitest
+    .expect((await ask('GET', '/jobs/k1')).body)
+    .toMatchObject({ job: { state: 'accepted' }, stale: true });
   isLogAway = false;
   vitest
     .expect((await ask('GET', '/jobs/k1')).body)
--- a/packages/daemon/test/owner.test.ts
+++ b/packages/daemon/test/owner.test.ts
@@ -377,15 +377,13 @@
     next!.claimShard();
     await run(cluster, 1_000);
     vitest.expect(cluster.workers[0]!.listRunning()).toHaveLength(1);
-    vitest
-      .expect(next!.workers.listWorkers())
-      .toEqual([
-        {
-          id: 'w0',
-          attempts: undefined,
-          closedBy: vitest.expect.any(String) as string,
-        },
-      ]);
+    vitest.expect(next!.workers.listWorkers()).toEqual([
+      {
+        id: 'w0',
+        attempts: undefined,
+        closedBy: vitest.expect.any(String) as string,
+      },
+    ]);
     cluster.getLinkFault(next!, 'w0').losesCalls = false;
     await run(cluster, 5_000);
     vitest
