--- a/packages/cli/src/jobs.ts
+++ b/packages/cli/src/jobs.ts
@@ -182,11 +182,16 @@
   return [
     `${command.formatCell(job.id)}: ${command.formatCell(job.state)}${job.cancelRequested === true ? ', cancellation requested' : ''}`,
     `${command.formatCell(spec.kind)} ${command.formatCell(spec.name)} of team ${command.formatCell(spec.team)}, class ${command.formatCell(spec.jobClass)}, decided in ${command.formatCell(job.shard)}`,
+    ...(body.stale === true
+      ? [
+          'the log service does not answer this process, so the job may have been cancelled or have ended',
+        ]
+      : []),
     ...(endReason === undefined
       ? []
       : [`ended: ${command.formatCell(endReason)}`]),
     body.tasksUnknown === true
-      ? 'tasks: not known now, because the owner of the shard does not answer'
+      ? 'tasks: not known now, because the owner of the shard does not answer or is taking over'
       : `tasks: ${counts.map(([state, count]) => `${command.formatCell(count)} ${state}`).join(', ')}`,
   ];
 }
@@ -247,6 +252,11 @@
           jobs.map(listJobCells),
         ),
         `${jobs.length} of ${total} jobs`,
+        ...(body.incomplete === true
+          ? [
+              'the log service does not answer this process, so later jobs and ends may be missing',
+            ]
+          : []),
       ];
     });
   }
--- a/packages/cli/test/cli.test.ts
+++ b/packages/cli/test/cli.test.ts
@@ -375,3 +375,47 @@
     vitest.expect((await runCommand(['settings', 'print', file])).code).toBe(1);
   },
 );
+
+// Guards against a history that a process which hasn't read the log prints like a whole one.
+vitest.test(
+  'says above the history that a process does not know the release in force',
+  async () => {
+    const lines = ['the cluster does nothing'];
+    const shown = await runCommand(['release', 'history'], {
+      'GET /releases': [[200, { ready: false, lines }]],
+    });
+    vitest.expect(shown.out).toMatch(/^this process does not know/);
+    const known = await runCommand(['release', 'history'], {
+      'GET /releases': [[200, { ready: true, lines }]],
+    });
+    vitest.expect(known.out).toBe('the cluster does nothing\n');
+  },
+);
+
+// Guards against a list that a process cut off from the log prints like a whole one.
+vitest.test('says below a list of jobs that it may be incomplete', async () => {
+  const path = 'GET /jobs?limit=100';
+  const partial = await runCommand(['job', 'list'], {
+    [path]: [[200, { total: 0, jobs: [], incomplete: true }]],
+  });
+  vitest.expect(partial.code).toBe(0);
+  vitest.expect(partial.out).toContain('0 of 0 jobs\nthe log service does not');
+  const whole = await runCommand(['job', 'list'], {
+    [path]: [[200, { total: 0, jobs: [] }]],
+  });
+  vitest.expect(whole.out).toMatch(/0 of 0 jobs\n$/);
+});
+
+// Guards against the state of a job at a process cut off from the log that looks like the current one.
+vitest.test('says that the state of a job may be stale', async () => {
+  const spec = { kind: 'batch', name: 'cut', team: 'roof', jobClass: 'c' };
+  const job = { id: 'j1', state: 'accepted', shard: 'workers/muscat', spec };
+  const show = (body: object) =>
+    runCommand(['job', 'status', 'j1'], {
+      'GET /jobs/j1': [[200, { job, counts: { waiting: 1 }, ...body }]],
+    });
+  vitest
+    .expect((await show({ stale: true })).out)
+    .toContain('may have been cancelled or have ended');
+  vitest.expect((await show({})).out).not.toContain('may have');
+});
--- a/packages/daemon/src/callers/routes.ts
+++ b/packages/daemon/src/callers/routes.ts
@@ -259,11 +259,31 @@
   exchange: Exchange,
   id: core.ids.JobId,
 ): Promise<void> {
-  const job = dependencies.jobs.get(id);
-  if (job === undefined) {
-    refuse(exchange, 404, `there is no job ${id}`);
-    return;
+  const found = await dependencies.jobs.find(id);
+  switch (found.lookup) {
+    case 'none':
+      refuse(exchange, 404, `there is no job ${id}`);
+      return;
+    case 'unreadable':
+      refuse(
+        exchange,
+        503,
+        `the log service does not answer, so whether there is a job ${id} is not known`,
+        RETRY_AFTER_MS,
+      );
+      return;
+    case 'found':
+      await sendFoundJob(dependencies, exchange, found);
+      return;
   }
+}
+
+async function sendFoundJob(
+  dependencies: RouteDependencies,
+  exchange: Exchange,
+  { job, isStale }: Extract<types.JobLookup, { lookup: 'found' }>,
+): Promise<void> {
+  const { id } = job;
   const states = await dependencies.jobs.fetchTasks(id);
   const tasks =
     states === undefined ? countEndedTasks(job) : countTasks(states);
@@ -273,6 +293,7 @@
     state: job.state,
     tasks,
     ...(reason === undefined ? {} : { reason }),
+    ...(isStale && { stale: true }),
   });
 }
 
@@ -289,7 +310,14 @@
 }
 
 function createZeroCounts(): TaskCounts {
-  return { waiting: 0, starting: 0, running: 0, stopping: 0, ended: 0 };
+  return {
+    waiting: 0,
+    held: 0,
+    starting: 0,
+    running: 0,
+    stopping: 0,
+    ended: 0,
+  };
 }
 
 function describeWaitReason(
@@ -298,11 +326,14 @@
 ): string | undefined {
   if (states === undefined)
     return job.state === 'accepted'
-      ? `the process that decides for ${job.shard} does not answer, so the tasks are not known`
+      ? `the process that decides for ${job.shard} does not answer or is taking over, so the tasks are not known`
       : undefined;
-  for (const state of states)
-    if (state.state === 'waiting' && state.reason !== undefined)
-      return core.describeReason(state.reason).join(' ');
+  for (const task of states)
+    if (
+      (task.state === 'waiting' || task.state === 'held') &&
+      task.reason !== undefined
+    )
+      return core.describeReason(task.reason).join(' ');
   return undefined;
 }
 
--- a/packages/daemon/src/jobs/jobs.ts
+++ b/packages/daemon/src/jobs/jobs.ts
@@ -21,7 +21,7 @@
 /** Queries about jobs that the owner of a shard answers. */
 export interface LocalShard {
   getTasks(job: core.ids.JobId): readonly core.jobs.TaskState[] | undefined;
-  explain(job: core.ids.JobId): readonly string[];
+  explain(job: core.ids.JobId): readonly string[] | undefined;
 }
 
 /** Dependencies of the jobs component. */
@@ -209,15 +209,57 @@
       : `${text}; whether an earlier one with this key was accepted isn't known`;
   }
 
+  /** Reads the jobs up to the head of the log; returns false when the log doesn't answer. */
+  function tryRefresh(): Promise<boolean> {
+    return store.reader.waitForHead().then(
+      () => true,
+      () => false,
+    );
+  }
+
+  async function readList(): Promise<types.JobListing> {
+    const isIncomplete = !(await tryRefresh());
+    return { jobs: [...table.jobs.values()], isIncomplete };
+  }
+
+  async function find(id: core.ids.JobId): Promise<types.JobLookup> {
+    const known = table.jobs.get(id);
+    if (known !== undefined) return await buildFound(known);
+    // Another process may have accepted the job, and its record hasn't been read here yet.
+    if (!(await tryRefresh())) return { lookup: 'unreadable' };
+    const job = table.jobs.get(id);
+    return job === undefined
+      ? { lookup: 'none' }
+      : { lookup: 'found', job, isStale: false };
+  }
+
+  async function buildFound(known: core.jobs.Job): Promise<types.JobLookup> {
+    if (known.state !== 'accepted')
+      return { lookup: 'found', job: known, isStale: false };
+    const isAway = streams.getUnreachableSinceMs() !== undefined;
+    // A process that has just started may be in the middle of the log.
+    const isBehind = store.reader.getHeadReadMs() === undefined;
+    const isStale = isAway || (isBehind && !(await tryRefresh()));
+    return {
+      lookup: 'found',
+      job: table.jobs.get(known.id) ?? known,
+      isStale,
+    };
+  }
+
   async function cancel(
     job: core.ids.JobId,
     by: string,
   ): ReturnType<types.Jobs['cancel']> {
-    if (!table.jobs.has(job)) {
-      // Another process may have accepted the job, and its record hasn't been read here yet.
-      await store.reader.waitForHead().catch(() => undefined);
+    const found = await find(job);
+    switch (found.lookup) {
+      case 'none':
+        return { outcome: 'unknown-job' };
+      case 'unreadable':
+        return { outcome: 'not-appended', reason: 'log-away' };
+      case 'found':
+        break;
     }
-    if (!table.jobs.has(job)) return { outcome: 'unknown-job' };
     const body: core.records.JobRecord = { type: 'cancel', job, by };
     return await streams.append('jobs', body, {
       flush: 'grouped',
@@ -266,16 +308,23 @@
   async function explain(id: core.ids.JobId): Promise<readonly string[]> {
     const job = table.jobs.get(id);
     if (job === undefined) return [`${id} isn't known to this process`];
-    const local = options.getLocalShard(job.shard);
-    if (local !== undefined) return [...describeJob(job), ...local.explain(id)];
-    const question = { kind: 'job.explain', job: id } as const;
-    const answer = await askOwner(job.shard, question, 'job.explain.answer');
-    const detail = answer?.lines ?? [
-      `the owner of ${job.shard} doesn't answer, so the states of the tasks aren't known`,
+    const lines = await fetchExplanation(job);
+    const detail = lines ?? [
+      `the owner of ${job.shard} doesn't answer or is taking over, so the states of the tasks aren't known`,
     ];
     return [...describeJob(job), ...detail];
   }
 
+  async function fetchExplanation(
+    job: core.jobs.Job,
+  ): Promise<readonly string[] | undefined> {
+    const local = options.getLocalShard(job.shard);
+    if (local !== undefined) return local.explain(job.id);
+    const question = { kind: 'job.explain', job: job.id } as const;
+    const answer = await askOwner(job.shard, question, 'job.explain.answer');
+    return answer?.lines;
+  }
+
   links.handle('job.detail', (question) => {
     const tasks = findLocalShard(question.job)?.getTasks(question.job);
     return Promise.resolve({
@@ -285,12 +334,9 @@
     });
   });
   links.handle('job.explain', (question) => {
-    const shard = findLocalShard(question.job);
-    if (shard !== undefined)
-      return Promise.resolve({
-        kind: 'job.explain.answer',
-        lines: shard.explain(question.job),
-      });
+    const lines = findLocalShard(question.job)?.explain(question.job);
+    if (lines !== undefined)
+      return Promise.resolve({ kind: 'job.explain.answer', lines });
     return Promise.resolve({
       kind: 'refused',
       code: 'not-owner',
@@ -307,7 +353,8 @@
     submit,
     cancel,
     get: (id) => table.jobs.get(id),
-    list: () => [...table.jobs.values()],
+    find,
+    readList,
     fetchTasks,
     explain,
   };
--- a/packages/daemon/src/operators/jobs.ts
+++ b/packages/daemon/src/operators/jobs.ts
@@ -70,7 +70,10 @@
   ];
 }
 
-function listJobs(jobs: types.Jobs, query: URLSearchParams): http.Reply {
+async function listJobs(
+  jobs: types.Jobs,
+  query: URLSearchParams,
+): Promise<http.Reply> {
   const limit = Number(query.get('limit') ?? DEFAULT_LIMIT);
   if (!Number.isSafeInteger(limit) || limit < 1 || limit > MAX_LIMIT)
     return http.refuse(
@@ -78,14 +81,18 @@
       `limit: expected a whole number from 1 to ${MAX_LIMIT}`,
     );
   const [team, state] = [query.get('team'), query.get('state')];
-  const matching = jobs
-    .list()
+  const listing = await jobs.readList();
+  const matching = listing.jobs
     .filter((job) => team === null || job.spec.team === team)
     .filter((job) => state === null || job.state === state)
     .sort((a, b) => b.acceptedAt - a.acceptedAt);
   return {
     status: 200,
-    body: { total: matching.length, jobs: matching.slice(0, limit) },
+    body: {
+      total: matching.length,
+      jobs: matching.slice(0, limit),
+      ...(listing.isIncomplete && { incomplete: true }),
+    },
   };
 }
 
@@ -127,20 +134,42 @@
 function refuseUnknownJob(id: string): http.Reply {
   return http.refuse(
     404,
-    `job ${id} isn't known to this process; "flamingoward job list" lists the jobs`,
+    `there is no job ${id}; "flamingoward job list" lists the jobs`,
+  );
+}
+
+function refuseUnreadableJob(id: string): http.Reply {
+  return http.refuse(
+    503,
+    `the log service does not answer, so whether there is a job ${id} isn't known`,
   );
 }
 
 async function describeJob(jobs: types.Jobs, id: string): Promise<http.Reply> {
-  const job = jobs.get(id);
-  if (job === undefined) return refuseUnknownJob(id);
+  const found = await jobs.find(id);
+  switch (found.lookup) {
+    case 'none':
+      return refuseUnknownJob(id);
+    case 'unreadable':
+      return refuseUnreadableJob(id);
+    case 'found':
+      return await describeFoundJob(jobs, found);
+  }
+}
+
+async function describeFoundJob(
+  jobs: types.Jobs,
+  { job, isStale }: Extract<types.JobLookup, { lookup: 'found' }>,
+): Promise<http.Reply> {
+  const { id } = job;
   const tasks = await jobs.fetchTasks(id);
   return {
     status: 200,
     body: {
       job,
+      ...(isStale && { stale: true }),
       counts: countStates(tasks ?? []),
-      // Only the owner of the shard knows the states, and it didn't answer.
+      // Only the owner of the shard knows the states, and it can't tell them now.
       ...(tasks === undefined ? { tasksUnknown: true } : { tasks }),
     },
   };
@@ -193,6 +222,13 @@
 }
 
 async function explainJob(jobs: types.Jobs, id: string): Promise<http.Reply> {
-  if (jobs.get(id) === undefined) return refuseUnknownJob(id);
-  return { status: 200, body: { id, lines: await jobs.explain(id) } };
+  const found = await jobs.find(id);
+  switch (found.lookup) {
+    case 'none':
+      return refuseUnknownJob(id);
+    case 'unreadable':
+      return refuseUnreadableJob(id);
+    case 'found':
+      return { status: 200, body: { id, lines: await jobs.explain(id) } };
+  }
 }
--- a/packages/daemon/src/types.ts
+++ b/packages/daemon/src/types.ts
@@ -173,15 +173,38 @@
     job: core.ids.JobId,
     by: string,
   ): Promise<clients.AppendOutcome | { readonly outcome: 'unknown-job' }>;
+  /** Returns a job that this process has read from the log. */
   get(job: core.ids.JobId): core.jobs.Job | undefined;
-  list(): readonly core.jobs.Job[];
-  /** Fetches the states of the tasks from the owner of the shard; undefined when it doesn't answer. */
+  /** Finds a job; says that there is none only after reading the log up to its head. */
+  find(job: core.ids.JobId): Promise<JobLookup>;
+  /** Reads the log up to its head and lists the jobs. */
+  readList(): Promise<JobListing>;
+  /** Fetches the states of the tasks from the owner of the shard; undefined when it doesn't answer or may not decide now. */
   fetchTasks(
     job: core.ids.JobId,
   ): Promise<readonly core.jobs.TaskState[] | undefined>;
   explain(job: core.ids.JobId): Promise<readonly string[]>;
 }
 
+/** Result of looking for a job. */
+export type JobLookup =
+  | {
+      readonly lookup: 'found';
+      readonly job: core.jobs.Job;
+      /** Whether the log doesn't answer, so that a job shown as accepted may have been cancelled or have ended. */
+      readonly isStale: boolean;
+    }
+  | { readonly lookup: 'none' }
+  /** The log doesn't answer, so whether there is such a job isn't known. */
+  | { readonly lookup: 'unreadable' };
+
+/** The jobs of the cell. */
+export interface JobListing {
+  readonly jobs: readonly core.jobs.Job[];
+  /** Whether the log doesn't answer, so that later jobs and ends may be missing. */
+  readonly isIncomplete: boolean;
+}
+
 /** Result of submitting a job. */
 export type SubmitResult =
   | { readonly result: 'accepted'; readonly job: core.ids.JobId }
--- a/packages/daemon/test/callers.test.ts
+++ b/packages/daemon/test/callers.test.ts
@@ -41,7 +41,12 @@
         submitted.push(spec);
         return Promise.resolve({ result: 'accepted', job: 'j1' });
       },
-      get: (id: string) => (id === 'j1' ? job : undefined),
+      find: (id: string) => {
+        const lookup = id === 'unread' ? 'unreadable' : 'none';
+        const isStale = id === 'stale';
+        const found = { lookup: 'found', job, isStale };
+        return Promise.resolve(id === 'j1' || isStale ? found : { lookup });
+      },
       fetchTasks: () =>
         Promise.resolve([
           {
@@ -313,10 +318,24 @@
     expect(JSON.parse((await call(port, 'GET', '/jobs/j1')).text)).toEqual({
       id: 'j1',
       state: 'accepted',
-      tasks: { waiting: 1, starting: 0, running: 0, stopping: 0, ended: 1 },
+      tasks: {
+        waiting: 1,
+        held: 0,
+        starting: 0,
+        running: 0,
+        stopping: 0,
+        ended: 1,
+      },
       reason: expect.stringContaining('2 tasks wait in all') as string,
     });
+    const stale = await call(port, 'GET', '/jobs/stale');
+    expect(JSON.parse(stale.text)).toMatchObject({ stale: true });
     expect((await call(port, 'GET', '/jobs/j2')).status).toBe(404);
+    const unread = await call(port, 'GET', '/jobs/unread');
+    expect([unread.status, unread.headers['flamingoward-answer']]).toEqual([
+      503,
+      'not-run',
+    ]);
     expect((await call(port, 'GET', '/keys/k')).status).toBe(503);
     expect((await call(port, 'GET', '/readyz')).status).toBe(200);
   });
--- a/packages/daemon/test/jobs.test.ts
+++ b/packages/daemon/test/jobs.test.ts
@@ -73,7 +73,8 @@
     vitest
       .expect(cluster.workers.flatMap((w) => w.startedTasks))
       .toHaveLength(1);
-    vitest.expect(processJobs[1]!.list()).toHaveLength(1);
+    const listing = await getAnswer(cluster, processJobs[1]!.readList());
+    vitest.expect(listing.jobs).toHaveLength(1);
   },
 );
 
@@ -87,7 +88,7 @@
     const gang = { ...fakes.baseSpec, kind: 'gang', count: 8 } as const;
     cluster.processes[1]!.readLagMs = 100_000;
     const first = await getAnswer(cluster, a!.submit(gang, 'k'));
-    vitest.expect(processJobs[1]!.list()).toEqual([]);
+    vitest.expect(cluster.processes[1]!.jobs.table.jobs.size).toBe(0);
     // Without w0 the other process would refuse the job, but it has been accepted already.
     cluster.unlisted.add('w0');
     vitest
@@ -168,3 +169,118 @@
       .toEqual({ outcome: 'unknown-job' });
   },
 );
+
+// Guards against "there is no job" from a process that hasn't read the record of an accepted job.
+vitest.test(
+  'an accepted job is not denied by a process that is behind the log or cut off from it',
+  async () => {
+    const { cluster, processJobs } = createSetup();
+    const [a, b] = processJobs;
+    const behind = cluster.processes[1]!;
+    behind.readLagMs = 100_000;
+    const answer = await getAnswer(cluster, a!.submit(fakes.baseSpec, 'k'));
+    const job = answer.result === 'accepted' ? answer.job : '';
+    vitest.expect(b!.get(job)).toBeUndefined();
+    behind.isCutOffFromLog = true;
+    vitest
+      .expect(await getAnswer(cluster, b!.find(job)))
+      .toEqual({ lookup: 'unreadable' });
+    vitest
+      .expect(await getAnswer(cluster, b!.cancel(job, 'op')))
+      .toEqual({ outcome: 'not-appended', reason: 'log-away' });
+    behind.isCutOffFromLog = false;
+    vitest
+      .expect(await getAnswer(cluster, b!.find(job)))
+      .toMatchObject({ lookup: 'found', job: { id: job } });
+    vitest
+      .expect(await getAnswer(cluster, b!.find('none')))
+      .toEqual({ lookup: 'none' });
+  },
+);
+
+// Guards against a list from a process that is behind the log and doesn't say that jobs are missing.
+vitest.test(
+  'a list of jobs is read up to the head of the log, or says that it may be incomplete',
+  async () => {
+    const { cluster, processJobs } = createSetup();
+    const [a, b] = processJobs;
+    const behind = cluster.processes[1]!;
+    behind.readLagMs = 100_000;
+    await getAnswer(cluster, a!.submit(fakes.baseSpec, 'k'));
+    behind.isCutOffFromLog = true;
+    vitest
+      .expect(await getAnswer(cluster, b!.readList()))
+      .toEqual({ jobs: [], isIncomplete: true });
+    behind.isCutOffFromLog = false;
+    vitest
+      .expect(await getAnswer(cluster, b!.readList()))
+      .toMatchObject({ jobs: [{ state: 'accepted' }], isIncomplete: false });
+  },
+);
+
+// Guards against states of tasks from the tables of an owner that was replaced during a pause.
+vitest.test(
+  'a resumed owner does not tell the states of tasks before it has verified its ownership',
+  async () => {
+    const { cluster, processJobs } = createSetup();
+    const [old, next] = cluster.processes;
+    old!.claimShard();
+    await cluster.run(3_000);
+    const job = cluster.submit({ work: { runMs: 10_000 } });
+    await cluster.run(1_000);
+    vitest
+      .expect(await getAnswer(cluster, processJobs[0]!.fetchTasks(job)))
+      .toHaveLength(1);
+    old!.isPaused = true;
+    await cluster.run(1_000);
+    next!.claimShard();
+    await cluster.run(20_000);
+    vitest.expect(next!.jobs.table.jobs.get(job)?.state).toBe('done');
+    // Requests that arrived during the pause are handled before overdue timers.
+    old!.isPaused = false;
+    vitest.expect(await processJobs[0]!.fetchTasks(job)).toBeUndefined();
+    const lines = await processJobs[0]!.explain(job);
+    vitest.expect(lines.at(-1)).toContain("aren't known");
+  },
+);
+
+// Guards against "this job isn't known" from a new owner that hasn't read the jobs yet.
+vitest.test(
+  'a new owner that has not read the jobs says that the states of tasks are not known',
+  async () => {
+    const { cluster, processJobs } = createSetup();
+    const job = cluster.submit({});
+    await cluster.run(1_000);
+    cluster.processes[0]!.claimShard();
+    vitest.expect(await processJobs[0]!.fetchTasks(job)).toBeUndefined();
+    const lines = await processJobs[0]!.explain(job);
+    vitest.expect(lines.at(-1)).toContain("aren't known");
+    await cluster.run(1_000);
+    vitest.expect(await processJobs[0]!.fetchTasks(job)).toHaveLength(1);
+  },
+);
+
+// Guards against "accepted" for a job that has ended since the process was cut off from the log.
+vitest.test(
+  'a process that is cut off from the log says that the state of a live job may be stale',
+  async () => {
+    const { cluster, processJobs } = createSetup();
+    const [a, b] = processJobs;
+    cluster.processes[0]!.claimShard();
+    await cluster.run(3_000);
+    const answer = await getAnswer(cluster, a!.submit(fakes.baseSpec, 'k'));
+    const job = answer.result === 'accepted' ? answer.job : '';
+    vitest.expect(await b!.find(job)).toMatchObject({ isStale: false });
+    cluster.processes[1]!.isCutOffFromLog = true;
+    await cluster.run(10_000);
+    vitest.expect(a!.get(job)?.state).toBe('done');
+    vitest
+      .expect(await b!.find(job))
+      .toMatchObject({ job: { state: 'accepted' }, isStale: true });
+    cluster.processes[1]!.isCutOffFromLog = false;
+    await cluster.run(1_000);
+    vitest
+      .expect(await b!.find(job))
+      .toMatchObject({ job: { state: 'done' }, isStale: false });
+  },
+);
--- a/packages/daemon/test/operators.test.ts
+++ b/packages/daemon/test/operators.test.ts
@@ -3,6 +3,8 @@
 import * as vitest from 'vitest';
 import * as core from '@flamingoward/core';
 import * as fakes from './fakes.releases.js';
+import * as operatorsHttp from '../src/operators/http.js';
+import * as releaseRoutes from '../src/operators/releases.js';
 import * as operators from '../src/operators/server.js';
 import * as releases from '../src/releases/releases.js';
 import type * as types from '../src/types.js';
@@ -11,6 +13,7 @@
 const timers = core.createVirtualTimers();
 const log = fakes.createFakeLog(timers);
 let drainCount = 0;
+let isLogAway = false;
 let base = '';
 let server: operators.OperatorsServer;
 let releasesPart: releases.ReleasesPart;
@@ -57,7 +60,16 @@
           : { outcome: 'unknown-job' },
       ),
     get: (id) => known.get(id),
-    list: () => [...known.values()],
+    find: (id) => {
+      const found = known.get(id);
+      return Promise.resolve(
+        found === undefined
+          ? { lookup: id === 'unread' ? 'unreadable' : 'none' }
+          : { lookup: 'found', job: found, isStale: isLogAway },
+      );
+    },
+    readList: () =>
+      Promise.resolve({ jobs: [...known.values()], isIncomplete: isLogAway }),
     fetchTasks: () => Promise.resolve([{ state: 'waiting', sinceMs: 0 }]),
     explain: () => Promise.resolve(['waits for a free core']),
   };
@@ -287,6 +299,44 @@
   },
 );
 
+// Guards against "no such release" and "expected base = none" from a process that hasn't read the log.
+vitest.test(
+  'a process that does not know the release in force neither denies a release nor checks a note',
+  async () => {
+    const context = fakes.buildContext(timers, 'c');
+    const unread = releases.createReleases({
+      context,
+      streams: log,
+      membership: fakes.createFakeMembership(),
+      links: new fakes.FakeNetwork().buildLinks('c#1'),
+      peers: [],
+    });
+    const routes = releaseRoutes.buildReleaseRoutes(unread, timers);
+    const answer = async (method: string, path: string, body = '') => {
+      const match = operatorsHttp.findRoute(routes, method, path);
+      if (match.match !== 'route') throw new Error(`no route ${path}`);
+      const query = new URLSearchParams();
+      const { params } = match;
+      return await match.route.handle({ params, query, headers: {}, body });
+    };
+    for (const id of ['1', 'current'])
+      vitest
+        .expect(await answer('GET', `/releases/${id}`))
+        .toMatchObject({ status: 503 });
+    vitest
+      .expect(await answer('POST', '/releases/check', buildNote('2', '1')))
+      .toMatchObject({ status: 503 });
+    vitest
+      .expect(await answer('GET', '/releases'))
+      .toMatchObject({ status: 200, body: { ready: false } });
+    log.deliver();
+    vitest
+      .expect(await answer('GET', '/releases/1'))
+      .toMatchObject({ status: 200 });
+    unread.close();
+  },
+);
+
 vitest.test(
   'answers not-run to a publication while the log does not answer',
   async () => {
@@ -327,6 +377,17 @@
   vitest
     .expect((await ask('GET', '/jobs?team=roof')).body)
     .toMatchObject({ total: 1 });
+  vitest
+    .expect((await ask('GET', '/jobs')).body)
+    .not.toHaveProperty('incomplete');
+  isLogAway = true;
+  vitest
+    .expect((await ask('GET', '/jobs')).body)
+    .toMatchObject({ total: 1, incomplete: true });
+  vitest
+    .expect((await ask('GET', '/jobs/k1')).body)
+    .toMatchObject({ job: { state: 'accepted' }, stale: true });
+  isLogAway = false;
   vitest
     .expect((await ask('GET', '/jobs/k1')).body)
     .toMatchObject({ counts: { waiting: 1 } });
@@ -339,6 +400,8 @@
   for (const path of ['/jobs/x', '/jobs/x/explain', '/requests/x/explain'])
     vitest.expect((await ask('GET', path)).status).toBe(404);
   vitest.expect((await ask('DELETE', '/jobs/x')).status).toBe(404);
+  for (const path of ['/jobs/unread', '/jobs/unread/explain'])
+    vitest.expect((await ask('GET', path)).status).toBe(503);
   vitest.expect((await ask('GET', '/requests/r1/explain')).status).toBe(200);
 });
 
