Withdraw starts that don't fit any more when a VM's capacity shrinks

A start is decided for the capacity that a VM has at that moment and sent once its record is durable. When the capacity shrank in between, the start was sent all the same, and a VM that doesn't check its capacity carried it out: rule LIMIT, as soon as the record takes longer than the time after which a smaller capacity counts. Nothing looked at the capacity between the decision and the order; only starts on draining VMs were withdrawn.

Evidence: with appends to `progress` unanswered for 6 s after three VMs had shrunk from 6 to 2 cores, one of them was brought to 6 cores, 7 s after it had shrunk.

When the entry of a VM changes, starts that haven't been sent are withdrawn, the latest first, until the others fit; of a gang all members are. They are decided again at once, where there is room. What runs above the new capacity stays: no rule asks for its stop, and the stop would lose work. It counts, as does what is being stopped, so that nothing starts there until it fits.

A start that is on its way when the capacity shrinks can't be withdrawn; its own deadline bounds how late it can be carried out.

--- a/packages/cluster/test/clusterSimulation.ts
+++ b/packages/cluster/test/clusterSimulation.ts
@@ -31,6 +31,8 @@
 const RESTART_DELAY_MS = 1_000;
 /** Longest time by which a call or append without an answer is carried out late, in ms. */
 const LONGEST_DELAY_MS = 3_000;
+/** Time after which a smaller capacity of a VM counts, in ms: the platform's time to settle and one heartbeat. */
+const SMALLER_AFTER_MS = 4_000 + HEARTBEAT_INTERVAL_MS;
 const NODE_NAMES = ['n0', 'n1', 'n2', 'n3'];
 
 /** How the store fails for all nodes: appends and reads get no answer, or are refused at once. */
@@ -38,6 +40,8 @@
 
 interface SimVm {
   entry: core.workloads.VmEntry;
+  /** Capacities in cores, each with the time from which the VM had it. */
+  readonly coresSince: { readonly sinceMs: number; readonly cores: number }[];
   /** Rate of its clock. */
   clockRate: number;
   /** Holds are answered, but starts and stops are neither carried out nor answered. */
@@ -112,6 +116,8 @@
   private readonly getClockRate: () => number;
   private readonly lastRanMs = new Map<core.ids.JobId, number>();
   private storeFailure: StoreFailure | undefined;
+  /** Stream whose appends get no answer, while everything else works. */
+  private silentStream: ports.StreamName | undefined;
   /** Time until which answers of VMs are lost, and calls carried out late, at random. */
   private lossyUntilMs = 0;
   private restarts = 0;
@@ -171,6 +177,7 @@
     };
     this.vms.set(id, {
       entry,
+      coresSince: [{ sinceMs: -Infinity, cores: this.coresPerVm }],
       clockRate: this.getClockRate(),
       ignoresOrders: false,
       state: 'up',
@@ -444,6 +451,10 @@
     const append = async (
       ...[stream, newRecords, options]: Parameters<ports.LogStore['append']>
     ): Promise<ports.AppendResult> => {
+      if (this.reachesStore(node) && this.silentStream === stream) {
+        await core.waitFor(this.world, 'sim.append', options.timeoutMs);
+        return { outcome: 'unknown', why: 'no answer' };
+      }
       if (this.reachesStore(node))
         return this.store.append(stream, newRecords, options);
       if (this.storeFailure === 'refusing') {
@@ -608,9 +619,24 @@
           `${this.getNow()}: ${name} started on ${vm.entry.id} while it runs on ${other.entry.id}`,
         );
     vm.running.set(name, { task, run, saved: '', percent: 100, load: 0 });
+    const usedCores = vm.running.size * step.size.cores;
+    if (usedCores > this.getCoreLimit(vm))
+      this.violations.push(
+        `${this.getNow()}: ${name} brings ${vm.entry.id} to ${usedCores} cores`,
+      );
     return 'started';
   }
 
+  /** Returns the largest capacity that a VM had within the time after which a smaller one counts. */
+  private getCoreLimit(vm: SimVm): number {
+    const sinceMs = this.getNow() - SMALLER_AFTER_MS;
+    const counting = vm.coresSince.filter((_, index) => {
+      const next = vm.coresSince[index + 1];
+      return next === undefined || next.sinceMs >= sinceMs;
+    });
+    return Math.max(...counting.map(({ cores }) => cores));
+  }
+
   private endRun(vm: SimVm, name: string, how: core.workloads.RunEnd): void {
     const run = vm.running.get(name);
     if (run === undefined) return;
@@ -736,6 +762,14 @@
     if (vm.listed) this.list(vm);
   }
 
+  /** Changes the capacity of a VM; its runs go on. */
+  resizeVm(id: core.ids.VmId, cores: number): void {
+    const vm = this.vms.get(id)!;
+    vm.coresSince.push({ sinceMs: this.getNow(), cores });
+    vm.entry = { ...vm.entry, capacity: { ...vm.entry.capacity, cores } };
+    if (vm.listed) this.list(vm);
+  }
+
   /** Loses answers of VMs at random for a time, and carries their calls out late. */
   loseAnswers(forMs: number): void {
     this.lossyUntilMs = this.getNow() + forMs;
@@ -815,6 +849,14 @@
     });
   }
 
+  /** Makes the appends to one stream fail for a time; reads and the other streams work. */
+  silenceAppends(forMs: number, stream: ports.StreamName): void {
+    this.silentStream = stream;
+    this.after(forMs, () => {
+      this.silentStream = undefined;
+    });
+  }
+
   /** Removes the entries of all VMs that are up; the VMs write them again. */
   expireEntries(): void {
     for (const vm of this.vms.values()) {
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -12,6 +12,7 @@
 import * as owed from './owed.js';
 import * as progress from './progress.js';
 import * as reports from './reports.js';
+import * as resizing from './resizing.js';
 import * as states from './state.js';
 import * as ticks from './tick.js';
 import type * as tables from './tables.js';
@@ -181,6 +182,7 @@
       if (entry === undefined) return;
       vm.leaving = entry.draining;
       vm.pool = entry.pool;
+      resizing.cancelExcessStarts(state, vm, nowMs);
     },
     applyReport(id, report, nowMs) {
       reports.applyReport(state, id, report, nowMs);
--- a/packages/core/test/workloads/property.test.ts
+++ b/packages/core/test/workloads/property.test.ts
@@ -1,6 +1,7 @@
 /**
  * Property test: the scheduler's invariants hold under random interleavings of late
- * commands, VM crashes, network partitions, slow writes and changes of owner. Guards
+ * commands, VM crashes, network partitions, slow writes, changes of owner and of VMs'
+ * capacities. Guards
  * against tasks that run twice, overloaded VMs, lost jobs and ends that are acknowledged
  * before they are durable.
  */
@@ -13,6 +14,7 @@
   partitions: false,
   takeovers: false,
   slowStore: false,
+  resizes: false,
 };
 
 const faultKinds: Readonly<Record<string, Partial<simulations.Faults>>> = {
@@ -21,6 +23,7 @@
   crashes: { crashes: true },
   partitions: { partitions: true, lateCommandShare: 0.05 },
   'changes of owner': { takeovers: true, slowStore: true },
+  'VMs that shrink and grow': { resizes: true, slowStore: true },
   'all faults at once': {
     lateCommandShare: 0.1,
     crashes: true,
@@ -28,6 +31,14 @@
     takeovers: true,
     slowStore: true,
   },
+  'all faults and VMs that shrink and grow': {
+    lateCommandShare: 0.1,
+    crashes: true,
+    partitions: true,
+    takeovers: true,
+    slowStore: true,
+    resizes: true,
+  },
 };
 
 const SEEDS = 25;
--- a/packages/core/test/workloads/simulation.ts
+++ b/packages/core/test/workloads/simulation.ts
@@ -17,6 +17,11 @@
 
 interface SimVm {
   entry: core.workloads.VmEntry;
+  /** Capacities, each with the time from which the VM had it. */
+  readonly capacities: {
+    readonly sinceMs: number;
+    readonly capacity: core.resources.Resources;
+  }[];
   incarnation: number;
   isUp: boolean;
   partitioned: boolean;
@@ -55,8 +60,16 @@
   readonly partitions: boolean;
   readonly takeovers: boolean;
   readonly slowStore: boolean;
+  /** Whether the capacities of VMs shrink and grow. */
+  readonly resizes: boolean;
 }
 
+const FULL_CAPACITY = { cores: 4, memoryMb: 4_000, gpus: 2 };
+/** Longest time until the owner knows the new capacity of a VM. */
+const RESIZE_NOTICE_MS = 300;
+/** Longest time until a command arrives that isn't late. */
+const COMMAND_MS = 40;
+const LATE_COMMAND_MS = 4_000;
 const LEASE_MS = 3_000;
 const INHERITED_RUN_TIMEOUT_MS = 5_000;
 const RUNS_PER_FENCE = 1_000_000;
@@ -115,9 +128,8 @@
 
   private addVm(id: string): void {
     this.vms.set(id, {
-      entry: harnesses.createEntry(id, {
-        capacity: { cores: 4, memoryMb: 4_000, gpus: 2 },
-      }),
+      entry: harnesses.createEntry(id, { capacity: FULL_CAPACITY }),
+      capacities: [{ sinceMs: -Infinity, capacity: FULL_CAPACITY }],
       incarnation: 1,
       isUp: true,
       partitioned: false,
@@ -338,9 +350,10 @@
       if (run.task.job === job.id && run.task.step === command.task.step)
         same += 1;
     }
+    const limit = this.getCapacityLimit(vm);
     if (
-      used.cores + step.size.cores > 4 + 1e-6 ||
-      used.gpus + step.size.gpus > 2
+      used.cores + step.size.cores > limit.cores + 1e-6 ||
+      used.gpus + step.size.gpus > limit.gpus
     )
       this.violations.push(
         `${this.nowMs}: ${name} exceeds the capacity of ${vm.entry.id}`,
@@ -358,6 +371,31 @@
       );
   }
 
+  /** Returns what a start that arrives now may fill: the largest capacity that its sender may have known. */
+  private getCapacityLimit(vm: SimVm): core.resources.Resources {
+    const commandMs =
+      this.faults.lateCommandShare > 0 ? LATE_COMMAND_MS : COMMAND_MS;
+    const sinceMs = this.nowMs - RESIZE_NOTICE_MS - commandMs;
+    const limit = { cores: 0, memoryMb: 0, gpus: 0 };
+    vm.capacities.forEach(({ capacity }, index) => {
+      const next = vm.capacities[index + 1];
+      if (next !== undefined && next.sinceMs < sinceMs) return;
+      limit.cores = Math.max(limit.cores, capacity.cores);
+      limit.memoryMb = Math.max(limit.memoryMb, capacity.memoryMb);
+      limit.gpus = Math.max(limit.gpus, capacity.gpus);
+    });
+    return limit;
+  }
+
+  private resize(vm: SimVm, capacity: core.resources.Resources): void {
+    vm.capacities.push({ sinceMs: this.nowMs, capacity });
+    this.send(Math.abs(this.random()) * RESIZE_NOTICE_MS, () => {
+      const known = vm.capacities.at(-1)?.capacity ?? capacity;
+      vm.entry = { ...vm.entry, capacity: known };
+      this.owner?.scheduler.setVmEntry(vm.entry.id, vm.entry, this.nowMs);
+    });
+  }
+
   private execute(owner: Owner, command: core.workloads.Command): void {
     const vm = this.vms.get('vm' in command ? command.vm : '');
     if (vm === undefined) return;
@@ -373,7 +411,7 @@
         const isLate = this.chance(this.faults.lateCommandShare);
         this.send(
           isLate
-            ? Math.abs(this.random()) * 4_000
+            ? Math.abs(this.random()) * LATE_COMMAND_MS
             : 5 + Math.abs(this.random()) * 20,
           () => {
             const outcome = this.receiveStart(
@@ -558,7 +596,12 @@
       this.tick(owner);
     }
     if (faulty) this.applyFaults();
-    else for (const vm of this.vms.values()) vm.partitioned = false;
+    else
+      for (const vm of this.vms.values()) {
+        vm.partitioned = false;
+        if (vm.capacities.at(-1)?.capacity !== FULL_CAPACITY)
+          this.resize(vm, FULL_CAPACITY);
+      }
   }
 
   private applyFaults(): void {
@@ -574,6 +617,15 @@
       });
     }
     if (this.faults.takeovers && this.chance(0.003)) this.replaceOwner(true);
+    if (this.faults.resizes && this.chance(0.02))
+      this.resize(
+        this.pick([...this.vms.values()]),
+        this.pick([
+          FULL_CAPACITY,
+          { cores: 2, memoryMb: 2_000, gpus: 1 },
+          { cores: 0.5, memoryMb: 50, gpus: 0 },
+        ]),
+      );
     if (this.chance(0.002)) this.cancelJob();
   }
 
