Log the capacity of a VM with each change of its entry

`vm.changed` is also written when only the capacity of a VM changes, but showed none of it: the line looked like a repetition, and a start that was withdrawn or a task that waits couldn't be explained from the log. It now has `cores`, `memoryMb` and `gpus`.

--- a/packages/cluster/src/fleet.ts
+++ b/packages/cluster/src/fleet.ts
@@ -77,6 +77,9 @@
       draining: vm?.draining,
       life: vm?.incarnation,
       pool: vm?.pool,
+      cores: vm?.capacity.cores,
+      memoryMb: vm?.capacity.memoryMb,
+      gpus: vm?.capacity.gpus,
     });
     observer?.(id, vm);
   }
--- a/packages/cluster/test/resizedVms.test.ts
+++ b/packages/cluster/test/resizedVms.test.ts
@@ -77,6 +77,9 @@
     vitest.expect(simulation.listMissing()).toHaveLength(FULL_CORES - 3);
     simulation.resizeVm(full, FULL_CORES);
     await simulation.advance(2_000);
+    vitest
+      .expect(simulation.formatLines())
+      .toMatch(/vm\.changed .*"cores":1,"memoryMb":8000,"gpus":0/);
     expectSound(simulation);
   });
 });
