Change the capacities of VMs in the walks of owner changes

A second series of walks shrinks and grows VMs beside the other disturbances, and the cluster checks each start against the largest capacity that the VM had within the time after which a smaller one counts. The walks without it keep their seeds.

--- a/packages/cluster/test/ownerChanges.property.test.ts
+++ b/packages/cluster/test/ownerChanges.property.test.ts
@@ -49,6 +49,8 @@
   /** Time until which a disturbance lasts. */
   calmFromMs: number;
   removed: boolean;
+  /** Whether the capacities of VMs shrink and grow. */
+  readonly resizes: boolean;
   /** VM that doesn't answer orders, if any. */
   ignoring: string | undefined;
 }
@@ -142,6 +144,12 @@
       return lossMs + 3_000;
     },
   };
+  const resize = () => {
+    const cores = Math.floor(getRandom() * (CORES_PER_VM + 1));
+    simulation.resizeVm(vm, cores);
+    return 0;
+  };
+  if (walk.resizes) Object.assign(actions, { resize, resizeAgain: resize });
   const names = Object.keys(actions);
   const name = names[Math.floor(getRandom() * names.length)]!;
   note(`${simulation.getNow()}: ${name} ${vm} ${lastsMs}`);
@@ -161,7 +169,7 @@
     .map(([id]) => id);
 }
 
-async function runWalk(seed: number): Promise<void> {
+async function runWalk(seed: number, resizes: boolean): Promise<void> {
   const getRandom = createRandom(seed);
   const simulation = new simulations.ClusterSimulation({
     jobs: JOBS,
@@ -179,6 +187,7 @@
     vms: listBusiest(simulation),
     calmFromMs: 0,
     removed: false,
+    resizes,
     ignoring: undefined,
   };
   const endMs = simulation.getNow() + WALK_MS;
@@ -216,7 +225,16 @@
   )(
     'never run twice and run again in time, seed %d (guards against LOST and TWICE after changes of owner)',
     async (seed) => {
-      await runWalk(seed);
+      await runWalk(seed, false);
+    },
+  );
+
+  vitest.it.each(
+    Array.from({ length: WALKS }, (_, index) => FIRST_SEED + index),
+  )(
+    'start nothing above the capacity of VMs that shrink and grow, seed %d (guards against LIMIT after changes of owner)',
+    async (seed) => {
+      await runWalk(seed, true);
     },
   );
 });
