Count the leases that an owner granted between its claim and its first renewal

Timeline: n1 releases the ownership and records when the last lease ends on each VM. n0 claims 90 ms later, extends the leases of all VMs, and its machine is gone 400 ms after that, before it has renewed its claim. A VM is cut off with its runs. n3 claims and takes the ends of n1's release for the last ones of any owner; it starts the tasks elsewhere when these have passed, although n0's leases last longer.

Cause: the ends belong to a release, after which its owner grants nothing. The claim after it carries them on, because its successor has to know VMs that aren't listed any more, and the reader of that claim didn't distinguish it from a release. The record of the first renewal has no ends, so only the time from a claim to the first renewal was open.

From a claim the reader now takes the names of the VMs, and as their ends the latest one that any owner's orders allow, the claiming owner's among them. VMs that the record calls silent keep their ends, since that owner extends no lease of theirs.

--- a/packages/cluster/src/claims.ts
+++ b/packages/cluster/src/claims.ts
@@ -321,6 +321,25 @@
     return [...(recorded?.owners ?? [unknownOwner]), owner];
   }
 
+  /**
+   * Computes when the last lease ends on the VMs that a release named. The claim after it
+   * names them too, and its owner may have granted leases since, except to silent VMs.
+   */
+  function computeLastEnds(
+    recorded: leases.RecordedLeases | undefined,
+    owners: readonly leases.EarlierOwner[],
+  ): ReadonlyMap<core.ids.VmId, number> {
+    const recordedEnds = recorded?.lastEnds ?? new Map<core.ids.VmId, number>();
+    if (currentOwner?.released === true) return recordedEnds;
+    const endMs = leases.computeEndMs(owners);
+    return new Map(
+      [...recordedEnds.keys()].map((id) => [
+        id,
+        recorded?.silentVms.get(id) ?? endMs,
+      ]),
+    );
+  }
+
   async function claim(why: string): Promise<void> {
     if (claiming || closing || ownedFence !== undefined) return;
     claiming = true;
@@ -345,12 +364,13 @@
     const recorded =
       currentOwner?.leases &&
       leases.parseLeases(currentOwner.leases, sentByMs ?? nowMs);
+    const owners = listEarlierOwners(recorded, inactive, nowMs);
     previous = {
       unrecorded,
       inactive,
-      owners: listEarlierOwners(recorded, inactive, nowMs),
+      owners,
       silentVms: recorded?.silentVms ?? new Map(),
-      lastEnds: recorded?.lastEnds ?? new Map(),
+      lastEnds: computeLastEnds(recorded, owners),
     };
     const { leaseMs } = context.settings;
     const result = await appendClaim({
--- a/packages/cluster/src/leases.ts
+++ b/packages/cluster/src/leases.ts
@@ -30,7 +30,7 @@
   readonly owners: readonly EarlierOwner[];
   /** Time at which the lease of each VM ends that doesn't answer the owner. */
   readonly silentVms: ReadonlyMap<core.ids.VmId, number>;
-  /** Time at which the last lease of any owner ends, by VM; only from an owner that has released ownership. */
+  /** Time at which the last lease of any owner ends, by VM; only from an owner that has released ownership, or that claimed after that and may have granted further leases. */
   readonly lastEnds?: ReadonlyMap<core.ids.VmId, number> | undefined;
 }
 
--- a/packages/cluster/src/records.ts
+++ b/packages/cluster/src/records.ts
@@ -173,8 +173,9 @@
    */
   readonly silentVms: LeaseEnds;
   /**
-   * VMs with the time until the last lease of any owner ends there, in ms. Only in the
-   * record of a release, after which the owner grants no lease.
+   * VMs with the time until the last lease of any owner ends there, in ms. In the record
+   * of a release, after which the owner grants no lease, and in the claim that follows
+   * it, whose owner may have granted further ones.
    */
   readonly lastEnds?: LeaseEnds;
 }
