--- a/packages/cluster/test/clusterSimulation.ts
+++ b/packages/cluster/test/clusterSimulation.ts
@@ -39,6 +39,8 @@
 const QUEUE_PATH = '/q/';
 /** Longest time that a task runs which doesn't last, in ms. */
 const LONGEST_TASK_MS = 3_000;
+/** Time after which a smaller capacity of a VM counts, in ms: the platform's time to settle and one heartbeat. */
+const SMALLER_AFTER_MS = 4_000 + HEARTBEAT_INTERVAL_MS;
 const NODE_NAMES = ['n0', 'n1', 'n2', 'n3'];
 
 /** How the store fails for all nodes: appends and reads get no answer, or are refused at once. */
@@ -46,6 +48,8 @@
 
 interface SimVm {
   entry: core.workloads.VmEntry;
+  /** Capacities in cores, each with the time from which the VM had it. */
+  readonly coresSince: { readonly sinceMs: number; readonly cores: number }[];
   /** Rate of its clock. */
   clockRate: number;
   /** Holds are answered, but starts and stops are neither carried out nor answered. */
@@ -180,6 +184,8 @@
   /** Time until which questions between nodes and their answers are held up at random. */
   private slowLinksUntilMs = 0;
   private storeFailure: StoreFailure | undefined;
+  /** Stream whose appends get no answer, while everything else works. */
+  private silentStream: ports.StreamName | undefined;
   /** Time until which answers of VMs are lost, and calls carried out late, at random. */
   private lossyUntilMs = 0;
   /** Jobs whose tasks end by themselves. */
@@ -241,6 +247,7 @@
     };
     this.vms.set(id, {
       entry,
+      coresSince: [{ sinceMs: -Infinity, cores: this.coresPerVm }],
       clockRate: this.getClockRate(),
       ignoresOrders: false,
       state: 'up',
@@ -635,6 +642,10 @@
     const append = async (
       ...[stream, newRecords, options]: Parameters<ports.LogStore['append']>
     ): Promise<ports.AppendResult> => {
+      if (this.reachesStore(node) && this.silentStream === stream) {
+        await core.waitFor(this.world, 'sim.append', options.timeoutMs);
+        return { outcome: 'unknown', why: 'no answer' };
+      }
       if (this.reachesStore(node))
         return this.store.append(stream, newRecords, options);
       if (this.storeFailure === 'refusing') {
@@ -805,9 +816,24 @@
         `${name} ${run}`,
         this.getNow() + this.getRandom() * LONGEST_TASK_MS,
       );
+    const usedCores = vm.running.size * step.size.cores;
+    if (usedCores > this.getCoreLimit(vm))
+      this.violations.push(
+        `${this.getNow()}: ${name} brings ${vm.entry.id} to ${usedCores} cores`,
+      );
     return 'started';
   }
 
+  /** Returns the largest capacity that a VM had within the time after which a smaller one counts. */
+  private getCoreLimit(vm: SimVm): number {
+    const sinceMs = this.getNow() - SMALLER_AFTER_MS;
+    const counting = vm.coresSince.filter((_, index) => {
+      const next = vm.coresSince[index + 1];
+      return next === undefined || next.sinceMs >= sinceMs;
+    });
+    return Math.max(...counting.map(({ cores }) => cores));
+  }
+
   private endRun(vm: SimVm, name: string, how: core.workloads.RunEnd): void {
     const run = vm.running.get(name);
     if (run === undefined) return;
@@ -940,6 +966,14 @@
     if (vm.listed) this.list(vm);
   }
 
+  /** Changes the capacity of a VM; its runs go on. */
+  resizeVm(id: core.ids.VmId, cores: number): void {
+    const vm = this.vms.get(id)!;
+    vm.coresSince.push({ sinceMs: this.getNow(), cores });
+    vm.entry = { ...vm.entry, capacity: { ...vm.entry.capacity, cores } };
+    if (vm.listed) this.list(vm);
+  }
+
   /** Loses answers of VMs at random for a time, and carries their calls out late. */
   loseAnswers(forMs: number): void {
     this.lossyUntilMs = this.getNow() + forMs;
@@ -1019,6 +1053,14 @@
     });
   }
 
+  /** Makes the appends to one stream fail for a time; reads and the other streams work. */
+  silenceAppends(forMs: number, stream: ports.StreamName): void {
+    this.silentStream = stream;
+    this.after(forMs, () => {
+      this.silentStream = undefined;
+    });
+  }
+
   /** Removes the entries of all VMs that are up; the VMs write them again. */
   expireEntries(): void {
     for (const vm of this.vms.values()) {
