Leave the first read of the jobs to owners

The owner under fence 58 gained ownership at 15.3 s and was ready at 27.9 s.

Cause: a node that got no answer from an owner for 1.2 s read the stream jobs, from its beginning if it had never been an owner. In the 18 s without a ready owner 94 such reads of about 3,400 records shared the links between the regions, many of them given up after their timeout and begun anew, and the new owner's own read, in another region than the store, took 11.2 s (lines jobs.read: mean 3.5 s in that region, up to 14.8 s). So the nodes that asked for an owner's answers kept it from giving them.

Change: for answers to callers a node reads on only where it has read before. Otherwise it refuses a state with 503 and Retry-After, as it does when the stream doesn't tell. A cancellation of a job that the node doesn't know waits for an owner's answer as long as a query for a state does, and is refused after that.

Test: "is refused without a first read of the stream" fails on the code before, which reads.

What callers lose: ends and unknown ids aren't told by such nodes while no owner answers.

--- a/packages/cluster/src/jobStore.ts
+++ b/packages/cluster/src/jobStore.ts
@@ -1,8 +1,8 @@
 /**
  * Durable jobs: appends acceptances and cancellations in groups and keeps a view of the
- * stream `jobs`. The owner reads that view; other nodes read it only when no owner
- * answers, because reads by every node after a restart would saturate the links between
- * regions. An append without an answer is retried, which is idempotent because the
+ * stream `jobs`. The owner reads the stream; other nodes read on only when no owner answers,
+ * and only if they have been an owner, because first reads by every node would saturate the
+ * links between regions. An append without an answer is retried, which is idempotent because the
  * record has the same key and value.
  */
 import type * as core from '@flamingoward/core';
@@ -57,6 +57,12 @@
   find(id: core.ids.JobId): StoredJob | undefined;
   /** Reads to the end of the stream; resolves with false when the store doesn't answer. */
   refresh(): Promise<boolean>;
+  /**
+   * Does the same if the stream has been read before; otherwise resolves with false. For
+   * answers to callers: a first read takes the whole stream, and with those of many nodes
+   * the links between regions would be too busy for the read of a new owner.
+   */
+  refreshIfRead(): Promise<boolean>;
   /** Returns the time since the last read to the end of the stream began, in ms. */
   getReadAge(): number;
   list(): Iterable<StoredJob>;
@@ -327,11 +333,15 @@
     if (result.outcome === 'durable') {
       observer?.({ change: 'cancelled', id });
       // The view is changed by a read, since an end may have been stored before the cancellation.
-      void refresh();
+      void refreshIfRead();
     }
     return result;
   }
 
+  async function refreshIfRead(): Promise<boolean> {
+    return readToMs > -Infinity && refresh();
+  }
+
   async function refresh(): Promise<boolean> {
     const startedMs = timers.getNow();
     const fromOffset = tail.getNextOffset();
@@ -360,6 +370,7 @@
     cancel,
     find: (id) => jobs.get(id),
     refresh,
+    refreshIfRead,
     getReadAge: () => timers.getNow() - readToMs,
     list: () => jobs.values(),
     recordFinal(id, state) {
--- a/packages/cluster/src/requestHandler.ts
+++ b/packages/cluster/src/requestHandler.ts
@@ -20,7 +20,7 @@
 const OWNER_RETRY_S = 1;
 /** Retry-after for a job that no VM can run, in s; a larger VM may be added meanwhile. */
 const DECLINED_RETRY_S = 10;
-/** Time for which the owner is asked for a state, before this node reads the stream itself, or for the counts, in ms. */
+/** Time for which the owner is asked for a state or for the counts, in ms. */
 const OWNER_ANSWER_TIMEOUT_MS = 1_200;
 const ASK_INTERVAL_MS = 150;
 /** Timeout of a write through the owner, in ms. */
@@ -179,34 +179,48 @@
       : written;
   }
 
-  async function answerState(
+  /** Asks for a job's state until something definite is told, for a limited time. */
+  async function fetchAnswer(
     id: core.ids.JobId,
     untilMs: number,
-  ): Promise<ports.CallerAnswer> {
+  ): Promise<core.clusterMessages.JobAnswer | undefined> {
     const startedMs = timers.getNow();
-    let told: core.clusterMessages.JobAnswer | undefined;
     for (;;) {
-      told = getStoredState(id) ?? (await jobQueries.fetchState(id));
-      if (told === 'unknown') return { answer: 'unknown-job' };
-      if (told !== undefined && told !== 'unresolved')
-        return { answer: 'state', state: told };
+      const told = getStoredState(id) ?? (await jobQueries.fetchState(id));
+      if (told !== undefined && told !== 'unresolved') return told;
       const nowMs = timers.getNow();
-      if (nowMs - startedMs > OWNER_ANSWER_TIMEOUT_MS || nowMs > untilMs) break;
+      if (nowMs - startedMs > OWNER_ANSWER_TIMEOUT_MS || nowMs > untilMs)
+        return told;
       await core.waitFor(timers, 'desk.owner', ASK_INTERVAL_MS);
     }
+  }
+
+  async function answerState(
+    id: core.ids.JobId,
+    untilMs: number,
+  ): Promise<ports.CallerAnswer> {
+    const told = await fetchAnswer(id, untilMs);
+    if (told === 'unknown') return { answer: 'unknown-job' };
     if (told === 'unresolved')
       return buildRefused(
         'unavailable',
         'whether the job has started is not known at present',
         OWNER_RETRY_S,
       );
+    if (told !== undefined) return { answer: 'state', state: told };
     // Without an owner, the stream tells whether the job exists and how it ended, but not whether it has started.
-    const storeAnswered = await jobs.refresh();
+    const isCurrent = await jobs.refreshIfRead();
     const state = getStoredState(id);
     if (state !== undefined) return { answer: 'state', state };
-    if (!storeAnswered) return buildUnavailable(jobs.getHealth().why);
-    return jobs.find(id) === undefined
+    return isCurrent && jobs.find(id) === undefined
       ? { answer: 'unknown-job' }
+      : refuseUnknownState();
+  }
+
+  function refuseUnknownState(): ports.CallerAnswer {
+    const { unavailable, why } = jobs.getHealth();
+    return unavailable
+      ? buildUnavailable(why)
       : buildRefused(
           'unavailable',
           'no owner knows the state at present',
@@ -230,11 +244,10 @@
     untilMs: number,
   ): Promise<ports.CallerAnswer> {
     if (jobs.find(id) === undefined) {
-      const state = await jobQueries.fetchState(id);
-      if (state === 'unknown') return { answer: 'unknown-job' };
-      if (state === undefined) {
-        if (!(await jobs.refresh()))
-          return buildUnavailable(jobs.getHealth().why);
+      const told = await fetchAnswer(id, untilMs);
+      if (told === 'unknown') return { answer: 'unknown-job' };
+      if (told === undefined) {
+        if (!(await jobs.refreshIfRead())) return refuseUnknownState();
         if (jobs.find(id) === undefined) return { answer: 'unknown-job' };
       }
     }
