Log the runs that were lost when a VM crashed

Callers saw jobs that never end while a task of theirs crashes one VM after another. The lines told that a VM's process had terminated, but not what had run there, and nothing told a crash from an expired lease.

The scheduler now records a crash when connections are refused, another VM answers at the address, or the VM reports a new incarnation, while runs that may have begun hadn't ended. Runs that ended with their lease are remembered until the VM reports again. A VM that drains isn't counted. Progress records name the incarnation on which a run began, so that a new owner can tell, too.

--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -5,6 +5,7 @@
  */
 import * as core from '@flamingoward/core';
 import * as adviceRouters from './adviceRouter.js';
+import * as crashReports from './crashReports.js';
 import * as vmSessions from './vmSessions.js';
 import * as claims from './claims.js';
 import type * as contexts from './context.js';
@@ -306,8 +307,12 @@
     onTerminated(id) {
       scheduler.failVm(id, timers.getNow());
     },
-    onLost(id) {
-      scheduler.loseVm(id, timers.getNow());
+    onLost(id, why) {
+      scheduler.loseVm(
+        id,
+        timers.getNow(),
+        why === 'another incarnation answered' ? 'replaced' : undefined,
+      );
       if (fleet.find(id) === undefined) {
         const session = sessionsByVm.get(id);
         session?.close();
@@ -443,6 +448,7 @@
     lastTickMs = timers.getNow() - startedMs;
     metrics.record('tick', {}, lastTickMs);
     owedReporter.logEnds(decision.endedRuns);
+    crashReports.logCrashes(log, fence, decision.crashedRuns);
     for (const command of decision.commands) execute(command);
     if (decision.batch !== undefined) void record(decision.batch);
     else releaseUnrecorded();
--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -40,6 +40,9 @@
  */
 const DRAINING_LEASE_MS = 4_000;
 
+/** Why no run of a VM can be left. */
+export type LossReason = 'lease expired' | 'another incarnation answered';
+
 /** Callbacks to the owner. */
 export interface VmSessionEvents {
   readonly onReport: (
@@ -53,8 +56,8 @@
    * reach a process that is started at its address. Called again while that lasts.
    */
   readonly onTerminated: (vm: core.ids.VmId) => void;
-  /** No run of this incarnation can be left on the VM: its lease has expired, or a new incarnation answered. */
-  readonly onLost: (vm: core.ids.VmId, why: string) => void;
+  /** No run of this incarnation can be left on the VM. Called again when a new incarnation answers after the lease has expired. */
+  readonly onLost: (vm: core.ids.VmId, why: LossReason) => void;
   readonly onFenced: (vm: core.ids.VmId) => void;
   /** Returns the highest number of an end whose effect is durable. */
   readonly getDurableEnd: (vm: core.ids.VmId) => number;
@@ -119,6 +122,7 @@
   let terminated = false;
   let unresponsive = options.silentBefore;
   let lost = false;
+  let replaced = false;
   let highestEndNumber = 0;
   /** Incarnation and VM clock of the newest report. */
   let newestReport: {
@@ -229,7 +233,7 @@
         events.onFenced(target.id);
         return false;
       case 'other-life':
-        if (!lost) {
+        if (!replaced) {
           log.write('warn', 'vm.lost', {
             vm: target.id,
             why: 'another incarnation answered',
@@ -238,6 +242,7 @@
           events.onLost(target.id, 'another incarnation answered');
         }
         lost = true;
+        replaced = true;
         return false;
       case 'refused':
         metrics.count('holds', { outcome: 'refused' });
@@ -285,6 +290,7 @@
     responseMissed = false;
     terminated = false;
     lost = false;
+    replaced = false;
     metrics.count('holds', { outcome: 'held' });
     // A new incarnation numbers its ends from the start again.
     highestEndNumber = Math.max(
--- a/packages/core/src/workloads/index.ts
+++ b/packages/core/src/workloads/index.ts
@@ -3,7 +3,13 @@
 export { formatStep, formatTask, parseTask } from './names.js';
 export { createWorkloadScheduler } from './scheduler.js';
 export type { Decision, WorkloadScheduler } from './scheduler.js';
-export type { Bounds, EndedRun, SchedulerOptions } from './state.js';
+export type {
+  Bounds,
+  CrashedRun,
+  CrashEvidence,
+  EndedRun,
+  SchedulerOptions,
+} from './state.js';
 export type {
   Inconsistency,
   OwedCause,
--- a/packages/core/src/workloads/progress.ts
+++ b/packages/core/src/workloads/progress.ts
@@ -54,7 +54,7 @@
         task.index,
         task.run.number,
         task.run.vm.id,
-        task.run.vm.incarnation ?? null,
+        task.run.incarnation ?? null,
       ]);
     if (task.state === 'done') continue;
     if (task.failedRuns.length > 0) failed[task.index] = task.failedRuns;
@@ -136,11 +136,16 @@
     step.waitingCount -= 1;
     step.occurrence.job.hasStarted = true;
   }
-  for (const [index, number, vmId] of stored.runs ?? []) {
+  for (const [index, number, vmId, incarnation] of stored.runs ?? []) {
     const task = step.tasks[index];
     if (task?.state !== 'waiting') continue;
     const vm = states.ensureVm(state, vmId, nowMs);
     if (step.spec.gang) step.gangRun = number;
-    states.addRun(task, vm, { number, phase: 'inherited' }, nowMs);
+    states.addRun(
+      task,
+      vm,
+      { number, phase: 'inherited', incarnation: incarnation ?? undefined },
+      nowMs,
+    );
   }
 }
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -5,6 +5,7 @@
  */
 import type * as ids from '../types/ids.js';
 import * as advice from './advice.js';
+import * as crashes from './crashes.js';
 import * as ends from './ends.js';
 import * as speeds from './speed.js';
 import * as states from './state.js';
@@ -30,15 +31,25 @@
   }
   vm.usable = true;
   vm.reportedMs = nowMs;
+  vm.answeredMs = nowMs;
   vm.knownEmpty = false;
   applyEnds(state, vm, report, nowMs);
   const listed = new Set<tables.RunRow>();
   clearStrayRuns(vm);
   for (const entry of report.running)
     applyRunning(state, vm, entry, listed, nowMs);
-  for (const run of [...vm.runs])
-    if (!listed.has(run) && isRunOver(run, report))
-      loseRun(state, run, 'not-reported', nowMs);
+  const over = [...vm.runs].filter(
+    (run) => !listed.has(run) && isRunOver(run, report),
+  );
+  crashes.recordCrash(
+    state,
+    vm,
+    [...crashes.takeSilentRuns(vm), ...over].filter(
+      crashes.isOfEarlierIncarnation,
+    ),
+    'restarted',
+  );
+  for (const run of over) loseRun(state, run, 'not-reported', nowMs);
 }
 
 /**
@@ -66,13 +77,19 @@
   }
 }
 
-/** Removes all runs of a VM that can't run anything any more. */
+/**
+ * Removes all runs of a VM that can't run anything any more. Without evidence of a crash,
+ * only its lease has expired.
+ */
 export function loseRuns(
   state: states.State,
   vm: tables.VmRow,
+  evidence: states.CrashEvidence | undefined,
   nowMs: number,
 ): void {
   clearStrayRuns(vm);
+  if (evidence === undefined) crashes.addSilentRuns(vm, [...vm.runs]);
+  else crashes.recordLoss(state, vm, evidence);
   for (const run of [...vm.runs]) loseRun(state, run, 'lost', nowMs);
 }
 
@@ -86,9 +103,16 @@
   nowMs: number,
 ): void {
   clearStrayRuns(vm);
-  for (const run of [...vm.runs])
-    if (run.phase !== 'recording' && run.phase !== 'sent')
-      loseRun(state, run, 'lost', nowMs);
+  const over = [...vm.runs].filter(
+    ({ phase }) => phase !== 'recording' && phase !== 'sent',
+  );
+  crashes.recordCrash(
+    state,
+    vm,
+    [...crashes.takeSilentRuns(vm), ...over],
+    'terminated',
+  );
+  for (const run of over) loseRun(state, run, 'lost', nowMs);
 }
 
 function loseRun(
@@ -135,10 +159,12 @@
   const run = own ?? adoptRun(state, vm, task, entry, nowMs);
   if (run === undefined) return;
   listed.add(run);
+  run.incarnation = vm.incarnation;
   if (run.phase === 'stopping') return;
   run.phase = 'running';
   run.confirmedMs ??= nowMs;
   run.runningSinceMs ??= nowMs;
+  crashes.settleRun(run, nowMs);
   if (entry.percent !== run.percent) {
     run.percent = entry.percent;
     run.progressChangedMs = nowMs;
@@ -236,6 +262,7 @@
         run.runningSinceMs = nowMs;
         run.progressChangedMs = nowMs;
         run.confirmedMs = nowMs;
+        run.vm.answeredMs = nowMs;
       }
       return;
     case 'old':
@@ -309,6 +336,7 @@
   for (const vm of state.vms.values())
     for (const run of [...vm.runs]) {
       if (isTimeoutOver && isInherited(run)) {
+        crashes.addSilentRuns(vm, [run]);
         loseRun(state, run, 'inherited-timeout', nowMs);
         continue;
       }
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -24,6 +24,8 @@
   readonly batch: types.RecordBatch | undefined;
   /** Runs of service tasks that have ended since the last tick. */
   readonly endedRuns: readonly states.EndedRun[];
+  /** Runs on VMs that are known since the last tick to have crashed. */
+  readonly crashedRuns: readonly states.CrashedRun[];
 }
 
 /** The scheduler of workloads. */
@@ -67,8 +69,11 @@
   setSilentVms(ends: ReadonlyMap<ids.VmId, number>): void;
   /** Handles a VM whose process has terminated: its runs are removed, except starts that are still to be answered. */
   failVm(id: ids.VmId, nowMs: number): void;
-  /** Handles a lost VM: nothing can run there any more, so its runs are removed. */
-  loseVm(id: ids.VmId, nowMs: number): void;
+  /**
+   * Handles a lost VM: nothing can run there any more, so its runs are removed. Without
+   * evidence of a crash, only its lease has expired.
+   */
+  loseVm(id: ids.VmId, nowMs: number, evidence?: states.CrashEvidence): void;
   /** Lists the VMs with runs of a previous owner that haven't reported to this one. */
   listInheritedVms(): readonly ids.VmId[];
   /** Sets the time at which the last lease of earlier owners ends, so that their runs on VMs without a report are over. */
@@ -180,6 +185,8 @@
       vm.entry = entry;
       if (entry === undefined) return;
       vm.leaving = entry.draining;
+      if (entry.draining)
+        vm.drainedIncarnation = entry.incarnation ?? vm.incarnation;
       vm.pool = entry.pool;
     },
     applyReport(id, report, nowMs) {
@@ -199,12 +206,12 @@
       vm.knownEmpty = true;
       reports.failRuns(state, vm, nowMs);
     },
-    loseVm(id, nowMs) {
+    loseVm(id, nowMs, evidence) {
       const vm = state.vms.get(id);
       if (vm === undefined) return;
       vm.usable = false;
       vm.knownEmpty = true;
-      reports.loseRuns(state, vm, nowMs);
+      reports.loseRuns(state, vm, evidence, nowMs);
       if (vm.entry === undefined) state.vms.delete(id);
     },
     setInheritedUntil(untilMs) {
@@ -225,12 +232,14 @@
     },
     tick(nowMs, nowUnixMs) {
       ticks.runRound(state, nowMs, nowUnixMs);
-      const { endedRuns } = state;
+      const { endedRuns, crashedRuns } = state;
       state.endedRuns = [];
+      state.crashedRuns = [];
       return {
         commands: takeCommands(),
         batch: batches.takeBatch(state),
         endedRuns,
+        crashedRuns,
       };
     },
     confirmBatch() {
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -29,6 +29,27 @@
   readonly how: RunRemoval;
 }
 
+/** What shows that a VM has crashed. */
+export type CrashEvidence =
+  /** Connections to it are refused. */
+  | 'terminated'
+  /** Another VM answers at its address. */
+  | 'replaced'
+  /** It reports a new incarnation. */
+  | 'restarted';
+
+/** A run that may have been running when its VM crashed. */
+export interface CrashedRun {
+  readonly task: types.TaskKey;
+  readonly run: number;
+  readonly vm: ids.VmId;
+  readonly evidence: CrashEvidence;
+  /** Time for which the VM is known to have lived with the run, in ms. */
+  readonly aliveMs: number;
+  /** Whether that is too long for the run to be the cause. */
+  readonly settled: boolean;
+}
+
 /** How a run left the tables: its reported end, the outcome of its start, or a decision of the scheduler. */
 export type RunRemoval =
   | types.RunEnd
@@ -74,6 +95,8 @@
   commands: types.Command[];
   /** Ended runs of service tasks since the last tick. */
   endedRuns: EndedRun[];
+  /** Runs on crashed VMs since the last tick. */
+  crashedRuns: CrashedRun[];
   /** Whether a previous owner may have started tasks without a record. */
   inheritedUnrecordedStarts: boolean;
   /** Time from which runs that a previous owner recorded on VMs without a report count as ended. */
@@ -117,6 +140,7 @@
     unrecordedStartsBatch: undefined,
     commands: [],
     endedRuns: [],
+    crashedRuns: [],
     inheritedUnrecordedStarts: options.unrecordedStarts,
     inheritedUntilMs: options.nowMs + options.bounds.inheritedRunTimeoutMs,
     silentVms: new Map(),
@@ -164,6 +188,8 @@
     readonly number: number;
     readonly phase: tables.RunPhase;
     readonly ticket?: string | undefined;
+    /** Incarnation of the VM that a previous owner recorded; by default the one that reported last. */
+    readonly incarnation?: types.VmIncarnation | undefined;
   },
   nowMs: number,
 ): tables.RunRow {
@@ -184,6 +210,8 @@
     // A run of a previous owner may have been slowed by that owner.
     pace: run.phase === 'recording' ? 100 : undefined,
     paceSentMs: 0,
+    incarnation: run.incarnation ?? vm.incarnation,
+    settled: false,
     ticket: run.ticket,
   };
   task.step.waitingCount -= 1;
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -45,6 +45,10 @@
   /** Share of its full processor time that the run may use, in percent; undefined while it isn't known. */
   pace: number | undefined;
   paceSentMs: number;
+  /** Incarnation of the VM on which the run began or may have begun; undefined while it isn't known. */
+  incarnation: types.VmIncarnation | undefined;
+  /** Whether its VM has reported it for so long that it can't be the cause of a later crash. */
+  settled: boolean;
   readonly ticket: string | undefined;
 }
 
@@ -135,6 +139,8 @@
   pool: types.PoolName | undefined;
   /** Whether its last entry said that it drains, also once that entry has been removed. */
   leaving: boolean;
+  /** Incarnation that its entry last named as draining. */
+  drainedIncarnation: types.VmIncarnation | undefined;
   incarnation: types.VmIncarnation | undefined;
   /** Key of the VM and its incarnation. Advice about a VM is valid for one incarnation. */
   incarnationKey: string;
@@ -142,10 +148,14 @@
   usable: boolean;
   /** Time of its last report to this owner. */
   reportedMs: number | undefined;
+  /** Time of its last report or confirmed start. */
+  answeredMs: number;
   /** Whether its process has terminated or it was lost, so that nothing runs there until it reports again. */
   knownEmpty: boolean;
   readonly runs: Set<RunRow>;
   used: { cores: number; memoryMb: number; gpus: number };
+  /** Runs that ended with its lease while it was silent, until it reports again or is known to have crashed. */
+  silentRuns: RunRow[];
   /** Number of stray runs: the VM reports them, but they must be stopped. The size of some is unknown. */
   strayRunCount: number;
   /** Known tasks with a stray run on the VM. */
@@ -228,12 +238,15 @@
     entry: undefined,
     pool: undefined,
     leaving: false,
+    drainedIncarnation: undefined,
     incarnation: undefined,
     incarnationKey: formatIncarnationKey(id, undefined),
     usable: false,
     reportedMs: undefined,
+    answeredMs: nowMs,
     knownEmpty: false,
     runs: new Set(),
+    silentRuns: [],
     used: { cores: 0, memoryMb: 0, gpus: 0 },
     strayRunCount: 0,
     strayTasks: new Set(),
