Give up tasks that crash the VMs that start them

An attempt was spent only by a reported end; a VM that crashes reports none, so its runs were removed and their tasks started again for ever.

Every crash of a VM now marks the tasks whose runs it had reported for less than 3 s. Marks are kept by run number in the progress record, so an owner and its successor count a crash once; a successor also counts runs of an earlier incarnation than the one that reports. A mark names a sole suspect where one task is more suspect than the others. A task with two marks starts in a trial: alone on a VM without other new runs, few at a time. It is given up after three crashes if it was the sole suspect on two VMs, at the latest after five; its job fails. The crashes of a task that was given up don't count against the tasks that shared its VMs, and a run that goes on for 3 s clears its task. While the store is unavailable, no suspect starts without a record.

The new tests failed before: 308 starts of a batch task in 20 s, 343 of a service task and 137 of a gang, where five are allowed, and no end across eight owners. Without trials the healthy job of the same test failed, too.

Why it works: a guilty task crashes its VM at once, so it is marked each time and soon alone; the bound doesn't depend on whom the marks single out. Open: a task that crashes its VM only after 3 s isn't found.

--- a/packages/cluster/src/crashReports.ts
+++ b/packages/cluster/src/crashReports.ts
@@ -1,6 +1,7 @@
 /**
- * Log lines about crashed VMs: one for each VM, and one for each run that had only just
- * started there. A run that had been running for longer has less to do with the crash.
+ * Log lines about crashed VMs: one for each VM, one for each run that had only just
+ * started there, and one for each task that is given up. A run that had been running for
+ * longer has less to do with the crash.
  */
 import * as core from '@flamingoward/core';
 import type * as observability from '@flamingoward/observability';
@@ -31,3 +32,19 @@
         aliveMs,
       });
 }
+
+/** Logs the tasks that aren't started any more because they crash VMs. */
+export function logGivenUp(
+  log: observability.Logger,
+  fence: number,
+  tasks: readonly core.workloads.GivenUpTask[],
+): void {
+  for (const { task, crashes, vms } of tasks)
+    log.write('warn', 'task.given-up', {
+      task: core.workloads.formatTask(task),
+      fence,
+      why: 'crashes-vms',
+      crashes,
+      vms: vms.join(),
+    });
+}
--- a/packages/cluster/src/owedReporter.ts
+++ b/packages/cluster/src/owedReporter.ts
@@ -225,6 +225,7 @@
     case 'no-advice-slot':
     case 'no-approved-room':
     case 'ticket-expired':
+    case 'trial':
     case 'not-placed':
       return {
         ...cause.pool,
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -449,6 +449,7 @@
     metrics.record('tick', {}, lastTickMs);
     owedReporter.logEnds(decision.endedRuns);
     crashReports.logCrashes(log, fence, decision.crashedRuns);
+    crashReports.logGivenUp(log, fence, decision.givenUpTasks);
     for (const command of decision.commands) execute(command);
     if (decision.batch !== undefined) void record(decision.batch);
     else releaseUnrecorded();
--- a/packages/core/src/workloads/batch.ts
+++ b/packages/core/src/workloads/batch.ts
@@ -5,6 +5,7 @@
  * the previous one, so that a slow store gets few writes.
  */
 import type * as ids from '../types/ids.js';
+import * as blame from './blame.js';
 import * as progress from './progress.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
@@ -70,8 +71,11 @@
 
 /** Sends the starts whose records can't be written because the store is unreachable. */
 export function releaseStarts(state: states.State): void {
-  const waiting = state.newStarts;
-  state.newStarts = [];
+  // A successor would count none of the crashes that follow unrecorded starts.
+  const isHeld = ({ task }: tables.RunRow): boolean =>
+    blame.countSuspicions(task) > 0;
+  const waiting = state.newStarts.filter((run) => !isHeld(run));
+  state.newStarts = state.newStarts.filter(isHeld);
   const open = state.batch?.starts.some((run) => run.phase === 'recording');
   if (waiting.length > 0) state.unrecordedStartsBatch = state.nextBatch;
   else if (open === true)
@@ -79,7 +83,10 @@
       state.unrecordedStartsBatch ?? 0,
       state.batch?.number ?? 0,
     );
-  sendStarts(state, [...(state.batch?.starts ?? []), ...waiting]);
+  sendStarts(state, [
+    ...(state.batch?.starts ?? []).filter((run) => !isHeld(run)),
+    ...waiting,
+  ]);
 }
 
 function sendStarts(
--- a/packages/core/src/workloads/crashes.ts
+++ b/packages/core/src/workloads/crashes.ts
@@ -4,18 +4,18 @@
  * drains leaves as planned, and an expired lease alone may be due to the network: its runs
  * are remembered until the VM reports again.
  */
+import * as blame from './blame.js';
+import * as ends from './ends.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
 
-/** Time after which a run that its VM still reports can't be the cause of a later crash, in ms. */
-const SETTLED_MS = 3_000;
-
 /** Records that the runs of a VM were lost in its crash. */
 export function recordCrash(
   state: states.State,
   vm: tables.VmRow,
   over: readonly tables.RunRow[],
   evidence: states.CrashEvidence,
+  nowMs: number,
 ): void {
   const lost = over.filter((run) => !hasDrained(run));
   if (lost.length === 0) return;
@@ -26,9 +26,34 @@
       run: run.number,
       vm: vm.id,
       evidence,
-      aliveMs: Math.round(measureAlive(run)),
+      aliveMs: Math.round(blame.measureAlive(run)),
       settled: run.settled,
     });
+  const inFlight = [...vm.runs].filter(
+    (run) => run.phase === 'sent' && !lost.includes(run),
+  );
+  const marked = blame.markCrash(vm, lost, inFlight);
+  states.countEvent(state, 'task.suspected', marked.length);
+  for (const task of marked) failTask(state, task, nowMs);
+}
+
+/** Fails the job of a task that has crashed too many VMs. */
+function failTask(
+  state: states.State,
+  task: tables.TaskRow,
+  nowMs: number,
+): void {
+  const { job } = task.step.occurrence;
+  if (states.isJobOver(job) || !blame.isGivenUp(task)) return;
+  states.countEvent(state, 'task.given-up');
+  const marks = blame.getMarks(task);
+  state.givenUpTasks.push({
+    task: tables.getTaskKey(task),
+    crashes: marks.length,
+    vms: marks.map(({ vm }) => vm),
+  });
+  blame.explainCrashes(state, task);
+  ends.decideFinal(state, job, nowMs);
 }
 
 function hasDrained({ vm, incarnation }: tables.RunRow): boolean {
@@ -40,13 +65,16 @@
 export function recordLoss(
   state: states.State,
   vm: tables.VmRow,
+  over: readonly tables.RunRow[],
   evidence: states.CrashEvidence,
+  nowMs: number,
 ): void {
   recordCrash(
     state,
     vm,
-    [...takeSilentRuns(vm), ...[...vm.runs].filter(canHaveBegun)],
+    [...takeSilentRuns(vm), ...over.filter(canHaveBegun)],
     evidence,
+    nowMs,
   );
 }
 
@@ -65,16 +93,6 @@
   return taken;
 }
 
-/** Marks a run that its VM reports, once it has been running for long enough. */
-export function settleRun(run: tables.RunRow, nowMs: number): void {
-  run.settled ||= nowMs - (run.runningSinceMs ?? nowMs) >= SETTLED_MS;
-}
-
-/** Returns the time for which a VM is known to have lived with a run, in ms. */
-function measureAlive({ vm, runningSinceMs }: tables.RunRow): number {
-  return Math.max(0, vm.answeredMs - (runningSinceMs ?? vm.answeredMs));
-}
-
 /** Returns whether a run belongs to another incarnation of its VM than the one that reports. */
 export function isOfEarlierIncarnation(run: tables.RunRow): boolean {
   return (
--- a/packages/core/src/workloads/ends.ts
+++ b/packages/core/src/workloads/ends.ts
@@ -2,6 +2,7 @@
  * Applies the end of a run to its task, gang, job and VM. Failures are recorded by run
  * number, so that an end that is reported twice counts once.
  */
+import * as blame from './blame.js';
 import * as states from './state.js';
 import type * as tables from './tables.js';
 import type * as types from './types.js';
@@ -137,11 +138,13 @@
   const { attempts } = job.policy;
   return occurrence.steps.some(
     (step) =>
-      !step.spec.lasts &&
-      (step.gangFailures.length >= attempts ||
-        step.tasks.some(
-          (task) => task.state !== 'done' && task.failedRuns.length >= attempts,
-        )),
+      (!step.spec.lasts && step.gangFailures.length >= attempts) ||
+      step.tasks.some(
+        (task) =>
+          task.state !== 'done' &&
+          ((!step.spec.lasts && task.failedRuns.length >= attempts) ||
+            blame.isGivenUp(task)),
+      ),
   );
 }
 
--- a/packages/core/src/workloads/index.ts
+++ b/packages/core/src/workloads/index.ts
@@ -8,6 +8,7 @@
   CrashedRun,
   CrashEvidence,
   EndedRun,
+  GivenUpTask,
   SchedulerOptions,
 } from './state.js';
 export type {
--- a/packages/core/src/workloads/owed.ts
+++ b/packages/core/src/workloads/owed.ts
@@ -13,6 +13,7 @@
 import * as states from './state.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
+import * as trials from './trials.js';
 import * as waits from './waits.js';
 
 /** Time for which a task may be due without running before it counts as owed, in ms. Other tasks than those of services and gangs must also be past their objective. */
@@ -87,6 +88,8 @@
   | 'no-approved-room'
   /** Approved VMs have room, but their tickets have expired. */
   | 'ticket-expired'
+  /** Suspected of crashing VMs, its tasks start alone on VMs without other new runs, a few at a time. */
+  | 'trial'
   /** VMs have room and tickets, so the next round starts the task, unless cores are kept free for urgent steps. */
   | 'not-placed';
 
@@ -553,6 +556,7 @@
   if (vms.withRoom.length === 0) return 'no-room';
   if (!hasPlaces(vms.withRoom)) return 'no-room-for-gang';
   if (!hasPlaces(vms.free)) return 'room-reserved';
+  if (trials.hasOnlyTrials(step)) return 'trial';
   const policy = step.occurrence.job.policy.advice;
   if (policy === undefined) return 'not-placed';
   const ticketed = vms.approvedFree.filter(
--- a/packages/core/src/workloads/placement.ts
+++ b/packages/core/src/workloads/placement.ts
@@ -3,6 +3,7 @@
  * VMs with little room left, so that whole VMs stay free for gangs and for tasks with
  * many GPUs.
  */
+import * as blame from './blame.js';
 import * as speeds from './speed.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
@@ -12,6 +13,7 @@
 const AVOIDED_VM_PENALTY = 20;
 const FILLER_BESIDE_SERVICE_PENALTY = 5;
 const OTHER_RACK_PENALTY = 10;
+const SUSPECT_PENALTY = 8;
 
 /** A VM that may run a step, with its free room less the tasks placed on it so far. */
 export interface Candidate {
@@ -32,6 +34,7 @@
   if (entry === undefined || entry.draining || !vm.usable) return false;
   if (entry.pool !== step.occurrence.job.policy.pool) return false;
   if (vm.strayRunCount > 0 || vm.avoidUntilMs > nowMs) return false;
+  if (blame.hasTrial(vm)) return false;
   const { label } = step.spec;
   if (label !== undefined && !entry.labels.includes(label)) return false;
   return tables.hasRoom(entry.capacity, tables.getNeed(step.spec));
@@ -44,6 +47,7 @@
   times: { readonly untilMs: number; readonly readyMs: number },
 ): void {
   vm.reservedFor = step;
+  vm.reservedTask = undefined;
   vm.reservedUntilMs = times.untilMs;
   vm.reservedReadyMs = times.readyMs;
 }
@@ -126,6 +130,7 @@
   if (task?.avoidedVms.has(vm.id) === true) score += AVOIDED_VM_PENALTY;
   if (spec.dataRack !== undefined && vm.entry?.rack !== spec.dataRack)
     score += OTHER_RACK_PENALTY;
+  if (vm.hasSuspect) score += SUSPECT_PENALTY;
   score += speeds.scoreSpeed(vm, nowMs);
   if (spec.fills && hasLatencyBoundTask(vm))
     score += FILLER_BESIDE_SERVICE_PENALTY;
--- a/packages/core/src/workloads/progress.ts
+++ b/packages/core/src/workloads/progress.ts
@@ -9,6 +9,14 @@
 /** A run: task index, run number, VM and incarnation of the VM. */
 type StoredRun = readonly [number, number, string, number | null];
 
+/** A crash of a VM: run number, VM, incarnation of the VM and evidence against the task. */
+type StoredCrash = readonly [
+  number,
+  string,
+  number | null,
+  tables.CrashEvidence,
+];
+
 interface StoredStep {
   /** One character per task: 1 when it is done, 0 otherwise. */
   readonly done: string;
@@ -17,6 +25,9 @@
   readonly failed?: Readonly<Record<string, readonly number[]>>;
   readonly saved?: Readonly<Record<string, string>>;
   readonly gangFailures?: readonly number[];
+  /** Crashes of VMs by task index. */
+  readonly crashes?: Readonly<Record<string, readonly StoredCrash[]>>;
+  readonly gangCrashes?: readonly StoredCrash[];
 }
 
 interface StoredOccurrence {
@@ -48,6 +59,7 @@
   const runs: StoredRun[] = [];
   const failed: Record<string, readonly number[]> = {};
   const saved: Record<string, string> = {};
+  const crashes: Record<string, readonly StoredCrash[]> = {};
   for (const task of step.tasks) {
     if (task.run !== undefined)
       runs.push([
@@ -58,6 +70,8 @@
       ]);
     if (task.state === 'done') continue;
     if (task.failedRuns.length > 0) failed[task.index] = task.failedRuns;
+    if (task.crashes.length > 0)
+      crashes[task.index] = task.crashes.map(buildCrash);
     if (task.saved !== '') saved[task.index] = task.saved;
   }
   return {
@@ -70,9 +84,26 @@
     ...(step.gangFailures.length > 0
       ? { gangFailures: step.gangFailures }
       : {}),
+    ...(Object.keys(crashes).length > 0 ? { crashes } : {}),
+    ...(step.gangCrashes.length > 0
+      ? { gangCrashes: step.gangCrashes.map(buildCrash) }
+      : {}),
   };
 }
 
+function buildCrash(mark: tables.CrashMark): StoredCrash {
+  return [mark.run, mark.vm, mark.incarnation ?? null, mark.evidence];
+}
+
+function restoreCrash([
+  run,
+  vm,
+  incarnation,
+  evidence,
+]: StoredCrash): tables.CrashMark {
+  return { run, vm, incarnation: incarnation ?? undefined, evidence };
+}
+
 /** Restores a job's tables from its stored progress; returns false when the text isn't valid JSON. */
 export function restoreProgress(
   state: states.State,
@@ -127,8 +158,11 @@
   nowMs: number,
 ): void {
   step.gangFailures = [...(stored.gangFailures ?? [])];
+  step.gangCrashes = (stored.gangCrashes ?? []).map(restoreCrash);
   for (const task of step.tasks) {
     task.failedRuns = [...(stored.failed?.[task.index] ?? [])];
+    task.crashes = (stored.crashes?.[task.index] ?? []).map(restoreCrash);
+    for (const { vm } of task.crashes) task.avoidedVms.add(vm);
     task.saved = stored.saved?.[task.index] ?? '';
     if (stored.done[task.index] !== '1') continue;
     task.state = 'done';
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -5,6 +5,7 @@
  */
 import type * as ids from '../types/ids.js';
 import * as advice from './advice.js';
+import * as blame from './blame.js';
 import * as crashes from './crashes.js';
 import * as ends from './ends.js';
 import * as speeds from './speed.js';
@@ -41,6 +42,7 @@
   const over = [...vm.runs].filter(
     (run) => !listed.has(run) && isRunOver(run, report),
   );
+  for (const run of over) loseRun(state, run, 'not-reported', nowMs);
   crashes.recordCrash(
     state,
     vm,
@@ -48,8 +50,8 @@
       crashes.isOfEarlierIncarnation,
     ),
     'restarted',
+    nowMs,
   );
-  for (const run of over) loseRun(state, run, 'not-reported', nowMs);
 }
 
 /**
@@ -88,9 +90,10 @@
   nowMs: number,
 ): void {
   clearStrayRuns(vm);
-  if (evidence === undefined) crashes.addSilentRuns(vm, [...vm.runs]);
-  else crashes.recordLoss(state, vm, evidence);
-  for (const run of [...vm.runs]) loseRun(state, run, 'lost', nowMs);
+  const over = [...vm.runs];
+  for (const run of over) loseRun(state, run, 'lost', nowMs);
+  if (evidence === undefined) crashes.addSilentRuns(vm, over);
+  else crashes.recordLoss(state, vm, over, evidence, nowMs);
 }
 
 /**
@@ -106,13 +109,14 @@
   const over = [...vm.runs].filter(
     ({ phase }) => phase !== 'recording' && phase !== 'sent',
   );
+  for (const run of over) loseRun(state, run, 'lost', nowMs);
   crashes.recordCrash(
     state,
     vm,
     [...crashes.takeSilentRuns(vm), ...over],
     'terminated',
+    nowMs,
   );
-  for (const run of over) loseRun(state, run, 'lost', nowMs);
 }
 
 function loseRun(
@@ -164,7 +168,7 @@
   run.phase = 'running';
   run.confirmedMs ??= nowMs;
   run.runningSinceMs ??= nowMs;
-  crashes.settleRun(run, nowMs);
+  blame.settleRun(state, run, nowMs);
   if (entry.percent !== run.percent) {
     run.percent = entry.percent;
     run.progressChangedMs = nowMs;
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -26,6 +26,8 @@
   readonly endedRuns: readonly states.EndedRun[];
   /** Runs on VMs that are known since the last tick to have crashed. */
   readonly crashedRuns: readonly states.CrashedRun[];
+  /** Tasks that were given up since the last tick. */
+  readonly givenUpTasks: readonly states.GivenUpTask[];
 }
 
 /** The scheduler of workloads. */
@@ -232,14 +234,16 @@
     },
     tick(nowMs, nowUnixMs) {
       ticks.runRound(state, nowMs, nowUnixMs);
-      const { endedRuns, crashedRuns } = state;
+      const { endedRuns, crashedRuns, givenUpTasks } = state;
       state.endedRuns = [];
       state.crashedRuns = [];
+      state.givenUpTasks = [];
       return {
         commands: takeCommands(),
         batch: batches.takeBatch(state),
         endedRuns,
         crashedRuns,
+        givenUpTasks,
       };
     },
     confirmBatch() {
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -1,6 +1,7 @@
 /** State of the workload scheduler, and the changes to runs that several of its modules make. */
 import type * as ids from '../types/ids.js';
 import * as adviceSlots from './adviceSlots.js';
+import * as blame from './blame.js';
 import * as names from './names.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
@@ -50,6 +51,13 @@
   readonly settled: boolean;
 }
 
+/** A task that isn't started any more because it crashes VMs. */
+export interface GivenUpTask {
+  readonly task: types.TaskKey;
+  readonly crashes: number;
+  readonly vms: readonly ids.VmId[];
+}
+
 /** How a run left the tables: its reported end, the outcome of its start, or a decision of the scheduler. */
 export type RunRemoval =
   | types.RunEnd
@@ -97,6 +105,8 @@
   endedRuns: EndedRun[];
   /** Runs on crashed VMs since the last tick. */
   crashedRuns: CrashedRun[];
+  /** Tasks given up since the last tick. */
+  givenUpTasks: GivenUpTask[];
   /** Whether a previous owner may have started tasks without a record. */
   inheritedUnrecordedStarts: boolean;
   /** Time from which runs that a previous owner recorded on VMs without a report count as ended. */
@@ -141,6 +151,7 @@
     commands: [],
     endedRuns: [],
     crashedRuns: [],
+    givenUpTasks: [],
     inheritedUnrecordedStarts: options.unrecordedStarts,
     inheritedUntilMs: options.nowMs + options.bounds.inheritedRunTimeoutMs,
     silentVms: new Map(),
@@ -220,6 +231,8 @@
   task.step.occurrence.job.activeRuns += 1;
   task.step.occurrence.job.hasStarted = true;
   vm.runs.add(row);
+  if (blame.isOnTrial(task)) vm.trial = row;
+  if (blame.isSuspect(row)) vm.hasSuspect = true;
   tables.addAmount(vm.used, tables.getNeed(task.step.spec), 1);
   return row;
 }
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -52,6 +52,23 @@
   readonly ticket: string | undefined;
 }
 
+/** How strongly a crash speaks against a task. */
+export type CrashEvidence =
+  /** No other run there was as suspect. */
+  | 'sole'
+  /** Others there were as suspect. */
+  | 'shared'
+  /** Another task there was more suspect, or has been given up. */
+  | 'explained';
+
+/** The crash of a VM on which a run of a task had only just started. */
+export interface CrashMark {
+  readonly run: number;
+  readonly vm: ids.VmId;
+  readonly incarnation: types.VmIncarnation | undefined;
+  readonly evidence: CrashEvidence;
+}
+
 /** A task. */
 export interface TaskRow {
   readonly step: StepRow;
@@ -60,6 +77,8 @@
   run: RunRow | undefined;
   /** Numbers of the runs that failed. */
   failedRuns: number[];
+  /** Crashes of VMs for which the task may be to blame; those of a gang are in its step. */
+  crashes: CrashMark[];
   /** Last saved progress; empty for none. */
   saved: string;
   preemptions: number;
@@ -99,6 +118,8 @@
   gangRun: number;
   /** Numbers of the gang's runs that failed. */
   gangFailures: number[];
+  /** Crashes of VMs for which the gang may be to blame. */
+  gangCrashes: CrashMark[];
 }
 
 /** One occurrence of a job. */
@@ -156,6 +177,14 @@
   used: { cores: number; memoryMb: number; gpus: number };
   /** Runs that ended with its lease while it was silent, until it reports again or is known to have crashed. */
   silentRuns: RunRow[];
+  /** Incarnation whose crash tasks have been marked for. */
+  blamedIncarnation: types.VmIncarnation | undefined;
+  /** Run that was started there last as a trial. */
+  trial: RunRow | undefined;
+  /** Time of the last report that was requested because of a trial. */
+  trialPolledMs: number;
+  /** Whether it runs a suspect, as of this round. */
+  hasSuspect: boolean;
   /** Number of stray runs: the VM reports them, but they must be stopped. The size of some is unknown. */
   strayRunCount: number;
   /** Known tasks with a stray run on the VM. */
@@ -174,6 +203,8 @@
   speedAtMs: number;
   /** Step for which the VM's free room is reserved. */
   reservedFor: StepRow | undefined;
+  /** Task of that step for whose trial it is reserved, if any. */
+  reservedTask: TaskRow | undefined;
   reservedUntilMs: number;
   /** Time at which the VM is expected to have room for that step. */
   reservedReadyMs: number;
@@ -247,6 +278,10 @@
     knownEmpty: false,
     runs: new Set(),
     silentRuns: [],
+    blamedIncarnation: undefined,
+    trial: undefined,
+    trialPolledMs: 0,
+    hasSuspect: false,
     used: { cores: 0, memoryMb: 0, gpus: 0 },
     strayRunCount: 0,
     strayTasks: new Set(),
@@ -257,6 +292,7 @@
     speed: 1,
     speedAtMs: nowMs,
     reservedFor: undefined,
+    reservedTask: undefined,
     reservedUntilMs: 0,
     reservedReadyMs: 0,
   };
@@ -299,6 +335,7 @@
       },
       gangRun: 0,
       gangFailures: [],
+      gangCrashes: [],
     };
     for (let task = 0; task < spec.count; task += 1)
       step.tasks.push({
@@ -307,6 +344,7 @@
         state: 'waiting',
         run: undefined,
         failedRuns: [],
+        crashes: [],
         saved: '',
         preemptions: 0,
         idleSinceMs: undefined,
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -3,6 +3,7 @@
  * VMs and paces filler tasks, then ranks the waiting steps and starts their tasks as far as room and advice allow.
  */
 import * as advice from './advice.js';
+import * as blame from './blame.js';
 import * as draining from './draining.js';
 import * as headroom from './headroom.js';
 import * as jobs from './jobs.js';
@@ -16,6 +17,7 @@
 import * as states from './state.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
+import * as trials from './trials.js';
 import * as waits from './waits.js';
 
 /** Number of blocked steps per pool for which runs are preempted or advice is requested ahead of time. */
@@ -34,6 +36,8 @@
   draining.cancelStartsOnDraining(state, nowMs);
   draining.moveFromDraining(state, nowMs);
   pacing.paceRuns(state, nowMs);
+  trials.pollTrials(state, nowMs);
+  blame.updateSuspectVms(state);
   const ranked: ranking.RankedStep[] = [];
   for (const job of state.jobs.values()) {
     if (states.isJobOver(job)) continue;
@@ -96,6 +100,8 @@
     if (room === undefined) continue;
     placeStep(state, step, room, nowMs);
     if (step.waitingCount === 0) continue;
+    if (trials.hasOnlyTrials(step) && trials.isLimitReached(state, step, nowMs))
+      continue;
     const blocked = blockedSteps.get(pool) ?? 0;
     const allowed = {
       // VMs that are reserved for a gang will have room for it soon.
@@ -111,7 +117,7 @@
       !advice.isRequestPending(step, nowMs)
     ) {
       blockedSteps.set(pool, blocked + 1);
-      if (blocked < LOOKAHEAD_STEPS)
+      if (blocked < LOOKAHEAD_STEPS && !trials.isPrepared(state, step, nowMs))
         preemption.preemptForStep(state, step, nowMs);
       if (
         step.spec.gang &&
@@ -161,7 +167,20 @@
   for (const task of step.tasks) {
     if (task.state !== 'waiting' || task.strayRunVms.size > 0) continue;
     if (!headroom.canUseCores(room, step)) return;
-    const chosen = placement.chooseCandidate(candidates, step, task, nowMs);
+    if (blame.isOnTrial(task)) {
+      startTrial(state, task, candidates, room, nowMs);
+      continue;
+    }
+    const chosen = placement.chooseCandidate(
+      candidates.filter(
+        ({ vm }) =>
+          !blame.hasTrial(vm) &&
+          trials.getReservedTask(vm, nowMs) === undefined,
+      ),
+      step,
+      task,
+      nowMs,
+    );
     if (chosen === undefined) return;
     room.freeCores -= tables.getNeed(step.spec).cores;
     placement.takeRoom(chosen, step);
@@ -169,6 +188,20 @@
   }
 }
 
+function startTrial(
+  state: states.State,
+  task: tables.TaskRow,
+  candidates: readonly placement.Candidate[],
+  room: headroom.PoolRoom,
+  nowMs: number,
+): void {
+  const chosen = trials.chooseTrialCandidate(state, candidates, task, nowMs);
+  if (chosen === undefined) return;
+  room.freeCores -= tables.getNeed(task.step.spec).cores;
+  placement.takeRoom(chosen, task.step);
+  startTask(state, task, chosen, states.createRunNumber(state), nowMs);
+}
+
 function collectCandidates(
   state: states.State,
   step: tables.StepRow,
@@ -206,7 +239,13 @@
   // All runs of the gang's previous attempt must have ended before the next attempt starts.
   if (step.waitingCount !== step.spec.count) return;
   if (step.tasks.some(({ strayRunVms }) => strayRunVms.size > 0)) return;
-  const places = placement.chooseGangPlaces(candidates, step, nowMs);
+  const inTrial = step.tasks.some(blame.isOnTrial);
+  if (inTrial && trials.isLimitReached(state, step, nowMs)) return;
+  const places = placement.chooseGangPlaces(
+    inTrial ? candidates.filter(trials.isQuiet) : candidates,
+    step,
+    nowMs,
+  );
   if (places === undefined) return;
   room.freeCores -= tables.getNeed(step.spec).cores * step.spec.count;
   step.gangRun = states.createRunNumber(state);
--- a/packages/core/test/workloads/crashes.test.ts
+++ b/packages/core/test/workloads/crashes.test.ts
@@ -88,3 +88,125 @@
     vitest.expect(takeCrashes(harness)).toEqual([]);
   });
 });
+
+const STEP_MS = 50;
+
+/** Advances a harness whose VMs crash as soon as they run a task of the job `guilty`. */
+function runGuilty(
+  harness: Harness,
+  options: { readonly forMs: number; readonly downMs?: number },
+): { readonly crashes: readonly string[] } {
+  const { forMs, downMs = 300 } = options;
+  const crashes: string[] = [];
+  const backAtMs = new Map<string, number>();
+  const untilMs = harness.getNow() + forMs;
+  const down = new Map<string, harnesses.HarnessVm>();
+  while (harness.getNow() < untilMs) {
+    harness.advance(STEP_MS);
+    for (const [id, vm] of [...harness.vms]) {
+      if (![...vm.running.values()].some(({ task }) => task.job === 'guilty'))
+        continue;
+      crashes.push(id);
+      restartVm(harness, id);
+      down.set(id, harness.vms.get(id)!);
+      harness.vms.delete(id);
+      backAtMs.set(id, harness.getNow() + downMs);
+      harness.scheduler.failVm(id, harness.getNow());
+    }
+    for (const [id, vm] of [...down]) {
+      if (harness.getNow() < backAtMs.get(id)!) continue;
+      down.delete(id);
+      harness.vms.set(id, vm);
+      harness.scheduler.setVmEntry(id, vm.entry, harness.getNow());
+    }
+  }
+  return { crashes };
+}
+
+vitest.describe('a task that crashes the VMs that start it', () => {
+  for (const [name, step] of Object.entries({
+    'a batch task': {},
+    'a service task': { lasts: true },
+    'a gang': { gang: true, count: 2 },
+  }))
+    vitest.it(
+      `is given up at the latest after five crashes: ${name} (guards against a task that crashes one VM after another)`,
+      () => {
+        const harness = harnesses.createHarness();
+        for (const id of ['a', 'b', 'c', 'd', 'e', 'f']) harness.addVm(id);
+        harness.addJob('guilty', [
+          harnesses.createStep({ maxPerVm: 1, ...step }),
+        ]);
+        harness.addJob('healthy', [
+          harnesses.createStep({ count: 12, estimateMs: 60_000 }),
+        ]);
+        const { crashes } = runGuilty(harness, { forMs: 20_000 });
+        const runs = new Set(
+          harness.commands.flatMap((command) =>
+            command.command === 'start' && command.task.job === 'guilty'
+              ? [command.run]
+              : [],
+          ),
+        );
+        vitest.expect(crashes.length).toBeGreaterThanOrEqual(2);
+        vitest.expect(runs.size).toBeLessThanOrEqual(5);
+        vitest
+          .expect(harness.scheduler.getCounts().get('task.given-up'))
+          .toBe(1);
+        vitest.expect([...harness.finals]).toEqual([['guilty', 'failed']]);
+        vitest
+          .expect(
+            harness.listRuns().filter(({ task }) => task.startsWith('healthy')),
+          )
+          .toHaveLength(12);
+      },
+    );
+
+  vitest.it(
+    'is given up across changes of owner (guards against crashes that a new owner forgets)',
+    () => {
+      let stored: string | undefined;
+      let starts = 0;
+      let final: core.workloads.FinalState | undefined;
+      for (let owner = 1; owner <= 8 && final === undefined; owner += 1) {
+        const harness = harnesses.createHarness({ firstRun: owner * 1_000 });
+        const job: core.workloads.Job = {
+          id: 'guilty',
+          queue: 'queue',
+          payload: 'work',
+          steps: [harnesses.createStep()],
+          schedule: undefined,
+          configVersion: 1,
+          acceptedAtMs: 0,
+          policy: harnesses.createPolicy(),
+        };
+        const nowMs = harness.getNow();
+        harness.scheduler.restoreJob(job, stored, 0, nowMs, nowMs);
+        // All VMs have restarted since the last owner, which learned nothing of it.
+        for (const id of ['a', 'b', 'c'])
+          harness.addVm(id, { incarnation: owner });
+        harness.settle();
+        harness.settle();
+        starts += harness.commands.filter(
+          ({ command }) => command === 'start',
+        ).length;
+        stored = harness.progress.get('guilty');
+        final = harness.finals.get('guilty');
+      }
+      vitest.expect(final).toBe('failed');
+      vitest.expect(starts).toBeLessThanOrEqual(5);
+    },
+  );
+
+  vitest.it('is cleared by a run that goes on', () => {
+    const harness = harnesses.createHarness();
+    harness.addVm('a');
+    harness.addJob('job', [harnesses.createStep({ lasts: true })]);
+    for (let crash = 0; crash < 10; crash += 1) {
+      for (let step = 0; step < 80; step += 1) harness.advance(STEP_MS);
+      restartVm(harness, 'a');
+      harness.report('a');
+    }
+    vitest.expect([...harness.finals]).toEqual([]);
+  });
+});
