Blame only runs that may have crashed their VM

A job could be shown as failed although no two VMs had crashed under its task, or while another task had crashed them.

Three things made a healthy task look guilty. A start without an answer counted as a run under which the VM crashed. After a change of owner a run of the earlier owner looked as if it had only just started, so it could be the sole suspect beside the task that had.

Starts without an answer are marked as unconfirmed, and a task is given up only after two other crashes; runs of earlier owners are no longer taken for fresh once their VM has reported them; a task starts alone from its third mark on, and its VM gets no other run until it has settled.

The new test failed before: the job was given up and not started again.

--- a/packages/core/src/workloads/blame.ts
+++ b/packages/core/src/workloads/blame.ts
@@ -19,6 +19,8 @@
 const MIN_SOLE_VMS = 2;
 /** Number of unexplained crashes after which a task is given up in any case. */
 const MAX_UNEXPLAINED_CRASHES = 4;
+/** Callers allow a task to be given up once this many VMs have crashed under it. */
+const MIN_CONFIRMED = 2;
 /** The same for all crashes; callers allow two starts after the third. */
 const MAX_CRASHES = 5;
 
@@ -29,14 +31,30 @@
 
 /** Counts the crashes for which a task is suspected. */
 export function countSuspicions(task: tables.TaskRow): number {
-  return getMarks(task).filter(({ evidence }) => evidence !== 'explained')
-    .length;
+  return getMarks(task).filter(
+    ({ evidence }) =>
+      evidence === 'sole' ||
+      evidence === 'shared' ||
+      evidence === 'unconfirmed',
+  ).length;
+}
+
+function isConfirmed({ evidence }: tables.CrashMark): boolean {
+  switch (evidence) {
+    case 'sole':
+    case 'shared':
+    case 'explained':
+      return true;
+    case 'unconfirmed':
+      return false;
+  }
 }
 
 /** Returns whether a task has crashed so many VMs that it isn't started any more. */
 export function isGivenUp(task: tables.TaskRow): boolean {
   const marks = getMarks(task);
   if (marks.length < MIN_CRASHES) return false;
+  if (marks.filter(isConfirmed).length < MIN_CONFIRMED) return false;
   const suspicions = countSuspicions(task);
   if (marks.length >= MAX_CRASHES || suspicions >= MAX_UNEXPLAINED_CRASHES)
     return true;
@@ -71,12 +89,16 @@
 
 /** Returns whether a task may start in a trial only. */
 export function isOnTrial(task: tables.TaskRow): boolean {
-  return countSuspicions(task) >= TRIAL_SUSPICIONS;
+  return (
+    countSuspicions(task) >= TRIAL_SUSPICIONS ||
+    getMarks(task).length >= MIN_CRASHES
+  );
 }
 
 /** Returns whether a trial runs on a VM, so that nothing else may start there. */
 export function hasTrial({ trial, runs }: tables.VmRow): boolean {
-  return trial !== undefined && runs.has(trial) && isFresh(trial);
+  if (trial === undefined || !runs.has(trial) || trial.settled) return false;
+  return isFresh(trial) || getMarks(trial.task).length >= MIN_CRASHES;
 }
 
 /** Returns whether a run may still crash its VM, as its task is suspected of. */
@@ -92,7 +114,10 @@
 
 /** Returns whether a VM hasn't lived with a run for long yet. */
 export function isFresh(run: tables.RunRow): boolean {
-  return !run.settled && measureAlive(run) < FRESH_MS;
+  if (run.settled) return false;
+  // How long the VM has lived with a run of a previous owner isn't known, but it is longer.
+  if (run.startedEarlier) return run.runningSinceMs === undefined;
+  return measureAlive(run) < FRESH_MS;
 }
 
 /**
@@ -115,7 +140,7 @@
       run: run.number,
       vm: vm.id,
       incarnation: run.incarnation,
-      evidence: isBlamed(run) ? 'shared' : evidence,
+      evidence: chooseEvidence(run, evidence),
     });
     run.task.avoidedVms.add(vm.id);
     marked.push(run.task);
@@ -124,6 +149,15 @@
   return marked;
 }
 
+function chooseEvidence(
+  run: tables.RunRow,
+  evidence: tables.CrashEvidence,
+): tables.CrashEvidence {
+  if (run.runningSinceMs === undefined && !run.startedEarlier)
+    return 'unconfirmed';
+  return evidence === 'sole' && isBlamed(run) ? 'shared' : evidence;
+}
+
 function canBeCause({ task, number, settled }: tables.RunRow): boolean {
   if (settled || task.state === 'done') return false;
   const { job } = task.step.occurrence;
@@ -148,10 +182,12 @@
   const highest = Math.max(0, ...levels.values());
   const top = [...levels].filter(([, level]) => level === highest);
   const [first] = top;
-  if (top.length !== 1 || first === undefined) return () => 'shared';
+  const chooseShared = ({ task }: tables.RunRow): tables.CrashEvidence =>
+    levels.has(getMarks(task)) ? 'shared' : 'explained';
+  if (top.length !== 1 || first === undefined) return chooseShared;
   const [sole] = first;
   const isOnly = runs.every(({ task }) => getMarks(task) === sole);
-  if (highest === 0 && !isOnly) return () => 'shared';
+  if (highest === 0 && !isOnly) return chooseShared;
   return ({ task }) => (getMarks(task) === sole ? 'sole' : 'explained');
 }
 
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -222,6 +222,7 @@
     pace: run.phase === 'recording' ? 100 : undefined,
     paceSentMs: 0,
     incarnation: run.incarnation ?? vm.incarnation,
+    startedEarlier: run.phase !== 'recording',
     settled: false,
     ticket: run.ticket,
   };
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -47,6 +47,8 @@
   paceSentMs: number;
   /** Incarnation of the VM on which the run began or may have begun; undefined while it isn't known. */
   incarnation: types.VmIncarnation | undefined;
+  /** Whether a previous owner started it. */
+  readonly startedEarlier: boolean;
   /** Whether its VM has reported it for so long that it can't be the cause of a later crash. */
   settled: boolean;
   readonly ticket: string | undefined;
@@ -59,7 +61,9 @@
   /** Others there were as suspect. */
   | 'shared'
   /** Another task there was more suspect, or has been given up. */
-  | 'explained';
+  | 'explained'
+  /** The run may not have begun: its start wasn't answered. */
+  | 'unconfirmed';
 
 /** The crash of a VM on which a run of a task had only just started. */
 export interface CrashMark {
--- a/packages/core/test/workloads/crashes.test.ts
+++ b/packages/core/test/workloads/crashes.test.ts
@@ -198,6 +198,35 @@
     },
   );
 
+  vitest.it(
+    "isn't given up for starts without an answer (guards against crashes under runs that never began)",
+    () => {
+      const harness = harnesses.createHarness();
+      const vms = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'];
+      for (const id of vms) harness.addVm(id);
+      harness.addJob('job', [harnesses.createStep()]);
+      for (let crash = 0; crash < 6; crash += 1) {
+        harness.scheduler.tick(harness.getNow(), harness.getNow());
+        const start = harness.scheduler
+          .confirmBatch()
+          .find(({ command }) => command === 'start');
+        if (start?.command !== 'start') throw new Error('no start');
+        const { vm, task, run } = start;
+        harness.scheduler.applyStart(
+          vm,
+          task,
+          run,
+          'unknown',
+          harness.getNow(),
+        );
+        harness.scheduler.failVm(vm, harness.getNow());
+        restartVm(harness, vm);
+        harness.report(vm);
+      }
+      vitest.expect(harness.scheduler.getJobState('job')).not.toBe('failed');
+    },
+  );
+
   vitest.it('is cleared by a run that goes on', () => {
     const harness = harnesses.createHarness();
     harness.addVm('a');
