Count starts that end early against tasks that crash VMs

A task could be started a third time after three VMs had crashed under it: its runs were stopped or failed before they crashed their VM, and only crashes counted.

From the third mark on, a run that may have begun and ends early in another way leaves a mark, too, and a task with five marks isn't started any more, whatever ended its last run. A crash that becomes known later replaces such a mark.

The bound doesn't depend on how a run ends, so nothing that stops runs early can extend it.

--- a/packages/core/src/workloads/blame.ts
+++ b/packages/core/src/workloads/blame.ts
@@ -46,6 +46,7 @@
     case 'explained':
       return true;
     case 'unconfirmed':
+    case 'inconclusive':
       return false;
   }
 }
@@ -82,6 +83,23 @@
   state.dirty.add(step.occurrence.job);
 }
 
+/**
+ * Marks a run of a task with several marks that ended early in another way than by a crash.
+ * Otherwise a task whose runs are stopped before they crash their VMs is started for ever.
+ */
+export function markEarlyEnd(state: states.State, run: tables.RunRow): void {
+  const marks = getMarks(run.task);
+  if (run.settled || marks.length < MIN_CRASHES) return;
+  if (marks.some(({ run: number }) => number === run.number)) return;
+  marks.push({
+    run: run.number,
+    vm: run.vm.id,
+    incarnation: run.incarnation,
+    evidence: 'inconclusive',
+  });
+  state.dirty.add(run.task.step.occurrence.job);
+}
+
 /** Returns the time for which a VM is known to have lived with a run, in ms. */
 export function measureAlive({ vm, runningSinceMs }: tables.RunRow): number {
   return Math.max(0, vm.answeredMs - (runningSinceMs ?? vm.answeredMs));
@@ -135,7 +153,9 @@
   const marked: tables.TaskRow[] = [];
   for (const { run, evidence } of evidences) {
     const marks = getMarks(run.task);
-    if (marks.some(({ run: number }) => number === run.number)) continue;
+    const known = marks.findIndex(({ run: number }) => number === run.number);
+    if (known >= 0 && marks[known]?.evidence !== 'inconclusive') continue;
+    if (known >= 0) marks.splice(known, 1);
     marks.push({
       run: run.number,
       vm: vm.id,
--- a/packages/core/src/workloads/crashes.ts
+++ b/packages/core/src/workloads/crashes.ts
@@ -38,7 +38,7 @@
 }
 
 /** Fails the job of a task that has crashed too many VMs. */
-function failTask(
+export function failTask(
   state: states.State,
   task: tables.TaskRow,
   nowMs: number,
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -262,10 +262,42 @@
   if (task.run !== run) return;
   task.run = undefined;
   if (task.state === 'done') return;
+  if (canHaveBegun(run, how)) blame.markEarlyEnd(state, run);
   task.state = 'waiting';
   task.step.waitingCount += 1;
 }
 
+/** Returns whether a run that has left the tables may have begun. */
+function canHaveBegun(run: tables.RunRow, how: RunRemoval): boolean {
+  if (run.phase === 'recording') return false;
+  switch (how) {
+    case 'old':
+    case 'late':
+    case 'no-room':
+    case 'ticket':
+    case 'malformed':
+    case 'unhealthy':
+    case 'unreachable':
+    case 'other-life':
+    case 'fenced':
+    case 'withdrawn':
+    case 'done':
+      return false;
+    case 'failed':
+    case 'stopped':
+    case 'lapsed':
+    case 'broken':
+    case 'alone':
+    case 'started':
+    case 'unknown':
+    case 'lost':
+    case 'not-reported':
+    case 'inherited-timeout':
+    case 'superseded':
+      return true;
+  }
+}
+
 /** Computes the time at which a run that isn't running now is last known to have run. */
 export function computeIdleSince(run: tables.RunRow, nowMs: number): number {
   const { vm } = run;
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -63,9 +63,11 @@
   /** Another task there was more suspect, or has been given up. */
   | 'explained'
   /** The run may not have begun: its start wasn't answered. */
-  | 'unconfirmed';
+  | 'unconfirmed'
+  /** The run ended in another way before its VM had lived with it for long. */
+  | 'inconclusive';
 
-/** The crash of a VM on which a run of a task had only just started. */
+/** The crash of a VM on which a run of a task had only just started, or another early end of a run after several crashes. */
 export interface CrashMark {
   readonly run: number;
   readonly vm: ids.VmId;
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -4,6 +4,7 @@
  */
 import * as advice from './advice.js';
 import * as blame from './blame.js';
+import * as crashes from './crashes.js';
 import * as draining from './draining.js';
 import * as headroom from './headroom.js';
 import * as jobs from './jobs.js';
@@ -168,6 +169,10 @@
     if (task.state !== 'waiting' || task.strayRunVms.size > 0) continue;
     if (!headroom.canUseCores(room, step)) return;
     if (blame.isOnTrial(task)) {
+      if (blame.isGivenUp(task)) {
+        crashes.failTask(state, task, nowMs);
+        return;
+      }
       startTrial(state, task, candidates, room, nowMs);
       continue;
     }
@@ -239,6 +244,11 @@
   // All runs of the gang's previous attempt must have ended before the next attempt starts.
   if (step.waitingCount !== step.spec.count) return;
   if (step.tasks.some(({ strayRunVms }) => strayRunVms.size > 0)) return;
+  const givenUp = step.tasks.find(blame.isGivenUp);
+  if (givenUp !== undefined) {
+    crashes.failTask(state, givenUp, nowMs);
+    return;
+  }
   const inTrial = step.tasks.some(blame.isOnTrial);
   if (inTrial && trials.isLimitReached(state, step, nowMs)) return;
   const places = placement.chooseGangPlaces(
--- a/packages/core/test/workloads/simulation.ts
+++ b/packages/core/test/workloads/simulation.ts
@@ -55,6 +55,8 @@
   readonly partitions: boolean;
   readonly takeovers: boolean;
   readonly slowStore: boolean;
+  /** Tasks of every so many jobs that crash the VMs that start them, after at most this delay. */
+  readonly guilty?: { readonly everyJobs: number; readonly maxDelayMs: number };
 }
 
 const LEASE_MS = 3_000;
@@ -78,6 +80,14 @@
   private readonly failures = new Map<string, Set<number>>();
   private owner: Owner | undefined;
   private fences = 0;
+  /** Crashes of VMs by guilty task, and its starts after the third of them. */
+  private readonly guiltyTasks = new Map<
+    string,
+    { crashes: number; readonly lateRuns: Set<number> }
+  >();
+  /** Crashes of VMs under each task, or gang. */
+  private readonly crashesUnder = new Map<string, number>();
+  private readonly givenUp = new Set<string>();
   readonly violations: string[] = [];
 
   constructor(
@@ -182,6 +192,12 @@
     };
     if (job.steps.some((step) => step.count > 6)) return;
     this.jobs.set(id, job);
+    const { guilty } = this.faults;
+    if (guilty !== undefined && this.jobs.size % guilty.everyJobs === 0)
+      this.guiltyTasks.set(`${id}.0.0.0`, {
+        crashes: 0,
+        lateRuns: new Set(),
+      });
     this.owner?.scheduler.acceptJob(job, 0, this.nowMs, this.nowMs);
   }
 
@@ -247,6 +263,10 @@
   }
 
   private crash(vm: SimVm): void {
+    for (const { task } of vm.running.values()) {
+      const name = this.formatSuspect(task);
+      this.crashesUnder.set(name, (this.crashesUnder.get(name) ?? 0) + 1);
+    }
     vm.isUp = false;
     vm.running.clear();
     vm.closedRuns.clear();
@@ -301,9 +321,51 @@
     if (vm.running.has(key)) return 'started';
     this.checkStart(vm, command);
     vm.running.set(key, { task: command.task, run: command.run, percent: 0 });
+    this.startGuilty(vm, command);
     return 'started';
   }
 
+  private startGuilty(
+    vm: SimVm,
+    { task, run }: Extract<core.workloads.Command, { command: 'start' }>,
+  ): void {
+    const name = core.workloads.formatTask(task);
+    const guilty = this.guiltyTasks.get(name);
+    if (guilty === undefined) return;
+    if (guilty.crashes >= 3) guilty.lateRuns.add(run);
+    if (guilty.lateRuns.size > 2)
+      this.violations.push(
+        `${this.nowMs}: ${name} started ${guilty.lateRuns.size} times after it had crashed three VMs`,
+      );
+    const { incarnation } = vm;
+    this.send(
+      Math.abs(this.random()) * (this.faults.guilty?.maxDelayMs ?? 0),
+      () => {
+        const isRunning = vm.running.has(`${name}#${run}`);
+        if (vm.incarnation !== incarnation || !vm.isUp || !isRunning) return;
+        guilty.crashes += 1;
+        this.crash(vm);
+      },
+    );
+  }
+
+  /** Lists the healthy tasks that were given up. */
+  listWronglyGivenUp(): readonly string[] {
+    const guilty = new Set(
+      [...this.guiltyTasks.keys()].map((name) =>
+        this.formatSuspect(core.workloads.parseTask(name)!),
+      ),
+    );
+    return [...this.givenUp].filter((name) => !guilty.has(name));
+  }
+
+  /** Lists the tasks that were given up although fewer than two VMs had crashed under them. */
+  listGivenUpEarly(): readonly string[] {
+    return [...this.givenUp].filter(
+      (name) => (this.crashesUnder.get(name) ?? 0) < 2,
+    );
+  }
+
   private checkStart(
     vm: SimVm,
     command: Extract<core.workloads.Command, { command: 'start' }>,
@@ -517,6 +579,14 @@
     }
   }
 
+  /** Formats a task, or the gang that it belongs to. */
+  private formatSuspect(task: TaskKey): string {
+    const { gang } = this.jobs.get(task.job)!.steps[task.step]!;
+    return gang
+      ? core.workloads.formatStep(task)
+      : core.workloads.formatTask(task);
+  }
+
   private isGangComplete(run: Running): boolean {
     const { count } = this.jobs.get(run.task.job)!.steps[run.task.step]!;
     let startedMembers = 0;
@@ -529,6 +599,8 @@
 
   private tick(owner: Owner): void {
     const decision = owner.scheduler.tick(this.nowMs, this.nowMs);
+    for (const { task } of decision.givenUpTasks)
+      this.givenUp.add(this.formatSuspect(task));
     for (const command of decision.commands) this.execute(owner, command);
     if (decision.batch !== undefined)
       owner.batch = {
