--- a/packages/core/src/workloads/index.ts
+++ b/packages/core/src/workloads/index.ts
@@ -4,7 +4,14 @@
 export type { StartSummary, UnstartedJobs } from './begins.js';
 export { createWorkloadScheduler } from './scheduler.js';
 export type { Decision, WorkloadScheduler } from './scheduler.js';
-export type { Bounds, EndedRun, SchedulerOptions } from './state.js';
+export type {
+  Bounds,
+  CrashedRun,
+  CrashEvidence,
+  EndedRun,
+  GivenUpTask,
+  SchedulerOptions,
+} from './state.js';
 export type {
   Inconsistency,
   OwedCause,
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -6,6 +6,8 @@
 import type * as ids from '../types/ids.js';
 import * as advice from './advice.js';
 import * as begins from './begins.js';
+import * as blame from './blame.js';
+import * as crashes from './crashes.js';
 import * as ends from './ends.js';
 import * as speeds from './speed.js';
 import * as states from './state.js';
@@ -31,15 +33,26 @@
   }
   vm.usable = true;
   vm.reportedMs = nowMs;
+  vm.answeredMs = nowMs;
   vm.knownEmpty = false;
   applyEnds(state, vm, report, nowMs);
   const listed = new Set<tables.RunRow>();
   clearStrayRuns(vm);
   for (const entry of report.running)
     applyRunning(state, vm, entry, listed, nowMs);
-  for (const run of [...vm.runs])
-    if (!listed.has(run) && isRunOver(run, report))
-      loseRun(state, run, 'not-reported', nowMs);
+  const over = [...vm.runs].filter(
+    (run) => !listed.has(run) && isRunOver(run, report),
+  );
+  for (const run of over) loseRun(state, run, 'not-reported', nowMs);
+  crashes.recordCrash(
+    state,
+    vm,
+    [...crashes.takeSilentRuns(vm), ...over].filter(
+      crashes.isOfEarlierIncarnation,
+    ),
+    'restarted',
+    nowMs,
+  );
 }
 
 /**
@@ -67,14 +80,21 @@
   }
 }
 
-/** Removes all runs of a VM that can't run anything any more. */
+/**
+ * Removes all runs of a VM that can't run anything any more. Without evidence of a crash,
+ * only its lease has expired.
+ */
 export function loseRuns(
   state: states.State,
   vm: tables.VmRow,
+  evidence: states.CrashEvidence | undefined,
   nowMs: number,
 ): void {
   clearStrayRuns(vm);
-  for (const run of [...vm.runs]) loseRun(state, run, 'lost', nowMs);
+  const over = [...vm.runs];
+  for (const run of over) loseRun(state, run, 'lost', nowMs);
+  if (evidence === undefined) crashes.addSilentRuns(vm, over);
+  else crashes.recordLoss(state, vm, over, evidence, nowMs);
 }
 
 /**
@@ -87,9 +107,17 @@
   nowMs: number,
 ): void {
   clearStrayRuns(vm);
-  for (const run of [...vm.runs])
-    if (run.phase !== 'recording' && run.phase !== 'sent')
-      loseRun(state, run, 'lost', nowMs);
+  const over = [...vm.runs].filter(
+    ({ phase }) => phase !== 'recording' && phase !== 'sent',
+  );
+  for (const run of over) loseRun(state, run, 'lost', nowMs);
+  crashes.recordCrash(
+    state,
+    vm,
+    [...crashes.takeSilentRuns(vm), ...over],
+    'terminated',
+    nowMs,
+  );
 }
 
 function loseRun(
@@ -137,10 +165,12 @@
   const run = own ?? adoptRun(state, vm, task, entry, nowMs);
   if (run === undefined) return;
   listed.add(run);
+  run.incarnation = vm.incarnation;
   if (run.phase === 'stopping') return;
   run.phase = 'running';
   run.confirmedMs ??= nowMs;
   run.runningSinceMs ??= nowMs;
+  blame.settleRun(state, run, nowMs);
   if (entry.percent !== run.percent) {
     run.percent = entry.percent;
     run.progressChangedMs = nowMs;
@@ -238,6 +268,7 @@
         run.runningSinceMs = nowMs;
         run.progressChangedMs = nowMs;
         run.confirmedMs = nowMs;
+        run.vm.answeredMs = nowMs;
       }
       return;
     case 'old':
@@ -311,6 +342,7 @@
   for (const vm of state.vms.values())
     for (const run of [...vm.runs]) {
       if (isTimeoutOver && tables.isInherited(run)) {
+        crashes.addSilentRuns(vm, [run]);
         loseRun(state, run, 'inherited-timeout', nowMs);
         continue;
       }
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -1,6 +1,7 @@
 /** State of the workload scheduler, and the changes to runs that several of its modules make. */
 import type * as ids from '../types/ids.js';
 import * as adviceSlots from './adviceSlots.js';
+import * as blame from './blame.js';
 import * as names from './names.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
@@ -29,6 +30,34 @@
   readonly how: RunRemoval;
 }
 
+/** What shows that a VM has crashed. */
+export type CrashEvidence =
+  /** Connections to it are refused. */
+  | 'terminated'
+  /** Another VM answers at its address. */
+  | 'replaced'
+  /** It reports a new incarnation. */
+  | 'restarted';
+
+/** A run that may have been running when its VM crashed. */
+export interface CrashedRun {
+  readonly task: types.TaskKey;
+  readonly run: number;
+  readonly vm: ids.VmId;
+  readonly evidence: CrashEvidence;
+  /** Time for which the VM is known to have lived with the run, in ms. */
+  readonly aliveMs: number;
+  /** Whether that is too long for the run to be the cause. */
+  readonly settled: boolean;
+}
+
+/** A task that isn't started any more because it crashes VMs. */
+export interface GivenUpTask {
+  readonly task: types.TaskKey;
+  readonly crashes: number;
+  readonly vms: readonly ids.VmId[];
+}
+
 /** How a run left the tables: its reported end, the outcome of its start, or a decision of the scheduler. */
 export type RunRemoval =
   | types.RunEnd
@@ -74,6 +103,10 @@
   commands: types.Command[];
   /** Ended runs of service tasks since the last tick. */
   endedRuns: EndedRun[];
+  /** Runs on crashed VMs since the last tick. */
+  crashedRuns: CrashedRun[];
+  /** Tasks given up since the last tick. */
+  givenUpTasks: GivenUpTask[];
   /** Whether a previous owner may have started tasks without a record. */
   readonly inheritedUnrecordedStarts: boolean;
   /** Time from which runs that a previous owner recorded on VMs without a report count as ended. */
@@ -117,6 +150,8 @@
     unrecordedStartsBatch: undefined,
     commands: [],
     endedRuns: [],
+    crashedRuns: [],
+    givenUpTasks: [],
     inheritedUnrecordedStarts: options.unrecordedStarts,
     inheritedUntilMs: options.nowMs + options.bounds.inheritedRunTimeoutMs,
     silentVms: new Map(),
@@ -164,6 +199,8 @@
     readonly number: number;
     readonly phase: tables.RunPhase;
     readonly ticket?: string | undefined;
+    /** Incarnation of the VM that a previous owner recorded; by default the one that reported last. */
+    readonly incarnation?: types.VmIncarnation | undefined;
   },
   nowMs: number,
 ): tables.RunRow {
@@ -184,6 +221,9 @@
     // A run of a previous owner may have been slowed by that owner.
     pace: run.phase === 'recording' ? 100 : undefined,
     paceSentMs: 0,
+    incarnation: run.incarnation ?? vm.incarnation,
+    startedEarlier: run.phase !== 'recording',
+    settled: false,
     ticket: run.ticket,
   };
   task.step.waitingCount -= 1;
@@ -192,6 +232,8 @@
   task.step.occurrence.job.activeRuns += 1;
   task.step.occurrence.job.startDecidedMs ??= nowMs;
   vm.runs.add(row);
+  if (blame.isOnTrial(task)) vm.trial = row;
+  if (blame.isSuspect(row)) vm.hasSuspect = true;
   tables.addAmount(vm.used, tables.getNeed(task.step.spec), 1);
   return row;
 }
@@ -220,10 +262,42 @@
   if (task.run !== run) return;
   task.run = undefined;
   if (task.state === 'done') return;
+  if (canHaveBegun(run, how)) blame.markEarlyEnd(state, run);
   task.state = 'waiting';
   task.step.waitingCount += 1;
 }
 
+/** Returns whether a run that has left the tables may have begun. */
+function canHaveBegun(run: tables.RunRow, how: RunRemoval): boolean {
+  if (run.phase === 'recording') return false;
+  switch (how) {
+    case 'old':
+    case 'late':
+    case 'no-room':
+    case 'ticket':
+    case 'malformed':
+    case 'unhealthy':
+    case 'unreachable':
+    case 'other-life':
+    case 'fenced':
+    case 'withdrawn':
+    case 'done':
+      return false;
+    case 'failed':
+    case 'stopped':
+    case 'lapsed':
+    case 'broken':
+    case 'alone':
+    case 'started':
+    case 'unknown':
+    case 'lost':
+    case 'not-reported':
+    case 'inherited-timeout':
+    case 'superseded':
+      return true;
+  }
+}
+
 /** Computes the time at which a run that isn't running now is last known to have run. */
 export function computeIdleSince(run: tables.RunRow, nowMs: number): number {
   const { vm } = run;
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -45,9 +45,36 @@
   /** Share of its full processor time that the run may use, in percent; undefined while it isn't known. */
   pace: number | undefined;
   paceSentMs: number;
+  /** Incarnation of the VM on which the run began or may have begun; undefined while it isn't known. */
+  incarnation: types.VmIncarnation | undefined;
+  /** Whether a previous owner started it. */
+  readonly startedEarlier: boolean;
+  /** Whether its VM has reported it for so long that it can't be the cause of a later crash. */
+  settled: boolean;
   readonly ticket: string | undefined;
 }
 
+/** How strongly a crash speaks against a task. */
+export type CrashEvidence =
+  /** No other run there was as suspect. */
+  | 'sole'
+  /** Others there were as suspect. */
+  | 'shared'
+  /** Another task there was more suspect, or has been given up. */
+  | 'explained'
+  /** The run may not have begun: its start wasn't answered. */
+  | 'unconfirmed'
+  /** The run ended in another way before its VM had lived with it for long. */
+  | 'inconclusive';
+
+/** The crash of a VM on which a run of a task had only just started, or another early end of a run after several crashes. */
+export interface CrashMark {
+  readonly run: number;
+  readonly vm: ids.VmId;
+  readonly incarnation: types.VmIncarnation | undefined;
+  readonly evidence: CrashEvidence;
+}
+
 /** A task. */
 export interface TaskRow {
   readonly step: StepRow;
@@ -56,6 +83,8 @@
   run: RunRow | undefined;
   /** Numbers of the runs that failed. */
   failedRuns: number[];
+  /** Crashes of VMs for which the task may be to blame; those of a gang are in its step. */
+  crashes: CrashMark[];
   /** Last saved progress; empty for none. */
   saved: string;
   preemptions: number;
@@ -95,6 +124,8 @@
   gangRun: number;
   /** Numbers of the gang's runs that failed. */
   gangFailures: number[];
+  /** Crashes of VMs for which the gang may be to blame. */
+  gangCrashes: CrashMark[];
 }
 
 /** One occurrence of a job. */
@@ -137,6 +168,8 @@
   pool: types.PoolName | undefined;
   /** Whether its last entry said that it drains, also once that entry has been removed. */
   leaving: boolean;
+  /** Incarnation that its entry last named as draining. */
+  drainedIncarnation: types.VmIncarnation | undefined;
   incarnation: types.VmIncarnation | undefined;
   /** Key of the VM and its incarnation. Advice about a VM is valid for one incarnation. */
   incarnationKey: string;
@@ -144,10 +177,22 @@
   usable: boolean;
   /** Time of its last report to this owner. */
   reportedMs: number | undefined;
+  /** Time of its last report or confirmed start. */
+  answeredMs: number;
   /** Whether its process has terminated or it was lost, so that nothing runs there until it reports again. */
   knownEmpty: boolean;
   readonly runs: Set<RunRow>;
   used: { cores: number; memoryMb: number; gpus: number };
+  /** Runs that ended with its lease while it was silent, until it reports again or is known to have crashed. */
+  silentRuns: RunRow[];
+  /** Incarnation whose crash tasks have been marked for. */
+  blamedIncarnation: types.VmIncarnation | undefined;
+  /** Run that was started there last as a trial. */
+  trial: RunRow | undefined;
+  /** Time of the last report that was requested because of a trial. */
+  trialPolledMs: number;
+  /** Whether it runs a suspect, as of this round. */
+  hasSuspect: boolean;
   /** Number of stray runs: the VM reports them, but they must be stopped. The size of some is unknown. */
   strayRunCount: number;
   /** Known tasks with a stray run on the VM. */
@@ -166,6 +211,8 @@
   speedAtMs: number;
   /** Step for which the VM's free room is reserved. */
   reservedFor: StepRow | undefined;
+  /** Task of that step for whose trial it is reserved, if any. */
+  reservedTask: TaskRow | undefined;
   reservedUntilMs: number;
   /** Time at which the VM is expected to have room for that step. */
   reservedReadyMs: number;
@@ -236,12 +283,19 @@
     entry: undefined,
     pool: undefined,
     leaving: false,
+    drainedIncarnation: undefined,
     incarnation: undefined,
     incarnationKey: formatIncarnationKey(id, undefined),
     usable: false,
     reportedMs: undefined,
+    answeredMs: nowMs,
     knownEmpty: false,
     runs: new Set(),
+    silentRuns: [],
+    blamedIncarnation: undefined,
+    trial: undefined,
+    trialPolledMs: 0,
+    hasSuspect: false,
     used: { cores: 0, memoryMb: 0, gpus: 0 },
     strayRunCount: 0,
     strayTasks: new Set(),
@@ -252,6 +306,7 @@
     speed: 1,
     speedAtMs: nowMs,
     reservedFor: undefined,
+    reservedTask: undefined,
     reservedUntilMs: 0,
     reservedReadyMs: 0,
   };
@@ -294,6 +349,7 @@
       },
       gangRun: 0,
       gangFailures: [],
+      gangCrashes: [],
     };
     for (let task = 0; task < spec.count; task += 1)
       step.tasks.push({
@@ -302,6 +358,7 @@
         state: 'waiting',
         run: undefined,
         failedRuns: [],
+        crashes: [],
         saved: '',
         preemptions: 0,
         idleSinceMs: undefined,
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -3,6 +3,8 @@
  * VMs and paces filler tasks, then ranks the waiting steps and starts their tasks as far as room and advice allow.
  */
 import * as advice from './advice.js';
+import * as blame from './blame.js';
+import * as crashes from './crashes.js';
 import * as draining from './draining.js';
 import * as headroom from './headroom.js';
 import * as jobs from './jobs.js';
@@ -16,6 +18,7 @@
 import * as states from './state.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
+import * as trials from './trials.js';
 import * as waits from './waits.js';
 
 /** Number of blocked steps per pool for which runs are preempted or advice is requested ahead of time. */
@@ -35,6 +38,8 @@
   draining.moveFromDraining(state, nowMs);
   pacing.paceRuns(state, nowMs);
   const unrecorded = states.findUnrecordedStarts(state, nowMs);
+  trials.pollTrials(state, nowMs);
+  blame.updateSuspectVms(state);
   const ranked: ranking.RankedStep[] = [];
   for (const job of state.jobs.values()) {
     if (states.isJobOver(job)) continue;
@@ -77,6 +82,8 @@
     if (room === undefined) continue;
     placeStep(state, step, room, nowMs);
     if (step.waitingCount === 0) continue;
+    if (trials.hasOnlyTrials(step) && trials.isLimitReached(state, step, nowMs))
+      continue;
     const blocked = blockedSteps.get(pool) ?? 0;
     const allowed = {
       // VMs that are reserved for a gang will have room for it soon.
@@ -92,7 +99,7 @@
       !advice.isRequestPending(step, nowMs)
     ) {
       blockedSteps.set(pool, blocked + 1);
-      if (blocked < LOOKAHEAD_STEPS)
+      if (blocked < LOOKAHEAD_STEPS && !trials.isPrepared(state, step, nowMs))
         preemption.preemptForStep(state, step, nowMs);
       if (
         step.spec.gang &&
@@ -139,10 +146,20 @@
     placeGang(state, step, candidates, room, nowMs);
     return;
   }
+  let withoutTrial = trials.selectWithoutTrial(candidates, nowMs);
   for (const task of step.tasks) {
     if (task.state !== 'waiting' || task.strayRunVms.size > 0) continue;
     if (!headroom.canUseCores(room, step)) return;
-    const chosen = placement.chooseCandidate(candidates, step, task, nowMs);
+    if (blame.isOnTrial(task)) {
+      if (blame.isGivenUp(task)) {
+        crashes.failTask(state, task, nowMs);
+        return;
+      }
+      startTrial(state, task, candidates, room, nowMs);
+      withoutTrial = trials.selectWithoutTrial(candidates, nowMs);
+      continue;
+    }
+    const chosen = placement.chooseCandidate(withoutTrial, step, task, nowMs);
     if (chosen === undefined) return;
     room.freeCores -= tables.getNeed(step.spec).cores;
     placement.takeRoom(chosen, step);
@@ -150,6 +167,20 @@
   }
 }
 
+function startTrial(
+  state: states.State,
+  task: tables.TaskRow,
+  candidates: readonly placement.Candidate[],
+  room: headroom.PoolRoom,
+  nowMs: number,
+): void {
+  const chosen = trials.chooseTrialCandidate(state, candidates, task, nowMs);
+  if (chosen === undefined) return;
+  room.freeCores -= tables.getNeed(task.step.spec).cores;
+  placement.takeRoom(chosen, task.step);
+  startTask(state, task, chosen, states.createRunNumber(state), nowMs);
+}
+
 function collectCandidates(
   state: states.State,
   step: tables.StepRow,
@@ -187,7 +218,18 @@
   // All runs of the gang's previous attempt must have ended before the next attempt starts.
   if (step.waitingCount !== step.spec.count) return;
   if (step.tasks.some(({ strayRunVms }) => strayRunVms.size > 0)) return;
-  const places = placement.chooseGangPlaces(candidates, step, nowMs);
+  const givenUp = step.tasks.find(blame.isGivenUp);
+  if (givenUp !== undefined) {
+    crashes.failTask(state, givenUp, nowMs);
+    return;
+  }
+  const inTrial = step.tasks.some(blame.isOnTrial);
+  if (inTrial && trials.isLimitReached(state, step, nowMs)) return;
+  const places = placement.chooseGangPlaces(
+    inTrial ? candidates.filter(trials.isQuiet) : candidates,
+    step,
+    nowMs,
+  );
   if (places === undefined) return;
   room.freeCores -= tables.getNeed(step.spec).cores * step.spec.count;
   step.gangRun = states.createRunNumber(state);
