Take restored jobs as accepted before their owner, whatever the clocks say

After a change of owner beside unrecorded starts, a job could be told as `pending`, counted as waiting and started on another VM, although the earlier owner may have started it on a VM that hasn't reported yet.

Cause: a job may have an unrecorded start if it was accepted before the owner was created. The time of acceptance is derived from the wall clock of the node that accepted it, so a job of a node whose clock is ahead, by as little as the time that the takeover took, counted as accepted later.

Restored jobs were read in the takeover, so their time of acceptance is now at the latest the one at which the owner was created.

The new test fails before: a start is sent to `b` while `a` hasn't reported.

--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -162,7 +162,9 @@
     },
     restoreJob(job, text, ageMs, nowMs, nowUnixMs) {
       if (state.jobs.has(job.id)) return;
-      const row = jobs.addJob(state, job, nowMs - ageMs, nowMs, nowUnixMs);
+      // The age depends on the clock of the node that accepted the job.
+      const acceptedMs = Math.min(nowMs - ageMs, state.createdMs);
+      const row = jobs.addJob(state, job, acceptedMs, nowMs, nowUnixMs);
       if (text === undefined) return;
       progress.restoreProgress(
         state,
--- a/packages/core/test/workloads/begins.test.ts
+++ b/packages/core/test/workloads/begins.test.ts
@@ -358,6 +358,27 @@
     },
   );
 
+  vitest.it(
+    'does not take a job as accepted after its predecessor because clocks differ (guards against a second run, and a job said to wait, beside an unrecorded run)',
+    () => {
+      const owner = new TestOwner(1_000, true);
+      owner.nowMs += 300;
+      owner.scheduler.restoreJob(
+        createJob(),
+        undefined,
+        0,
+        owner.nowMs,
+        owner.nowMs,
+      );
+      owner.scheduler.setVmEntry('a', harnesses.createEntry('a'), owner.nowMs);
+      owner.report('b');
+      vitest.expect(owner.sendStarts()).toEqual([]);
+      owner.expectUnresolved();
+      owner.report('a');
+      vitest.expect(owner.sendStarts()).toHaveLength(1);
+    },
+  );
+
   vitest.it('knows the state of a cancelled job with an unresolved run', () => {
     const owner = createOwner();
     vitest.expect(owner.sendStarts()).toHaveLength(1);
