Keep an ownership when a record of the node's earlier one fails

A node that had given up ownership and had claimed it again gave it up a second time within 150 ms, so that callers had to wait for one more change of owner.

Cause: a closed owner's pending record is rejected, and the owner reported that as being fenced, which resigns whatever ownership the node has by then.

A closed owner now ignores the rejection; its ownership has ended already.

The new test fails before: the closed owner reports that it was fenced.

--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -480,6 +480,8 @@
     try {
       await recorder.write(batch);
     } catch (cause) {
+      // This node may own the cluster again by now, under a later fence.
+      if (isClosed()) return;
       log.write('warn', 'owner.replaced', {
         fence,
         why: core.describeError(cause),
--- a/packages/cluster/test/owner.test.ts
+++ b/packages/cluster/test/owner.test.ts
@@ -67,6 +67,7 @@
   const running = new Map<number, core.workloads.ReportedRun>();
   const vm = { silent: false, answerMs: 1 };
   const claim = { confirmedMs: undefined as number | undefined };
+  const fenced = vitest.vi.fn();
   const vmCalls: ports.VmCalls = {
     ...context.ports.vmCalls,
     async hold(_, { waitMs }, timeoutMs) {
@@ -118,7 +119,7 @@
     getConfirmedAge: () =>
       timers.getNow() - (claim.confirmedMs ?? timers.getNow()),
     onAppendFailed: () => undefined,
-    onFenced: () => undefined,
+    onFenced: fenced,
   });
   const listEvents = (event: string) =>
     context.lines.filter((line) => line.event === event);
@@ -128,6 +129,8 @@
     job,
     running,
     claim,
+    fenced,
+    store: context.store,
     jobs: context.store.streams.jobs,
     listEvents,
     timers: context.fakeTimers,
@@ -360,3 +363,21 @@
     },
   );
 });
+
+vitest.describe('an owner that has been closed', () => {
+  vitest.it(
+    'does not report a pending record as fenced (guards against an old owner that ends the next ownership of its node)',
+    async () => {
+      const { owner, store, fenced, listEvents, timers } = createSetup();
+      store.intercept = (stream, appended) =>
+        stream === 'progress' && appended.length > 0
+          ? Promise.resolve({ outcome: 'refused', why: 'unavailable' })
+          : undefined;
+      await fakes.advance(timers, 1_000);
+      vitest.expect(listEvents('record.retry')).not.toEqual([]);
+      owner.close();
+      await fakes.advance(timers, 1_000);
+      vitest.expect(fenced).not.toHaveBeenCalled();
+    },
+  );
+});
