Refuse a count before the caller's deadline while the owner is silent

A caller with a deadline of 1.05 to 1.35 s got the refusal of a count after it, so it saw no answer at all. While no owner answers, each question takes 600 ms, and one that began shortly before the end of the wait was waited for.

The wait for the owner now ends with that of the caller. The question goes on, and its answer serves the next caller.

The new test fails before: a count that is due after 800 ms is refused after 1,350 ms.

--- a/packages/cluster/src/waitingCounts.ts
+++ b/packages/cluster/src/waitingCounts.ts
@@ -66,7 +66,10 @@
     async fetch(queue, untilMs) {
       for (;;) {
         if (getAge() >= REFRESH_MS || isUnresolved(queue))
-          await (asking ??= ask());
+          await Promise.race([
+            (asking ??= ask()),
+            core.waitFor(timers, 'counts.until', untilMs - timers.getNow()),
+          ]);
         const ageMs = getAge();
         if (newest !== undefined && ageMs < STALE_MS && !isUnresolved(queue)) {
           const { fence, waiting } = newest.counts;
--- a/packages/cluster/test/waitingCounts.test.ts
+++ b/packages/cluster/test/waitingCounts.test.ts
@@ -27,7 +27,7 @@
     await fakes.advance(timers, forMs);
     return result;
   }
-  return { timers, owner, fetch };
+  return { timers, owner, counts, fetch };
 }
 
 function createCounts(waiting: number, ageMs = 0, fence = 3) {
@@ -115,4 +115,19 @@
       vitest.expect(await fetch(1_200)).toMatchObject({ waiting: 7 });
     },
   );
+
+  vitest.it(
+    'is refused in time while the owner does not answer (guards against answers after the deadline of the caller)',
+    async () => {
+      const { timers, owner, counts } = createSetup();
+      owner.delayMs = 600;
+      const untilMs = timers.getNow() + 800;
+      let refusedMs = Infinity;
+      void counts.fetch('queue', untilMs).then(() => {
+        refusedMs = timers.getNow();
+      });
+      await fakes.advance(timers, 2_000);
+      vitest.expect(refusedMs).toBeLessThanOrEqual(untilMs);
+    },
+  );
 });
