Ask for counts again after a question has failed

If asking for the counts threw, a node answered no request for a count any more until it was started again: each one joined the question that had failed.

The question is forgotten however it ends. No way is known in which asking throws today, short of a fault in the owner's tables on the same node.

The new test fails before with the first question's error.

--- a/packages/cluster/src/waitingCounts.ts
+++ b/packages/cluster/src/waitingCounts.ts
@@ -55,8 +55,9 @@
 
   async function ask(): Promise<void> {
     const sentMs = timers.getNow();
-    const counts = await askOwner();
-    asking = undefined;
+    const counts = await askOwner().finally(() => {
+      asking = undefined;
+    });
     if (counts === undefined) return;
     const atMs = sentMs - counts.ageMs;
     if (newest === undefined || atMs >= newest.atMs) newest = { counts, atMs };
--- a/packages/cluster/test/waitingCounts.test.ts
+++ b/packages/cluster/test/waitingCounts.test.ts
@@ -10,10 +10,12 @@
   const owner = {
     counts: undefined as core.clusterMessages.OwnerCounts | undefined,
     delayMs: 0,
+    fault: undefined as Error | undefined,
     questions: 0,
   };
   const counts = waitingCounts.createWaitingCounts(timers, async () => {
     owner.questions += 1;
+    if (owner.fault !== undefined) throw owner.fault;
     const { counts: told } = owner;
     await core.waitFor(timers, 'test.owner', owner.delayMs);
     return told;
@@ -130,4 +132,18 @@
       vitest.expect(refusedMs).toBeLessThanOrEqual(untilMs);
     },
   );
+
+  vitest.it(
+    'is asked for again after a question has failed (guards against a node that refuses all counts after one fault)',
+    async () => {
+      const { timers, owner, counts, fetch } = createSetup();
+      owner.fault = new Error('unreadable tables');
+      await vitest
+        .expect(counts.fetch('queue', timers.getNow() + 100))
+        .rejects.toThrow(owner.fault);
+      owner.fault = undefined;
+      owner.counts = createCounts(7);
+      vitest.expect(await fetch(100)).toMatchObject({ waiting: 7 });
+    },
+  );
 });
