--- a/packages/cluster/src/waitingCounts.ts
+++ b/packages/cluster/src/waitingCounts.ts
@@ -55,8 +55,9 @@
 
   async function ask(): Promise<void> {
     const sentMs = timers.getNow();
-    const counts = await askOwner();
-    asking = undefined;
+    const counts = await askOwner().finally(() => {
+      asking = undefined;
+    });
     if (counts === undefined) return;
     const atMs = sentMs - counts.ageMs;
     if (newest === undefined || atMs >= newest.atMs) newest = { counts, atMs };
@@ -66,7 +67,10 @@
     async fetch(queue, untilMs) {
       for (;;) {
         if (getAge() >= REFRESH_MS || isUnresolved(queue))
-          await (asking ??= ask());
+          await Promise.race([
+            (asking ??= ask()),
+            core.waitFor(timers, 'counts.until', untilMs - timers.getNow()),
+          ]);
         const ageMs = getAge();
         if (newest !== undefined && ageMs < STALE_MS && !isUnresolved(queue)) {
           const { fence, waiting } = newest.counts;
--- a/packages/cluster/test/waitingCounts.test.ts
+++ b/packages/cluster/test/waitingCounts.test.ts
@@ -10,10 +10,12 @@
   const owner = {
     counts: undefined as core.clusterMessages.OwnerCounts | undefined,
     delayMs: 0,
+    fault: undefined as Error | undefined,
     questions: 0,
   };
   const counts = waitingCounts.createWaitingCounts(timers, async () => {
     owner.questions += 1;
+    if (owner.fault !== undefined) throw owner.fault;
     const { counts: told } = owner;
     await core.waitFor(timers, 'test.owner', owner.delayMs);
     return told;
@@ -27,7 +29,7 @@
     await fakes.advance(timers, forMs);
     return result;
   }
-  return { timers, owner, fetch };
+  return { timers, owner, counts, fetch };
 }
 
 function createCounts(waiting: number, ageMs = 0, fence = 3) {
@@ -115,4 +117,33 @@
       vitest.expect(await fetch(1_200)).toMatchObject({ waiting: 7 });
     },
   );
+
+  vitest.it(
+    'is refused in time while the owner does not answer (guards against answers after the deadline of the caller)',
+    async () => {
+      const { timers, owner, counts } = createSetup();
+      owner.delayMs = 600;
+      const untilMs = timers.getNow() + 800;
+      let refusedMs = Infinity;
+      void counts.fetch('queue', untilMs).then(() => {
+        refusedMs = timers.getNow();
+      });
+      await fakes.advance(timers, 2_000);
+      vitest.expect(refusedMs).toBeLessThanOrEqual(untilMs);
+    },
+  );
+
+  vitest.it(
+    'is asked for again after a question has failed (guards against a node that refuses all counts after one fault)',
+    async () => {
+      const { timers, owner, counts, fetch } = createSetup();
+      owner.fault = new Error('unreadable tables');
+      await vitest
+        .expect(counts.fetch('queue', timers.getNow() + 100))
+        .rejects.toThrow(owner.fault);
+      owner.fault = undefined;
+      owner.counts = createCounts(7);
+      vitest.expect(await fetch(100)).toMatchObject({ waiting: 7 });
+    },
+  );
 });
