Compute the counts of waiting jobs at most ten times a second

A count of 5,000 jobs took 2.4 ms, so the questions of 41 nodes would take over half a core of a new owner (computed, not run).

Change: an owner tells a count again for 100 ms, with the age that it has by then. No test shows the saving; those of the owner's counts pass.

--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -29,6 +29,8 @@
 const DROP_EXPIRED_INTERVAL_MS = 10_000;
 /** Age from which the owner's tables are too old to tell counts and states from, in ms; callers are promised counts of the last two seconds. */
 const STALE_TABLES_MS = 2_000;
+/** Time for which a count of the waiting jobs is told again, in ms: nodes ask often while a queue is unresolved. */
+const COUNT_INTERVAL_MS = 100;
 /** Run numbers reserved for each fence, so that a new owner's runs are numbered above all earlier ones. */
 const RUNS_PER_FENCE = 1_000_000;
 
@@ -181,6 +183,17 @@
   let lastTickMs = 0;
   let policyVersion = -1;
   let recordingSinceMs: number | undefined;
+  /** The newest count of the waiting jobs, and the age of the tables at that time. */
+  let counted:
+    | {
+        readonly atMs: number;
+        readonly tablesAgeMs: number;
+        readonly counts: readonly (readonly [
+          core.workloads.QueueName,
+          core.workloads.UnstartedJobs,
+        ])[];
+      }
+    | undefined;
 
   function isClosed(): boolean {
     return closed;
@@ -699,14 +712,20 @@
     fence,
     getJobState,
     countWaiting() {
-      const ageMs = getTablesAge();
-      if (ageMs >= STALE_TABLES_MS) return undefined;
-      const counts = [...scheduler.countWaiting(timers.getNow())];
+      const tablesAgeMs = getTablesAge();
+      if (tablesAgeMs >= STALE_TABLES_MS) return undefined;
+      const nowMs = timers.getNow();
+      if (counted === undefined || nowMs - counted.atMs >= COUNT_INTERVAL_MS)
+        counted = {
+          atMs: nowMs,
+          tablesAgeMs,
+          counts: [...scheduler.countWaiting(nowMs)],
+        };
       return {
         fence,
-        ageMs,
-        waiting: counts.map(([queue, { waiting }]) => [queue, waiting]),
-        unresolved: counts.flatMap(([queue, { unresolved }]) =>
+        ageMs: nowMs - counted.atMs + counted.tablesAgeMs,
+        waiting: counted.counts.map(([queue, { waiting }]) => [queue, waiting]),
+        unresolved: counted.counts.flatMap(([queue, { unresolved }]) =>
           unresolved > 0 ? [queue] : [],
         ),
       };
