Say why a count is refused while a queue is unresolved

Cause: a count that wasn't told had one reason only.

Change: the counts of a node tell an unresolved queue apart from an owner that doesn't answer, and the refusal names that reason. The new test had no counterpart before: the answer was "no owner knows the counts at present" in both cases.

--- a/packages/cluster/src/requestHandler.ts
+++ b/packages/cluster/src/requestHandler.ts
@@ -35,11 +35,11 @@
   fetchState(
     id: core.ids.JobId,
   ): Promise<core.clusterMessages.JobAnswer | undefined>;
-  /** Fetches the count of a queue's waiting jobs; undefined when no owner has told it until `untilMs`. */
+  /** Fetches the count of a queue's waiting jobs, as `WaitingCounts.fetch` does. */
   fetchWaiting(
     queue: core.workloads.QueueName,
     untilMs: number,
-  ): Promise<waiting.WaitingCount | undefined>;
+  ): Promise<waiting.WaitingCount | 'unresolved' | undefined>;
   /** Writes through the owner; undefined when it certainly wrote nothing. */
   writeThroughOwner(
     change: DurableWrite,
@@ -109,8 +109,11 @@
       queue,
       Math.min(untilMs, timers.getNow() + OWNER_ANSWER_TIMEOUT_MS),
     );
-    if (count === undefined) {
-      const why = 'no owner knows the counts at present';
+    if (count === undefined || count === 'unresolved') {
+      const why =
+        count === undefined
+          ? 'no owner knows the counts at present'
+          : 'whether some jobs of the queue have started is not known at present';
       log.write('info', 'request.waiting', { queue, why });
       return buildRefused('unavailable', why, OWNER_RETRY_S);
     }
--- a/packages/cluster/src/waitingCounts.ts
+++ b/packages/cluster/src/waitingCounts.ts
@@ -24,11 +24,14 @@
 
 /** The counts of a node. */
 export interface WaitingCounts {
-  /** Resolves with the count of a queue; undefined when no owner has told it until `untilMs`. */
+  /**
+   * Resolves with the count of a queue; undefined when no owner has told it until `untilMs`,
+   * `unresolved` when an owner has told that it can't know it yet.
+   */
   fetch(
     queue: core.workloads.QueueName,
     untilMs: number,
-  ): Promise<WaitingCount | undefined>;
+  ): Promise<WaitingCount | 'unresolved' | undefined>;
 }
 
 /** Creates the counts; `askOwner` resolves with undefined when the owner doesn't answer or doesn't know them. */
@@ -80,7 +83,10 @@
             ageMs,
           };
         }
-        if (timers.getNow() + ASK_INTERVAL_MS > untilMs) return undefined;
+        if (timers.getNow() + ASK_INTERVAL_MS > untilMs)
+          return ageMs < STALE_MS && isUnresolved(queue)
+            ? 'unresolved'
+            : undefined;
         await core.waitFor(timers, 'counts.ask', ASK_INTERVAL_MS);
       }
     },
--- a/packages/cluster/test/requestHandler.test.ts
+++ b/packages/cluster/test/requestHandler.test.ts
@@ -144,6 +144,19 @@
         ]);
     },
   );
+
+  vitest.it(
+    'is refused with the reason while a job of the queue may have started (guards against a refusal that hides a silent VM)',
+    async () => {
+      const { request } = createSetup(undefined, undefined, {
+        fetchWaiting: () => Promise.resolve('unresolved'),
+      });
+      vitest.expect(await request('GET', '', 3_000)).toMatchObject({
+        answer: 'refused',
+        why: 'whether some jobs of the queue have started is not known at present',
+      });
+    },
+  );
 });
 
 vitest.describe('the state of a job while no owner knows it', () => {
--- a/packages/cluster/test/waitingCounts.test.ts
+++ b/packages/cluster/test/waitingCounts.test.ts
@@ -22,7 +22,7 @@
   });
   /** Fetches a count for up to `forMs`. */
   async function fetch(forMs: number) {
-    let result: waitingCounts.WaitingCount | undefined;
+    let result: waitingCounts.WaitingCount | 'unresolved' | undefined;
     void counts.fetch('queue', timers.getNow() + forMs).then((count) => {
       result = count;
     });
@@ -47,10 +47,10 @@
     async () => {
       const { timers, owner, fetch } = createSetup();
       owner.counts = createCounts(7);
-      vitest.expect((await fetch(100))?.waiting).toBe(7);
+      vitest.expect(await fetch(100)).toMatchObject({ waiting: 7 });
       owner.counts = undefined;
       timers.advance(500);
-      vitest.expect((await fetch(100))?.waiting).toBe(7);
+      vitest.expect(await fetch(100)).toMatchObject({ waiting: 7 });
       timers.advance(2_000);
       vitest.expect(await fetch(1_200)).toBeUndefined();
     },
@@ -62,7 +62,7 @@
       const { owner, fetch } = createSetup();
       vitest.expect(await fetch(1_200)).toBeUndefined();
       owner.counts = { ...createCounts(0), waiting: [] };
-      vitest.expect((await fetch(100))?.waiting).toBe(0);
+      vitest.expect(await fetch(100)).toMatchObject({ waiting: 0 });
     },
   );
 
@@ -83,7 +83,10 @@
     async () => {
       const { timers, owner, fetch } = createSetup();
       owner.counts = createCounts(7, 1_500);
-      vitest.expect((await fetch(100))?.ageMs).toBeGreaterThanOrEqual(1_500);
+      const count = await fetch(100);
+      vitest
+        .expect(count)
+        .toSatisfy((told: { readonly ageMs: number }) => told.ageMs >= 1_500);
       owner.counts = undefined;
       timers.advance(500);
       vitest.expect(await fetch(1_200)).toBeUndefined();
@@ -97,10 +100,11 @@
       owner.counts = createCounts(7);
       owner.delayMs = 50;
       const both = await Promise.all([fetch(100), fetch(100)]);
-      vitest.expect(both.map((count) => count?.waiting)).toEqual([7, 7]);
+      for (const count of both)
+        vitest.expect(count).toMatchObject({ waiting: 7 });
       vitest.expect(owner.questions).toBe(1);
       owner.counts = createCounts(2, 0, 4);
-      vitest.expect((await fetch(100))?.waiting).toBe(7);
+      vitest.expect(await fetch(100)).toMatchObject({ waiting: 7 });
       timers.advance(1_000);
       vitest.expect(await fetch(100)).toMatchObject({ waiting: 2, fence: 4 });
       vitest.expect(owner.questions).toBe(2);
@@ -112,7 +116,7 @@
     async () => {
       const { owner, fetch } = createSetup();
       owner.counts = { ...createCounts(7), unresolved: ['queue'] };
-      vitest.expect(await fetch(1_200)).toBeUndefined();
+      vitest.expect(await fetch(1_200)).toBe('unresolved');
       owner.counts = { ...createCounts(7), unresolved: ['other'] };
       vitest.expect(await fetch(1_200)).toMatchObject({ waiting: 7 });
     },
