--- a/packages/cluster/test/answers.property.test.ts
+++ b/packages/cluster/test/answers.property.test.ts
@@ -6,6 +6,7 @@
  */
 import * as vitest from 'vitest';
 import type * as core from '@flamingoward/core';
+import * as knownRed from '../../standins/test/cell/knownRed.js';
 import * as simulations from './clusterSimulation.js';
 
 const WALKS = Number(process.env.ANSWER_WALKS ?? 12);
@@ -42,11 +43,19 @@
   return values[Math.floor(getRandom() * values.length)]!;
 }
 
+/** What may happen to VMs. */
+interface VmTroubles {
+  /** They are cut off. */
+  readonly cuts: boolean;
+  /** Their answers are lost, and the calls are carried out late. */
+  readonly lostAnswers: boolean;
+}
+
 /** Disturbs owners, links, the store or a VM; returns the time that it lasts, in ms. */
 function disturb(
   simulation: simulations.ClusterSimulation,
   getRandom: () => number,
-  canCutVm: boolean,
+  vmTroubles: VmTroubles,
   note: (text: string) => void,
 ): number {
   const lastsMs = Math.round(500 + getRandom() * 6_000);
@@ -77,10 +86,18 @@
     },
     cutVm: () => {
       const id = choose([...simulation.vms.keys()], getRandom);
-      if (!canCutVm) return 0;
+      if (!vmTroubles.cuts) return 0;
       simulation.silenceVm(id, 'cut');
       return Math.min(lastsMs, LONGEST_CUT_MS);
     },
+    ...(vmTroubles.lostAnswers
+      ? {
+          loseAnswers: () => {
+            simulation.loseAnswers(Math.min(lastsMs, LONGEST_CUT_MS));
+            return Math.min(lastsMs, LONGEST_CUT_MS) + LONGEST_CUT_MS;
+          },
+        }
+      : {}),
   };
   const name = choose(Object.keys(actions), getRandom);
   note(`${simulation.getNow()}: ${name} ${lastsMs}`);
@@ -167,7 +184,7 @@
     : `${answer.state}: ${what}`;
 }
 
-async function runWalk(seed: number): Promise<void> {
+async function runWalk(seed: number, lostAnswers: boolean): Promise<void> {
   const getRandom = createRandom(seed);
   const simulation = new simulations.ClusterSimulation({
     jobs: 0,
@@ -210,8 +227,11 @@
     simulation.getNow() % (LONGEST_CUT_MS + CONNECTED_MS) < LONGEST_CUT_MS;
   while (simulation.getNow() < endMs) {
     if (simulation.getNow() >= disturbAtMs) {
-      const lastsMs = disturb(simulation, getRandom, isCutTime(), (text) =>
-        notes.push(text),
+      const lastsMs = disturb(
+        simulation,
+        getRandom,
+        { cuts: isCutTime(), lostAnswers },
+        (text) => notes.push(text),
       );
       calmFromMs = Math.max(calmFromMs, simulation.getNow() + lastsMs);
       disturbAtMs = simulation.getNow() + getRandom() * 3_000;
@@ -263,7 +283,15 @@
   )(
     'were true or are refused, seed %d (guards against MIXED: counts and states that a node cannot know)',
     async (seed) => {
-      await runWalk(seed);
+      await runWalk(seed, false);
     },
   );
+
+  const lostAnswers = 'were true or are refused, with lost answers of VMs';
+  vitest.it(lostAnswers, () =>
+    knownRed.runKnownRed(lostAnswers, async () => {
+      for (const seed of [533, 699, 1255, 1278, 1357])
+        await runWalk(seed, true);
+    }),
+  );
 });
