Refuse counts and states while a VM may still say that a job has begun

Change: a job whose start has had no answer for a second is unresolved, and before that the age of a count includes the age of the start. After the last lease of its predecessor a new owner waits for the first reports, for 2.5 s at most; a VM that is known to have crashed can't tell and isn't waited for.

Ruled out: waiting for the reports without a bound, which refuses counts for as long as a listed VM is silent, and which the scheduler's walk rejects.

--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -70,6 +70,16 @@
   readonly tables: unknown;
 }
 
+/** A count of the waiting jobs, and the age that it had when it was made. */
+interface CountedJobs {
+  readonly atMs: number;
+  readonly ageMs: number;
+  readonly counts: readonly (readonly [
+    core.workloads.QueueName,
+    core.workloads.UnstartedJobs,
+  ])[];
+}
+
 /** The owner of the cluster. */
 export interface Owner {
   readonly fence: number;
@@ -182,17 +192,7 @@
   let lastTickMs = 0;
   let policyVersion = -1;
   let recordingSinceMs: number | undefined;
-  /** The newest count of the waiting jobs, and the age of the tables at that time. */
-  let counted:
-    | {
-        readonly atMs: number;
-        readonly tablesAgeMs: number;
-        readonly counts: readonly (readonly [
-          core.workloads.QueueName,
-          core.workloads.UnstartedJobs,
-        ])[];
-      }
-    | undefined;
+  let counted: CountedJobs | undefined;
 
   function isClosed(): boolean {
     return closed;
@@ -662,6 +662,17 @@
       : Infinity;
   }
 
+  function countJobs(nowMs: number, tablesAgeMs: number): CountedJobs {
+    const counts = [...scheduler.countWaiting(nowMs)];
+    // A start on its way may have been carried out since it was sent.
+    const sentAgesMs = counts.map(([, { sentAgeMs }]) => sentAgeMs);
+    return {
+      atMs: nowMs,
+      ageMs: Math.max(tablesAgeMs, ...sentAgesMs),
+      counts,
+    };
+  }
+
   /** Returns the state of a job if its end is stored or the tables are recent. */
   function getKnownState(
     id: core.ids.JobId,
@@ -715,14 +726,10 @@
       if (tablesAgeMs >= answerAge.STALE_MS) return undefined;
       const nowMs = timers.getNow();
       if (counted === undefined || nowMs - counted.atMs >= COUNT_INTERVAL_MS)
-        counted = {
-          atMs: nowMs,
-          tablesAgeMs,
-          counts: [...scheduler.countWaiting(nowMs)],
-        };
+        counted = countJobs(nowMs, tablesAgeMs);
       return {
         fence,
-        ageMs: nowMs - counted.atMs + counted.tablesAgeMs,
+        ageMs: nowMs - counted.atMs + counted.ageMs,
         waiting: counted.counts.map(([queue, { waiting }]) => [queue, waiting]),
         unresolved: counted.counts.flatMap(([queue, { unresolved }]) =>
           unresolved > 0 ? [queue] : [],
--- a/packages/core/src/workloads/begins.ts
+++ b/packages/core/src/workloads/begins.ts
@@ -13,8 +13,10 @@
 export interface UnstartedJobs {
   /** Jobs that wait for their first start, or for a VM's word about it; unresolved ones don't count. */
   readonly waiting: number;
-  /** Jobs that an earlier owner may have started on a VM that hasn't reported to this one yet. */
+  /** Jobs that may have been started on a VM whose word about it is missing; see `isUnresolved`. */
   readonly unresolved: number;
+  /** Age of the oldest start of the waiting jobs that is on its way, in ms: the count may have been too high since. */
+  readonly sentAgeMs: number;
 }
 
 /** Unstarted jobs of a queue, and how many of them have a decided start. */
@@ -26,7 +28,15 @@
   readonly oldestMs: number;
 }
 
-const NONE: UnstartedJobs = { waiting: 0, unresolved: 0 };
+const NONE: UnstartedJobs = { waiting: 0, unresolved: 0, sentAgeMs: 0 };
+
+/**
+ * Time for which a job counts as waiting while its first start is on its way, in ms. Nodes
+ * keep counts for a while and may tell none that is older than two seconds.
+ */
+const MAX_SENT_AGE_MS = 1_000;
+/** Time within which VMs that can be reached have reported to a new owner, also if an answer is lost, in ms. */
+const FIRST_REPORT_MS = 2_500;
 
 /** Records that a VM has shown that a task of a job was started. */
 export function recordBegin(state: states.State, id: ids.JobId): void {
@@ -34,44 +44,111 @@
   if (job !== undefined) job.hasBegun = true;
 }
 
+/** What earlier owners may have started, as far as VMs may still tell. */
+export interface UnknownBegins {
+  /** Whether VMs that can be reached may not have reported yet. */
+  readonly awaitsReports: boolean;
+  /** VMs that haven't reported and on which tasks may have been started without a record. */
+  readonly unrecorded: readonly tables.VmRow[];
+  /** Monotonic time until which accepted jobs may have been started so. */
+  readonly acceptedUntilMs: number;
+}
+
+/** Finds what earlier owners may have started; also after their last lease the first reports of the VMs still tell. */
+export function findUnknownBegins(
+  state: states.State,
+  nowMs: number,
+): UnknownBegins {
+  const awaitsReports = nowMs <= state.createdMs + FIRST_REPORT_MS;
+  const { vms, acceptedUntilMs } = states.findUnrecordedStarts(state, nowMs);
+  return {
+    awaitsReports,
+    unrecorded:
+      awaitsReports && state.inheritedUnrecordedStarts
+        ? [...state.vms.values()].filter((vm) => !hasReported(vm))
+        : vms,
+    acceptedUntilMs,
+  };
+}
+
+function canHaveBegunUnrecorded(
+  job: tables.JobRow,
+  { unrecorded, acceptedUntilMs }: UnknownBegins,
+): boolean {
+  return (
+    job.acceptedMs <= acceptedUntilMs &&
+    unrecorded.some(
+      ({ pool }) => pool === undefined || pool === job.policy.pool,
+    )
+  );
+}
+
+/** Records that an inherited run is over although its VM hasn't reported, which may still say that it began. */
+export function recordUnheard(run: tables.RunRow): void {
+  if (!hasReported(run.vm)) run.task.step.occurrence.job.unheardVms.add(run.vm);
+}
+
+function hasReported(vm: tables.VmRow): boolean {
+  return vm.reportedMs !== undefined;
+}
+
 /**
  * Returns whether this owner can't know if a job has begun: an earlier owner may have
- * started it, with or without a record, on a VM that hasn't reported to this one. Once
- * that VM is lost or the timeout has passed, nobody can tell, and the job counts as waiting.
+ * started it, with or without a record, on a VM that hasn't reported to this one, or a
+ * start of this owner has had no answer for long. Once that VM is lost or the timeout has
+ * passed, nobody can tell, and the job counts as waiting.
  */
 export function isUnresolved(
   job: tables.JobRow,
-  unrecorded: states.UnrecordedStarts,
+  unknown: UnknownBegins,
+  nowMs: number,
 ): boolean {
   if (job.hasBegun) return false;
-  if (states.canHaveUnrecordedStart(job, unrecorded)) return true;
   return (
-    job.activeRuns > 0 &&
-    job.occurrences.some(({ steps }) =>
-      steps.some(({ tasks }) =>
-        tasks.some(({ run }) => run !== undefined && tables.isInherited(run)),
-      ),
-    )
+    canHaveBegunUnrecorded(job, unknown) ||
+    listRuns(job).some(tables.isInherited) ||
+    (unknown.awaitsReports &&
+      [...job.unheardVms].some((vm) => !hasReported(vm))) ||
+    measureSentAge(job, nowMs) > MAX_SENT_AGE_MS
   );
 }
 
+function listRuns(job: tables.JobRow): readonly tables.RunRow[] {
+  if (job.activeRuns === 0) return [];
+  return job.occurrences.flatMap(({ steps }) =>
+    steps.flatMap(({ tasks }) =>
+      tasks.flatMap(({ run }) => (run === undefined ? [] : [run])),
+    ),
+  );
+}
+
+/** Returns the age of the oldest start of an unstarted job that its VM may have carried out, in ms; 0 without one. */
+function measureSentAge(job: tables.JobRow, nowMs: number): number {
+  const sent = listRuns(job).filter(({ phase }) => phase !== 'recording');
+  return Math.max(0, ...sent.map(({ addedMs }) => nowMs - addedMs));
+}
+
 /** Counts the unstarted jobs of each queue; scheduled jobs don't count. */
 export function countUnstarted(
   state: states.State,
   nowMs: number,
 ): ReadonlyMap<types.QueueName, UnstartedJobs> {
-  const unrecorded = states.findUnrecordedStarts(state, nowMs);
+  const unknown = findUnknownBegins(state, nowMs);
   const counts = new Map<types.QueueName, UnstartedJobs>();
   for (const job of state.jobs.values()) {
     if (job.hasBegun || states.isJobOver(job) || job.job.schedule !== undefined)
       continue;
     const { queue } = job.job;
-    const { waiting, unresolved } = counts.get(queue) ?? NONE;
+    const count = counts.get(queue) ?? NONE;
     counts.set(
       queue,
-      isUnresolved(job, unrecorded)
-        ? { waiting, unresolved: unresolved + 1 }
-        : { waiting: waiting + 1, unresolved },
+      isUnresolved(job, unknown, nowMs)
+        ? { ...count, unresolved: count.unresolved + 1 }
+        : {
+            ...count,
+            waiting: count.waiting + 1,
+            sentAgeMs: Math.max(count.sentAgeMs, measureSentAge(job, nowMs)),
+          },
     );
   }
   return counts;
--- a/packages/core/src/workloads/jobs.ts
+++ b/packages/core/src/workloads/jobs.ts
@@ -19,6 +19,7 @@
     occurrencesLeft: job.schedule?.times ?? 0,
     hasBegun: false,
     startDecidedMs: undefined,
+    unheardVms: new Set(),
     cancelled: false,
     final: undefined,
     durableFinal: undefined,
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -92,6 +92,8 @@
 ): void {
   clearStrayRuns(vm);
   const over = [...vm.runs];
+  // A VM that has crashed can't tell any more which runs began.
+  if (evidence === undefined) over.forEach(begins.recordUnheard);
   for (const run of over) loseRun(state, run, 'lost', nowMs);
   if (evidence === undefined) crashes.addSilentRuns(vm, over);
   else crashes.recordLoss(state, vm, over, evidence, nowMs);
@@ -345,6 +347,7 @@
     for (const run of [...vm.runs]) {
       if (isTimeoutOver && tables.isInherited(run)) {
         crashes.addSilentRuns(vm, [run]);
+        begins.recordUnheard(run);
         loseRun(state, run, 'inherited-timeout', nowMs);
         continue;
       }
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -278,7 +278,7 @@
       const job = state.jobs.get(id);
       return job === undefined
         ? undefined
-        : views.describeJob(job, states.findUnrecordedStarts(state, nowMs));
+        : views.describeJob(job, begins.findUnknownBegins(state, nowMs), nowMs);
     },
     hasJob: (id) => state.jobs.has(id),
     getTiming(id, nowMs) {
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -211,6 +211,7 @@
     vm,
     number: run.number,
     phase: run.phase,
+    addedMs: nowMs,
     confirmedMs: undefined,
     startUntilMs: undefined,
     stopSentMs: undefined,
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -22,6 +22,8 @@
   readonly number: number;
   readonly vm: VmRow;
   phase: RunPhase;
+  /** Time at which it was decided, restored or adopted. */
+  readonly addedMs: number;
   /**
    * Time at which the VM confirmed the run or its stop; undefined until then. A report
    * that was requested later and doesn't list the run means that the run is over.
@@ -160,6 +162,8 @@
   durableFinal: types.FinalState | undefined;
   /** Number of its runs in the tables. */
   activeRuns: number;
+  /** VMs on which recorded runs of earlier owners were over before the VM had reported whether they began. */
+  readonly unheardVms: Set<VmRow>;
 }
 
 /** A VM. */
--- a/packages/core/src/workloads/views.ts
+++ b/packages/core/src/workloads/views.ts
@@ -8,12 +8,13 @@
 /** Returns the state of a job as reported to callers; a final state only once it is durable. */
 export function describeJob(
   job: tables.JobRow,
-  unrecorded: states.UnrecordedStarts,
+  unknown: begins.UnknownBegins,
+  nowMs: number,
 ): types.JobState | 'unresolved' {
   if (job.durableFinal !== undefined) return job.durableFinal;
   if (job.cancelled) return 'cancelled';
   if (job.hasBegun) return 'running';
-  return begins.isUnresolved(job, unrecorded) ? 'unresolved' : 'pending';
+  return begins.isUnresolved(job, unknown, nowMs) ? 'unresolved' : 'pending';
 }
 
 /** Time that a job has taken and time that its objective allows. */
@@ -46,7 +47,7 @@
 
 /** Returns a plain copy of the tables for operators. */
 export function dumpState(state: states.State, nowMs: number): unknown {
-  const unrecorded = states.findUnrecordedStarts(state, nowMs);
+  const unknown = begins.findUnknownBegins(state, nowMs);
   return {
     vms: [...state.vms.values()].map((vm) => ({
       id: vm.id,
@@ -64,7 +65,7 @@
       .map((job) => ({
         id: job.job.id,
         queue: job.job.queue,
-        state: describeJob(job, unrecorded),
+        state: describeJob(job, unknown, nowMs),
         begun: job.hasBegun,
         steps: job.occurrences.flatMap((occurrence) =>
           occurrence.steps.map((step) => ({
