--- a/packages/core/src/workloads/blame.ts
+++ b/packages/core/src/workloads/blame.ts
@@ -55,10 +55,12 @@
 export function isGivenUp(task: tables.TaskRow): boolean {
   const marks = getMarks(task);
   if (marks.length < MIN_CRASHES) return false;
-  if (marks.filter(isConfirmed).length < MIN_CONFIRMED) return false;
+  const confirmed = marks.filter(isConfirmed).length;
   const suspicions = countSuspicions(task);
-  if (marks.length >= MAX_CRASHES || suspicions >= MAX_UNEXPLAINED_CRASHES)
-    return true;
+  // So many unconfirmed crashes beside a confirmed one aren't all due to starts that never arrived.
+  if (confirmed > 0 && marks.length >= MAX_CRASHES) return true;
+  if (confirmed < MIN_CONFIRMED) return false;
+  if (suspicions >= MAX_UNEXPLAINED_CRASHES) return true;
   const soleVms = new Set(
     marks.filter(({ evidence }) => evidence === 'sole').map(({ vm }) => vm),
   );
