--- a/packages/core/src/workloads/begins.ts
+++ b/packages/core/src/workloads/begins.ts
@@ -20,7 +20,7 @@
 }
 
 /** Unstarted jobs of a queue, and how many of them have a decided start. */
-export interface StartSummary extends UnstartedJobs {
+export interface StartSummary extends Omit<UnstartedJobs, 'sentAgeMs'> {
   readonly queue: types.QueueName;
   /** Jobs with a decided start, also those that are unresolved. */
   readonly unconfirmed: number;
@@ -171,9 +171,11 @@
     if (!isUnconfirmed(job)) continue;
     const { queue } = job.job;
     const previous = summaries.get(queue);
+    const { waiting, unresolved } = counts.get(queue) ?? NONE;
     summaries.set(queue, {
       queue,
-      ...(counts.get(queue) ?? NONE),
+      waiting,
+      unresolved,
       unconfirmed: (previous?.unconfirmed ?? 0) + 1,
       oldestMs: Math.max(
         previous?.oldestMs ?? 0,
