Format no metric names for known series and no lines over the rate limit

Cause: each update of a counter formatted its name and labels with regular expressions, and each log line was formatted before the rate limit dropped it; an owner does both thousands of times a second.

Change: series are found by their unformatted labels first; the logger asks the line writer whether a line of the event would be written.

--- a/packages/daemon/src/nodeMain.ts
+++ b/packages/daemon/src/nodeMain.ts
@@ -46,6 +46,7 @@
     timers,
     process: settings.name,
     secrets: [],
+    acceptLine: lineWriter.accept,
     writeLine: lineWriter.write,
   });
   const metrics = observability.createMetrics();
--- a/packages/observability/src/lines.ts
+++ b/packages/observability/src/lines.ts
@@ -23,6 +23,8 @@
 export interface LineWriter {
   /** Buffers a line, or drops it when a limit is reached; lines of frequent events are dropped first. */
   readonly write: (line: string, event: string) => void;
+  /** Returns whether a line of an event would be written now; counts it as dropped if not. */
+  readonly accept: (event: string) => boolean;
   /** Writes the buffered lines synchronously; called when the process exits. */
   flush(): void;
   /** Returns the number of lines dropped since the start. */
@@ -43,7 +45,7 @@
   let tokens = BURST_LINES;
   let refilledMs = timers.getNow();
 
-  function takeToken(event: string): boolean {
+  function hasToken(event: string): boolean {
     const nowMs = timers.getNow();
     tokens = Math.min(
       BURST_LINES,
@@ -51,16 +53,21 @@
     );
     refilledMs = nowMs;
     const reserved = frequentEvent.test(event) ? RESERVED_BURST_LINES : 0;
-    if (tokens < 1 + reserved) return false;
-    tokens -= 1;
-    return true;
+    return tokens >= 1 + reserved;
+  }
+
+  function accept(event: string): boolean {
+    const accepted = pendingBytes < MAX_PENDING_BYTES && hasToken(event);
+    if (!accepted) dropped += 1;
+    return accepted;
   }
 
   function write(line: string, event: string): void {
-    if (pendingBytes + line.length > MAX_PENDING_BYTES || !takeToken(event)) {
+    if (pendingBytes + line.length > MAX_PENDING_BYTES || !hasToken(event)) {
       dropped += 1;
       return;
     }
+    tokens -= 1;
     pending.push(line);
     pendingBytes += line.length + 1;
     if (isFlushScheduled || isWriting) return;
@@ -103,6 +110,7 @@
 
   return {
     write,
+    accept,
     flush() {
       if (pending.length === 0) return;
       try {
--- a/packages/observability/src/logger.ts
+++ b/packages/observability/src/logger.ts
@@ -10,6 +10,8 @@
   readonly process: core.ids.ProcessName;
   /** Values that are masked wherever they appear, such as the operators' key. */
   readonly secrets: readonly string[];
+  /** Returns whether a line of an event may be written now; asked before the line is formatted. */
+  readonly acceptLine?: (event: string) => boolean;
   /** Receives each line without its line break, and its event. */
   readonly writeLine: (line: string, event: string) => void;
 }
@@ -49,6 +51,7 @@
     fields: types.LogFields,
   ): void {
     if (consolaLogger.level < levels[level]) return;
+    if (options.acceptLine?.(event) === false) return;
     const time = new Date(options.timers.getDate()).toISOString();
     const commonFields = { time, level, process: options.process, event };
     const eventPairs = Object.entries(fields).map(([name, value]) =>
--- a/packages/observability/src/metrics.ts
+++ b/packages/observability/src/metrics.ts
@@ -39,15 +39,24 @@
 interface Metric<Value> {
   readonly name: string;
   readonly series: Map<string, Series<Value>>;
+  /** The same by unformatted labels: formatting takes most of the time of an update. */
+  readonly seriesByLabels: Map<string, Series<Value>>;
 }
 
-type MetricTable<Value> = Map<string, Metric<Value>>;
+interface MetricTable<Value> {
+  readonly byName: Map<string, Metric<Value>>;
+  readonly byRawName: Map<string, Metric<Value>>;
+}
+
+function createTable<Value>(): MetricTable<Value> {
+  return { byName: new Map(), byRawName: new Map() };
+}
 
 /** Creates the metrics of a process. */
 export function createMetrics(): types.Metrics {
-  const counters: MetricTable<number> = new Map();
-  const gauges: MetricTable<number> = new Map();
-  const durations: MetricTable<DurationSummary> = new Map();
+  const counters = createTable<number>();
+  const gauges = createTable<number>();
+  const durations = createTable<DurationSummary>();
 
   function record(name: string, labels: Labels, valueMs: number): void {
     const summary = ensureSeries(
@@ -100,22 +109,48 @@
   labels: Labels,
   create: () => Value,
 ): Series<Value> {
-  const name = formatName(rawName);
-  const metric: Metric<Value> = table.get(name) ?? {
-    name,
-    series: new Map<string, Series<Value>>(),
-  };
-  table.set(name, metric);
+  const metric = ensureMetric(table, rawName);
+  const labelsKey = formatLabelsKey(labels);
+  const cached = metric.seriesByLabels.get(labelsKey);
+  if (cached !== undefined) return cached;
   const labelText = formatLabels(labels);
   const known = metric.series.get(labelText);
-  if (known !== undefined) return known;
-  if (metric.series.size >= MAX_SERIES_PER_METRIC && labels !== OVERFLOW_LABELS)
+  if (
+    known === undefined &&
+    metric.series.size >= MAX_SERIES_PER_METRIC &&
+    labels !== OVERFLOW_LABELS
+  )
     return ensureSeries(table, rawName, OVERFLOW_LABELS, create);
-  const series = { labels: labelText, value: create() };
+  const series = known ?? { labels: labelText, value: create() };
   metric.series.set(labelText, series);
+  if (metric.seriesByLabels.size <= MAX_SERIES_PER_METRIC)
+    metric.seriesByLabels.set(labelsKey, series);
   return series;
 }
 
+function ensureMetric<Value>(
+  table: MetricTable<Value>,
+  rawName: string,
+): Metric<Value> {
+  const cached = table.byRawName.get(rawName);
+  if (cached !== undefined) return cached;
+  const name = formatName(rawName);
+  const metric: Metric<Value> = table.byName.get(name) ?? {
+    name,
+    series: new Map(),
+    seriesByLabels: new Map(),
+  };
+  table.byName.set(name, metric);
+  table.byRawName.set(rawName, metric);
+  return metric;
+}
+
+function formatLabelsKey(labels: Labels): string {
+  let text = '';
+  for (const name in labels) text += `${name}\0${labels[name] ?? ''}\0`;
+  return text;
+}
+
 function formatName(name: string): string {
   const cleaned = name.replace(/[^a-zA-Z0-9_]/g, '_');
   return cleaned.startsWith('flamingoward_')
@@ -143,7 +178,7 @@
 function sortMetrics<Value>(
   table: MetricTable<Value>,
 ): readonly Metric<Value>[] {
-  return [...table.values()].sort((a, b) => (a.name < b.name ? -1 : 1));
+  return [...table.byName.values()].sort((a, b) => (a.name < b.name ? -1 : 1));
 }
 
 function renderValues(
--- a/packages/observability/test/lines.test.ts
+++ b/packages/observability/test/lines.test.ts
@@ -5,6 +5,7 @@
 import * as core from '@flamingoward/core';
 import * as vitest from 'vitest';
 import * as lines from '../src/lines.js';
+import * as loggers from '../src/logger.js';
 
 vitest.describe('line writer', () => {
   vitest.it(
@@ -31,4 +32,28 @@
       vitest.expect(writer.getDroppedLines()).toBeGreaterThan(3_000);
     },
   );
+
+  vitest.it(
+    'refuses lines over the rate limit before they are formatted (guards against processor time for lines that nobody reads)',
+    () => {
+      const timers = core.createVirtualTimers(0);
+      const writer = lines.createLineWriter(1, timers);
+      let formatted = 0;
+      const logger = loggers.createLogger({
+        level: 'info',
+        timers,
+        process: 'node',
+        secrets: [],
+        acceptLine: writer.accept,
+        writeLine: (_, event) => {
+          formatted += 1;
+          writer.write('', event);
+        },
+      });
+      for (let index = 0; index < 5_000; index += 1)
+        logger.write('info', 'task.start', {});
+      vitest.expect(formatted + writer.getDroppedLines()).toBe(5_000);
+      vitest.expect(formatted).toBeLessThan(2_000);
+    },
+  );
 });
