Rank twelve successors instead of all nodes

Cause: every heartbeat carried the order of all nodes to every node, so with 97 nodes two or more heartbeats a second took traffic and processor time with the square of the nodes; and a node at rank 40 would have waited 10 s for its turn.

Change: the order has at most twelve nodes; the others wait for these turns and are spread over as much time again, so that a cluster whose ranked nodes are all gone gets an owner within 6 s.

--- a/packages/cluster/src/claims.ts
+++ b/packages/cluster/src/claims.ts
@@ -149,6 +149,8 @@
   /** Offset of the newest record once the owner's process was known to have terminated. */
   let offsetAtTermination: core.ids.Offset | undefined;
   let successors: readonly core.ids.InstanceId[] = [];
+  /** Position of this process among those that aren't ranked; drawn once, so that its delay doesn't change. */
+  const unrankedDelayShare = context.getRandom();
   let claiming = false;
   let closing = false;
   let releasedFence = 0;
@@ -447,7 +449,12 @@
   function computeClaimDelay(): number {
     const rank = successors.indexOf(instance);
     if (rank >= 0) return rank * CLAIM_DELAY_PER_RANK_MS;
-    // No owner has ranked this node, so nodes near the store claim first.
+    // The nodes that the owner has ranked go first; the others are spread over as much time again.
+    if (successors.length > 0)
+      return (
+        successors.length * CLAIM_DELAY_PER_RANK_MS * (1 + unrankedDelayShare)
+      );
+    // No owner has ranked any node, so nodes near the store claim first.
     return (
       roundTripMs * FIRST_CLAIM_ROUND_TRIPS +
       context.getRandom() * FIRST_CLAIM_MAX_JITTER_MS +
--- a/packages/cluster/src/successors.ts
+++ b/packages/cluster/src/successors.ts
@@ -14,6 +14,12 @@
 /** Extra delay of a low-capacity node's first claim, in ms; longer than the start of a process. */
 const LOW_CAPACITY_DELAY_MS = 400;
 
+/**
+ * Number of nodes in the order. Each heartbeat carries it to every node, so a complete
+ * order would cost traffic with the square of the number of nodes.
+ */
+const MAX_SUCCESSORS = 12;
+
 /** A node that can claim ownership. */
 export interface SuccessorCandidate {
   readonly instance: core.ids.InstanceId;
@@ -35,7 +41,7 @@
 }
 
 /**
- * Ranks successors: nodes with enough capacity first, among them those in the owner's
+ * Ranks the first successors: nodes with enough capacity first, among them those in the owner's
  * region, among those the most recently started.
  */
 export function rankSuccessors(
@@ -53,5 +59,6 @@
         Number(b.sameRegion) - Number(a.sameRegion) ||
         getStartTime(b) - getStartTime(a),
     )
+    .slice(0, MAX_SUCCESSORS)
     .map(({ instance }) => instance);
 }
--- a/packages/cluster/test/claims.test.ts
+++ b/packages/cluster/test/claims.test.ts
@@ -203,6 +203,20 @@
     },
   );
 
+  vitest.it(
+    'is claimed by a node that the owner did not rank once the ranked ones had their turns (guards against a cluster that waits for nodes that are gone)',
+    async () => {
+      const { timers, owner, other } = await startPair();
+      other.claim.setSuccessors(['gone-1', 'gone-2']);
+      owner!.claim.close();
+      other.claim.suspect(owner!.context.instance, true);
+      await fakes.advance(timers, 450);
+      vitest.expect(other.claim.getFence()).toBeUndefined();
+      await fakes.advance(timers, 750);
+      vitest.expect(other.claim.getFence()).toBeDefined();
+    },
+  );
+
   vitest.it(
     'is taken over within 200 ms after a release (guards against waiting for the timeout of a missing renewal)',
     async () => {
--- a/packages/cluster/test/successors.test.ts
+++ b/packages/cluster/test/successors.test.ts
@@ -61,4 +61,21 @@
       vitest.expect(successors.computeLowCapacityDelay(0.675)).toBe(0);
     },
   );
+
+  vitest.it(
+    'are the same number for any number of nodes (guards against heartbeats that grow with the square of the nodes)',
+    () => {
+      const rank = (nodes: number) =>
+        successors.rankSuccessors(
+          Array.from({ length: nodes }, (_, index) => ({
+            instance: `node-${index}`,
+            cores: 1,
+            sameRegion: true,
+            firstSeenMs: 0,
+          })),
+        );
+      vitest.expect(rank(97)).toEqual(rank(1_000).slice(0, 97));
+      vitest.expect(rank(1_000)).toHaveLength(rank(97).length);
+    },
+  );
 });
