Log what keeps an owner busy

One line every five seconds: processor time of the process, number and time of rounds, starts, stops, advice, reports and records. Without it a saturated owner shows only in the waits of callers.

--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -13,6 +13,7 @@
 import type * as fleets from './fleet.js';
 import type * as jobStores from './jobStore.js';
 import * as leases from './leases.js';
+import * as loadReporters from './loadReporter.js';
 import * as owedReporters from './owedReporter.js';
 import * as timeouts from './timeouts.js';
 import * as startReporters from './startReporter.js';
@@ -169,6 +170,7 @@
     fence,
     measureStarts: () => scheduler.measureStarts(timers.getNow()),
   });
+  const loadReporter = loadReporters.createLoadReporter(context, fence);
   log.write('info', 'leases.inherited', {
     fence,
     previous: earlierOwners.map(({ node }) => node).join(),
@@ -336,6 +338,7 @@
     onReport(id, report) {
       if (isClosed()) return;
       inheritedSilentVms.delete(id);
+      loadReporter.count('report');
       scheduler.applyReport(id, report, timers.getNow());
       requestTick();
     },
@@ -485,6 +488,7 @@
     const decision = scheduler.tick(startedMs, timers.getDate());
     lastTickMs = timers.getNow() - startedMs;
     metrics.record('tick', {}, lastTickMs);
+    loadReporter.addRound(lastTickMs);
     owedReporter.logEnds(decision.endedRuns);
     crashReports.logCrashes(log, fence, decision.crashedRuns);
     crashReports.logGivenUp(log, fence, decision.givenUpTasks);
@@ -495,6 +499,7 @@
 
   async function record(batch: core.workloads.RecordBatch): Promise<void> {
     const startedMs = timers.getNow();
+    loadReporter.count('record');
     recordingSinceMs = startedMs;
     try {
       await recorder.write(batch);
@@ -539,9 +544,11 @@
   function execute(command: core.workloads.Command): void {
     switch (command.command) {
       case 'start':
+        loadReporter.count('start');
         void start(command);
         return;
       case 'stop':
+        loadReporter.count('stop');
         void stop(command);
         return;
       case 'poll':
@@ -551,6 +558,7 @@
         void pace(command);
         return;
       case 'advise':
+        loadReporter.count('advice');
         void advise(command);
     }
   }
@@ -807,6 +815,7 @@
       dropExpiredTimer.end();
       owedReporter.close();
       startReporter.close();
+      loadReporter.close();
       recorder.close();
       jobs.setObserver(undefined);
       fleet.setObserver(undefined);
