Leave ownership to ranked nodes until their turns are over

Cause: a node of 0.324 cores had started half a second before the owner released ownership as planned. It knew no order of succession yet and claimed after 0.4 s, as in a cold start, ahead of the ranked nodes of 1.35 cores, of which the first two were being stopped as well. It couldn't keep up with 383 VMs, was suspected after 2 s, and another such node followed it.

Change: a node of low capacity without an order lets twelve turns pass where an owner is known, unless that owner's process has terminated, when all nodes may have just started. A ranked order that leaves this node out counts as twelve turns, too.

--- a/packages/cluster/src/claims.ts
+++ b/packages/cluster/src/claims.ts
@@ -445,14 +445,29 @@
     }
   }
 
+  /**
+   * Returns whether nodes that the owner has ranked go first, so that this one waits for
+   * their turns. A node of low capacity that has just started doesn't know the order yet;
+   * where the owner's process has terminated, all nodes may have started just now.
+   */
+  function isBehindRanked(): boolean {
+    if (successors.length > 0) return true;
+    return (
+      currentOwner !== undefined &&
+      !ownerTerminated &&
+      !successorRanks.hasOwnerCapacity(context.settings.cores)
+    );
+  }
+
   /** Time by which this node delays its claim in favour of other candidates, in ms. */
   function computeClaimDelay(): number {
     const rank = successors.indexOf(instance);
     if (rank >= 0) return rank * CLAIM_DELAY_PER_RANK_MS;
-    // The nodes that the owner has ranked go first; the others are spread over as much time again.
-    if (successors.length > 0)
+    if (isBehindRanked())
       return (
-        successors.length * CLAIM_DELAY_PER_RANK_MS * (1 + unrankedDelayShare)
+        successorRanks.MAX_SUCCESSORS *
+        CLAIM_DELAY_PER_RANK_MS *
+        (1 + unrankedDelayShare)
       );
     // No owner has ranked any node, so nodes near the store claim first.
     return (
--- a/packages/cluster/src/successors.ts
+++ b/packages/cluster/src/successors.ts
@@ -18,7 +18,7 @@
  * Number of nodes in the order. Each heartbeat carries it to every node, so a complete
  * order would cost traffic with the square of the number of nodes.
  */
-const MAX_SUCCESSORS = 12;
+export const MAX_SUCCESSORS = 12;
 
 /** A node that can claim ownership. */
 export interface SuccessorCandidate {
@@ -36,7 +36,8 @@
   return hasOwnerCapacity(cores) ? 0 : LOW_CAPACITY_DELAY_MS;
 }
 
-function hasOwnerCapacity(cores: number): boolean {
+/** Returns whether a node has the processor capacity to own a large cluster. */
+export function hasOwnerCapacity(cores: number): boolean {
   return cores >= MIN_OWNER_CORES;
 }
 
