--- a/packages/core/src/workloads/jobs.ts
+++ b/packages/core/src/workloads/jobs.ts
@@ -3,6 +3,12 @@
 import * as tables from './tables.js';
 import type * as types from './types.js';
 
+/**
+ * Tasks of unfinished occurrences up to which a job gets further ones. After an outage
+ * thousands can be due at once, and each task takes a row.
+ */
+const MAX_OPEN_TASKS = 5_000;
+
 /** Adds a job with the occurrences that are due. */
 export function addJob(
   state: states.State,
@@ -44,7 +50,7 @@
   return nowMs + dueUnixMs - nowUnixMs;
 }
 
-/** Creates the occurrences that have become due. */
+/** Creates the occurrences that have become due, as far as earlier ones are finished. */
 export function createDueOccurrences(
   job: tables.JobRow,
   nowMs: number,
@@ -52,12 +58,26 @@
 ): void {
   const { schedule } = job.job;
   if (schedule === undefined) return;
-  while (job.occurrencesLeft > 0) {
+  let openTasks = countOpenTasks(job);
+  while (
+    job.occurrencesLeft > 0 &&
+    (openTasks === 0 || openTasks < MAX_OPEN_TASKS)
+  ) {
     const number = schedule.times - job.occurrencesLeft;
     const dueMs = computeDueMs(job.job, number, nowMs, nowUnixMs);
     if (dueMs > nowMs) return;
     job.occurrencesLeft -= 1;
-    if (!job.occurrences.some((occurrence) => occurrence.number === number))
-      tables.createOccurrence(job, number, dueMs);
+    if (job.occurrences.some((occurrence) => occurrence.number === number))
+      continue;
+    tables.createOccurrence(job, number, dueMs);
+    openTasks += countTasks(job);
   }
 }
+
+function countOpenTasks(job: tables.JobRow): number {
+  return job.occurrences.filter(({ done }) => !done).length * countTasks(job);
+}
+
+function countTasks({ job }: tables.JobRow): number {
+  return job.steps.reduce((sum, { count }) => sum + count, 0);
+}
