Take over although the stored progress of a job can't be read

A record that is valid JSON of another shape threw in the restore of a new owner, which gave up, and so did each successor. Such a record now counts as unreadable, like invalid JSON, and is counted as progress.unreadable.

--- a/packages/core/src/workloads/progress.ts
+++ b/packages/core/src/workloads/progress.ts
@@ -111,7 +111,7 @@
   return { run, vm, incarnation: incarnation ?? undefined, evidence };
 }
 
-/** Restores a job's tables from its stored progress; returns false when the text isn't valid JSON. */
+/** Restores a job's tables from its stored progress; returns false when the text can't be read. */
 export function restoreProgress(
   state: states.State,
   job: tables.JobRow,
@@ -119,12 +119,8 @@
   computeDue: (occurrence: number) => number,
   nowMs: number,
 ): boolean {
-  let stored: StoredProgress;
-  try {
-    stored = JSON.parse(text) as StoredProgress;
-  } catch {
-    return false;
-  }
+  const stored = parseProgress(text);
+  if (stored === undefined) return false;
   if (stored.begun === true) job.hasBegun = true;
   for (const entry of stored.occurrences) {
     const occurrence =
@@ -140,6 +136,56 @@
   return true;
 }
 
+/** Parses a record; undefined when it isn't one: an owner that fails on it would be followed by others that fail, too. */
+function parseProgress(text: string): StoredProgress | undefined {
+  let parsed: unknown;
+  try {
+    parsed = JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+  return isProgress(parsed) ? parsed : undefined;
+}
+
+function isProgress(value: unknown): value is StoredProgress {
+  const { occurrences } = readFields(value);
+  return (
+    Array.isArray(occurrences) &&
+    occurrences.every((occurrence) => {
+      const { number, steps } = readFields(occurrence);
+      return (
+        typeof number === 'number' &&
+        (steps === undefined || (Array.isArray(steps) && steps.every(isStep)))
+      );
+    })
+  );
+}
+
+function isStep(value: unknown): boolean {
+  const { done, runs, failed, gangFailures, crashes, gangCrashes } =
+    readFields(value);
+  return (
+    typeof done === 'string' &&
+    isListOfLists(runs) &&
+    Object.values(readFields(failed)).every(Array.isArray) &&
+    (gangFailures === undefined || Array.isArray(gangFailures)) &&
+    Object.values(readFields(crashes)).every(isListOfLists) &&
+    isListOfLists(gangCrashes)
+  );
+}
+
+function isListOfLists(value: unknown): boolean {
+  return (
+    value === undefined || (Array.isArray(value) && value.every(Array.isArray))
+  );
+}
+
+function readFields(value: unknown): Readonly<Record<string, unknown>> {
+  return typeof value === 'object' && value !== null
+    ? (value as Record<string, unknown>)
+    : {};
+}
+
 function createMissingOccurrence(
   job: tables.JobRow,
   number: number,
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -173,13 +173,14 @@
       const acceptedMs = Math.min(nowMs - ageMs, state.createdMs);
       const row = jobs.addJob(state, job, acceptedMs, nowMs, nowUnixMs);
       if (text === undefined) return;
-      progress.restoreProgress(
+      const restored = progress.restoreProgress(
         state,
         row,
         text,
         (number) => jobs.computeDueMs(job, number, nowMs, nowUnixMs),
         nowMs,
       );
+      if (!restored) states.countEvent(state, 'progress.unreadable');
       ends.decideFinal(state, row, nowMs);
     },
     checkAdmission: (steps, pool, nowMs) =>
