Go on with a VM after a report that could not be applied

An error while a report was applied ended the loop of holds without a line, so the lease of the VM ended and with it all its runs. The session now logs the cause and holds again. The test failed before.

--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -367,9 +367,18 @@
     return closed;
   }
 
+  /** Without further holds the lease of the VM would end, and with it its runs. */
+  function handleFailure(cause: unknown): false {
+    log.write('error', 'vm.session-failed', {
+      vm: target.id,
+      cause: cause instanceof Error ? cause.stack : String(cause),
+    });
+    return false;
+  }
+
   async function run(): Promise<void> {
     while (!isClosed()) {
-      const answered = await holdOnce();
+      const answered = await holdOnce().catch(handleFailure);
       if (isClosed()) return;
       if (!answered)
         await core.waitFor(timers, 'contacts.retry', RETRY_DELAY_MS);
--- a/packages/cluster/test/vmSessions.test.ts
+++ b/packages/cluster/test/vmSessions.test.ts
@@ -22,6 +22,7 @@
     holdWait,
     durableEnd: 0,
     leaseLimitMs: 10_000,
+    failsReports: false,
     answer,
   };
   const { timers } = context;
@@ -60,7 +61,10 @@
       holdWait,
     },
     {
-      onReport: () => events.push('report'),
+      onReport() {
+        events.push('report');
+        if (setup.failsReports) throw new Error('broken report');
+      },
       onUnresponsive: () => events.push('unresponsive'),
       onTerminated: () => events.push('terminated'),
       onLost: (_, why) => events.push(`lost: ${why}`),
@@ -99,6 +103,25 @@
 }
 
 vitest.describe('a session', () => {
+  vitest.it(
+    'goes on after a report that could not be applied (guards against leases that end because of one error)',
+    async () => {
+      const { setup, holds, session, timers, context } = createSetup(
+        buildHeld(1),
+      );
+      setup.failsReports = true;
+      await fakes.advance(timers, 50);
+      setup.failsReports = false;
+      const before = holds.length;
+      await fakes.advance(timers, 4_000);
+      vitest.expect(holds.length).toBeGreaterThan(before);
+      vitest
+        .expect(context.lines.map(({ event }) => event))
+        .toContain('vm.session-failed');
+      session.close();
+    },
+  );
+
   vitest.it(
     'reads the clock of the VM before it extends the lease',
     async () => {
