Give up ownership when a scheduling round fails

An error in a round was thrown by a timer and ended the process, and then that of each successor. The owner now logs the cause and gives up ownership, because the round may have left the tables half changed; its process goes on answering callers. A round that fails at every owner still stops all scheduling, with a line for each.

--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -115,6 +115,9 @@
         onFenced: () => {
           ownership.resign('a VM or the store has seen a higher fence');
         },
+        onFailed: () => {
+          ownership.resign('a scheduling round failed');
+        },
       });
       for (const peer of hub.listConnected()) {
         owner.handleProcess(peer.name, peer.instance);
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -55,6 +55,8 @@
   readonly onAppendFailed: () => void;
   /** Called when a VM or the store has seen a higher fence. */
   readonly onFenced: () => void;
+  /** Called when a scheduling round has failed. */
+  readonly onFailed: () => void;
 }
 
 /** A copy of an owner's tables for operators. */
@@ -478,8 +480,24 @@
     scheduler.setPolicies(policies);
   }
 
+  /**
+   * Runs a round. One that fails may have left the tables half changed, so this owner
+   * gives up and a successor restores them; the process goes on answering callers.
+   */
   function tick(): void {
     if (isClosed() || !ready) return;
+    try {
+      runRound();
+    } catch (cause) {
+      log.write('error', 'owner.round-failed', {
+        fence,
+        cause: cause instanceof Error ? cause.stack : String(cause),
+      });
+      options.onFailed();
+    }
+  }
+
+  function runRound(): void {
     updatePolicies();
     const startedMs = timers.getNow();
     expireUnlisted(startedMs);
--- a/packages/cluster/test/clusterSimulation.ts
+++ b/packages/cluster/test/clusterSimulation.ts
@@ -335,6 +335,9 @@
           onFenced: () => {
             ownership.resign('fenced');
           },
+          onFailed: () => {
+            this.violations.push(`${this.getNow()}: a round failed`);
+          },
         });
       },
       onLost: () => {
--- a/packages/cluster/test/departedVms.test.ts
+++ b/packages/cluster/test/departedVms.test.ts
@@ -132,6 +132,7 @@
     getConfirmedAge: () => 0,
     onAppendFailed: () => undefined,
     onFenced: () => undefined,
+    onFailed: () => undefined,
   });
   return {
     started,
--- a/packages/cluster/test/leaseGrants.test.ts
+++ b/packages/cluster/test/leaseGrants.test.ts
@@ -131,6 +131,7 @@
     getConfirmedAge: () => 0,
     onAppendFailed: () => undefined,
     onFenced: () => undefined,
+    onFailed: () => undefined,
   });
   return {
     granted,
--- a/packages/cluster/test/owner.test.ts
+++ b/packages/cluster/test/owner.test.ts
@@ -68,6 +68,8 @@
   const vm = { silent: false, answerMs: 1 };
   const claim = { confirmedMs: undefined as number | undefined };
   const fenced = vitest.vi.fn();
+  const failed = vitest.vi.fn();
+  const policies = { failure: undefined as Error | undefined };
   const vmCalls: ports.VmCalls = {
     ...context.ports.vmCalls,
     async hold(_, { waitMs }, timeoutMs) {
@@ -115,11 +117,15 @@
       ask: () => Promise.resolve(undefined),
       listHelpers: () => [],
     },
-    getPolicies: () => ({ version: 1, policies: new Map() }),
+    getPolicies() {
+      if (policies.failure !== undefined) throw policies.failure;
+      return { version: 1, policies: new Map() };
+    },
     getConfirmedAge: () =>
       timers.getNow() - (claim.confirmedMs ?? timers.getNow()),
     onAppendFailed: () => undefined,
     onFenced: fenced,
+    onFailed: failed,
   });
   const listEvents = (event: string) =>
     context.lines.filter((line) => line.event === event);
@@ -130,6 +136,8 @@
     running,
     claim,
     fenced,
+    failed,
+    policies,
     store: context.store,
     jobs: context.store.streams.jobs,
     listEvents,
@@ -381,3 +389,38 @@
     },
   );
 });
+
+vitest.describe('an owner whose scheduling round fails', () => {
+  vitest.it(
+    'gives up with a line that names the cause (guards against one error in a round that ends the process)',
+    async () => {
+      const setup = createSetup();
+      await fakes.advance(setup.timers, 500);
+      vitest.expect(setup.failed).not.toHaveBeenCalled();
+      setup.policies.failure = new Error('broken policy');
+      await fakes.advance(setup.timers, 200);
+      vitest.expect(setup.failed).toHaveBeenCalled();
+      vitest
+        .expect(JSON.stringify(setup.listEvents('owner.round-failed')[0]))
+        .toContain('broken policy');
+      setup.owner.close();
+    },
+  );
+
+  vitest.it.each([
+    'null',
+    '{}',
+    '7',
+    '{"occurrences":[{"number":0,"steps":[{}]}]}',
+  ])(
+    'takes over although the stored progress of a job is %s (guards against one record on which each new owner fails)',
+    async (progress) => {
+      const setup = createSetup(progress);
+      await fakes.advance(setup.timers, 1_000);
+      vitest.expect(setup.fenced).not.toHaveBeenCalled();
+      vitest.expect(setup.listEvents('owner.ready')).toHaveLength(1);
+      vitest.expect(setup.owner.getCounts().get('progress.unreadable')).toBe(1);
+      setup.owner.close();
+    },
+  );
+});
