Read no claim or job record whose parts have other types

Cause: claims were checked for two strings and jobs for a version only. A claim whose leases have another shape made the candidates' claims throw, so that no owner would follow the last; a job without an id or with a step of another type made every read of the stream fail, at each node and each new owner.

Change: both are checked as far as they are relied on. Leases that can't be read count as those of a build that doesn't record them, which is waited for longer.

--- a/packages/cluster/src/records.ts
+++ b/packages/cluster/src/records.ts
@@ -4,6 +4,7 @@
  * replaces another as the newest record of its key.
  */
 import type * as core from '@flamingoward/core';
+import * as zod from 'zod';
 import type * as ports from './ports.js';
 
 /** Format version of job records; records of other versions are skipped and logged. */
@@ -81,15 +82,56 @@
   }
 }
 
+/** What the scheduler relies on in a job; further fields are optional or added by later releases. */
+const acceptedJob = zod.looseObject({
+  version: zod.literal(RECORD_VERSION),
+  job: zod.looseObject({
+    id: zod.string(),
+    queue: zod.string(),
+    acceptedAtMs: zod.number(),
+    steps: zod.array(
+      zod.looseObject({
+        count: zod.number(),
+        size: zod.looseObject({
+          cores: zod.number(),
+          memoryMb: zod.number(),
+          gpus: zod.number(),
+        }),
+        estimateMs: zod.number(),
+        after: zod.array(zod.number()),
+      }),
+    ),
+    schedule: zod
+      .looseObject({
+        times: zod.number(),
+        firstAtMs: zod.number(),
+        intervalMs: zod.number(),
+      })
+      .optional(),
+    policy: zod.looseObject({
+      name: zod.string(),
+      pool: zod.string(),
+      priority: zod.number(),
+      attempts: zod.number(),
+      stretch: zod.number(),
+      slackMs: zod.number(),
+    }),
+  }),
+});
+
 function parseAccepted(value: string): JobChange | undefined {
+  const stored = parseJson(value);
+  return acceptedJob.safeParse(stored).success
+    ? {
+        change: 'accepted',
+        job: (stored as { readonly job: core.workloads.Job }).job,
+      }
+    : undefined;
+}
+
+function parseJson(value: string): unknown {
   try {
-    const stored = JSON.parse(value) as {
-      version: number;
-      job: core.workloads.Job;
-    };
-    return stored.version === RECORD_VERSION
-      ? { change: 'accepted', job: stored.job }
-      : undefined;
+    return JSON.parse(value) as unknown;
   } catch {
     return undefined;
   }
@@ -180,15 +222,36 @@
   readonly lastEnds?: LeaseEnds;
 }
 
+const leaseEnds = zod.array(zod.tuple([zod.string(), zod.number()]));
+const claimRecord = zod.object({
+  node: zod.string(),
+  instance: zod.string(),
+  address: zod.string(),
+  fence: zod.number().optional(),
+  released: zod.boolean().optional(),
+  unrecorded: zod.boolean().optional(),
+  // Leases that can't be read count as those of a build that doesn't record them, which is waited for longer.
+  leases: zod
+    .object({
+      leaseMs: zod.number(),
+      owners: zod.array(
+        zod.object({
+          node: zod.string(),
+          instance: zod.string(),
+          leaseMs: zod.number(),
+          ordersLeftMs: zod.number(),
+          claimLeftMs: zod.number().optional(),
+        }),
+      ),
+      silentVms: leaseEnds,
+      lastEnds: leaseEnds.optional(),
+    })
+    .optional()
+    .catch(undefined),
+});
+
 /** Parses a claim; undefined when it is malformed. */
 export function parseClaim(value: string): ClaimRecord | undefined {
-  try {
-    const claim = JSON.parse(value) as ClaimRecord;
-    return typeof claim.instance === 'string' &&
-      typeof claim.address === 'string'
-      ? claim
-      : undefined;
-  } catch {
-    return undefined;
-  }
+  const parsed = claimRecord.safeParse(parseJson(value));
+  return parsed.success ? (parsed.data as ClaimRecord) : undefined;
 }
