--- a/packages/core/test/workloads/begins.test.ts
+++ b/packages/core/test/workloads/begins.test.ts
@@ -15,22 +15,6 @@
 /** Time for which a job counts as waiting while its first start has no answer, in ms. */
 const SENT_MS = 1_000;
 
-function createJob(
-  given: Partial<core.workloads.Job> = {},
-): core.workloads.Job {
-  return {
-    id: 'job',
-    queue: 'queue',
-    payload: 'work',
-    steps: [harnesses.createStep()],
-    schedule: undefined,
-    configVersion: 1,
-    acceptedAtMs: 0,
-    policy: harnesses.createPolicy(),
-    ...given,
-  };
-}
-
 /** An owner whose commands the test carries out. */
 class TestOwner {
   nowMs = 1_000;
@@ -46,12 +30,15 @@
     });
   }
 
-  accept(job = createJob()): void {
+  accept(job = harnesses.createJob()): void {
     this.scheduler.acceptJob(job, 0, this.nowMs, this.nowMs);
   }
 
   /** Creates the next owner, which restores the job from the record. */
-  createSuccessor(unrecordedStarts = false, job = createJob()): TestOwner {
+  createSuccessor(
+    unrecordedStarts = false,
+    job = harnesses.createJob(),
+  ): TestOwner {
     const successor = new TestOwner(1_000, unrecordedStarts);
     successor.record = this.record;
     successor.scheduler.restoreJob(job, this.record, 0, this.nowMs, this.nowMs);
@@ -231,7 +218,7 @@
 
   vitest.it('of a service waits like any other', () => {
     const owner = createOwner(
-      createJob({ steps: [harnesses.createStep({ lasts: true })] }),
+      harnesses.createJob({ steps: [harnesses.createStep({ lasts: true })] }),
     );
     const [start] = owner.sendStarts();
     owner.expectWaiting();
@@ -241,7 +228,9 @@
 
   vitest.it('of a schedule is pending and not counted', () => {
     const owner = createOwner(
-      createJob({ schedule: { times: 1, firstAtMs: 0, intervalMs: 100 } }),
+      harnesses.createJob({
+        schedule: { times: 1, firstAtMs: 0, intervalMs: 100 },
+      }),
     );
     const [start] = owner.sendStarts();
     vitest.expect(owner.getState()).toBe('pending');
@@ -278,7 +267,7 @@
     'alone',
   ] as const)('does not wait after a run was reported as %s', (how) => {
     const owner = createOwner(
-      createJob({ steps: [harnesses.createStep({ count: 2 })] }),
+      harnesses.createJob({ steps: [harnesses.createStep({ count: 2 })] }),
     );
     const [start] = owner.sendStarts();
     owner.report('a', { ended: [createEnd(start, how)] });
@@ -417,7 +406,7 @@
       const owner = new TestOwner(1_000, true);
       owner.nowMs += 300;
       owner.scheduler.restoreJob(
-        createJob(),
+        harnesses.createJob(),
         undefined,
         0,
         owner.nowMs,
@@ -454,7 +443,7 @@
     owner
       .createSuccessor(
         false,
-        createJob({ steps: [harnesses.createStep({ count: 2 })] }),
+        harnesses.createJob({ steps: [harnesses.createStep({ count: 2 })] }),
       )
       .expectBegun();
   });
--- a/packages/core/test/workloads/crashes.test.ts
+++ b/packages/core/test/workloads/crashes.test.ts
@@ -170,16 +170,7 @@
       let final: core.workloads.FinalState | undefined;
       for (let owner = 1; owner <= 8 && final === undefined; owner += 1) {
         const harness = harnesses.createHarness({ firstRun: owner * 1_000 });
-        const job: core.workloads.Job = {
-          id: 'guilty',
-          queue: 'queue',
-          payload: 'work',
-          steps: [harnesses.createStep()],
-          schedule: undefined,
-          configVersion: 1,
-          acceptedAtMs: 0,
-          policy: harnesses.createPolicy(),
-        };
+        const job = harnesses.createJob({ id: 'guilty' });
         const nowMs = harness.getNow();
         harness.scheduler.restoreJob(job, stored, 0, nowMs, nowMs);
         // All VMs have restarted since the last owner, which learned nothing of it.
@@ -233,16 +224,7 @@
     "isn't given up for recorded starts that no owner sent (guards against crashes under runs that never began)",
     () => {
       let stored: string | undefined;
-      const job: core.workloads.Job = {
-        id: 'job',
-        queue: 'queue',
-        payload: 'work',
-        steps: [harnesses.createStep()],
-        schedule: undefined,
-        configVersion: 1,
-        acceptedAtMs: 0,
-        policy: harnesses.createPolicy(),
-      };
+      const job = harnesses.createJob();
       for (let owner = 1; owner <= 8; owner += 1) {
         const harness = harnesses.createHarness({ firstRun: owner * 1_000 });
         const nowMs = harness.getNow();
--- a/packages/core/test/workloads/harness.ts
+++ b/packages/core/test/workloads/harness.ts
@@ -3,6 +3,8 @@
  * whose writes are durable at once, and a clock that only the test advances.
  */
 import * as core from '../../src/index.js';
+import * as schedulers from '../../src/workloads/scheduler.js';
+import * as states from '../../src/workloads/state.js';
 
 type Workloads = typeof core.workloads;
 type Step = Parameters<Workloads['formatStep']>[0];
@@ -48,6 +50,37 @@
   };
 }
 
+/** Creates a job of one step with defaults. */
+export function createJob(
+  given: Partial<core.workloads.Job> = {},
+): core.workloads.Job {
+  return {
+    id: 'job',
+    queue: 'queue',
+    payload: 'work',
+    steps: [createStep()],
+    schedule: undefined,
+    configVersion: 1,
+    acceptedAtMs: 0,
+    policy: createPolicy(),
+    ...given,
+  };
+}
+
+/** Creates a scheduler whose tables the test can examine. */
+export function createOpenScheduler(nowMs: number) {
+  const options = {
+    bounds: { inheritedRunTimeoutMs: 16_000, firstRun: 1 },
+    unrecordedStarts: false,
+    nowMs,
+  };
+  const state = states.createState(options);
+  return {
+    state,
+    scheduler: schedulers.createWorkloadScheduler(options, state),
+  };
+}
+
 /** Creates a VM entry with defaults. */
 export function createEntry(
   id: string,
--- a/packages/core/test/workloads/openVms.test.ts
+++ b/packages/core/test/workloads/openVms.test.ts
@@ -1,22 +1,13 @@
 /** The index of the VMs that may get new runs, at the size of hundreds of machines. */
 import * as vitest from 'vitest';
-import * as core from '../../src/index.js';
 import * as openVms from '../../src/workloads/openVms.js';
-import * as schedulers from '../../src/workloads/scheduler.js';
-import * as states from '../../src/workloads/state.js';
 import * as harnesses from './harness.js';
 
 const VMS = 300;
 
 /** Creates a scheduler with two pools, one job of one queue with advice, and the tickets of ten VMs. */
 function createLargeCluster() {
-  const options = {
-    bounds: { inheritedRunTimeoutMs: 16_000, firstRun: 1 },
-    unrecordedStarts: false,
-    nowMs: 1_000,
-  };
-  const state = states.createState(options);
-  const scheduler = schedulers.createWorkloadScheduler(options, state);
+  const { state, scheduler } = harnesses.createOpenScheduler(1_000);
   for (let index = 0; index < 2 * VMS; index += 1) {
     const id = `vm${index}`;
     const pool = index % 2 === 0 ? 'pool' : 'other';
@@ -30,16 +21,10 @@
   const policy = harnesses.createPolicy({
     advice: { fixedMs: 20, perVmMs: 0.3, validMs: 2_000 },
   });
-  const job: core.workloads.Job = {
-    id: 'job',
-    queue: policy.name,
-    payload: '',
+  const job = harnesses.createJob({
     steps: [harnesses.createStep({ count: 4 })],
-    schedule: undefined,
-    configVersion: 1,
-    acceptedAtMs: 0,
     policy,
-  };
+  });
   scheduler.acceptJob(job, 0, 1_000, 1_000);
   const step = state.jobs.get('job')!.occurrences[0]!.steps[0]!;
   // Tickets arrive in another order than that of the tables.
