Count early ends against a task only beside three suspicions

Change: that rule asks for three crashes that speak against the task as well; with two confirmed crashes five marks are enough, as before.

--- a/packages/core/src/workloads/blame.ts
+++ b/packages/core/src/workloads/blame.ts
@@ -58,9 +58,11 @@
   const confirmed = marks.filter(isConfirmed).length;
   const suspicions = countSuspicions(task);
   // So many unconfirmed crashes beside a confirmed one aren't all due to starts that never arrived.
-  if (confirmed > 0 && marks.length >= MAX_CRASHES) return true;
+  if (confirmed > 0 && marks.length >= MAX_CRASHES && suspicions >= MIN_CRASHES)
+    return true;
   if (confirmed < MIN_CONFIRMED) return false;
-  if (suspicions >= MAX_UNEXPLAINED_CRASHES) return true;
+  if (marks.length >= MAX_CRASHES || suspicions >= MAX_UNEXPLAINED_CRASHES)
+    return true;
   const soleVms = new Set(
     marks.filter(({ evidence }) => evidence === 'sole').map(({ vm }) => vm),
   );
