--- a/packages/cluster/src/claims.ts
+++ b/packages/cluster/src/claims.ts
@@ -429,6 +429,7 @@
       case 'fenced':
       case 'sequence':
       case 'refused':
+      case 'rejected':
       case 'unknown':
         if (ownedFence !== fence) return;
         log.write('warn', 'ownership.renewal-failed', {
--- a/packages/cluster/src/jobStore.ts
+++ b/packages/cluster/src/jobStore.ts
@@ -44,7 +44,7 @@
 /** Result of a durable write. */
 export type WriteResult =
   | { readonly outcome: 'durable'; readonly why?: string }
-  /** Nothing was written, because the owner declined the job: no VM can run it. */
+  /** Nothing was written: no VM can run the job, or the store doesn't take its record. */
   | { readonly outcome: 'declined'; readonly why: string }
   | { readonly outcome: 'refused'; readonly why: string }
   | { readonly outcome: 'unknown'; readonly why: string };
@@ -81,6 +81,8 @@
   readonly record: ports.NewRecord;
   readonly deadlineMs: number;
   attempted: boolean;
+  /** Whether it must not share an append with others, since the store has rejected one with all of them. */
+  alone: boolean;
   readonly resolve: (result: WriteResult) => void;
 }
 
@@ -225,13 +227,20 @@
     deadlineMs: number,
   ): Promise<WriteResult> {
     return new Promise((resolve) => {
-      queue.push({ record, deadlineMs, attempted: false, resolve });
+      queue.push({
+        record,
+        deadlineMs,
+        attempted: false,
+        alone: false,
+        resolve,
+      });
       if (!writing) void writeQueue();
     });
   }
 
   /** Takes the writes of the next append from the queue. */
   function takeGroup(): readonly PendingWrite[] {
+    if (queue[0]?.alone === true) return queue.splice(0, 1);
     const [first = []] = records.splitBySize(
       queue.slice(0, MAX_GROUP_RECORDS).map(({ record }) => record),
       context.settings.maxAppendBytes,
@@ -283,6 +292,22 @@
             why: result.why,
           });
         return;
+      case 'rejected':
+        context.log.write('error', 'record.rejected', {
+          stream: 'jobs',
+          records: group.length,
+          key: group[0]?.record.key,
+          bytes: records.measureRecords(group.map(({ record }) => record)),
+          why: result.why,
+        });
+        if (group.length === 1)
+          for (const entry of group)
+            entry.resolve({ outcome: 'declined', why: result.why });
+        else {
+          for (const entry of group) entry.alone = true;
+          queue.unshift(...group);
+        }
+        return;
       case 'unknown':
         unansweredAppends += 1;
         // A single append without an answer may be due to one broken connection.
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -18,7 +18,7 @@
 import * as timeouts from './timeouts.js';
 import * as startReporters from './startReporter.js';
 import * as recorders from './recorder.js';
-import type * as records from './records.js';
+import * as records from './records.js';
 import * as tails from './tail.js';
 
 /** Time between ticks without events, in ms. */
@@ -153,6 +153,8 @@
     bounds: {
       inheritedRunTimeoutMs: earlierLeasesEndMs - createdMs,
       firstRun: fence * RUNS_PER_FENCE + 1,
+      maxRecordBytes:
+        context.settings.maxRecordBytes - records.RECORD_OVERHEAD_BYTES,
     },
     unrecordedStarts: previous.unrecorded,
     nowMs: createdMs,
@@ -216,8 +218,8 @@
       const { job } = entry;
       if (entry.final !== undefined || job === undefined) continue;
       const ageMs = Math.max(0, nowDate - job.acceptedAtMs);
-      const progressText = progressByJob.get(job.id);
-      scheduler.restoreJob(job, progressText, ageMs, nowMs, nowDate);
+      const progress = progressByJob.get(job.id);
+      scheduler.restoreJob(job, progress, ageMs, nowMs, nowDate);
       if (entry.cancelled) scheduler.cancelJob(job.id, nowMs);
       restoredJobs += 1;
     }
@@ -251,20 +253,22 @@
       await core.waitFor(timers, 'owner.retry', IDLE_TICK_INTERVAL_MS);
   }
 
-  async function readProgress(): Promise<ReadonlyMap<core.ids.JobId, string>> {
-    const progressByJob = new Map<core.ids.JobId, string>();
+  async function readProgress(): Promise<
+    ReadonlyMap<core.ids.JobId, core.workloads.ProgressRecords>
+  > {
+    const progressByKey = new Map<core.workloads.ProgressKey, string>();
     const tail = tails.createTail({
       source: dependencies.store.openStream('progress'),
       apply: ({ key, value }) => {
-        if (value === undefined) progressByJob.delete(key);
-        else progressByJob.set(key, value);
+        if (value === undefined) progressByKey.delete(key);
+        else progressByKey.set(key, value);
       },
       onFailed: (why) => {
         log.write('warn', 'owner.read-failed', { stream: 'progress', why });
       },
     });
     await readUntilDone(() => tail.refresh());
-    return progressByJob;
+    return core.workloads.splitProgress(progressByKey);
   }
 
   async function followJobs(): Promise<void> {
@@ -519,8 +523,19 @@
     const startedMs = timers.getNow();
     loadReporter.count('record');
     recordingSinceMs = startedMs;
+    const finals = new Map(batch.finals);
     try {
-      await recorder.write(batch);
+      const rejected = await recorder.write(batch);
+      // Without a record, a successor would run the tasks of these jobs again.
+      if (rejected.length > 0) {
+        const failed = scheduler.failUnrecorded(rejected, timers.getNow());
+        for (const [id, state] of failed) finals.set(id, state);
+        await recorder.write({
+          progress: new Map(),
+          finals: failed,
+          dropped: [],
+        });
+      }
     } catch (cause) {
       // This node may own the cluster again by now, under a later fence.
       if (isClosed()) return;
@@ -533,7 +548,7 @@
     }
     recordingSinceMs = undefined;
     if (isClosed()) return;
-    for (const [id, state] of batch.finals) {
+    for (const [id, state] of finals) {
       jobs.recordFinal(id, state);
       log.write('info', 'job.ended', {
         job: id,
--- a/packages/cluster/src/ports.ts
+++ b/packages/cluster/src/ports.ts
@@ -48,8 +48,10 @@
   | { readonly outcome: 'fenced' }
   /** The store expects another sequence number. */
   | { readonly outcome: 'sequence'; readonly expected: number }
-  /** Nothing was appended. */
+  /** Nothing was appended; the store may take the same records later. */
   | { readonly outcome: 'refused'; readonly why: string }
+  /** Nothing was appended, and the store will never take these records together; a part of them may be what it rejects. */
+  | { readonly outcome: 'rejected'; readonly why: string }
   /** The append may have been carried out, or may still be. */
   | { readonly outcome: 'unknown'; readonly why: string };
 
--- a/packages/cluster/src/recorder.ts
+++ b/packages/cluster/src/recorder.ts
@@ -1,7 +1,8 @@
 /**
  * Appends the owner's batches: progress records, final states and dropped keys. A batch
- * that is too large for one append is split: its records are about different jobs, and it
- * counts as durable once all of them are. Each append carries the fence as its epoch and
+ * that is too large for one append is split: its records don't depend on each other, and it
+ * counts as durable once all of them are. If the store rejects an append for good, the
+ * record at fault is found and left out, so that the others don't wait for it. Each append carries the fence as its epoch and
  * a sequence number, so that a late append of an earlier owner is refused and a retried
  * one is written once.
  */
@@ -19,8 +20,13 @@
 export interface Recorder {
   /** Fences off earlier owners with empty appends; rejects when this owner has been replaced. */
   open(): Promise<void>;
-  /** Resolves once the batch is durable; rejects when this owner has been replaced. */
-  write(batch: core.workloads.RecordBatch): Promise<void>;
+  /**
+   * Resolves once the batch is durable, with the keys of the progress records that the store
+   * will never take; rejects when this owner has been replaced.
+   */
+  write(
+    batch: Pick<core.workloads.RecordBatch, 'progress' | 'finals' | 'dropped'>,
+  ): Promise<readonly core.workloads.ProgressKey[]>;
   close(): void;
 }
 
@@ -43,10 +49,11 @@
     return closed;
   }
 
+  /** Appends records, and tries again until the store has taken or rejected them. */
   async function append(
     stream: ports.StreamName,
     newRecords: readonly ports.NewRecord[],
-  ): Promise<void> {
+  ): Promise<'appended' | 'rejected'> {
     const appendTimeout = timeoutsByStream[stream];
     let attempts = 0;
     while (!isClosed()) {
@@ -62,10 +69,25 @@
       });
       if (result.outcome === 'unknown') appendTimeout.recordNoAnswer();
       else appendTimeout.recordAnswer(timers.getNow() - startedMs);
+      // Final states and dropped keys are short: a store that rejects them rejects all that it is sent.
+      if (
+        result.outcome === 'rejected' &&
+        stream === 'progress' &&
+        newRecords.some(hasValue)
+      ) {
+        log.write('error', 'record.rejected', {
+          stream,
+          records: newRecords.length,
+          key: newRecords[0]?.key,
+          bytes: records.measureRecords(newRecords),
+          why: result.why,
+        });
+        return 'rejected';
+      }
       switch (result.outcome) {
         case 'appended':
           sequences[stream] += 1;
-          return;
+          return 'appended';
         case 'fenced':
         case 'conflict':
           throw createReplacedFault(stream);
@@ -73,11 +95,12 @@
           // The store expects the following number if an earlier attempt of this append was written.
           if (result.expected === sequences[stream] + 1) {
             sequences[stream] += 1;
-            return;
+            return 'appended';
           }
           sequences[stream] = result.expected;
           break;
         case 'refused':
+        case 'rejected':
         case 'unknown':
           log.write('warn', 'record.retry', {
             stream,
@@ -92,13 +115,28 @@
     throw createReplacedFault(stream);
   }
 
+  /** Appends all records that the store takes, in their order; returns the others. */
   async function appendAll(
     stream: ports.StreamName,
     newRecords: readonly ports.NewRecord[],
-  ): Promise<void> {
+  ): Promise<readonly ports.NewRecord[]> {
     const { maxAppendBytes } = context.settings;
+    const rejected: ports.NewRecord[] = [];
     for (const group of records.splitBySize(newRecords, maxAppendBytes))
-      await append(stream, group);
+      rejected.push(...(await appendGroup(stream, group)));
+    return rejected;
+  }
+
+  /** Appends a group; if the store rejects it, appends its halves, down to the record at fault. */
+  async function appendGroup(
+    stream: ports.StreamName,
+    group: readonly ports.NewRecord[],
+  ): Promise<readonly ports.NewRecord[]> {
+    if ((await append(stream, group)) === 'appended') return [];
+    if (group.length === 1) return group;
+    const middle = Math.ceil(group.length / 2);
+    const first = await appendGroup(stream, group.slice(0, middle));
+    return [...first, ...(await appendGroup(stream, group.slice(middle)))];
   }
 
   function createReplacedFault(stream: string): Error {
@@ -120,13 +158,18 @@
       const finals = [...batch.finals].flatMap(([id, state]) =>
         records.buildFinal(id, state),
       );
-      await Promise.all([
+      const [, rejected] = await Promise.all([
         appendAll('jobs', finals),
         appendAll('progress', progress),
       ]);
+      return rejected.map(({ key }) => key);
     },
     close() {
       closed = true;
     },
   };
 }
+
+function hasValue({ value }: ports.NewRecord): boolean {
+  return value !== undefined;
+}
--- a/packages/cluster/src/records.ts
+++ b/packages/cluster/src/records.ts
@@ -146,7 +146,7 @@
 }
 
 /** Assumed size of a record beyond its key and value, in bytes. */
-const RECORD_OVERHEAD_BYTES = 16;
+export const RECORD_OVERHEAD_BYTES = 16;
 
 /** Splits records into groups of at most a total size, in their order. A larger record is a group of its own. */
 export function splitBySize(
@@ -177,6 +177,11 @@
   );
 }
 
+/** Returns an upper bound of the size of several records in an append, in bytes. */
+export function measureRecords(newRecords: readonly ports.NewRecord[]): number {
+  return newRecords.reduce((sum, record) => sum + measureRecord(record), 0);
+}
+
 /** A claim of ownership, its renewal or its release. */
 export interface ClaimRecord {
   readonly node: core.ids.ProcessName;
--- a/packages/cluster/src/requestHandler.ts
+++ b/packages/cluster/src/requestHandler.ts
@@ -9,6 +9,7 @@
 import type * as contexts from './context.js';
 import type * as jobStores from './jobStore.js';
 import type * as ports from './ports.js';
+import * as records from './records.js';
 import type * as waiting from './waitingCounts.js';
 
 /** Deadline of requests that carry none, in ms. */
@@ -141,6 +142,13 @@
       acceptedAtMs: timers.getDate(),
       ...decoded.value,
     };
+    const recordBytes = records.measureRecord(records.buildAccepted(job));
+    const { maxRecordBytes } = context.settings;
+    if (recordBytes > maxRecordBytes)
+      return {
+        answer: 'malformed',
+        why: `the job takes ${recordBytes} bytes in the store, which takes at most ${maxRecordBytes}`,
+      };
     const why = jobQueries.checkAdmission(job);
     if (why !== undefined) return buildDeclined(why);
     const written = await write({ accept: job }, untilMs);
--- a/packages/cluster/src/settings.ts
+++ b/packages/cluster/src/settings.ts
@@ -13,6 +13,19 @@
 
 /** Largest append when the settings name none, in bytes. */
 const DEFAULT_MAX_APPEND_BYTES = 1_048_576;
+/** Largest record when the settings name none, in bytes. */
+const DEFAULT_MAX_RECORD_BYTES = 262_144;
+
+/** A size in bytes. A template writes nothing for a value that it doesn't have. */
+function withDefaultBytes(defaultBytes: number) {
+  return zod.preprocess(
+    (value) => (value === '' ? undefined : value),
+    zod.coerce
+      .number({ error: 'expected a number of bytes' })
+      .positive('expected a positive number of bytes')
+      .default(defaultBytes),
+  );
+}
 
 const coreCount = zod.coerce
   .number({ error: 'expected a number of cores' })
@@ -33,14 +46,8 @@
   }),
   log_store: zod.object({
     address,
-    max_append_bytes: zod.preprocess(
-      // A template writes nothing for a value that it doesn't have.
-      (value) => (value === '' ? undefined : value),
-      zod.coerce
-        .number({ error: 'expected a number of bytes' })
-        .positive('expected a positive number of bytes')
-        .default(DEFAULT_MAX_APPEND_BYTES),
-    ),
+    max_append_bytes: withDefaultBytes(DEFAULT_MAX_APPEND_BYTES),
+    max_record_bytes: withDefaultBytes(DEFAULT_MAX_RECORD_BYTES),
   }),
   advice: zod.object({ address: zod.union([address, zod.literal('')]) }),
   /** Absent sections and keys default to one whole core of usual speed. */
@@ -71,6 +78,8 @@
   readonly logStoreAddress: string;
   /** Largest total size of the records of one append, in bytes. */
   readonly maxAppendBytes: number;
+  /** Largest size of one record, in bytes. */
+  readonly maxRecordBytes: number;
   /** Empty when there is no advice service. */
   readonly adviceAddress: string;
   /** Processor capacity of this VM, in cores of usual speed. */
@@ -108,6 +117,7 @@
       listen,
       logStoreAddress: log_store.address,
       maxAppendBytes: log_store.max_append_bytes,
+      maxRecordBytes: log_store.max_record_bytes,
       adviceAddress: advice.address,
       cores: machine.core_share * machine.core_speed,
       leaseMs: terms.lease_ms,
--- a/packages/cluster/test/fakes.ts
+++ b/packages/cluster/test/fakes.ts
@@ -175,6 +175,7 @@
       },
       logStoreAddress: '127.0.0.1:5',
       maxAppendBytes: 1_048_576,
+      maxRecordBytes: 262_144,
       adviceAddress: '',
       cores: 1,
       leaseMs: 6_000,
--- a/packages/cluster/test/jobStore.test.ts
+++ b/packages/cluster/test/jobStore.test.ts
@@ -71,6 +71,27 @@
     },
   );
 
+  vitest.it(
+    'whose record the store rejects for good is declined, and the others are accepted (guards against callers that wait behind a record that is never written)',
+    async () => {
+      const context = fakes.createFakeContext();
+      const store = jobStores.createJobStore(context);
+      context.store.intercept = (_, given) =>
+        given.some(({ key }) => key === 'job:c')
+          ? core
+              .waitFor(context.timers, 'test.rejection', 5)
+              .then(() => ({ outcome: 'rejected', why: 'status 413' }))
+          : undefined;
+      const results = ['a', 'b', 'c', 'd'].map((id) =>
+        accept(context, store, id),
+      );
+      await fakes.advance(context.fakeTimers, 300);
+      vitest
+        .expect(results.map(({ outcome }) => outcome))
+        .toEqual(['durable', 'durable', 'declined', 'durable']);
+    },
+  );
+
   vitest.it(
     'that was never sent is refused soon when the store becomes unresponsive (guards against callers that wait until their deadline)',
     async () => {
--- a/packages/cluster/test/recorder.test.ts
+++ b/packages/cluster/test/recorder.test.ts
@@ -36,11 +36,9 @@
       for (let index = 0; index < 30_000; index += 1)
         finals.set(`ended-${index}`, 'completed');
       const result = { isDurable: false };
-      void recorder
-        .write({ number: 1, progress, finals, dropped: ['job-x'] })
-        .then(() => {
-          result.isDurable = true;
-        });
+      void recorder.write({ progress, finals, dropped: ['job-x'] }).then(() => {
+        result.isDurable = true;
+      });
       await fakes.advance(context.fakeTimers, 500);
       vitest.expect(result.isDurable).toBe(true);
       const { streams } = context.store;
@@ -49,3 +47,61 @@
     },
   );
 });
+
+vitest.describe('a record that the store rejects for good', () => {
+  vitest.it(
+    'is told of and keeps no other record waiting (guards against LOST: one job whose record is too large stops the work of all)',
+    async () => {
+      const context = fakes.createFakeContext();
+      context.store.intercept = (_, given) =>
+        given.some(({ value = '' }) => value.length > 1_000)
+          ? Promise.resolve({ outcome: 'rejected', why: 'status 413' })
+          : undefined;
+      const recorder = recorders.createRecorder(context, 7, () => undefined);
+      const progress = new Map<string, string>();
+      for (let index = 0; index < 9; index += 1)
+        progress.set(`job-${index}`, '1'.repeat(index === 4 ? 2_000 : 10));
+      const results: unknown[] = [];
+      for (const dropped of [['job-x'], []])
+        void recorder
+          .write({ progress, finals: new Map(), dropped })
+          .then((rejected) => results.push(rejected));
+      await fakes.advance(context.fakeTimers, 500);
+      vitest.expect(results).toEqual([['job-4'], ['job-4']]);
+      const stored = context.store.streams.progress.records;
+      vitest
+        .expect(new Set(stored.map(({ key }) => key)))
+        .toEqual(
+          new Set(
+            [...progress.keys(), 'job-x'].filter((key) => key !== 'job-4'),
+          ),
+        );
+    },
+  );
+
+  vitest.it(
+    'is tried again if it is a final state, which only a faulty store rejects',
+    async () => {
+      const context = fakes.createFakeContext();
+      let rejections = 0;
+      context.store.intercept = () => {
+        rejections += 1;
+        return rejections > 3
+          ? undefined
+          : Promise.resolve({ outcome: 'rejected', why: 'status 400' });
+      };
+      const recorder = recorders.createRecorder(context, 7, () => undefined);
+      const results: unknown[] = [];
+      void recorder
+        .write({
+          progress: new Map(),
+          finals: new Map([['job', 'completed']]),
+          dropped: [],
+        })
+        .then((rejected) => results.push(rejected));
+      await fakes.advance(context.fakeTimers, 1_000);
+      vitest.expect(results).toEqual([[]]);
+      vitest.expect(context.store.streams.jobs.records).toHaveLength(2);
+    },
+  );
+});
--- a/packages/cluster/test/requestHandler.test.ts
+++ b/packages/cluster/test/requestHandler.test.ts
@@ -23,6 +23,7 @@
   ownerResult: jobStores.WriteResult | undefined,
   admissionRefusal?: string,
   queries: Partial<requestHandlers.JobQueries> = {},
+  payload = '',
 ) {
   const context = fakes.createFakeContext();
   const store = jobStores.createJobStore(context);
@@ -35,7 +36,7 @@
     ...context.ports,
     decodeSubmission: () => ({
       readable: true,
-      value: { payload: '', steps: [], schedule: undefined },
+      value: { payload, steps: [], schedule: undefined },
     }),
   };
   const handleRequest = requestHandlers.createRequestHandler(
@@ -83,6 +84,18 @@
   };
 }
 
+vitest.describe('a job whose record is larger than the store takes', () => {
+  vitest.it(
+    'is refused at once and written nowhere (guards against a record that the store rejects again and again)',
+    async () => {
+      const setup = createSetup(undefined, undefined, {}, '1'.repeat(262_144));
+      const answer = await setup.request('POST', JOB_ID, 20);
+      vitest.expect(answer).toMatchObject({ answer: 'malformed' });
+      vitest.expect(setup.context.store.streams.jobs.records).toEqual([]);
+    },
+  );
+});
+
 vitest.describe('a job that no VM could run', () => {
   const refused = {
     answer: 'refused',
--- a/packages/core/src/workloads/batch.ts
+++ b/packages/core/src/workloads/batch.ts
@@ -6,6 +6,7 @@
  */
 import type * as ids from '../types/ids.js';
 import * as blame from './blame.js';
+import * as ends from './ends.js';
 import * as progress from './progress.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
@@ -17,17 +18,21 @@
   if (state.dirty.size === 0 && state.dropped.length === 0) return undefined;
   const number = state.nextBatch;
   state.nextBatch += 1;
-  const progressTexts = new Map<ids.JobId, string>();
+  const progressTexts = new Map<types.ProgressKey, string>();
   const finals = new Map<ids.JobId, types.FinalState>();
   const finalRows: tables.JobRow[] = [];
   const dropped = state.dropped.splice(0);
   for (const job of state.dirty) {
     if (job.durableFinal !== undefined || job.cancelled) {
-      if (job.activeRuns === 0) dropped.push(dropJob(state, job));
+      if (job.activeRuns === 0) dropped.push(...dropJob(state, job));
     } else if (job.final !== undefined) {
       finals.set(job.job.id, job.final);
       finalRows.push(job);
-    } else progressTexts.set(job.job.id, progress.encodeProgress(job));
+    } else {
+      const change = progress.takeChange(job, state.bounds.maxRecordBytes);
+      for (const [key, text] of change.written) progressTexts.set(key, text);
+      dropped.push(...change.dropped);
+    }
   }
   state.dirty.clear();
   state.batch = {
@@ -42,10 +47,13 @@
   return { number, progress: progressTexts, finals, dropped };
 }
 
-/** Removes an ended job without runs from the tables; its end is already stored. */
-function dropJob(state: states.State, job: tables.JobRow): ids.JobId {
+/** Removes an ended job without runs from the tables and returns the keys of its progress; its end is already stored. */
+function dropJob(
+  state: states.State,
+  job: tables.JobRow,
+): readonly types.ProgressKey[] {
   state.jobs.delete(job.job.id);
-  return job.job.id;
+  return [...new Set([job.job.id, ...job.progressRecords.keys()])];
 }
 
 /** Applies that the open batch is durable, and sends its starts. */
@@ -64,11 +72,32 @@
       vm.durableEnd = Math.max(vm.durableEnd, number);
   for (const job of batch.finals) {
     job.durableFinal = job.final;
-    if (job.activeRuns === 0) state.dropped.push(dropJob(state, job));
+    if (job.activeRuns === 0) state.dropped.push(...dropJob(state, job));
   }
   sendStarts(state, batch.starts);
 }
 
+/** Fails the jobs of records of the open batch that can't be written, and adds their final states to it. */
+export function failUnrecorded(
+  state: states.State,
+  keys: readonly types.ProgressKey[],
+  nowMs: number,
+): ReadonlyMap<ids.JobId, types.FinalState> {
+  const failed = new Map<ids.JobId, types.FinalState>();
+  if (state.batch === undefined) return failed;
+  const rows: tables.JobRow[] = [];
+  for (const key of keys) {
+    const job = state.jobs.get(progress.parseKey(key).job);
+    if (job === undefined || states.isJobOver(job)) continue;
+    ends.finishJob(state, job, 'failed', nowMs);
+    states.countEvent(state, 'job.unrecorded');
+    failed.set(job.job.id, 'failed');
+    rows.push(job);
+  }
+  state.batch = { ...state.batch, finals: [...state.batch.finals, ...rows] };
+  return failed;
+}
+
 /** Sends the starts whose records can't be written because the store is unreachable. */
 export function releaseStarts(state: states.State): void {
   // A successor would count none of the crashes that follow unrecorded starts.
--- a/packages/core/src/workloads/ends.ts
+++ b/packages/core/src/workloads/ends.ts
@@ -95,6 +95,8 @@
 }
 
 function countFailure(task: tables.TaskRow, run: number): void {
+  // Service tasks may fail any number of times, and a list of all of them would outgrow the job's record.
+  if (task.step.spec.lasts) return;
   const failures = task.step.spec.gang
     ? task.step.gangFailures
     : task.failedRuns;
@@ -150,7 +152,8 @@
   );
 }
 
-function finishJob(
+/** Sets the final state of a job and stops its runs. */
+export function finishJob(
   state: states.State,
   job: tables.JobRow,
   final: types.FinalState,
--- a/packages/core/src/workloads/jobs.ts
+++ b/packages/core/src/workloads/jobs.ts
@@ -25,6 +25,7 @@
     occurrencesLeft: job.schedule?.times ?? 0,
     hasBegun: false,
     startDecidedMs: undefined,
+    progressRecords: new Map(),
     unheardVms: new Set(),
     cancelled: false,
     final: undefined,
@@ -70,14 +71,13 @@
     if (job.occurrences.some((occurrence) => occurrence.number === number))
       continue;
     tables.createOccurrence(job, number, dueMs);
-    openTasks += countTasks(job);
+    openTasks += tables.countTasks(job.job);
   }
 }
 
 function countOpenTasks(job: tables.JobRow): number {
-  return job.occurrences.filter(({ done }) => !done).length * countTasks(job);
-}
-
-function countTasks({ job }: tables.JobRow): number {
-  return job.steps.reduce((sum, { count }) => sum + count, 0);
+  return (
+    job.occurrences.filter(({ done }) => !done).length *
+    tables.countTasks(job.job)
+  );
 }
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -46,7 +46,7 @@
   /** Adds a job that a previous owner may have started, with its stored progress. */
   restoreJob(
     job: types.Job,
-    progress: string | undefined,
+    progress: types.ProgressRecords | undefined,
     ageMs: number,
     nowMs: number,
     nowUnixMs: number,
@@ -109,6 +109,14 @@
   tick(nowMs: number, nowUnixMs: number): Decision;
   /** Applies that the last batch is durable; returns the commands that waited for it. */
   confirmBatch(): readonly types.Command[];
+  /**
+   * Fails the jobs whose records in the open batch the store will never take; returns their
+   * final states, which must be durable before the batch is confirmed.
+   */
+  failUnrecorded(
+    keys: readonly types.ProgressKey[],
+    nowMs: number,
+  ): ReadonlyMap<ids.JobId, types.FinalState>;
   /** Returns the waiting start commands without their records, because the store is unreachable. */
   releaseStarts(): readonly types.Command[];
   /** Returns whether starts may have been sent, by this owner or one before it, whose record isn't durable yet. */
@@ -168,16 +176,16 @@
       if (!state.jobs.has(job.id))
         jobs.addJob(state, job, nowMs - ageMs, nowMs, nowUnixMs);
     },
-    restoreJob(job, text, ageMs, nowMs, nowUnixMs) {
+    restoreJob(job, recordsByKey, ageMs, nowMs, nowUnixMs) {
       if (state.jobs.has(job.id)) return;
       // The age depends on the clock of the node that accepted the job.
       const acceptedMs = Math.min(nowMs - ageMs, state.createdMs);
       const row = jobs.addJob(state, job, acceptedMs, nowMs, nowUnixMs);
-      if (text === undefined) return;
+      if (recordsByKey === undefined) return;
       const restored = progress.restoreProgress(
         state,
         row,
-        text,
+        recordsByKey,
         (number) => jobs.computeDueMs(job, number, nowMs, nowUnixMs),
         nowMs,
       );
@@ -266,6 +274,7 @@
       batches.confirmBatch(state);
       return takeCommands();
     },
+    failUnrecorded: (keys, nowMs) => batches.failUnrecorded(state, keys, nowMs),
     releaseStarts() {
       batches.releaseStarts(state);
       return takeCommands();
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -13,6 +13,8 @@
   readonly inheritedRunTimeoutMs: number;
   /** First run number of this owner; each further run gets the next number. */
   readonly firstRun: number;
+  /** Largest key and text of one progress record, in bytes. */
+  readonly maxRecordBytes: number;
 }
 
 /** A batch of records that is being written. */
@@ -94,8 +96,8 @@
   nextRun: number;
   /** Jobs that have changed since their last record. */
   readonly dirty: Set<tables.JobRow>;
-  /** Ended jobs whose progress record can be deleted. */
-  readonly dropped: ids.JobId[];
+  /** Progress records of ended jobs, which can be deleted. */
+  readonly dropped: types.ProgressKey[];
   /** Batch that is being written, if any. */
   batch: OpenBatch | undefined;
   nextBatch: number;
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -162,6 +162,8 @@
   durableFinal: types.FinalState | undefined;
   /** Number of its runs in the tables. */
   activeRuns: number;
+  /** Keys of its progress records that are stored or being written, each with the text if it has several. */
+  progressRecords: ReadonlyMap<types.ProgressKey, string | undefined>;
   /** VMs on which recorded runs of earlier owners were over before the VM had reported whether they began. */
   readonly unheardVms: Set<VmRow>;
 }
@@ -377,6 +379,11 @@
   return occurrence;
 }
 
+/** Counts the tasks of one occurrence of a job. */
+export function countTasks(job: types.Job): number {
+  return job.steps.reduce((sum, { count }) => sum + count, 0);
+}
+
 /** Returns the key of a task. */
 export function getTaskKey(task: TaskRow): types.TaskKey {
   return { ...getStepKey(task.step), index: task.index };
--- a/packages/core/src/workloads/types.ts
+++ b/packages/core/src/workloads/types.ts
@@ -247,12 +247,18 @@
 /** Identifies a step of one occurrence. */
 export type StepKey = Omit<TaskKey, 'index'>;
 
+/** Key of a record of a job's progress. */
+export type ProgressKey = string;
+
+/** Texts of the stored records of one job's progress, in the order of the tasks that they cover. */
+export type ProgressRecords = ReadonlyMap<ProgressKey, string>;
+
 /** Records that must be durable before their starts are sent and their ends are acknowledged. */
 export interface RecordBatch {
   readonly number: number;
-  /** Encoded progress of jobs that haven't ended. */
-  readonly progress: ReadonlyMap<ids.JobId, string>;
+  /** Encoded progress of jobs that haven't ended; to be written in this order, before `dropped`. */
+  readonly progress: ReadonlyMap<ProgressKey, string>;
   readonly finals: ReadonlyMap<ids.JobId, FinalState>;
-  /** Jobs whose progress record can be deleted. */
-  readonly dropped: readonly ids.JobId[];
+  /** Progress records that can be deleted. */
+  readonly dropped: readonly ProgressKey[];
 }
--- a/packages/core/test/workloads/begins.test.ts
+++ b/packages/core/test/workloads/begins.test.ts
@@ -24,7 +24,11 @@
 
   constructor(firstRun = 1, unrecordedStarts = false) {
     this.scheduler = core.workloads.createWorkloadScheduler({
-      bounds: { inheritedRunTimeoutMs: TIMEOUT_MS, firstRun },
+      bounds: {
+        inheritedRunTimeoutMs: TIMEOUT_MS,
+        firstRun,
+        maxRecordBytes: 262_144,
+      },
       unrecordedStarts,
       nowMs: this.nowMs,
     });
@@ -41,7 +45,13 @@
   ): TestOwner {
     const successor = new TestOwner(1_000, unrecordedStarts);
     successor.record = this.record;
-    successor.scheduler.restoreJob(job, this.record, 0, this.nowMs, this.nowMs);
+    successor.scheduler.restoreJob(
+      job,
+      harnesses.createProgress(this.record),
+      0,
+      this.nowMs,
+      this.nowMs,
+    );
     return successor;
   }
 
--- a/packages/core/test/workloads/crashes.test.ts
+++ b/packages/core/test/workloads/crashes.test.ts
@@ -172,7 +172,13 @@
         const harness = harnesses.createHarness({ firstRun: owner * 1_000 });
         const job = harnesses.createJob({ id: 'guilty' });
         const nowMs = harness.getNow();
-        harness.scheduler.restoreJob(job, stored, 0, nowMs, nowMs);
+        harness.scheduler.restoreJob(
+          job,
+          harnesses.createProgress(stored, 'guilty'),
+          0,
+          nowMs,
+          nowMs,
+        );
         // All VMs have restarted since the last owner, which learned nothing of it.
         for (const id of ['a', 'b', 'c'])
           harness.addVm(id, { incarnation: owner });
@@ -228,7 +234,13 @@
       for (let owner = 1; owner <= 8; owner += 1) {
         const harness = harnesses.createHarness({ firstRun: owner * 1_000 });
         const nowMs = harness.getNow();
-        harness.scheduler.restoreJob(job, stored, 0, nowMs, nowMs);
+        harness.scheduler.restoreJob(
+          job,
+          harnesses.createProgress(stored),
+          0,
+          nowMs,
+          nowMs,
+        );
         // All VMs have restarted since the last owner, which stopped before it sent the start.
         for (const id of ['a', 'b', 'c'])
           harness.addVm(id, { incarnation: owner });
--- a/packages/core/test/workloads/disturbedCluster.ts
+++ b/packages/core/test/workloads/disturbedCluster.ts
@@ -297,6 +297,7 @@
       bounds: {
         inheritedRunTimeoutMs: INHERITED_RUN_TIMEOUT_MS,
         firstRun: this.fences * RUNS_PER_FENCE + 1,
+        maxRecordBytes: 262_144,
       },
       unrecordedStarts,
       nowMs: this.nowMs,
@@ -318,7 +319,7 @@
       if (this.finals.has(id)) continue;
       scheduler.restoreJob(
         job,
-        this.progress.get(id),
+        core.workloads.splitProgress(this.progress).get(id),
         this.nowMs - acceptedMs,
         this.nowMs,
         this.nowMs + this.unixOffsetMs,
--- a/packages/core/test/workloads/draining.test.ts
+++ b/packages/core/test/workloads/draining.test.ts
@@ -50,11 +50,13 @@
           acceptedAtMs: 0,
           policy,
         },
-        JSON.stringify({
-          occurrences: [
-            { number: 0, steps: [{ done: '0', runs: [[0, 7, 'a', 1]] }] },
-          ],
-        }),
+        harnesses.createProgress(
+          JSON.stringify({
+            occurrences: [
+              { number: 0, steps: [{ done: '0', runs: [[0, 7, 'a', 1]] }] },
+            ],
+          }),
+        ),
         0,
         harness.getNow(),
         0,
--- a/packages/core/test/workloads/harness.ts
+++ b/packages/core/test/workloads/harness.ts
@@ -67,10 +67,22 @@
   };
 }
 
+/** Creates the stored progress of a job with a single record; none when it has no record. */
+export function createProgress(
+  text: string | undefined,
+  job = 'job',
+): core.workloads.ProgressRecords | undefined {
+  return text === undefined ? undefined : new Map([[job, text]]);
+}
+
 /** Creates a scheduler whose tables the test can examine. */
 export function createOpenScheduler(nowMs: number) {
   const options = {
-    bounds: { inheritedRunTimeoutMs: 16_000, firstRun: 1 },
+    bounds: {
+      inheritedRunTimeoutMs: 16_000,
+      firstRun: 1,
+      maxRecordBytes: 262_144,
+    },
     unrecordedStarts: false,
     nowMs,
   };
@@ -159,6 +171,7 @@
 /** Options of a harness. */
 export interface HarnessOptions {
   readonly firstRun?: number;
+  readonly maxRecordBytes?: number;
   readonly unrecordedStarts?: boolean;
   /** Returns whether advice approves a VM for a step; all VMs are approved when absent. */
   readonly isApproved?: (step: Step, vm: string) => boolean;
@@ -183,6 +196,7 @@
     bounds: {
       inheritedRunTimeoutMs: 16_000,
       firstRun: options.firstRun ?? 1,
+      maxRecordBytes: options.maxRecordBytes ?? 262_144,
     },
     unrecordedStarts: options.unrecordedStarts ?? false,
     nowMs,
--- a/packages/core/test/workloads/owed.test.ts
+++ b/packages/core/test/workloads/owed.test.ts
@@ -149,7 +149,13 @@
         { number: 0, steps: [{ done: '0', runs: [[0, 7, 'a', 1]] }] },
       ],
     });
-    harness.scheduler.restoreJob(job, progress, 60_000, nowMs, nowMs);
+    harness.scheduler.restoreJob(
+      job,
+      harnesses.createProgress(progress),
+      60_000,
+      nowMs,
+      nowMs,
+    );
     const [found] = findOwed(harness, nowMs + 3_000);
     vitest.expect(found).toMatchObject({
       sinceMs: nowMs,
@@ -432,7 +438,11 @@
 /** Creates the tables of a service with two tasks, the first of which runs on VM a. */
 function createTables(schedule?: core.workloads.Schedule) {
   const state = states.createState({
-    bounds: { inheritedRunTimeoutMs: 16_000, firstRun: 1 },
+    bounds: {
+      inheritedRunTimeoutMs: 16_000,
+      firstRun: 1,
+      maxRecordBytes: 262_144,
+    },
     unrecordedStarts: false,
     nowMs: 0,
   });
--- a/packages/core/test/workloads/owedWork.test.ts
+++ b/packages/core/test/workloads/owedWork.test.ts
@@ -22,7 +22,13 @@
     const progress = JSON.stringify({
       occurrences: [{ number: 0, steps: [{ done: '00', runs }] }],
     });
-    harness.scheduler.restoreJob(job, progress, 0, harness.getNow(), 0);
+    harness.scheduler.restoreJob(
+      job,
+      harnesses.createProgress(progress),
+      0,
+      harness.getNow(),
+      0,
+    );
   }
 
   vitest.it(
--- a/packages/core/test/workloads/poolSimulation.ts
+++ b/packages/core/test/workloads/poolSimulation.ts
@@ -218,7 +218,11 @@
       service: { ...KINDS.service, ...scenario.service },
     };
     this.scheduler = core.workloads.createWorkloadScheduler({
-      bounds: { inheritedRunTimeoutMs: 16_000, firstRun: 1 },
+      bounds: {
+        inheritedRunTimeoutMs: 16_000,
+        firstRun: 1,
+        maxRecordBytes: 262_144,
+      },
       unrecordedStarts: false,
       nowMs: this.nowMs,
     });
--- a/packages/core/test/workloads/simulation.ts
+++ b/packages/core/test/workloads/simulation.ts
@@ -235,6 +235,7 @@
       bounds: {
         inheritedRunTimeoutMs: INHERITED_RUN_TIMEOUT_MS,
         firstRun: fence * RUNS_PER_FENCE + 1,
+        maxRecordBytes: 262_144,
       },
       unrecordedStarts: false,
       nowMs: this.nowMs,
@@ -243,7 +244,7 @@
       if (this.finals.has(id)) continue;
       scheduler.restoreJob(
         job,
-        this.progress.get(id),
+        core.workloads.splitProgress(this.progress).get(id),
         this.nowMs - job.acceptedAtMs,
         this.nowMs,
         this.nowMs,
--- a/packages/core/test/workloads/takeover.test.ts
+++ b/packages/core/test/workloads/takeover.test.ts
@@ -23,7 +23,13 @@
       { number: 0, steps: [{ done: '0', runs: [[0, 7, 'a', 1]] }] },
     ],
   });
-  harness.scheduler.restoreJob(job, progress, 0, harness.getNow(), 0);
+  harness.scheduler.restoreJob(
+    job,
+    harnesses.createProgress(progress),
+    0,
+    harness.getNow(),
+    0,
+  );
   return harness;
 }
 
