--- a/packages/core/src/workloads/begins.ts
+++ b/packages/core/src/workloads/begins.ts
@@ -89,7 +89,7 @@
 }
 
 function hasReported(vm: tables.VmRow): boolean {
-  return vm.reportedMs !== undefined;
+  return vm.hasListedAll;
 }
 
 /**
--- a/packages/core/src/workloads/openVms.ts
+++ b/packages/core/src/workloads/openVms.ts
@@ -45,6 +45,7 @@
     entry !== undefined &&
     !entry.draining &&
     vm.usable &&
+    vm.hasListedAll &&
     vm.strayRunCount === 0 &&
     vm.avoidUntilMs <= nowMs
   );
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -1,7 +1,8 @@
 /**
  * Updates the tables from the reports of VMs and their answers to commands. A report
- * lists all runs of its VM at the time it was made. A run that it doesn't list is over
- * only if the report was requested after the VM had confirmed the run.
+ * lists all runs of its VM at the time it was made, unless the VM has more ends than it
+ * lists at a time. A run that a whole report doesn't list is over only if the report was
+ * requested after the VM had confirmed the run.
  */
 import type * as ids from '../types/ids.js';
 import * as advice from './advice.js';
@@ -31,6 +32,7 @@
     appliedEnd: vm.appliedEnd,
     strayRunCount: vm.strayRunCount,
     runs: vm.runs.size,
+    hasListedAll: vm.hasListedAll,
   };
   if (report.incarnation !== undefined) {
     // Ignore a delayed report of an earlier incarnation.
@@ -47,9 +49,12 @@
   clearStrayRuns(vm);
   for (const entry of report.running)
     applyRunning(state, vm, entry, listed, nowMs);
-  const over = [...vm.runs].filter(
-    (run) => !listed.has(run) && isRunOver(run, report),
-  );
+  const unlisted = [...vm.runs].filter((run) => !listed.has(run));
+  const isWhole = report.mayHaveMoreEnds !== true;
+  if (isWhole) vm.hasListedAll = true;
+  // A run whose end isn't listed yet shows no progress, but doesn't stand still.
+  else for (const run of unlisted) run.progressChangedMs = nowMs;
+  const over = unlisted.filter((run) => isWhole && isRunOver(run, report));
   for (const run of over) loseRun(state, run, 'not-reported', nowMs);
   crashes.recordCrash(
     state,
@@ -65,7 +70,8 @@
     vm.incarnation !== before.incarnation ||
     vm.appliedEnd !== before.appliedEnd ||
     vm.strayRunCount !== before.strayRunCount ||
-    vm.runs.size !== before.runs
+    vm.runs.size !== before.runs ||
+    vm.hasListedAll !== before.hasListedAll
   );
 }
 
@@ -359,7 +365,9 @@
   const isTimeoutOver = nowMs > state.inheritedUntilMs;
   for (const vm of state.vms.values())
     for (const run of vm.runs) {
-      if (isTimeoutOver && tables.isInherited(run)) {
+      // A VM that answers has had its lease renewed, so the ends that it hasn't listed still count.
+      const isUnheard = tables.isInherited(run) && vm.reportedMs === undefined;
+      if (isTimeoutOver && isUnheard) {
         crashes.addSilentRuns(vm, [run]);
         begins.recordUnheard(run);
         loseRun(state, run, 'inherited-timeout', nowMs);
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -387,10 +387,14 @@
 ): UnrecordedStarts {
   return {
     acceptedUntilMs: state.createdMs,
-    vms:
-      state.inheritedUnrecordedStarts && nowMs <= state.inheritedUntilMs
-        ? [...state.vms.values()].filter(tables.canHaveUnknownRuns)
-        : [],
+    vms: state.inheritedUnrecordedStarts
+      ? [...state.vms.values()].filter(
+          (vm) =>
+            tables.canHaveUnknownRuns(vm) &&
+            // A VM that answers has had its lease renewed, and may have ends that it hasn't listed.
+            (nowMs <= state.inheritedUntilMs || vm.reportedMs !== undefined),
+        )
+      : [],
   };
 }
 
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -185,6 +185,8 @@
   usable: boolean;
   /** Time of its last report to this owner. */
   reportedMs: number | undefined;
+  /** Whether a report to this owner has listed all its runs and ends; it gets no new runs before. */
+  hasListedAll: boolean;
   /** Time of its last report or confirmed start. */
   answeredMs: number;
   /** Whether its process has terminated or it was lost, so that nothing runs there until it reports again. */
@@ -234,9 +236,9 @@
   return spec.fills ? { ...spec.size, cores: 0 } : spec.size;
 }
 
-/** Returns whether a VM may have runs that this owner doesn't know: it hasn't reported to this owner yet. */
+/** Returns whether a VM may have runs or ends that this owner doesn't know: it hasn't listed all to this owner yet. */
 export function canHaveUnknownRuns(vm: VmRow): boolean {
-  return vm.reportedMs === undefined && !vm.knownEmpty;
+  return !vm.hasListedAll && !vm.knownEmpty;
 }
 
 /** Returns whether a VM may have runs that this owner doesn't know of jobs that use a pool. */
@@ -246,8 +248,8 @@
 
 /** Returns whether a previous owner started a run of which its VM hasn't reported anything yet. */
 export function isInherited(run: RunRow): boolean {
-  // Only VMs that have reported get new runs.
-  return run.phase === 'inherited' || run.vm.reportedMs === undefined;
+  // Only VMs that have listed all their runs get new ones.
+  return run.phase === 'inherited' || !run.vm.hasListedAll;
 }
 
 /** Returns the free resources of a VM. */
@@ -296,6 +298,7 @@
     incarnationKey: formatIncarnationKey(id, undefined),
     usable: false,
     reportedMs: undefined,
+    hasListedAll: false,
     answeredMs: nowMs,
     knownEmpty: false,
     runs: new Set(),
--- a/packages/core/src/workloads/types.ts
+++ b/packages/core/src/workloads/types.ts
@@ -164,6 +164,8 @@
   readonly incarnation: VmIncarnation | undefined;
   readonly running: readonly ReportedRun[];
   readonly ended: readonly ReportedEnd[];
+  /** Whether the VM may have ends after the listed ones, so that a run in neither list may have ended in any way. */
+  readonly mayHaveMoreEnds?: boolean;
   /** Monotonic time at which the request for the report was sent. */
   readonly requestSentMs: number;
   /** Time on the VM's clock at which the report was made; absent if unknown. */
--- a/packages/core/test/workloads/harness.ts
+++ b/packages/core/test/workloads/harness.ts
@@ -76,14 +76,14 @@
 }
 
 /** Creates a scheduler whose tables the test can examine. */
-export function createOpenScheduler(nowMs: number) {
+export function createOpenScheduler(nowMs: number, unrecordedStarts = false) {
   const options = {
     bounds: {
       inheritedRunTimeoutMs: 16_000,
       firstRun: 1,
       maxRecordBytes: 262_144,
     },
-    unrecordedStarts: false,
+    unrecordedStarts,
     nowMs,
   };
   const state = states.createState(options);
