--- a/packages/cluster/src/jobStore.ts
+++ b/packages/cluster/src/jobStore.ts
@@ -4,6 +4,9 @@
  * and only if they have been an owner, because first reads by every node would saturate the
  * links between regions. An append without an answer is retried, which is idempotent because the
  * record has the same key and value.
+ *
+ * Such an append may also be carried out seconds later. A cancellation is therefore stored
+ * even if there is no such job: it holds for a job whose acceptance is stored after it.
  */
 import type * as core from '@flamingoward/core';
 import type * as contexts from './context.js';
@@ -18,6 +21,10 @@
 const ENDED_RETENTION_MS = 600_000;
 /** Most records in one append; the others go into the next one. */
 const MAX_GROUP_RECORDS = 200;
+/** Most jobs whose records are dropped in one append. */
+const MAX_DROPPED_JOBS = 2_000;
+/** Most stored cancellations of jobs that aren't known, of some 200 bytes each in memory; further ones are refused. */
+const MAX_EARLY_CANCELLATIONS = 20_000;
 
 /** Consecutive appends without an answer after which the store counts as unavailable. */
 const UNANSWERED_APPENDS_LIMIT = 2;
@@ -52,7 +59,9 @@
 /** The jobs of the cluster. */
 export interface JobStore {
   accept(job: core.workloads.Job, deadlineMs: number): Promise<WriteResult>;
+  /** Stores a cancellation, which holds for a job that is accepted later as well. */
   cancel(id: core.ids.JobId, deadlineMs: number): Promise<WriteResult>;
+  /** Returns a job that has been accepted; undefined if only a cancellation is known. */
   find(id: core.ids.JobId): StoredJob | undefined;
   /** Reads to the end of the stream; resolves with false when the store doesn't answer. */
   refresh(): Promise<boolean>;
@@ -90,6 +99,8 @@
 export function createJobStore(context: contexts.NodeContext): JobStore {
   const { timers, metrics } = context;
   const jobs = new Map<core.ids.JobId, StoredJob>();
+  /** Cancellations of jobs that aren't known, each with the time at which this node learned of it. */
+  const earlyCancellations = new Map<core.ids.JobId, number>();
   const queue: PendingWrite[] = [];
   const accepting = new Map<core.ids.JobId, Promise<WriteResult>>();
   let observer: ((change: records.JobChange) => void) | undefined;
@@ -163,12 +174,14 @@
   function ensureJob(id: core.ids.JobId): StoredJob {
     const known = jobs.get(id);
     if (known !== undefined) return known;
+    const cancelledMs = earlyCancellations.get(id);
+    earlyCancellations.delete(id);
     const entry: StoredJob = {
       id,
       job: undefined,
-      cancelled: false,
+      cancelled: cancelledMs !== undefined,
       final: undefined,
-      endedMs: undefined,
+      endedMs: cancelledMs,
     };
     jobs.set(id, entry);
     return entry;
@@ -183,10 +196,16 @@
   /** Drops the records of jobs whose retention period is over. */
   async function dropExpired(): Promise<void> {
     const endedBeforeMs = timers.getNow() - ENDED_RETENTION_MS;
-    const expiredIds = [...jobs.values()]
-      .filter(({ endedMs }) => endedMs !== undefined && endedMs < endedBeforeMs)
-      .slice(0, MAX_GROUP_RECORDS)
-      .map(({ id }) => id);
+    const expired = [...jobs.values()].filter(
+      ({ endedMs }) => endedMs !== undefined && endedMs < endedBeforeMs,
+    );
+    const expiredEarly = [...earlyCancellations].filter(
+      ([, cancelledMs]) => cancelledMs < endedBeforeMs,
+    );
+    const expiredIds = [
+      ...expired.map(({ id }) => id),
+      ...expiredEarly.map(([id]) => id),
+    ].slice(0, MAX_DROPPED_JOBS);
     if (expiredIds.length === 0) return;
     const result = await context.ports.store.append(
       'jobs',
@@ -195,19 +214,33 @@
     );
     // After any other outcome the next round drops them.
     if (result.outcome !== 'appended') return;
-    for (const id of expiredIds) jobs.delete(id);
+    expiredIds.forEach(dropJob);
     context.log.write('info', 'jobs.forgotten', { count: expiredIds.length });
   }
 
+  function dropJob(id: core.ids.JobId): void {
+    jobs.delete(id);
+    earlyCancellations.delete(id);
+  }
+
+  function cancelJob(id: core.ids.JobId): void {
+    if (jobs.has(id)) endJob(id).cancelled = true;
+    else if (!earlyCancellations.has(id))
+      earlyCancellations.set(id, timers.getNow());
+  }
+
   function applyChange(change: records.JobChange): void {
     switch (change.change) {
       case 'accepted': {
-        const entry = ensureJob(change.job.id);
+        const { id } = change.job;
+        if (earlyCancellations.has(id))
+          context.log.write('info', 'job.cancelled-early', { job: id });
+        const entry = ensureJob(id);
         if (entry.final === undefined) entry.job ??= change.job;
         return;
       }
       case 'cancelled':
-        endJob(change.id).cancelled = true;
+        cancelJob(change.id);
         return;
       case 'final':
         endJob(change.id).final = change.state;
@@ -218,7 +251,7 @@
         return;
       }
       case 'forgotten':
-        jobs.delete(change.id);
+        dropJob(change.id);
     }
   }
 
@@ -353,10 +386,17 @@
     id: core.ids.JobId,
     deadlineMs: number,
   ): Promise<WriteResult> {
+    if (!jobs.has(id) && earlyCancellations.size >= MAX_EARLY_CANCELLATIONS)
+      return {
+        outcome: 'refused',
+        why: 'too many cancellations of unknown jobs',
+      };
     const result = await write(records.buildCancelled(id), deadlineMs);
     if (result.outcome === 'durable') {
+      // The acceptance may be stored before the next read.
+      if (!jobs.has(id)) cancelJob(id);
       observer?.({ change: 'cancelled', id });
-      // The view is changed by a read, since an end may have been stored before the cancellation.
+      // The view of a known job is changed by a read, since an end may have been stored before the cancellation.
       void refreshIfRead();
     }
     return result;
--- a/packages/cluster/src/requestHandler.ts
+++ b/packages/cluster/src/requestHandler.ts
@@ -1,7 +1,8 @@
 /**
  * Handles requests of callers. A job is accepted only once its record is durable. A
  * request is refused only when nothing was written, and a job is reported as unknown
- * only after the stream was read to its end.
+ * only after the stream was read to its end. A cancellation is answered only once it is
+ * durable, whether the job is known or not.
  */
 import * as core from '@flamingoward/core';
 import * as answerAge from './answerAge.js';
@@ -253,16 +254,19 @@
     id: core.ids.JobId,
     untilMs: number,
   ): Promise<ports.CallerAnswer> {
-    if (jobs.find(id) === undefined) {
+    let isKnown = jobs.find(id) !== undefined;
+    if (!isKnown) {
       const told = await fetchAnswer(id, untilMs);
-      if (told === 'unknown') return { answer: 'unknown-job' };
-      if (told === undefined) {
-        if (!(await jobs.refreshIfRead())) return refuseUnknownState();
-        if (jobs.find(id) === undefined) return { answer: 'unknown-job' };
-      }
+      if (told === undefined && !(await jobs.refreshIfRead()))
+        return refuseUnknownState();
+      isKnown =
+        told === undefined ? jobs.find(id) !== undefined : told !== 'unknown';
     }
+    // Also for an unknown job: an append of its acceptance may still be carried out.
     const written = await write({ cancel: id }, untilMs);
-    return buildWriteAnswer(written, { answer: 'cancelled' });
+    return buildWriteAnswer(written, {
+      answer: isKnown ? 'cancelled' : 'unknown-job',
+    });
   }
 
   return async (request) => {
--- a/packages/cluster/test/clusterSimulation.ts
+++ b/packages/cluster/test/clusterSimulation.ts
@@ -167,6 +167,8 @@
   readonly nodes: SimNode[] = [];
   /** What happened to each job according to the store and the VMs. */
   readonly histories = new Map<core.ids.JobId, JobHistory>();
+  /** Jobs whose cancellation was stored before their acceptance. */
+  private readonly cancelledEarly = new Set<core.ids.JobId>();
   private readonly world = core.createVirtualTimers(START_MS);
   private readonly store = fakes.createFakeStore(this.world);
   private readonly vmStream = fakes.createFakeStream(this.world);
@@ -560,7 +562,10 @@
             acceptedMs: nowMs,
             begunMs: Infinity,
             doneMs: Infinity,
-            cancelledMs: Infinity,
+            // A cancellation that was stored before holds from the acceptance on.
+            cancelledMs: this.cancelledEarly.has(change.job.id)
+              ? nowMs
+              : Infinity,
             finalMs: Infinity,
             final: undefined,
           });
@@ -571,8 +576,8 @@
         history.final = change.state;
       } else if (change.change === 'cancelled') {
         const history = this.histories.get(change.id);
-        if (history !== undefined)
-          history.cancelledMs = Math.min(history.cancelledMs, nowMs);
+        if (history === undefined) this.cancelledEarly.add(change.id);
+        else history.cancelledMs = Math.min(history.cancelledMs, nowMs);
       }
     }
     this.jobRecordsRead = stored.length;
--- a/packages/cluster/test/jobStore.test.ts
+++ b/packages/cluster/test/jobStore.test.ts
@@ -2,6 +2,7 @@
 import * as core from '@flamingoward/core';
 import * as vitest from 'vitest';
 import * as jobStores from '../src/jobStore.js';
+import * as records from '../src/records.js';
 import * as fakes from './fakes.js';
 
 function createJob(id: string): core.workloads.Job {
@@ -144,6 +145,8 @@
       const { jobs } = context.store.streams;
       jobs.add('final:a', 'completed');
       jobs.add('job:a', undefined);
+      const accepted = records.buildAccepted(createJob('b'));
+      jobs.add(accepted.key, accepted.value);
       jobs.add('cancel:b', '1');
       const read = store.refresh();
       await fakes.advance(context.fakeTimers, 10);
@@ -154,6 +157,81 @@
     },
   );
 
+  vitest.it.each(['in the order of the stream', 'by its newest records'])(
+    'that was cancelled before its acceptance was stored is cancelled, read %s (guards against UNASKED: a job that runs after its DELETE was answered)',
+    async (how) => {
+      const context = fakes.createFakeContext();
+      const { jobs } = context.store.streams;
+      const store = jobStores.createJobStore(context);
+      if (how === 'in the order of the stream') {
+        void store.refresh();
+        await fakes.advance(context.fakeTimers, 10);
+      }
+      jobs.add('cancel:a', '1');
+      const { key, value } = records.buildAccepted(createJob('a'));
+      if (how === 'in the order of the stream') {
+        void store.refresh();
+        await fakes.advance(context.fakeTimers, 10);
+        // Nobody has submitted it as far as is known.
+        vitest.expect(store.find('a')).toBeUndefined();
+      }
+      jobs.add(key, value);
+      void store.refresh();
+      await fakes.advance(context.fakeTimers, 10);
+      vitest.expect(store.find('a')).toMatchObject({ cancelled: true });
+    },
+  );
+
+  vitest.it(
+    'whose acceptance is written after its cancellation is cancelled before the next read (guards against UNASKED: a task that starts in between)',
+    async () => {
+      const context = fakes.createFakeContext();
+      const store = jobStores.createJobStore(context);
+      void store.cancel('a', context.timers.getNow() + 2_700);
+      await fakes.advance(context.fakeTimers, 20);
+      const changes: unknown[] = [];
+      store.setObserver((change) =>
+        changes.push([change.change, store.find('a')?.cancelled]),
+      );
+      context.store.streams.jobs.failure = 'no reads';
+      context.store.intercept = () =>
+        Promise.resolve({ outcome: 'appended', offset: 1, end: 2 });
+      accept(context, store, 'a');
+      await fakes.advance(context.fakeTimers, 20);
+      vitest.expect(changes).toEqual([['accepted', true]]);
+    },
+  );
+
+  vitest.it(
+    'that was never accepted leaves no record of its cancellation after the retention period, and only so many are kept (guards against a store that fills up)',
+    async () => {
+      const context = fakes.createFakeContext();
+      const store = jobStores.createJobStore(context);
+      const { jobs } = context.store.streams;
+      for (let index = 0; index < 20_000; index += 1)
+        jobs.add(`cancel:early-${index}`, '1');
+      void store.refresh();
+      await fakes.advance(context.fakeTimers, 10);
+      const results: unknown[] = [];
+      const cancel = async (id: string): Promise<void> => {
+        const deadlineMs = context.timers.getNow() + 2_700;
+        results.push((await store.cancel(id, deadlineMs)).outcome);
+      };
+      void cancel('one-more');
+      await fakes.advance(context.fakeTimers, 20);
+      vitest.expect(results).toEqual(['refused']);
+      context.fakeTimers.advance(700_000);
+      void store.dropExpired();
+      await fakes.advance(context.fakeTimers, 20);
+      vitest
+        .expect(jobs.records.filter(({ value }) => value === undefined))
+        .toHaveLength(3 * 2_000);
+      void cancel('one-more');
+      await fakes.advance(context.fakeTimers, 20);
+      vitest.expect(results).toEqual(['refused', 'durable']);
+    },
+  );
+
   vitest.it(
     'finds the store available again within 600 ms after it recovers (guards against refusals after an outage)',
     async () => {
--- a/packages/cluster/test/owner.test.ts
+++ b/packages/cluster/test/owner.test.ts
@@ -233,6 +233,26 @@
     },
   );
 
+  vitest.it(
+    'is cancelled, and no task of it starts, if its cancellation was stored before its acceptance (guards against UNASKED: a job that runs after its DELETE was answered)',
+    async () => {
+      const { owner, job, running, jobs, timers } = createSetup();
+      await fakes.advance(timers, 1_000);
+      const runs = running.size;
+      const late = 'ca40000000000001';
+      const cancelled = records.buildCancelled(late);
+      jobs.add(cancelled.key, cancelled.value);
+      await fakes.advance(timers, 500);
+      vitest.expect(await owner.getJobState(late)).toBe('unknown');
+      const accepted = records.buildAccepted({ ...job, id: late });
+      jobs.add(accepted.key, accepted.value);
+      await fakes.advance(timers, 1_000);
+      vitest.expect(await owner.getJobState(late)).toBe('cancelled');
+      vitest.expect(running.size).toBe(runs);
+      owner.close();
+    },
+  );
+
   vitest.it('does not depend on a VM that never reports', async () => {
     const { owner, vm, timers } = createSetup();
     vm.silent = true;
--- a/packages/cluster/test/requestHandler.test.ts
+++ b/packages/cluster/test/requestHandler.test.ts
@@ -1,6 +1,6 @@
 /** Answers to callers about jobs that no VM can run, and about what no owner knows. */
 import * as vitest from 'vitest';
-import type * as core from '@flamingoward/core';
+import * as core from '@flamingoward/core';
 import * as records from '../src/records.js';
 import * as requestHandlers from '../src/requestHandler.js';
 import * as jobStores from '../src/jobStore.js';
@@ -245,7 +245,34 @@
       vitest
         .expect(await request('DELETE', JOB_ID, 3_000))
         .toEqual({ answer: 'cancelled' });
-      vitest.expect(jobs.records).toHaveLength(2);
+      vitest
+        .expect(jobs.records.map(({ key }) => key))
+        .toEqual([`job:${JOB_ID}`, `cancel:${unknown}`, `cancel:${JOB_ID}`]);
+    },
+  );
+
+  vitest.it(
+    'is not told to be unknown to its cancellation before that is stored (guards against UNASKED: an acceptance on its way is stored later and the job runs)',
+    async () => {
+      const { request, jobs, context } = createWithoutOwner();
+      context.store.intercept = () =>
+        core
+          .waitFor(context.timers, 'test.no-answer', 700)
+          .then(() => ({ outcome: 'unknown', why: 'no answer' }));
+      const unknown = 'fedcba9876543210';
+      vitest
+        .expect(await request('DELETE', unknown, 3_000))
+        .toMatchObject({ answer: 'outcome-unknown' });
+      context.store.intercept = undefined;
+      vitest
+        .expect(await request('DELETE', unknown, 3_000))
+        .toEqual({ answer: 'unknown-job' });
+      // The client's POST is carried out after all.
+      const { key, value } = records.buildAccepted({ ...job, id: unknown });
+      jobs.add(key, value);
+      vitest
+        .expect(await request('GET', unknown, 3_000))
+        .toEqual({ answer: 'state', state: 'cancelled' });
     },
   );
 
