--- a/packages/core/src/workloads/openVms.ts
+++ b/packages/core/src/workloads/openVms.ts
@@ -4,7 +4,7 @@
  * of them would cost more processor time than everything else that an owner does.
  */
 import type * as states from './state.js';
-import type * as tables from './tables.js';
+import * as tables from './tables.js';
 import type * as types from './types.js';
 
 /** VMs that may get new runs in a round, in the order of the tables. */
@@ -44,6 +44,7 @@
   return (
     entry !== undefined &&
     !entry.draining &&
+    tables.hasCurrentEntry(vm) &&
     vm.usable &&
     vm.hasListedAll &&
     vm.strayRunCount === 0 &&
--- a/packages/core/src/workloads/placement.ts
+++ b/packages/core/src/workloads/placement.ts
@@ -8,6 +8,7 @@
 import * as speeds from './speed.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
+import type * as types from './types.js';
 import * as waits from './waits.js';
 
 /** Penalties added to a score. Without penalties a VM scores between 0 (full) and 3 (empty). */
@@ -32,12 +33,15 @@
   nowMs: number,
 ): boolean {
   if (!openVms.isOpen(vm, nowMs)) return false;
-  const { entry } = vm;
+  if (!isOfKind(vm.entry, step) || blame.hasTrial(vm)) return false;
+  return tables.hasRoom(vm.entry.capacity, tables.getNeed(step.spec));
+}
+
+/** Returns whether a VM is in the pool of a step and has the label that it needs. */
+export function isOfKind(entry: types.VmEntry, step: tables.StepRow): boolean {
   if (entry.pool !== step.occurrence.job.policy.pool) return false;
-  if (blame.hasTrial(vm)) return false;
   const { label } = step.spec;
-  if (label !== undefined && !entry.labels.includes(label)) return false;
-  return tables.hasRoom(entry.capacity, tables.getNeed(step.spec));
+  return label === undefined || entry.labels.includes(label);
 }
 
 /** Reserves the room of a VM for a step; `readyMs` is the time at which there is expected to be enough of it. */
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -10,6 +10,7 @@
 import * as blame from './blame.js';
 import * as crashes from './crashes.js';
 import * as ends from './ends.js';
+import * as resizing from './resizing.js';
 import * as speeds from './speed.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
@@ -93,6 +94,7 @@
   vm.durableEnd = 0;
   vm.recentFailures = 0;
   vm.avoidUntilMs = 0;
+  resizing.cancelUnfitStarts(state, vm, nowMs);
   for (const run of vm.runs) {
     if (run.phase !== 'stopping') continue;
     run.confirmedMs = undefined;
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -213,7 +213,7 @@
       if (entry.draining)
         vm.drainedIncarnation = entry.incarnation ?? vm.incarnation;
       vm.pool = entry.pool;
-      resizing.cancelExcessStarts(state, vm, nowMs);
+      resizing.cancelUnfitStarts(state, vm, nowMs);
     },
     applyReport: (id, report, nowMs) =>
       reports.applyReport(state, id, report, nowMs),
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -252,6 +252,20 @@
   return run.phase === 'inherited' || !run.vm.hasListedAll;
 }
 
+/**
+ * Returns whether the entry of a VM is about the incarnation that reports. A VM may be
+ * restarted under its id with another kind, rack or capacity, and its report can be known
+ * before its entry, or the other way round.
+ */
+export function hasCurrentEntry(vm: VmRow): boolean {
+  const listed = vm.entry?.incarnation;
+  return (
+    listed === undefined ||
+    vm.incarnation === undefined ||
+    listed === vm.incarnation
+  );
+}
+
 /** Returns the free resources of a VM. */
 export function getFree(vm: VmRow): resources.Resources {
   const capacity = vm.entry?.capacity;
--- a/packages/core/src/workloads/views.ts
+++ b/packages/core/src/workloads/views.ts
@@ -54,6 +54,7 @@
       pool: vm.entry?.pool,
       usable: vm.usable,
       draining: vm.entry?.draining,
+      hasCurrentEntry: tables.hasCurrentEntry(vm),
       used: vm.used,
       capacity: vm.entry?.capacity,
       runs: [...vm.runs].map(
--- a/packages/core/test/workloads/owedWork.test.ts
+++ b/packages/core/test/workloads/owedWork.test.ts
@@ -150,6 +150,7 @@
         const vm = harness.vms.get('a')!;
         vm.entry = { ...vm.entry, incarnation: 2 };
         harness.report('a');
+        harness.scheduler.setVmEntry('a', vm.entry, harness.getNow());
         const [step] = harness.listAdvisedSteps();
         harness.scheduler.applyAdvice(step!, ['a'], [], harness.getNow());
         harness.advance(100);
