--- a/packages/core/src/workloads/ends.ts
+++ b/packages/core/src/workloads/ends.ts
@@ -28,6 +28,9 @@
   states.countEvent(state, `end.${end.how}`);
   const run =
     task.run?.number === end.run && task.run.vm === vm ? task.run : undefined;
+  // An earlier owner started this run without a record: until its end has one, a later owner must hear of it from the VM.
+  if (run === undefined && task.state !== 'done')
+    state.unrecordedStartsBatch = state.nextBatch;
   recordVmOutcome(vm, end.how, run, nowMs);
   if (run !== undefined) states.removeRun(state, run, end.how, nowMs);
   if (end.saved !== '') saveProgress(task, end.saved);
--- a/packages/core/test/workloads/takeover.test.ts
+++ b/packages/core/test/workloads/takeover.test.ts
@@ -204,3 +204,35 @@
     },
   );
 });
+
+vitest.describe(
+  'an owner that learns of the end of a run without a record',
+  () => {
+    vitest.it.each(['done', 'failed'] as const)(
+      'says so to its successor until the end is durable (guards against TWICE and BUDGET: the next owner starts the task before its VM has told of the end, %s)',
+      (how) => {
+        const { scheduler } = harnesses.createOpenScheduler(1_000, true);
+        scheduler.setVmEntry('a', harnesses.createEntry('a'), 1_000);
+        const steps = [harnesses.createStep({ count: 2 })];
+        const policy = harnesses.createPolicy({ attempts: 3 });
+        const job = harnesses.createJob({ steps, policy });
+        scheduler.restoreJob(job, undefined, 0, 1_000, 1_000);
+        scheduler.applyReport(
+          'a',
+          {
+            incarnation: 1,
+            running: [],
+            ended: [{ number: 1, task: key, run: 7, how, saved: '' }],
+            requestSentMs: 1_000,
+          },
+          1_000,
+        );
+        const { batch } = scheduler.tick(1_000, 1_000);
+        vitest.expect(batch).toBeDefined();
+        vitest.expect(scheduler.hasUnrecordedStarts(1_000)).toBe(true);
+        scheduler.confirmBatch();
+        vitest.expect(scheduler.hasUnrecordedStarts(1_000)).toBe(false);
+      },
+    );
+  },
+);
