--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -630,6 +630,7 @@
     scheduler.applyStart(vm, task, run, outcome, timers.getNow(), untilMs);
     if (outcome === 'fenced') options.onFenced();
     if (outcome !== 'started') requestTick();
+    for (const next of scheduler.sendWaitingStarts(vm)) execute(next);
   }
 
   async function sendStart(
--- a/packages/core/src/workloads/batch.ts
+++ b/packages/core/src/workloads/batch.ts
@@ -12,6 +12,12 @@
 import * as tables from './tables.js';
 import type * as types from './types.js';
 
+/**
+ * Most starts on their way to one VM. Hundreds at once would wait for a connection, reach
+ * their time-outs there, and be sent again all together.
+ */
+const MAX_STARTS_IN_FLIGHT = 16;
+
 /** Returns all changes as a new batch; undefined when there are none or a batch is being written. */
 export function takeBatch(state: states.State): types.RecordBatch | undefined {
   if (state.batch !== undefined) return undefined;
@@ -128,13 +134,26 @@
   state: states.State,
   starts: readonly tables.RunRow[],
 ): void {
-  for (const run of starts) {
+  for (const run of starts) run.vm.waitingStarts.push(run);
+  for (const vm of new Set(starts.map((run) => run.vm)))
+    sendWaitingStarts(state, vm);
+}
+
+/** Sends starts that wait for others on their way to the same VM to be answered. */
+export function sendWaitingStarts(state: states.State, vm: tables.VmRow): void {
+  let inFlight = 0;
+  for (const { phase } of vm.runs) if (phase === 'sent') inFlight += 1;
+  while (inFlight < MAX_STARTS_IN_FLIGHT) {
+    const run = vm.waitingStarts.shift();
+    if (run === undefined) return;
     // The run may have been removed meanwhile, or its start already sent by `releaseStarts`.
-    if (run.phase !== 'recording' || !run.vm.runs.has(run)) continue;
+    if (run.phase !== 'recording' || !vm.runs.has(run)) continue;
     run.phase = 'sent';
+    inFlight += 1;
+    states.countEvent(state, 'start.released');
     state.commands.push({
       command: 'start',
-      vm: run.vm.id,
+      vm: vm.id,
       task: tables.getTaskKey(run.task),
       run: run.number,
       payload: run.task.step.occurrence.job.job.payload,
@@ -142,6 +161,4 @@
       ticket: run.ticket,
     });
   }
-  if (starts.length > 0)
-    states.countEvent(state, 'start.released', starts.length);
 }
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -117,6 +117,8 @@
     keys: readonly types.ProgressKey[],
     nowMs: number,
   ): ReadonlyMap<ids.JobId, types.FinalState>;
+  /** Returns the start commands that waited for others on their way to a VM, as far as they needn't wait any more. */
+  sendWaitingStarts(vm: ids.VmId): readonly types.Command[];
   /** Returns the waiting start commands without their records, because the store is unreachable. */
   releaseStarts(): readonly types.Command[];
   /** Returns whether starts may have been sent, by this owner or one before it, whose record isn't durable yet. */
@@ -275,6 +277,11 @@
       return takeCommands();
     },
     failUnrecorded: (keys, nowMs) => batches.failUnrecorded(state, keys, nowMs),
+    sendWaitingStarts(id) {
+      const vm = state.vms.get(id);
+      if (vm !== undefined) batches.sendWaitingStarts(state, vm);
+      return takeCommands();
+    },
     releaseStarts() {
       batches.releaseStarts(state);
       return takeCommands();
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -192,6 +192,8 @@
   /** Whether its process has terminated or it was lost, so that nothing runs there until it reports again. */
   knownEmpty: boolean;
   readonly runs: Set<RunRow>;
+  /** Starts that may be sent once fewer are on their way to it, in the order in which they were decided. */
+  waitingStarts: RunRow[];
   used: { cores: number; memoryMb: number; gpus: number };
   /** Runs that ended with its lease while it was silent, until it reports again or is known to have crashed. */
   silentRuns: RunRow[];
@@ -316,6 +318,7 @@
     answeredMs: nowMs,
     knownEmpty: false,
     runs: new Set(),
+    waitingStarts: [],
     silentRuns: [],
     blamedIncarnation: undefined,
     trial: undefined,
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -3,6 +3,7 @@
  * VMs and paces filler tasks, then ranks the waiting steps and starts their tasks as far as room and advice allow.
  */
 import * as advice from './advice.js';
+import * as batches from './batch.js';
 import * as blame from './blame.js';
 import * as crashes from './crashes.js';
 import * as draining from './draining.js';
@@ -52,6 +53,8 @@
   }
   const order = ranking.rankOverdue(ranked).sort(ranking.compareRanked);
   startSteps(state, order, nowMs);
+  for (const vm of state.vms.values())
+    if (vm.waitingStarts.length > 0) batches.sendWaitingStarts(state, vm);
 }
 
 function collectSteps(
--- a/packages/core/test/workloads/harness.ts
+++ b/packages/core/test/workloads/harness.ts
@@ -227,6 +227,8 @@
           'started',
           nowMs,
         );
+        for (const next of scheduler.sendWaitingStarts(command.vm))
+          execute(next);
         return;
       }
       case 'stop': {
