--- a/packages/cluster/src/owedReporter.ts
+++ b/packages/cluster/src/owedReporter.ts
@@ -1,8 +1,9 @@
 /**
  * Reports the work that an owner owes: tasks that should run and don't, with what each
- * waits for and since when, accepted jobs that the scheduler doesn't know, and ended runs
- * of service tasks. It only logs and counts. The lines of a round are bounded, because in
- * an overload thousands of tasks are past their objective.
+ * waits for and since when, accepted jobs that the scheduler doesn't know, ended runs of
+ * service tasks, runs that count as over without a report of their end, and ends of runs
+ * whose task has run again. It only logs and counts. The lines of a round are bounded,
+ * because in an overload thousands of tasks are past their objective.
  */
 import * as core from '@flamingoward/core';
 import type * as observability from '@flamingoward/observability';
@@ -15,6 +16,8 @@
 const REPEAT_AFTER_MS = 5_000;
 /** Maximum number of tasks, and of jobs, that one round logs. */
 const MAX_LINES_PER_ROUND = 10;
+/** Maximum number of late ends that are logged from one round to the next. */
+const MAX_LATE_ENDS_PER_ROUND = 50;
 /** Maximum number of VMs, runs or steps that one line names. */
 const MAX_NAMES_PER_LINE = 5;
 /** Gauge of the longest time for which a service task is owed. */
@@ -34,6 +37,7 @@
   /** Begins the rounds; called once the owner has restored all jobs. */
   start(): void;
   logEnds(ended: readonly core.workloads.EndedRun[]): void;
+  logLateEnds(ends: readonly core.workloads.LateEnd[]): void;
   close(): void;
 }
 
@@ -53,11 +57,13 @@
   let loggedTasks: ReadonlyMap<string, LoggedLine> = new Map();
   let loggedJobs: ReadonlyMap<string, LoggedLine> = new Map();
   let summaryAtMs = -Infinity;
+  let lateEndLines = 0;
   const reasons = new Set<string>();
   let roundTimer: core.TimerSubscription | undefined;
 
   function runRound(): void {
     const startedMs = timers.getNow();
+    lateEndLines = 0;
     reportTasks(sources.findOwed(), startedMs);
     reportMissingJobs(startedMs);
     metrics.record('owed_round', {}, timers.getNow() - startedMs);
@@ -153,14 +159,42 @@
       );
     },
     logEnds(ended) {
-      for (const { task, run, vm, how } of ended)
-        log.write('info', 'task.ended', {
+      for (const { task, run, vm, how, lasts, removal } of ended) {
+        const fields = {
           task: core.workloads.formatTask(task),
           run,
           vm,
           fence,
           how,
+        };
+        if (lasts) log.write('info', 'task.ended', fields);
+        if (removal !== undefined && !isRefusedStart(removal))
+          log.write('info', 'run.removed', {
+            ...fields,
+            ...describeRemoval(removal),
+          });
+      }
+    },
+    logLateEnds(ends) {
+      for (const end of ends) {
+        if (lateEndLines === MAX_LATE_ENDS_PER_ROUND) return;
+        lateEndLines += 1;
+        log.write('warn', 'run.ended-elsewhere', {
+          task: core.workloads.formatTask(end.task),
+          run: end.run,
+          vm: end.vm,
+          fence,
+          how: end.how,
+          removed: end.removal?.how,
+          evidence: end.removal?.evidence,
+          removedAgeMs: formatTime(end.removalAgeMs),
+          taskState: end.taskState,
+          latestRun: end.latestRun,
+          heldRun: end.held?.run,
+          heldVm: end.held?.vm,
+          heldPhase: end.held?.phase,
         });
+      }
     },
     close() {
       roundTimer?.end();
@@ -176,6 +210,29 @@
   return line.why === why && nowMs - line.atMs < REPEAT_AFTER_MS;
 }
 
+/** Returns whether a run was removed with the answer to its start, whose `task.start` line says the same. */
+function isRefusedStart({ evidence, phase }: core.workloads.Removal): boolean {
+  return evidence === 'start-outcome' && phase === 'sent';
+}
+
+function describeRemoval(
+  removal: core.workloads.Removal,
+): observability.LogFields {
+  return {
+    evidence: removal.evidence,
+    phase: removal.phase,
+    incarnation: removal.incarnation,
+    heldMs: Math.round(removal.heldMs),
+    listedAgeMs: formatTime(removal.listedAgeMs),
+    confirmedAgeMs: formatTime(removal.confirmedAgeMs),
+    reportAgeMs: formatTime(removal.reportAgeMs),
+  };
+}
+
+function formatTime(ms: number | undefined): number | undefined {
+  return ms === undefined ? undefined : Math.round(ms);
+}
+
 /** Describes what decides a cause. */
 function describeCause(
   cause: core.workloads.OwedCause,
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -524,6 +524,7 @@
     metrics.record('tick', {}, lastTickMs);
     loadReporter.addRound(lastTickMs);
     owedReporter.logEnds(decision.endedRuns);
+    owedReporter.logLateEnds(decision.lateEnds);
     crashReports.logCrashes(log, fence, decision.crashedRuns);
     crashReports.logGivenUp(log, fence, decision.givenUpTasks);
     for (const command of decision.commands) execute(command);
--- a/packages/cluster/test/owedReporter.test.ts
+++ b/packages/cluster/test/owedReporter.test.ts
@@ -193,7 +193,16 @@
   vitest.it('say how the run of a service task ended', () => {
     const { reporter, listEvents } = createSetup();
     const task = { job: 'job', occurrence: 0, step: 0, index: 2 };
-    reporter.logEnds([{ task, run: 3, vm: 'vm-1', how: 'lost' }]);
+    reporter.logEnds([
+      {
+        task,
+        run: 3,
+        vm: 'vm-1',
+        how: 'lost',
+        lasts: true,
+        removal: undefined,
+      },
+    ]);
     vitest.expect(listEvents('task.ended')).toEqual([
       {
         event: 'task.ended',
@@ -207,4 +216,116 @@
       },
     ]);
   });
+
+  const task = { job: 'job', occurrence: 0, step: 0, index: 2 };
+  const removal: core.workloads.Removal = {
+    run: 3,
+    how: 'not-reported',
+    evidence: 'whole-report',
+    reportAgeMs: 4,
+    removedMs: 1_000,
+    phase: 'running',
+    incarnation: 1,
+    heldMs: 900,
+    listedAgeMs: 250.4,
+    confirmedAgeMs: 880,
+  };
+
+  vitest.it(
+    'say what shows that a run without a reported end is over (guards against a second run whose cause no line tells)',
+    () => {
+      const { reporter, listEvents } = createSetup();
+      const ended = { task, run: 3, vm: 'vm-1', lasts: false };
+      reporter.logEnds([{ ...ended, how: 'not-reported', removal }]);
+      vitest.expect(listEvents('task.ended')).toEqual([]);
+      vitest.expect(listEvents('run.removed')).toEqual([
+        {
+          event: 'run.removed',
+          fields: {
+            task: 'job.0.0.2',
+            run: 3,
+            vm: 'vm-1',
+            fence: 7,
+            how: 'not-reported',
+            evidence: 'whole-report',
+            phase: 'running',
+            incarnation: 1,
+            heldMs: 900,
+            listedAgeMs: 250,
+            confirmedAgeMs: 880,
+            reportAgeMs: 4,
+          },
+        },
+      ]);
+    },
+  );
+
+  vitest.it(
+    "leave out a refused start, unless it was being stopped (guards against two lines for each start of a VM that can't be reached)",
+    () => {
+      const { reporter, listEvents } = createSetup();
+      const ended = { task, run: 3, vm: 'vm-1', lasts: false } as const;
+      for (const phase of ['sent', 'stopping'] as const)
+        reporter.logEnds([
+          {
+            ...ended,
+            how: 'unreachable',
+            removal: {
+              ...removal,
+              how: 'unreachable',
+              evidence: 'start-outcome',
+              phase,
+            },
+          },
+        ]);
+      vitest
+        .expect(listEvents('run.removed'))
+        .toMatchObject([{ fields: { how: 'unreachable', phase: 'stopping' } }]);
+    },
+  );
+
+  vitest.it(
+    'name the run that the tables hold when another one of its task has ended, at most 50 in a round',
+    async () => {
+      const { reporter, listEvents, timers } = createSetup();
+      const lateEnd: core.workloads.LateEnd = {
+        task,
+        run: 3,
+        vm: 'vm-1',
+        how: 'done',
+        taskState: 'active',
+        latestRun: 4,
+        held: { run: 4, vm: 'vm-2', phase: 'running' },
+        removal,
+        removalAgeMs: 800,
+      };
+      reporter.start();
+      reporter.logLateEnds([lateEnd]);
+      vitest
+        .expect(listEvents('run.ended-elsewhere').map(({ fields }) => fields))
+        .toEqual([
+          {
+            task: 'job.0.0.2',
+            run: 3,
+            vm: 'vm-1',
+            fence: 7,
+            how: 'done',
+            removed: 'not-reported',
+            evidence: 'whole-report',
+            removedAgeMs: 800,
+            taskState: 'active',
+            latestRun: 4,
+            heldRun: 4,
+            heldVm: 'vm-2',
+            heldPhase: 'running',
+          },
+        ]);
+      reporter.logLateEnds(Array.from({ length: 200 }, () => lateEnd));
+      vitest.expect(listEvents('run.ended-elsewhere')).toHaveLength(50);
+      await fakes.advance(timers, 1_000);
+      reporter.logLateEnds([lateEnd]);
+      vitest.expect(listEvents('run.ended-elsewhere')).toHaveLength(51);
+      reporter.close();
+    },
+  );
 });
--- a/packages/core/src/workloads/batch.ts
+++ b/packages/core/src/workloads/batch.ts
@@ -149,6 +149,7 @@
     // The run may have been removed meanwhile, or its start already sent by `releaseStarts`.
     if (run.phase !== 'recording' || !vm.runs.has(run)) continue;
     run.phase = 'sent';
+    run.task.latestRun = run.number;
     inFlight += 1;
     states.countEvent(state, 'start.released');
     state.commands.push({
--- a/packages/core/src/workloads/ends.ts
+++ b/packages/core/src/workloads/ends.ts
@@ -4,6 +4,8 @@
  */
 import * as begins from './begins.js';
 import * as blame from './blame.js';
+import * as names from './names.js';
+import * as removals from './removals.js';
 import * as states from './state.js';
 import type * as tables from './tables.js';
 import type * as types from './types.js';
@@ -22,7 +24,10 @@
 ): void {
   const job = state.jobs.get(end.task.job);
   const task = states.findTask(state, end.task);
-  if (job === undefined || task === undefined) return;
+  if (job === undefined || task === undefined) {
+    recordLateEnd(state, undefined, vm, end, nowMs);
+    return;
+  }
   state.dirty.add(job);
   begins.recordBegin(state, job.job.id);
   states.countEvent(state, `end.${end.how}`);
@@ -31,6 +36,7 @@
   // An earlier owner started this run without a record: until its end has one, a later owner must hear of it from the VM.
   if (run === undefined && task.state !== 'done')
     state.unrecordedStartsBatch = state.nextBatch;
+  if (run === undefined) recordLateEnd(state, task, vm, end, nowMs);
   recordVmOutcome(vm, end.how, run, nowMs);
   if (run !== undefined) states.removeRun(state, run, end.how, nowMs);
   if (end.saved !== '') saveProgress(task, end.saved);
@@ -57,6 +63,22 @@
   decideFinal(state, job, nowMs);
 }
 
+function recordLateEnd(
+  state: states.State,
+  task: tables.TaskRow | undefined,
+  vm: tables.VmRow,
+  end: types.ReportedEnd,
+  nowMs: number,
+): void {
+  const key = names.formatRun(end.task, end.run);
+  const removed = state.removedRuns.get(key);
+  state.removedRuns.delete(key);
+  const lateEnd = removals.findLateEnd({ task, removed, vm, end, nowMs });
+  if (lateEnd === undefined || removals.isEndExpected(lateEnd)) return;
+  states.countEvent(state, `ended-elsewhere.${end.how}`);
+  state.lateEnds.push(lateEnd);
+}
+
 function saveProgress(task: tables.TaskRow, saved: string): void {
   if (!task.step.spec.savesProgress) return;
   // All members of a gang resume from the same point.
--- a/packages/core/src/workloads/index.ts
+++ b/packages/core/src/workloads/index.ts
@@ -13,6 +13,7 @@
   GivenUpTask,
   SchedulerOptions,
 } from './state.js';
+export type { HeldRun, LateEnd, Removal, RemovalEvidence } from './removals.js';
 export type {
   Inconsistency,
   OwedCause,
--- a/packages/core/src/workloads/names.ts
+++ b/packages/core/src/workloads/names.ts
@@ -1,4 +1,4 @@
-/** Text form of step and task keys, used as map keys and in logs. */
+/** Text form of step, task and run keys, used as map keys and in logs. */
 import type * as types from './types.js';
 
 /** Formats a step as `job.occurrence.step`. */
@@ -11,6 +11,11 @@
   return `${formatStep(task)}.${task.index}`;
 }
 
+/** Formats a run as `job.occurrence.step.index#run`. */
+export function formatRun(task: types.TaskKey, run: number): string {
+  return `${formatTask(task)}#${run}`;
+}
+
 /** Parses a key made by `formatTask`; returns undefined when the text is malformed. */
 export function parseTask(text: string): types.TaskKey | undefined {
   const parts = text.split('.');
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -10,6 +10,7 @@
 import * as blame from './blame.js';
 import * as crashes from './crashes.js';
 import * as ends from './ends.js';
+import type * as removals from './removals.js';
 import * as resizing from './resizing.js';
 import * as speeds from './speed.js';
 import * as states from './state.js';
@@ -56,7 +57,13 @@
   // A run whose end isn't listed yet shows no progress, but doesn't stand still.
   else for (const run of unlisted) run.progressChangedMs = nowMs;
   const over = unlisted.filter((run) => isWhole && isRunOver(run, report));
-  for (const run of over) loseRun(state, run, 'not-reported', nowMs);
+  for (const run of over)
+    loseRun(state, run, 'not-reported', nowMs, {
+      evidence: crashes.isOfEarlierIncarnation(run)
+        ? 'restarted'
+        : 'whole-report',
+      reportAgeMs: nowMs - report.requestSentMs,
+    });
   crashes.recordCrash(
     state,
     vm,
@@ -116,7 +123,8 @@
   const over = [...vm.runs];
   // A VM that has crashed can't tell any more which runs began.
   if (evidence === undefined) over.forEach(begins.recordUnheard);
-  for (const run of over) loseRun(state, run, 'lost', nowMs);
+  const grounds = { evidence: evidence ?? 'lease-expired' } as const;
+  for (const run of over) loseRun(state, run, 'lost', nowMs, grounds);
   if (evidence === undefined) crashes.addSilentRuns(vm, over);
   else crashes.recordLoss(state, vm, over, evidence, nowMs);
 }
@@ -134,7 +142,8 @@
   const over = [...vm.runs].filter(
     ({ phase }) => phase !== 'recording' && phase !== 'sent',
   );
-  for (const run of over) loseRun(state, run, 'lost', nowMs);
+  for (const run of over)
+    loseRun(state, run, 'lost', nowMs, { evidence: 'terminated' });
   crashes.recordCrash(
     state,
     vm,
@@ -149,9 +158,10 @@
   run: tables.RunRow,
   how: states.RunRemoval,
   nowMs: number,
+  grounds: removals.RemovalGrounds,
 ): void {
   if (run.phase !== 'stopping') states.countEvent(state, 'run.lost');
-  states.removeRun(state, run, how, nowMs);
+  states.removeRun(state, run, how, nowMs, grounds);
   if (run.task.step.spec.gang) ends.stopGang(state, run.task.step, nowMs);
 }
 
@@ -189,6 +199,7 @@
   const run = own ?? adoptRun(state, vm, task, entry, nowMs);
   if (run === undefined) return;
   listed.add(run);
+  run.listedMs = nowMs;
   run.incarnation = vm.incarnation;
   if (run.phase === 'stopping') return;
   run.phase = 'running';
@@ -216,7 +227,9 @@
 ): tables.RunRow | undefined {
   // The previous owner started this run without a record after the recorded run had ended.
   if (task?.run?.phase === 'inherited' && task.run.number < entry.run)
-    states.removeRun(state, task.run, 'superseded', nowMs);
+    states.removeRun(state, task.run, 'superseded', nowMs, {
+      evidence: 'later-run',
+    });
   const canAdopt =
     task?.state === 'waiting' &&
     task.strayRunVms.size === 0 &&
@@ -331,7 +344,7 @@
   nowMs: number,
 ): void {
   const { vm, task } = run;
-  states.removeRun(state, run, outcome, nowMs);
+  states.removeRun(state, run, outcome, nowMs, { evidence: 'start-outcome' });
   if (task.step.spec.gang) ends.stopGang(state, task.step, nowMs);
   if (outcome === 'ticket') advice.expireTicket(task.step, vm);
   if (
@@ -372,7 +385,9 @@
       if (isTimeoutOver && isUnheard) {
         crashes.addSilentRuns(vm, [run]);
         begins.recordUnheard(run);
-        loseRun(state, run, 'inherited-timeout', nowMs);
+        loseRun(state, run, 'inherited-timeout', nowMs, {
+          evidence: 'no-report',
+        });
         continue;
       }
       if (run.phase !== 'stopping' || run.confirmedMs !== undefined) continue;
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -12,6 +12,7 @@
 import * as jobs from './jobs.js';
 import * as owed from './owed.js';
 import * as progress from './progress.js';
+import * as removals from './removals.js';
 import * as reports from './reports.js';
 import * as resizing from './resizing.js';
 import * as states from './state.js';
@@ -24,8 +25,10 @@
 export interface Decision {
   readonly commands: readonly types.Command[];
   readonly batch: types.RecordBatch | undefined;
-  /** Runs of service tasks that have ended since the last tick. */
+  /** Runs that have ended since the last tick; those of other than service tasks only without a report of their end. */
   readonly endedRuns: readonly states.EndedRun[];
+  /** Ends since the last tick of runs that aren't in the tables and whose task has run again. */
+  readonly lateEnds: readonly removals.LateEnd[];
   /** Runs on VMs that are known since the last tick to have crashed. */
   readonly crashedRuns: readonly states.CrashedRun[];
   /** Tasks that were given up since the last tick. */
@@ -263,14 +266,17 @@
     },
     tick(nowMs, nowUnixMs) {
       ticks.runRound(state, nowMs, nowUnixMs);
-      const { endedRuns, crashedRuns, givenUpTasks } = state;
+      removals.expireRemovedRuns(state.removedRuns, nowMs);
+      const { endedRuns, lateEnds, crashedRuns, givenUpTasks } = state;
       state.endedRuns = [];
+      state.lateEnds = [];
       state.crashedRuns = [];
       state.givenUpTasks = [];
       return {
         commands: takeCommands(),
         batch: batches.takeBatch(state),
         endedRuns,
+        lateEnds,
         crashedRuns,
         givenUpTasks,
       };
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -4,6 +4,7 @@
 import * as blame from './blame.js';
 import * as names from './names.js';
 import type * as openVms from './openVms.js';
+import * as removals from './removals.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
 
@@ -29,12 +30,16 @@
   readonly finals: readonly tables.JobRow[];
 }
 
-/** End of a run of a service task. */
+/** A run of a service task that has left the tables, or any run that has without a report of its end. */
 export interface EndedRun {
   readonly task: types.TaskKey;
   readonly run: number;
   readonly vm: ids.VmId;
   readonly how: RunRemoval;
+  /** Whether the task is one of a service. */
+  readonly lasts: boolean;
+  /** What shows that it is over; undefined when its end was reported or its start wasn't sent. */
+  readonly removal: removals.Removal | undefined;
 }
 
 /** What shows that a VM has crashed. */
@@ -110,8 +115,12 @@
   /** Batch whose confirmation makes all starts durable that were sent without a record, and the ends of their runs. */
   unrecordedStartsBatch: number | undefined;
   commands: types.Command[];
-  /** Ended runs of service tasks since the last tick. */
+  /** Ended runs since the last tick; those of other than service tasks only without a report of their end. */
   endedRuns: EndedRun[];
+  /** Ends since the last tick of runs whose task has run again. */
+  lateEnds: removals.LateEnd[];
+  /** Runs removed lately without a report of their end, by task and run, in the order of their removal. */
+  readonly removedRuns: Map<string, removals.RemovedRun>;
   /** Runs on crashed VMs since the last tick. */
   crashedRuns: CrashedRun[];
   /** Tasks given up since the last tick. */
@@ -169,6 +178,8 @@
     unrecordedStartsBatch: undefined,
     commands: [],
     endedRuns: [],
+    lateEnds: [],
+    removedRuns: new Map(),
     crashedRuns: [],
     givenUpTasks: [],
     inheritedUnrecordedStarts: options.unrecordedStarts,
@@ -239,6 +250,7 @@
     stoppingSinceMs: undefined,
     stopsSent: 0,
     runningSinceMs: undefined,
+    listedMs: undefined,
     percent: 0,
     progressChangedMs: nowMs,
     load: 0,
@@ -254,6 +266,7 @@
   task.step.waitingCount -= 1;
   task.state = 'active';
   task.run = row;
+  if (run.phase !== 'recording') task.latestRun = run.number;
   task.step.occurrence.job.activeRuns += 1;
   task.step.occurrence.job.startDecidedMs ??= nowMs;
   vm.runs.add(row);
@@ -263,23 +276,35 @@
   return row;
 }
 
-/** Removes a run that has ended or will never begin. Its task waits again unless it is done. */
+/**
+ * Removes a run that has ended or will never begin. Its task waits again unless it is done.
+ * Without a report of the end, `grounds` says what shows that the run is over.
+ */
 export function removeRun(
   state: State,
   run: tables.RunRow,
   how: RunRemoval,
   nowMs: number,
+  grounds?: removals.RemovalGrounds,
 ): void {
   if (!run.vm.runs.delete(run)) return;
   const { task } = run;
   if (run.runningSinceMs !== undefined)
     task.idleSinceMs = computeIdleSince(run, nowMs);
-  if (task.step.spec.lasts)
+  const removal = grounds && removals.buildRemoval(run, how, grounds, nowMs);
+  if (removal !== undefined) {
+    state.removedRuns.set(formatRun(run), { task, removal });
+    countEvent(state, `removed.${removal.evidence}`);
+  }
+  const { lasts } = task.step.spec;
+  if (lasts || removal !== undefined)
     state.endedRuns.push({
       task: tables.getTaskKey(task),
       run: run.number,
       vm: run.vm.id,
       how,
+      lasts,
+      removal,
     });
   tables.addAmount(run.vm.used, tables.getNeed(task.step.spec), -1);
   task.step.occurrence.job.activeRuns -= 1;
@@ -432,5 +457,5 @@
 
 /** Formats a run for logs. */
 export function formatRun(run: tables.RunRow): string {
-  return `${names.formatTask(tables.getTaskKey(run.task))}#${run.number}`;
+  return names.formatRun(tables.getTaskKey(run.task), run.number);
 }
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -38,6 +38,8 @@
   /** Number of stop commands sent. */
   stopsSent: number;
   runningSinceMs: number | undefined;
+  /** Time of the last report that listed it as running; undefined when none has. */
+  listedMs: number | undefined;
   /** Last reported progress, 0 to 100. */
   percent: number;
   /** Time of the last change of `percent`. */
@@ -85,6 +87,8 @@
   readonly index: number;
   state: 'waiting' | 'active' | 'done';
   run: RunRow | undefined;
+  /** Number of the last run whose start was sent; undefined before the first one. */
+  latestRun: number | undefined;
   /** Numbers of the runs that failed. */
   failedRuns: number[];
   /** Crashes of VMs for which the task may be to blame; those of a gang are in its step. */
@@ -385,6 +389,7 @@
         index: task,
         state: 'waiting',
         run: undefined,
+        latestRun: undefined,
         failedRuns: [],
         crashes: [],
         saved: '',
--- a/packages/observability/src/lines.ts
+++ b/packages/observability/src/lines.ts
@@ -16,8 +16,9 @@
 /** Tokens that frequent events must leave to rare ones, such as a change of a shard's owner. */
 const RESERVED_BURST_LINES = 500;
 
-/** Events that are logged for every request, step, task or job; those of owed work are bounded by their source. */
-const frequentEvent = /^(request|step|task|job)\.(?!owed|missing)/;
+/** Events that are logged for every request, step, task, run or job; those of owed work and of late ends are bounded by their source. */
+const frequentEvent =
+  /^(request|step|task|run|job)\.(?!owed|missing|ended-elsewhere)/;
 
 /** Writer of log lines with bounded memory and a bounded rate. */
 export interface LineWriter {
--- a/packages/observability/test/lines.test.ts
+++ b/packages/observability/test/lines.test.ts
@@ -18,6 +18,8 @@
       const writer = lines.createLineWriter(descriptor, timers);
       for (let index = 0; index < 5_000; index += 1)
         writer.write('event=task.start', 'task.start');
+      writer.write('event=run.removed', 'run.removed');
+      writer.write('event=run.ended-elsewhere', 'run.ended-elsewhere');
       writer.write('event=owner.ready', 'owner.ready');
       writer.write('event=task.owed', 'task.owed');
       writer.write('event=job.missing', 'job.missing');
@@ -26,6 +28,8 @@
       const text = fs.readFileSync(file, 'utf8');
       fs.rmSync(folder, { recursive: true });
       vitest.expect(text).toContain('event=owner.ready');
+      vitest.expect(text).not.toContain('event=run.removed');
+      vitest.expect(text).toContain('event=run.ended-elsewhere');
       vitest.expect(text).toContain('event=task.owed');
       vitest.expect(text).toContain('event=job.missing');
       vitest.expect(text).toContain('event=log.dropped');
