Tests that fail: tasks start again while a VM refuses connections (TWICE)

Callers saw tasks run twice. The simulation of a cluster now models a VM whose connections are reset and refused while its runs continue; before, only VMs that were gone refused. Starts at a VM that refuses have the outcome 'unreachable', as those of the real client have.

--- a/packages/cluster/test/clusterSimulation.ts
+++ b/packages/cluster/test/clusterSimulation.ts
@@ -56,11 +56,13 @@
   ignoresOrders: boolean;
   /** `cut`: it can't be reached, and its runs continue; `gone`: it can't be reached, and its runs have ended. */
   state: 'up' | 'cut' | 'gone';
-  /** Whether connections to a VM that is gone are refused, time out, or either at random. */
+  /** Whether connections to a VM that is cut off or gone are refused, time out, or either at random. */
   refuses: 'never' | 'always' | 'sometimes';
   /** Node that alone reaches it; undefined when all do. */
   onlyNode: string | undefined;
   silentSinceMs: number;
+  /** Ends the waiting of the calls in flight without an answer, as reset connections do. */
+  readonly resets: Set<() => void>;
   listed: boolean;
   startedMs: number;
   fence: number;
@@ -268,6 +270,7 @@
       refuses: 'never',
       onlyNode: undefined,
       silentSinceMs: 0,
+      resets: new Set(),
       listed: true,
       startedMs: this.getNow(),
       fence: 0,
@@ -721,15 +724,25 @@
       if (result !== undefined && canAnswer() && !isLost) return result;
       return new Promise(() => undefined);
     };
+    let endCall: () => void = () => undefined;
+    const reset = new Promise<undefined>((resolve) => {
+      endCall = () => {
+        resolve(undefined);
+      };
+    });
+    vm.resets.add(endCall);
     const timeout = core
       .waitFor(this.world, 'sim.timeout', timeoutMs)
-      .then(() => undefined);
-    return this.pass(node, Promise.race([answer(), timeout]));
+      .then(() => {
+        vm.resets.delete(endCall);
+        return undefined;
+      });
+    return this.pass(node, Promise.race([answer(), timeout, reset]));
   }
 
   private isRefused(id: core.ids.VmId): boolean {
     const { state, refuses } = this.vms.get(id)!;
-    if (state !== 'gone') return false;
+    if (state === 'up') return false;
     switch (refuses) {
       case 'never':
         return false;
@@ -784,21 +797,26 @@
           }
         );
       },
-      start: async (target, call, timeoutMs) =>
-        (await this.call<core.workloads.StartOutcome>(
-          node,
-          target.id,
-          timeoutMs,
-          (vm) => {
-            if (vm.ignoresOrders) return new Promise(() => undefined);
-            if (call.fence < vm.fence) return Promise.resolve('fenced');
-            vm.fence = call.fence;
-            if (this.getVmClock(vm) >= call.untilMs)
-              return Promise.resolve('late');
-            this.extendLease(vm, call.untilMs);
-            return Promise.resolve(this.startRun(vm, call.task, call.run));
-          },
-        )) ?? 'unknown',
+      start: async (target, call, timeoutMs) => {
+        if (this.isRefused(target.id))
+          return this.pass(node, Promise.resolve('unreachable'));
+        return (
+          (await this.call<core.workloads.StartOutcome>(
+            node,
+            target.id,
+            timeoutMs,
+            (vm) => {
+              if (vm.ignoresOrders) return new Promise(() => undefined);
+              if (call.fence < vm.fence) return Promise.resolve('fenced');
+              vm.fence = call.fence;
+              if (this.getVmClock(vm) >= call.untilMs)
+                return Promise.resolve('late');
+              this.extendLease(vm, call.untilMs);
+              return Promise.resolve(this.startRun(vm, call.task, call.run));
+            },
+          )) ?? 'unknown'
+        );
+      },
       stop: async (target, call, timeoutMs) =>
         (await this.call<'closed' | 'fenced'>(
           node,
@@ -979,11 +997,23 @@
     vm.state = state;
     vm.refuses = refuses;
     vm.silentSinceMs = this.getNow();
+    if (refuses === 'always') for (const endCall of vm.resets) endCall();
     if (state !== 'gone') return;
     vm.running.clear();
     this.settleEnds(vm, () => true, 'forgotten');
   }
 
+  /** Resets the connections to a VM and refuses new ones for a time; its runs continue. */
+  refuseConnections(id: core.ids.VmId, forMs: number): void {
+    const vm = this.vms.get(id)!;
+    if (vm.state !== 'up') return;
+    this.silenceVm(id, 'cut', 'always');
+    const sinceMs = vm.silentSinceMs;
+    this.after(forMs, () => {
+      if (vm.silentSinceMs === sinceMs) this.reconnectVm(id);
+    });
+  }
+
   /** Makes a VM unreachable for all nodes but the owner. */
   isolateWithOwner(id: core.ids.VmId): void {
     this.vms.get(id)!.onlyNode = this.getOwner()?.name;
--- a/packages/cluster/test/doneOnce.property.test.ts
+++ b/packages/cluster/test/doneOnce.property.test.ts
@@ -10,17 +10,62 @@
 
 const WALKS = Number(process.env.DONE_WALKS ?? 20);
 const FIRST_SEED = Number(process.env.DONE_WALK_SEED ?? 1);
+const REFUSAL_WALKS = Number(process.env.DONE_WALKS ?? 10);
+const LONGEST_WALKS_MS = 600_000;
 const VMS = 5;
 const CORES_PER_VM = 3;
 const WALK_MS = 15_000;
 const CALM_MS = 12_000;
 
+/** Disturbances of a walk. */
+interface Disturbances {
+  readonly names: readonly string[];
+  readonly longestMs: number;
+}
+
+const SHORTEST_MS = 500;
+const mixed: Disturbances = {
+  names: [
+    'kill',
+    'release',
+    'freeze',
+    'cutStore',
+    'failStore',
+    'silenceProgress',
+    'silenceJobs',
+    'expireEntries',
+    'loseAnswers',
+    'cutVm',
+    'reconnect',
+    'restart',
+    'drain',
+  ],
+  longestMs: 5_500,
+};
+const LONGEST_REFUSAL_MS = 8_000;
+
+/** Disturbances beside which VMs refuse connections while they live. */
+const besideRefusals = {
+  'nothing else': [],
+  'changes of owner': ['kill', 'release', 'freeze'],
+  'outages of the store': [
+    'cutStore',
+    'failStore',
+    'silenceProgress',
+    'silenceJobs',
+  ],
+  drains: ['drain'],
+} as const;
+
 function disturb(
   simulation: simulations.ClusterSimulation,
+  { names, longestMs }: Disturbances,
   getRandom: () => number,
   note: (text: string) => void,
 ): void {
-  const lastsMs = Math.round(500 + getRandom() * 5_000);
+  const lastsMs = Math.round(
+    SHORTEST_MS + getRandom() * (longestMs - SHORTEST_MS),
+  );
   const vm = randoms.choose([...simulation.vms.keys()], getRandom);
   const actions: Readonly<Record<string, () => void>> = {
     kill: () => {
@@ -50,6 +95,9 @@
     loseAnswers: () => {
       simulation.loseAnswers(lastsMs);
     },
+    refuse: () => {
+      simulation.refuseConnections(vm, lastsMs);
+    },
     cutVm: () => {
       simulation.silenceVm(vm, 'cut');
     },
@@ -63,12 +111,21 @@
       simulation.drainVm(vm);
     },
   };
-  const name = randoms.choose(Object.keys(actions), getRandom);
+  const name = randoms.choose(names, getRandom);
   note(`${simulation.getNow()}: ${name} ${lastsMs} ${vm}`);
   actions[name]!();
 }
 
-async function runWalk(seed: number): Promise<void> {
+/** What a walk broke, with its disturbances and the log lines of all nodes. */
+interface WalkResult {
+  readonly broken: readonly string[];
+  readonly story: string;
+}
+
+async function playWalk(
+  seed: number,
+  disturbances: Disturbances,
+): Promise<WalkResult> {
   const getRandom = randoms.createRandom(seed);
   const simulation = new simulations.ClusterSimulation({
     jobs: 0,
@@ -83,7 +140,7 @@
   let disturbAtMs = simulation.getNow();
   while (simulation.getNow() < endMs) {
     if (simulation.getNow() >= disturbAtMs) {
-      disturb(simulation, getRandom, (text) => notes.push(text));
+      disturb(simulation, disturbances, getRandom, (text) => notes.push(text));
       disturbAtMs = simulation.getNow() + getRandom() * 1_500;
     }
     const up = simulation.nodes.filter(({ state }) => state === 'up');
@@ -99,8 +156,13 @@
   await simulation.advance(CALM_MS);
   const broken = [...simulation.violations, ...simulation.listStartedAgain()];
   const story = [...notes, ...broken, simulation.formatLines()].join('\n');
-  vitest.expect(broken, story).toEqual([]);
   simulation.close();
+  return { broken, story };
+}
+
+async function runWalk(seed: number): Promise<void> {
+  const { broken, story } = await playWalk(seed, mixed);
+  vitest.expect(broken, story).toEqual([]);
 }
 
 /**
@@ -126,3 +188,26 @@
     'run once although entries of VMs expire beside a change of owner with starts without a record';
   vitest.it(red, () => knownRed.runKnownRed(red, () => runWalk(RED_SEED)));
 });
+
+vitest.describe('short tasks on VMs that refuse connections for a time', () => {
+  for (const [beside, names] of Object.entries(besideRefusals)) {
+    const test = `run once beside ${beside} (guards against TWICE: a refused connection counts as the end of all runs of the VM)`;
+    const run = async () => {
+      const failed: string[] = [];
+      const stories: string[] = [];
+      for (let at = 0; at < REFUSAL_WALKS; at += 1) {
+        const seed = FIRST_SEED + at;
+        const { broken, story } = await playWalk(seed, {
+          names: ['refuse', 'refuse', ...names],
+          longestMs: LONGEST_REFUSAL_MS,
+        });
+        failed.push(...broken.map((what) => `seed ${seed}: ${what}`));
+        if (broken.length > 0) stories.push(story);
+      }
+      // The log lines of many walks would hide what failed.
+      const story = REFUSAL_WALKS === 1 ? stories[0] : undefined;
+      vitest.expect(failed, story).toEqual([]);
+    };
+    vitest.it(test, () => knownRed.runKnownRed(test, run), LONGEST_WALKS_MS);
+  }
+});
