--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -124,6 +124,19 @@
   close(): void;
 }
 
+function chooseCrashEvidence(
+  why: vmSessions.LossReason,
+): core.workloads.CrashEvidence | undefined {
+  switch (why) {
+    case 'lease expired':
+      return undefined;
+    case 'process terminated':
+      return 'terminated';
+    case 'another incarnation answered':
+      return 'replaced';
+  }
+}
+
 /** Creates the owner, which begins to restore state and take over the VMs. */
 export function createOwner(
   context: contexts.NodeContext,
@@ -361,15 +374,8 @@
     onUnresponsive(id) {
       scheduler.suspendVm(id);
     },
-    onTerminated(id) {
-      scheduler.failVm(id, timers.getNow());
-    },
     onLost(id, why) {
-      scheduler.loseVm(
-        id,
-        timers.getNow(),
-        why === 'another incarnation answered' ? 'replaced' : undefined,
-      );
+      scheduler.loseVm(id, timers.getNow(), chooseCrashEvidence(why));
       if (fleet.find(id) === undefined) {
         const session = sessionsByVm.get(id);
         session?.close();
--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -45,7 +45,11 @@
 const DRAINING_LEASE_MS = 4_000;
 
 /** Why no run of a VM can be left. */
-export type LossReason = 'lease expired' | 'another incarnation answered';
+export type LossReason =
+  | 'lease expired'
+  /** Its lease has expired, and connections to it are refused. */
+  | 'process terminated'
+  | 'another incarnation answered';
 
 /** Callbacks to the owner. */
 export interface VmSessionEvents {
@@ -55,11 +59,6 @@
   ) => void;
   /** The VM didn't answer two holds in a row; it may still have runs. */
   readonly onUnresponsive: (vm: core.ids.VmId, why: string) => void;
-  /**
-   * The VM's process has terminated, and its runs with it. Starts in flight may still
-   * reach a process that is started at its address. Called again while that lasts.
-   */
-  readonly onTerminated: (vm: core.ids.VmId) => void;
   /** No run of this incarnation can be left on the VM. Called again when a new incarnation answers after the lease has expired. */
   readonly onLost: (vm: core.ids.VmId, why: LossReason) => void;
   readonly onFenced: (vm: core.ids.VmId) => void;
@@ -121,9 +120,8 @@
   let closed = false;
   /** The last hold got no answer; a single answer may have been lost. */
   let responseMissed = false;
-  /** The last hold found no process at the address. */
+  /** The connection for the last hold was refused. */
   let refused = false;
-  let terminated = false;
   let unresponsive = options.silentBefore;
   let lost = false;
   let replaced = false;
@@ -247,7 +245,6 @@
     const lastSeen = answers ? chooseAcknowledged() : NO_END;
     const result = await callHold(untilMs, waitMs, lastSeen);
     if (isClosed()) return false;
-    const refusedBefore = refused;
     refused = result.outcome === 'refused';
     switch (result.outcome) {
       case 'held':
@@ -271,19 +268,14 @@
         replaced = true;
         return false;
       case 'refused':
-        metrics.count('holds', { outcome: 'refused' });
+      case 'failed': {
+        metrics.count('holds', { outcome: result.outcome });
+        if (!refused) options.holdWait.recordNoAnswer(timers.getNow());
+        const missedBefore = responseMissed;
         responseMissed = true;
-        if (refusedBefore) handleTermination(result.why);
-        return false;
-      case 'failed':
-        metrics.count('holds', { outcome: 'failed' });
-        options.holdWait.recordNoAnswer(timers.getNow());
-        if (!responseMissed) {
-          responseMissed = true;
-          return true;
-        }
-        handleNoResponse(result.why);
-        return false;
+        if (missedBefore) handleNoResponse(result.why);
+        return !missedBefore && !refused;
+      }
     }
   }
 
@@ -315,7 +307,6 @@
       });
     unresponsive = false;
     responseMissed = false;
-    terminated = false;
     lost = false;
     replaced = false;
     metrics.count('holds', { outcome: 'held' });
@@ -338,13 +329,6 @@
     };
   }
 
-  function handleTermination(why: string): void {
-    handleNoResponse(why);
-    if (!terminated) log.write('warn', 'vm.terminated', { vm: target.id, why });
-    terminated = true;
-    events.onTerminated(target.id);
-  }
-
   function handleNoResponse(why: string): void {
     const nowMs = timers.getNow();
     if (!unresponsive) {
@@ -371,12 +355,14 @@
       return;
     }
     lost = true;
+    // A firewall or a broken route refuses connections too, so only the lease ends the runs.
+    const why = refused ? 'process terminated' : 'lease expired';
     log.write('warn', 'vm.lost', {
       vm: target.id,
-      why: 'lease expired',
+      why,
       ...describeSilence(nowMs),
     });
-    events.onLost(target.id, 'lease expired');
+    events.onLost(target.id, why);
   }
 
   function scheduleLeaseCheck(delayMs: number): void {
--- a/packages/cluster/test/ownerChanges.test.ts
+++ b/packages/cluster/test/ownerChanges.test.ts
@@ -210,6 +210,7 @@
       const idle = [...simulation.vms.keys()].find((id) => id !== busy)!;
       simulation.isolateWithOwner(idle);
       simulation.silenceVm(busy, 'gone', 'always');
+      await simulation.advance(4_000);
       simulation.failStore(5_000, 'refusing');
       simulation.cutStore(10_000);
       await simulation.advance(4_500);
--- a/packages/core/src/workloads/crashes.ts
+++ b/packages/core/src/workloads/crashes.ts
@@ -1,8 +1,8 @@
 /**
- * Crashes of VMs. A VM has crashed when its process has terminated, another VM answers at
- * its address or it reports a new incarnation, while runs on it hadn't ended. A VM that
- * drains leaves as planned, and an expired lease alone may be due to the network: its runs
- * are remembered until the VM reports again.
+ * Crashes of VMs. A VM has crashed when it refuses connections until its lease has expired,
+ * another VM answers at its address or it reports a new incarnation, while runs on it hadn't
+ * ended. A VM that drains leaves as planned, and silence until the lease has expired may be
+ * due to the network: its runs are remembered until the VM reports again.
  */
 import * as blame from './blame.js';
 import * as ends from './ends.js';
--- a/packages/core/src/workloads/removals.ts
+++ b/packages/core/src/workloads/removals.ts
@@ -147,9 +147,9 @@
   if (how !== 'lapsed' || removal === undefined) return false;
   switch (removal.evidence) {
     case 'lease-expired':
+    case 'terminated':
     case 'no-report':
       return true;
-    case 'terminated':
     case 'replaced':
     case 'restarted':
     case 'whole-report':
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -121,38 +121,14 @@
 ): void {
   clearStrayRuns(vm);
   const over = [...vm.runs];
-  // A VM that has crashed can't tell any more which runs began.
-  if (evidence === undefined) over.forEach(begins.recordUnheard);
+  // A VM that another one has replaced can't tell any more which runs began.
+  if (evidence !== 'replaced') over.forEach(begins.recordUnheard);
   const grounds = { evidence: evidence ?? 'lease-expired' } as const;
   for (const run of over) loseRun(state, run, 'lost', nowMs, grounds);
   if (evidence === undefined) crashes.addSilentRuns(vm, over);
   else crashes.recordLoss(state, vm, over, evidence, nowMs);
 }
 
-/**
- * Removes the runs of a VM whose process has terminated. A start in flight stays until
- * its outcome is known, because it may reach a new process at the VM's address.
- */
-export function failRuns(
-  state: states.State,
-  vm: tables.VmRow,
-  nowMs: number,
-): void {
-  clearStrayRuns(vm);
-  const over = [...vm.runs].filter(
-    ({ phase }) => phase !== 'recording' && phase !== 'sent',
-  );
-  for (const run of over)
-    loseRun(state, run, 'lost', nowMs, { evidence: 'terminated' });
-  crashes.recordCrash(
-    state,
-    vm,
-    [...crashes.takeSilentRuns(vm), ...over],
-    'terminated',
-    nowMs,
-  );
-}
-
 function loseRun(
   state: states.State,
   run: tables.RunRow,
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -75,8 +75,6 @@
   suspendVm(id: ids.VmId): void;
   /** Sets the VMs that don't answer, each with the time at which its runs have ended at the latest. */
   setSilentVms(ends: ReadonlyMap<ids.VmId, number>): void;
-  /** Handles a VM whose process has terminated: its runs are removed, except starts that are still to be answered. */
-  failVm(id: ids.VmId, nowMs: number): void;
   /**
    * Handles a lost VM: nothing can run there any more, so its runs are removed. Without
    * evidence of a crash, only its lease has expired.
@@ -232,13 +230,6 @@
     setSilentVms(ends) {
       state.silentVms = ends;
     },
-    failVm(id, nowMs) {
-      const vm = state.vms.get(id);
-      if (vm === undefined) return;
-      vm.usable = false;
-      vm.knownEmpty = true;
-      reports.failRuns(state, vm, nowMs);
-    },
     loseVm(id, nowMs, evidence) {
       const vm = state.vms.get(id);
       if (vm === undefined) return;
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -44,7 +44,7 @@
 
 /** What shows that a VM has crashed. */
 export type CrashEvidence =
-  /** Connections to it are refused. */
+  /** Its lease has expired, and connections to it are refused. */
   | 'terminated'
   /** Another VM answers at its address. */
   | 'replaced'
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -193,7 +193,7 @@
   hasListedAll: boolean;
   /** Time of its last report or confirmed start. */
   answeredMs: number;
-  /** Whether its process has terminated or it was lost, so that nothing runs there until it reports again. */
+  /** Whether it was lost, so that nothing runs there until it reports again. */
   knownEmpty: boolean;
   readonly runs: Set<RunRow>;
   /** Starts that may be sent once fewer are on their way to it, in the order in which they were decided. */
