--- a/packages/cluster/src/claims.ts
+++ b/packages/cluster/src/claims.ts
@@ -361,13 +361,15 @@
     const unconfirmedMs = ownerReleased ? 0 : nowMs - ownerConfirmedMs;
     const toldUnrecorded =
       releasedFence === currentOwner?.fence && releasedUnrecorded;
+    // An earlier ownership of this process has ended with its orders.
+    const inactive =
+      ownerReleased || ownerTerminated || currentOwner?.instance === instance;
+    // An owner that isn't known to have stopped may still send starts without a record.
     const unrecorded =
+      !inactive ||
       currentOwner?.unrecorded === true ||
       (toldUnrecorded && currentOwner?.released !== true) ||
       unconfirmedMs > UNRECORDED_START_AFTER_MS;
-    // An earlier ownership of this process has ended with its orders.
-    const inactive =
-      ownerReleased || ownerTerminated || currentOwner?.instance === instance;
     const sentByMs = currentOwner && computeSentBy(currentOwner);
     const sentAgeMs = sentByMs && Math.round(nowMs - sentByMs);
     const recorded =
--- a/packages/cluster/test/clusterSimulation.ts
+++ b/packages/cluster/test/clusterSimulation.ts
@@ -31,6 +31,8 @@
 const RELISTED_WITHIN_MS = 2_000;
 /** Time until a peer notices that a process has ended, or that a node follows it, in ms. */
 const LINK_DELAY_MS = 60;
+/** Time between attempts to open a broken link again, in ms. */
+const REDIAL_INTERVAL_MS = 150;
 const RESTART_DELAY_MS = 1_000;
 /** Longest time by which a call or append without an answer is carried out late, in ms. */
 const LONGEST_DELAY_MS = 3_000;
@@ -60,6 +62,8 @@
   refuses: 'never' | 'always' | 'sometimes';
   /** Node that alone reaches it; undefined when all do. */
   onlyNode: string | undefined;
+  /** Node that alone doesn't reach it; undefined when all do. */
+  exceptNode: string | undefined;
   silentSinceMs: number;
   /** Ends the waiting of the calls in flight without an answer, as reset connections do. */
   readonly resets: Set<() => void>;
@@ -81,6 +85,8 @@
   owner: owners.Owner | undefined;
   state: 'up' | 'frozen' | 'dead';
   storeCut: boolean;
+  /** Whether its links to the other nodes are cut. */
+  linksCut: boolean;
   heartbeatAtMs: number;
   heartbeatFence: number | undefined;
   handleRequest: requestHandlers.RequestHandler;
@@ -269,6 +275,7 @@
       state: 'up',
       refuses: 'never',
       onlyNode: undefined,
+      exceptNode: undefined,
       silentSinceMs: 0,
       resets: new Set(),
       listed: true,
@@ -293,6 +300,7 @@
       owner: undefined,
       state: 'up',
       storeCut: false,
+      linksCut: false,
       heartbeatAtMs: this.getNow(),
       heartbeatFence: undefined,
       wakeUps: [],
@@ -451,7 +459,7 @@
   ): void {
     const owner = this.findNode(ownerInstance);
     if (node.state !== 'up' || node.owner !== undefined) return;
-    if (owner?.state !== 'up') return;
+    if (owner?.state !== 'up' || node.linksCut || owner.linksCut) return;
     owner.owner?.handleProcess(node.name, node.context.instance);
     owner.owner?.handleFollower(node.context.instance);
   }
@@ -462,7 +470,7 @@
 
   private releaseToPeers(node: SimNode, fence: number): void {
     const peers = this.listUp().filter((peer) => peer !== node);
-    if (this.reachesStore(node)) return;
+    if (this.reachesStore(node) || node.linksCut) return;
     if (!peers.some((peer) => this.reachesStore(peer))) return;
     const unrecorded = node.owner?.hasUnrecorded() ?? false;
     node.claims.resign('the store answers a peer but not this node');
@@ -477,7 +485,11 @@
       const current = node.claims.getOwner();
       if (current === undefined || node.owner !== undefined) continue;
       const ownerNode = this.findNode(current.instance);
-      if (ownerNode?.state === 'up' && ownerNode.owner !== undefined) {
+      if (
+        ownerNode?.state === 'up' &&
+        ownerNode.owner !== undefined &&
+        !ownerNode.linksCut
+      ) {
         const { fence } = ownerNode.owner;
         node.heartbeatAtMs = this.getNow();
         node.heartbeatFence = fence;
@@ -698,7 +710,8 @@
   private isReachable(vm: SimVm, node: SimNode): boolean {
     return (
       vm.state === 'up' &&
-      (vm.onlyNode === undefined || vm.onlyNode === node.name)
+      (vm.onlyNode === undefined || vm.onlyNode === node.name) &&
+      vm.exceptNode !== node.name
     );
   }
 
@@ -943,7 +956,11 @@
       if (this.getVmClock(vm) >= vm.leaseEndMs)
         this.settleEnds(vm, () => true, 'lapsed');
       if (this.getVmClock(vm) >= vm.leaseEndMs && vm.running.size > 0) {
-        if (vm.state === 'up' && vm.onlyNode === undefined)
+        if (
+          vm.state === 'up' &&
+          vm.onlyNode === undefined &&
+          vm.exceptNode === undefined
+        )
           this.lapses.push(
             `${this.getNow()}: ${vm.entry.id} with ${vm.running.size} runs`,
           );
@@ -1019,10 +1036,16 @@
     this.vms.get(id)!.onlyNode = this.getOwner()?.name;
   }
 
+  /** Makes a VM unreachable for the owner alone. */
+  isolateFromOwner(id: core.ids.VmId): void {
+    this.vms.get(id)!.exceptNode = this.getOwner()?.name;
+  }
+
   /** Reconnects a VM that was cut off. */
   reconnectVm(id: core.ids.VmId): void {
     const vm = this.vms.get(id)!;
     vm.onlyNode = undefined;
+    vm.exceptNode = undefined;
     if (vm.state !== 'cut') return;
     vm.state = 'up';
     if (!vm.listed) this.list(vm);
@@ -1041,6 +1064,7 @@
       },
       state: 'up',
       onlyNode: undefined,
+      exceptNode: undefined,
       startedMs: this.getNow(),
       fence: 0,
       leaseEndMs: 0,
@@ -1151,6 +1175,24 @@
     });
   }
 
+  /** Cuts the owner off from the store and from the other nodes for a time. It reaches the VMs. */
+  cutOwner(forMs: number): void {
+    const node = this.getOwner();
+    if (node === undefined) return;
+    this.cutStore(forMs);
+    node.linksCut = true;
+    const redial = () => {
+      if (!node.linksCut) return;
+      for (const peer of this.listUp())
+        if (peer !== node) peer.claims.suspect(node.context.instance, false);
+      this.after(REDIAL_INTERVAL_MS, redial);
+    };
+    this.after(LINK_DELAY_MS, redial);
+    this.after(forMs, () => {
+      node.linksCut = false;
+    });
+  }
+
   /** Makes the store fail for all nodes for a time. */
   failStore(forMs: number, failure: StoreFailure): void {
     this.storeFailure = failure;
