Count a refused link as suspicion of the owner, not as the end of its process (TWICE)

A node whose link to the owner was refused claimed at once with inactive=true: its predecessor sends no more orders and has sent no starts without a record.

Evidence: cutOffOwners.test.ts with links that are refused; before the change all 8 cases failed, for example 'job0.0.0.0 started on vm2 while it runs on vm3' at 22,080 ms. Now none does.

The claim still comes at once, which fences decide. Only a later process of the same node proves that the earlier one has ended; until it connects, the successor counts with the predecessor's orders.

The simulation's killed processes now refuse links, as node.ts reports them; until here it told peers of their end as proven.

--- a/packages/cluster/src/claims.ts
+++ b/packages/cluster/src/claims.ts
@@ -3,7 +3,9 @@
  * only if the stream still ends where the candidate last read it, so one of several
  * candidates wins; the claim's offset gives the fence, which rises with each owner.
  * The owner renews its claim. Other nodes claim when renewals stop, or without that
- * delay when the owner's process has terminated, staggered by rank so that few compete.
+ * delay when the owner's process seems to have terminated, staggered by rank so that few
+ * compete. A claim too early costs a change of owner, and no more: what the owner before may
+ * still do counts as over only on proof.
  */
 import * as core from '@flamingoward/core';
 import type * as contexts from './context.js';
@@ -42,6 +44,15 @@
 const FIRST_CLAIM_MAX_JITTER_MS = 30;
 const KEY = 'owner';
 
+/** What shows that the owner may have failed. */
+export type Suspicion =
+  /** A link has broken or heartbeats are missing. */
+  | 'silent'
+  /** Connections to it are refused: no process listens there, or the network rejects them. */
+  | 'refused'
+  /** A later process of its node runs. */
+  | 'terminated';
+
 /** The owner according to the stream. */
 export interface Owner {
   readonly fence: number;
@@ -94,8 +105,8 @@
 /** Claims, renews, watches and releases ownership of the cluster. */
 export interface Claims {
   open(): void;
-  /** Reports a failed link or missed heartbeats of the owner; `terminated` when its process is known to have ended. */
-  suspect(instance: core.ids.InstanceId, terminated: boolean): void;
+  /** Reports that the owner may have failed. */
+  suspect(instance: core.ids.InstanceId, evidence: Suspicion): void;
   /** Handles a heartbeat, which carries the time since the store last confirmed the owner's claim, and the offset of that renewal. */
   handleHeartbeat(
     fence: number,
@@ -147,8 +158,8 @@
   /** Newest renewal of which the owner has told, and the latest time at which it was sent. */
   let toldRenewal: { offset: core.ids.Offset; sentByMs: number } | undefined;
   let suspectedSinceMs: number | undefined;
-  let ownerTerminated = false;
-  /** Offset of the newest record once the owner's process was known to have terminated. */
+  let suspicion: Suspicion = 'silent';
+  /** Offset of the newest record once the owner's process seemed to have terminated. */
   let offsetAtTermination: core.ids.Offset | undefined;
   let successors: readonly core.ids.InstanceId[] = [];
   /** Position of this process among those that aren't ranked; drawn once, so that its delay doesn't change. */
@@ -214,7 +225,7 @@
       // The owner is an earlier process of this node, which must have terminated.
       if (next.node === context.settings.name && next.instance !== instance) {
         suspectedSinceMs = ownerRenewedMs;
-        ownerTerminated = true;
+        suspicion = 'terminated';
         offsetAtTermination = undefined;
       }
     }
@@ -228,13 +239,13 @@
     const mayPrecedeTermination =
       offsetAtTermination === undefined || offset <= offsetAtTermination;
     if (
-      ownerTerminated &&
+      suspicion !== 'silent' &&
       renewingInstance === currentOwner?.instance &&
       mayPrecedeTermination
     )
       return;
     suspectedSinceMs = undefined;
-    ownerTerminated = false;
+    suspicion = 'silent';
   }
 
   function startOwnership(fence: number): void {
@@ -363,7 +374,9 @@
       releasedFence === currentOwner?.fence && releasedUnrecorded;
     // An earlier ownership of this process has ended with its orders.
     const inactive =
-      ownerReleased || ownerTerminated || currentOwner?.instance === instance;
+      ownerReleased ||
+      suspicion === 'terminated' ||
+      currentOwner?.instance === instance;
     // An owner that isn't known to have stopped may still send starts without a record.
     const unrecorded =
       !inactive ||
@@ -456,13 +469,13 @@
   /**
    * Returns whether nodes that the owner has ranked go first, so that this one waits for
    * their turns. A node of low capacity that has just started doesn't know the order yet;
-   * where the owner's process has terminated, all nodes may have started just now.
+   * where the owner's process seems to have terminated, all nodes may have started just now.
    */
   function isBehindRanked(): boolean {
     if (successors.length > 0) return true;
     return (
       currentOwner !== undefined &&
-      !ownerTerminated &&
+      suspicion === 'silent' &&
       !successorRanks.hasOwnerCapacity(context.settings.cores)
     );
   }
@@ -497,8 +510,10 @@
     const unrenewedMs = nowMs - ownerRenewedMs;
     if (suspectedSinceMs !== undefined) {
       const suspectedForMs = nowMs - suspectedSinceMs;
-      if (ownerTerminated && suspectedForMs >= claimDelayMs)
-        return 'owner process terminated';
+      if (suspicion !== 'silent' && suspectedForMs >= claimDelayMs)
+        return suspicion === 'refused'
+          ? 'owner refuses connections'
+          : 'owner process terminated';
       if (unrenewedMs >= SUSPECTED_OWNER_TIMEOUT_MS + claimDelayMs)
         return 'owner suspected and claim not renewed';
     }
@@ -521,7 +536,7 @@
       return;
     }
     roundTripMs = nowMs - startedMs;
-    if (ownerTerminated) offsetAtTermination ??= newestOffset;
+    if (suspicion !== 'silent') offsetAtTermination ??= newestOffset;
     if (currentOwner === undefined) {
       await claimFirst();
       return;
@@ -568,22 +583,23 @@
       );
       scheduleWatch(0);
     },
-    suspect(suspectedInstance, terminated) {
+    suspect(suspectedInstance, evidence) {
       if (
         currentOwner?.instance !== suspectedInstance ||
         ownedFence !== undefined
       )
         return;
-      if (suspectedSinceMs === undefined || (terminated && !ownerTerminated)) {
+      const isFirst = suspicion === 'silent' && evidence !== 'silent';
+      if (suspectedSinceMs === undefined || isFirst) {
         log.write('info', 'owner.suspected', {
           owner: currentOwner.node,
-          gone: terminated,
+          evidence,
         });
         suspectedSinceMs = timers.getNow();
       }
-      if (terminated && !ownerTerminated) offsetAtTermination = undefined;
-      ownerTerminated = ownerTerminated || terminated;
-      scheduleWatch(terminated ? computeClaimDelay() : 0);
+      if (isFirst) offsetAtTermination = undefined;
+      if (isFirst || evidence === 'terminated') suspicion = evidence;
+      scheduleWatch(evidence === 'silent' ? 0 : computeClaimDelay());
     },
     handleHeartbeat(fence, confirmedAgeMs, confirmedOffset) {
       if (currentOwner?.fence !== fence) return;
--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -210,7 +210,7 @@
     if (lastHeartbeat === undefined || current?.fence !== lastHeartbeat.fence)
       return;
     if (timers.getNow() - lastHeartbeatMs > HEARTBEAT_TIMEOUT_MS)
-      ownership.suspect(current.instance, false);
+      ownership.suspect(current.instance, 'silent');
   }
 
   function handleLinkOpen(peer: core.messages.Hello): void {
@@ -222,7 +222,7 @@
     const current = ownership.getOwner();
     // A new process of the owner's node has connected, so the owner's process has terminated.
     if (current?.node === peer.name && current.instance !== peer.instance)
-      ownership.suspect(current.instance, true);
+      ownership.suspect(current.instance, 'terminated');
   }
 
   function handleLinkClosed(event: link.LinkClosed): void {
@@ -230,8 +230,10 @@
     if (event.direction !== 'dialled' || current?.address !== event.address)
       return;
     const cause = event.cause as NodeJS.ErrnoException | undefined;
-    // A refused connection shows that nothing listens there: the process has terminated.
-    ownership.suspect(current.instance, cause?.code === 'ECONNREFUSED');
+    ownership.suspect(
+      current.instance,
+      cause?.code === 'ECONNREFUSED' ? 'refused' : 'silent',
+    );
   }
 
   function receiveNotice(
--- a/packages/cluster/test/claims.test.ts
+++ b/packages/cluster/test/claims.test.ts
@@ -83,7 +83,7 @@
       owner!.claim.close();
       for (const { claim } of others) {
         claim.setSuccessors(others.map(({ context }) => context.instance));
-        claim.suspect(owner!.context.instance, true);
+        claim.suspect(owner!.context.instance, 'terminated');
       }
       await fakes.advance(timers, 500);
       const [next] = listOwners(others);
@@ -100,7 +100,7 @@
     async () => {
       const { timers, candidates, owner, other } = await startPair();
       for (let round = 0; round < 30; round += 1) {
-        other.claim.suspect(owner!.context.instance, false);
+        other.claim.suspect(owner!.context.instance, 'silent');
         await fakes.advance(timers, 200);
       }
       vitest.expect(listOwners(candidates)).toEqual([owner]);
@@ -211,7 +211,7 @@
       const { timers, owner, other } = await startPair();
       other.claim.setSuccessors(['gone-1', 'gone-2']);
       owner!.claim.close();
-      other.claim.suspect(owner!.context.instance, true);
+      other.claim.suspect(owner!.context.instance, 'terminated');
       await fakes.advance(timers, 450);
       vitest.expect(other.claim.getFence()).toBeUndefined();
       vitest.expect(other.claim.getFence()).toBeUndefined();
@@ -247,7 +247,7 @@
       } else owner!.claim.close();
       for (const { claim } of [ranked, small])
         if (how === 'released') claim.handleRelease(fence, false);
-        else claim.suspect(owner!.context.instance, false);
+        else claim.suspect(owner!.context.instance, 'silent');
       await fakes.advance(timers, 2_500);
       vitest.expect(small.claim.getFence()).toBeUndefined();
       vitest.expect(ranked.claim.getFence()).toBeGreaterThan(fence);
--- a/packages/cluster/test/clusterSimulation.ts
+++ b/packages/cluster/test/clusterSimulation.ts
@@ -507,7 +507,7 @@
         node.heartbeatFence === current.fence &&
         this.getNow() - node.heartbeatAtMs > HEARTBEAT_TIMEOUT_MS
       )
-        node.claims.suspect(current.instance, false);
+        node.claims.suspect(current.instance, 'silent');
     }
   }
 
@@ -1144,7 +1144,7 @@
     this.closeNode(node);
     this.after(LINK_DELAY_MS, () => {
       for (const peer of this.listUp())
-        peer.claims.suspect(node.context.instance, true);
+        peer.claims.suspect(node.context.instance, 'refused');
     });
     this.after(RESTART_DELAY_MS, () => {
       this.restarts += 1;
@@ -1176,7 +1176,7 @@
   }
 
   /** Cuts the owner off from the store and from the other nodes for a time. It reaches the VMs. */
-  cutOwner(forMs: number): void {
+  cutOwner(forMs: number, evidence: claims.Suspicion): void {
     const node = this.getOwner();
     if (node === undefined) return;
     this.cutStore(forMs);
@@ -1184,7 +1184,7 @@
     const redial = () => {
       if (!node.linksCut) return;
       for (const peer of this.listUp())
-        if (peer !== node) peer.claims.suspect(node.context.instance, false);
+        if (peer !== node) peer.claims.suspect(node.context.instance, evidence);
       this.after(REDIAL_INTERVAL_MS, redial);
     };
     this.after(LINK_DELAY_MS, redial);
--- a/packages/cluster/test/cutOffOwners.test.ts
+++ b/packages/cluster/test/cutOffOwners.test.ts
@@ -9,6 +9,7 @@
 /** Cuts the owner off with one VM that has room, some time after a VM with tasks has crashed. */
 async function cutAfterCrash(
   cutAfterMs: number,
+  evidence: 'silent' | 'refused',
 ): Promise<simulations.ClusterSimulation> {
   const simulation = new simulations.ClusterSimulation({
     jobs: 8,
@@ -24,7 +25,7 @@
   for (const [id] of vms)
     if (id === nearOwner) simulation.isolateWithOwner(id);
     else simulation.isolateFromOwner(id);
-  simulation.cutOwner(CUT_MS);
+  simulation.cutOwner(CUT_MS, evidence);
   await simulation.advance(CUT_MS);
   for (const [id] of vms) simulation.reconnectVm(id);
   await simulation.advance(RESTORED_WITHIN_MS);
@@ -35,7 +36,21 @@
   vitest.it.each([4_350, 4_400, 4_450, 4_500, 4_550, 4_600, 4_650, 4_700])(
     'starts no task that its successor starts, %d ms after a VM has crashed (guards against TWICE: a successor that claims before its predecessor starts tasks without a record)',
     async (cutAfterMs) => {
-      const simulation = await cutAfterCrash(cutAfterMs);
+      const simulation = await cutAfterCrash(cutAfterMs, 'silent');
+      vitest
+        .expect(simulation.violations, simulation.formatLines())
+        .toEqual([]);
+      vitest
+        .expect(simulation.listMissing(), simulation.formatLines())
+        .toEqual([]);
+      simulation.close();
+    },
+  );
+
+  vitest.it.each([4_350, 4_400, 4_450, 4_500, 4_550, 4_600, 4_650, 4_700])(
+    'starts no task that its successor starts, its links refused %d ms after a VM has crashed (guards against TWICE: a refused link counts as the end of the process)',
+    async (cutAfterMs) => {
+      const simulation = await cutAfterCrash(cutAfterMs, 'refused');
       vitest
         .expect(simulation.violations, simulation.formatLines())
         .toEqual([]);
