Count the time for which the owner's machine is suspended against its leases (TWICE)

Callers saw nothing yet: found in a test in virtual time.

The steady clock doesn't count while a machine is suspended (DEPLOY.md, Clocks). The age of the owner's claim stood still for that time, so the owner extended leases by as much beyond those that its successor waits for. On a VM that only the old owner reached, runs went on while the successor started them elsewhere.

Evidence: cutOffOwners.test.ts suspends the owner for 2, 4 and 6 s and cuts it off from the store; before the change all three failed, for example '26790: job0.0.0.0 started on vm2 while it runs on vm0'. Now none does.

The limit of leases now uses the larger of two ages, by the steady clock and by the time of day, both read when the confirmed append began. A jump of the time of day ahead shortens grants until the next renewal; a jump back by as much as the suspension, at the same time, would still hide it.

--- a/packages/cluster/src/claims.ts
+++ b/packages/cluster/src/claims.ts
@@ -53,6 +53,12 @@
   /** A later process of its node runs. */
   | 'terminated';
 
+/** A moment on the monotonic clock and as time of day. */
+interface Moment {
+  readonly atMs: number;
+  readonly date: number;
+}
+
 /** The owner according to the stream. */
 export interface Owner {
   readonly fence: number;
@@ -133,6 +139,11 @@
   getFence(): number | undefined;
   /** Time since the store last confirmed this node's claim, in ms. */
   getConfirmedAge(): number;
+  /**
+   * Longest time that may have passed since then, in ms. The monotonic clock doesn't count
+   * while the machine is suspended, and the time of day may jump.
+   */
+  getLongestConfirmedAge(): number;
   /** Offset of the newest renewal that the store has confirmed; undefined before the first one. */
   getConfirmedOffset(): core.ids.Offset | undefined;
   close(): void;
@@ -153,7 +164,7 @@
   let ownerConfirmedMs = -Infinity;
   let newestOffset = -1;
   let ownedFence: number | undefined;
-  let claimConfirmedMs = 0;
+  let claimConfirmed: Moment = { atMs: 0, date: 0 };
   let claimConfirmedOffset: core.ids.Offset | undefined;
   /** Newest renewal of which the owner has told, and the latest time at which it was sent. */
   let toldRenewal: { offset: core.ids.Offset; sentByMs: number } | undefined;
@@ -173,7 +184,7 @@
   let renewTimer: core.TimerSubscription | undefined;
   let watchTimer: core.TimerSubscription | undefined;
   let roundTripMs = 0;
-  let lastReadStartMs = -Infinity;
+  let lastReadStart: Moment = { atMs: -Infinity, date: -Infinity };
   let storeReachable = false;
   /** Time of the last read that failed. */
   let storeLostMs = -Infinity;
@@ -194,7 +205,7 @@
     newestOffset = record.offset;
     if (claim === undefined) return;
     ownerRenewedMs = timers.getNow();
-    ownerConfirmedMs = Math.max(ownerConfirmedMs, lastReadStartMs);
+    ownerConfirmedMs = Math.max(ownerConfirmedMs, lastReadStart.atMs);
     clearSuspicion(claim.instance, record.offset);
     const next: Owner = {
       fence: claim.fence ?? record.offset + 1,
@@ -252,12 +263,16 @@
     if (ownedFence === fence || closing) return;
     ownedFence = fence;
     // Others may have read the claim before this node, whose append may have got no answer.
-    claimConfirmedMs = ownerConfirmedMs;
+    claimConfirmed = lastReadStart;
     claimConfirmedOffset = undefined;
     log.write('info', 'ownership.gained', { fence });
     events.onOwned(fence, previous);
   }
 
+  function readClocks(): Moment {
+    return { atMs: timers.getNow(), date: timers.getDate() };
+  }
+
   let previous: PreviousOwner = {
     unrecorded: false,
     inactive: true,
@@ -424,7 +439,7 @@
       leases: record,
       ...(events.hasUnrecorded() ? { unrecorded: true } : {}),
     };
-    let startedMs = timers.getNow();
+    let started = readClocks();
     let result = await appendClaim(renewal);
     // Either an earlier renewal was appended although its answer was lost, or another node has
     // claimed. In the first case a successor may have read that renewal long ago.
@@ -433,13 +448,13 @@
       (await tail.refresh()) &&
       ownedFence === fence
     ) {
-      startedMs = timers.getNow();
+      started = readClocks();
       result = await appendClaim(renewal);
     }
     claiming = false;
     switch (result.outcome) {
       case 'appended':
-        claimConfirmedMs = startedMs;
+        claimConfirmed = started;
         claimConfirmedOffset = result.offset;
         if (ownedFence === fence && record !== undefined)
           events.onRenewed(record);
@@ -455,9 +470,9 @@
         log.write('warn', 'ownership.renewal-failed', {
           fence,
           outcome: result.outcome,
-          confirmedAgeMs: Math.round(timers.getNow() - claimConfirmedMs),
+          confirmedAgeMs: Math.round(timers.getNow() - claimConfirmed.atMs),
         });
-        if (timers.getNow() - claimConfirmedMs > UNCONFIRMED_LIMIT_MS)
+        if (timers.getNow() - claimConfirmed.atMs > UNCONFIRMED_LIMIT_MS)
           endOwnership(
             'claim not confirmed within the limit; ownership given up',
           );
@@ -524,18 +539,18 @@
 
   async function watchOwner(): Promise<void> {
     if (closing || ownedFence !== undefined) return;
-    const startedMs = timers.getNow();
+    const started = readClocks();
     const storeAnswered = await tail.refresh();
     const nowMs = timers.getNow();
     storeReachable = storeAnswered;
     // Records that a later read finds were appended after this read began.
-    if (storeAnswered) lastReadStartMs = startedMs;
+    if (storeAnswered) lastReadStart = started;
     if (!storeAnswered) {
       // Without an answer from the store, missing renewals don't show that the owner failed.
       ownerRenewedMs = Math.max(ownerRenewedMs, nowMs - FAST_WATCH_INTERVAL_MS);
       return;
     }
-    roundTripMs = nowMs - startedMs;
+    roundTripMs = nowMs - started.atMs;
     if (suspicion !== 'silent') offsetAtTermination ??= newestOffset;
     if (currentOwner === undefined) {
       await claimFirst();
@@ -662,7 +677,12 @@
     },
     getOwner: () => currentOwner,
     getFence: () => ownedFence,
-    getConfirmedAge: () => timers.getNow() - claimConfirmedMs,
+    getConfirmedAge: () => timers.getNow() - claimConfirmed.atMs,
+    getLongestConfirmedAge: () =>
+      Math.max(
+        timers.getNow() - claimConfirmed.atMs,
+        timers.getDate() - claimConfirmed.date,
+      ),
     getConfirmedOffset: () => claimConfirmedOffset,
     close() {
       closing = true;
--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -110,6 +110,7 @@
         adviceRouter,
         getPolicies: () => configuration.getPolicies(),
         getConfirmedAge: () => ownership.getConfirmedAge(),
+        getLongestConfirmedAge: () => ownership.getLongestConfirmedAge(),
         onAppendFailed: () => {
           void releaseToPeers(fence);
         },
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -57,6 +57,7 @@
     >;
   };
   readonly getConfirmedAge: () => number;
+  readonly getLongestConfirmedAge: () => number;
   /** Called when the store refuses an append of this owner or doesn't answer it. */
   readonly onAppendFailed: () => void;
   /** Called when a VM or the store has seen a higher fence. */
@@ -353,7 +354,7 @@
           getEarlierLeaseEnd: () =>
             Math.max(replacedLeaseEndMs, getInheritedLeaseEnd(id)),
           getLeaseLimit: () =>
-            options.unconfirmedLimitMs - options.getConfirmedAge(),
+            options.unconfirmedLimitMs - options.getLongestConfirmedAge(),
           canExtendLease: () => !recordedSilentVms.has(id),
           draining: vm.draining,
           holdWait,
--- a/packages/cluster/test/clusterSimulation.ts
+++ b/packages/cluster/test/clusterSimulation.ts
@@ -90,6 +90,8 @@
   heartbeatAtMs: number;
   heartbeatFence: number | undefined;
   handleRequest: requestHandlers.RequestHandler;
+  /** Time that its steady clock hasn't counted, in ms. */
+  suspendedMs: number;
   /** What a frozen process does when it continues. */
   readonly wakeUps: (() => void)[];
   close: () => void;
@@ -303,6 +305,7 @@
       linksCut: false,
       heartbeatAtMs: this.getNow(),
       heartbeatFence: undefined,
+      suspendedMs: 0,
       wakeUps: [],
     } as unknown as SimNode;
     const context: fakes.FakeContext = {
@@ -357,6 +360,7 @@
             policies: new Map([['queue', fakes.queuePolicy]]),
           }),
           getConfirmedAge: () => ownership.getConfirmedAge(),
+          getLongestConfirmedAge: () => ownership.getLongestConfirmedAge(),
           onAppendFailed: () => undefined,
           onFenced: () => {
             ownership.resign('fenced');
@@ -418,14 +422,20 @@
 
   private createNodeTimers(node: SimNode): core.TimerService {
     return {
-      getNow: () => this.world.getNow(),
+      getNow: () => this.world.getNow() - node.suspendedMs,
       getDate: () => this.world.getDate(),
       subscribe: (request, onDue) => {
         let ended = false;
         let delayed = false;
+        const getNow = () => this.world.getNow() - node.suspendedMs;
+        const dueMs = getNow() + request.delayMs;
         const fire = () => {
           delayed = false;
-          if (!ended && node.state !== 'dead') onDue(this.getNow());
+          if (ended || node.state === 'dead') return;
+          const earlyMs = dueMs - getNow();
+          if (request.repeat === 'once' && earlyMs > 0)
+            this.after(earlyMs, fire);
+          else onDue(getNow());
         };
         const subscription = this.world.subscribe(request, () => {
           if (node.state !== 'frozen') fire();
@@ -1165,6 +1175,16 @@
     });
   }
 
+  /** Suspends the owner's machine for a time, which its steady clock doesn't count. */
+  suspendOwner(forMs: number): void {
+    const node = this.getOwner();
+    if (node?.state !== 'up') return;
+    this.freezeOwner(forMs);
+    this.after(forMs - 1, () => {
+      node.suspendedMs += forMs;
+    });
+  }
+
   /** Cuts the owner off from the store for a time; its appends may be carried out late. */
   cutStore(forMs: number): void {
     const node = this.getOwner();
--- a/packages/cluster/test/cutOffOwners.test.ts
+++ b/packages/cluster/test/cutOffOwners.test.ts
@@ -61,3 +61,34 @@
     },
   );
 });
+
+vitest.describe('an owner whose machine is suspended', () => {
+  vitest.it.each([2_000, 4_000, 6_000])(
+    'extends no lease beyond those that its successor waits for, suspended for %d ms and cut off (guards against TWICE: the time of a suspension is not counted)',
+    async (suspendedMs) => {
+      const simulation = new simulations.ClusterSimulation({
+        jobs: 8,
+        vms: 5,
+        coresPerVm: 4,
+      });
+      await simulation.advance(6_000);
+      const vms = [...simulation.vms];
+      const [nearOwner] = vms.find(([, { running }]) => running.size > 0)!;
+      for (const [id] of vms)
+        if (id === nearOwner) simulation.isolateWithOwner(id);
+        else simulation.isolateFromOwner(id);
+      simulation.cutOwner(20_000, 'silent');
+      simulation.suspendOwner(suspendedMs);
+      await simulation.advance(20_000);
+      for (const [id] of vms) simulation.reconnectVm(id);
+      await simulation.advance(RESTORED_WITHIN_MS);
+      vitest
+        .expect(simulation.violations, simulation.formatLines())
+        .toEqual([]);
+      vitest
+        .expect(simulation.listMissing(), simulation.formatLines())
+        .toEqual([]);
+      simulation.close();
+    },
+  );
+});
--- a/packages/cluster/test/departedVms.test.ts
+++ b/packages/cluster/test/departedVms.test.ts
@@ -137,6 +137,7 @@
       policies: new Map([['queue', fakes.queuePolicy]]),
     }),
     getConfirmedAge: () => 0,
+    getLongestConfirmedAge: () => 0,
     onAppendFailed: () => undefined,
     onFenced: () => undefined,
     onFailed: () => undefined,
--- a/packages/cluster/test/leaseGrants.test.ts
+++ b/packages/cluster/test/leaseGrants.test.ts
@@ -130,6 +130,7 @@
     },
     getPolicies: () => ({ version: 1, policies: new Map() }),
     getConfirmedAge: () => 0,
+    getLongestConfirmedAge: () => 0,
     onAppendFailed: () => undefined,
     onFenced: () => undefined,
     onFailed: () => undefined,
--- a/packages/cluster/test/owner.test.ts
+++ b/packages/cluster/test/owner.test.ts
@@ -101,6 +101,8 @@
   context.store.streams.jobs.add(key, value);
   if (progress !== undefined)
     context.store.streams.progress.add(job.id, progress);
+  const getClaimAge = () =>
+    timers.getNow() - (claim.confirmedMs ?? timers.getNow());
   const owner = owners.createOwner(ownerContext, {
     fence: 7,
     previous: fakes.createPreviousOwner(previous, ownerContext.timers.getNow()),
@@ -122,8 +124,8 @@
       if (policies.failure !== undefined) throw policies.failure;
       return { version: 1, policies: new Map() };
     },
-    getConfirmedAge: () =>
-      timers.getNow() - (claim.confirmedMs ?? timers.getNow()),
+    getConfirmedAge: getClaimAge,
+    getLongestConfirmedAge: getClaimAge,
     onAppendFailed: () => undefined,
     onFenced: fenced,
     onFailed: failed,
