--- a/packages/cluster/test/clusterSimulation.ts
+++ b/packages/cluster/test/clusterSimulation.ts
@@ -1086,6 +1086,18 @@
     this.list(vm);
   }
 
+  /** Cuts a VM off from the store for a time, so that its entry lapses. All nodes reach it. */
+  unlistVm(id: core.ids.VmId, forMs: number): void {
+    const vm = this.vms.get(id)!;
+    this.after(UNLISTED_AFTER_MS, () => {
+      vm.listed = false;
+      this.vmStream.add(id, undefined);
+    });
+    this.after(forMs, () => {
+      if (vm.state === 'up') this.list(vm);
+    });
+  }
+
   /** Gives a VM another address; the process and its runs stay the same. */
   readdressVm(id: core.ids.VmId): void {
     const vm = this.vms.get(id)!;
--- a/packages/cluster/test/unrecordedStarts.test.ts
+++ b/packages/cluster/test/unrecordedStarts.test.ts
@@ -1,9 +1,11 @@
 /** Starts that an owner sent during an outage of the store, without a record: no later owner starts their tasks beside them. */
 import * as vitest from 'vitest';
+import * as knownRed from '../../standins/test/cell/knownRed.js';
 import * as simulations from './clusterSimulation.js';
 
 /** Time for two changes of owner and all leases, in ms. */
 const RESTORED_WITHIN_MS = 20_000;
+const OUTAGE_MS = 7_000;
 
 /** Makes the owner start tasks without a record, on a VM that is cut off after that, and ends the owner before the store is back. */
 async function startUnrecorded(
@@ -79,4 +81,31 @@
       expectSound(simulation);
     },
   );
+
+  /** Makes the owner start tasks without a record on a VM whose entry lapses for long, and kills the owner in the outage. */
+  async function killInOutage(killBeforeMs: number): Promise<void> {
+    const simulation = createCluster();
+    await simulation.advance(6_000);
+    const vms = [...simulation.vms];
+    const [crashed] = vms.find(([, { running }]) => running.size > 0)!;
+    const [id, unlisted] = vms.find(([, { running }]) => running.size === 0)!;
+    simulation.silenceVm(crashed, 'gone');
+    await simulation.advance(3_000);
+    simulation.failStore(OUTAGE_MS, 'silent');
+    simulation.unlistVm(id, RESTORED_WITHIN_MS + OUTAGE_MS);
+    await simulation.advance(OUTAGE_MS - killBeforeMs);
+    vitest.expect(unlisted.running.size).not.toBe(0);
+    simulation.killOwner();
+    await simulation.advance(killBeforeMs + RESTORED_WITHIN_MS);
+    const { violations } = simulation;
+    vitest.expect(violations, simulation.formatLines()).toEqual([]);
+    simulation.close();
+  }
+
+  for (const killBeforeMs of [0, 500, 1_000, 1_500, 2_000]) {
+    const test = `does not run a second time when its VM is cut off from the store longer than the nodes are, with an owner killed ${killBeforeMs} ms before these are back (guards against TWICE: a VM that is treated as gone while its runs go on)`;
+    vitest.it(test, () =>
+      knownRed.runKnownRed(test, () => killInOutage(killBeforeMs)),
+    );
+  }
 });
