--- a/packages/cluster/test/clusterSimulation.ts
+++ b/packages/cluster/test/clusterSimulation.ts
@@ -72,6 +72,8 @@
   fence: number;
   leaseEndMs: number;
   readonly running: Map<string, core.workloads.ReportedRun>;
+  /** Times at which the stops of running tasks end, by task; the VM lists these nowhere until then. */
+  readonly stopEndsMs: Map<string, number>;
   ended: core.workloads.ReportedEnd[];
   nextEnd: number;
   /** Highest run of each task that has been stopped or has ended. */
@@ -195,6 +197,7 @@
   private readonly closedNodes: SimNode[] = [];
   private readonly getRandom: () => number;
   private readonly leaseMs: number;
+  private readonly stopMs: number;
   private readonly coresPerVm: number;
   private readonly getClockRate: () => number;
   private readonly lastRanMs = new Map<core.ids.JobId, number>();
@@ -225,10 +228,13 @@
     /** Tasks for which a VM has room. */
     readonly coresPerVm?: number;
     readonly getClockRate?: () => number;
+    /** Time that a VM takes to stop a run, in ms; none when absent. */
+    readonly stopMs?: number;
   }) {
     this.getRandom = given.getRandom ?? (() => 0.5);
     this.leaseMs = given.leaseMs ?? LONGEST_LEASE_MS;
     this.coresPerVm = given.coresPerVm ?? 8;
+    this.stopMs = given.stopMs ?? 0;
     this.getClockRate = given.getClockRate ?? (() => VM_CLOCK_RATE);
     for (let index = 0; index < given.jobs; index += 1) {
       const { key, value } = records.buildAccepted({
@@ -285,6 +291,7 @@
       fence: 0,
       leaseEndMs: 0,
       running: new Map(),
+      stopEndsMs: new Map(),
       ended: [],
       nextEnd: 1,
       overRuns: new Map(),
@@ -804,7 +811,9 @@
             clockMs: this.getVmClock(vm),
             report: {
               incarnation: vm.entry.incarnation,
-              running: [...vm.running.values()],
+              running: [...vm.running]
+                .filter(([name]) => !vm.stopEndsMs.has(name))
+                .map(([, run]) => run),
               ended: [...vm.ended],
             },
           };
@@ -850,8 +859,8 @@
             if (call.fence < vm.fence) return Promise.resolve('fenced');
             vm.fence = call.fence;
             const name = core.workloads.formatTask(call.task);
-            this.endRun(vm, name, 'stopped');
             this.recordOver(vm, name, call.run);
+            this.beginStop(vm, name);
             return Promise.resolve('closed');
           },
         )) ?? 'unknown',
@@ -892,6 +901,12 @@
     );
   }
 
+  private beginStop(vm: SimVm, name: string): void {
+    if (this.stopMs === 0) this.endRun(vm, name, 'stopped');
+    else if (vm.running.has(name) && !vm.stopEndsMs.has(name))
+      vm.stopEndsMs.set(name, this.getNow() + this.stopMs);
+  }
+
   private recordOver(vm: SimVm, name: string, run: number): void {
     vm.overRuns.set(name, Math.max(run, vm.overRuns.get(name) ?? 0));
   }
@@ -939,6 +954,7 @@
     const run = vm.running.get(name);
     if (run === undefined) return;
     vm.running.delete(name);
+    vm.stopEndsMs.delete(name);
     this.recordOver(vm, name, run.run);
     vm.ended.push({
       number: vm.nextEnd,
@@ -977,6 +993,8 @@
         for (const name of [...vm.running.keys()])
           this.endRun(vm, name, 'lapsed');
       }
+      for (const [name, endsMs] of [...vm.stopEndsMs])
+        if (this.getNow() >= endsMs) this.endRun(vm, name, 'stopped');
       for (const [name, { task, run }] of [...vm.running]) {
         const endsMs = this.runEndsMs.get(`${name} ${run}`) ?? Infinity;
         if (this.getNow() < endsMs) continue;
@@ -1027,6 +1045,7 @@
     if (refuses === 'always') for (const endCall of vm.resets) endCall();
     if (state !== 'gone') return;
     vm.running.clear();
+    vm.stopEndsMs.clear();
     this.settleEnds(vm, () => true, 'forgotten');
   }
 
@@ -1082,6 +1101,7 @@
       nextEnd: 1,
     });
     vm.running.clear();
+    vm.stopEndsMs.clear();
     vm.overRuns.clear();
     this.list(vm);
   }
--- a/packages/cluster/test/doneOnce.property.test.ts
+++ b/packages/cluster/test/doneOnce.property.test.ts
@@ -16,6 +16,8 @@
 const CORES_PER_VM = 3;
 const WALK_MS = 15_000;
 const CALM_MS = 12_000;
+/** Time that a VM takes to stop a run, in ms. */
+const STOP_MS = 700;
 
 /** Disturbances of a walk. */
 interface Disturbances {
@@ -125,6 +127,7 @@
 async function playWalk(
   seed: number,
   disturbances: Disturbances,
+  stopMs = 0,
 ): Promise<WalkResult> {
   const getRandom = randoms.createRandom(seed);
   const simulation = new simulations.ClusterSimulation({
@@ -132,6 +135,7 @@
     vms: VMS,
     getRandom,
     coresPerVm: CORES_PER_VM,
+    stopMs,
   });
   const notes = [`seed ${seed}`];
   let submitted = 0;
@@ -160,8 +164,8 @@
   return { broken, story };
 }
 
-async function runWalk(seed: number): Promise<void> {
-  const { broken, story } = await playWalk(seed, mixed);
+async function runWalk(seed: number, stopMs = 0): Promise<void> {
+  const { broken, story } = await playWalk(seed, mixed, stopMs);
   vitest.expect(broken, story).toEqual([]);
 }
 
@@ -172,6 +176,9 @@
  * lapsed during an outage of the store.
  */
 const FAILED_SEEDS = [5, 15, 88, 1300, 1318, 1419, 1485];
+/** Seed of a walk in which stops that aren't listed break the rule. */
+const RED_STOP_SEED = 35;
+
 /** Seed that fails: all entries of VMs are missing for a moment at a change of owner, long after an outage. */
 const RED_SEED = 1173;
 
@@ -184,6 +191,19 @@
     },
   );
 
+  vitest.it.each(seeds)(
+    'run once although VMs list a run nowhere while they stop it, seed %d (guards against TWICE: a run that counts as over before it has ended)',
+    async (seed) => {
+      await runWalk(seed, STOP_MS);
+    },
+  );
+
+  const redStop =
+    'run once although a VM lists a run nowhere while it stops it (guards against TWICE: a run that counts as over before it has ended)';
+  vitest.it(redStop, () =>
+    knownRed.runKnownRed(redStop, () => runWalk(RED_STOP_SEED, STOP_MS)),
+  );
+
   const red =
     'run once although entries of VMs expire beside a change of owner with starts without a record';
   vitest.it(red, () => knownRed.runKnownRed(red, () => runWalk(RED_SEED)));
--- a/packages/cluster/test/vmSessions.test.ts
+++ b/packages/cluster/test/vmSessions.test.ts
@@ -1,5 +1,6 @@
 /** The owner's session with a VM: leases, missing answers, and the time after which no run can be left there. */
 import * as vitest from 'vitest';
+import * as knownRed from '../../standins/test/cell/knownRed.js';
 import * as vmSessions from '../src/vmSessions.js';
 import * as timeouts from '../src/timeouts.js';
 import type * as ports from '../src/ports.js';
@@ -223,6 +224,20 @@
     },
   );
 
+  const red =
+    'reports a VM that refuses connections after its lease has expired in silence (guards against a task that crashes VMs and is never given up)';
+  vitest.it(red, () =>
+    knownRed.runKnownRed(red, async () => {
+      const { setup, events, timers, session } = createSetup(undefined, 5_000);
+      await fakes.advance(timers, 6_000);
+      vitest.expect(events).toEqual(['unresponsive', 'lost: lease expired']);
+      setup.answer = { outcome: 'refused', why: 'ECONNREFUSED' };
+      await fakes.advance(timers, 3_000);
+      vitest.expect(events).toContain('lost: process terminated');
+      session.close();
+    }),
+  );
+
   vitest.it(
     'reports no crash of a VM whose refusal is followed by silence until its lease has expired (guards against tasks that are blamed for a lost connection)',
     async () => {
--- a/packages/core/test/workloads/crashes.test.ts
+++ b/packages/core/test/workloads/crashes.test.ts
@@ -1,5 +1,6 @@
 /** VMs that crash: what is recorded about the runs on them. */
 import * as vitest from 'vitest';
+import * as knownRed from '../../../standins/test/cell/knownRed.js';
 import * as core from '../../src/index.js';
 import * as harnesses from './harness.js';
 
@@ -254,6 +255,28 @@
     },
   );
 
+  const red =
+    "isn't given up for VMs that report again in the same incarnation (guards against LOST: a job that fails because its VMs were cut off)";
+  vitest.it(red, () =>
+    knownRed.runKnownRed(red, () => {
+      const harness = harnesses.createHarness();
+      for (const id of ['a', 'b', 'c', 'd', 'e', 'f']) harness.addVm(id);
+      harness.addJob('job', [harnesses.createStep({ estimateMs: 60_000 })]);
+      for (let cut = 0; cut < 6; cut += 1) {
+        while (harness.listRuns().length === 0 && harness.getNow() < 60_000)
+          harness.advance(100);
+        harness.advance(100);
+        const [run] = harness.listRuns();
+        if (run === undefined) break;
+        harness.scheduler.loseVm(run.vm, harness.getNow(), 'terminated');
+        // The lease of the VM has ended its runs, but not its process.
+        harness.endRun(run.vm, run.run, 'lapsed');
+        harness.report(run.vm);
+      }
+      vitest.expect([...harness.finals]).toEqual([]);
+    }),
+  );
+
   vitest.it('is cleared by a run that goes on', () => {
     const harness = harnesses.createHarness();
     harness.addVm('a');
