Expect no starts without a record from a predecessor whose claim was confirmed (worth)

Cause: let a successor expect starts without a record from every owner that isn't known to have stopped, and since a killed owner is one of these until its next process connects. So after each change of owner all older work of a pool waited for the first report of each VM, and for the leases of those that had left.

Change: such starts are expected as before, from a claim that was unconfirmed for 1.2 s on.

--- a/packages/cluster/src/claims.ts
+++ b/packages/cluster/src/claims.ts
@@ -392,9 +392,7 @@
       ownerReleased ||
       suspicion === 'terminated' ||
       currentOwner?.instance === instance;
-    // An owner that isn't known to have stopped may still send starts without a record.
     const unrecorded =
-      !inactive ||
       currentOwner?.unrecorded === true ||
       (toldUnrecorded && currentOwner?.released !== true) ||
       unconfirmedMs > UNRECORDED_START_AFTER_MS;
