--- a/packages/cluster/src/claims.ts
+++ b/packages/cluster/src/claims.ts
@@ -140,8 +140,9 @@
   /** Time since the store last confirmed this node's claim, in ms. */
   getConfirmedAge(): number;
   /**
-   * Longest time that may have passed since then, in ms. The monotonic clock doesn't count
-   * while the machine is suspended, and the time of day may jump.
+   * Longest time that may have passed since the store last confirmed this node's claim, in
+   * ms. The monotonic clock stands still while the machine is suspended, and the time of day
+   * may jump.
    */
   getLongestConfirmedAge(): number;
   /** Offset of the newest renewal that the store has confirmed; undefined before the first one. */
@@ -387,15 +388,15 @@
     const unconfirmedMs = ownerReleased ? 0 : nowMs - ownerConfirmedMs;
     const toldUnrecorded =
       releasedFence === currentOwner?.fence && releasedUnrecorded;
+    const unrecorded =
+      currentOwner?.unrecorded === true ||
+      (toldUnrecorded && currentOwner?.released !== true) ||
+      unconfirmedMs > UNRECORDED_START_AFTER_MS;
     // An earlier ownership of this process has ended with its orders.
     const inactive =
       ownerReleased ||
       suspicion === 'terminated' ||
       currentOwner?.instance === instance;
-    const unrecorded =
-      currentOwner?.unrecorded === true ||
-      (toldUnrecorded && currentOwner?.released !== true) ||
-      unconfirmedMs > UNRECORDED_START_AFTER_MS;
     const sentByMs = currentOwner && computeSentBy(currentOwner);
     const sentAgeMs = sentByMs && Math.round(nowMs - sentByMs);
     const recorded =
--- a/packages/cluster/test/clusterSimulation.ts
+++ b/packages/cluster/test/clusterSimulation.ts
@@ -428,13 +428,13 @@
   }
 
   private createNodeTimers(node: SimNode): core.TimerService {
+    const getNow = () => this.world.getNow() - node.suspendedMs;
     return {
-      getNow: () => this.world.getNow() - node.suspendedMs,
+      getNow,
       getDate: () => this.world.getDate(),
       subscribe: (request, onDue) => {
         let ended = false;
         let delayed = false;
-        const getNow = () => this.world.getNow() - node.suspendedMs;
         const dueMs = getNow() + request.delayMs;
         const fire = () => {
           delayed = false;
--- a/packages/core/src/workloads/blame.ts
+++ b/packages/core/src/workloads/blame.ts
@@ -237,7 +237,7 @@
   const ownMarks = getMarks(givenUp);
   const crashes = new Set(ownMarks.map(formatCrash));
   for (const job of state.jobs.values())
-    for (const marks of collectMarks(job)) {
+    for (const marks of listMarks(job)) {
       if (marks === ownMarks) continue;
       marks.forEach((mark, index) => {
         if (mark.evidence !== 'shared' || !crashes.has(formatCrash(mark)))
@@ -253,7 +253,7 @@
   if (vm.incarnation === undefined) return;
   if (vm.blamedIncarnation === vm.incarnation) vm.blamedIncarnation = undefined;
   for (const job of state.jobs.values())
-    for (const marks of collectMarks(job)) {
+    for (const marks of listMarks(job)) {
       const kept = marks.filter(
         (mark) =>
           mark.evidence === 'inconclusive' ||
@@ -266,13 +266,13 @@
     }
 }
 
-function collectMarks(job: tables.JobRow): readonly tables.CrashMark[][] {
-  return job.occurrences.flatMap(({ steps }) =>
-    steps.flatMap((step) => [
-      step.gangCrashes,
-      ...step.tasks.map((task) => task.crashes),
-    ]),
-  );
+/** Lists the marks of a job's marked gangs and tasks. Few of them are marked, so no list of all is built. */
+function* listMarks(job: tables.JobRow): Generator<tables.CrashMark[]> {
+  for (const { steps } of job.occurrences)
+    for (const { gangCrashes, tasks } of steps) {
+      if (gangCrashes.length > 0) yield gangCrashes;
+      for (const { crashes } of tasks) if (crashes.length > 0) yield crashes;
+    }
 }
 
 function formatCrash({ vm, incarnation }: tables.CrashMark): string {
--- a/packages/core/src/workloads/removals.ts
+++ b/packages/core/src/workloads/removals.ts
@@ -75,7 +75,7 @@
   readonly held: HeldRun | undefined;
   /** How the run left the tables, unless its end was reported before or another owner removed it. */
   readonly removal: Removal | undefined;
-  /** Time since then, in ms. */
+  /** Time since the run left the tables, in ms; undefined where its removal isn't known. */
   readonly removalAgeMs: number | undefined;
 }
 
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -25,7 +25,7 @@
 export interface Decision {
   readonly commands: readonly types.Command[];
   readonly batch: types.RecordBatch | undefined;
-  /** Runs that have ended since the last tick; those of other than service tasks only without a report of their end. */
+  /** Runs that have left the tables since the last tick, other than service tasks only if their end wasn't reported. */
   readonly endedRuns: readonly states.EndedRun[];
   /** Ends since the last tick of runs that aren't in the tables and whose task has run again. */
   readonly lateEnds: readonly removals.LateEnd[];
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -30,7 +30,7 @@
   readonly finals: readonly tables.JobRow[];
 }
 
-/** A run of a service task that has left the tables, or any run that has without a report of its end. */
+/** A run that has left the tables: each one of a service task, others only if their end wasn't reported. */
 export interface EndedRun {
   readonly task: types.TaskKey;
   readonly run: number;
@@ -115,7 +115,7 @@
   /** Batch whose confirmation makes all starts durable that were sent without a record, and the ends of their runs. */
   unrecordedStartsBatch: number | undefined;
   commands: types.Command[];
-  /** Ended runs since the last tick; those of other than service tasks only without a report of their end. */
+  /** Runs that have left the tables since the last tick, other than service tasks only if their end wasn't reported. */
   endedRuns: EndedRun[];
   /** Ends since the last tick of runs whose task has run again. */
   lateEnds: removals.LateEnd[];
--- a/packages/standins/test/cell/knownRed.ts
+++ b/packages/standins/test/cell/knownRed.ts
@@ -9,7 +9,7 @@
  */
 export async function runKnownRed(
   test: string,
-  body: () => Promise<void> | void,
+  body: () => Promise<void>,
 ): Promise<void> {
   const file = path.join(import.meta.dirname, '../../../../KNOWN-RED.txt');
   const isListed = fs
