Log whether a start had its record and how old the owner's claim was (TWICE)

Callers saw tasks run twice while nodes had lost the store. The lines of the processes couldn't tell a start without a record from one whose record the successor didn't read, nor a VM that was lost by an owner whose claim had just been confirmed from one lost by an owner that nobody had confirmed for seconds.

task.start gets recorded and confirmedAgeMs, vm.lost gets claimLeftMs.

--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -80,6 +80,9 @@
   readonly tables: unknown;
 }
 
+/** Whether the record of a start was durable when it was sent. */
+type StartDurability = 'recorded' | 'unrecorded';
+
 /** A count of the waiting jobs, and the age that it had when it was made. */
 interface CountedJobs {
   readonly atMs: number;
@@ -593,14 +596,18 @@
     if (options.getConfirmedAge() < claims.UNRECORDED_START_AFTER_MS) return;
     // After a pause the record and the claim are old although the store may have answered, and another node may own the cluster.
     if (nowMs - resumedMs < claims.UNRECORDED_START_AFTER_MS) return;
-    for (const command of scheduler.releaseStarts()) execute(command);
+    for (const command of scheduler.releaseStarts())
+      execute(command, 'unrecorded');
   }
 
-  function execute(command: core.workloads.Command): void {
+  function execute(
+    command: core.workloads.Command,
+    durability: StartDurability = 'recorded',
+  ): void {
     switch (command.command) {
       case 'start':
         loadReporter.count('start');
-        void start(command);
+        void start(command, durability);
         return;
       case 'stop':
         loadReporter.count('stop');
@@ -623,8 +630,12 @@
     { readonly command: Name }
   >;
 
-  async function start(command: CommandOf<'start'>): Promise<void> {
+  async function start(
+    command: CommandOf<'start'>,
+    durability: StartDurability,
+  ): Promise<void> {
     const { vm, task, run } = command;
+    const confirmedAgeMs = Math.round(options.getConfirmedAge());
     const untilMs = sessionsByVm.get(vm)?.computeStartUntil();
     const outcome = await sendStart(command, untilMs);
     if (isClosed()) return;
@@ -634,6 +645,8 @@
       vm,
       fence,
       outcome,
+      recorded: durability === 'recorded',
+      confirmedAgeMs,
     });
     scheduler.applyStart(vm, task, run, outcome, timers.getNow(), untilMs);
     if (outcome === 'fenced') options.onFenced();
--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -326,6 +326,7 @@
     return {
       silentMs: vmClock && Math.round(nowMs - vmClock.atMs),
       leaseEndedMs: Math.round(nowMs - getLeaseEnd()),
+      claimLeftMs: Math.round(options.getLeaseLimit()),
     };
   }
 
