--- a/packages/cluster/src/claims.ts
+++ b/packages/cluster/src/claims.ts
@@ -419,8 +419,11 @@
       why,
       outcome: result.outcome,
       after: tail.getNextOffset(),
+      previousFence: currentOwner?.fence,
       renewedAgeMs: Math.round(nowMs - ownerRenewedMs),
       sentAgeMs,
+      unrecorded,
+      inactive,
     });
     // The stream decides who owns the cluster, also when the outcome of the append is unknown.
     await tail.refresh();
