--- a/packages/cluster/test/clusterSimulation.ts
+++ b/packages/cluster/test/clusterSimulation.ts
@@ -1207,6 +1207,19 @@
     });
   }
 
+  /** Suspends the owner's process for a time while the next record of a start is appended; it reads the answer afterwards. */
+  freezeOwnerAtRecord(forMs: number): void {
+    this.store.intercept = (stream, newRecords) => {
+      const namesRun = newRecords.some(
+        ({ value }) => value?.includes('"runs"') === true,
+      );
+      if (stream !== 'progress' || !namesRun) return undefined;
+      this.store.intercept = undefined;
+      this.freezeOwner(forMs);
+      return undefined;
+    };
+  }
+
   /** Suspends the owner's machine for a time, which its steady clock doesn't count. */
   suspendOwner(forMs: number): void {
     const node = this.getOwner();
@@ -1292,6 +1305,13 @@
     )?.id;
   }
 
+  /** Finds the VM that the newest record of a job names. */
+  findRecordedVm(id: core.ids.JobId): core.ids.VmId | undefined {
+    const { records: stored } = this.store.streams.progress;
+    const value = stored.findLast(({ key }) => key === id)?.value ?? '';
+    return [...this.vms.keys()].find((vm) => value.includes(`"${vm}"`));
+  }
+
   /** Lists the jobs whose task doesn't run on a VM that the owner reaches. */
   listMissing(): readonly string[] {
     const owner = this.getOwner();
