--- a/packages/core/src/workloads/batch.ts
+++ b/packages/core/src/workloads/batch.ts
@@ -17,8 +17,19 @@
  */
 const MAX_STARTS_IN_FLIGHT = 16;
 
+/** Time after which a batch is overdue, in ms; several appends to a slow store. */
+const OVERDUE_AFTER_MS = 1_200;
+
+/** Returns whether the open batch isn't durable for so long that the store may be unavailable: what is stopped now can't start again until it is back. */
+export function isOverdue({ batch }: states.State, nowMs: number): boolean {
+  return batch !== undefined && nowMs - batch.takenMs >= OVERDUE_AFTER_MS;
+}
+
 /** Returns all changes as a new batch; undefined when there are none or a batch is being written. */
-export function takeBatch(state: states.State): types.RecordBatch | undefined {
+export function takeBatch(
+  state: states.State,
+  nowMs: number,
+): types.RecordBatch | undefined {
   if (state.batch !== undefined) return undefined;
   if (state.dirty.size === 0 && state.dropped.length === 0) return undefined;
   const number = state.nextBatch;
@@ -42,6 +53,7 @@
   state.dirty.clear();
   state.batch = {
     number,
+    takenMs: nowMs,
     starts: state.newStarts,
     ends: new Map(
       [...state.vms.values()].map(
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -263,7 +263,7 @@
       state.givenUpTasks = [];
       return {
         commands: takeCommands(),
-        batch: batches.takeBatch(state),
+        batch: batches.takeBatch(state, nowMs),
         endedRuns,
         lateEnds,
         crashedRuns,
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -21,6 +21,7 @@
 /** A batch of records that is being written. */
 export interface OpenBatch {
   readonly number: number;
+  readonly takenMs: number;
   readonly starts: readonly tables.RunRow[];
   /** Number of the latest end that was applied, by VM, and the incarnation that listed it. */
   readonly ends: ReadonlyMap<
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -36,7 +36,7 @@
 ): void {
   reports.expireRuns(state, nowMs);
   stalls.stopStalled(state, nowMs);
-  draining.moveFromDraining(state, nowMs);
+  if (!batches.isOverdue(state, nowMs)) draining.moveFromDraining(state, nowMs);
   pacing.paceRuns(state, nowMs);
   const unrecorded = states.findUnrecordedStarts(state, nowMs);
   trials.pollTrials(state, nowMs);
@@ -103,7 +103,11 @@
       !advice.isRequestPending(step, nowMs)
     ) {
       blockedSteps.set(pool, blocked + 1);
-      if (blocked < LOOKAHEAD_STEPS && !trials.isPrepared(state, step, nowMs))
+      if (
+        blocked < LOOKAHEAD_STEPS &&
+        !batches.isOverdue(state, nowMs) &&
+        !trials.isPrepared(state, step, nowMs)
+      )
         preemption.preemptForStep(state, step, nowMs);
       if (
         step.spec.gang &&
--- a/packages/core/test/workloads/harness.ts
+++ b/packages/core/test/workloads/harness.ts
@@ -139,6 +139,8 @@
   readonly finals: Map<string, core.workloads.FinalState>;
   /** VMs whose runs make no progress. */
   readonly stalledVms: Set<string>;
+  /** Sets whether batches become durable. */
+  setStoreAvailable(available: boolean): void;
   addVm(id: string, given?: Partial<core.workloads.VmEntry>): void;
   addJob(
     id: string,
@@ -190,6 +192,8 @@
   const commands: core.workloads.Command[] = [];
   const stalledVms = new Set<string>();
   let losesNextStart = options.losesFirstStart ?? false;
+  let storeAvailable = true;
+  let openBatch: core.workloads.RecordBatch | undefined;
   const progress = new Map<string, string>();
   const finals = new Map<string, core.workloads.FinalState>();
   const scheduler = core.workloads.createWorkloadScheduler({
@@ -290,11 +294,12 @@
     for (let round = 0; round < 5; round += 1) {
       const decision = scheduler.tick(nowMs, nowMs);
       for (const command of decision.commands) execute(command);
-      if (decision.batch !== undefined) {
-        for (const [id, text] of decision.batch.progress)
-          progress.set(id, text);
-        for (const [id, state] of decision.batch.finals) finals.set(id, state);
-        for (const id of decision.batch.dropped) progress.delete(id);
+      openBatch ??= decision.batch;
+      if (openBatch !== undefined && storeAvailable) {
+        for (const [id, text] of openBatch.progress) progress.set(id, text);
+        for (const [id, state] of openBatch.finals) finals.set(id, state);
+        for (const id of openBatch.dropped) progress.delete(id);
+        openBatch = undefined;
         for (const command of scheduler.confirmBatch()) execute(command);
       }
     }
@@ -308,6 +313,9 @@
     finals,
     stalledVms,
     getNow: () => nowMs,
+    setStoreAvailable(available) {
+      storeAvailable = available;
+    },
     addVm(id, given = {}) {
       const entry = createEntry(id, given);
       vms.set(id, { entry, running: new Map(), ended: [], nextEnd: 1 });
