--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -624,7 +624,7 @@
   ): Promise<core.workloads.StartOutcome> {
     const session = sessionsByVm.get(command.vm);
     if (session === undefined || untilMs === undefined) return 'unreachable';
-    session.recordLeaseExtension(untilMs);
+    session.recordStart(untilMs);
     const sentMs = timers.getNow();
     const outcome = await dependencies.vmCalls.start(
       session.target,
--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -75,8 +75,8 @@
   computeStartUntil(): number | undefined;
   /** Requests a report at once, in parallel with the hold that waits. */
   poll(): void;
-  /** Records that an order may have extended the lease until `untilMs`, whether it is answered or not. */
-  recordLeaseExtension(untilMs: number): void;
+  /** Records that a start may have extended the lease until `untilMs`, whether it is answered or not. */
+  recordStart(untilMs: number): void;
   /** Sets whether the VM is about to leave. What its lease was granted before still counts. */
   setDraining(draining: boolean): void;
   /** Returns the time at which the last lease ends that this or an earlier owner granted. */
@@ -111,6 +111,12 @@
   const { leaseMs } = context.settings;
   let vmClock: { readonly vmMs: number; readonly atMs: number } | undefined;
   let ownLeaseEndMs = -Infinity;
+  /**
+   * The last start, until a report that was requested after it. A VM that has restarted
+   * before it compares the lease with a clock that is set back, and takes the longest one.
+   */
+  let unreportedStart:
+    { readonly sentMs: number; readonly endMs: number } | undefined;
   /** Latest end of earlier owners' leases on this incarnation, which rejects their orders since it answered. */
   let earlierLeaseLimitMs = Infinity;
   let leaseEndTimer: core.TimerSubscription | undefined;
@@ -137,6 +143,7 @@
   function getLeaseEnd(): number {
     return Math.max(
       ownLeaseEndMs,
+      unreportedStart?.endMs ?? -Infinity,
       Math.min(options.getEarlierLeaseEnd(), earlierLeaseLimitMs),
     );
   }
@@ -171,6 +178,13 @@
       : untilMs;
   }
 
+  function recordStart(untilMs: number): void {
+    recordLeaseExtension(untilMs);
+    const sentMs = timers.getNow();
+    const endMs = sentMs + leases.computeLongestMs(leaseMs);
+    unreportedStart = { sentMs, endMs };
+  }
+
   /** Extends the known end of the lease to the latest time at which the VM's clock reaches `untilMs`. */
   function recordLeaseExtension(untilMs: number): void {
     if (vmClock === undefined) return;
@@ -294,6 +308,11 @@
       clockMs: result.clockMs,
     };
     vmClock = { vmMs: result.clockMs, atMs: timers.getNow() };
+    if (unreportedStart !== undefined && askedMs >= unreportedStart.sentMs) {
+      if (!sameIncarnation)
+        ownLeaseEndMs = Math.max(ownLeaseEndMs, unreportedStart.endMs);
+      unreportedStart = undefined;
+    }
     const limitMs = timers.getNow() + leases.computeLongestMs(leaseMs);
     earlierLeaseLimitMs = sameIncarnation
       ? Math.min(earlierLeaseLimitMs, limitMs)
@@ -417,7 +436,7 @@
   return {
     target,
     computeStartUntil,
-    recordLeaseExtension,
+    recordStart,
     getLeaseEnd,
     isSilent: () => unresponsive,
     updateEarlierLeases: checkLeaseEnd,
