--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -115,15 +115,26 @@
   }
 }
 
-/** Requests advice for overdue services before other steps take the free slots. */
+/**
+ * Requests advice for overdue services before other steps take the free slots. Services of
+ * one rank go by how long their tasks have waited: an old job whose tasks fail now and then
+ * would otherwise be asked about before the tasks of a newer one that have never run.
+ */
 function askForOverdueServices(
   state: states.State,
   ranked: readonly ranking.RankedStep[],
   nowMs: number,
 ): void {
-  for (const { step } of ranked) {
+  const overdue = ranked
+    .filter(({ step }) => waits.isServiceOverdue(step, nowMs))
+    .map(({ step, rank }) => ({
+      step,
+      rank,
+      sinceMs: waits.computeWaitingSinceMs(step),
+    }))
+    .sort((a, b) => a.rank - b.rank || a.sinceMs - b.sinceMs);
+  for (const { step } of overdue) {
     if (advice.isRequestPending(step, nowMs)) continue;
-    if (!waits.isServiceOverdue(step, nowMs)) continue;
     const canStart = collectCandidates(state, step, nowMs).some((candidate) =>
       placement.canPlaceTask(candidate, step),
     );
--- a/packages/core/src/workloads/waits.ts
+++ b/packages/core/src/workloads/waits.ts
@@ -10,12 +10,16 @@
 /** Returns whether a waiting task of a service is overdue. */
 export function isServiceOverdue(step: tables.StepRow, nowMs: number): boolean {
   if (!step.spec.lasts || step.waitingCount === 0) return false;
+  return nowMs - computeWaitingSinceMs(step) >= OVERDUE_AFTER_MS;
+}
+
+/** Returns the time since which the longest-waiting task of a step has waited; Infinity when none waits. */
+export function computeWaitingSinceMs(step: tables.StepRow): number {
   const turnMs = computeTurnMs(step);
-  return step.tasks.some(
-    ({ state, idleSinceMs }) =>
-      state === 'waiting' &&
-      nowMs - (idleSinceMs ?? turnMs) >= OVERDUE_AFTER_MS,
-  );
+  let sinceMs = Infinity;
+  for (const { state, idleSinceMs } of step.tasks)
+    if (state === 'waiting') sinceMs = Math.min(sinceMs, idleSinceMs ?? turnMs);
+  return sinceMs;
 }
 
 /** Returns the time from which the tasks of a step may run, as far as this owner knows. */
--- a/packages/core/test/workloads/serviceTasks.test.ts
+++ b/packages/core/test/workloads/serviceTasks.test.ts
@@ -1,5 +1,6 @@
 /** Service tasks under load: one that isn't running starts again while a VM has room for it. */
 import * as vitest from 'vitest';
+import type * as core from '../../src/index.js';
 import * as harnesses from './harness.js';
 import * as knownRed from '../../../standins/test/cell/knownRed.js';
 import * as pools from './poolSimulation.js';
@@ -102,6 +103,46 @@
   );
 });
 
+vitest.describe('overdue service tasks', () => {
+  vitest.it(
+    'get advice in the order of their waits (guards against service tasks that wait behind each new failure in older jobs)',
+    () => {
+      const harness = harnesses.createHarness({ ignoresAdvice: true });
+      const policy = harnesses.createPolicy({
+        advice: { fixedMs: 900, perVmMs: 13, validMs: 1_500 },
+      });
+      const service = harnesses.createStep({ lasts: true });
+      const answer = (job: string, tickets: core.workloads.Ticket[]): void => {
+        harness.scheduler.applyAdvice(
+          { job, occurrence: 0, step: 0 },
+          ['vm'],
+          tickets,
+          harness.getNow(),
+        );
+        harness.settle();
+      };
+      harness.addVm('vm');
+      harness.addJob('older', [service], policy);
+      harness.settle();
+      answer('older', [{ vm: 'vm', ticket: 'ticket' }]);
+      const [run] = harness.listRuns();
+      // This request keeps the only node busy.
+      harness.addJob('refused', [service], policy);
+      harness.settle();
+      harness.addJob('newer', [service], policy);
+      // The ticket of the older job has expired when its task fails.
+      harness.advance(1_600);
+      harness.endRun('vm', run!.run, 'failed');
+      harness.advance(10);
+      harness.advance(2_100);
+      answer('refused', []);
+      vitest
+        .expect(harness.listAdvisedSteps().map(({ job }) => job))
+        .toEqual(['older', 'refused', 'newer']);
+    },
+  );
+});
+
 vitest.describe(
   'a service task on a VM that is silent until it is lost',
   () => {
