Draw the pool simulation's random values with exactly rounded operations

What developers saw: seed 12 with two nodes for advice passed on arm64 and failed on x86-64, at the same commit.

Cause: the draws went through Math.log, exp and cos, whose last bit ECMAScript leaves to the engine. What arm64 returns wasn't compared: no such machine was at hand.

Change: durations come from von Neumann's method (comparisons alone), sizes from a sum of twelve uniform draws and a power by repeated squaring. Each seed is a test of its own, so that KNOWN-RED.txt can name exactly the broken ones. All bounds are as before.

--- a/packages/core/test/workloads/poolSimulation.ts
+++ b/packages/core/test/workloads/poolSimulation.ts
@@ -2,6 +2,8 @@
  * Simulation of one busy pool in virtual time: urgent, batch and service jobs whose
  * advice takes time, VMs of different sizes, bursts and planned drains. It measures how
  * long service tasks wait, and for how long of that an approved VM had room for them.
+ * Its draws use only operations that are rounded exactly: Math.log and its kind differ in
+ * the last bit between kinds of processors, and one such bit changes a whole run.
  */
 import * as core from '../../src/index.js';
 import * as harnesses from './harness.js';
@@ -276,15 +278,31 @@
   }
 
   private draw(mean: number, max: number): number {
-    const factor = Math.exp(0.5 * this.drawNormal()) / Math.exp(0.125);
+    const factor = computeExp(0.5 * this.drawNormal() - 0.125);
     return Math.min(max, Math.max(mean * 0.2, mean * factor));
   }
 
+  /** Draws from nearly a normal distribution: a sum of uniform draws. */
   private drawNormal(): number {
-    return (
-      Math.sqrt(-2 * Math.log(1 - this.random())) *
-      Math.cos(2 * Math.PI * this.random())
-    );
+    let sum = -6;
+    for (let count = 0; count < 12; count += 1) sum += this.random();
+    return sum;
+  }
+
+  /** Draws from the exponential distribution with mean 1, by comparisons alone (von Neumann's method). */
+  private drawExponential(): number {
+    for (let whole = 0; ; whole += 1) {
+      const first = this.random();
+      let previous = first;
+      let next = this.random();
+      let isAccepted = true;
+      while (next < previous) {
+        isAccepted = !isAccepted;
+        previous = next;
+        next = this.random();
+      }
+      if (isAccepted) return whole + first;
+    }
   }
 
   private addJob(kind: Burst['kind']): void {
@@ -333,7 +351,7 @@
       job,
       acceptedMs: this.nowMs,
       cancelAtMs: spec.lasts
-        ? this.nowMs - SERVICE_LIFE_MS * Math.log(1 - this.random())
+        ? this.nowMs + SERVICE_LIFE_MS * this.drawExponential()
         : Infinity,
       cancelled: false,
     });
@@ -573,7 +591,7 @@
     if (vm.free.cores < -1e-6 || vm.free.memoryMb < -1e-6)
       this.violations.push(`${this.nowMs}: ${task} exceeds the capacity`);
     const lastsMs = spec.lasts
-      ? -Math.log(1 - this.random()) * this.scenario.failureIntervalMs
+      ? this.drawExponential() * this.scenario.failureIntervalMs
       : this.draw(kind.meanMs, kind.meanMs * 2.5);
     vm.running.set(`${task}#${command.run}`, {
       task: command.task,
@@ -707,6 +725,13 @@
   to.memoryMb += spec.size.memoryMb * times;
 }
 
+/** Approximates e^x within a percent for |x| up to 4. */
+function computeExp(x: number): number {
+  let power = 1 + x / 1_024;
+  for (let count = 0; count < 10; count += 1) power *= power;
+  return power;
+}
+
 function createRandom(seed: number): () => number {
   let state = (seed * 2_654_435_761 + 1) >>> 0;
   return () => {
--- a/packages/core/test/workloads/serviceTasks.test.ts
+++ b/packages/core/test/workloads/serviceTasks.test.ts
@@ -242,7 +242,7 @@
       name: 'two nodes',
       helpers: 1,
       failureIntervalMs: 60_000,
-      seeds: [11, 12, 13],
+      seeds: [11, 12, 13, 17, 44, 46, 47],
     },
     {
       ...pool,
@@ -258,7 +258,7 @@
       load: 0.4,
       helpers: 0,
       failureIntervalMs: 60_000,
-      seeds: [11],
+      seeds: [2, 11, 12, 60],
     },
     {
       name: 'six nodes for a large pool',
@@ -278,25 +278,23 @@
       seeds: [23],
     },
   ]) {
-    const test = `run again in time in bursts and drains while approved VMs have room, with ${name} for advice`;
-    vitest.it(
-      test,
-      () =>
-        knownRed.runKnownRed(test, () => {
-          for (const seed of seeds) {
+    for (const seed of seeds) {
+      const test = `run again in time in bursts and drains while approved VMs have room, with ${name} for advice, seed ${seed}`;
+      vitest.it(
+        test,
+        () =>
+          knownRed.runKnownRed(test, () => {
             const simulation = new pools.PoolSimulation({
               ...given,
               seed,
               bursts: BURSTS,
               drainsAtMs: [9_000, 18_000],
             });
-            vitest
-              .expect(simulation.run(32_000).violations, `seed ${seed}`)
-              .toEqual([]);
-          }
-          return Promise.resolve();
-        }),
-      60_000,
-    );
+            vitest.expect(simulation.run(32_000).violations).toEqual([]);
+            return Promise.resolve();
+          }),
+        60_000,
+      );
+    }
   }
 });
