Don't wait for starts without a record after an owner that records all of them

A successor that found the last claim unconfirmed for 1.2 s, as after each outage of the store with a change of owner, started no older work until all VMs had reported or their leases had ended. Owners of this build send no start without a record, so there is nothing to wait for.

Claims and renewals say so (recordsStarts). For records without that field, of owners of earlier builds in a rolling change, the successor infers and passes on what it did before. What an owner tells of runs that no record has (adopted ones) counts as before.

--- a/packages/cluster/src/claims.ts
+++ b/packages/cluster/src/claims.ts
@@ -71,6 +71,8 @@
   readonly released: boolean;
   /** Its starts, or those of an owner before it, may not all be durably recorded. */
   readonly unrecorded: boolean;
+  /** It sends no start before its record is durable; owners of earlier builds do in an outage. */
+  readonly recordsStarts: boolean;
   /** Time at which its newest record was read. */
   readonly readMs: number;
   /** Undefined when its build doesn't record leases. */
@@ -218,6 +220,7 @@
       address: claim.address,
       released: claim.released === true,
       unrecorded: claim.unrecorded === true,
+      recordsStarts: claim.recordsStarts === true,
       readMs: ownerRenewedMs,
       leases: claim.leases,
     };
@@ -297,6 +300,7 @@
       node: context.settings.name,
       instance,
       address: context.settings.listen.links,
+      recordsStarts: true,
       ...extra,
     };
     return JSON.stringify(record);
@@ -394,7 +398,8 @@
     const unrecorded =
       currentOwner?.unrecorded === true ||
       (toldUnrecorded && currentOwner?.released !== true) ||
-      unconfirmedMs > STORE_OUTAGE_AFTER_MS;
+      (currentOwner?.recordsStarts !== true &&
+        unconfirmedMs > STORE_OUTAGE_AFTER_MS);
     // An earlier ownership of this process has ended with its orders.
     const inactive =
       ownerReleased ||
--- a/packages/cluster/src/records.ts
+++ b/packages/cluster/src/records.ts
@@ -204,6 +204,8 @@
   readonly released?: boolean;
   /** Starts of the owner, or of one before it, may not be durably recorded. */
   readonly unrecorded?: boolean;
+  /** The owner sends no start before its record is durable; absent in records of earlier builds. */
+  readonly recordsStarts?: boolean;
   /** Absent in records of earlier builds. */
   readonly leases?: LeaseRecord | undefined;
 }
@@ -246,6 +248,7 @@
   fence: zod.number().optional(),
   released: zod.boolean().optional(),
   unrecorded: zod.boolean().optional(),
+  recordsStarts: zod.boolean().optional(),
   // Leases that can't be read count as those of a build that doesn't record them, which is waited for longer.
   leases: zod
     .object({
--- a/packages/cluster/test/claims.test.ts
+++ b/packages/cluster/test/claims.test.ts
@@ -282,6 +282,27 @@
     },
   );
 
+  vitest.it.each([
+    { build: 'earlier', recordsStarts: undefined, unrecorded: true },
+    { build: 'this', recordsStarts: true, unrecorded: false },
+  ])(
+    'tells the successor of an owner of $build build, silent for seconds, whether its starts may lack a record: $unrecorded (guards against TWICE in a rolling change, and against work that waits for the reports of all VMs)',
+    async ({ recordsStarts, unrecorded }) => {
+      const { timers, store, candidates } = createCluster(['a']);
+      const owner = { node: 'old', instance: 'old-1', address: '127.0.0.1:1' };
+      store.streams.claims.add(
+        'owner',
+        JSON.stringify({ ...owner, recordsStarts }),
+      );
+      candidates[0]!.claim.open();
+      await fakes.advance(timers, 4_000);
+      vitest.expect(candidates[0]!.owned).toHaveLength(1);
+      vitest
+        .expect(candidates[0]!.owned[0]!.previous.unrecorded)
+        .toBe(unrecorded);
+    },
+  );
+
   vitest.it.each([
     { unrecorded: true, through: 'notice' },
     { unrecorded: false, through: 'notice' },
