Keep the task of a stray run until its stop has ended (TWICE)

Seen by callers: a task starts beside a stray run of it, one that its VM lists and that must not run, while the VM stops it and lists it nowhere.

Cause: stray runs were forgotten with each report and added again if listed. A report that doesn't list one, or that lists only part of the ends, freed its task and its VM. And one whose stop had been sent, and had got lost or was late, was adopted once its task waited; the late stop then ended it unlisted.

Change: a stray run stays in a table of its VM until its end is listed, until it has been missing from whole reports for the longest stop, or until its VM starts again or is lost. It isn't adopted any more.

--- a/packages/core/src/workloads/openVms.ts
+++ b/packages/core/src/workloads/openVms.ts
@@ -47,7 +47,7 @@
     tables.hasCurrentEntry(vm) &&
     vm.usable &&
     vm.hasListedAll &&
-    vm.strayRunCount === 0 &&
+    vm.strayRuns.size === 0 &&
     vm.avoidUntilMs <= nowMs
   );
 }
--- a/packages/core/src/workloads/owed.ts
+++ b/packages/core/src/workloads/owed.ts
@@ -522,8 +522,8 @@
       silent: vms.filter(({ usable }) => !usable).length,
       draining: vms.filter(({ entry }) => entry?.draining === true).length,
       avoided: vms.filter(
-        ({ strayRunCount, avoidUntilMs }) =>
-          strayRunCount > 0 || avoidUntilMs > nowMs,
+        ({ strayRuns, avoidUntilMs }) =>
+          strayRuns.size > 0 || avoidUntilMs > nowMs,
       ).length,
       eligible: eligible.length,
       withRoom: withRoom.length,
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -15,6 +15,7 @@
 import * as resizing from './resizing.js';
 import * as speeds from './speed.js';
 import * as states from './state.js';
+import * as strays from './strays.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
 
@@ -33,7 +34,7 @@
     usable: vm.usable,
     incarnation: vm.incarnation,
     appliedEnd: vm.appliedEnd,
-    strayRunCount: vm.strayRunCount,
+    strayRuns: vm.strayRuns.size,
     runs: vm.runs.size,
     hasListedAll: vm.hasListedAll,
   };
@@ -50,9 +51,9 @@
   vm.knownEmpty = false;
   applyEnds(state, vm, report, nowMs);
   const listed = new Set<tables.RunRow>();
-  clearStrayRuns(vm);
   for (const entry of report.running)
     applyRunning(state, vm, entry, listed, nowMs);
+  strays.removeEnded(state, vm, report, nowMs);
   const unlisted = [...vm.runs].filter((run) => !listed.has(run));
   const isWhole = report.mayHaveMoreEnds !== true;
   if (isWhole) vm.hasListedAll = true;
@@ -84,7 +85,7 @@
     !before.usable ||
     vm.incarnation !== before.incarnation ||
     vm.appliedEnd !== before.appliedEnd ||
-    vm.strayRunCount !== before.strayRunCount ||
+    vm.strayRuns.size !== before.strayRuns ||
     vm.runs.size !== before.runs ||
     vm.hasListedAll !== before.hasListedAll
   );
@@ -108,6 +109,7 @@
   vm.durableEnd = 0;
   vm.recentFailures = 0;
   vm.avoidUntilMs = 0;
+  strays.clearStrays(vm);
   resizing.cancelUnfitStarts(state, vm, nowMs);
   for (const run of vm.runs) {
     run.closedMs = undefined;
@@ -127,7 +129,7 @@
   evidence: states.CrashEvidence | undefined,
   nowMs: number,
 ): void {
-  clearStrayRuns(vm);
+  strays.clearStrays(vm);
   const over = [...vm.runs];
   // A VM that another one has replaced can't tell any more which runs began.
   if (evidence !== 'replaced') over.forEach(begins.recordUnheard);
@@ -149,12 +151,6 @@
   if (run.task.step.spec.gang) ends.stopGang(state, run.task.step, nowMs);
 }
 
-function clearStrayRuns(vm: tables.VmRow): void {
-  vm.strayRunCount = 0;
-  for (const task of vm.strayTasks) task.strayRunVms.delete(vm);
-  vm.strayTasks.clear();
-}
-
 function applyEnds(
   state: states.State,
   vm: tables.VmRow,
@@ -233,12 +229,7 @@
       nowMs,
     );
   }
-  // The size of a stray run may be unknown, so the VM gets no new runs until it has ended.
-  vm.strayRunCount += 1;
-  if (task !== undefined) {
-    task.strayRunVms.add(vm);
-    vm.strayTasks.add(task);
-  }
+  strays.addStray(vm, entry, task);
   states.countEvent(state, 'stop.not-wanted');
   state.commands.push({
     command: 'stop',
@@ -451,6 +442,8 @@
     states.isStopOver(state, closedMs, nowMs) &&
     !states.isStopOver(state, closedMs, vm.endsPolledMs);
   for (const { closedMs } of vm.runs) if (isDue(closedMs)) return true;
+  for (const { closedMs } of vm.strayRuns.values())
+    if (isDue(closedMs)) return true;
   return false;
 }
 
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -100,7 +100,7 @@
   preemptions: number;
   /** Time at which its last run is known to have stopped running; undefined while none has. */
   idleSinceMs: number | undefined;
-  /** VMs that report a stray run of the task. The task isn't started while there are any. */
+  /** VMs with a stray run of the task that may not have ended yet. The task isn't started while there are any. */
   readonly strayRunVms: Set<VmRow>;
   /** VMs on which a run of the task failed, stalled or was refused as malformed. */
   avoidedVms: Set<ids.VmId>;
@@ -174,6 +174,14 @@
   readonly unheardVms: Set<VmRow>;
 }
 
+/** A run that its VM has listed as running although it must not run. */
+export interface StrayRun {
+  /** Its task; undefined when it isn't in the tables. */
+  readonly task: TaskRow | undefined;
+  /** Time from which its VM hasn't listed it any more, so that it is over or being stopped; undefined before. */
+  closedMs: number | undefined;
+}
+
 /** A VM. */
 export interface VmRow {
   readonly id: ids.VmId;
@@ -211,10 +219,8 @@
   trialPolledMs: number;
   /** Whether it runs a suspect, as of this round. */
   hasSuspect: boolean;
-  /** Number of stray runs: the VM reports them, but they must be stopped. The size of some is unknown. */
-  strayRunCount: number;
-  /** Known tasks with a stray run on the VM. */
-  readonly strayTasks: Set<TaskRow>;
+  /** Stray runs that may not have ended yet, by task and run. The size of some is unknown. */
+  readonly strayRuns: Map<string, StrayRun>;
   /** Time of the last report that was requested to learn whether runs have ended. */
   endsPolledMs: number;
   /** Number of the latest end that was applied. */
@@ -333,8 +339,7 @@
     trialPolledMs: 0,
     hasSuspect: false,
     used: { cores: 0, memoryMb: 0, gpus: 0 },
-    strayRunCount: 0,
-    strayTasks: new Set(),
+    strayRuns: new Map(),
     endsPolledMs: -Infinity,
     appliedEnd: 0,
     durableEnd: 0,
--- a/packages/core/test/workloads/disturbedCluster.ts
+++ b/packages/core/test/workloads/disturbedCluster.ts
@@ -1141,10 +1141,10 @@
     for (const vm of owner.state.vms.values())
       if (
         vm.entry !== undefined &&
-        (!vm.usable || vm.strayRunCount > 0 || vm.avoidUntilMs > this.nowMs)
+        (!vm.usable || vm.strayRuns.size > 0 || vm.avoidUntilMs > this.nowMs)
       )
         left.push(
-          `${vm.id} gets no new runs: usable ${vm.usable}, ${vm.strayRunCount} stray runs, ${vm.avoidUntilMs}`,
+          `${vm.id} gets no new runs: usable ${vm.usable}, ${vm.strayRuns.size} stray runs, ${vm.avoidUntilMs}`,
         );
     return left;
   }
--- a/packages/core/test/workloads/unlistedStops.test.ts
+++ b/packages/core/test/workloads/unlistedStops.test.ts
@@ -38,6 +38,17 @@
   });
 }
 
+function loseVm(harness: Harness, vm: string): void {
+  harness.vms.delete(vm);
+  harness.scheduler.setVmEntry(vm, undefined, harness.getNow());
+  harness.scheduler.loseVm(vm, harness.getNow());
+}
+
+/** Runs the scheduler, whose orders are lost. */
+function loseOrders(harness: Harness): void {
+  harness.scheduler.tick(harness.getNow(), harness.getNow());
+}
+
 function getCount(harness: Harness, event: string): number {
   return harness.scheduler.getCounts().get(event) ?? 0;
 }
@@ -201,3 +212,100 @@
     },
   );
 });
+
+vitest.describe('a stray run', () => {
+  /** Creates a harness whose task runs on VM a, and whose VM b has an earlier run of it. */
+  function createStrayHarness(): Harness {
+    const harness = createHarness({ firstRun: 1_000 });
+    harness.addVm('a');
+    harness.addJob('job', [harnesses.createStep({ estimateMs: 10_000 })]);
+    harness.advance(10);
+    harness.addVm('b');
+    addRun(harness, 'b', 5);
+    harness.report('b');
+    return harness;
+  }
+
+  vitest.it(
+    'keeps its task and its VM while it is stopped and listed nowhere (guards against TWICE: a task that starts beside a stray run)',
+    () => {
+      const harness = createStrayHarness();
+      harness.settle();
+      loseVm(harness, 'a');
+      advance(harness, STOP_MS - STEP_MS);
+      vitest.expect(harness.listRuns()).toMatchObject([{ vm: 'b', run: 5 }]);
+      advance(harness, STEP_MS);
+      vitest
+        .expect(harness.listRuns())
+        .toMatchObject([{ vm: 'b', run: 1_001 }]);
+    },
+  );
+
+  vitest.it(
+    'ends without a listed end after the longest stop (guards against LOST: a stray run that is never forgotten)',
+    () => {
+      const harness = createStrayHarness();
+      harness.vms.get('b')!.running.clear();
+      loseVm(harness, 'a');
+      harness.report('b');
+      harness.settle();
+      harness.wait(harnesses.LONGEST_STOP_MS - 3);
+      harness.settle();
+      vitest.expect(harness.listRuns()).toEqual([]);
+      harness.settle();
+      vitest
+        .expect(harness.listRuns())
+        .toMatchObject([{ vm: 'b', run: 1_001 }]);
+    },
+  );
+
+  vitest.it(
+    'is not adopted after an order to stop it was sent (guards against TWICE: a late stop of an adopted run)',
+    () => {
+      const harness = createStrayHarness();
+      loseOrders(harness);
+      loseVm(harness, 'a');
+      harness.report('b');
+      harness.settle();
+      vitest.expect(getCount(harness, 'run.adopted')).toBe(0);
+      advance(harness, STOP_MS + STEP_MS);
+      vitest
+        .expect(harness.listRuns())
+        .toMatchObject([{ vm: 'b', run: 1_001 }]);
+    },
+  );
+
+  vitest.it(
+    'keeps its task while its VM has ends that it does not list (guards against TWICE: a stray run that has ended as done)',
+    () => {
+      const harness = createStrayHarness();
+      harness.settle();
+      loseVm(harness, 'a');
+      harness.addVm('c');
+      const report = (ended: core.workloads.ReportedEnd[]): void => {
+        const nowMs = harness.getNow();
+        const mayHaveMoreEnds = ended.length === 0;
+        harness.scheduler.applyReport(
+          'b',
+          {
+            incarnation: 1,
+            running: [],
+            ended,
+            mayHaveMoreEnds,
+            requestSentMs: nowMs,
+          },
+          nowMs,
+        );
+        loseOrders(harness);
+      };
+      for (let round = 0; round < 3; round += 1) {
+        report([]);
+        harness.wait(harnesses.LONGEST_STOP_MS);
+      }
+      vitest.expect(getCount(harness, 'start.decided')).toBe(1);
+      report([{ number: 1, task: key, run: 5, how: 'done', saved: '' }]);
+      vitest.expect(getCount(harness, 'start.decided')).toBe(1);
+      vitest.expect(getCount(harness, 'job.completed')).toBe(1);
+    },
+  );
+});
