--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -24,11 +24,13 @@
   phase: RunPhase;
   /** Time at which it was decided, restored or adopted. */
   readonly addedMs: number;
+  /** Time at which the VM confirmed the run or its stop; undefined until then. */
+  confirmedMs: number | undefined;
   /**
-   * Time at which the VM confirmed the run or its stop; undefined until then. A report
-   * that was requested later and doesn't list the run means that the run is over.
+   * Time from which it can't begin any more and is over or being stopped, unless the VM
+   * lists it as running; undefined while that isn't known.
    */
-  confirmedMs: number | undefined;
+  closedMs: number | undefined;
   /** Time on the VM's clock from which it refuses the start command, to which it gave no answer; undefined otherwise. */
   startUntilMs: number | undefined;
   /** Time at which the stop command was last sent. */
@@ -98,7 +100,7 @@
   preemptions: number;
   /** Time at which its last run is known to have stopped running; undefined while none has. */
   idleSinceMs: number | undefined;
-  /** VMs that report a stray run of the task. The task isn't started while there are any. */
+  /** VMs with a stray run of the task that may not have ended yet. The task isn't started while there are any. */
   readonly strayRunVms: Set<VmRow>;
   /** VMs on which a run of the task failed, stalled or was refused as malformed. */
   avoidedVms: Set<ids.VmId>;
@@ -172,6 +174,14 @@
   readonly unheardVms: Set<VmRow>;
 }
 
+/** A run that its VM has listed as running although it must not run. */
+export interface StrayRun {
+  /** Its task; undefined when it isn't in the tables. */
+  readonly task: TaskRow | undefined;
+  /** Time from which its VM hasn't listed it any more, so that it is over or being stopped; undefined before. */
+  closedMs: number | undefined;
+}
+
 /** A VM. */
 export interface VmRow {
   readonly id: ids.VmId;
@@ -209,10 +219,10 @@
   trialPolledMs: number;
   /** Whether it runs a suspect, as of this round. */
   hasSuspect: boolean;
-  /** Number of stray runs: the VM reports them, but they must be stopped. The size of some is unknown. */
-  strayRunCount: number;
-  /** Known tasks with a stray run on the VM. */
-  readonly strayTasks: Set<TaskRow>;
+  /** Stray runs that may not have ended yet, by task and run. The size of some is unknown. */
+  readonly strayRuns: Map<string, StrayRun>;
+  /** Time of the last report that was requested to learn whether runs have ended. */
+  endsPolledMs: number;
   /** Number of the latest end that was applied. */
   appliedEnd: number;
   /** Number of the latest end whose effect is durable. */
@@ -329,8 +339,8 @@
     trialPolledMs: 0,
     hasSuspect: false,
     used: { cores: 0, memoryMb: 0, gpus: 0 },
-    strayRunCount: 0,
-    strayTasks: new Set(),
+    strayRuns: new Map(),
+    endsPolledMs: -Infinity,
     appliedEnd: 0,
     durableEnd: 0,
     recentFailures: 0,
--- a/packages/core/test/workloads/disturbedCluster.ts
+++ b/packages/core/test/workloads/disturbedCluster.ts
@@ -297,6 +297,7 @@
     const options = {
       bounds: {
         inheritedRunTimeoutMs: INHERITED_RUN_TIMEOUT_MS,
+        longestStopMs: harnesses.LONGEST_STOP_MS,
         firstRun: this.fences * RUNS_PER_FENCE + 1,
         maxRecordBytes: 262_144,
       },
@@ -1141,10 +1142,10 @@
     for (const vm of owner.state.vms.values())
       if (
         vm.entry !== undefined &&
-        (!vm.usable || vm.strayRunCount > 0 || vm.avoidUntilMs > this.nowMs)
+        (!vm.usable || vm.strayRuns.size > 0 || vm.avoidUntilMs > this.nowMs)
       )
         left.push(
-          `${vm.id} gets no new runs: usable ${vm.usable}, ${vm.strayRunCount} stray runs, ${vm.avoidUntilMs}`,
+          `${vm.id} gets no new runs: usable ${vm.usable}, ${vm.strayRuns.size} stray runs, ${vm.avoidUntilMs}`,
         );
     return left;
   }
