Forget jobs whose records an owner has dropped meanwhile (TWICE)

A node keeps its view of the stream of jobs when it loses the ownership, and reads on only when it needs to. Ten minutes after a job has ended, the owner of that time drops its keys. A node that comes back to the stream after its history was trimmed reads the newest record of each key, in which the job is missing, and kept it as accepted and without an end. As the next owner it would restore the job without progress and run it again.

After the newest records of all keys were read, jobs that were known before that read began and have no key any more are forgotten.

jobStore.test 'is forgotten by a node that did not follow the stream' failed before and passes; the tests of cluster pass.

--- a/packages/cluster/src/jobStore.ts
+++ b/packages/cluster/src/jobStore.ts
@@ -114,9 +114,19 @@
   const appendTimeout = timeouts.createAppendTimeout();
   let recoveryProbe: core.TimerSubscription | undefined;
 
+  /** Jobs that were known when the newest records of all keys began to be read. */
+  let knownBeforeRead: readonly core.ids.JobId[] = [];
+  const stream = context.ports.store.openStream('jobs');
   const tail = tails.createTail({
-    source: context.ports.store.openStream('jobs'),
+    source: {
+      read: (from, options) => stream.read(from, options),
+      readNewest(timeoutMs) {
+        knownBeforeRead = [...jobs.keys(), ...earlyCancellations.keys()];
+        return stream.readNewest(timeoutMs);
+      },
+    },
     apply: applyRecord,
+    reset: dropMissing,
     onFailed: (why) => {
       markUnavailable(why);
     },
@@ -218,6 +228,15 @@
     context.log.write('info', 'jobs.forgotten', { count: expiredIds.length });
   }
 
+  /** Drops the jobs whose keys an owner has dropped while this node didn't follow the stream. */
+  function dropMissing(keys: ReadonlySet<string>): void {
+    const stored = new Set([...keys].map(records.getJobId));
+    const missing = knownBeforeRead.filter((id) => !stored.has(id));
+    missing.forEach(dropJob);
+    if (missing.length > 0)
+      context.log.write('info', 'jobs.missing', { count: missing.length });
+  }
+
   function dropJob(id: core.ids.JobId): void {
     jobs.delete(id);
     earlyCancellations.delete(id);
--- a/packages/cluster/src/records.ts
+++ b/packages/cluster/src/records.ts
@@ -64,9 +64,8 @@
 export function parseJobChange(
   record: ports.KeyedRecord,
 ): JobChange | undefined {
-  const at = record.key.indexOf(':');
-  const id = record.key.slice(at + 1);
-  const prefix = record.key.slice(0, at);
+  const id = getJobId(record.key);
+  const prefix = record.key.slice(0, record.key.indexOf(':'));
   if (record.value === undefined)
     return { change: prefix === 'job' ? 'body-dropped' : 'forgotten', id };
   switch (prefix) {
@@ -138,6 +137,11 @@
   }
 }
 
+/** Returns the job of a key of the stream `jobs`. */
+export function getJobId(key: string): core.ids.JobId {
+  return key.slice(key.indexOf(':') + 1);
+}
+
 /** Builds the records that drop every key of an ended job. */
 export function buildForgotten(id: core.ids.JobId): readonly ports.NewRecord[] {
   return (['job', 'cancel', 'final'] as const).map((prefix) => ({
--- a/packages/cluster/test/jobStore.test.ts
+++ b/packages/cluster/test/jobStore.test.ts
@@ -275,3 +275,31 @@
     },
   );
 });
+
+vitest.describe('a job whose records an owner has dropped', () => {
+  vitest.it(
+    'is forgotten by a node that did not follow the stream meanwhile (guards against TWICE: as the next owner, it starts an ended job once more)',
+    async () => {
+      const context = fakes.createFakeContext();
+      const store = jobStores.createJobStore(context);
+      for (const id of ['ended', 'open']) accept(context, store, id);
+      await fakes.advance(context.fakeTimers, 50);
+      await store.refresh();
+      const { jobs } = context.store.streams;
+      const ended = [
+        ...records.buildFinal('ended', 'completed'),
+        ...records.buildForgotten('ended'),
+      ];
+      for (const { key, value } of ended) jobs.add(key, value);
+      const read = jobs.read.bind(jobs);
+      jobs.read = () => {
+        jobs.read = read;
+        return Promise.resolve({ outcome: 'trimmed' });
+      };
+      await store.refresh();
+      vitest.expect(store.find('ended')).toBeUndefined();
+      vitest.expect(store.find('open')?.job).toBeDefined();
+      store.close();
+    },
+  );
+});
