--- a/packages/cluster/test/doneOnce.property.test.ts
+++ b/packages/cluster/test/doneOnce.property.test.ts
@@ -4,6 +4,7 @@
  * of series, DONE_WALK_SEED the first seed.
  */
 import * as vitest from 'vitest';
+import * as knownRed from '../../standins/test/cell/knownRed.js';
 import * as simulations from './clusterSimulation.js';
 import * as randoms from './random.js';
 
