--- a/packages/cluster/test/clusterSimulation.ts
+++ b/packages/cluster/test/clusterSimulation.ts
@@ -94,6 +94,8 @@
   handleRequest: requestHandlers.RequestHandler;
   /** Time that its steady clock hasn't counted, in ms. */
   suspendedMs: number;
+  /** Time until which a round keeps its process busy. */
+  busyUntilMs: number;
   /** What a frozen process does when it continues. */
   readonly wakeUps: (() => void)[];
   close: () => void;
@@ -181,6 +183,10 @@
 /** A cluster of nodes and VMs that runs service jobs of one task each. */
 export class ClusterSimulation {
   readonly violations: string[] = [];
+  /** Time that a round of an owner takes, in ms. */
+  roundMs = 0;
+  /** Time that an append to the stream of claims takes besides, in ms. */
+  claimsDelayMs = 0;
   /** Leases that expired on VMs that all nodes reach, with runs. */
   readonly lapses: string[] = [];
   /** Longest time for which no run of a task was anywhere, by job, in ms. */
@@ -313,6 +319,7 @@
       heartbeatAtMs: this.getNow(),
       heartbeatFence: undefined,
       suspendedMs: 0,
+      busyUntilMs: -Infinity,
       wakeUps: [],
     } as unknown as SimNode;
     const context: fakes.FakeContext = {
@@ -360,7 +367,10 @@
           fleet,
           adviceRouter: {
             ask: () => Promise.resolve(undefined),
-            listHelpers: () => [],
+            listHelpers: () => {
+              this.keepBusy(node, this.roundMs);
+              return [];
+            },
           },
           getPolicies: () => ({
             version: 1,
@@ -428,7 +438,8 @@
   }
 
   private createNodeTimers(node: SimNode): core.TimerService {
-    const getNow = () => this.world.getNow() - node.suspendedMs;
+    const getNow = () =>
+      Math.max(this.world.getNow() - node.suspendedMs, node.busyUntilMs);
     return {
       getNow,
       getDate: () => this.world.getDate(),
@@ -699,6 +710,8 @@
         await core.waitFor(this.world, 'sim.append', options.timeoutMs);
         return { outcome: 'unknown', why: 'no answer' };
       }
+      if (stream === 'claims' && this.claimsDelayMs > 0)
+        await core.waitFor(this.world, 'sim.append', this.claimsDelayMs);
       if (this.reachesStore(node))
         return this.store.append(stream, newRecords, options);
       if (this.storeFailure === 'refusing') {
@@ -1220,6 +1233,18 @@
     };
   }
 
+  /** Keeps a process busy for a time, at the end of which its clock is at once. */
+  private keepBusy(node: SimNode, forMs: number): void {
+    if (forMs === 0 || node.state !== 'up') return;
+    node.busyUntilMs = this.getNow() - node.suspendedMs + forMs;
+    node.state = 'frozen';
+    this.after(forMs, () => {
+      if (node.state !== 'frozen') return;
+      node.state = 'up';
+      for (const wake of node.wakeUps.splice(0)) wake();
+    });
+  }
+
   /** Suspends the owner's machine for a time, which its steady clock doesn't count. */
   suspendOwner(forMs: number): void {
     const node = this.getOwner();
@@ -1258,6 +1283,16 @@
     });
   }
 
+  /** Counts the starts of all nodes with an outcome. */
+  countOutcomes(outcome: string): number {
+    return [...this.closedNodes, ...this.nodes]
+      .flatMap(({ context }) => context.lines)
+      .filter(
+        ({ event, fields }) =>
+          event === 'task.start' && fields.outcome === outcome,
+      ).length;
+  }
+
   /** Makes the store fail for all nodes for a time. */
   failStore(forMs: number, failure: StoreFailure): void {
     this.storeFailure = failure;
--- a/packages/core/test/workloads/unlistedStops.test.ts
+++ b/packages/core/test/workloads/unlistedStops.test.ts
@@ -1,6 +1,7 @@
 /** Runs that are being stopped, which their VMs list nowhere until their end. */
 import * as vitest from 'vitest';
 import * as core from '../../src/index.js';
+import * as knownRed from '../../../standins/test/cell/knownRed.js';
 import * as harnesses from './harness.js';
 
 type Harness = harnesses.Harness;
@@ -155,6 +156,32 @@
     },
   );
 
+  const restarted =
+    'keeps its task when an earlier owner has started it on an incarnation that it did not know, and stopped it (guards against TWICE: a recorded incarnation that is older than the run)';
+  vitest.it(restarted, () =>
+    knownRed.runKnownRed(restarted, () => {
+      const harness = createHarness({ firstRun: 1_000 });
+      const progress = JSON.stringify({
+        occurrences: [
+          { number: 0, steps: [{ done: '0', runs: [[0, 7, 'a', 1, 1]] }] },
+        ],
+      });
+      harness.scheduler.restoreJob(
+        harnesses.createJob(),
+        harnesses.createProgress(progress),
+        0,
+        harness.getNow(),
+        0,
+      );
+      harness.addVm('b');
+      harness.addVm('a', { incarnation: 2 });
+      addRun(harness, 'a', 7, harness.getNow() + STOP_MS);
+      advance(harness, STOP_MS - STEP_MS);
+      vitest.expect(harness.listRuns()).toMatchObject([{ vm: 'a', run: 7 }]);
+      return Promise.resolve();
+    }),
+  );
+
   vitest.it(
     'keeps its task when a late order stops it (guards against TWICE: a run that this owner has not stopped)',
     () => {
