--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -218,9 +218,11 @@
   let ready = false;
   let tickScheduled = false;
   let lastTickMs = 0;
-  let lastRound = { atMs: createdMs, date: timers.getDate() };
+  let lastChecked = { atMs: createdMs, date: timers.getDate() };
   /** End of the last pause of this process. */
   let resumedMs = -Infinity;
+  /** Time at which the append of the last durable batch began: until then, no successor had opened its recorder. */
+  let recordedSinceMs = -Infinity;
   let policyVersion = -1;
   let counted: CountedJobs | undefined;
 
@@ -522,7 +524,6 @@
     updatePolicies();
     const startedMs = timers.getNow();
     trackPause();
-    lastRound = { atMs: startedMs, date: timers.getDate() };
     expireUnlisted(startedMs);
     scheduler.setHelpers(options.adviceRouter.listHelpers());
     scheduler.setSilentVms(collectSilentVms());
@@ -539,6 +540,7 @@
   }
 
   async function record(batch: core.workloads.RecordBatch): Promise<void> {
+    trackPause();
     const startedMs = timers.getNow();
     loadReporter.count('record');
     const finals = new Map(batch.finals);
@@ -574,6 +576,7 @@
       });
     }
     metrics.record('record', {}, timers.getNow() - startedMs);
+    recordedSinceMs = startedMs;
     for (const command of scheduler.confirmBatch()) execute(command);
     for (const wake of [...durableWaiters]) wake();
     requestTick();
@@ -610,20 +613,23 @@
   function trackPause(): void {
     const nowMs = timers.getNow();
     const pausedMs = Math.max(
-      nowMs - lastRound.atMs,
-      timers.getDate() - lastRound.date,
+      nowMs - lastChecked.atMs,
+      timers.getDate() - lastChecked.date,
     );
+    lastChecked = { atMs: nowMs, date: timers.getDate() };
     if (pausedMs > PAUSE_MS) resumedMs = nowMs;
   }
 
   /**
-   * Returns whether the claim was confirmed since the last pause of this process: during the
-   * pause a successor may have learnt that a recorded start wasn't carried out, and a VM
+   * Returns whether a claim or batch was confirmed since the last pause of this process:
+   * during the pause a successor may have learnt that a recorded start wasn't carried out, and a VM
    * that has restarted since rejects no orders of this owner.
    */
   function canSendStart(): boolean {
     trackPause();
-    return timers.getNow() - options.getConfirmedAge() >= resumedMs;
+    const nowMs = timers.getNow();
+    const confirmedMs = nowMs - options.getConfirmedAge();
+    return Math.max(confirmedMs, recordedSinceMs) >= resumedMs;
   }
 
   async function start(command: CommandOf<'start'>): Promise<void> {
