--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -660,11 +660,18 @@
   ): Promise<core.workloads.StartOutcome> {
     const session = sessionsByVm.get(command.vm);
     if (session === undefined || untilMs === undefined) return 'unreachable';
-    session.recordStart(untilMs);
+    session.recordLeaseExtension(untilMs);
     const sentMs = timers.getNow();
     const outcome = await dependencies.vmCalls.start(
       session.target,
-      { ...command, untilMs, fence },
+      {
+        ...command,
+        untilMs,
+        fence,
+        onClock: (clockMs) => {
+          session.recordStartClock(untilMs, clockMs);
+        },
+      },
       orderTimeout.getMs(),
     );
     if (outcome === 'unknown') orderTimeout.recordNoAnswer();
--- a/packages/cluster/src/ports.ts
+++ b/packages/cluster/src/ports.ts
@@ -183,6 +183,8 @@
       readonly saved: string;
       readonly ticket: string | undefined;
       readonly untilMs: number;
+      /** Called with the VM's clock, in ms, if its answer tells that. */
+      readonly onClock?: (clockMs: number) => void;
     },
     timeoutMs: number,
   ): Promise<core.workloads.StartOutcome>;
--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -76,7 +76,12 @@
   /** Requests a report at once, in parallel with the hold that waits. */
   poll(): void;
   /** Records that a start may have extended the lease until `untilMs`, whether it is answered or not. */
-  recordStart(untilMs: number): void;
+  recordLeaseExtension(untilMs: number): void;
+  /**
+   * Records that a start with the lease `untilMs` was answered at the VM's clock `clockMs`.
+   * The clock of a VM that has restarted is set back, so its lease ends later than computed.
+   */
+  recordStartClock(untilMs: number, clockMs: number): void;
   /** Sets whether the VM is about to leave. What its lease was granted before still counts. */
   setDraining(draining: boolean): void;
   /** Returns the time at which the last lease ends that this or an earlier owner granted. */
@@ -111,12 +116,6 @@
   const { leaseMs } = context.settings;
   let vmClock: { readonly vmMs: number; readonly atMs: number } | undefined;
   let ownLeaseEndMs = -Infinity;
-  /**
-   * The last start, until a report that was requested after it. A VM that has restarted
-   * before it compares the lease with a clock that is set back, and takes the longest one.
-   */
-  let unreportedStart:
-    { readonly sentMs: number; readonly endMs: number } | undefined;
   /** Latest end of earlier owners' leases on this incarnation, which rejects their orders since it answered. */
   let earlierLeaseLimitMs = Infinity;
   let leaseEndTimer: core.TimerSubscription | undefined;
@@ -143,7 +142,6 @@
   function getLeaseEnd(): number {
     return Math.max(
       ownLeaseEndMs,
-      unreportedStart?.endMs ?? -Infinity,
       Math.min(options.getEarlierLeaseEnd(), earlierLeaseLimitMs),
     );
   }
@@ -178,11 +176,10 @@
       : untilMs;
   }
 
-  function recordStart(untilMs: number): void {
-    recordLeaseExtension(untilMs);
-    const sentMs = timers.getNow();
-    const endMs = sentMs + leases.computeLongestMs(leaseMs);
-    unreportedStart = { sentMs, endMs };
+  function recordStartClock(untilMs: number, clockMs: number): void {
+    const grantedMs = Math.min(leaseMs, untilMs - clockMs);
+    const endMs = timers.getNow() + grantedMs / leases.MIN_CLOCK_RATE;
+    ownLeaseEndMs = Math.max(ownLeaseEndMs, endMs);
   }
 
   /** Extends the known end of the lease to the latest time at which the VM's clock reaches `untilMs`. */
@@ -308,11 +305,6 @@
       clockMs: result.clockMs,
     };
     vmClock = { vmMs: result.clockMs, atMs: timers.getNow() };
-    if (unreportedStart !== undefined && askedMs >= unreportedStart.sentMs) {
-      if (!sameIncarnation)
-        ownLeaseEndMs = Math.max(ownLeaseEndMs, unreportedStart.endMs);
-      unreportedStart = undefined;
-    }
     const limitMs = timers.getNow() + leases.computeLongestMs(leaseMs);
     earlierLeaseLimitMs = sameIncarnation
       ? Math.min(earlierLeaseLimitMs, limitMs)
@@ -436,7 +428,8 @@
   return {
     target,
     computeStartUntil,
-    recordStart,
+    recordLeaseExtension,
+    recordStartClock,
     getLeaseEnd,
     isSilent: () => unresponsive,
     updateEarlierLeases: checkLeaseEnd,
--- a/packages/cluster/test/clusterSimulation.ts
+++ b/packages/cluster/test/clusterSimulation.ts
@@ -845,12 +845,14 @@
       start: async (target, call, timeoutMs) => {
         if (this.isRefused(target.id))
           return this.pass(node, Promise.resolve('unreachable'));
-        return (
+        let clockMs = 0;
+        const outcome =
           (await this.call<core.workloads.StartOutcome>(
             node,
             target.id,
             timeoutMs,
             (vm) => {
+              clockMs = this.getVmClock(vm);
               if (vm.ignoresOrders) return new Promise(() => undefined);
               if (call.fence < vm.fence) return Promise.resolve('fenced');
               vm.fence = call.fence;
@@ -859,8 +861,9 @@
               this.extendLease(vm, call.untilMs);
               return Promise.resolve(this.startRun(vm, call.task, call.run));
             },
-          )) ?? 'unknown'
-        );
+          )) ?? 'unknown';
+        if (outcome !== 'unknown') call.onClock?.(clockMs);
+        return outcome;
       },
       stop: async (target, call, timeoutMs) =>
         (await this.call<'closed' | 'fenced'>(
