--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -621,9 +621,9 @@
   }
 
   /**
-   * Returns whether a claim or batch was confirmed since the last pause of this process:
-   * during the pause a successor may have learnt that a recorded start wasn't carried out, and a VM
-   * that has restarted since rejects no orders of this owner.
+   * Returns whether a claim or batch was confirmed since the last pause of this process.
+   * During the pause a successor may have learnt that a recorded start wasn't carried out,
+   * and a VM that has restarted since rejects no orders of this owner.
    */
   function canSendStart(): boolean {
     trackPause();
