--- a/packages/core/src/workloads/batch.ts
+++ b/packages/core/src/workloads/batch.ts
@@ -20,7 +20,10 @@
 /** Time after which a batch is overdue, in ms; several appends to a slow store. */
 const OVERDUE_AFTER_MS = 1_200;
 
-/** Returns whether the open batch isn't durable for so long that the store may be unavailable: what is stopped now can't start again until it is back. */
+/**
+ * Returns whether the open batch has waited so long to become durable that the store may be
+ * unavailable. What is stopped now can't start again until the store is back.
+ */
 export function isOverdue({ batch }: states.State, nowMs: number): boolean {
   return batch !== undefined && nowMs - batch.takenMs >= OVERDUE_AFTER_MS;
 }
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -459,7 +459,7 @@
   return job.cancelled || job.final !== undefined;
 }
 
-/** Returns whether the stop of a run that was over or being stopped from a time on has ended by another one. */
+/** Returns whether a run that was over or being stopped at `closedMs` is over at `atMs`, as the longest stop has passed. */
 export function isStopOver(
   state: State,
   closedMs: number | undefined,
