Interfaces for workspaces: policy, limit, keys and credentials

Cause: configurations name workspaces with keys, weights and limits, and no type of the product holds them, so every key runs and nothing is bounded. A job may name its workspace; the owner passes the workspaces of the configuration to the scheduler; requests carry credentials; two answers are added. Nothing decodes or uses them yet, so deployments are served as before.

--- a/packages/cluster/src/configuration.ts
+++ b/packages/cluster/src/configuration.ts
@@ -28,6 +28,10 @@
   ): { readonly route: ports.Route; readonly rest: string } | undefined;
   getPolicies(): {
     readonly version: number;
+    readonly workspaces?: ReadonlyMap<
+      core.workloads.WorkspaceName,
+      core.workloads.WorkspacePolicy
+    >;
     readonly policies: ReadonlyMap<
       core.workloads.QueueName,
       core.workloads.QueuePolicy
@@ -48,6 +52,10 @@
     core.workloads.QueueName,
     core.workloads.QueuePolicy
   >();
+  let workspaces = new Map<
+    core.workloads.WorkspaceName,
+    core.workloads.WorkspacePolicy
+  >();
   let closed = false;
   let storeUnavailable = false;
   let lastReadMs = 0;
@@ -75,6 +83,11 @@
     policies = new Map(
       next.routes.map(({ policy }) => [policy.name, policy] as const),
     );
+    workspaces = new Map(
+      (next.workspaces ?? []).map(
+        ({ policy }) => [policy.name, policy] as const,
+      ),
+    );
     log.write('info', 'configuration.changed', {
       version: next.version,
       routes: next.routes.length,
@@ -118,7 +131,11 @@
         ? undefined
         : { route: best, rest: path.slice(best.pathPrefix.length) };
     },
-    getPolicies: () => ({ version: current?.version ?? 0, policies }),
+    getPolicies: () => ({
+      version: current?.version ?? 0,
+      policies,
+      workspaces,
+    }),
     open() {
       void follow();
     },
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -55,6 +55,10 @@
       core.workloads.QueueName,
       core.workloads.QueuePolicy
     >;
+    readonly workspaces?: ReadonlyMap<
+      core.workloads.WorkspaceName,
+      core.workloads.WorkspacePolicy
+    >;
   };
   readonly getConfirmedAge: () => number;
   readonly getLongestConfirmedAge: () => number;
@@ -497,10 +501,11 @@
   }
 
   function updatePolicies(): void {
-    const { version, policies } = options.getPolicies();
+    const { version, policies, workspaces } = options.getPolicies();
     if (version === policyVersion) return;
     policyVersion = version;
     scheduler.setPolicies(policies);
+    scheduler.setWorkspaces(workspaces ?? new Map());
   }
 
   /**
--- a/packages/cluster/src/ports.ts
+++ b/packages/cluster/src/ports.ts
@@ -107,12 +107,23 @@
   readonly host: string;
   readonly pathPrefix: string;
   readonly policy: core.workloads.QueuePolicy;
+  /** Whether requests need no key. */
+  readonly isPublic?: boolean;
+}
+
+/** A workspace and its keys. */
+export interface Workspace {
+  readonly policy: core.workloads.WorkspacePolicy;
+  /** Digests of its keys, in hexadecimal; the keys themselves aren't kept. */
+  readonly keyDigests: readonly string[];
 }
 
 /** A configuration. */
 export interface Configuration {
   readonly version: number;
   readonly routes: readonly Route[];
+  /** Absent when the configuration names no workspaces, so that requests need no key. */
+  readonly workspaces?: readonly Workspace[];
   readonly maxBodyBytes: number;
 }
 
@@ -219,12 +230,21 @@
   readonly schedule: core.workloads.Schedule | undefined;
 }
 
+/** Credentials of a request. */
+export type Credentials =
+  /** Digest of the key, in hexadecimal; the key itself isn't kept. */
+  | { readonly kind: 'key'; readonly digest: string }
+  /** They aren't in a form that can be read. */
+  | { readonly kind: 'malformed' };
+
 /** A request of a caller. */
 export interface CallerRequest {
   readonly method: string;
   readonly host: string;
   readonly path: string;
   readonly body: Uint8Array;
+  /** Absent when the request carries none. */
+  readonly credentials?: Credentials;
   /** Time for which the caller waits, in ms. */
   readonly deadlineMs: number | undefined;
 }
@@ -242,6 +262,10 @@
   | { readonly answer: 'malformed'; readonly why: string }
   | { readonly answer: 'too-large'; readonly limitBytes: number }
   | { readonly answer: 'unknown-method' }
+  /** The request carries no key, or one of no workspace; it has not run. */
+  | { readonly answer: 'unauthorized'; readonly why: string }
+  /** The job id is in use by another workspace; the request has not run. */
+  | { readonly answer: 'id-in-use' }
   /** The job has not been accepted and will never run. */
   | {
       readonly answer: 'refused';
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -39,6 +39,10 @@
 export interface WorkloadScheduler {
   /** Sets the queue policies of the current configuration. */
   setPolicies(policies: ReadonlyMap<types.QueueName, types.QueuePolicy>): void;
+  /** Sets the workspaces of the current configuration; none when it names none. */
+  setWorkspaces(
+    workspaces: ReadonlyMap<types.WorkspaceName, types.WorkspacePolicy>,
+  ): void;
   /** Adds an accepted job unless it is already known. `ageMs` is the time since its acceptance. */
   acceptJob(
     job: types.Job,
@@ -176,6 +180,9 @@
       for (const job of state.jobs.values())
         job.policy = policies.get(job.job.queue) ?? job.policy;
     },
+    setWorkspaces(workspaces) {
+      state.workspaces = workspaces;
+    },
     acceptJob(job, ageMs, nowMs, nowUnixMs) {
       if (!state.jobs.has(job.id))
         jobs.addJob(state, job, nowMs - ageMs, nowMs, nowUnixMs);
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -103,6 +103,8 @@
   /** VMs that may get new runs, as of this round. */
   openVms: openVms.OpenVms;
   policies: ReadonlyMap<types.QueueName, types.QueuePolicy>;
+  /** Workspaces of the current configuration; empty when it names none. */
+  workspaces: ReadonlyMap<types.WorkspaceName, types.WorkspacePolicy>;
   /** Monotonic time at which this owner created its scheduler. */
   readonly createdMs: number;
   nextRun: number;
@@ -171,6 +173,7 @@
     vms: new Map(),
     openVms: { byPool: new Map(), byIncarnationKey: new Map() },
     policies: new Map(),
+    workspaces: new Map(),
     createdMs: options.nowMs,
     nextRun: options.bounds.firstRun,
     dirty: new Set(),
--- a/packages/core/src/workloads/types.ts
+++ b/packages/core/src/workloads/types.ts
@@ -16,6 +16,9 @@
 /** Name of a node that sends advice requests on behalf of the owner; empty for the owner itself. */
 export type HelperName = string;
 
+/** Name of a workspace in the current configuration. */
+export type WorkspaceName = string;
+
 /** Incarnation of a VM: the Unix time of its start in ms. A restart gives a later one. */
 export type VmIncarnation = number;
 
@@ -77,6 +80,8 @@
   readonly acceptedAtMs: number;
   /** Policy of the queue when the job was accepted; the policy in the current configuration takes precedence. */
   readonly policy: QueuePolicy;
+  /** Workspace whose key the submission carried; absent for a public route and in records of earlier builds. */
+  readonly workspace?: WorkspaceName;
 }
 
 /** Service time of an advice request for a step, and validity of the tickets in its answer. */
@@ -104,6 +109,17 @@
   readonly advice: AdvicePolicy | undefined;
 }
 
+/** Share and limit of a workspace. */
+export interface WorkspacePolicy {
+  readonly name: WorkspaceName;
+  /** Jobs a second that are served ahead of the excess of other workspaces, and the share of a full pool relative to theirs. */
+  readonly weight: number;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** Most that its tasks may use at the same time, over all pools; Infinity for a resource without a limit. */
+  readonly limit: resources.Resources;
+}
+
 /** A VM as it appears in the VM list. */
 export interface VmEntry {
   readonly id: ids.VmId;
