End store calls that a silence has swallowed once the store answers again

Cause: when the store goes silent for seconds, calls sent before get no answer any more. Their timeouts double with each retry (700, 1,400, 2,600 ms), so that starts and acceptances could wait for up to 2.6 s after the store was back. Change: a tracker around the store's calls. Nothing was answered for 400 ms and a later call is answered: earlier calls end as without an answer, and their callers retry at once. Appends are idempotent, as after a timeout. A slow store answers calls in between, so its calls keep their timeouts.

--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -13,6 +13,7 @@
 import * as fleets from './fleet.js';
 import * as jobStores from './jobStore.js';
 import * as owners from './owner.js';
+import * as storeSilence from './storeSilence.js';
 import * as successors from './successors.js';
 import * as waiting from './waitingCounts.js';
 
@@ -40,8 +41,29 @@
   stop(): Promise<void>;
 }
 
+function watchStoreCalls(context: contexts.NodeContext): contexts.NodeContext {
+  const { ports, timers } = context;
+  const silence = storeSilence.createSilenceTracker(timers);
+  return {
+    ...context,
+    ports: {
+      ...ports,
+      store: silence.watchStore(ports.store),
+      configuration: {
+        ...silence.watchSource(ports.configuration),
+        decode: (record) => ports.configuration.decode(record),
+      },
+      vms: {
+        ...silence.watchSource(ports.vms),
+        decode: (record) => ports.vms.decode(record),
+      },
+    },
+  };
+}
+
 /** Creates a node. */
-export function createClusterNode(context: contexts.NodeContext): ClusterNode {
+export function createClusterNode(options: contexts.NodeContext): ClusterNode {
+  const context = watchStoreCalls(options);
   const { timers, log, metrics, settings, instance } = context;
   const configuration = configurations.createConfigurationView(context);
   const jobs = jobStores.createJobStore(context);
--- /dev/null
+++ b/packages/cluster/src/storeSilence.ts
@@ -0,0 +1,115 @@
+/**
+ * Notices calls that a silent store has swallowed. A store or a connection may go silent and
+ * answer new calls seconds later, while the calls sent before get no answer any more. Such a
+ * call would wait for its timeout, which grows with each retry, so starts and acceptances
+ * would go on being held up after the store is back. A call counts as swallowed once nothing
+ * was answered for a while after it was sent and a later call is answered. A slow store
+ * answers calls in between, so its calls keep their timeouts.
+ */
+import type * as core from '@flamingoward/core';
+import type * as ports from './ports.js';
+
+/** Shortest time without any answer that counts as silence, in ms; several times the answer time of a store in another region. */
+const MIN_SILENCE_MS = 400;
+/** Time by which the answered call was sent later, in ms; answers may overtake each other by less. */
+const MIN_OVERTAKE_MS = 150;
+const WHY = 'the store was silent and answers later calls';
+
+/** A call that waits for its answer. */
+interface PendingCall {
+  /** Time from which an answer is due; for a long-polling read that is the end of its wait. */
+  readonly dueMs: number;
+  readonly giveUp: () => void;
+}
+
+/** Watches the calls to one store, which together show whether it answers. */
+export interface SilenceTracker {
+  watchStore(store: ports.LogStore): ports.LogStore;
+  watchSource(source: ports.StreamSource): ports.StreamSource;
+}
+
+/** Creates a tracker. Calls that a silence has swallowed end as without an answer once the store answers again. */
+export function createSilenceTracker(
+  timers: core.TimerService,
+): SilenceTracker {
+  const pending = new Set<PendingCall>();
+  let lastAnswerMs = timers.getNow();
+
+  /** Applies an answer to a call that was sent at a time. */
+  function recordAnswer(sentMs: number): void {
+    const nowMs = timers.getNow();
+    const silenceMs = nowMs - lastAnswerMs;
+    lastAnswerMs = nowMs;
+    if (silenceMs < MIN_SILENCE_MS) return;
+    for (const call of [...pending])
+      if (
+        nowMs - call.dueMs >= MIN_SILENCE_MS &&
+        sentMs - call.dueMs >= MIN_OVERTAKE_MS
+      )
+        call.giveUp();
+  }
+
+  function watchCall<Result>(
+    call: Promise<Result>,
+    waitMs: number,
+    isAnswer: (result: Result) => boolean,
+    swallowed: Result,
+  ): Promise<Result> {
+    const sentMs = timers.getNow();
+    return new Promise((resolve, reject) => {
+      const entry: PendingCall = {
+        dueMs: sentMs + waitMs,
+        giveUp() {
+          pending.delete(entry);
+          resolve(swallowed);
+        },
+      };
+      pending.add(entry);
+      call.then(
+        (result) => {
+          // A late answer to a call that was given up shows nothing about calls sent since.
+          if (!pending.delete(entry)) return;
+          if (isAnswer(result)) recordAnswer(sentMs);
+          resolve(result);
+        },
+        (cause: unknown) => {
+          pending.delete(entry);
+          reject(cause instanceof Error ? cause : new Error(String(cause)));
+        },
+      );
+    });
+  }
+
+  function watchSource(source: ports.StreamSource): ports.StreamSource {
+    return {
+      read: (from, options) =>
+        watchCall<ports.ReadResult>(
+          source.read(from, options),
+          options.waitMs,
+          ({ outcome }) => outcome !== 'failed',
+          { outcome: 'failed', why: WHY },
+        ),
+      readNewest: (timeoutMs) =>
+        watchCall<ports.NewestResult>(
+          source.readNewest(timeoutMs),
+          0,
+          ({ outcome }) => outcome !== 'failed',
+          { outcome: 'failed', why: WHY },
+        ),
+    };
+  }
+
+  return {
+    watchSource,
+    watchStore: (store) => ({
+      append: (stream, records, options) =>
+        watchCall<ports.AppendResult>(
+          store.append(stream, records, options),
+          0,
+          ({ outcome }) => outcome !== 'unknown' && outcome !== 'refused',
+          { outcome: 'unknown', why: WHY },
+        ),
+      openStream: (stream) => watchSource(store.openStream(stream)),
+    }),
+  };
+}
--- /dev/null
+++ b/packages/cluster/test/storeSilence.test.ts
@@ -0,0 +1,85 @@
+import * as core from '@flamingoward/core';
+import * as vitest from 'vitest';
+import type * as ports from '../src/ports.js';
+import * as storeSilence from '../src/storeSilence.js';
+
+/** A store whose calls are answered by the test, in the order in which they were sent. */
+function createManualStore() {
+  const answers: ((result: ports.AppendResult) => void)[] = [];
+  const store: ports.LogStore = {
+    append: () =>
+      new Promise((resolve) => {
+        answers.push(resolve);
+      }),
+    openStream: () => ({
+      read: () => Promise.resolve({ outcome: 'trimmed' }),
+      readNewest: () => Promise.resolve({ outcome: 'failed', why: 'unused' }),
+    }),
+  };
+  return { store, answers };
+}
+
+const appended: ports.AppendResult = { outcome: 'appended', offset: 0, end: 1 };
+
+function setUp() {
+  const timers = core.createVirtualTimers();
+  const { store, answers } = createManualStore();
+  const wrapped = storeSilence.createSilenceTracker(timers).watchStore(store);
+  const outcomes: string[] = [];
+  const append = (name: string): void => {
+    void wrapped.append('jobs', [], { timeoutMs: 2_600 }).then((result) => {
+      outcomes.push(`${name} ${result.outcome}`);
+    });
+  };
+  const answer = async (index: number): Promise<void> => {
+    answers[index]?.(appended);
+    await Promise.resolve();
+    await Promise.resolve();
+    await Promise.resolve();
+  };
+  return { timers, append, answer, outcomes };
+}
+
+vitest.describe('calls to a store that was silent', () => {
+  vitest.it(
+    'end without an answer once a later call is answered (guards against starts that wait for a long timeout after the store is back)',
+    async () => {
+      const { timers, append, answer, outcomes } = setUp();
+      append('first');
+      timers.advance(2_000);
+      append('probe');
+      timers.advance(10);
+      await answer(1);
+      vitest.expect(outcomes).toEqual(['first unknown', 'probe appended']);
+    },
+  );
+
+  vitest.it(
+    'keep their timeouts while a slow store answers others (guards against retries that overload it)',
+    async () => {
+      const { timers, append, answer, outcomes } = setUp();
+      append('large');
+      for (let call = 1; call <= 10; call += 1) {
+        append(`small ${call}`);
+        timers.advance(250);
+        await answer(call);
+      }
+      await answer(0);
+      vitest.expect(outcomes.at(-1)).toBe('large appended');
+      vitest.expect(outcomes).not.toContain('large unknown');
+    },
+  );
+
+  vitest.it(
+    'are ended once: a late answer changes nothing (guards against one append with two outcomes)',
+    async () => {
+      const { timers, append, answer, outcomes } = setUp();
+      append('first');
+      timers.advance(2_000);
+      append('probe');
+      await answer(1);
+      await answer(0);
+      vitest.expect(outcomes).toEqual(['first unknown', 'probe appended']);
+    },
+  );
+});
