Keys and workspaces of requests

Cause: configurations name workspaces with keys, and every request ran without one, so that a revoked key went on submitting and each caller could read and cancel every job. The new module `access.ts` decides from route, key and age of the configuration: served, 401 or 503. The durable record of a job names its workspace and a fingerprint of the submitting key; the records of its cancellation and of its end carry the same, so that a new owner decides alike. A job that a caller may not see is answered like one that doesn't exist, also by the owner, and another workspace's id gets 409. A job store writes no second record for a known id, and an owner restores a record that one of another workspace has replaced. After a failed read of the configuration the next read doesn't wait, so that a node accepts keys again at once. Two existing tests give the views that they fake the new `getReadAge`, which its type demands.

--- a/packages/cluster/src/configuration.ts
+++ b/packages/cluster/src/configuration.ts
@@ -21,6 +21,8 @@
   getCurrent(): ports.Configuration | undefined;
   /** Returns whether a newer version may have been in force for longer than a node may lag behind. */
   isStale(): boolean;
+  /** Returns the time since the store last answered a read, in ms. */
+  getReadAge(): number;
   /** Finds the route with the longest matching prefix, and the rest of the path. */
   findRoute(
     host: string,
@@ -58,7 +60,7 @@
   >();
   let closed = false;
   let storeUnavailable = false;
-  let lastReadMs = 0;
+  let lastReadMs = -Infinity;
 
   const tail = tails.createTail({
     source,
@@ -96,7 +98,10 @@
 
   async function follow(): Promise<void> {
     while (!isClosed()) {
-      const storeAnswered = await tail.follow(FOLLOW_WAIT_MS);
+      // After a failure, a read without a wait tells soonest that this view is current again.
+      const storeAnswered = await tail.follow(
+        storeUnavailable ? 0 : FOLLOW_WAIT_MS,
+      );
       if (storeAnswered) lastReadMs = timers.getNow();
       if (storeAnswered && storeUnavailable) {
         log.write('info', 'store.regained', { stream: 'configuration' });
@@ -110,13 +115,18 @@
     }
   }
 
+  function getReadAge(): number {
+    return timers.getNow() - lastReadMs;
+  }
+
   function isClosed(): boolean {
     return closed;
   }
 
   return {
     getCurrent: () => current,
-    isStale: () => timers.getNow() - lastReadMs > STALE_AFTER_MS,
+    isStale: () => getReadAge() > STALE_AFTER_MS,
+    getReadAge,
     findRoute(host, path) {
       let best: ports.Route | undefined;
       for (const route of current?.routes ?? []) {
--- a/packages/cluster/src/jobStore.ts
+++ b/packages/cluster/src/jobStore.ts
@@ -9,6 +9,7 @@
  * even if there is no such job: it holds for a job whose acceptance is stored after it.
  */
 import type * as core from '@flamingoward/core';
+import * as access from './access.js';
 import type * as contexts from './context.js';
 import type * as ports from './ports.js';
 import * as timeouts from './timeouts.js';
@@ -34,6 +35,8 @@
 const SLOW_APPEND_MS = 350;
 /** Duration of a read to the end of the stream from which it is logged, in ms. */
 const SLOW_READ_MS = 500;
+/** Time for which the record of a job that another one replaced is written again, in ms; as long as a caller waits. */
+const REWRITE_TIMEOUT_MS = 3_000;
 /** Timeout of a probe, in ms. */
 const PROBE_TIMEOUT_MS = 600;
 
@@ -42,6 +45,8 @@
   readonly id: core.ids.JobId;
   /** Undefined before its record has been read, and after the job has ended. */
   job: core.workloads.Job | undefined;
+  /** Undefined before a record has told it. */
+  origin?: access.JobOrigin | undefined;
   cancelled: boolean;
   final: core.workloads.FinalState | undefined;
   /** Monotonic time at which this node learned of its end or cancellation. */
@@ -53,16 +58,35 @@
   | { readonly outcome: 'durable'; readonly why?: string }
   /** Nothing was written: no VM can run the job, or the store doesn't take its record. */
   | { readonly outcome: 'declined'; readonly why: string }
+  /** Another workspace has a job with this id. */
+  | { readonly outcome: 'in-use'; readonly why?: string }
   | { readonly outcome: 'refused'; readonly why: string }
   | { readonly outcome: 'unknown'; readonly why: string };
 
 /** The jobs of the cluster. */
 export interface JobStore {
-  accept(job: core.workloads.Job, deadlineMs: number): Promise<WriteResult>;
-  /** Stores a cancellation, which holds for a job that is accepted later as well. */
-  cancel(id: core.ids.JobId, deadlineMs: number): Promise<WriteResult>;
+  /** Stores a job, unless one with its id is known; `in-use` if `caller` can't have submitted that one. */
+  accept(
+    job: core.workloads.Job,
+    deadlineMs: number,
+    caller?: core.clusterMessages.JobCaller,
+  ): Promise<WriteResult>;
+  /**
+   * Stores a cancellation, which holds for a job that is accepted later as well, but never
+   * for one that `caller` may not cancel.
+   */
+  cancel(
+    id: core.ids.JobId,
+    deadlineMs: number,
+    caller?: core.clusterMessages.JobCaller,
+  ): Promise<WriteResult>;
   /** Returns a job that has been accepted; undefined if only a cancellation is known. */
   find(id: core.ids.JobId): StoredJob | undefined;
+  /** Does the same for a job that `caller` may read. */
+  findReadable(
+    id: core.ids.JobId,
+    caller: core.clusterMessages.JobCaller | undefined,
+  ): StoredJob | undefined;
   /** Reads to the end of the stream; resolves with false when the store doesn't answer. */
   refresh(): Promise<boolean>;
   /**
@@ -100,9 +124,18 @@
   const { timers, metrics } = context;
   const jobs = new Map<core.ids.JobId, StoredJob>();
   /** Cancellations of jobs that aren't known, each with the time at which this node learned of it. */
-  const earlyCancellations = new Map<core.ids.JobId, number>();
+  const earlyCancellations = new Map<
+    core.ids.JobId,
+    {
+      readonly learnedMs: number;
+      readonly caller: core.clusterMessages.JobCaller | undefined;
+    }
+  >();
   const queue: PendingWrite[] = [];
-  const accepting = new Map<core.ids.JobId, Promise<WriteResult>>();
+  const accepting = new Map<
+    core.ids.JobId,
+    { readonly origin: access.JobOrigin; readonly result: Promise<WriteResult> }
+  >();
   let observer: ((change: records.JobChange) => void) | undefined;
   let writing = false;
   let unavailableWhy = '';
@@ -177,18 +210,46 @@
   }
 
   function handleChange(change: records.JobChange): void {
+    if (isForeign(change)) return;
     applyChange(change);
     observer?.(change);
   }
 
-  function ensureJob(id: core.ids.JobId): StoredJob {
+  /** Returns whether a change comes from another workspace than the job that is known under its id. */
+  function isForeign(change: records.JobChange): boolean {
+    if (change.change === 'cancelled')
+      return !access.canChange(jobs.get(change.id)?.origin, change.caller);
+    if (change.change !== 'accepted') return false;
+    const { job } = change;
+    const known = jobs.get(job.id);
+    if (access.canRepeat(known?.origin, access.buildOrigin(job))) return false;
+    context.log.write('warn', 'job.id-in-use', { job: job.id });
+    // The store keeps the newest record of a key; the first job of an id must outlast a change of owner.
+    if (observer !== undefined && known?.job !== undefined)
+      void write(
+        records.buildAccepted(known.job),
+        timers.getNow() + REWRITE_TIMEOUT_MS,
+      );
+    return true;
+  }
+
+  function ensureJob(id: core.ids.JobId, origin?: access.JobOrigin): StoredJob {
     const known = jobs.get(id);
-    if (known !== undefined) return known;
-    const cancelledMs = earlyCancellations.get(id);
+    if (known !== undefined) {
+      known.origin ??= origin;
+      return known;
+    }
+    const cancellation = earlyCancellations.get(id);
+    const cancelledMs =
+      cancellation !== undefined &&
+      access.canChange(origin, cancellation.caller)
+        ? cancellation.learnedMs
+        : undefined;
     earlyCancellations.delete(id);
     const entry: StoredJob = {
       id,
       job: undefined,
+      origin,
       cancelled: cancelledMs !== undefined,
       final: undefined,
       endedMs: cancelledMs,
@@ -210,7 +271,7 @@
       ({ endedMs }) => endedMs !== undefined && endedMs < endedBeforeMs,
     );
     const expiredEarly = [...earlyCancellations].filter(
-      ([, cancelledMs]) => cancelledMs < endedBeforeMs,
+      ([, { learnedMs }]) => learnedMs < endedBeforeMs,
     );
     const expiredIds = [
       ...expired.map(({ id }) => id),
@@ -242,29 +303,38 @@
     earlyCancellations.delete(id);
   }
 
-  function cancelJob(id: core.ids.JobId): void {
+  function cancelJob(
+    id: core.ids.JobId,
+    caller: core.clusterMessages.JobCaller | undefined,
+  ): void {
     if (jobs.has(id)) endJob(id).cancelled = true;
     else if (!earlyCancellations.has(id))
-      earlyCancellations.set(id, timers.getNow());
+      earlyCancellations.set(id, { learnedMs: timers.getNow(), caller });
   }
 
   function applyChange(change: records.JobChange): void {
     switch (change.change) {
       case 'accepted': {
         const { id } = change.job;
-        if (earlyCancellations.has(id))
+        const isEarly = earlyCancellations.has(id);
+        const entry = ensureJob(id, access.buildOrigin(change.job));
+        if (isEarly && entry.cancelled)
           context.log.write('info', 'job.cancelled-early', { job: id });
-        const entry = ensureJob(id);
         if (entry.final === undefined) entry.job ??= change.job;
         return;
       }
       case 'cancelled':
-        cancelJob(change.id);
+        cancelJob(change.id, change.caller);
         return;
       case 'final':
         endJob(change.id).final = change.state;
         return;
       case 'body-dropped': {
+        // Without an origin, it is the first of the records that are dropped when a job is forgotten.
+        if (change.origin !== undefined) {
+          ensureJob(change.id, change.origin);
+          endJob(change.id);
+        }
         const entry = jobs.get(change.id);
         if (entry !== undefined) entry.job = undefined;
         return;
@@ -388,16 +458,23 @@
   async function accept(
     job: core.workloads.Job,
     deadlineMs: number,
+    caller?: core.clusterMessages.JobCaller,
   ): Promise<WriteResult> {
     const pending = accepting.get(job.id);
-    if (pending !== undefined) return pending;
+    const known = jobs.get(job.id);
+    if (!access.canRepeat(known?.origin ?? pending?.origin, caller))
+      return { outcome: 'in-use' };
+    if (known !== undefined) return { outcome: 'durable' };
+    if (pending !== undefined) return pending.result;
     const result = write(records.buildAccepted(job), deadlineMs);
-    accepting.set(job.id, result);
+    accepting.set(job.id, { origin: access.buildOrigin(job), result });
     try {
       const written = await result;
-      if (written.outcome === 'durable')
-        handleChange({ change: 'accepted', job });
-      return written;
+      if (written.outcome !== 'durable') return written;
+      handleChange({ change: 'accepted', job });
+      return access.canRepeat(jobs.get(job.id)?.origin, caller)
+        ? written
+        : { outcome: 'in-use' };
     } finally {
       accepting.delete(job.id);
     }
@@ -406,16 +483,24 @@
   async function cancel(
     id: core.ids.JobId,
     deadlineMs: number,
+    caller?: core.clusterMessages.JobCaller,
   ): Promise<WriteResult> {
+    if (!access.canChange(jobs.get(id)?.origin, caller))
+      // While nothing can be stored, the cancellation of an unknown job is refused, and this one must not differ.
+      return unavailable
+        ? { outcome: 'refused', why: unavailableWhy }
+        : { outcome: 'in-use' };
     if (!jobs.has(id) && earlyCancellations.size >= MAX_EARLY_CANCELLATIONS)
       return {
         outcome: 'refused',
         why: 'too many cancellations of unknown jobs',
       };
-    const result = await write(records.buildCancelled(id), deadlineMs);
+    const result = await write(records.buildCancelled(id, caller), deadlineMs);
+    if (!access.canChange(jobs.get(id)?.origin, caller))
+      return { outcome: 'in-use' };
     if (result.outcome === 'durable') {
       // The acceptance may be stored before the next read.
-      if (!jobs.has(id)) cancelJob(id);
+      if (!jobs.has(id)) cancelJob(id, caller);
       observer?.({ change: 'cancelled', id });
       // The view of a known job is changed by a read, since an end may have been stored before the cancellation.
       void refreshIfRead();
@@ -454,6 +539,10 @@
     accept,
     cancel,
     find: (id) => jobs.get(id),
+    findReadable(id, caller) {
+      const entry = jobs.get(id);
+      return access.canRead(entry?.origin, caller) ? entry : undefined;
+    },
     refresh,
     refreshIfRead,
     getReadAge: () => timers.getNow() - completeToMs,
--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -268,7 +268,8 @@
       case 'cluster.job':
         return {
           kind: 'cluster.job.answer',
-          state: await owner?.getJobState(question.job),
+          state: await owner?.getJobState(question.job, question.caller),
+          checked: true,
         };
       case 'cluster.waiting':
         return {
@@ -326,8 +327,8 @@
       };
     const untilMs = timers.getNow() + question.timeoutMs;
     const written = await ('accept' in question.write
-      ? jobs.accept(question.write.accept, untilMs)
-      : jobs.cancel(question.write.cancel, untilMs));
+      ? jobs.accept(question.write.accept, untilMs, question.write.caller)
+      : jobs.cancel(question.write.cancel, untilMs, question.write.caller));
     return {
       kind: 'cluster.write.answer',
       outcome: written.outcome,
@@ -400,17 +401,26 @@
 
   async function askOwner(
     id: core.ids.JobId,
+    caller: core.clusterMessages.JobCaller | undefined,
   ): Promise<core.clusterMessages.JobAnswer | undefined> {
-    if (owner !== undefined) return owner.getJobState(id);
+    if (owner !== undefined) return owner.getJobState(id, caller);
     const current = ownership.getOwner();
     if (current === undefined) return undefined;
     try {
       const answer = await hub.ask(
         current.instance,
-        { kind: 'cluster.job', job: id },
+        {
+          kind: 'cluster.job',
+          job: id,
+          ...(caller === undefined ? {} : { caller }),
+        },
         OWNER_QUESTION_TIMEOUT_MS,
       );
-      return answer.kind === 'cluster.job.answer' ? answer.state : undefined;
+      if (answer.kind !== 'cluster.job.answer') return undefined;
+      // An owner of an earlier build tells the state of any job, whoever asks.
+      return caller === undefined || answer.checked === true
+        ? answer.state
+        : undefined;
     } catch (cause) {
       metrics.count('owner_questions_failed', {});
       log.write('debug', 'owner.no-answer', {
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -103,6 +103,7 @@
    */
   getJobState(
     id: core.ids.JobId,
+    caller?: core.clusterMessages.JobCaller,
   ): Promise<core.clusterMessages.JobAnswer | undefined>;
   /** Returns the reason why no VM can ever run a job; undefined when one can, or when this isn't known. */
   checkAdmission(job: core.workloads.Job): string | undefined;
@@ -170,6 +171,7 @@
     context,
     fence,
     options.onAppendFailed,
+    (id) => jobs.find(id)?.origin,
   );
   const sessionsByVm = new Map<core.ids.VmId, vmSessions.VmSession>();
   const durableWaiters = new Set<() => void>();
@@ -777,9 +779,11 @@
 
   async function getJobState(
     id: core.ids.JobId,
+    caller?: core.clusterMessages.JobCaller,
   ): Promise<core.clusterMessages.JobAnswer | undefined> {
     if (!ready || isClosed()) return undefined;
-    const isKnown = () => jobs.find(id) !== undefined;
+    // A job that the caller may not read is told as one that doesn't exist.
+    const isKnown = () => jobs.findReadable(id, caller) !== undefined;
     if (isKnown()) return getKnownState(id);
     if (!(await jobs.refresh())) return undefined;
     return isKnown() ? getKnownState(id) : 'unknown';
--- a/packages/cluster/src/recorder.ts
+++ b/packages/cluster/src/recorder.ts
@@ -7,6 +7,7 @@
  * owner is refused and a retried one is written once.
  */
 import * as core from '@flamingoward/core';
+import type * as access from './access.js';
 import type * as contexts from './context.js';
 import type * as ports from './ports.js';
 import * as timeouts from './timeouts.js';
@@ -30,11 +31,16 @@
   close(): void;
 }
 
-/** Creates the recorder of an owner; `onAppendFailed` is called when the store refuses an append or doesn't answer it. */
+/**
+ * Creates the recorder of an owner; `onAppendFailed` is called when the store refuses an
+ * append or doesn't answer it, and `findOrigin` for the origin of an ended job.
+ */
 export function createRecorder(
   context: contexts.NodeContext,
   fence: number,
   onAppendFailed: () => void,
+  findOrigin: (id: core.ids.JobId) => access.JobOrigin | undefined = () =>
+    undefined,
 ): Recorder {
   const { timers, log } = context;
   const sequences = { jobs: 0, progress: 0, claims: 0 };
@@ -154,7 +160,7 @@
       for (const [key, value] of batch.progress) progress.push({ key, value });
       for (const key of batch.dropped) progress.push({ key, value: undefined });
       const finals = [...batch.finals].flatMap(([id, state]) =>
-        records.buildFinal(id, state),
+        records.buildFinal(id, state, findOrigin(id)),
       );
       const [, rejected] = await Promise.all([
         appendAll('jobs', finals),
--- a/packages/cluster/src/records.ts
+++ b/packages/cluster/src/records.ts
@@ -6,6 +6,7 @@
 import type * as core from '@flamingoward/core';
 import type * as observability from '@flamingoward/observability';
 import * as zod from 'zod';
+import type * as access from './access.js';
 import type * as ports from './ports.js';
 
 /** Format version of job records; records of other versions are skipped and logged. */
@@ -14,14 +15,24 @@
 /** A change of a job. */
 export type JobChange =
   | { readonly change: 'accepted'; readonly job: core.workloads.Job }
-  | { readonly change: 'cancelled'; readonly id: core.ids.JobId }
+  | {
+      readonly change: 'cancelled';
+      readonly id: core.ids.JobId;
+      /** Who has cancelled it; absent in records of earlier builds and where requests need no key. */
+      readonly caller?: core.clusterMessages.JobCaller;
+    }
   | {
       readonly change: 'final';
       readonly id: core.ids.JobId;
       readonly state: core.workloads.FinalState;
     }
   /** The record of the job itself has been dropped; its end or cancellation is still known. */
-  | { readonly change: 'body-dropped'; readonly id: core.ids.JobId }
+  | {
+      readonly change: 'body-dropped';
+      readonly id: core.ids.JobId;
+      /** Kept for a job of a workspace. */
+      readonly origin?: access.JobOrigin;
+    }
   /** All records of the job have been dropped. */
   | { readonly change: 'forgotten'; readonly id: core.ids.JobId };
 
@@ -39,20 +50,37 @@
   };
 }
 
-/** Builds the record of a cancellation. */
-export function buildCancelled(id: core.ids.JobId): ports.NewRecord {
-  return { key: formatKey('cancel', id), value: '1' };
+/** Builds the record of a cancellation, which holds only for a job that `caller` may cancel. */
+export function buildCancelled(
+  id: core.ids.JobId,
+  caller?: core.clusterMessages.JobCaller,
+): ports.NewRecord {
+  return {
+    key: formatKey('cancel', id),
+    // Earlier builds take any value as a cancellation.
+    value: caller === undefined ? '1' : JSON.stringify(caller),
+  };
 }
 
 /**
  * Builds the records of a final state. The record of the job itself is dropped, so that
- * the data a new owner reads doesn't grow with the number of ended jobs.
+ * the data a new owner reads doesn't grow with the number of ended jobs. Of a job of a
+ * workspace its origin is kept, without which any workspace could read how it ended.
  */
 export function buildFinal(
   id: core.ids.JobId,
   state: core.workloads.FinalState,
+  origin?: access.JobOrigin,
 ): readonly ports.NewRecord[] {
-  return [{ key: formatKey('final', id), value: state }, buildBodyDropped(id)];
+  return [
+    { key: formatKey('final', id), value: state },
+    origin?.workspace === undefined
+      ? buildBodyDropped(id)
+      : {
+          key: formatKey('job', id),
+          value: JSON.stringify({ version: RECORD_VERSION, ended: origin }),
+        },
+  ];
 }
 
 /** Builds the record that drops the job itself but keeps its end or cancellation. */
@@ -70,9 +98,9 @@
     return { change: prefix === 'job' ? 'body-dropped' : 'forgotten', id };
   switch (prefix) {
     case 'job':
-      return parseAccepted(record.value);
+      return parseAccepted(id, record.value);
     case 'cancel':
-      return { change: 'cancelled', id };
+      return parseCancelled(id, record.value);
     case 'final':
       return record.value === 'completed' || record.value === 'failed'
         ? { change: 'final', id, state: record.value }
@@ -88,6 +116,8 @@
   job: zod.looseObject({
     id: zod.string(),
     queue: zod.string(),
+    workspace: zod.string().optional(),
+    submitter: zod.string().optional(),
     acceptedAtMs: zod.number(),
     steps: zod.array(
       zod.looseObject({
@@ -119,8 +149,32 @@
   }),
 });
 
-function parseAccepted(value: string): JobChange | undefined {
+const endedJob = zod.object({
+  version: zod.literal(RECORD_VERSION),
+  ended: zod.object({
+    queue: zod.string().optional(),
+    workspace: zod.string().optional(),
+    submitter: zod.string().optional(),
+  }),
+});
+const caller = zod.object({
+  workspace: zod.string().optional(),
+  submitter: zod.string().optional(),
+  publicQueue: zod.string().optional(),
+});
+
+function parseAccepted(
+  id: core.ids.JobId,
+  value: string,
+): JobChange | undefined {
   const stored = parseJson(value);
+  const ended = endedJob.safeParse(stored);
+  if (ended.success)
+    return {
+      change: 'body-dropped',
+      id,
+      origin: ended.data.ended as access.JobOrigin,
+    };
   return acceptedJob.safeParse(stored).success
     ? {
         change: 'accepted',
@@ -129,6 +183,17 @@
     : undefined;
 }
 
+function parseCancelled(id: core.ids.JobId, value: string): JobChange {
+  const parsed = caller.safeParse(parseJson(value));
+  return parsed.success
+    ? {
+        change: 'cancelled',
+        id,
+        caller: parsed.data as core.clusterMessages.JobCaller,
+      }
+    : { change: 'cancelled', id };
+}
+
 function parseJson(value: string): unknown {
   try {
     return JSON.parse(value) as unknown;
--- a/packages/cluster/src/requestHandler.ts
+++ b/packages/cluster/src/requestHandler.ts
@@ -2,9 +2,11 @@
  * Handles requests of callers. A job is accepted only once its record is durable. A
  * request is refused only when nothing was written, and a job is reported as unknown
  * only after the stream was read to its end. A cancellation is answered only once it is
- * durable, whether the job is known or not.
+ * durable, whether the job is known or not. A job that a request may not see is answered
+ * like one that doesn't exist.
  */
 import * as core from '@flamingoward/core';
+import * as access from './access.js';
 import * as answerAge from './answerAge.js';
 import type * as configurations from './configuration.js';
 import type * as contexts from './context.js';
@@ -32,9 +34,10 @@
 
 /** Functions of the node through which requests about jobs are answered. */
 export interface JobQueries {
-  /** Fetches what the owner tells of a job; undefined when no owner tells anything. */
+  /** Fetches what the owner tells `caller` of a job; undefined when no owner tells anything. */
   fetchState(
     id: core.ids.JobId,
+    caller: Caller,
   ): Promise<core.clusterMessages.JobAnswer | undefined>;
   /** Fetches the count of a queue's waiting jobs, as `WaitingCounts.fetch` does. */
   fetchWaiting(
@@ -52,7 +55,16 @@
 
 /** A change that must be durable before the request is answered. */
 export type DurableWrite =
-  { readonly accept: core.workloads.Job } | { readonly cancel: core.ids.JobId };
+  | {
+      readonly accept: core.workloads.Job;
+      readonly caller?: core.clusterMessages.JobCaller;
+    }
+  | {
+      readonly cancel: core.ids.JobId;
+      readonly caller?: core.clusterMessages.JobCaller;
+    };
+
+type Caller = core.clusterMessages.JobCaller | undefined;
 
 /** Handles one request. */
 export type RequestHandler = (
@@ -67,6 +79,10 @@
   jobQueries: JobQueries,
 ): RequestHandler {
   const { timers, log, metrics } = context;
+  const accessPolicy = access.createAccessPolicy(
+    configuration,
+    context.settings.keyBoundMs,
+  );
 
   async function answer(
     request: ports.CallerRequest,
@@ -80,6 +96,12 @@
         ? buildUnavailable('the configuration may be out of date')
         : { answer: 'unknown-queue' };
     const { policy } = match.route;
+    const admission = accessPolicy.decide(match.route, request.credentials);
+    if (admission.decision === 'unauthorized')
+      return { answer: 'unauthorized', why: admission.why };
+    if (admission.decision === 'outdated')
+      return buildUnavailable(admission.why);
+    const { caller } = admission;
     const untilMs =
       timers.getNow() +
       (request.deadlineMs ?? DEFAULT_DEADLINE_MS) -
@@ -90,13 +112,15 @@
         : { answer: 'unknown-method' };
     if (!jobIdPattern.test(match.rest))
       return { answer: 'malformed', why: 'a job id has 16 hexadecimal digits' };
+    if (admission.doubt !== undefined && request.method !== 'POST')
+      return buildUnavailable(admission.doubt);
     switch (request.method) {
       case 'POST':
-        return submit(match.rest, policy, request, untilMs);
+        return submit(match.rest, { policy, caller }, request, untilMs);
       case 'GET':
-        return answerState(match.rest, untilMs);
+        return answerState(match.rest, caller, untilMs);
       case 'DELETE':
-        return cancel(match.rest, untilMs);
+        return cancel(match.rest, caller, untilMs);
       default:
         return { answer: 'unknown-method' };
     }
@@ -128,11 +152,21 @@
 
   async function submit(
     id: core.ids.JobId,
-    policy: core.workloads.QueuePolicy,
+    {
+      policy,
+      caller,
+    }: {
+      readonly policy: core.workloads.QueuePolicy;
+      readonly caller: Caller;
+    },
     request: ports.CallerRequest,
     untilMs: number,
   ): Promise<ports.CallerAnswer> {
-    if (jobs.find(id) !== undefined) return { answer: 'accepted' };
+    const known = jobs.find(id);
+    if (known !== undefined)
+      return access.canRepeat(known.origin, caller)
+        ? { answer: 'accepted' }
+        : { answer: 'id-in-use' };
     const decoded = context.ports.decodeSubmission(request.body);
     if (!decoded.readable) return { answer: 'malformed', why: decoded.why };
     const job: core.workloads.Job = {
@@ -141,6 +175,7 @@
       policy,
       configVersion: configuration.getCurrent()?.version ?? 0,
       acceptedAtMs: timers.getDate(),
+      ...access.buildSubmitter(caller),
       ...decoded.value,
     };
     const recordBytes = records.measureRecord(records.buildAccepted(job));
@@ -152,7 +187,10 @@
       };
     const why = jobQueries.checkAdmission(job);
     if (why !== undefined) return buildDeclined(why);
-    const written = await write({ accept: job }, untilMs);
+    const written = await write(
+      { accept: job, ...(caller === undefined ? {} : { caller }) },
+      untilMs,
+    );
     return buildWriteAnswer(written, { answer: 'accepted' });
   }
 
@@ -175,15 +213,16 @@
         : undefined;
     if (
       ownerResult?.outcome === 'durable' ||
-      ownerResult?.outcome === 'declined'
+      ownerResult?.outcome === 'declined' ||
+      ownerResult?.outcome === 'in-use'
     )
       return ownerResult;
     const { unavailable, why } = jobs.getHealth();
     if (unavailable) return ownerResult ?? { outcome: 'refused', why };
     const written =
       'accept' in change
-        ? await jobs.accept(change.accept, untilMs)
-        : await jobs.cancel(change.cancel, untilMs);
+        ? await jobs.accept(change.accept, untilMs, change.caller)
+        : await jobs.cancel(change.cancel, untilMs, change.caller);
     // The owner may have written the record, so a refusal of this node's own write isn't passed on.
     return written.outcome === 'refused' && ownerResult?.outcome === 'unknown'
       ? ownerResult
@@ -193,11 +232,13 @@
   /** Asks for a job's state until something definite is told, for a limited time. */
   async function fetchAnswer(
     id: core.ids.JobId,
+    caller: Caller,
     untilMs: number,
   ): Promise<core.clusterMessages.JobAnswer | undefined> {
     const startedMs = timers.getNow();
     for (;;) {
-      const told = getStoredState(id) ?? (await jobQueries.fetchState(id));
+      const told =
+        getStoredState(id, caller) ?? (await jobQueries.fetchState(id, caller));
       if (told !== undefined && told !== 'unresolved') return told;
       const nowMs = timers.getNow();
       if (nowMs - startedMs > OWNER_ANSWER_TIMEOUT_MS || nowMs > untilMs)
@@ -208,9 +249,10 @@
 
   async function answerState(
     id: core.ids.JobId,
+    caller: Caller,
     untilMs: number,
   ): Promise<ports.CallerAnswer> {
-    const told = await fetchAnswer(id, untilMs);
+    const told = await fetchAnswer(id, caller, untilMs);
     if (told === 'unknown') return { answer: 'unknown-job' };
     if (told === 'unresolved')
       return buildRefused(
@@ -221,9 +263,9 @@
     if (told !== undefined) return { answer: 'state', state: told };
     // Without an owner, the stream tells whether the job exists and how it ended, but not whether it has started.
     const isCurrent = await jobs.refreshIfRead();
-    const state = getStoredState(id);
+    const state = getStoredState(id, caller);
     if (state !== undefined) return { answer: 'state', state };
-    return isCurrent && jobs.find(id) === undefined
+    return isCurrent && jobs.findReadable(id, caller) === undefined
       ? { answer: 'unknown-job' }
       : refuseUnknownState();
   }
@@ -242,8 +284,9 @@
   /** Returns the stored state if it is final, or cancelled according to a recent read, since an end that is stored later replaces a cancellation. */
   function getStoredState(
     id: core.ids.JobId,
+    caller: Caller,
   ): core.workloads.JobState | undefined {
-    const stored = jobs.find(id);
+    const stored = jobs.findReadable(id, caller);
     if (stored?.final !== undefined) return stored.final;
     return stored?.cancelled === true && jobs.getReadAge() < answerAge.STALE_MS
       ? 'cancelled'
@@ -252,23 +295,33 @@
 
   async function cancel(
     id: core.ids.JobId,
+    caller: Caller,
     untilMs: number,
   ): Promise<ports.CallerAnswer> {
-    let isKnown = jobs.find(id) !== undefined;
+    let isKnown = hasChangeable(id, caller);
     if (!isKnown) {
-      const told = await fetchAnswer(id, untilMs);
+      const told = await fetchAnswer(id, caller, untilMs);
       if (told === undefined && !(await jobs.refreshIfRead()))
         return refuseUnknownState();
       isKnown =
-        told === undefined ? jobs.find(id) !== undefined : told !== 'unknown';
+        told === undefined ? hasChangeable(id, caller) : told !== 'unknown';
     }
     // Also for an unknown job: an append of its acceptance may still be carried out.
-    const written = await write({ cancel: id }, untilMs);
+    const written = await write(
+      { cancel: id, ...(caller === undefined ? {} : { caller }) },
+      untilMs,
+    );
+    if (written.outcome === 'in-use') return { answer: 'unknown-job' };
     return buildWriteAnswer(written, {
       answer: isKnown ? 'cancelled' : 'unknown-job',
     });
   }
 
+  function hasChangeable(id: core.ids.JobId, caller: Caller): boolean {
+    const stored = jobs.find(id);
+    return stored !== undefined && access.canChange(stored.origin, caller);
+  }
+
   return async (request) => {
     const startedMs = timers.getNow();
     const result = await answer(request);
@@ -319,6 +372,8 @@
       return answerIfDurable;
     case 'refused':
       return buildUnavailable(written.why);
+    case 'in-use':
+      return { answer: 'id-in-use' };
     case 'declined':
       return buildDeclined(written.why);
     case 'unknown':
--- a/packages/cluster/src/settings.ts
+++ b/packages/cluster/src/settings.ts
@@ -18,6 +18,19 @@
 /** Longest time that a VM takes to stop a run when the settings name none, in ms. */
 const DEFAULT_RUN_STOP_MS = 1_000;
 
+const optionalMilliseconds = zod.preprocess(
+  dropEmpty,
+  zod.coerce
+    .number({ error: 'expected a number of milliseconds' })
+    .nonnegative('expected a number of milliseconds')
+    .optional(),
+);
+/** The INI parser returns `true` and `false` as booleans. */
+const optionalFlag = zod.preprocess(
+  (value) => (typeof value === 'boolean' ? String(value) : dropEmpty(value)),
+  zod.stringbool('expected true or false').optional(),
+);
+
 /** Returns undefined for an empty text: a template writes nothing for a value that it doesn't have. */
 function dropEmpty(value: unknown): unknown {
   return value === '' ? undefined : value;
@@ -71,6 +84,10 @@
       dropEmpty,
       milliseconds.default(DEFAULT_RUN_STOP_MS),
     ),
+    config_ms: optionalMilliseconds,
+    max_skew_ms: optionalMilliseconds,
+    revoke_ms: optionalMilliseconds,
+    strict_revoke: optionalFlag,
   }),
 });
 
@@ -99,6 +116,8 @@
   readonly leaseMs: number;
   /** Longest time that a VM takes to stop a run, in ms of its clock. */
   readonly runStopMs: number;
+  /** Time without a read of the configuration after which known keys are not accepted, in ms; absent for no bound. */
+  readonly keyBoundMs?: number;
   /** Time from the stop signal until the process is killed, in ms. */
   readonly stopMs: number;
 }
@@ -121,6 +140,7 @@
       ),
     };
   const { process, listen, log_store, advice, machine, terms } = result.data;
+  const keyBoundMs = computeKeyBound(terms);
   return {
     settings: {
       name: process.name,
@@ -135,7 +155,24 @@
       cores: machine.core_share * machine.core_speed,
       leaseMs: terms.lease_ms,
       runStopMs: terms.run_stop_ms,
+      ...(keyBoundMs === undefined ? {} : { keyBoundMs }),
       stopMs: terms.stop_s * 1_000,
     },
   };
 }
+
+/** Computes how long keys are accepted without a read of the configuration, in ms; undefined when the settings lack the values. */
+function computeKeyBound(
+  terms: Readonly<
+    Pick<
+      zod.infer<typeof schema>['terms'],
+      'config_ms' | 'max_skew_ms' | 'revoke_ms' | 'strict_revoke'
+    >
+  >,
+): number | undefined {
+  if (terms.strict_revoke === true && terms.revoke_ms !== undefined)
+    return terms.revoke_ms;
+  return terms.config_ms === undefined || terms.max_skew_ms === undefined
+    ? undefined
+    : terms.config_ms + terms.max_skew_ms;
+}
--- a/packages/cluster/test/clusterSimulation.ts
+++ b/packages/cluster/test/clusterSimulation.ts
@@ -173,6 +173,7 @@
   return {
     getCurrent: () => ({ version: 1, routes: [route], maxBodyBytes: 1_000 }),
     isStale: () => false,
+    getReadAge: () => 0,
     findRoute: (_, path) => ({ route, rest: path.slice(QUEUE_PATH.length) }),
     getPolicies: () => ({ version: 1, policies: new Map() }),
     open: () => undefined,
--- a/packages/cluster/test/jobStore.test.ts
+++ b/packages/cluster/test/jobStore.test.ts
@@ -303,3 +303,97 @@
     },
   );
 });
+
+vitest.describe('a job of a workspace', () => {
+  const jobOfA = { ...createJob('a'), workspace: 'a', submitter: 'f' };
+  const callerB = { workspace: 'b', submitter: 'g' };
+
+  vitest.it(
+    'keeps its workspace after its end, for a node that only reads its newest records (guards against a new owner that tells any workspace how it ended)',
+    async () => {
+      const context = fakes.createFakeContext();
+      const { jobs } = context.store.streams;
+      const ended = records.buildFinal('a', 'completed', {
+        queue: 'queue',
+        workspace: 'a',
+      });
+      for (const { key, value } of [records.buildAccepted(jobOfA), ...ended])
+        jobs.add(key, value);
+      const store = jobStores.createJobStore(context);
+      const read = store.refresh();
+      await fakes.advance(context.fakeTimers, 10);
+      await read;
+      vitest.expect(store.find('a')).toMatchObject({ final: 'completed' });
+      vitest.expect(store.find('a')?.job).toBeUndefined();
+      vitest.expect(store.findReadable('a', callerB)).toBeUndefined();
+      vitest.expect(store.findReadable('a', { workspace: 'a' })).toBeDefined();
+    },
+  );
+
+  vitest.it.each(['in the order of the stream', 'by its newest records'])(
+    'is not cancelled by another workspace before its acceptance, read %s (guards against a workspace that cancels ids that it guesses)',
+    async (how) => {
+      const context = fakes.createFakeContext();
+      const { jobs } = context.store.streams;
+      const store = jobStores.createJobStore(context);
+      const read = async () => {
+        void store.refresh();
+        await fakes.advance(context.fakeTimers, 10);
+      };
+      if (how === 'in the order of the stream') await read();
+      for (const [id, caller] of [
+        ['a', callerB],
+        ['b', { workspace: 'a' }],
+      ] as const) {
+        const cancellation = records.buildCancelled(id, caller);
+        jobs.add(cancellation.key, cancellation.value);
+        if (how === 'in the order of the stream') await read();
+        const accepted = records.buildAccepted({ ...jobOfA, id });
+        jobs.add(accepted.key, accepted.value);
+      }
+      await read();
+      vitest.expect(store.find('a')?.cancelled).toBe(false);
+      vitest.expect(store.find('b')?.cancelled).toBe(true);
+    },
+  );
+
+  vitest.it(
+    'outlasts a record of another workspace with its id, which a node wrote that knew neither the job nor the owner (guards against a job that is lost with the next change of owner)',
+    async () => {
+      const context = fakes.createFakeContext();
+      const { jobs } = context.store.streams;
+      const store = jobStores.createJobStore(context);
+      const changes: string[] = [];
+      store.setObserver(({ change }) => changes.push(change));
+      void store.accept(jobOfA, context.timers.getNow() + 2_700);
+      await fakes.advance(context.fakeTimers, 100);
+      const foreign = records.buildAccepted({ ...jobOfA, ...callerB });
+      jobs.add(foreign.key, foreign.value);
+      void store.refresh();
+      await fakes.advance(context.fakeTimers, 100);
+      vitest.expect(changes).toEqual(['accepted']);
+      vitest.expect(store.find('a')?.job?.workspace).toBe('a');
+      const newest = jobs.records.findLast(({ key }) => key === 'job:a');
+      vitest
+        .expect(records.parseJobChange(newest!))
+        .toMatchObject({ job: { workspace: 'a' } });
+    },
+  );
+
+  vitest.it(
+    'is refused while another workspace submits one with its id to the same node',
+    async () => {
+      const context = fakes.createFakeContext();
+      const store = jobStores.createJobStore(context);
+      const untilMs = context.timers.getNow() + 2_700;
+      const results = [
+        store.accept(jobOfA, untilMs, { workspace: 'a' }),
+        store.accept({ ...jobOfA, ...callerB }, untilMs, callerB),
+      ];
+      await fakes.advance(context.fakeTimers, 100);
+      vitest
+        .expect((await Promise.all(results)).map(({ outcome }) => outcome))
+        .toEqual(['durable', 'in-use']);
+    },
+  );
+});
--- a/packages/cluster/test/requestHandler.test.ts
+++ b/packages/cluster/test/requestHandler.test.ts
@@ -44,6 +44,7 @@
     {
       getCurrent: () => ({ version: 1, routes: [route], maxBodyBytes: 1_000 }),
       isStale: () => false,
+      getReadAge: () => 0,
       findRoute: (_, path) => ({ route, rest: path.slice('/q/'.length) }),
       getPolicies: () => ({ version: 1, policies: new Map() }),
       open: () => undefined,
--- a/packages/cluster/test/settings.test.ts
+++ b/packages/cluster/test/settings.test.ts
@@ -79,6 +79,31 @@
     },
   );
 
+  vitest.it(
+    'bound the time for which known keys are accepted only if they name all that it follows from (guards against a node without the values that refuses keys or does not start)',
+    () => {
+      const bounds = 'config_ms = 4000\nmax_skew_ms = 8000\nrevoke_ms = 5000\n';
+      for (const [lines, keyBoundMs] of [
+        ['', undefined],
+        ['config_ms =\nmax_skew_ms =\nrevoke_ms =\nstrict_revoke =', undefined],
+        ['config_ms = 4000', undefined],
+        [bounds, 12_000],
+        [`${bounds}strict_revoke = false`, 12_000],
+        [`${bounds}strict_revoke = true`, 5_000],
+        [`${bounds}strict_revoke = True`, 5_000],
+        ['config_ms = 4000\nmax_skew_ms = 0\nstrict_revoke = true', 4_000],
+      ] as const) {
+        const result = settings.parseNodeSettings(
+          `${complete}${lines}`,
+          'file',
+        );
+        vitest
+          .expect('settings' in result && result.settings.keyBoundMs)
+          .toBe(keyBoundMs);
+      }
+    },
+  );
+
   vitest.it(
     'report all faults at once, each with its file, section, key and expected value (guards against a start that fails on one fault at a time)',
     () => {
--- a/packages/core/src/types/clusterMessages.ts
+++ b/packages/core/src/types/clusterMessages.ts
@@ -49,20 +49,38 @@
   readonly unresolved: readonly workload.QueueName[];
 }
 
+/**
+ * What a request may see of jobs. Absent where requests need no key, and in messages of
+ * earlier builds; then it may see every job.
+ */
+export interface JobCaller {
+  /** Workspace of its key; absent without a valid key. */
+  readonly workspace?: workload.WorkspaceName;
+  /** Fingerprint of its key; absent without a valid key. */
+  readonly submitter?: string;
+  /** Queue of its route if that is public. */
+  readonly publicQueue?: workload.QueueName;
+}
+
 /** Messages of a cluster that need no answer. */
 export type ClusterNotice = ClusterHeartbeat | ClusterReleased | ClusterMember;
 
 /** Requests between the nodes of a cluster. */
 export type ClusterQuestion =
   /** To the owner: the state of a job. */
-  | { readonly kind: 'cluster.job'; readonly job: ids.JobId }
+  | {
+      readonly kind: 'cluster.job';
+      readonly job: ids.JobId;
+      readonly caller?: JobCaller;
+    }
   /** To the owner: the counts of waiting jobs. */
   | { readonly kind: 'cluster.waiting' }
   /** From a node that can't reach the store: accept or cancel a job on its behalf. */
   | {
       readonly kind: 'cluster.write';
       readonly write:
-        { readonly accept: workload.Job } | { readonly cancel: ids.JobId };
+        | { readonly accept: workload.Job; readonly caller?: JobCaller }
+        | { readonly cancel: ids.JobId; readonly caller?: JobCaller };
       readonly timeoutMs: number;
     }
   /** From an owner that can't reach the store: asks whether the receiving node can. */
@@ -90,16 +108,19 @@
   | {
       readonly kind: 'cluster.write.answer';
       /**
-       * `declined`: no VM could ever run the job, so nothing was written; `unknown`: the
-       * write may or may not have been applied.
+       * `declined`: no VM could ever run the job, so nothing was written; `in-use`: another
+       * workspace has a job with this id; `unknown`: the write may or may not have been applied.
        */
-      readonly outcome: 'durable' | 'declined' | 'refused' | 'unknown';
+      readonly outcome:
+        'durable' | 'declined' | 'in-use' | 'refused' | 'unknown';
       readonly why: string;
     }
   | { readonly kind: 'cluster.store.answer'; readonly reached: boolean }
   | {
       readonly kind: 'cluster.job.answer';
       readonly state: JobAnswer | undefined;
+      /** The owner has applied `caller` of the question; absent in answers of earlier builds, which tell the state to any caller. */
+      readonly checked?: true;
     }
   | {
       readonly kind: 'cluster.waiting.answer';
--- a/packages/core/src/workloads/types.ts
+++ b/packages/core/src/workloads/types.ts
@@ -82,6 +82,8 @@
   readonly policy: QueuePolicy;
   /** Workspace whose key the submission carried; absent for a public route and in records of earlier builds. */
   readonly workspace?: WorkspaceName;
+  /** Fingerprint of the key of the submission, with which its caller finds the job after the key has moved to another workspace; absent as `workspace` is. */
+  readonly submitter?: string;
 }
 
 /** Service time of an advice request for a step, and validity of the tickets in its answer. */
