Limits of workspaces: account, check at the start, admission and metrics

Cause: WorkspacePolicy.limit was stored and not applied, so a workspace could use all VMs. Change: each workspace has an account of its runs and of stray runs of known tasks, updated by addRun, removeRun and strays. A step starts only under the limit; a step without room is left out before ranking, and the first waiting gang has capacity reserved. Admission refuses what the limit never covers. findOwed names workspace-limit, and gauges show use, limit and waiting steps. The simulation of the property test compares what VMs run with the limit at each start.

--- a/packages/cluster/src/owedReporter.ts
+++ b/packages/cluster/src/owedReporter.ts
@@ -284,6 +284,7 @@
     case 'ticket-expired':
     case 'trial':
     case 'not-placed':
+    case 'workspace-limit':
       return {
         ...cause.pool,
         reservedFor: formatNames(
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -111,6 +111,7 @@
   /** Counts the waiting jobs per queue; undefined while the tables aren't restored or are too old. */
   countWaiting(): core.clusterMessages.OwnerCounts | undefined;
   getCounts(): ReadonlyMap<string, number>;
+  listWorkspaceUse(): readonly core.workloads.WorkspaceUse[];
   /** Builds the record of what a successor may assume about leases. */
   buildLeaseRecord(): records.LeaseRecord;
   /** Builds the same for the release of ownership, after which no lease may be granted. */
@@ -831,13 +832,19 @@
         return undefined;
       if (jobs.find(job.id) !== undefined) return undefined;
       const { pool } = job.policy;
-      return scheduler.checkAdmission(job.steps, pool, timers.getNow());
+      return scheduler.checkAdmission(
+        job.steps,
+        pool,
+        timers.getNow(),
+        job.workspace,
+      );
     },
     hasUnrecorded: () =>
       ready
         ? scheduler.hasUnrecordedStarts(timers.getNow())
         : previous.unrecorded,
     getCounts: () => scheduler.getCounts(),
+    listWorkspaceUse: () => scheduler.listWorkspaceUse(),
     buildLeaseRecord() {
       const silentVms = collectSilentVms();
       recordedSilentVms = new Set([...recordedSilentVms, ...silentVms.keys()]);
--- a/packages/core/src/workloads/advice.ts
+++ b/packages/core/src/workloads/advice.ts
@@ -19,6 +19,7 @@
 import * as tables from './tables.js';
 import type * as types from './types.js';
 import * as waits from './waits.js';
+import * as workspaceLimits from './workspaceLimits.js';
 
 /** Maximum number of VMs in one request. */
 const MAX_VMS_PER_REQUEST = 30;
@@ -159,13 +160,15 @@
       endingTasks.set(step, (endingTasks.get(step) ?? 0) + 1);
     }
   }
-  for (const [step, tasks] of endingTasks)
+  for (const [step, tasks] of endingTasks) {
+    if (!workspaceLimits.canRestart(step, tasks)) continue;
     requestAdvice(
       state,
       step,
       { start: true, askAhead: false, endingTasks: tasks },
       nowMs,
     );
+  }
 }
 
 /** Returns the time at which the runs of a VM that doesn't answer have ended; undefined while it may answer. */
--- a/packages/core/src/workloads/draining.ts
+++ b/packages/core/src/workloads/draining.ts
@@ -7,6 +7,7 @@
 import * as placement from './placement.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
+import * as workspaceLimits from './workspaceLimits.js';
 
 /** Places of service tasks on other VMs. The candidates of all steps share the free room of a VM. */
 interface Places {
@@ -21,7 +22,10 @@
   const places: Places = { freeByVm: new Map(), candidatesByStep: new Map() };
   takeClaimedPlaces(state, places, nowMs);
   for (const run of runs)
-    if (takePlace(state, places, run.task.step, nowMs))
+    if (
+      workspaceLimits.canRestart(run.task.step, 1) &&
+      takePlace(state, places, run.task.step, nowMs)
+    )
       states.stopRun(state, run, 'draining', nowMs);
 }
 
@@ -53,6 +57,8 @@
     for (const { steps } of job.occurrences)
       for (const step of steps) {
         if (!step.spec.lasts || !tables.isStepOpen(step)) continue;
+        // Its waiting tasks take no place before the limit covers them.
+        if (!workspaceLimits.isWithinLimit(step)) continue;
         for (let task = 0; task < step.waitingCount; task += 1)
           if (!takePlace(state, places, step, nowMs)) break;
       }
--- a/packages/core/src/workloads/index.ts
+++ b/packages/core/src/workloads/index.ts
@@ -14,6 +14,7 @@
   SchedulerOptions,
 } from './state.js';
 export type { HeldRun, LateEnd, Removal, RemovalEvidence } from './removals.js';
+export type { WorkspaceUse } from './workspaceLimits.js';
 export type {
   Inconsistency,
   OwedCause,
--- a/packages/core/src/workloads/jobs.ts
+++ b/packages/core/src/workloads/jobs.ts
@@ -2,6 +2,7 @@
 import type * as states from './state.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
+import * as workspaceLimits from './workspaceLimits.js';
 
 /**
  * Tasks of unfinished occurrences up to which a job gets further ones. After an outage
@@ -19,6 +20,10 @@
 ): tables.JobRow {
   const row: tables.JobRow = {
     job,
+    workspace:
+      job.workspace === undefined
+        ? undefined
+        : workspaceLimits.ensureAccount(state.workspaceAccounts, job.workspace),
     policy: state.policies.get(job.queue) ?? job.policy,
     acceptedMs,
     occurrences: [],
--- a/packages/core/src/workloads/owed.ts
+++ b/packages/core/src/workloads/owed.ts
@@ -15,6 +15,7 @@
 import type * as types from './types.js';
 import * as trials from './trials.js';
 import * as waits from './waits.js';
+import * as workspaceLimits from './workspaceLimits.js';
 
 /** Time for which a task may be due without running before it counts as owed, in ms. Other tasks than those of services and gangs must also be past their objective. */
 export const OWED_AFTER_MS = 3_000;
@@ -70,6 +71,8 @@
 
 /** Why a step whose tasks may start at once has no place for them. */
 export type WaitingReason =
+  /** The limit of its workspace covers no further task, or not the whole gang, or is reserved for a gang. */
+  | 'workspace-limit'
   /** No VM of the pool may run the step now. */
   | 'no-vm'
   /** No VM has room. */
@@ -551,6 +554,7 @@
   const placesNeeded = step.spec.gang ? step.spec.count : 1;
   const hasPlaces = (rows: readonly tables.VmRow[]): boolean =>
     countPlaces(rows, step) >= placesNeeded;
+  if (workspaceLimits.isBlocked(step)) return 'workspace-limit';
   if (vms.eligible.length === 0) return 'no-vm';
   if (vms.withRoom.length === 0) return 'no-room';
   if (!hasPlaces(vms.withRoom)) return 'no-room-for-gang';
--- a/packages/core/src/workloads/preemption.ts
+++ b/packages/core/src/workloads/preemption.ts
@@ -8,6 +8,7 @@
 import * as placement from './placement.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
+import * as workspaceLimits from './workspaceLimits.js';
 
 /** Maximum number of times that one task is preempted. */
 const MAX_PREEMPTIONS = 2;
@@ -59,7 +60,11 @@
   step: tables.StepRow,
   nowMs: number,
 ): readonly Plan[] {
-  let maxPlans = Math.min(step.waitingCount, MAX_VMS_PER_STEP);
+  let maxPlans = Math.min(
+    step.waitingCount,
+    MAX_VMS_PER_STEP,
+    workspaceLimits.countStartable(step),
+  );
   const choices: { readonly plan: Plan; readonly cost: number }[] = [];
   for (const vm of openVms.listForStep(state.openVms, step)) {
     if (!placement.isEligible(vm, step, nowMs)) continue;
--- a/packages/core/src/workloads/reservation.ts
+++ b/packages/core/src/workloads/reservation.ts
@@ -4,6 +4,7 @@
  * past its objective. Tasks that are expected to end before the VM is ready for the gang
  * may still use it (backfilling).
  */
+import * as admission from './admission.js';
 import * as advice from './advice.js';
 import * as openVms from './openVms.js';
 import * as placement from './placement.js';
@@ -28,6 +29,22 @@
   return true;
 }
 
+/** Returns whether the VMs that may run a gang now could hold it if they were idle. */
+export function canHoldGang(
+  state: states.State,
+  step: tables.StepRow,
+  nowMs: number,
+): boolean {
+  let places = 0;
+  for (const vm of openVms.listForStep(state.openVms, step)) {
+    if (vm.entry === undefined || !placement.isEligible(vm, step, nowMs))
+      continue;
+    places += admission.countTasksThatFit(vm.entry, step.spec);
+    if (places >= step.spec.count) return true;
+  }
+  return false;
+}
+
 /** Chooses the VMs that are ready first, with the estimated time at which each is ready. */
 function chooseEarliestVms(
   state: states.State,
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -20,6 +20,7 @@
 import type * as tables from './tables.js';
 import type * as types from './types.js';
 import * as views from './views.js';
+import * as workspaceLimits from './workspaceLimits.js';
 
 /** Result of a tick. */
 export interface Decision {
@@ -58,11 +59,12 @@
     nowMs: number,
     nowUnixMs: number,
   ): void;
-  /** Returns why the listed VMs can never run a job; undefined when they can. */
+  /** Returns why the limit of the workspace or the listed VMs can never cover a job; undefined when they can. */
   checkAdmission(
     steps: readonly types.StepSpec[],
     pool: types.PoolName,
     nowMs: number,
+    workspace?: types.WorkspaceName,
   ): string | undefined;
   cancelJob(job: ids.JobId, nowMs: number): void;
   /** Sets the other nodes that can send advice requests. */
@@ -146,6 +148,8 @@
   /** Measures, by queue, the jobs whose decided start no VM has confirmed. */
   measureStarts(nowMs: number): readonly begins.StartSummary[];
   getCounts(): ReadonlyMap<string, number>;
+  /** Returns the use and the limit of each workspace that a job or a configuration has named. */
+  listWorkspaceUse(): readonly workspaceLimits.WorkspaceUse[];
   /** Returns the tasks that should run and don't, with the cause of each, and counts them by cause. */
   findOwed(query: owed.OwedQuery): readonly owed.OwedTask[];
   /** Returns a plain copy of the tables for operators. */
@@ -182,6 +186,7 @@
     },
     setWorkspaces(workspaces) {
       state.workspaces = workspaces;
+      workspaceLimits.setLimits(state.workspaceAccounts, workspaces);
     },
     acceptJob(job, ageMs, nowMs, nowUnixMs) {
       if (!state.jobs.has(job.id))
@@ -203,8 +208,8 @@
       if (!restored) states.countEvent(state, 'progress.unreadable');
       ends.decideFinal(state, row, nowMs);
     },
-    checkAdmission: (steps, pool, nowMs) =>
-      admission.checkAdmission(state, steps, pool, nowMs),
+    checkAdmission: (steps, pool, nowMs, workspace) =>
+      admission.checkAdmission(state, steps, pool, nowMs, workspace),
     cancelJob(id, nowMs) {
       const job = state.jobs.get(id);
       if (job === undefined || job.cancelled) return;
@@ -306,6 +311,7 @@
     countWaiting: (nowMs) => begins.countUnstarted(state, nowMs),
     measureStarts: (nowMs) => begins.measureStarts(state, nowMs),
     getCounts: () => state.counts,
+    listWorkspaceUse: () => workspaceLimits.listUse(state.workspaceAccounts),
     findOwed(query) {
       const found = owed.findOwed(state, query);
       for (const { cause } of found)
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -7,6 +7,7 @@
 import * as removals from './removals.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
+import * as workspaceLimits from './workspaceLimits.js';
 
 /** Timeout and run numbers that depend on the platform and on this owner's fence. */
 export interface Bounds {
@@ -105,6 +106,11 @@
   policies: ReadonlyMap<types.QueueName, types.QueuePolicy>;
   /** Workspaces of the current configuration; empty when it names none. */
   workspaces: ReadonlyMap<types.WorkspaceName, types.WorkspacePolicy>;
+  /** Accounts of the workspaces that a job or a configuration has named. */
+  readonly workspaceAccounts: Map<
+    types.WorkspaceName,
+    workspaceLimits.WorkspaceAccount
+  >;
   /** Monotonic time at which this owner created its scheduler. */
   readonly createdMs: number;
   nextRun: number;
@@ -174,6 +180,7 @@
     openVms: { byPool: new Map(), byIncarnationKey: new Map() },
     policies: new Map(),
     workspaces: new Map(),
+    workspaceAccounts: new Map(),
     createdMs: options.nowMs,
     nextRun: options.bounds.firstRun,
     dirty: new Set(),
@@ -280,6 +287,7 @@
   if (blame.isOnTrial(task)) vm.trial = row;
   if (blame.isSuspect(row)) vm.hasSuspect = true;
   tables.addAmount(vm.used, tables.getNeed(task.step.spec), 1);
+  workspaceLimits.addRun(row);
   return row;
 }
 
@@ -314,6 +322,7 @@
       removal,
     });
   tables.addAmount(run.vm.used, tables.getNeed(task.step.spec), -1);
+  workspaceLimits.removeRun(run);
   task.step.occurrence.job.activeRuns -= 1;
   state.dirty.add(task.step.occurrence.job);
   if (task.run !== run) return;
--- a/packages/core/src/workloads/strays.ts
+++ b/packages/core/src/workloads/strays.ts
@@ -7,6 +7,7 @@
 import * as states from './state.js';
 import type * as tables from './tables.js';
 import type * as types from './types.js';
+import * as workspaceLimits from './workspaceLimits.js';
 
 /** Adds a run that its VM lists. */
 export function addStray(
@@ -14,8 +15,13 @@
   { task: key, run }: types.ReportedRun,
   task: tables.TaskRow | undefined,
 ): void {
-  vm.strayRuns.set(names.formatRun(key, run), { task, closedMs: undefined });
+  const name = names.formatRun(key, run);
+  const previous = vm.strayRuns.get(name);
+  vm.strayRuns.set(name, { task, closedMs: undefined });
   task?.strayRunVms.add(vm);
+  if (previous?.task === task) return;
+  if (previous?.task !== undefined) workspaceLimits.removeStray(previous.task);
+  if (task !== undefined) workspaceLimits.addStray(task);
 }
 
 /** Removes the runs of a VM that its report shows to have ended. */
@@ -54,6 +60,7 @@
   { task }: tables.StrayRun,
 ): void {
   vm.strayRuns.delete(name);
+  if (task !== undefined) workspaceLimits.removeStray(task);
   const hasOther = [...vm.strayRuns.values()].some(
     (other) => other.task === task,
   );
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -2,6 +2,7 @@
 import type * as ids from '../types/ids.js';
 import type * as resources from '../types/resources.js';
 import type * as types from './types.js';
+import type * as workspaceLimits from './workspaceLimits.js';
 
 /** State of a run. */
 export type RunPhase =
@@ -151,6 +152,8 @@
 /** A job. */
 export interface JobRow {
   readonly job: types.Job;
+  /** Account of its workspace; undefined when it has none. */
+  readonly workspace: workspaceLimits.WorkspaceAccount | undefined;
   policy: types.QueuePolicy;
   /** Monotonic time of acceptance. */
   readonly acceptedMs: number;
@@ -245,7 +248,7 @@
 }
 
 /** Tolerance for rounding errors in sums of fractional cores and memory. */
-const CORE_TOLERANCE = 1e-6;
+export const CORE_TOLERANCE = 1e-6;
 
 /** Returns the resources that a task takes from a VM's capacity. Filler tasks take no cores. */
 export function getNeed(spec: types.StepSpec): resources.Resources {
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -22,6 +22,7 @@
 import type * as types from './types.js';
 import * as trials from './trials.js';
 import * as waits from './waits.js';
+import * as workspaceLimits from './workspaceLimits.js';
 
 /** Number of blocked steps per pool for which runs are preempted or advice is requested ahead of time. */
 const LOOKAHEAD_STEPS = 3;
@@ -43,14 +44,18 @@
   trials.pollTrials(state, nowMs);
   state.openVms = openVms.collectOpenVms(state, nowMs);
   blame.updateSuspectVms(state);
-  const ranked: ranking.RankedStep[] = [];
+  workspaceLimits.clearRound(state.workspaceAccounts);
+  const waitingJobs: tables.JobRow[] = [];
   for (const job of state.jobs.values()) {
     if (states.isJobOver(job)) continue;
     jobs.createDueOccurrences(job, nowMs, nowUnixMs);
     // After a change of owner, its tasks may already run without a record.
-    if (states.canHaveUnrecordedStart(job, unrecorded)) continue;
-    collectSteps(job, ranked, nowMs);
+    if (states.canHaveUnrecordedStart(job, unrecorded))
+      workspaceLimits.addUnrecorded(job);
+    else waitingJobs.push(job);
   }
+  const ranked: ranking.RankedStep[] = [];
+  for (const job of waitingJobs) collectSteps(job, ranked, nowMs);
   const order = ranking.rankOverdue(ranked).sort(ranking.compareRanked);
   startSteps(state, order, nowMs);
   for (const vm of state.vms.values())
@@ -65,8 +70,11 @@
   for (const occurrence of job.occurrences) {
     if (occurrence.done) continue;
     for (const step of occurrence.steps)
-      if (step.waitingCount > 0 && tables.isStepOpen(step))
-        ranked.push(ranking.rankStep(step, nowMs));
+      if (step.waitingCount > 0 && tables.isStepOpen(step)) {
+        if (workspaceLimits.canRank(step))
+          ranked.push(ranking.rankStep(step, nowMs));
+        else workspaceLimits.markBlocked(step);
+      }
   }
 }
 
@@ -87,6 +95,16 @@
     if (room === undefined) continue;
     placeStep(state, step, room, nowMs);
     if (step.waitingCount === 0) continue;
+    const reserveLimit = (): void => {
+      workspaceLimits.reserveForGang(step, () =>
+        reservation.canHoldGang(state, step, nowMs),
+      );
+    };
+    if (!workspaceLimits.canStart(step)) {
+      workspaceLimits.markBlocked(step);
+      reserveLimit();
+      continue;
+    }
     if (trials.hasOnlyTrials(step) && trials.isLimitReached(state, step, nowMs))
       continue;
     const blocked = blockedSteps.get(pool) ?? 0;
@@ -114,9 +132,12 @@
         step.spec.gang &&
         !poolsWithReservation.has(pool) &&
         reservation.reserveForGang(state, step, nowMs)
-      )
+      ) {
         poolsWithReservation.add(pool);
-    }
+        // Without it, small tasks take the limit again before the VMs are ready.
+        reserveLimit();
+      }
+    } else reserveLimit();
   }
 }
 
@@ -159,6 +180,7 @@
   room: headroom.PoolRoom,
   nowMs: number,
 ): void {
+  if (!workspaceLimits.canStart(step)) return;
   if (!headroom.canFitOnVm(room, step)) return;
   const candidates = collectCandidates(state, step, nowMs);
   if (candidates.length === 0) return;
@@ -170,6 +192,7 @@
   for (const task of step.tasks) {
     if (task.state !== 'waiting' || task.strayRunVms.size > 0) continue;
     if (!headroom.canUseCores(room, step)) return;
+    if (!workspaceLimits.canStart(step)) return;
     if (blame.isOnTrial(task)) {
       if (blame.isGivenUp(task)) {
         crashes.failTask(state, task, nowMs);
--- a/packages/core/src/workloads/views.ts
+++ b/packages/core/src/workloads/views.ts
@@ -4,6 +4,7 @@
 import * as states from './state.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
+import * as workspaceLimits from './workspaceLimits.js';
 
 /** Returns the state of a job as reported to callers; a final state only once it is durable. */
 export function describeJob(
@@ -78,6 +79,7 @@
           })),
         ),
       })),
+    workspaces: workspaceLimits.listUse(state.workspaceAccounts),
     counts: Object.fromEntries(state.counts),
   };
 }
--- /dev/null
+++ b/packages/core/src/workloads/workspaceLimits.ts
@@ -0,0 +1,310 @@
+/**
+ * Limits of workspaces: keeps account of what the runs of each workspace use on all VMs,
+ * and decides whether a step may start under the limit. Capacity under the limit is kept
+ * for the first waiting gang of a workspace: small tasks of the same workspace would
+ * otherwise take each part that becomes free, and the gang would never start.
+ */
+import * as resources from '../types/resources.js';
+import * as tables from './tables.js';
+import type * as types from './types.js';
+
+/**
+ * Expected remaining time above which a run counts as long-running, in ms. Small tasks
+ * don't wait for a gang that such runs keep from starting anyway.
+ */
+const LONG_RUN_MS = 30_000;
+/** Waiting gangs of one workspace whose VMs are examined in one round; examining all of a thousand gangs would slow the round. */
+const MAX_EXAMINED_GANGS = 4;
+
+/** A sum of resources that changes. */
+interface Amount {
+  cores: number;
+  memoryMb: number;
+  gpus: number;
+}
+
+/** What a workspace uses, and what waits for its limit. */
+export interface WorkspaceAccount {
+  readonly name: types.WorkspaceName;
+  /** Limit in the last configuration that named the workspace; Infinity for a resource without one. */
+  limit: resources.Resources;
+  /** Sizes of its runs in the tables and of its stray runs. */
+  readonly used: Amount;
+  readonly runs: Set<tables.RunRow>;
+  /** Number of its stray runs that may not have ended. */
+  strayRuns: number;
+  /** Sizes of the tasks that an earlier owner may have started without a record, as of this round. */
+  readonly unrecorded: Amount;
+  /** Gang for which capacity under the limit is reserved, as of this round. */
+  reservedFor: tables.StepRow | undefined;
+  /** Gangs whose VMs were examined in this round. */
+  examinedGangs: number;
+  /** Steps that wait for the limit, as of this round. */
+  waitingSteps: Set<tables.StepRow>;
+}
+
+/** Use and limit of a workspace, for metrics and operators. */
+export interface WorkspaceUse {
+  readonly name: types.WorkspaceName;
+  readonly used: resources.Resources;
+  /** Infinity for a resource without a limit. */
+  readonly limit: resources.Resources;
+  /** Tasks that an earlier owner may have started without a record; they count towards the limit, too. */
+  readonly unrecorded: resources.Resources;
+  /** Number of steps that wait for the limit. */
+  readonly waitingSteps: number;
+}
+
+const UNLIMITED: resources.Resources = {
+  cores: Infinity,
+  memoryMb: Infinity,
+  gpus: Infinity,
+};
+
+type Accounts = Map<types.WorkspaceName, WorkspaceAccount>;
+
+/** Returns the account of a workspace; adds one without a limit if there is none. */
+export function ensureAccount(
+  accounts: Accounts,
+  name: types.WorkspaceName,
+): WorkspaceAccount {
+  const existing = accounts.get(name);
+  if (existing !== undefined) return existing;
+  const account: WorkspaceAccount = {
+    name,
+    limit: UNLIMITED,
+    used: { ...resources.noResources },
+    runs: new Set(),
+    strayRuns: 0,
+    unrecorded: { ...resources.noResources },
+    reservedFor: undefined,
+    examinedGangs: 0,
+    waitingSteps: new Set(),
+  };
+  accounts.set(name, account);
+  return account;
+}
+
+/**
+ * Applies the limits of a configuration. A workspace that it doesn't name keeps its last
+ * limit, because its accepted jobs go on.
+ */
+export function setLimits(
+  accounts: Accounts,
+  workspaces: ReadonlyMap<types.WorkspaceName, types.WorkspacePolicy>,
+): void {
+  for (const { name, limit } of workspaces.values())
+    ensureAccount(accounts, name).limit = limit;
+}
+
+/** Adds a run to the account of its workspace. */
+export function addRun(run: tables.RunRow): void {
+  const account = getAccount(run.task.step);
+  if (account === undefined) return;
+  account.runs.add(run);
+  tables.addAmount(account.used, run.task.step.spec.size, 1);
+}
+
+/** Removes a run from the account of its workspace. */
+export function removeRun(run: tables.RunRow): void {
+  const account = getAccount(run.task.step);
+  if (account?.runs.delete(run) === true) removeSize(account, run.task);
+}
+
+/** Adds a stray run to the account of its workspace. */
+export function addStray(task: tables.TaskRow): void {
+  const account = getAccount(task.step);
+  if (account === undefined) return;
+  account.strayRuns += 1;
+  tables.addAmount(account.used, task.step.spec.size, 1);
+}
+
+/** Removes a stray run from the account of its workspace. */
+export function removeStray(task: tables.TaskRow): void {
+  const account = getAccount(task.step);
+  if (account === undefined) return;
+  account.strayRuns -= 1;
+  removeSize(account, task);
+}
+
+function removeSize(account: WorkspaceAccount, task: tables.TaskRow): void {
+  tables.addAmount(account.used, task.step.spec.size, -1);
+  // Sums of fractional cores keep a rounding error, which would add up over weeks.
+  if (account.runs.size === 0 && account.strayRuns === 0)
+    Object.assign(account.used, resources.noResources);
+}
+
+/** Clears what holds for one round only. */
+export function clearRound(accounts: Accounts): void {
+  for (const account of accounts.values()) {
+    Object.assign(account.unrecorded, resources.noResources);
+    account.reservedFor = undefined;
+    account.examinedGangs = 0;
+    if (account.waitingSteps.size > 0) account.waitingSteps = new Set();
+  }
+}
+
+/** Counts the waiting tasks of a job that an earlier owner may have started without a record. */
+export function addUnrecorded({ workspace, occurrences }: tables.JobRow): void {
+  if (workspace === undefined) return;
+  for (const { done, steps } of occurrences)
+    if (!done)
+      for (const { waitingCount, spec } of steps)
+        tables.addAmount(workspace.unrecorded, spec.size, waitingCount);
+}
+
+function getAccount(step: tables.StepRow): WorkspaceAccount | undefined {
+  return step.occurrence.job.workspace;
+}
+
+/** Counts the tasks of a step that start at once. */
+function countTogether({ gang, count }: types.StepSpec): number {
+  return gang ? count : 1;
+}
+
+/** Returns the largest number of tasks of a step that may start under the limit alone, without reservations. */
+export function countStartable(step: tables.StepRow): number {
+  const account = getAccount(step);
+  if (account === undefined) return Infinity;
+  const free = { ...account.limit };
+  tables.addAmount(free, account.used, -1);
+  tables.addAmount(free, account.unrecorded, -1);
+  return countTasks(free, step.spec.size);
+}
+
+/** Counts the tasks of a size for which an amount suffices; 0 where any resource is overdrawn. */
+function countTasks(
+  free: resources.Resources,
+  size: resources.Resources,
+): number {
+  if (!tables.hasRoom(free, size)) return 0;
+  let count = Infinity;
+  for (const name of resources.resourceNames)
+    if (size[name] > 0)
+      count = Math.min(
+        count,
+        Math.floor((free[name] + tables.CORE_TOLERANCE) / size[name]),
+      );
+  return count;
+}
+
+/** Returns whether the next task of a step, or its whole gang, fits within the limit, without reservations. */
+export function isWithinLimit(step: tables.StepRow): boolean {
+  return countStartable(step) >= countTogether(step.spec);
+}
+
+/** Returns whether a step has to be ranked: it fits within the limit, or is a gang for which capacity may be reserved. */
+export function canRank(step: tables.StepRow): boolean {
+  return isWithinLimit(step) || canReserve(step);
+}
+
+/** Returns whether the next task of a step, or its whole gang, may start in this round. */
+export function canStart(step: tables.StepRow): boolean {
+  const account = getAccount(step);
+  if (account === undefined) return true;
+  if (!isWithinLimit(step)) return false;
+  const { reservedFor } = account;
+  if (reservedFor === undefined || reservedFor === step) return true;
+  const { size } = step.spec;
+  const gang = reservedFor.spec;
+  const count = countTogether(step.spec);
+  // A task doesn't delay the gang by resources of which the limit covers both.
+  return resources.resourceNames.every(
+    (name) =>
+      size[name] === 0 ||
+      account.used[name] +
+        account.unrecorded[name] +
+        gang.size[name] * gang.count +
+        size[name] * count <=
+        account.limit[name] + tables.CORE_TOLERANCE,
+  );
+}
+
+/** Returns whether tasks that run now could start again if they were stopped. */
+export function canRestart(step: tables.StepRow, tasks: number): boolean {
+  const account = getAccount(step);
+  if (account === undefined) return true;
+  const free = { ...account.limit };
+  tables.addAmount(free, account.used, -1);
+  tables.addAmount(free, account.unrecorded, -1);
+  tables.addAmount(free, step.spec.size, tasks);
+  return tables.hasRoom(free, step.spec.size);
+}
+
+/** Notes that a step waits for the limit in this round. */
+export function markBlocked(step: tables.StepRow): void {
+  getAccount(step)?.waitingSteps.add(step);
+}
+
+/** Returns whether a step waited for the limit in the last round. */
+export function isBlocked(step: tables.StepRow): boolean {
+  return getAccount(step)?.waitingSteps.has(step) === true;
+}
+
+/** Returns whether the whole gang waits and the limit is large enough for it. */
+function canReserve(step: tables.StepRow): boolean {
+  const { spec, waitingCount } = step;
+  const account = getAccount(step);
+  return (
+    account !== undefined &&
+    spec.gang &&
+    waitingCount === spec.count &&
+    countTasks(account.limit, spec.size) >= spec.count
+  );
+}
+
+/**
+ * Reserves capacity under the limit for a waiting gang, unless an earlier one in this
+ * round has it or long-running tasks alone leave too little. `canHold` returns whether
+ * the VMs of the pool could hold the gang.
+ */
+export function reserveForGang(
+  step: tables.StepRow,
+  canHold: () => boolean,
+): void {
+  const account = getAccount(step);
+  if (account === undefined || account.reservedFor !== undefined) return;
+  if (!canReserve(step) || account.examinedGangs >= MAX_EXAMINED_GANGS) return;
+  account.examinedGangs += 1;
+  const left = { ...account.limit };
+  for (const run of account.runs)
+    if (isLongRunning(run)) tables.addAmount(left, run.task.step.spec.size, -1);
+  if (countTasks(left, step.spec.size) < step.spec.count) return;
+  if (canHold()) account.reservedFor = step;
+}
+
+function isLongRunning(run: tables.RunRow): boolean {
+  const { spec } = run.task.step;
+  if (run.phase === 'stopping') return false;
+  return spec.lasts || (1 - run.percent / 100) * spec.estimateMs > LONG_RUN_MS;
+}
+
+/** Returns why a limit can never cover a job; undefined when it can. */
+export function checkSteps(
+  policy: types.WorkspacePolicy | undefined,
+  steps: readonly types.StepSpec[],
+): string | undefined {
+  if (policy === undefined) return undefined;
+  const { name, limit } = policy;
+  for (const [index, spec] of steps.entries()) {
+    const fitting = countTasks(limit, spec.size);
+    if (fitting === 0)
+      return `a task of step ${index} needs more than the limit of the workspace ${name}`;
+    if (fitting < countTogether(spec))
+      return `the limit of the workspace ${name} covers ${fitting} of the ${spec.count} tasks of step ${index}, which start together`;
+  }
+  return undefined;
+}
+
+/** Returns the use and the limit of each workspace. */
+export function listUse(
+  accounts: ReadonlyMap<types.WorkspaceName, WorkspaceAccount>,
+): readonly WorkspaceUse[] {
+  return [...accounts.values()].map((account) => ({
+    name: account.name,
+    used: { ...account.used },
+    limit: account.limit,
+    unrecorded: { ...account.unrecorded },
+    waitingSteps: account.waitingSteps.size,
+  }));
+}
--- a/packages/core/test/workloads/harness.ts
+++ b/packages/core/test/workloads/harness.ts
@@ -153,6 +153,7 @@
     steps: readonly core.workloads.StepSpec[],
     policy?: core.workloads.QueuePolicy,
     schedule?: core.workloads.Schedule,
+    workspace?: core.workloads.WorkspaceName,
   ): core.workloads.Job;
   /** Advances the clock and the runs, sends all reports and runs the scheduler. */
   advance(byMs: number): void;
@@ -350,7 +351,7 @@
       scheduler.setVmEntry(id, entry, nowMs);
       report(id);
     },
-    addJob(id, steps, policy = createPolicy(), schedule?) {
+    addJob(id, steps, policy = createPolicy(), schedule?, workspace?) {
       const job: core.workloads.Job = {
         id,
         queue: policy.name,
@@ -360,6 +361,7 @@
         configVersion: 1,
         acceptedAtMs: nowMs,
         policy,
+        ...(workspace === undefined ? {} : { workspace }),
       };
       scheduler.acceptJob(job, 0, nowMs, nowMs);
       return job;
--- a/packages/core/test/workloads/property.test.ts
+++ b/packages/core/test/workloads/property.test.ts
@@ -23,6 +23,7 @@
   crashes: { crashes: true },
   partitions: { partitions: true, lateCommandShare: 0.05 },
   'changes of owner': { takeovers: true, slowStore: true },
+  'limits of workspaces': { workspaces: true },
   'VMs that shrink and grow': { resizes: true, slowStore: true },
   'all faults at once': {
     lateCommandShare: 0.1,
@@ -31,6 +32,14 @@
     takeovers: true,
     slowStore: true,
   },
+  'all faults and limits of workspaces': {
+    lateCommandShare: 0.15,
+    crashes: true,
+    partitions: true,
+    takeovers: true,
+    slowStore: true,
+    workspaces: true,
+  },
   'all faults and VMs that shrink and grow': {
     lateCommandShare: 0.1,
     crashes: true,
@@ -50,6 +59,7 @@
     vitest.it(
       `starts every task at most once at a time, within all limits, and ends every job, with ${name}`,
       () => {
+        let largestUse = 0;
         for (let seed = 1; seed <= SEEDS; seed += 1) {
           const simulation = new simulations.Simulation(seed, {
             ...noFaults,
@@ -71,7 +81,11 @@
               `seed ${seed}: runs of cancelled jobs`,
             )
             .toEqual([]);
+          largestUse = Math.max(largestUse, simulation.largestUse);
         }
+        // Without it, the limits would be too high to be tested.
+        if (faults.workspaces === true)
+          vitest.expect(largestUse).toBeCloseTo(1, 6);
       },
     );
 });
--- a/packages/core/test/workloads/simulation.ts
+++ b/packages/core/test/workloads/simulation.ts
@@ -62,11 +62,22 @@
   readonly slowStore: boolean;
   /** Whether the capacities of VMs shrink and grow. */
   readonly resizes: boolean;
+  /** Whether jobs belong to workspaces, whose limits fall and rise. */
+  readonly workspaces?: boolean;
   /** Tasks of every so many jobs that crash the VMs that start them, after at most this delay. */
   readonly guilty?: { readonly everyJobs: number; readonly maxDelayMs: number };
 }
 
 const FULL_CAPACITY = { cores: 4, memoryMb: 4_000, gpus: 2 };
+/** Limits of the workspaces, well below the capacity of all VMs. */
+const FULL_LIMITS: readonly core.resources.Resources[] = [
+  { cores: 4, memoryMb: Infinity, gpus: 2 },
+  { cores: 8, memoryMb: 900, gpus: 4 },
+];
+/** Workspace of the service jobs, which would keep others from their limit for good. */
+const SERVICE_LIMIT = { cores: 3, memoryMb: Infinity, gpus: Infinity };
+/** Longest time from the decision about a start, under the limits of that time, until the start arrives in time. */
+const START_DECISION_MS = 1_000;
 /** Longest time until the owner knows the new capacity of a VM. */
 const RESIZE_NOTICE_MS = 300;
 /** Longest time until a command arrives that isn't late. */
@@ -101,7 +112,14 @@
   /** Crashes of VMs under each task, or gang. */
   private readonly crashesUnder = new Map<string, number>();
   private readonly givenUp = new Set<string>();
+  /** Limits of each workspace, each with the time from which it was in force. */
+  private readonly limits = new Map<
+    string,
+    { readonly sinceMs: number; readonly limit: core.resources.Resources }[]
+  >();
   readonly violations: string[] = [];
+  /** Largest share of a limit in force that its workspace used at the start of a run. */
+  largestUse = 0;
 
   constructor(
     seed: number,
@@ -109,6 +127,12 @@
   ) {
     this.randomState = seed * 2_654_435_761 + 1;
     for (let index = 0; index < 6; index += 1) this.addVm(`vm${index}`);
+    if (faults.workspaces === true) {
+      this.limits.set('services', [{ sinceMs: 0, limit: SERVICE_LIMIT }]);
+      FULL_LIMITS.forEach((limit, index) => {
+        this.limits.set(`workspace${index}`, [{ sinceMs: 0, limit }]);
+      });
+    }
     this.replaceOwner(false);
   }
 
@@ -203,14 +227,79 @@
       })),
     };
     if (job.steps.some((step) => step.count > 6)) return;
-    this.jobs.set(id, job);
+    const workspace = this.chooseWorkspace(job);
+    if (workspace !== undefined && this.exceedsLimit(job, workspace)) return;
+    const accepted = workspace === undefined ? job : { ...job, workspace };
+    this.jobs.set(id, accepted);
     const { guilty } = this.faults;
     if (guilty !== undefined && this.jobs.size % guilty.everyJobs === 0)
       this.guiltyTasks.set(`${id}.0.0.0`, {
         crashes: 0,
         lateRuns: new Set(),
       });
-    this.owner?.scheduler.acceptJob(job, 0, this.nowMs, this.nowMs);
+    this.owner?.scheduler.acceptJob(accepted, 0, this.nowMs, this.nowMs);
+  }
+
+  private chooseWorkspace(job: core.workloads.Job): string | undefined {
+    if (this.faults.workspaces !== true) return undefined;
+    if (job.steps.some(({ lasts }) => lasts)) return 'services';
+    return this.pick(['workspace0', 'workspace1', undefined]);
+  }
+
+  private exceedsLimit(job: core.workloads.Job, workspace: string): boolean {
+    const limit = this.limits.get(workspace)![0]!.limit;
+    return job.steps.some(({ size, count, gang }) =>
+      core.resources.resourceNames.some(
+        (name) => size[name] * (gang ? count : 1) > limit[name],
+      ),
+    );
+  }
+
+  private setLimit(workspace: string, limit: core.resources.Resources): void {
+    this.limits.get(workspace)!.push({ sinceMs: this.nowMs, limit });
+    this.owner?.scheduler.setWorkspaces(this.buildWorkspaces());
+  }
+
+  private buildWorkspaces(): ReadonlyMap<
+    string,
+    core.workloads.WorkspacePolicy
+  > {
+    return new Map(
+      [...this.limits].map(([name, limits]) => [
+        name,
+        { name, weight: 1, priority: 1, limit: limits.at(-1)!.limit },
+      ]),
+    );
+  }
+
+  /** Compares what all VMs run of a workspace with the limits under which a start that arrives now may have been decided. */
+  private checkLimit(workspace: string, name: string): void {
+    const sinceMs =
+      this.nowMs -
+      START_DECISION_MS -
+      (this.faults.lateCommandShare > 0 ? LATE_COMMAND_MS : COMMAND_MS);
+    const used = { cores: 0, memoryMb: 0, gpus: 0 };
+    for (const { running } of this.vms.values())
+      for (const { task } of running.values()) {
+        const job = this.jobs.get(task.job)!;
+        const { size } = job.steps[task.step]!;
+        if (job.workspace !== workspace) continue;
+        for (const kind of core.resources.resourceNames)
+          used[kind] += size[kind];
+      }
+    const limits = this.limits.get(workspace)!;
+    const inForce = limits.filter(
+      (_, index) => (limits[index + 1]?.sinceMs ?? Infinity) >= sinceMs,
+    );
+    for (const kind of core.resources.resourceNames) {
+      const limit = Math.max(...inForce.map((entry) => entry.limit[kind]));
+      if (limit > 0)
+        this.largestUse = Math.max(this.largestUse, used[kind] / limit);
+      if (used[kind] > limit + 1e-6)
+        this.violations.push(
+          `${this.nowMs}: ${name} starts, and ${workspace} uses ${used[kind]} ${kind} of ${limit}`,
+        );
+    }
   }
 
   private cancelJob(): void {
@@ -254,6 +343,7 @@
     }
     for (const vm of this.vms.values())
       scheduler.setVmEntry(vm.entry.id, vm.entry, this.nowMs);
+    scheduler.setWorkspaces(this.buildWorkspaces());
     this.owner = {
       fence,
       scheduler,
@@ -335,6 +425,8 @@
     if (vm.running.has(key)) return 'started';
     this.checkStart(vm, command);
     vm.running.set(key, { task: command.task, run: command.run, percent: 0 });
+    const workspace = this.jobs.get(command.task.job)?.workspace;
+    if (workspace !== undefined) this.checkLimit(workspace, key);
     this.startGuilty(vm, command);
     return 'started';
   }
@@ -676,6 +768,12 @@
         if (vm.capacities.at(-1)?.capacity !== FULL_CAPACITY)
           this.resize(vm, FULL_CAPACITY);
       }
+    if (!faulty && this.faults.workspaces === true)
+      FULL_LIMITS.forEach((limit, index) => {
+        const name = `workspace${index}`;
+        if (this.limits.get(name)!.at(-1)!.limit !== limit)
+          this.setLimit(name, limit);
+      });
   }
 
   private applyFaults(): void {
@@ -700,6 +798,15 @@
           { cores: 0.5, memoryMb: 50, gpus: 0 },
         ]),
       );
+    if (this.faults.workspaces === true && this.chance(0.005))
+      this.setLimit(
+        this.pick(['workspace0', 'workspace1']),
+        this.pick([
+          ...FULL_LIMITS,
+          { cores: 1.5, memoryMb: 250, gpus: 1 },
+          { cores: 6, memoryMb: 1_000, gpus: 2 },
+        ]),
+      );
     if (this.chance(0.002)) this.cancelJob();
   }
 
--- a/packages/core/test/workloads/tableChecks.ts
+++ b/packages/core/test/workloads/tableChecks.ts
@@ -7,6 +7,7 @@
 import * as placement from '../../src/workloads/placement.js';
 import * as states from '../../src/workloads/state.js';
 import * as tables from '../../src/workloads/tables.js';
+import * as workspaceLimits from '../../src/workloads/workspaceLimits.js';
 
 /** Facts about the runtime that the tables don't contain. */
 export interface RuntimeFacts {
@@ -19,6 +20,7 @@
 }
 
 const USED_TOLERANCE = 1e-6;
+const noUse = { cores: 0, memoryMb: 0, gpus: 0 };
 
 /** Returns what is wrong with the tables. */
 export function checkTables(
@@ -27,11 +29,23 @@
 ): readonly string[] {
   const wrong: string[] = [];
   const activeRuns = new Map<tables.JobRow, number>();
+  const workspaceUse = new Map<
+    workspaceLimits.WorkspaceAccount,
+    { cores: number; memoryMb: number; gpus: number }
+  >();
+  const addWorkspaceUse = ({ step }: tables.TaskRow): void => {
+    const { workspace } = step.occurrence.job;
+    if (workspace === undefined) return;
+    const sum = workspaceUse.get(workspace) ?? { ...noUse };
+    tables.addAmount(sum, step.spec.size, 1);
+    workspaceUse.set(workspace, sum);
+  };
   for (const vm of state.vms.values()) {
     const used = { cores: 0, memoryMb: 0, gpus: 0 };
     for (const run of vm.runs) {
       const { job } = run.task.step.occurrence;
       activeRuns.set(job, (activeRuns.get(job) ?? 0) + 1);
+      addWorkspaceUse(run.task);
       tables.addAmount(used, tables.getNeed(run.task.step.spec), 1);
       const name = states.formatRun(run);
       if (run.vm !== vm) wrong.push(`${name} is a run of another VM`);
@@ -43,6 +57,15 @@
       if (Math.abs(used[kind] - vm.used[kind]) > USED_TOLERANCE)
         wrong.push(`${vm.id}: used ${kind}`);
   }
+  for (const { strayRuns } of state.vms.values())
+    for (const { task } of strayRuns.values())
+      if (task !== undefined) addWorkspaceUse(task);
+  for (const account of state.workspaceAccounts.values()) {
+    const sum = workspaceUse.get(account) ?? noUse;
+    for (const kind of ['cores', 'memoryMb', 'gpus'] as const)
+      if (Math.abs(sum[kind] - account.used[kind]) > USED_TOLERANCE)
+        wrong.push(`workspace ${account.name}: used ${kind}`);
+  }
   const open = openVms.collectOpenVms(state, facts.nowMs);
   for (const job of state.jobs.values()) {
     if (job.activeRuns !== (activeRuns.get(job) ?? 0))
