--- a/packages/cluster/src/jobStore.ts
+++ b/packages/cluster/src/jobStore.ts
@@ -101,6 +101,8 @@
   /** Adds a final state that this node has made durable to the view. */
   recordFinal(id: core.ids.JobId, state: core.workloads.FinalState): void;
   dropExpired(): Promise<void>;
+  /** Drops a job from the view; its records stay. */
+  drop(id: core.ids.JobId): void;
   /** Sets the function that is called with each change while this node owns the cluster. */
   setObserver(
     observer: ((change: records.JobChange) => void) | undefined,
@@ -551,6 +553,7 @@
       applyChange({ change: 'final', id, state });
     },
     dropExpired,
+    drop: dropJob,
     setObserver(next) {
       observer = next;
     },
--- a/packages/cluster/src/requestHandler.ts
+++ b/packages/cluster/src/requestHandler.ts
@@ -28,6 +28,8 @@
 /** Time for which the owner is asked for a state or for the counts, in ms. */
 const OWNER_ANSWER_TIMEOUT_MS = 1_200;
 const ASK_INTERVAL_MS = 150;
+/** Time that must be left for a question to the owner after a write, in ms; the timeout of such a question. */
+const OWNER_CHECK_TIMEOUT_MS = 600;
 /** Timeout of a write through the owner, in ms. */
 const OWNER_WRITE_TIMEOUT_MS = 1_200;
 const jobIdPattern = /^[0-9a-f]{16}$/;
@@ -163,10 +165,9 @@
     untilMs: number,
   ): Promise<ports.CallerAnswer> {
     const known = jobs.find(id);
-    if (known !== undefined)
-      return access.canRepeat(known.origin, caller)
-        ? { answer: 'accepted' }
-        : { answer: 'id-in-use' };
+    // If it is a job of another workspace, the owner decides, which knows which one was first.
+    if (known !== undefined && access.canRepeat(known.origin, caller))
+      return { answer: 'accepted' };
     const decoded = context.ports.decodeSubmission(request.body);
     if (!decoded.readable) return { answer: 'malformed', why: decoded.why };
     const job: core.workloads.Job = {
@@ -226,7 +227,30 @@
     // The owner may have written the record, so a refusal of this node's own write isn't passed on.
     return written.outcome === 'refused' && ownerResult?.outcome === 'unknown'
       ? ownerResult
-      : written;
+      : checkStored(change, written, untilMs);
+  }
+
+  /**
+   * Asks the owner about a job that this node has stored itself. If it doesn't tell of the
+   * job, having read the stream to its end, the id is that of another workspace's job.
+   */
+  async function checkStored(
+    change: DurableWrite,
+    written: jobStores.WriteResult,
+    untilMs: number,
+  ): Promise<jobStores.WriteResult> {
+    if (
+      !('accept' in change) ||
+      change.caller === undefined ||
+      written.outcome !== 'durable' ||
+      timers.getNow() + OWNER_CHECK_TIMEOUT_MS > untilMs
+    )
+      return written;
+    const { id } = change.accept;
+    const told = await jobQueries.fetchState(id, change.caller);
+    if (told !== 'unknown') return written;
+    jobs.drop(id);
+    return { outcome: 'in-use' };
   }
 
   /** Asks for a job's state until something definite is told, for a limited time. */
--- a/packages/cluster/test/owner.test.ts
+++ b/packages/cluster/test/owner.test.ts
@@ -256,6 +256,29 @@
     },
   );
 
+  vitest.it(
+    'of a workspace is told to that alone, and to no other however old the tables are (guards against an owner that tells the jobs of others)',
+    async () => {
+      const { owner, job, jobs, timers } = createSetup();
+      await fakes.advance(timers, 1_000);
+      const id = 'a000000000000001';
+      const ofA = { ...job, id, workspace: 'a', submitter: 'f' };
+      const { key, value } = records.buildAccepted(ofA);
+      jobs.add(key, value);
+      await fakes.advance(timers, 1_000);
+      const own = { workspace: 'a' };
+      const other = { workspace: 'b', submitter: 'g' };
+      const moved = { workspace: 'b', submitter: 'f' };
+      for (const caller of [undefined, own, moved])
+        vitest.expect(await owner.getJobState(id, caller)).toBe('running');
+      vitest.expect(await owner.getJobState(id, other)).toBe('unknown');
+      jobs.failure = 'cut';
+      vitest.expect(await owner.getJobState(id, other)).toBeUndefined();
+      vitest.expect(await owner.getJobState('other', other)).toBeUndefined();
+      owner.close();
+    },
+  );
+
   vitest.it('does not depend on a VM that never reports', async () => {
     const { owner, vm, timers } = createSetup();
     vm.silent = true;
--- a/packages/cluster/test/recorder.test.ts
+++ b/packages/cluster/test/recorder.test.ts
@@ -105,3 +105,42 @@
     },
   );
 });
+
+vitest.describe('the end of a job', () => {
+  vitest.it(
+    'keeps the origin of a job of a workspace, and nothing of any other (guards against an end that the next owner tells to any workspace)',
+    async () => {
+      const context = fakes.createFakeContext();
+      const recorder = recorders.createRecorder(
+        context,
+        7,
+        () => undefined,
+        (id) => (id === 'a' ? { queue: 'q', workspace: 'w' } : { queue: 'q' }),
+      );
+      const opened = recorder.open();
+      await fakes.advance(context.fakeTimers, 50);
+      await opened;
+      void recorder.write({
+        progress: new Map(),
+        finals: new Map([
+          ['a', 'completed'],
+          ['b', 'failed'],
+        ]),
+        dropped: [],
+      });
+      await fakes.advance(context.fakeTimers, 50);
+      vitest
+        .expect(context.store.streams.jobs.records.map(records.parseJobChange))
+        .toEqual([
+          { change: 'final', id: 'a', state: 'completed' },
+          {
+            change: 'body-dropped',
+            id: 'a',
+            origin: { queue: 'q', workspace: 'w' },
+          },
+          { change: 'final', id: 'b', state: 'failed' },
+          { change: 'body-dropped', id: 'b' },
+        ]);
+    },
+  );
+});
--- a/packages/cluster/test/workspaceRequests.test.ts
+++ b/packages/cluster/test/workspaceRequests.test.ts
@@ -22,7 +22,7 @@
   ownerStore.setObserver((change) => {
     if (change.change === 'cancelled') cancelled.push(change.id);
   });
-  const link = { isUp: true };
+  const link = { isUp: true, hasHeartbeat: true };
   const view = configurations.createConfigurationView(context);
   const jobs = jobStores.createJobStore(context);
   const handleRequest = requestHandlers.createRequestHandler(
@@ -40,14 +40,15 @@
     view,
     jobs,
     {
-      fetchState(id, caller) {
-        if (!link.isUp) return Promise.resolve(undefined);
+      async fetchState(id, caller) {
+        if (!link.isUp) return undefined;
+        await ownerStore.refresh();
         const isKnown = ownerStore.findReadable(id, caller) !== undefined;
-        return Promise.resolve(isKnown ? 'running' : 'unknown');
+        return isKnown ? 'running' : 'unknown';
       },
       writeThroughOwner(change) {
         const untilMs = timers.getNow() + 1_000;
-        if (!link.isUp) return Promise.resolve(undefined);
+        if (!link.isUp || !link.hasHeartbeat) return Promise.resolve(undefined);
         return 'accept' in change
           ? ownerStore.accept(change.accept, untilMs, change.caller)
           : ownerStore.cancel(change.cancel, untilMs, change.caller);
@@ -159,6 +160,24 @@
     },
   );
 
+  vitest.it(
+    'keeps its id although another workspace submits one with it to a node that has not heard of a new owner yet (guards against a job that is accepted and never runs)',
+    async () => {
+      const { configure, request, ownerStore, jobs, link } = createSetup();
+      await configure(keys);
+      vitest.expect(await request('POST', 'key-a')).toBe('accepted');
+      link.hasHeartbeat = false;
+      for (let tries = 0; tries < 2; tries += 1)
+        vitest.expect(await request('POST', 'key-b')).toBe('id-in-use');
+      vitest.expect(await request('GET', 'key-a')).toBe('state');
+      vitest.expect(await request('GET', 'key-b')).toBe('unknown-job');
+      vitest.expect(await request('POST', 'key-a')).toBe('accepted');
+      vitest.expect(await request('POST', 'key-b', OTHER_ID)).toBe('accepted');
+      vitest.expect(ownerStore.find(JOB_ID)?.job?.workspace).toBe('a');
+      vitest.expect(jobs.find(JOB_ID)?.origin?.workspace).not.toBe('b');
+    },
+  );
+
   vitest.it(
     'is not told of to another workspace while nothing can be decided (guards against an answer that tells whether the job exists)',
     async () => {
@@ -247,6 +266,34 @@
   );
 });
 
+vitest.describe('a key that is revoked while the store refuses a node', () => {
+  vitest.it(
+    'is refused there from the bound on, and for good once the node reads again, and the jobs of its workspace go on (guards against a revoked key that a node serves through an outage, and against jobs that end with their keys)',
+    async () => {
+      const setup = createSetup();
+      const { configure, request, context, ownerStore } = setup;
+      await configure(keys);
+      vitest.expect(await request('POST', 'key-a')).toBe('accepted');
+      context.configuration.failure = 'refused';
+      // The read that is in flight still gets its answer.
+      await fakes.advance(context.fakeTimers, 1_500);
+      await configure({ a: [], b: ['key-b'] });
+      vitest.expect(await request('GET', 'key-a')).toBe('state');
+      await fakes.advance(context.fakeTimers, 10_000);
+      for (const method of ['GET', 'POST', 'DELETE'])
+        vitest.expect(await request(method, 'key-a')).toBe('refused');
+      context.configuration.failure = undefined;
+      await fakes.advance(context.fakeTimers, 500);
+      for (const method of ['GET', 'POST', 'DELETE'])
+        vitest.expect(await request(method, 'key-a')).toBe('unauthorized');
+      vitest.expect(ownerStore.find(JOB_ID)).toMatchObject({
+        job: { workspace: 'a' },
+        cancelled: false,
+      });
+    },
+  );
+});
+
 vitest.describe('the count of a queue', () => {
   vitest.it('needs a key', async () => {
     const { configure, request } = createSetup();
