Workspaces: hold jobs until a configuration is known, and limits in the random walk

Cause: an owner without a configuration passed an empty table of workspaces to its scheduler, so restored jobs of workspaces would have started without a limit. Change: jobs of workspaces wait until the first configuration; version 0 stands for none.

--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -506,7 +506,8 @@
     if (version === policyVersion) return;
     policyVersion = version;
     scheduler.setPolicies(policies);
-    scheduler.setWorkspaces(workspaces ?? new Map());
+    // Version 0 stands for no configuration, so that no limit is known yet.
+    if (version > 0) scheduler.setWorkspaces(workspaces ?? new Map());
   }
 
   /**
--- a/packages/core/src/workloads/jobs.ts
+++ b/packages/core/src/workloads/jobs.ts
@@ -23,7 +23,11 @@
     workspace:
       job.workspace === undefined
         ? undefined
-        : workspaceLimits.ensureAccount(state.workspaceAccounts, job.workspace),
+        : workspaceLimits.ensureAccount(
+            state.workspaceAccounts,
+            job.workspace,
+            state.isConfigured,
+          ),
     policy: state.policies.get(job.queue) ?? job.policy,
     acceptedMs,
     occurrences: [],
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -40,7 +40,7 @@
 export interface WorkloadScheduler {
   /** Sets the queue policies of the current configuration. */
   setPolicies(policies: ReadonlyMap<types.QueueName, types.QueuePolicy>): void;
-  /** Sets the workspaces of the current configuration; none when it names none. */
+  /** Sets the workspaces of the current configuration; none when it names none. Jobs of workspaces don't start before the first call. */
   setWorkspaces(
     workspaces: ReadonlyMap<types.WorkspaceName, types.WorkspacePolicy>,
   ): void;
@@ -186,6 +186,7 @@
     },
     setWorkspaces(workspaces) {
       state.workspaces = workspaces;
+      state.isConfigured = true;
       workspaceLimits.setLimits(state.workspaceAccounts, workspaces);
     },
     acceptJob(job, ageMs, nowMs, nowUnixMs) {
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -106,6 +106,8 @@
   policies: ReadonlyMap<types.QueueName, types.QueuePolicy>;
   /** Workspaces of the current configuration; empty when it names none. */
   workspaces: ReadonlyMap<types.WorkspaceName, types.WorkspacePolicy>;
+  /** Whether a configuration is known. */
+  isConfigured: boolean;
   /** Accounts of the workspaces that a job or a configuration has named. */
   readonly workspaceAccounts: Map<
     types.WorkspaceName,
@@ -180,6 +182,7 @@
     openVms: { byPool: new Map(), byIncarnationKey: new Map() },
     policies: new Map(),
     workspaces: new Map(),
+    isConfigured: false,
     workspaceAccounts: new Map(),
     createdMs: options.nowMs,
     nextRun: options.bounds.firstRun,
--- a/packages/core/src/workloads/workspaceLimits.ts
+++ b/packages/core/src/workloads/workspaceLimits.ts
@@ -26,7 +26,7 @@
 /** What a workspace uses, and what waits for its limit. */
 export interface WorkspaceAccount {
   readonly name: types.WorkspaceName;
-  /** Limit in the last configuration that named the workspace; Infinity for a resource without one. */
+  /** Limit in the last configuration that named the workspace, Infinity for a resource without one; `UNKNOWN_LIMIT` before the first configuration. */
   limit: resources.Resources;
   /** Sizes of its runs in the tables and of its stray runs. */
   readonly used: Amount;
@@ -61,18 +61,22 @@
   gpus: Infinity,
 };
 
+/** Nothing starts before the owner knows a configuration: a new owner would otherwise start restored jobs without a limit. */
+const UNKNOWN_LIMIT: resources.Resources = { ...resources.noResources };
+
 type Accounts = Map<types.WorkspaceName, WorkspaceAccount>;
 
-/** Returns the account of a workspace; adds one without a limit if there is none. */
+/** Returns the account of a workspace; adds one if there is none. A workspace that no configuration has named has no limit. */
 export function ensureAccount(
   accounts: Accounts,
   name: types.WorkspaceName,
+  isConfigured: boolean,
 ): WorkspaceAccount {
   const existing = accounts.get(name);
   if (existing !== undefined) return existing;
   const account: WorkspaceAccount = {
     name,
-    limit: UNLIMITED,
+    limit: isConfigured ? UNLIMITED : UNKNOWN_LIMIT,
     used: { ...resources.noResources },
     runs: new Set(),
     strayRuns: 0,
@@ -94,7 +98,9 @@
   workspaces: ReadonlyMap<types.WorkspaceName, types.WorkspacePolicy>,
 ): void {
   for (const { name, limit } of workspaces.values())
-    ensureAccount(accounts, name).limit = limit;
+    ensureAccount(accounts, name, true).limit = limit;
+  for (const account of accounts.values())
+    if (account.limit === UNKNOWN_LIMIT) account.limit = UNLIMITED;
 }
 
 /** Adds a run to the account of its workspace. */
--- a/packages/core/test/workloads/disturbedCluster.ts
+++ b/packages/core/test/workloads/disturbedCluster.ts
@@ -138,7 +138,11 @@
   /** Events of the walk, for the message of a failure. */
   readonly events: string[] = [];
 
-  constructor(seed: number) {
+  constructor(
+    seed: number,
+    /** Cores that every other job may use together; absent for no limit. */
+    private limitCores = Infinity,
+  ) {
     this.randomState = seed >>> 0;
     const plain = harnesses.createPolicy({ name: 'plain', slackMs: 500 });
     const advised = harnesses.createPolicy({
@@ -280,6 +284,9 @@
             }
           : undefined,
       steps,
+      ...(this.limitCores < Infinity && this.jobs.size % 2 === 0
+        ? { workspace: 'limited' }
+        : {}),
     };
     this.jobs.set(id, { job, acceptedMs: this.nowMs, cancelled: false });
     this.owner.scheduler.acceptJob(job, 0, this.nowMs, unixMs);
@@ -317,6 +324,7 @@
       isAlive: true,
     };
     scheduler.setPolicies(this.policies);
+    scheduler.setWorkspaces(this.buildWorkspaces());
     for (const [id, { job, acceptedMs, cancelled }] of this.jobs) {
       if (this.finals.has(id)) continue;
       scheduler.restoreJob(
@@ -333,6 +341,33 @@
     return owner;
   }
 
+  private buildWorkspaces(): ReadonlyMap<
+    string,
+    core.workloads.WorkspacePolicy
+  > {
+    const limit = {
+      cores: this.limitCores,
+      memoryMb: Infinity,
+      gpus: Infinity,
+    };
+    return new Map([
+      ['limited', { name: 'limited', weight: 1, priority: 1, limit }],
+    ]);
+  }
+
+  /** Compares what the VMs run of the limited jobs with their limit. */
+  private checkLimit(started: string): void {
+    let cores = 0;
+    for (const vm of this.vms.values())
+      for (const { task } of vm.running.values())
+        if (this.jobs.get(task.job)!.job.workspace !== undefined)
+          cores += this.findStep(task).size.cores;
+    if (cores > this.limitCores)
+      this.addViolation(
+        `${started} starts, and ${cores} cores are used of ${this.limitCores}`,
+      );
+  }
+
   private replaceOwner(): void {
     const old = this.owner;
     old.isAlive = false;
@@ -492,6 +527,7 @@
         pace: 100,
       });
       const { job } = command.task;
+      if (this.jobs.get(job)!.job.workspace !== undefined) this.checkLimit(key);
       const begin = { vm, incarnation, atMs: this.nowMs };
       this.begins.set(job, [...(this.begins.get(job) ?? []), begin]);
     }
@@ -933,6 +969,8 @@
     this.adviceMode = 'normal';
     this.isServiceLoadHigh = false;
     this.policies = this.initialPolicies;
+    this.limitCores = Infinity;
+    this.owner.scheduler.setWorkspaces(this.buildWorkspaces());
     for (const vm of this.vms.values()) {
       vm.startOutcome = undefined;
       vm.ignoresStops = false;
--- a/packages/core/test/workloads/workspaceLimits.test.ts
+++ b/packages/core/test/workloads/workspaceLimits.test.ts
@@ -322,6 +322,22 @@
 });
 
 vitest.describe('the limit of a workspace after a change of owner', () => {
+  vitest.it(
+    'holds its jobs until a configuration is known (guards against an owner that starts restored jobs without a limit)',
+    () => {
+      const harness = harnesses.createHarness();
+      harness.addVm('a');
+      addJob(harness, 'job', { count: 4 });
+      harness.advance(20);
+      vitest.expect(countRuns(harness)).toBe(0);
+      harness.scheduler.setWorkspaces(
+        createWorkspaces({ small: { cores: 2 } }),
+      );
+      harness.advance(20);
+      vitest.expect(countRuns(harness)).toBe(2);
+    },
+  );
+
   vitest.it(
     'counts recorded runs on VMs that have not reported (guards against a second limit for each owner)',
     () => {
