Shares of workspaces: excess jobs come last, and shares decide in a full pool

Cause: a workspace that sends many times its usual rate takes room and advice from the others, since steps are ordered by queue and objective only.

Change: a token bucket for each workspace (10 s of its weight) decides which jobs are excess. Their steps come after all others, for room, advice and reservations; their runs may be preempted for steps of jobs within their rate. In a full pool, steps of one rank go by the shares of their workspaces. One excess job per pool and 2 s whose objective has passed is promoted.

--- a/packages/core/src/workloads/advice.ts
+++ b/packages/core/src/workloads/advice.ts
@@ -136,11 +136,13 @@
 
 /**
  * Requests advice for service tasks on VMs that don't answer, so that the answer arrives
- * shortly before their runs have ended and may be replaced.
+ * shortly before their runs have ended and may be replaced; for those of excess jobs or
+ * for the others.
  */
 export function requestForEndingTasks(
   state: states.State,
   nowMs: number,
+  forExcess = false,
 ): void {
   const endingTasks = new Map<tables.StepRow, number>();
   for (const vm of state.vms.values()) {
@@ -150,6 +152,7 @@
       const { step } = task;
       const { job } = step.occurrence;
       const policy = job.policy.advice;
+      if (job.yields !== forExcess) continue;
       if (!step.spec.lasts || policy === undefined) continue;
       const answerMs =
         nowMs +
@@ -186,6 +189,7 @@
   nowMs: number,
   endingTasks = 0,
 ): adviceSlots.SlotUse {
+  if (step.occurrence.job.yields) return 'excess';
   if (endingTasks > 0 || waits.isServiceOverdue(step, nowMs))
     return 'overdue-service';
   return step.spec.lasts ? 'service' : 'usual';
--- a/packages/core/src/workloads/adviceSlots.ts
+++ b/packages/core/src/workloads/adviceSlots.ts
@@ -4,7 +4,8 @@
  * wait many times its own service time. A long request therefore gets a node to itself,
  * and some nodes are kept for short requests while there are any. Requests of service
  * tasks are few and may use all of these but one, and overdue ones also nodes that are
- * busy with short requests. A request without a free node waits in the scheduler's order
+ * busy with short requests. Requests of excess jobs are limited, since one that was sent
+ * delays the requests of others that come after it. A request without a free node waits in the scheduler's order
  * instead of in the service's queue.
  */
 import type * as types from './types.js';
@@ -23,7 +24,7 @@
 const OVERHEAD_EWMA_WEIGHT = 0.2;
 
 /** Whose tasks a request is for. */
-export type SlotUse = 'usual' | 'service' | 'overdue-service';
+export type SlotUse = 'usual' | 'service' | 'overdue-service' | 'excess';
 
 /** An advice request in flight at a node. */
 interface InFlightRequest {
@@ -130,6 +131,14 @@
     return [...rows.values()].filter(isCounted).length;
   }
 
+  /** Counts the requests of excess jobs in flight; there may be one for every two nodes. */
+  function countExcess(): number {
+    let count = 0;
+    for (const { inFlight } of rows.values())
+      for (const { use } of inFlight) if (use === 'excess') count += 1;
+    return count;
+  }
+
   function isLastWithoutLong(): boolean {
     return countNodes(hasLongRequest) === rows.size - 1;
   }
@@ -139,9 +148,11 @@
     nowMs: number,
     use: SlotUse,
   ): types.HelperName | undefined {
+    if (use === 'excess' && countExcess() >= Math.max(1, rows.size / 2))
+      return undefined;
     if (costMs <= SHORT_REQUEST_MAX_MS) return chooseForShort(nowMs);
     const node = chooseForLong(nowMs);
-    if (node !== undefined || use === 'usual') return node;
+    if (node !== undefined || use === 'usual' || use === 'excess') return node;
     // One node stays free for short requests.
     const shared = isLastWithoutLong() ? undefined : chooseForShort(nowMs);
     if (shared !== undefined || use === 'service') return shared;
@@ -188,7 +199,8 @@
 }
 
 function hasServiceRequest(row: NodeRow): boolean {
-  for (const { use } of row.inFlight) if (use !== 'usual') return true;
+  for (const { use } of row.inFlight)
+    if (use === 'service' || use === 'overdue-service') return true;
   return false;
 }
 
--- a/packages/core/src/workloads/jobs.ts
+++ b/packages/core/src/workloads/jobs.ts
@@ -27,12 +27,15 @@
     startDecidedMs: undefined,
     progressRecords: new Map(),
     unheardVms: new Set(),
+    excess: false,
+    yields: false,
     cancelled: false,
     final: undefined,
     durableFinal: undefined,
     activeRuns: 0,
   };
   state.jobs.set(job.id, row);
+  state.learnedJobs.push(row);
   if (job.schedule === undefined) tables.createOccurrence(row, 0, acceptedMs);
   else createDueOccurrences(row, nowMs, nowUnixMs);
   return row;
--- a/packages/core/src/workloads/placement.ts
+++ b/packages/core/src/workloads/placement.ts
@@ -5,6 +5,7 @@
  */
 import * as blame from './blame.js';
 import * as openVms from './openVms.js';
+import * as shares from './shares.js';
 import * as speeds from './speed.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
@@ -52,6 +53,7 @@
 ): void {
   vm.reservedFor = step;
   vm.reservedTask = undefined;
+  vm.reservedFromExcess = false;
   vm.reservedUntilMs = times.untilMs;
   vm.reservedReadyMs = times.readyMs;
 }
@@ -69,6 +71,7 @@
 /**
  * Returns whether a VM is reserved for another step. An overdue service may use what is
  * kept for a gang: that room can stay unused until the last of the gang's VMs is ready.
+ * What is reserved for an excess job is open to jobs within their rate.
  */
 export function isReservedForOther(
   vm: tables.VmRow,
@@ -77,6 +80,15 @@
 ): boolean {
   const reserved = getReservedStep(vm, nowMs);
   if (reserved === undefined || reserved === step) return false;
+  const { job } = step.occurrence;
+  if (shares.isYieldedTo(reserved.occurrence.job, job)) return false;
+  // Otherwise steps of any priority would keep urgent ones from room that they took from excess jobs.
+  if (
+    vm.reservedFromExcess &&
+    !job.yields &&
+    job.policy.priority < reserved.occurrence.job.policy.priority
+  )
+    return false;
   return !(reserved.spec.gang && waits.isServiceOverdue(step, nowMs));
 }
 
--- a/packages/core/src/workloads/preemption.ts
+++ b/packages/core/src/workloads/preemption.ts
@@ -1,11 +1,12 @@
 /**
- * Preemption: makes room for a step by stopping runs of lower priority that save their
- * progress or have only just started. Without it, a burst of urgent jobs on full VMs
+ * Preemption: makes room for a step by stopping runs of lower priority, or of excess jobs,
+ * that save their progress or have only just started. Without it, a burst of urgent jobs on full VMs
  * waits for tasks that run many times as long.
  */
 import * as advice from './advice.js';
 import * as openVms from './openVms.js';
 import * as placement from './placement.js';
+import * as shares from './shares.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
 
@@ -46,6 +47,10 @@
       untilMs: nowMs + RESERVATION_MS,
       readyMs: nowMs,
     });
+    vm.reservedFromExcess = victims.some(
+      ({ task }) =>
+        task.step.occurrence.job.excess !== step.occurrence.job.excess,
+    );
     for (const run of victims) {
       run.task.preemptions += 1;
       states.stopRun(state, run, 'preempted', nowMs);
@@ -65,7 +70,11 @@
     if (!placement.isEligible(vm, step, nowMs)) continue;
     const reserved = placement.getReservedStep(vm, nowMs);
     if (reserved === step) maxPlans -= 1;
-    if (reserved !== undefined) continue;
+    if (
+      reserved !== undefined &&
+      !shares.isYieldedTo(reserved.occurrence.job, step.occurrence.job)
+    )
+      continue;
     if (!advice.isApproved(step, vm)) continue;
     const plan = createPlan(vm, step, nowMs);
     const cost = addTask(plan, step);
@@ -160,8 +169,11 @@
   const preemptible = [...vm.runs].filter((run) => isVictim(run, step, nowMs));
   preemptible.sort(
     (a, b) =>
+      Number(b.task.step.occurrence.job.excess) -
+        Number(a.task.step.occurrence.job.excess) ||
       b.task.step.occurrence.job.policy.priority -
-        a.task.step.occurrence.job.policy.priority || a.percent - b.percent,
+        a.task.step.occurrence.job.policy.priority ||
+      a.percent - b.percent,
   );
   const sameStep = placement.countSameStep(vm, step);
   return { vm, free, victims: [], preemptible, sameStep };
@@ -185,6 +197,12 @@
   return cost;
 }
 
+/** Returns whether runs of a job may be preempted for another: excess ones for any within its rate, else those of lower priority. */
+function isPreemptedBy(job: tables.JobRow, other: tables.JobRow): boolean {
+  if (job.excess !== other.excess) return job.excess;
+  return job.policy.priority > other.policy.priority;
+}
+
 function isVictim(
   run: tables.RunRow,
   step: tables.StepRow,
@@ -192,8 +210,7 @@
 ): boolean {
   const { spec, occurrence } = run.task.step;
   if (run.phase !== 'running' || spec.lasts || spec.gang) return false;
-  if (occurrence.job.policy.priority <= step.occurrence.job.policy.priority)
-    return false;
+  if (!isPreemptedBy(occurrence.job, step.occurrence.job)) return false;
   if (run.task.preemptions >= MAX_PREEMPTIONS) return false;
   return (
     spec.savesProgress ||
--- a/packages/core/src/workloads/ranking.ts
+++ b/packages/core/src/workloads/ranking.ts
@@ -4,8 +4,12 @@
  * miss theirs anyway. Steps that can still meet their objective come first, by priority
  * and then by objective; overdue ones follow. Under a steady load an overdue job would
  * starve, so one overdue job per pool at a time keeps its priority until it expires,
- * that is, until its result is worth nothing to its caller.
+ * that is, until its result is worth nothing to its caller. Excess jobs of a workspace
+ * come after all others, and in a full pool, steps of one rank go by the shares of their
+ * workspaces; one excess job per pool at a time is promoted too once its objective has passed.
  */
+import * as shares from './shares.js';
+import type * as states from './state.js';
 import type * as types from './types.js';
 import * as tables from './tables.js';
 
@@ -16,11 +20,16 @@
 /** Number of priority levels by which overdue and expired jobs are ranked lower. */
 const OVERDUE_PENALTY = 2;
 const EXPIRED_PENALTY = 3;
+/** Minimum time between promotions of excess jobs in a pool, in ms. Without it, a backlog would come before all jobs within their rate. */
+const EXCESS_INTERVAL_MS = 2_000;
 
 /** A step with waiting tasks and its rank. */
 export interface RankedStep {
   readonly step: tables.StepRow;
+  /** Whether its job is excess and not promoted. */
+  readonly isExcess: boolean;
   readonly rank: number;
+  readonly turn: shares.Turn;
   readonly objectiveMs: number;
   /** Time at which an overdue step expires; undefined when it isn't overdue or has expired. */
   readonly overdueExpiryMs: number | undefined;
@@ -83,26 +92,75 @@
   if (expired) penalty = EXPIRED_PENALTY;
   return {
     step,
+    isExcess: occurrence.job.excess,
     rank: policy.priority + penalty,
+    turn: shares.USUAL_TURN,
     objectiveMs,
     overdueExpiryMs: overdue && !expired ? expiryMs : undefined,
   };
 }
 
-/** In each pool, gives the overdue job that expires first its own priority as rank. */
-export function rankOverdue(ranked: readonly RankedStep[]): RankedStep[] {
+/** Adds what the shares of the workspaces decide to ranked steps. */
+export function rankByShares(
+  state: states.State,
+  ranked: readonly RankedStep[],
+): readonly RankedStep[] {
+  if (state.workspaces.size === 0) return ranked;
+  return ranked.map((entry) => ({
+    ...entry,
+    turn: shares.findTurn(state, entry.step.occurrence.job),
+  }));
+}
+
+/** An occurrence of an excess job that comes before those of jobs within their rate. */
+export interface PromotedExcess {
+  readonly occurrence: tables.OccurrenceRow;
+  readonly sinceMs: number;
+}
+
+/**
+ * In each pool, gives the overdue job that expires first its own priority as rank, whatever
+ * its workspace uses, and likewise one excess job whose objective has passed.
+ */
+export function rankOverdue(
+  state: states.State,
+  ranked: readonly RankedStep[],
+  nowMs: number,
+): RankedStep[] {
   const promoted = new Map<types.PoolName, RankedStep>();
+  const late = new Map<types.PoolName, RankedStep>();
+  const waiting = new Set<tables.OccurrenceRow>();
   for (const entry of ranked) {
-    if (entry.overdueExpiryMs === undefined) continue;
     const { pool } = entry.step.occurrence.job.policy;
-    const earliestMs = promoted.get(pool)?.overdueExpiryMs ?? Infinity;
-    if (entry.overdueExpiryMs < earliestMs) promoted.set(pool, entry);
+    if (entry.isExcess) {
+      waiting.add(entry.step.occurrence);
+      const earliestMs = late.get(pool)?.objectiveMs ?? nowMs;
+      if (entry.objectiveMs < earliestMs) late.set(pool, entry);
+    } else if (entry.overdueExpiryMs !== undefined) {
+      const earliestMs = promoted.get(pool)?.overdueExpiryMs ?? Infinity;
+      if (entry.overdueExpiryMs < earliestMs) promoted.set(pool, entry);
+    }
+  }
+  for (const [pool, { step }] of late) {
+    const last = state.promotedExcess.get(pool);
+    const isOver = last === undefined || !waiting.has(last.occurrence);
+    if (isOver && nowMs - (last?.sinceMs ?? -Infinity) >= EXCESS_INTERVAL_MS)
+      state.promotedExcess.set(pool, {
+        occurrence: step.occurrence,
+        sinceMs: nowMs,
+      });
   }
   return ranked.map((entry) => {
     const { occurrence } = entry.step;
     const { pool, priority } = occurrence.job.policy;
-    return promoted.get(pool)?.step.occurrence === occurrence
-      ? { ...entry, rank: priority }
+    return promoted.get(pool)?.step.occurrence === occurrence ||
+      state.promotedExcess.get(pool)?.occurrence === occurrence
+      ? {
+          ...entry,
+          isExcess: false,
+          rank: priority,
+          turn: shares.USUAL_TURN,
+        }
       : entry;
   });
 }
@@ -110,7 +168,10 @@
 /** Orders ranked steps. */
 export function compareRanked(a: RankedStep, b: RankedStep): number {
   return (
+    Number(a.isExcess) - Number(b.isExcess) ||
     a.rank - b.rank ||
+    Number(a.turn.isAboveShare) - Number(b.turn.isAboveShare) ||
+    a.turn.workspacePriority - b.turn.workspacePriority ||
     a.objectiveMs - b.objectiveMs ||
     a.step.index - b.step.index
   );
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -15,6 +15,7 @@
 import * as removals from './removals.js';
 import * as reports from './reports.js';
 import * as resizing from './resizing.js';
+import * as shares from './shares.js';
 import * as states from './state.js';
 import * as ticks from './tick.js';
 import type * as tables from './tables.js';
@@ -148,6 +149,8 @@
   getCounts(): ReadonlyMap<string, number>;
   /** Returns the tasks that should run and don't, with the cause of each, and counts them by cause. */
   findOwed(query: owed.OwedQuery): readonly owed.OwedTask[];
+  /** Lists the workspaces of the configuration with their jobs, and their shares as of the last round. */
+  listWorkspaces(): readonly shares.WorkspaceSummary[];
   /** Returns a plain copy of the tables for operators. */
   dump(nowMs: number): unknown;
 }
@@ -306,6 +309,7 @@
     countWaiting: (nowMs) => begins.countUnstarted(state, nowMs),
     measureStarts: (nowMs) => begins.measureStarts(state, nowMs),
     getCounts: () => state.counts,
+    listWorkspaces: () => shares.listWorkspaces(state),
     findOwed(query) {
       const found = owed.findOwed(state, query);
       for (const { cause } of found)
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -4,7 +4,9 @@
 import * as blame from './blame.js';
 import * as names from './names.js';
 import type * as openVms from './openVms.js';
+import type * as ranking from './ranking.js';
 import * as removals from './removals.js';
+import type * as shares from './shares.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
 
@@ -105,6 +107,14 @@
   policies: ReadonlyMap<types.QueueName, types.QueuePolicy>;
   /** Workspaces of the current configuration; empty when it names none. */
   workspaces: ReadonlyMap<types.WorkspaceName, types.WorkspacePolicy>;
+  /** Jobs learned since the last round, which decides whether they are excess. */
+  learnedJobs: tables.JobRow[];
+  /** Token buckets of the workspaces. */
+  readonly buckets: Map<types.WorkspaceName, shares.Bucket>;
+  /** Occurrence of an excess job that was promoted last, by pool. */
+  readonly promotedExcess: Map<types.PoolName, ranking.PromotedExcess>;
+  /** Shares of the workspaces by pool, as of the last round. */
+  shares: ReadonlyMap<types.PoolName, shares.PoolShares>;
   /** Monotonic time at which this owner created its scheduler. */
   readonly createdMs: number;
   nextRun: number;
@@ -174,6 +184,10 @@
     openVms: { byPool: new Map(), byIncarnationKey: new Map() },
     policies: new Map(),
     workspaces: new Map(),
+    learnedJobs: [],
+    buckets: new Map(),
+    promotedExcess: new Map(),
+    shares: new Map(),
     createdMs: options.nowMs,
     nextRun: options.bounds.firstRun,
     dirty: new Set(),
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -161,6 +161,10 @@
   hasBegun: boolean;
   /** Time at which its first run was decided or restored. */
   startDecidedMs: number | undefined;
+  /** Whether it came above the rate of its workspace; decided in the first round after this owner learned of it. */
+  excess: boolean;
+  /** Whether it is excess and isn't promoted in this round, so that jobs within their rate come first. */
+  yields: boolean;
   cancelled: boolean;
   /** Final state, possibly not durable yet. */
   final: types.FinalState | undefined;
@@ -240,6 +244,8 @@
   /** Task of that step for whose trial it is reserved, if any. */
   reservedTask: TaskRow | undefined;
   reservedUntilMs: number;
+  /** Whether runs of excess jobs were preempted for that step, which steps of more urgent queues may come before. */
+  reservedFromExcess: boolean;
   /** Time at which the VM is expected to have room for that step. */
   reservedReadyMs: number;
 }
@@ -350,6 +356,7 @@
     reservedFor: undefined,
     reservedTask: undefined,
     reservedUntilMs: 0,
+    reservedFromExcess: false,
     reservedReadyMs: 0,
   };
 }
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -16,6 +16,7 @@
 import * as ranking from './ranking.js';
 import * as reports from './reports.js';
 import * as reservation from './reservation.js';
+import * as shares from './shares.js';
 import * as stalls from './stalls.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
@@ -43,16 +44,18 @@
   trials.pollTrials(state, nowMs);
   state.openVms = openVms.collectOpenVms(state, nowMs);
   blame.updateSuspectVms(state);
+  shares.decideExcess(state, nowMs);
   const ranked: ranking.RankedStep[] = [];
   for (const job of state.jobs.values()) {
+    job.yields = job.excess;
     if (states.isJobOver(job)) continue;
     jobs.createDueOccurrences(job, nowMs, nowUnixMs);
     // After a change of owner, its tasks may already run without a record.
     if (states.canHaveUnrecordedStart(job, unrecorded)) continue;
     collectSteps(job, ranked, nowMs);
   }
-  const order = ranking.rankOverdue(ranked).sort(ranking.compareRanked);
-  startSteps(state, order, nowMs);
+  const rooms = headroom.measureRooms(state, nowMs);
+  startSteps(state, rankSteps(state, ranked, rooms, nowMs), rooms, nowMs);
   for (const vm of state.vms.values())
     if (vm.waitingStarts.length > 0) batches.sendWaitingStarts(state, vm);
 }
@@ -70,16 +73,60 @@
   }
 }
 
+/** Puts the waiting steps into the order in which they get room and advice. */
+function rankSteps(
+  state: states.State,
+  ranked: readonly ranking.RankedStep[],
+  rooms: ReadonlyMap<types.PoolName, headroom.PoolRoom>,
+  nowMs: number,
+): readonly ranking.RankedStep[] {
+  state.shares = shares.measureShares(
+    state,
+    ranked.map(({ step }) => step),
+    rooms,
+  );
+  const order = ranking
+    .rankOverdue(state, ranking.rankByShares(state, ranked), nowMs)
+    .sort(ranking.compareRanked);
+  for (const { step, isExcess } of order)
+    step.occurrence.job.yields &&= isExcess;
+  return order;
+}
+
+/** Starts steps: first those of jobs within their rate and of promoted ones, then those of excess jobs. */
 function startSteps(
   state: states.State,
   ranked: readonly ranking.RankedStep[],
+  rooms: ReadonlyMap<types.PoolName, headroom.PoolRoom>,
+  nowMs: number,
+): void {
+  const blocked: BlockedSteps = {
+    counts: new Map(),
+    poolsWithReservation: new Set(),
+  };
+  for (const forExcess of [false, true]) {
+    const entries = ranked.filter(({ isExcess }) => isExcess === forExcess);
+    askForOverdueServices(state, entries, nowMs);
+    advice.requestForEndingTasks(state, nowMs, forExcess);
+    startInOrder(state, entries, rooms, blocked, nowMs);
+  }
+}
+
+/** Steps of a round that found no room. */
+interface BlockedSteps {
+  /** Their number by pool. */
+  readonly counts: Map<types.PoolName, number>;
+  /** Pools with VMs that are reserved for a gang. */
+  readonly poolsWithReservation: Set<types.PoolName>;
+}
+
+function startInOrder(
+  state: states.State,
+  ranked: readonly ranking.RankedStep[],
+  rooms: ReadonlyMap<types.PoolName, headroom.PoolRoom>,
+  { counts, poolsWithReservation }: BlockedSteps,
   nowMs: number,
 ): void {
-  const blockedSteps = new Map<types.PoolName, number>();
-  const rooms = headroom.measureRooms(state, nowMs);
-  const poolsWithReservation = new Set<types.PoolName>();
-  askForOverdueServices(state, ranked, nowMs);
-  advice.requestForEndingTasks(state, nowMs);
   for (const { step } of ranked) {
     const { pool } = step.occurrence.job.policy;
     const waitingBefore = step.waitingCount;
@@ -89,7 +136,7 @@
     if (step.waitingCount === 0) continue;
     if (trials.hasOnlyTrials(step) && trials.isLimitReached(state, step, nowMs))
       continue;
-    const blocked = blockedSteps.get(pool) ?? 0;
+    const blocked = counts.get(pool) ?? 0;
     const allowed = {
       // VMs that are reserved for a gang will have room for it soon.
       start:
@@ -103,7 +150,7 @@
       step.waitingCount === waitingBefore &&
       !advice.isRequestPending(step, nowMs)
     ) {
-      blockedSteps.set(pool, blocked + 1);
+      counts.set(pool, blocked + 1);
       if (
         blocked < LOOKAHEAD_STEPS &&
         !batches.isOverdue(state, nowMs) &&
--- a/packages/core/test/workloads/poolSimulation.ts
+++ b/packages/core/test/workloads/poolSimulation.ts
@@ -71,6 +71,32 @@
   readonly factor: number;
 }
 
+/** A workspace that submits jobs. */
+export interface LoadWorkspace {
+  readonly name: string;
+  /** Its part of all arrivals, relative to the other workspaces; its weight is the rate that follows. */
+  readonly part: number;
+  /** A time during which it sends this many times its usual rate. */
+  readonly hot?: Omit<Burst, 'kind'>;
+}
+
+/** Order of the waiting steps. */
+export type Order =
+  /** With the shares of the workspaces. */
+  | 'shares'
+  /** Without workspaces in the configuration. */
+  | 'by-objective'
+  /** By acceptance alone. */
+  | 'first-come';
+
+/** Urgent and batch jobs of a workspace whose objective has passed. */
+export interface WorkspaceResult {
+  jobs: number;
+  inTime: number;
+  /** Longest time from the acceptance of a job to its first start, in ms. */
+  longestWaitMs: number;
+}
+
 /** What happens during a simulation. */
 export interface PoolScenario {
   readonly seed: number;
@@ -85,6 +111,11 @@
   readonly failureIntervalMs: number;
   /** Factor on the arrivals of urgent and batch jobs. */
   readonly load: number;
+  /** Workspaces that submit the jobs, and the order under test. */
+  readonly workspaces?: readonly LoadWorkspace[];
+  readonly order?: Order;
+  /** Largest deviation of run times from their estimates, relative to these; widely spread when absent. */
+  readonly runTimeError?: number;
   /** What differs from the usual service jobs. */
   readonly service?: Partial<JobKind>;
 }
@@ -111,6 +142,9 @@
   readonly urgentInTime: number;
   readonly urgentJobs: number;
   readonly batchTasksDone: number;
+  /** Tasks and VMs of the start commands, in their order. */
+  readonly starts: readonly string[];
+  readonly byWorkspace: ReadonlyMap<string, WorkspaceResult>;
 }
 
 const KINDS: Readonly<Record<Burst['kind'], JobKind>> = {
@@ -183,7 +217,10 @@
 /** A simulation; the same scenario gives the same run. */
 export class PoolSimulation {
   private nowMs = START_MS;
-  private readonly random: () => number;
+  private random: () => number;
+  /** Draws of the arrivals of workspaces, which are the same under each order. */
+  private readonly drawArrivals: () => number;
+  private readonly starts: string[] = [];
   private readonly vms = new Map<string, PoolVm>();
   private readonly jobs = new Map<
     string,
@@ -191,6 +228,8 @@
       readonly kind: Burst['kind'];
       readonly job: core.workloads.Job;
       readonly acceptedMs: number;
+      startedMs: number | undefined;
+      endedMs: number | undefined;
       cancelAtMs: number;
       cancelled: boolean;
     }
@@ -215,6 +254,7 @@
 
   constructor(private readonly scenario: PoolScenario) {
     this.random = createRandom(scenario.seed);
+    this.drawArrivals = createRandom(scenario.seed + 1_000);
     this.kinds = {
       ...KINDS,
       service: { ...KINDS.service, ...scenario.service },
@@ -232,6 +272,7 @@
     this.scheduler.setHelpers(
       Array.from({ length: scenario.helpers }, (_, index) => `helper${index}`),
     );
+    this.setOrder();
     for (let index = 0; index < scenario.vms; index += 1) this.addVm();
     for (let index = 0; index < scenario.vms * SERVICES_PER_VM; index += 1)
       this.addJob('service');
@@ -249,9 +290,76 @@
       urgentInTime: this.urgentInTime / Math.max(1, this.urgentJobs),
       urgentJobs: this.urgentJobs,
       batchTasksDone: this.batchTasksDone,
+      starts: this.starts,
+      byWorkspace: this.measureWorkspaces(),
     };
   }
 
+  private setOrder(): void {
+    const { order, workspaces = [], vms, load } = this.scenario;
+    if (order === 'first-come')
+      this.scheduler.setPolicies(
+        new Map(
+          Object.values(this.kinds).map(({ policy }) => [
+            policy.name,
+            // Objectives that never pass leave the order to the times of acceptance.
+            { ...policy, priority: 0, stretch: 0, slackMs: 1e9 },
+          ]),
+        ),
+      );
+    if (order !== 'shares') return;
+    const rate =
+      (this.kinds.urgent.jobsPerSecond + this.kinds.batch.jobsPerSecond) *
+      vms *
+      load;
+    const parts = workspaces.reduce((sum, { part }) => sum + part, 0);
+    this.scheduler.setWorkspaces(
+      new Map(
+        workspaces.map(({ name, part }) => [
+          name,
+          {
+            name,
+            weight: (rate * part) / parts,
+            priority: 0,
+            limit: { cores: Infinity, memoryMb: Infinity, gpus: Infinity },
+          },
+        ]),
+      ),
+    );
+  }
+
+  private measureWorkspaces(): ReadonlyMap<string, WorkspaceResult> {
+    const results = new Map<string, WorkspaceResult>();
+    for (const row of this.jobs.values()) {
+      const { workspace } = row.job;
+      if (workspace === undefined || row.kind === 'service') continue;
+      const allowedMs = this.computeAllowedMs(row.job);
+      if (row.acceptedMs + allowedMs > this.nowMs) continue;
+      const result = results.get(workspace) ?? {
+        jobs: 0,
+        inTime: 0,
+        longestWaitMs: 0,
+      };
+      results.set(workspace, result);
+      result.jobs += 1;
+      if ((row.endedMs ?? Infinity) - row.acceptedMs <= allowedMs)
+        result.inTime += 1;
+      result.longestWaitMs = Math.max(
+        result.longestWaitMs,
+        (row.startedMs ?? this.nowMs) - row.acceptedMs,
+      );
+    }
+    return results;
+  }
+
+  /** Computes the time that the objective of a job allows, with advice about 30 VMs for each step. */
+  private computeAllowedMs({ policy, steps }: core.workloads.Job): number {
+    const { fixedMs, perVmMs } = policy.advice!;
+    const chainMs =
+      steps.length * (steps[0]!.estimateMs + fixedMs + 30 * perVmMs);
+    return policy.stretch * chainMs + policy.slackMs;
+  }
+
   private addVm(): void {
     const id = `vm${this.vmCount}`;
     const factor = [1, 1, 0.5, 2][this.vmCount % 4]!;
@@ -283,6 +391,13 @@
     return Math.min(max, Math.max(mean * 0.2, mean * factor));
   }
 
+  private drawRunTime(meanMs: number): number {
+    const { runTimeError } = this.scenario;
+    return runTimeError === undefined
+      ? this.draw(meanMs, meanMs * 2.5)
+      : meanMs * (1 + runTimeError * (2 * this.random() - 1));
+  }
+
   /** Draws from nearly a normal distribution: a sum of uniform draws. */
   private drawNormal(): number {
     let sum = -6;
@@ -306,7 +421,7 @@
     }
   }
 
-  private addJob(kind: Burst['kind']): void {
+  private addJob(kind: Burst['kind'], workspace?: string): void {
     const spec = this.kinds[kind];
     const id = `${kind}${this.jobs.size}`;
     const steps =
@@ -320,6 +435,7 @@
       configVersion: 1,
       acceptedAtMs: this.nowMs,
       policy: spec.policy,
+      ...(workspace === undefined ? {} : { workspace }),
       steps: Array.from({ length: steps }, (_, index) =>
         harnesses.createStep({
           count: Math.max(
@@ -351,6 +467,8 @@
       kind,
       job,
       acceptedMs: this.nowMs,
+      startedMs: undefined,
+      endedMs: undefined,
       cancelAtMs: spec.lasts
         ? this.nowMs + SERVICE_LIFE_MS * this.drawExponential()
         : Infinity,
@@ -399,6 +517,7 @@
   private recordFinals(batch: core.workloads.RecordBatch): void {
     for (const id of batch.finals.keys()) {
       const row = this.jobs.get(id)!;
+      row.endedMs = this.nowMs;
       if (row.kind !== 'urgent') continue;
       const { policy, steps } = row.job;
       const allowedMs =
@@ -409,6 +528,37 @@
   }
 
   private addArrivals(): void {
+    if (this.scenario.workspaces === undefined) {
+      this.addJobs();
+      return;
+    }
+    const { random } = this;
+    this.random = this.drawArrivals;
+    this.addJobs();
+    this.random = random;
+  }
+
+  /** Chooses the workspace of a job, with the current factor on all arrivals. */
+  private chooseWorkspace(): {
+    readonly name: string | undefined;
+    readonly factor: number;
+  } {
+    const { workspaces = [] } = this.scenario;
+    if (workspaces.length === 0) return { name: undefined, factor: 1 };
+    const atMs = this.nowMs - START_MS;
+    const rates = workspaces.map(({ part, hot }) =>
+      hot !== undefined && hot.fromMs <= atMs && atMs < hot.toMs
+        ? part * hot.factor
+        : part,
+    );
+    const total = rates.reduce((sum, rate) => sum + rate, 0);
+    let left = this.random() * total;
+    const index = rates.findIndex((rate) => (left -= rate) < 0);
+    const usual = workspaces.reduce((sum, { part }) => sum + part, 0);
+    return { name: workspaces.at(index)!.name, factor: total / usual };
+  }
+
+  private addJobs(): void {
     const { scenario } = this;
     const atMs = this.nowMs - START_MS;
     for (const kind of ['urgent', 'batch', 'service'] as const) {
@@ -418,7 +568,9 @@
       for (const burst of scenario.bursts)
         if (burst.kind === kind && burst.fromMs <= atMs && atMs < burst.toMs)
           rate *= burst.factor;
-      if (this.random() < (rate * TICK_MS) / 1_000) this.addJob(kind);
+      const { name, factor } = this.chooseWorkspace();
+      if (!spec.lasts) rate *= factor;
+      if (this.random() < (rate * TICK_MS) / 1_000) this.addJob(kind, name);
     }
     for (const [id, row] of this.jobs)
       if (row.cancelAtMs <= this.nowMs && !row.cancelled) {
@@ -539,6 +691,10 @@
   private execute(command: core.workloads.Command): void {
     switch (command.command) {
       case 'start':
+        this.starts.push(
+          `${core.workloads.formatTask(command.task)}@${command.vm}`,
+        );
+        this.jobs.get(command.task.job)!.startedMs ??= this.nowMs;
         this.send(NETWORK_MS, () => {
           this.receiveStart(command);
         });
@@ -593,7 +749,7 @@
       this.violations.push(`${this.nowMs}: ${task} exceeds the capacity`);
     const lastsMs = spec.lasts
       ? this.drawExponential() * this.scenario.failureIntervalMs
-      : this.draw(kind.meanMs, kind.meanMs * 2.5);
+      : this.drawRunTime(kind.meanMs);
     vm.running.set(`${task}#${command.run}`, {
       task: command.task,
       run: command.run,
--- /dev/null
+++ b/packages/core/test/workloads/shares.test.ts
@@ -0,0 +1,298 @@
+/** Shares of workspaces: which jobs are excess, and the order that follows in a full pool. */
+import * as crypto from 'node:crypto';
+import * as vitest from 'vitest';
+import type * as core from '../../src/index.js';
+import * as harnesses from './harness.js';
+import * as pools from './poolSimulation.js';
+
+const UNLIMITED = { cores: Infinity, memoryMb: Infinity, gpus: Infinity };
+
+function createWorkspaces(
+  weights: Readonly<Record<string, number>>,
+  priorities: Readonly<Record<string, number>> = {},
+): ReadonlyMap<string, core.workloads.WorkspacePolicy> {
+  return new Map(
+    Object.entries(weights).map(([name, weight]) => [
+      name,
+      { name, weight, priority: priorities[name] ?? 0, limit: UNLIMITED },
+    ]),
+  );
+}
+
+/** Step whose tasks fill a VM of the harness. */
+const WHOLE_VM = harnesses.createStep({
+  size: { cores: 8, memoryMb: 10, gpus: 0 },
+  estimateMs: 10_000,
+});
+
+/** Returns the ids of the jobs that are excess, of jobs of one workspace of one job a second. */
+function listExcess(
+  jobs: readonly { readonly id: string; readonly acceptedMs: number }[],
+  nowMs: number,
+): readonly string[] {
+  const { state, scheduler } = harnesses.createOpenScheduler(nowMs);
+  scheduler.setWorkspaces(createWorkspaces({ a: 1 }));
+  for (const { id, acceptedMs } of jobs)
+    scheduler.restoreJob(
+      harnesses.createJob({ id, workspace: 'a' }),
+      undefined,
+      nowMs - acceptedMs,
+      nowMs,
+      nowMs,
+    );
+  scheduler.tick(nowMs, nowMs);
+  return [...state.jobs.values()]
+    .filter(({ excess }) => excess)
+    .map(({ job }) => job.id);
+}
+
+vitest.describe('the jobs of a workspace', () => {
+  const createJobs = (count: number, intervalMs: number) =>
+    Array.from({ length: count }, (_, index) => ({
+      id: `job${index}`,
+      acceptedMs: 1_000 + index * intervalMs,
+    }));
+
+  vitest.it(
+    'are excess beyond the tokens of a full bucket (guards against a workspace that takes the room of others with a hot spell)',
+    () => {
+      vitest
+        .expect(listExcess(createJobs(13, 0), 2_000))
+        .toEqual(['job10', 'job11', 'job12']);
+      vitest.expect(listExcess(createJobs(100, 1_000), 200_000)).toEqual([]);
+    },
+  );
+
+  vitest.it(
+    'are classified in the order of their acceptance (guards against a new owner that restores them in another order and takes usual ones for excess)',
+    () => {
+      const jobs = createJobs(60, 1_000).reverse();
+      vitest.expect(listExcess(jobs, 100_000)).toEqual([]);
+    },
+  );
+
+  vitest.it(
+    'are never excess without a workspace of the configuration (guards against jobs of public routes that wait behind others)',
+    () => {
+      const { state, scheduler } = harnesses.createOpenScheduler(1_000);
+      scheduler.setWorkspaces(createWorkspaces({ a: 1 }));
+      for (let index = 0; index < 40; index += 1)
+        scheduler.acceptJob(
+          harnesses.createJob({
+            id: `job${index}`,
+            ...(index % 2 === 0 ? { workspace: 'removed' } : {}),
+          }),
+          0,
+          1_000,
+          1_000,
+        );
+      scheduler.tick(1_000, 1_000);
+      vitest
+        .expect([...state.jobs.values()].some(({ excess }) => excess))
+        .toBe(false);
+    },
+  );
+});
+
+/** Creates a harness in which the workspace `hot` has no tokens left, with one idle VM for each id. */
+function createHotHarness(
+  vms: readonly string[],
+  options: harnesses.HarnessOptions = {},
+) {
+  const harness = harnesses.createHarness(options);
+  harness.scheduler.setWorkspaces(createWorkspaces({ hot: 0.01, other: 100 }));
+  for (let index = 0; index < 10; index += 1) {
+    addJob(harness, `spent${index}`, 'hot', [WHOLE_VM]);
+    harness.scheduler.cancelJob(`spent${index}`, harness.getNow());
+  }
+  harness.settle();
+  for (const id of vms) harness.addVm(id);
+  return harness;
+}
+
+function addJob(
+  harness: harnesses.Harness,
+  id: string,
+  workspace: string,
+  steps: readonly core.workloads.StepSpec[],
+  policy = harnesses.createPolicy(),
+): void {
+  harness.scheduler.acceptJob(
+    harnesses.createJob({
+      id,
+      workspace,
+      steps,
+      policy,
+      queue: policy.name,
+      acceptedAtMs: harness.getNow(),
+    }),
+    0,
+    harness.getNow(),
+    harness.getNow(),
+  );
+}
+
+function listJobs(harness: harnesses.Harness): readonly (string | undefined)[] {
+  return harness.listRuns().map(({ task }) => task.split('.')[0]);
+}
+
+vitest.describe('an excess job', () => {
+  const low = harnesses.createPolicy({ name: 'low', priority: 3 });
+  const high = harnesses.createPolicy({ name: 'high', priority: 0 });
+
+  vitest.it(
+    'uses idle VMs, and comes after jobs within their rate whatever the priorities (guards against excess that is refused room, or served first)',
+    () => {
+      const harness = createHotHarness(['a', 'b']);
+      addJob(harness, 'idle', 'hot', [WHOLE_VM], high);
+      harness.advance(10);
+      vitest.expect(listJobs(harness)).toEqual(['idle']);
+      addJob(harness, 'excess', 'hot', [WHOLE_VM], high);
+      addJob(harness, 'usual', 'other', [WHOLE_VM], low);
+      harness.advance(10);
+      vitest.expect([...listJobs(harness)].sort()).toEqual(['idle', 'usual']);
+    },
+  );
+
+  vitest.it(
+    'is preempted for a job within its rate of lower priority, never the reverse (guards against a hot workspace that keeps the room that it took)',
+    () => {
+      const harness = createHotHarness(['a']);
+      const saving = { ...WHOLE_VM, savesProgress: true };
+      addJob(harness, 'excess', 'hot', [saving], high);
+      harness.advance(10);
+      addJob(harness, 'usual', 'other', [saving], low);
+      for (let round = 0; round < 4; round += 1) harness.advance(50);
+      vitest.expect(listJobs(harness)).toEqual(['usual']);
+      for (let round = 0; round < 10; round += 1) harness.advance(50);
+      vitest.expect(listJobs(harness)).toEqual(['usual']);
+    },
+  );
+
+  vitest.it(
+    'holds no reservation against a job within its rate (guards against an excess gang that keeps VMs from others)',
+    () => {
+      const harness = createHotHarness(['a', 'b']);
+      addJob(harness, 'long', 'other', [WHOLE_VM]);
+      harness.advance(10);
+      addJob(harness, 'gang', 'hot', [
+        { ...WHOLE_VM, count: 2, gang: true, estimateMs: 1_000 },
+      ]);
+      harness.advance(100);
+      addJob(harness, 'usual', 'other', [WHOLE_VM]);
+      harness.advance(100);
+      vitest.expect([...listJobs(harness)].sort()).toEqual(['long', 'usual']);
+    },
+  );
+
+  vitest.it(
+    'starts under a steady load of jobs within their rate, long after its objective (guards against excess that starves)',
+    () => {
+      const harness = createHotHarness(['a']);
+      addJob(harness, 'first', 'other', [WHOLE_VM]);
+      addJob(harness, 'excess', 'hot', [WHOLE_VM]);
+      harness.advance(10);
+      for (let round = 0; round < 90; round += 1) {
+        addJob(harness, `next${round}`, 'other', [WHOLE_VM]);
+        for (const { vm, run } of harness.listRuns())
+          harness.endRun(vm, run, 'done');
+        harness.advance(1_000);
+      }
+      vitest
+        .expect(
+          harness.commands.some(
+            (command) =>
+              command.command === 'start' && command.task.job === 'excess',
+          ),
+        )
+        .toBe(true);
+    },
+  );
+
+  vitest.it(
+    'asks for advice after the jobs within their rate (guards against excess that takes the advice slots of others)',
+    () => {
+      const harness = createHotHarness(['a'], { ignoresAdvice: true });
+      const advice = { fixedMs: 300, perVmMs: 1, validMs: 1_000 };
+      addJob(
+        harness,
+        'excess',
+        'hot',
+        [WHOLE_VM],
+        harnesses.createPolicy({ name: 'high', priority: 0, advice }),
+      );
+      addJob(
+        harness,
+        'usual',
+        'other',
+        [WHOLE_VM],
+        harnesses.createPolicy({ name: 'low', priority: 3, advice }),
+      );
+      harness.advance(10);
+      vitest
+        .expect(harness.listAdvisedSteps().map(({ job }) => job))
+        .toEqual(['usual']);
+    },
+  );
+});
+
+vitest.describe('a full pool', () => {
+  vitest.it(
+    'serves workspaces below their share first, then those of more urgent priority (guards against large jobs within the rate that take the room of others)',
+    () => {
+      const harness = harnesses.createHarness();
+      harness.scheduler.setWorkspaces(
+        createWorkspaces({ large: 10, small: 10, later: 10 }, { later: 1 }),
+      );
+      for (const id of ['a', 'b', 'c', 'd']) harness.addVm(id);
+      for (const id of ['l0', 'l1', 'l2', 'l3'])
+        addJob(harness, id, 'large', [WHOLE_VM]);
+      harness.advance(10);
+      addJob(harness, 'l4', 'large', [WHOLE_VM]);
+      addJob(harness, 'z0', 'later', [WHOLE_VM]);
+      harness.advance(10);
+      addJob(harness, 's0', 'small', [WHOLE_VM]);
+      harness.advance(10);
+      const order: (string | undefined)[] = [];
+      for (let round = 0; round < 3; round += 1) {
+        const [oldest] = [...harness.listRuns()].sort((a, b) => a.run - b.run);
+        harness.endRun(oldest!.vm, oldest!.run, 'done');
+        harness.advance(10);
+        harness.advance(10);
+        order.push(
+          listJobs(harness).find(
+            (id) =>
+              id !== undefined && !/l[0-3]/.test(id) && !order.includes(id),
+          ),
+        );
+      }
+      vitest.expect(order).toEqual(['s0', 'z0', 'l4']);
+    },
+  );
+});
+
+vitest.describe('a load without workspaces', () => {
+  vitest.it(
+    'is started in the order and on the VMs as before there were shares (guards against changes for deployments without workspaces)',
+    () => {
+      const { starts } = new pools.PoolSimulation({
+        seed: 3,
+        vms: 40,
+        helpers: 4,
+        load: 1.1,
+        failureIntervalMs: 20_000,
+        bursts: [{ kind: 'urgent', fromMs: 5_000, toMs: 9_000, factor: 3 }],
+        drainsAtMs: [10_000],
+      }).run(20_000);
+      vitest.expect(starts).toHaveLength(4_263);
+      // Digest of the starts at 45dfe78, the last commit without shares.
+      vitest
+        .expect(
+          crypto.createHash('sha256').update(starts.join('\n')).digest('hex'),
+        )
+        .toBe(
+          '31236f46ba500b75c6179cbb90463441adeeeaade701711b729ca673d9045c1f',
+        );
+    },
+  );
+});
