Show the share of a workspace and whether a job is excess

Cause: an operator couldn't see why a step of a workspace waits for others.

Change: `task.owed` and the dump name the workspace of a waiting step, its use and share of the pool and whether its job is excess. Gauges by workspace show accepted and excess jobs, and use and share by pool.

--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -15,6 +15,7 @@
 import * as owners from './owner.js';
 import * as successors from './successors.js';
 import * as waiting from './waitingCounts.js';
+import * as workspaceMetrics from './workspaceMetrics.js';
 
 /** Time between the owner's heartbeats, in ms. */
 const HEARTBEAT_INTERVAL_MS = 500;
@@ -489,10 +490,13 @@
     });
   }
 
+  const workspaceGauges = workspaceMetrics.createWorkspaceMetrics(metrics);
+
   function renderMetrics(): string {
     metrics.set('owner', {}, owner === undefined ? 0 : 1);
     for (const [event, count] of owner?.getCounts() ?? [])
       metrics.set('scheduler_events', { event }, count);
+    workspaceGauges.set(owner?.listWorkspaces() ?? []);
     return metrics.render();
   }
 
--- a/packages/cluster/src/owedReporter.ts
+++ b/packages/cluster/src/owedReporter.ts
@@ -293,6 +293,7 @@
           cause.adviceUntilMs === undefined
             ? undefined
             : Math.round(cause.adviceUntilMs - nowMs),
+        ...(cause.workspace && describeWorkspace(cause.workspace)),
       };
     case 'not-examined':
       return {};
@@ -301,6 +302,20 @@
   }
 }
 
+/** Describes what a workspace adds to the order of a step; shares in percent of the pool. */
+function describeWorkspace({
+  name,
+  isExcess,
+  share,
+}: core.workloads.WorkspaceView): observability.LogFields {
+  return {
+    workspace: name,
+    excess: isExcess,
+    sharePercent: share && Math.round(share.used * 100),
+    entitledPercent: share && Math.round(share.entitled * 100),
+  };
+}
+
 /** Formats names for a line; undefined when there are none. */
 function formatNames(names: readonly string[]): string | undefined {
   if (names.length === 0) return undefined;
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -111,6 +111,8 @@
   /** Counts the waiting jobs per queue; undefined while the tables aren't restored or are too old. */
   countWaiting(): core.clusterMessages.OwnerCounts | undefined;
   getCounts(): ReadonlyMap<string, number>;
+  /** Lists the workspaces with their jobs and shares. */
+  listWorkspaces(): readonly core.workloads.WorkspaceSummary[];
   /** Builds the record of what a successor may assume about leases. */
   buildLeaseRecord(): records.LeaseRecord;
   /** Builds the same for the release of ownership, after which no lease may be granted. */
@@ -838,6 +840,7 @@
         ? scheduler.hasUnrecordedStarts(timers.getNow())
         : previous.unrecorded,
     getCounts: () => scheduler.getCounts(),
+    listWorkspaces: () => scheduler.listWorkspaces(),
     buildLeaseRecord() {
       const silentVms = collectSilentVms();
       recordedSilentVms = new Set([...recordedSilentVms, ...silentVms.keys()]);
--- a/packages/core/src/workloads/index.ts
+++ b/packages/core/src/workloads/index.ts
@@ -3,6 +3,7 @@
 export { formatStep, formatTask, parseTask } from './names.js';
 export type { StartSummary, UnstartedJobs } from './begins.js';
 export { splitByJob as splitProgress } from './progress.js';
+export type { WorkspaceSummary, WorkspaceView } from './shares.js';
 export { createWorkloadScheduler } from './scheduler.js';
 export type { Decision, WorkloadScheduler } from './scheduler.js';
 export type {
--- a/packages/core/src/workloads/owed.ts
+++ b/packages/core/src/workloads/owed.ts
@@ -10,6 +10,7 @@
 import * as names from './names.js';
 import * as placement from './placement.js';
 import * as ranking from './ranking.js';
+import * as shares from './shares.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
@@ -138,6 +139,8 @@
       readonly reservedFor: readonly types.StepKey[];
       /** Timeout of the advice request in flight. */
       readonly adviceUntilMs: number | undefined;
+      /** What its workspace adds to its order; absent without one. */
+      readonly workspace?: shares.WorkspaceView;
     }
   /** Too many other steps wait, so the VMs weren't examined for this one. */
   | { readonly why: 'not-examined' }
@@ -533,6 +536,7 @@
     },
     reservedFor: listReservedFor(reserved, nowMs),
     adviceUntilMs: step.advice.pendingUntilMs,
+    ...shares.buildView(state, step.occurrence.job),
   };
 }
 
--- a/packages/core/src/workloads/shares.ts
+++ b/packages/core/src/workloads/shares.ts
@@ -250,7 +250,7 @@
 }
 
 /** Finds the share of a job's workspace in its pool as of the last round; undefined for a job without one. */
-export function findShare(
+function findShare(
   state: states.State,
   job: tables.JobRow,
 ): WorkspaceShare | undefined {
@@ -260,11 +260,6 @@
     : state.shares.get(job.policy.pool)?.workspaces.get(workspace);
 }
 
-/** Returns whether a workspace uses more than its share. */
-export function isAboveShare({ used, entitled }: WorkspaceShare): boolean {
-  return used > entitled;
-}
-
 /** Finds what the shares add to the rank of a job's steps. */
 export function findTurn(state: states.State, job: tables.JobRow): Turn {
   const policy = findWorkspace(state, job);
@@ -273,11 +268,36 @@
   if (policy === undefined || isFull !== true) return USUAL_TURN;
   const share = findShare(state, job);
   return {
-    isAboveShare: share !== undefined && isAboveShare(share),
+    isAboveShare: share !== undefined && share.used > share.entitled,
     workspacePriority: policy.priority,
   };
 }
 
+/** What the workspace of a job adds to its order, for operators. */
+export interface WorkspaceView {
+  readonly name: types.WorkspaceName;
+  readonly isExcess: boolean;
+  /** Use and share of its pool as of the last round, between 0 and 1. */
+  readonly share: WorkspaceShare | undefined;
+}
+
+/** Builds the view of a job's workspace; empty for a job without one. */
+export function buildView(
+  state: states.State,
+  job: tables.JobRow,
+): { readonly workspace?: WorkspaceView } {
+  const name = job.job.workspace;
+  return name === undefined
+    ? {}
+    : {
+        workspace: {
+          name,
+          isExcess: job.excess,
+          share: findShare(state, job),
+        },
+      };
+}
+
 /** Returns whether what is reserved for a job is open to another one. */
 export function isYieldedTo(job: tables.JobRow, other: tables.JobRow): boolean {
   return job.yields && !other.yields;
--- a/packages/core/src/workloads/views.ts
+++ b/packages/core/src/workloads/views.ts
@@ -1,6 +1,7 @@
 /** Views of the tables for callers, metrics and operators. */
 import * as begins from './begins.js';
 import * as ranking from './ranking.js';
+import * as shares from './shares.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
@@ -68,6 +69,7 @@
         queue: job.job.queue,
         state: describeJob(job, unknown, nowMs),
         begun: job.hasBegun,
+        ...shares.buildView(state, job),
         steps: job.occurrences.flatMap((occurrence) =>
           occurrence.steps.map((step) => ({
             step: `${occurrence.number}.${step.index}`,
@@ -78,6 +80,10 @@
           })),
         ),
       })),
+    workspaces: shares.listWorkspaces(state).map(({ pools, ...summary }) => ({
+      ...summary,
+      pools: Object.fromEntries(pools),
+    })),
     counts: Object.fromEntries(state.counts),
   };
 }
--- a/packages/core/test/workloads/shares.test.ts
+++ b/packages/core/test/workloads/shares.test.ts
@@ -236,6 +236,46 @@
   );
 });
 
+vitest.describe('the workspace of a step that waits', () => {
+  vitest.it(
+    'is shown with its share and whether its job is excess (guards against waits that an operator can not explain)',
+    () => {
+      const harness = createHotHarness(['a']);
+      addJob(harness, 'first', 'hot', [WHOLE_VM]);
+      harness.advance(10);
+      addJob(harness, 'next', 'hot', [WHOLE_VM]);
+      harness.advance(25_000);
+      const nowMs = harness.getNow();
+      const owed = harness.scheduler.findOwed({
+        nowMs,
+        nowUnixMs: nowMs,
+        hasSession: () => true,
+      });
+      const workspace = {
+        name: 'hot',
+        isExcess: true,
+        share: { used: 1, entitled: 1 },
+      };
+      vitest.expect(owed).toMatchObject([{ cause: { workspace } }]);
+      vitest.expect(harness.scheduler.dump(nowMs)).toMatchObject({
+        jobs: [
+          { id: 'first', workspace },
+          { id: 'next', workspace },
+        ],
+      });
+      vitest.expect(harness.scheduler.listWorkspaces()).toEqual([
+        {
+          workspace: 'hot',
+          accepted: 12,
+          excess: 2,
+          pools: new Map([['pool', { used: 1, entitled: 1 }]]),
+        },
+        { workspace: 'other', accepted: 0, excess: 0, pools: new Map() },
+      ]);
+    },
+  );
+});
+
 vitest.describe('a full pool', () => {
   vitest.it(
     'serves workspaces below their share first, then those of more urgent priority (guards against large jobs within the rate that take the room of others)',
