--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -113,6 +113,8 @@
   countWaiting(): core.clusterMessages.OwnerCounts | undefined;
   getCounts(): ReadonlyMap<string, number>;
   listWorkspaceUse(): readonly core.workloads.WorkspaceUse[];
+  /** Lists the workspaces with their jobs and shares. */
+  listWorkspaces(): readonly core.workloads.WorkspaceSummary[];
   /** Builds the record of what a successor may assume about leases. */
   buildLeaseRecord(): records.LeaseRecord;
   /** Builds the same for the release of ownership, after which no lease may be granted. */
@@ -850,6 +852,7 @@
         : previous.unrecorded,
     getCounts: () => scheduler.getCounts(),
     listWorkspaceUse: () => scheduler.listWorkspaceUse(),
+    listWorkspaces: () => scheduler.listWorkspaces(),
     buildLeaseRecord() {
       const silentVms = collectSilentVms();
       recordedSilentVms = new Set([...recordedSilentVms, ...silentVms.keys()]);
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -15,6 +15,7 @@
 import * as removals from './removals.js';
 import * as reports from './reports.js';
 import * as resizing from './resizing.js';
+import * as shares from './shares.js';
 import * as states from './state.js';
 import * as ticks from './tick.js';
 import type * as tables from './tables.js';
@@ -152,6 +153,8 @@
   listWorkspaceUse(): readonly workspaceLimits.WorkspaceUse[];
   /** Returns the tasks that should run and don't, with the cause of each, and counts them by cause. */
   findOwed(query: owed.OwedQuery): readonly owed.OwedTask[];
+  /** Lists the workspaces of the configuration with their jobs, and their shares as of the last round. */
+  listWorkspaces(): readonly shares.WorkspaceSummary[];
   /** Returns a plain copy of the tables for operators. */
   dump(nowMs: number): unknown;
 }
@@ -313,6 +316,7 @@
     measureStarts: (nowMs) => begins.measureStarts(state, nowMs),
     getCounts: () => state.counts,
     listWorkspaceUse: () => workspaceLimits.listUse(state.workspaceAccounts),
+    listWorkspaces: () => shares.listWorkspaces(state),
     findOwed(query) {
       const found = owed.findOwed(state, query);
       for (const { cause } of found)
