--- a/packages/core/src/workloads/workspaceLimits.ts
+++ b/packages/core/src/workloads/workspaceLimits.ts
@@ -2,7 +2,8 @@
  * Limits of workspaces: keeps account of what the runs of each workspace use on all VMs,
  * and decides whether a step may start under the limit. Capacity under the limit is kept
  * for the first waiting gang of a workspace: small tasks of the same workspace would
- * otherwise take each part that becomes free, and the gang would never start.
+ * otherwise take each part that becomes free, and the gang would never start. Tasks that
+ * are expected to end before the gang can start may use it meanwhile (backfilling).
  */
 import * as resources from '../types/resources.js';
 import * as tables from './tables.js';
@@ -13,6 +14,8 @@
  * don't wait for a gang that such runs keep from starting anyway.
  */
 const LONG_RUN_MS = 30_000;
+/** Declared run times are wrong by up to half in either direction. */
+const ESTIMATE_ERROR_FACTOR = 1.5;
 /** Waiting gangs of one workspace whose VMs are examined in one round; examining all of a thousand gangs would slow the round. */
 const MAX_EXAMINED_GANGS = 4;
 
@@ -37,6 +40,8 @@
   readonly unrecorded: Amount;
   /** Gang for which capacity under the limit is reserved, as of this round. */
   reservedFor: tables.StepRow | undefined;
+  /** Expected time until the limit covers that gang, in ms; 0 when it does or when this isn't known. */
+  reservedReadyMs: number;
   /** Gangs whose VMs were examined in this round. */
   examinedGangs: number;
   /** Steps that wait for the limit, as of this round. */
@@ -82,6 +87,7 @@
     strayRuns: 0,
     unrecorded: { ...resources.noResources },
     reservedFor: undefined,
+    reservedReadyMs: 0,
     examinedGangs: 0,
     waitingSteps: new Set(),
   };
@@ -196,7 +202,19 @@
 
 /** Returns whether the next task of a step, or its whole gang, fits within the limit, without reservations. */
 export function isWithinLimit(step: tables.StepRow): boolean {
-  return countStartable(step) >= countTogether(step.spec);
+  const account = getAccount(step);
+  if (account === undefined) return true;
+  const { limit, used, unrecorded } = account;
+  const { size } = step.spec;
+  const count = countTogether(step.spec);
+  // Called for each waiting step in each round, so it builds no sums.
+  for (const name of resources.resourceNames)
+    if (
+      used[name] + unrecorded[name] + size[name] * count >
+      limit[name] + tables.CORE_TOLERANCE
+    )
+      return false;
+  return true;
 }
 
 /** Returns whether a step has to be ranked: it fits within the limit, or is a gang for which capacity may be reserved. */
@@ -211,7 +229,9 @@
   if (!isWithinLimit(step)) return false;
   const { reservedFor } = account;
   if (reservedFor === undefined || reservedFor === step) return true;
-  const { size } = step.spec;
+  const { size, lasts, estimateMs } = step.spec;
+  if (!lasts && estimateMs * ESTIMATE_ERROR_FACTOR < account.reservedReadyMs)
+    return true;
   const gang = reservedFor.spec;
   const count = countTogether(step.spec);
   // A task doesn't delay the gang by resources of which the limit covers both.
@@ -274,15 +294,38 @@
   account.examinedGangs += 1;
   const left = { ...account.limit };
   for (const run of account.runs)
-    if (isLongRunning(run)) tables.addAmount(left, run.task.step.spec.size, -1);
+    if (estimateLeftMs(run) > LONG_RUN_MS)
+      tables.addAmount(left, run.task.step.spec.size, -1);
   if (countTasks(left, step.spec.size) < step.spec.count) return;
-  if (canHold()) account.reservedFor = step;
+  if (!canHold()) return;
+  account.reservedFor = step;
+  account.reservedReadyMs = estimateReadyMs(account, step.spec);
+}
+
+/** Estimates the time until the limit covers a gang, in ms; 0 when it does, or when not only runs in the tables keep it from that. */
+function estimateReadyMs(
+  account: WorkspaceAccount,
+  { size, count }: types.StepSpec,
+): number {
+  const free = { ...account.limit };
+  tables.addAmount(free, account.used, -1);
+  tables.addAmount(free, account.unrecorded, -1);
+  if (countTasks(free, size) >= count) return 0;
+  const ends = [...account.runs]
+    .map((run) => ({ run, leftMs: estimateLeftMs(run) }))
+    .sort((a, b) => a.leftMs - b.leftMs);
+  for (const { run, leftMs } of ends) {
+    tables.addAmount(free, run.task.step.spec.size, 1);
+    if (countTasks(free, size) >= count) return leftMs;
+  }
+  return 0;
 }
 
-function isLongRunning(run: tables.RunRow): boolean {
-  const { spec } = run.task.step;
-  if (run.phase === 'stopping') return false;
-  return spec.lasts || (1 - run.percent / 100) * spec.estimateMs > LONG_RUN_MS;
+/** Estimates the time until a run ends, in ms; Infinity for a service task. */
+function estimateLeftMs({ task, phase, percent }: tables.RunRow): number {
+  const { lasts, estimateMs } = task.step.spec;
+  if (phase === 'stopping') return 0;
+  return lasts ? Infinity : (1 - percent / 100) * estimateMs;
 }
 
 /** Returns why a limit can never cover a job; undefined when it can. */
--- a/packages/core/test/workloads/workspaceLimits.test.ts
+++ b/packages/core/test/workloads/workspaceLimits.test.ts
@@ -516,6 +516,25 @@
     },
   );
 
+  vitest.it(
+    'let tasks go first that end before they can start (guards against a step that waits for long beside idle VMs)',
+    () => {
+      const harness = createLimited({ small: { cores: 4 } });
+      harness.addVm('a');
+      addJob(harness, 'first', { estimateMs: 20_000 });
+      harness.advance(20);
+      addJob(harness, 'gang', { gang: true, count: 4 });
+      const policy = { priority: 2 };
+      addJob(harness, 'short', {}, { policy });
+      addJob(harness, 'long', { estimateMs: 60_000 }, { policy });
+      addJob(harness, 'service', { lasts: true }, { policy });
+      harness.advance(20);
+      vitest.expect(countRuns(harness, 'short')).toBe(1);
+      vitest.expect(countRuns(harness, 'long')).toBe(0);
+      vitest.expect(countRuns(harness, 'service')).toBe(0);
+    },
+  );
+
   vitest.it(
     'leave to others the resources that they do not need (guards against a reservation of the whole limit)',
     () => {
