--- a/packages/cluster/src/owedReporter.ts
+++ b/packages/cluster/src/owedReporter.ts
@@ -284,7 +284,6 @@
     case 'ticket-expired':
     case 'trial':
     case 'not-placed':
-    case 'workspace-limit':
       return {
         ...cause.pool,
         reservedFor: formatNames(
@@ -295,6 +294,13 @@
             ? undefined
             : Math.round(cause.adviceUntilMs - nowMs),
       };
+    case 'workspace-limit':
+      return {
+        workspace: cause.use.name,
+        used: formatAmount(cause.use.used),
+        unrecorded: formatAmount(cause.use.unrecorded),
+        limit: formatAmount(cause.use.limit),
+      };
     case 'not-examined':
       return {};
     case 'inconsistent':
@@ -302,6 +308,17 @@
   }
 }
 
+/** Formats an amount of resources as cores, memory in MB and GPUs; a resource without a limit as `none`. */
+function formatAmount(amount: core.resources.Resources): string {
+  return core.resources.resourceNames
+    .map((name) =>
+      Number.isFinite(amount[name])
+        ? `${name}:${Math.round(amount[name] * 1_000) / 1_000}`
+        : `${name}:none`,
+    )
+    .join('+');
+}
+
 /** Formats names for a line; undefined when there are none. */
 function formatNames(names: readonly string[]): string | undefined {
   if (names.length === 0) return undefined;
--- a/packages/cluster/test/owner.test.ts
+++ b/packages/cluster/test/owner.test.ts
@@ -61,6 +61,7 @@
 function createSetup(
   progress?: string,
   previous: Partial<claims.PreviousOwner> = {},
+  workspace?: core.workloads.WorkspaceName,
 ) {
   const context = fakes.createFakeContext();
   const { timers } = context;
@@ -69,7 +70,7 @@
   const claim = { confirmedMs: undefined as number | undefined };
   const fenced = vitest.vi.fn();
   const failed = vitest.vi.fn();
-  const policies = { failure: undefined as Error | undefined };
+  const policies = { failure: undefined as Error | undefined, version: 1 };
   const vmCalls: ports.VmCalls = {
     ...context.ports.vmCalls,
     async hold(_, { waitMs }, timeoutMs) {
@@ -96,7 +97,10 @@
     drop: () => undefined,
   };
   const ownerContext = { ...context, ports: { ...context.ports, vmCalls } };
-  const job = createService(JOB_ID, timers.getDate());
+  const job = {
+    ...createService(JOB_ID, timers.getDate()),
+    ...(workspace === undefined ? {} : { workspace }),
+  };
   const { key, value } = records.buildAccepted(job);
   context.store.streams.jobs.add(key, value);
   if (progress !== undefined)
@@ -122,7 +126,7 @@
     },
     getPolicies() {
       if (policies.failure !== undefined) throw policies.failure;
-      return { version: 1, policies: new Map() };
+      return { version: policies.version, policies: new Map() };
     },
     getConfirmedAge: getClaimAge,
     getLongestConfirmedAge: getClaimAge,
@@ -148,6 +152,21 @@
   };
 }
 
+vitest.describe('an owner that has read no configuration', () => {
+  vitest.it(
+    'starts no job of a workspace (guards against restored jobs that run without a limit)',
+    async () => {
+      const { policies, running, timers } = createSetup(undefined, {}, 'small');
+      policies.version = 0;
+      await fakes.advance(timers, 3_000);
+      vitest.expect(running.size).toBe(0);
+      policies.version = 1;
+      await fakes.advance(timers, 1_000);
+      vitest.expect(running.size).toBe(1);
+    },
+  );
+});
+
 vitest.describe('the counts of an owner', () => {
   vitest.it('are unknown until it has restored its tables', async () => {
     const { owner, timers } = createSetup();
--- a/packages/core/src/workloads/owed.ts
+++ b/packages/core/src/workloads/owed.ts
@@ -71,8 +71,6 @@
 
 /** Why a step whose tasks may start at once has no place for them. */
 export type WaitingReason =
-  /** The limit of its workspace covers no further task, or not the whole gang, or is reserved for a gang. */
-  | 'workspace-limit'
   /** No VM of the pool may run the step now. */
   | 'no-vm'
   /** No VM has room. */
@@ -142,6 +140,11 @@
       /** Timeout of the advice request in flight. */
       readonly adviceUntilMs: number | undefined;
     }
+  /** The limit of its workspace covers no further task, or not the whole gang, or is reserved for a gang. */
+  | {
+      readonly why: 'workspace-limit';
+      readonly use: workspaceLimits.WorkspaceUse;
+    }
   /** Too many other steps wait, so the VMs weren't examined for this one. */
   | { readonly why: 'not-examined' }
   | {
@@ -482,17 +485,22 @@
     waiting.length === 0
       ? []
       : [...state.vms.values()].filter((vm) => !isUsedRight(vm));
-  order.forEach(({ step, tasks }, index) => {
+  let examined = 0;
+  for (const { step, tasks } of order) {
     const { pool } = step.occurrence.job.policy;
     const wrongVm = wrongVms.find(({ entry }) => entry?.pool === pool);
+    const use = workspaceLimits.findBlockingUse(step);
     let cause: OwedCause = { why: 'not-examined' };
     if (wrongVm !== undefined)
       cause = { why: 'inconsistent', what: 'vm-used', vm: wrongVm.id };
-    else if (index < MAX_EXAMINED_STEPS)
+    else if (use !== undefined) cause = { why: 'workspace-limit', use };
+    else if (examined < MAX_EXAMINED_STEPS) {
+      examined += 1;
       cause = explainStep(state, step, nowMs);
+    }
     for (const { row, sinceMs } of tasks)
       found.push(buildOwed(step, row.index, sinceMs, cause));
-  });
+  }
 }
 
 function explainStep(
@@ -554,7 +562,6 @@
   const placesNeeded = step.spec.gang ? step.spec.count : 1;
   const hasPlaces = (rows: readonly tables.VmRow[]): boolean =>
     countPlaces(rows, step) >= placesNeeded;
-  if (workspaceLimits.isBlocked(step)) return 'workspace-limit';
   if (vms.eligible.length === 0) return 'no-vm';
   if (vms.withRoom.length === 0) return 'no-room';
   if (!hasPlaces(vms.withRoom)) return 'no-room-for-gang';
--- a/packages/core/src/workloads/workspaceLimits.ts
+++ b/packages/core/src/workloads/workspaceLimits.ts
@@ -262,9 +262,14 @@
   getAccount(step)?.waitingSteps.add(step);
 }
 
-/** Returns whether a step waited for the limit in the last round. */
-export function isBlocked(step: tables.StepRow): boolean {
-  return getAccount(step)?.waitingSteps.has(step) === true;
+/** Returns the use of its workspace if a step waited for the limit in the last round. */
+export function findBlockingUse(
+  step: tables.StepRow,
+): WorkspaceUse | undefined {
+  const account = getAccount(step);
+  return account?.waitingSteps.has(step) === true
+    ? buildUse(account)
+    : undefined;
 }
 
 /** Returns whether the whole gang waits and the limit is large enough for it. */
@@ -349,11 +354,15 @@
 export function listUse(
   accounts: ReadonlyMap<types.WorkspaceName, WorkspaceAccount>,
 ): readonly WorkspaceUse[] {
-  return [...accounts.values()].map((account) => ({
+  return [...accounts.values()].map(buildUse);
+}
+
+function buildUse(account: WorkspaceAccount): WorkspaceUse {
+  return {
     name: account.name,
     used: { ...account.used },
     limit: account.limit,
     unrecorded: { ...account.unrecorded },
     waitingSteps: account.waitingSteps.size,
-  }));
+  };
 }
--- a/packages/core/test/workloads/workspaceLimits.test.ts
+++ b/packages/core/test/workloads/workspaceLimits.test.ts
@@ -275,8 +275,13 @@
       const harness = createLimited({ small: { cores: 1 } });
       harness.addVm('a');
       addJob(harness, 'job', { lasts: true, count: 2 });
+      // More steps than those for which the VMs are examined.
+      for (let job = 0; job < 60; job += 1)
+        addJob(harness, `job${job}`, { lasts: true });
       for (let step = 0; step < 40; step += 1) harness.advance(100);
-      vitest.expect(findReasons(harness)).toEqual(['workspace-limit']);
+      vitest
+        .expect(findReasons(harness))
+        .toEqual(Array.from({ length: 61 }, () => 'workspace-limit'));
     },
   );
 
