--- a/packages/cluster/src/owedReporter.ts
+++ b/packages/cluster/src/owedReporter.ts
@@ -284,7 +284,6 @@
     case 'ticket-expired':
     case 'trial':
     case 'not-placed':
-    case 'workspace-limit':
       return {
         ...cause.pool,
         reservedFor: formatNames(
@@ -296,6 +295,13 @@
             : Math.round(cause.adviceUntilMs - nowMs),
         ...(cause.workspace && describeWorkspace(cause.workspace)),
       };
+    case 'workspace-limit':
+      return {
+        workspace: cause.use.name,
+        used: formatAmount(cause.use.used),
+        unrecorded: formatAmount(cause.use.unrecorded),
+        limit: formatAmount(cause.use.limit),
+      };
     case 'not-examined':
       return {};
     case 'inconsistent':
@@ -317,6 +323,17 @@
   };
 }
 
+/** Formats an amount of resources as cores, memory in MB and GPUs; a resource without a limit as `none`. */
+function formatAmount(amount: core.resources.Resources): string {
+  return core.resources.resourceNames
+    .map((name) =>
+      Number.isFinite(amount[name])
+        ? `${name}:${Math.round(amount[name] * 1_000) / 1_000}`
+        : `${name}:none`,
+    )
+    .join('+');
+}
+
 /** Formats names for a line; undefined when there are none. */
 function formatNames(names: readonly string[]): string | undefined {
   if (names.length === 0) return undefined;
--- a/packages/core/test/workloads/workspaceLimits.test.ts
+++ b/packages/core/test/workloads/workspaceLimits.test.ts
@@ -275,8 +275,13 @@
       const harness = createLimited({ small: { cores: 1 } });
       harness.addVm('a');
       addJob(harness, 'job', { lasts: true, count: 2 });
+      // More steps than those for which the VMs are examined.
+      for (let job = 0; job < 60; job += 1)
+        addJob(harness, `job${job}`, { lasts: true });
       for (let step = 0; step < 40; step += 1) harness.advance(100);
-      vitest.expect(findReasons(harness)).toEqual(['workspace-limit']);
+      vitest
+        .expect(findReasons(harness))
+        .toEqual(Array.from({ length: 61 }, () => 'workspace-limit'));
     },
   );
 
@@ -516,6 +521,25 @@
     },
   );
 
+  vitest.it(
+    'let tasks go first that end before they can start (guards against a step that waits for long beside idle VMs)',
+    () => {
+      const harness = createLimited({ small: { cores: 4 } });
+      harness.addVm('a');
+      addJob(harness, 'first', { estimateMs: 20_000 });
+      harness.advance(20);
+      addJob(harness, 'gang', { gang: true, count: 4 });
+      const policy = { priority: 2 };
+      addJob(harness, 'short', {}, { policy });
+      addJob(harness, 'long', { estimateMs: 60_000 }, { policy });
+      addJob(harness, 'service', { lasts: true }, { policy });
+      harness.advance(20);
+      vitest.expect(countRuns(harness, 'short')).toBe(1);
+      vitest.expect(countRuns(harness, 'long')).toBe(0);
+      vitest.expect(countRuns(harness, 'service')).toBe(0);
+    },
+  );
+
   vitest.it(
     'leave to others the resources that they do not need (guards against a reservation of the whole limit)',
     () => {
