Shares count once waiting tasks need more than a pool has; replay of three orders

Cause: room that is kept for urgent steps counted as used, so that shares changed the order in pools that had room for all.

Change: a pool is full when its running and waiting tasks need more than its capacity. A replay compares the order by shares with those by objectives and by arrival: 20 workspaces, one of which sends eight times its rate for 7 s.

--- a/packages/core/src/workloads/shares.ts
+++ b/packages/core/src/workloads/shares.ts
@@ -5,7 +5,6 @@
  * (dominant resource fairness, Ghodsi et al., NSDI 2011), so that jobs within the rate
  * that are large or long can't take the room of others either.
  */
-import type * as headroom from './headroom.js';
 import type * as resources from '../types/resources.js';
 import type * as states from './state.js';
 import * as tables from './tables.js';
@@ -18,12 +17,6 @@
 const BUCKET_SECONDS = 10;
 /** Minimum number of tokens in a full bucket: workspaces of less than a job a second may submit a few jobs together. */
 const MIN_BUCKET_TOKENS = 10;
-/**
- * Share of a pool's capacity above which running and waiting tasks fill it. VMs are rarely
- * filled to the last core, so a tenth can be free although no task finds room.
- */
-const FULL_SHARE = 0.9;
-
 /** Token bucket of a workspace, with the jobs that it has classified. */
 export interface Bucket {
   tokens: number;
@@ -44,9 +37,9 @@
 
 /** Shares of the workspaces in a pool. */
 export interface PoolShares {
-  /** Whether the pool is full of running tasks and waiting ones of jobs within their rate. */
+  /** Whether running tasks and waiting ones of jobs within their rate need more than the pool has. */
   readonly isFull: boolean;
-  /** Whether it is full when the waiting tasks of excess jobs are added. */
+  /** Whether they do so with the waiting tasks of excess jobs. */
   readonly isFullWithExcess: boolean;
   readonly workspaces: ReadonlyMap<types.WorkspaceName, WorkspaceShare>;
 }
@@ -132,12 +125,12 @@
 export function measureShares(
   state: states.State,
   waiting: readonly tables.StepRow[],
-  rooms: ReadonlyMap<types.PoolName, headroom.PoolRoom>,
+  pools: Iterable<types.PoolName>,
 ): ReadonlyMap<types.PoolName, PoolShares> {
   const shares = new Map<types.PoolName, PoolShares>();
   if (state.workspaces.size === 0) return shares;
   const sums = new Map<types.PoolName, PoolSums>();
-  for (const name of rooms.keys()) sums.set(name, createPoolSums());
+  for (const name of pools) sums.set(name, createPoolSums());
   for (const vm of state.vms.values()) addVm(state, sums, vm);
   for (const step of waiting) {
     const { job } = step.occurrence;
@@ -153,13 +146,10 @@
   }
   for (const [name, pool] of sums) {
     tables.addAmount(pool.waiting, pool.used, 1);
-    // Room that is kept for urgent steps is no room for others.
-    pool.waiting.cores += rooms.get(name)?.reservedCores ?? 0;
     tables.addAmount(pool.waitingExcess, pool.waiting, 1);
     shares.set(name, {
-      isFull: computeDominant(pool.waiting, pool.capacity) > FULL_SHARE,
-      isFullWithExcess:
-        computeDominant(pool.waitingExcess, pool.capacity) > FULL_SHARE,
+      isFull: computeDominant(pool.waiting, pool.capacity) > 1,
+      isFullWithExcess: computeDominant(pool.waitingExcess, pool.capacity) > 1,
       workspaces: computeShares(state, pool),
     });
   }
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -83,7 +83,7 @@
   state.shares = shares.measureShares(
     state,
     ranked.map(({ step }) => step),
-    rooms,
+    rooms.keys(),
   );
   const order = ranking
     .rankOverdue(state, ranking.rankByShares(state, ranked), nowMs)
--- a/packages/core/test/workloads/shares.test.ts
+++ b/packages/core/test/workloads/shares.test.ts
@@ -2,6 +2,7 @@
 import * as crypto from 'node:crypto';
 import * as vitest from 'vitest';
 import type * as core from '../../src/index.js';
+import * as adviceSlots from '../../src/workloads/adviceSlots.js';
 import * as harnesses from './harness.js';
 import * as pools from './poolSimulation.js';
 
@@ -161,6 +162,9 @@
       const saving = { ...WHOLE_VM, savesProgress: true };
       addJob(harness, 'excess', 'hot', [saving], high);
       harness.advance(10);
+      // More than the steps for which runs are preempted in a round.
+      for (let index = 0; index < 6; index += 1)
+        addJob(harness, `waiting${index}`, 'hot', [WHOLE_VM], high);
       addJob(harness, 'usual', 'other', [saving], low);
       for (let round = 0; round < 4; round += 1) harness.advance(50);
       vitest.expect(listJobs(harness)).toEqual(['usual']);
@@ -236,6 +240,25 @@
   );
 });
 
+vitest.describe('advice requests of excess jobs', () => {
+  vitest.it(
+    'are in flight at no more than half of the nodes (guards against requests of others that wait behind excess)',
+    () => {
+      const slots = adviceSlots.createAdviceSlots();
+      slots.setHelpers(['b', 'c', 'd']);
+      const reserve = (use: adviceSlots.SlotUse) =>
+        slots.reserve(300, 1_000, use);
+      const first = reserve('excess');
+      vitest.expect(first).toBeDefined();
+      vitest.expect(reserve('excess')).toBeDefined();
+      vitest.expect(reserve('excess')).toBeUndefined();
+      vitest.expect(reserve('usual')).toBeDefined();
+      first!.release(true, 1_100);
+      vitest.expect(reserve('excess')).toBeDefined();
+    },
+  );
+});
+
 vitest.describe('the workspace of a step that waits', () => {
   vitest.it(
     'is shown with its share and whether its job is excess (guards against waits that an operator can not explain)',
@@ -311,6 +334,88 @@
   );
 });
 
+/** Results of the other workspaces beside a hot one, over several seeds. */
+interface ReplayResult {
+  /** Share of the jobs of the other workspaces that ended in time. */
+  readonly inTime: number;
+  /** The same of the tenth of these workspaces with the lowest share, on average over the seeds. */
+  readonly worstTenth: number;
+  readonly longestWaitMs: number;
+  readonly hotInTime: number;
+}
+
+/** Replays 20 workspaces, four of them large, of which one sends eight times its rate for 7 s, in a pool that is nearly full. */
+function replay(order: pools.Order, seeds: readonly number[]): ReplayResult {
+  let jobs = 0;
+  let inTime = 0;
+  let hotJobs = 0;
+  let hotInTime = 0;
+  let longestWaitMs = 0;
+  let worst = 0;
+  for (const seed of seeds) {
+    const { byWorkspace } = new pools.PoolSimulation({
+      seed,
+      order,
+      vms: 60,
+      helpers: 6,
+      bursts: [{ kind: 'urgent', fromMs: 20_000, toMs: 22_000, factor: 2 }],
+      drainsAtMs: [],
+      failureIntervalMs: 20_000,
+      load: 1.3,
+      runTimeError: 0.3,
+      workspaces: Array.from({ length: 20 }, (_, index) => ({
+        name: `w${index}`,
+        part: index < 4 ? 6 : 1,
+        ...(index === 0
+          ? { hot: { fromMs: 8_000, toMs: 15_000, factor: 8 } }
+          : {}),
+      })),
+    }).run(30_000);
+    const rates: number[] = [];
+    for (const [name, result] of byWorkspace)
+      if (name === 'w0') {
+        hotJobs += result.jobs;
+        hotInTime += result.inTime;
+      } else {
+        jobs += result.jobs;
+        inTime += result.inTime;
+        longestWaitMs = Math.max(longestWaitMs, result.longestWaitMs);
+        rates.push(result.inTime / result.jobs);
+      }
+    const [first = 0, second = 0] = rates.sort((a, b) => a - b);
+    worst += (first + second) / 2;
+  }
+  return {
+    inTime: inTime / jobs,
+    worstTenth: worst / seeds.length,
+    longestWaitMs,
+    hotInTime: hotInTime / hotJobs,
+  };
+}
+
+vitest.describe('a workspace at eight times its rate', () => {
+  vitest.it(
+    'has little effect on the others, compared with the order by objectives and by arrival (guards against a hot workspace that makes the jobs of others late)',
+    () => {
+      const seeds = [1, 2, 3, 4];
+      const firstCome = replay('first-come', seeds);
+      const byObjective = replay('by-objective', seeds);
+      const byShares = replay('shares', seeds);
+      console.info({ firstCome, byObjective, byShares });
+      vitest.expect(byShares.inTime).toBeGreaterThan(byObjective.inTime);
+      vitest.expect(byShares.inTime).toBeGreaterThan(firstCome.inTime);
+      vitest.expect(byShares.inTime).toBeGreaterThan(0.95);
+      vitest
+        .expect(byShares.worstTenth)
+        .toBeGreaterThanOrEqual(byObjective.worstTenth);
+      vitest
+        .expect(byShares.longestWaitMs)
+        .toBeLessThanOrEqual(byObjective.longestWaitMs);
+    },
+    60_000,
+  );
+});
+
 vitest.describe('a load without workspaces', () => {
   vitest.it(
     'is started in the order and on the VMs as before there were shares (guards against changes for deployments without workspaces)',
