--- a/packages/cluster/test/workspaceGauges.test.ts
+++ b/packages/cluster/test/workspaceLimitGauges.test.ts
@@ -1,29 +1,32 @@
 /** Gauges of workspaces. */
 import * as observability from '@flamingoward/observability';
 import * as vitest from 'vitest';
-import * as workspaceGauges from '../src/workspaceGauges.js';
+import * as workspaceMetrics from '../src/workspaceMetrics.js';
 
 vitest.describe('the gauges of workspaces', () => {
   vitest.it(
     'show use, limit and waiting steps, and 0 once the owner is another node (guards against two nodes that report one workspace)',
     () => {
       const metrics = observability.createMetrics();
-      const gauges = workspaceGauges.createWorkspaceGauges(metrics);
-      gauges.update([
-        {
-          name: 'small',
-          used: { cores: 1.5, memoryMb: 200, gpus: 0 },
-          limit: { cores: 4, memoryMb: Infinity, gpus: 0 },
-          unrecorded: { cores: 0, memoryMb: 0, gpus: 0 },
-          waitingSteps: 7,
-        },
-      ]);
+      const gauges = workspaceMetrics.createWorkspaceMetrics(metrics);
+      gauges.set(
+        [],
+        [
+          {
+            name: 'small',
+            used: { cores: 1.5, memoryMb: 200, gpus: 0 },
+            limit: { cores: 4, memoryMb: Infinity, gpus: 0 },
+            unrecorded: { cores: 0, memoryMb: 0, gpus: 0 },
+            waitingSteps: 7,
+          },
+        ],
+      );
       const text = metrics.render();
       vitest.expect(text).toMatch(/workspace_steps_waiting\{.*\} 7\n/u);
       vitest.expect(text).toMatch(/workspace_used\{.*cores.*\} 1\.5\n/u);
       vitest.expect(text).toMatch(/workspace_limit\{.*cores.*\} 4\n/u);
       vitest.expect(text).toMatch(/workspace_limit\{.*memoryMb.*\} 0\n/u);
-      gauges.update([]);
+      gauges.set([], []);
       const later = metrics.render();
       vitest.expect(later).toMatch(/workspace_steps_waiting\{.*\} 0\n/u);
       vitest.expect(later).toMatch(/workspace_used\{.*cores.*\} 0\n/u);
