Age of the configuration: an answer that waited in a paused process is not new

Cause: the age counted from when the process handled the answer of the store. A process that was paused for longer than the bound handled an old answer first and then took a key that had been revoked meanwhile as current until its next read. Change: an answer is at most as new as the end of the wait of its read.

--- a/packages/cluster/src/configuration.ts
+++ b/packages/cluster/src/configuration.ts
@@ -21,7 +21,7 @@
   getCurrent(): ports.Configuration | undefined;
   /** Returns whether a newer version may have been in force for longer than a node may lag behind. */
   isStale(): boolean;
-  /** Returns the time since the store last answered a read, in ms. */
+  /** Returns the age of the newest answer of the store to a read, in ms. */
   getReadAge(): number;
   /** Finds the route with the longest matching prefix, and the rest of the path. */
   findRoute(
@@ -99,10 +99,12 @@
   async function follow(): Promise<void> {
     while (!isClosed()) {
       // After a failure, a read without a wait tells soonest that this view is current again.
-      const storeAnswered = await tail.follow(
-        storeUnavailable ? 0 : FOLLOW_WAIT_MS,
-      );
-      if (storeAnswered) lastReadMs = timers.getNow();
+      const waitMs = storeUnavailable ? 0 : FOLLOW_WAIT_MS;
+      const startedMs = timers.getNow();
+      const storeAnswered = await tail.follow(waitMs);
+      // The store answers at the end of the wait at the latest; a process that was paused reads the answer later.
+      if (storeAnswered)
+        lastReadMs = Math.min(timers.getNow(), startedMs + waitMs);
       if (storeAnswered && storeUnavailable) {
         log.write('info', 'store.regained', { stream: 'configuration' });
         storeUnavailable = false;
--- a/packages/cluster/test/configuration.test.ts
+++ b/packages/cluster/test/configuration.test.ts
@@ -1,6 +1,8 @@
 /** The configuration of a node: only newer versions are adopted, and in time although a connection is unresponsive. */
 import * as vitest from 'vitest';
+import * as core from '@flamingoward/core';
 import * as configurations from '../src/configuration.js';
+import type * as ports from '../src/ports.js';
 import * as fakes from './fakes.js';
 
 function write(version: number, prefixes: readonly string[]): string {
@@ -35,6 +37,37 @@
     },
   );
 
+  vitest.it(
+    'is as old as the answer that a process reads after a pause (guards against a revoked key that is served because an old answer counts as a new one)',
+    async () => {
+      const PAUSE_MS = 10_000;
+      const context = fakes.createFakeContext();
+      const { configuration, timers } = context;
+      configuration.add('config', write(1, ['/a/']));
+      const paused: ports.ConfigurationSource = {
+        ...context.ports.configuration,
+        async read(from, options) {
+          const result = await configuration.read(from, options);
+          if (options.waitMs > 0)
+            await core.waitFor(timers, 'test.pause', PAUSE_MS);
+          return result;
+        },
+      };
+      const view = configurations.createConfigurationView({
+        ...context,
+        ports: { ...context.ports, configuration: paused },
+      });
+      view.open();
+      await fakes.advance(context.fakeTimers, 100);
+      vitest.expect(view.getReadAge()).toBeLessThan(200);
+      vitest.expect(view.isStale()).toBe(false);
+      await fakes.advance(context.fakeTimers, PAUSE_MS + 1_200);
+      vitest.expect(view.getReadAge()).toBeGreaterThanOrEqual(PAUSE_MS);
+      vitest.expect(view.isStale()).toBe(true);
+      view.close();
+    },
+  );
+
   vitest.it(
     'ignores an older version that is read after a newer one',
     async () => {
