--- a/packages/core/src/workloads/ranking.ts
+++ b/packages/core/src/workloads/ranking.ts
@@ -22,6 +22,8 @@
 const EXPIRED_PENALTY = 3;
 /** Minimum time between promotions of excess jobs in a pool, in ms. Without it, a backlog would come before all jobs within their rate. */
 const EXCESS_INTERVAL_MS = 2_000;
+/** Time after which another excess job is promoted although the last one still waits, in ms: it may need a VM that isn't there. */
+const MAX_EXCESS_PROMOTION_MS = 10_000;
 
 /** A step with waiting tasks and its rank. */
 export interface RankedStep {
@@ -116,6 +118,8 @@
 export interface PromotedExcess {
   readonly occurrence: tables.OccurrenceRow;
   readonly sinceMs: number;
+  /** Occurrences that have been promoted since all late ones had been. */
+  readonly served: WeakSet<tables.OccurrenceRow>;
 }
 
 /**
@@ -128,28 +132,13 @@
   nowMs: number,
 ): RankedStep[] {
   const promoted = new Map<types.PoolName, RankedStep>();
-  const late = new Map<types.PoolName, RankedStep>();
-  const waiting = new Set<tables.OccurrenceRow>();
   for (const entry of ranked) {
+    if (entry.isExcess || entry.overdueExpiryMs === undefined) continue;
     const { pool } = entry.step.occurrence.job.policy;
-    if (entry.isExcess) {
-      waiting.add(entry.step.occurrence);
-      const earliestMs = late.get(pool)?.objectiveMs ?? nowMs;
-      if (entry.objectiveMs < earliestMs) late.set(pool, entry);
-    } else if (entry.overdueExpiryMs !== undefined) {
-      const earliestMs = promoted.get(pool)?.overdueExpiryMs ?? Infinity;
-      if (entry.overdueExpiryMs < earliestMs) promoted.set(pool, entry);
-    }
-  }
-  for (const [pool, { step }] of late) {
-    const last = state.promotedExcess.get(pool);
-    const isOver = last === undefined || !waiting.has(last.occurrence);
-    if (isOver && nowMs - (last?.sinceMs ?? -Infinity) >= EXCESS_INTERVAL_MS)
-      state.promotedExcess.set(pool, {
-        occurrence: step.occurrence,
-        sinceMs: nowMs,
-      });
+    const earliestMs = promoted.get(pool)?.overdueExpiryMs ?? Infinity;
+    if (entry.overdueExpiryMs < earliestMs) promoted.set(pool, entry);
   }
+  updatePromotedExcess(state, ranked, nowMs);
   return ranked.map((entry) => {
     const { occurrence } = entry.step;
     const { pool, priority } = occurrence.job.policy;
@@ -165,6 +154,48 @@
   });
 }
 
+/** In each pool, promotes the excess occurrence with the earliest objective, each once before the next turn of all. */
+function updatePromotedExcess(
+  state: states.State,
+  ranked: readonly RankedStep[],
+  nowMs: number,
+): void {
+  const pools = new Set<types.PoolName>();
+  const waiting = new Set<tables.OccurrenceRow>();
+  const earliest = new Map<types.PoolName, RankedStep>();
+  for (const entry of ranked) {
+    const { occurrence } = entry.step;
+    const { pool } = occurrence.job.policy;
+    if (!entry.isExcess || entry.objectiveMs >= nowMs) continue;
+    pools.add(pool);
+    waiting.add(occurrence);
+    if (state.promotedExcess.get(pool)?.served.has(occurrence) === true)
+      continue;
+    const earliestMs = earliest.get(pool)?.objectiveMs ?? Infinity;
+    if (entry.objectiveMs < earliestMs) earliest.set(pool, entry);
+  }
+  for (const pool of pools) {
+    const last = state.promotedExcess.get(pool);
+    const next = earliest.get(pool)?.step.occurrence;
+    if (last !== undefined) {
+      const minimumMs = waiting.has(last.occurrence)
+        ? MAX_EXCESS_PROMOTION_MS
+        : EXCESS_INTERVAL_MS;
+      if (nowMs - last.sinceMs < minimumMs) continue;
+      if (next === undefined)
+        state.promotedExcess.set(pool, { ...last, served: new WeakSet() });
+    }
+    if (next === undefined) continue;
+    const served = last?.served ?? new WeakSet();
+    served.add(next);
+    state.promotedExcess.set(pool, {
+      occurrence: next,
+      sinceMs: nowMs,
+      served,
+    });
+  }
+}
+
 /** Orders ranked steps. */
 export function compareRanked(a: RankedStep, b: RankedStep): number {
   return (
--- a/packages/core/test/workloads/shares.test.ts
+++ b/packages/core/test/workloads/shares.test.ts
@@ -194,6 +194,8 @@
     () => {
       const harness = createHotHarness(['a']);
       addJob(harness, 'first', 'other', [WHOLE_VM]);
+      // No VM has its label.
+      addJob(harness, 'stuck', 'hot', [{ ...WHOLE_VM, label: 'none' }]);
       addJob(harness, 'excess', 'hot', [WHOLE_VM]);
       harness.advance(10);
       for (let round = 0; round < 90; round += 1) {
