Bound the memory, descriptors and time that connections of callers take

Cause: the server kept a buffer for each chunk of a body, had no limit over all bodies and connections, no deadline for bodies shorter than five minutes, and created all pipelined requests of a connection at once.

Change: cluster.intake decides, without input or output, what to close or refuse: idle connections first, then the oldest incomplete bodies, then new connections and requests. A connection with more than 16 pipelined requests is closed.

--- /dev/null
+++ b/packages/cluster/src/intake.ts
@@ -0,0 +1,307 @@
+/**
+ * Decides which connections and requests of callers a process keeps when its memory or its
+ * descriptors run short. It has no input or output: the server reports what happens on its
+ * connections, and closes those that are returned. Load is shed in this order: connections
+ * without an unanswered request, beginning with the longest idle one; then the incomplete
+ * bodies that have waited longest; then new connections and requests.
+ */
+
+const BYTES_PER_MB = 1_048_576;
+/** Descriptors for files, listening sockets, pipes and timers of the process. */
+const RESERVED_DESCRIPTORS = 200;
+/** Share of the other descriptors that callers may use; an owner needs most of them for VMs. */
+const CALLER_DESCRIPTOR_SHARE = 0.25;
+/** Share of the memory that connections of callers may take. */
+const CONNECTION_MEMORY_SHARE = 0.2;
+/** Memory of one connection, in bytes: about 15,000 measured when idle, and a header of 16,384. */
+const CONNECTION_BYTES = 32_768;
+/** Share of the memory that bodies of all requests may take together. */
+const BODY_MEMORY_SHARE = 0.05;
+/** Memory of the machine when the settings name none, in MB; the smallest that is deployed. */
+export const DEFAULT_MEMORY_MB = 250;
+/** Descriptors of the process when the settings name none; below the smallest that is deployed. */
+export const DEFAULT_MAX_DESCRIPTORS = 4_096;
+/** Most requests of one connection without a completely written answer; clients rarely pipeline any. */
+const MAX_PIPELINED = 16;
+/** Time from the end of the header in which a body must arrive, in ms; callers give up after about 3 s. */
+const BODY_TIMEOUT_MS = 10_000;
+/** Time in which a header must arrive, in ms, when the configuration names none. */
+export const DEFAULT_HEADER_TIMEOUT_MS = 3_000;
+
+/** Limits of the connections and requests of callers. */
+export interface IntakeLimits {
+  readonly maxConnections: number;
+  /** Most requests that are being read or handled. */
+  readonly maxRequests: number;
+  /** Most requests of one connection without a completely written answer. */
+  readonly maxPipelined: number;
+  /** Most memory of the bodies of all requests, in bytes. */
+  readonly maxBodiesBytes: number;
+  readonly bodyTimeoutMs: number;
+}
+
+/** Computes the limits from the memory and the descriptors of a process. */
+export function computeIntakeLimits(machine: {
+  readonly memoryMb: number;
+  readonly maxDescriptors: number;
+}): IntakeLimits {
+  const memoryBytes = machine.memoryMb * BYTES_PER_MB;
+  const descriptors = Math.max(
+    0,
+    machine.maxDescriptors - RESERVED_DESCRIPTORS,
+  );
+  const maxConnections = Math.max(
+    1,
+    Math.floor(
+      Math.min(
+        descriptors * CALLER_DESCRIPTOR_SHARE,
+        (memoryBytes * CONNECTION_MEMORY_SHARE) / CONNECTION_BYTES,
+      ),
+    ),
+  );
+  return {
+    maxConnections,
+    // A caller has one request at a time on a connection.
+    maxRequests: maxConnections,
+    maxPipelined: MAX_PIPELINED,
+    maxBodiesBytes: Math.floor(memoryBytes * BODY_MEMORY_SHARE),
+    bodyTimeoutMs: BODY_TIMEOUT_MS,
+  };
+}
+
+/** Reason for which a connection is closed. */
+export type ClosingReason =
+  'idle' | 'header-timeout' | 'idle-timeout' | 'body' | 'body-timeout';
+
+/** A connection to close. */
+export interface Closing<Connection> {
+  readonly connection: Connection;
+  readonly reason: ClosingReason;
+}
+
+/** A request, from the end of its header until its handling has ended. */
+export interface IntakeRequest<Connection> {
+  readonly connection: Connection;
+}
+
+/** Times after which connections without a request are closed, in ms. */
+export interface IdleTimeouts {
+  readonly headerMs: number;
+  readonly idleMs: number;
+}
+
+/** The connections and requests of one server. */
+export interface Intake<Connection> {
+  /** Adds a connection; it must be closed at once when it isn't accepted. */
+  openConnection(
+    connection: Connection,
+    nowMs: number,
+  ): {
+    readonly accepted: boolean;
+    readonly closing: readonly Closing<Connection>[];
+  };
+  closeConnection(connection: Connection): void;
+  /** Begins to read a request; `pipelined` means that its connection must be closed. */
+  beginRequest(
+    connection: Connection,
+    nowMs: number,
+  ): IntakeRequest<Connection> | 'overloaded' | 'pipelined';
+  /** Sets the memory of a body, in bytes; the request must be refused when it isn't granted. */
+  reserveBody(
+    request: IntakeRequest<Connection>,
+    bytes: number,
+  ): {
+    readonly granted: boolean;
+    readonly closing: readonly Closing<Connection>[];
+  };
+  /** Applies that the whole body of a request has arrived. */
+  completeBody(request: IntakeRequest<Connection>): void;
+  /** Applies that a request has got its answer or has ended without one. */
+  endRequest(request: IntakeRequest<Connection>, nowMs: number): void;
+  /** Returns whether nothing that the connection has sent has been handed to the handler without an answer. */
+  canRefuse(connection: Connection): boolean;
+  /** Applies that an answer has been written completely. */
+  recordWritten(connection: Connection): void;
+  /** Lists the connections whose time is over. */
+  listExpired(
+    nowMs: number,
+    timeouts: IdleTimeouts,
+  ): readonly Closing<Connection>[];
+  count(): {
+    readonly connections: number;
+    readonly requests: number;
+    readonly bodiesBytes: number;
+  };
+}
+
+interface RequestEntry<Connection> extends IntakeRequest<Connection> {
+  phase: 'reading' | 'handling' | 'ended';
+  readonly beganMs: number;
+  bytes: number;
+}
+
+interface ConnectionEntry<Connection> {
+  /** Requests that are being read or handled. */
+  active: number;
+  /** Requests without a completely written answer. */
+  unwritten: number;
+  /** Requests that aren't completely received; several when they arrive in one read. */
+  readonly reading: Set<RequestEntry<Connection>>;
+}
+
+interface IdleEntry {
+  readonly sinceMs: number;
+  /** What had been read from the connection by then, in bytes. */
+  readonly readBytes: number;
+  /** When a header was first seen to arrive. */
+  headerMs: number | undefined;
+}
+
+/** Creates an intake without connections; `getReadBytes` returns how much has been read from one. */
+export function createIntake<Connection>(
+  limits: IntakeLimits,
+  getReadBytes: (connection: Connection) => number,
+): Intake<Connection> {
+  const connections = new Map<Connection, ConnectionEntry<Connection>>();
+  /** Connections without a request that is read or handled, the longest idle one first. */
+  const idle = new Map<Connection, IdleEntry>();
+  /** Requests whose body is incomplete, the oldest first. */
+  const reading = new Set<RequestEntry<Connection>>();
+  let requests = 0;
+  let bodiesBytes = 0;
+
+  function addIdle(connection: Connection, nowMs: number): void {
+    idle.set(connection, {
+      sinceMs: nowMs,
+      readBytes: getReadBytes(connection),
+      headerMs: undefined,
+    });
+  }
+
+  function removeRequest(request: RequestEntry<Connection>): void {
+    if (request.phase === 'ended') return;
+    request.phase = 'ended';
+    endReading(request);
+    requests -= 1;
+    bodiesBytes -= request.bytes;
+  }
+
+  function endReading(request: RequestEntry<Connection>): void {
+    reading.delete(request);
+    connections.get(request.connection)?.reading.delete(request);
+  }
+
+  function closeConnection(connection: Connection): void {
+    // Requests that are being handled hold their memory until the handler has ended.
+    for (const request of connections.get(connection)?.reading ?? [])
+      removeRequest(request);
+    connections.delete(connection);
+    idle.delete(connection);
+  }
+
+  function pickIdle(): Closing<Connection> | undefined {
+    for (const connection of idle.keys()) return { connection, reason: 'idle' };
+    return undefined;
+  }
+
+  function pickReading(spared?: Connection): Closing<Connection> | undefined {
+    for (const { connection } of reading)
+      if (connection !== spared) return { connection, reason: 'body' };
+    return undefined;
+  }
+
+  return {
+    openConnection(connection, nowMs) {
+      const closing: Closing<Connection>[] = [];
+      if (connections.size >= limits.maxConnections) {
+        const next = pickIdle() ?? pickReading();
+        if (next === undefined) return { accepted: false, closing };
+        closeConnection(next.connection);
+        closing.push(next);
+      }
+      connections.set(connection, {
+        active: 0,
+        unwritten: 0,
+        reading: new Set(),
+      });
+      addIdle(connection, nowMs);
+      return { accepted: true, closing };
+    },
+    closeConnection,
+    beginRequest(connection, nowMs) {
+      const entry = connections.get(connection);
+      // Further requests of a connection that is being closed are dropped with it.
+      if (entry === undefined || entry.unwritten >= limits.maxPipelined)
+        return 'pipelined';
+      entry.unwritten += 1;
+      if (requests >= limits.maxRequests) return 'overloaded';
+      entry.active += 1;
+      idle.delete(connection);
+      const request: RequestEntry<Connection> = {
+        connection,
+        phase: 'reading',
+        beganMs: nowMs,
+        bytes: 0,
+      };
+      requests += 1;
+      reading.add(request);
+      entry.reading.add(request);
+      return request;
+    },
+    reserveBody(handle, bytes) {
+      const request = handle as RequestEntry<Connection>;
+      const closing: Closing<Connection>[] = [];
+      if (request.phase === 'ended') return { granted: false, closing };
+      while (bodiesBytes - request.bytes + bytes > limits.maxBodiesBytes) {
+        const next = pickReading(request.connection);
+        if (next === undefined) return { granted: false, closing };
+        closeConnection(next.connection);
+        closing.push(next);
+      }
+      bodiesBytes += bytes - request.bytes;
+      request.bytes = bytes;
+      return { granted: true, closing };
+    },
+    completeBody(handle) {
+      const request = handle as RequestEntry<Connection>;
+      if (request.phase !== 'reading') return;
+      endReading(request);
+      request.phase = 'handling';
+    },
+    endRequest(handle, nowMs) {
+      const request = handle as RequestEntry<Connection>;
+      if (request.phase === 'ended') return;
+      removeRequest(request);
+      const entry = connections.get(request.connection);
+      if (entry === undefined) return;
+      entry.active -= 1;
+      if (entry.active === 0) addIdle(request.connection, nowMs);
+    },
+    canRefuse(connection) {
+      const entry = connections.get(connection);
+      return entry?.unwritten === entry?.reading.size;
+    },
+    recordWritten(connection) {
+      const entry = connections.get(connection);
+      if (entry !== undefined) entry.unwritten -= 1;
+    },
+    listExpired(nowMs, timeouts) {
+      const closing: Closing<Connection>[] = [];
+      for (const { connection, beganMs } of reading) {
+        if (nowMs - beganMs < limits.bodyTimeoutMs) break;
+        closing.push({ connection, reason: 'body-timeout' });
+      }
+      for (const [connection, entry] of idle) {
+        if (getReadBytes(connection) !== entry.readBytes)
+          entry.headerMs ??= nowMs;
+        const headerAgeMs = nowMs - (entry.headerMs ?? nowMs);
+        if (headerAgeMs >= timeouts.headerMs)
+          closing.push({ connection, reason: 'header-timeout' });
+        else if (nowMs - entry.sinceMs >= timeouts.idleMs)
+          closing.push({ connection, reason: 'idle-timeout' });
+      }
+      return closing;
+    },
+    count: () => ({ connections: connections.size, requests, bodiesBytes }),
+  };
+}
--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -468,6 +468,10 @@
     renderDump,
     getMaxBodyBytes: () =>
       configuration.getCurrent()?.maxBodyBytes ?? MAX_FRAME_BYTES,
+    getConnectionLimits: () => configuration.getCurrent()?.connectionLimits,
+    recordShed(reason) {
+      metrics.count('callers_shed', { reason });
+    },
   });
 
   /** Renders the tables of this node's owner, or which owner this node follows. */
--- a/packages/cluster/src/ports.ts
+++ b/packages/cluster/src/ports.ts
@@ -125,6 +125,17 @@
   /** Absent when the configuration names no workspaces, so that requests need no key. */
   readonly workspaces?: readonly Workspace[];
   readonly maxBodyBytes: number;
+  /** Limits of connections of callers. */
+  readonly connectionLimits?: ConnectionLimits;
+}
+
+/** Limits of connections of callers; absent ones have defaults. */
+export interface ConnectionLimits {
+  readonly maxHeaderBytes?: number | undefined;
+  /** Time in which a header must arrive, in ms. */
+  readonly headerTimeoutMs?: number | undefined;
+  /** Time for which callers keep connections without a request, in ms. */
+  readonly idleTimeoutMs?: number | undefined;
 }
 
 /** A decoded value, or the reason why it can't be read. */
@@ -294,6 +305,9 @@
   renderMetrics(): string;
   renderDump(): string;
   getMaxBodyBytes(): number;
+  getConnectionLimits?(): ConnectionLimits | undefined;
+  /** Counts a connection that was closed, or a request that was refused, to bound the load. */
+  recordShed?(reason: string): void;
 }
 
 /** All that an adapter provides to a node. */
--- a/packages/cluster/src/settings.ts
+++ b/packages/cluster/src/settings.ts
@@ -1,6 +1,7 @@
 /** Settings of a node: an INI file, validated as a whole so that all faults are reported at once. */
 import * as ini from 'ini';
 import * as zod from 'zod';
+import * as intake from './intake.js';
 
 const address = zod.string().regex(/^[\w.-]+:\d{1,5}$/, 'expected HOST:PORT');
 const name = zod.string().min(1, 'expected a name');
@@ -38,6 +39,21 @@
   .number({ error: 'expected a number of cores' })
   .positive('expected a positive number of cores');
 
+const memoryMb = zod.preprocess(
+  dropEmpty,
+  zod.coerce
+    .number({ error: 'expected a number of MB' })
+    .positive('expected a positive number of MB')
+    .default(intake.DEFAULT_MEMORY_MB),
+);
+const maxDescriptors = zod.preprocess(
+  dropEmpty,
+  zod.coerce
+    .number({ error: 'expected a number of descriptors' })
+    .positive('expected a positive number of descriptors')
+    .default(intake.DEFAULT_MAX_DESCRIPTORS),
+);
+
 const schema = zod.object({
   process: zod.object({
     name,
@@ -62,8 +78,15 @@
     .object({
       core_share: coreCount.default(1),
       core_speed: coreCount.default(1),
+      memory_mb: memoryMb,
+      max_descriptors: maxDescriptors,
     })
-    .default({ core_share: 1, core_speed: 1 }),
+    .default({
+      core_share: 1,
+      core_speed: 1,
+      memory_mb: intake.DEFAULT_MEMORY_MB,
+      max_descriptors: intake.DEFAULT_MAX_DESCRIPTORS,
+    }),
   terms: zod.object({
     lease_ms: milliseconds,
     stop_s: seconds,
@@ -95,6 +118,10 @@
   readonly adviceAddress: string;
   /** Processor capacity of this VM, in cores of usual speed. */
   readonly cores: number;
+  /** Memory of this VM, in MB. */
+  readonly memoryMb: number;
+  /** Most open descriptors of the process. */
+  readonly maxDescriptors: number;
   /** Longest lease that VMs grant, in ms. */
   readonly leaseMs: number;
   /** Longest time that a VM takes to stop a run, in ms of its clock. */
@@ -133,6 +160,8 @@
       maxRecordBytes: log_store.max_record_bytes,
       adviceAddress: advice.address,
       cores: machine.core_share * machine.core_speed,
+      memoryMb: machine.memory_mb,
+      maxDescriptors: machine.max_descriptors,
       leaseMs: terms.lease_ms,
       runStopMs: terms.run_stop_ms,
       stopMs: terms.stop_s * 1_000,
--- a/packages/cluster/test/fakes.ts
+++ b/packages/cluster/test/fakes.ts
@@ -178,6 +178,8 @@
       maxRecordBytes: 262_144,
       adviceAddress: '',
       cores: 1,
+      memoryMb: 250,
+      maxDescriptors: 4_096,
       leaseMs: 6_000,
       runStopMs: 900,
       stopMs: 6_000,
--- /dev/null
+++ b/packages/cluster/test/intake.test.ts
@@ -0,0 +1,158 @@
+/** What is closed or refused when connections, requests or bodies exceed their limits. */
+import * as vitest from 'vitest';
+import * as intake from '../src/intake.js';
+
+const limits: intake.IntakeLimits = {
+  maxConnections: 3,
+  maxRequests: 2,
+  maxPipelined: 2,
+  maxBodiesBytes: 100,
+  bodyTimeoutMs: 1_000,
+};
+const timeouts = { headerMs: 300, idleMs: 2_000 };
+
+/** Creates an intake with connections a, b and c, opened at 0, 1 and 2 ms. */
+function createFull(chosen: Partial<intake.IntakeLimits> = {}) {
+  const readBytes = new Map<string, number>();
+  const tables = intake.createIntake<string>(
+    { ...limits, ...chosen },
+    (connection) => readBytes.get(connection) ?? 0,
+  );
+  for (const [at, connection] of ['a', 'b', 'c'].entries())
+    tables.openConnection(connection, at);
+  function begin(connection: string, nowMs: number) {
+    const request = tables.beginRequest(connection, nowMs);
+    if (typeof request === 'string') throw new Error(request);
+    return request;
+  }
+  return { tables, readBytes, begin };
+}
+
+vitest.describe('a new connection beyond the limit', () => {
+  vitest.it(
+    'takes the place of the longest idle one, then of the oldest incomplete body, and is refused after that',
+    () => {
+      const { tables, begin } = createFull({ maxRequests: 10 });
+      begin('a', 10);
+      const handled = begin('c', 11);
+      tables.completeBody(handled);
+      vitest.expect(tables.openConnection('d', 12)).toEqual({
+        accepted: true,
+        closing: [{ connection: 'b', reason: 'idle' }],
+      });
+      tables.completeBody(begin('d', 13));
+      vitest.expect(tables.openConnection('e', 14)).toEqual({
+        accepted: true,
+        closing: [{ connection: 'a', reason: 'body' }],
+      });
+      tables.completeBody(begin('e', 15));
+      vitest
+        .expect(tables.openConnection('f', 16))
+        .toEqual({ accepted: false, closing: [] });
+      tables.endRequest(handled, 17);
+      vitest
+        .expect(tables.openConnection('g', 18).closing)
+        .toEqual([{ connection: 'c', reason: 'idle' }]);
+    },
+  );
+});
+
+vitest.describe('a body beyond the limit', () => {
+  vitest.it(
+    'takes the place of the oldest incomplete ones, and is refused when the others are being handled',
+    () => {
+      const { tables, begin } = createFull({ maxRequests: 10 });
+      const first = begin('a', 10);
+      const second = begin('b', 11);
+      const third = begin('c', 12);
+      tables.reserveBody(first, 40);
+      tables.reserveBody(second, 40);
+      vitest.expect(tables.reserveBody(third, 60)).toEqual({
+        granted: true,
+        closing: [{ connection: 'a', reason: 'body' }],
+      });
+      tables.completeBody(third);
+      vitest
+        .expect(tables.reserveBody(second, 41))
+        .toEqual({ granted: false, closing: [] });
+      tables.closeConnection('c');
+      vitest.expect(tables.count().bodiesBytes).toBe(100);
+      tables.endRequest(third, 13);
+      vitest.expect(tables.reserveBody(second, 41).granted).toBe(true);
+    },
+  );
+});
+
+vitest.describe('requests', () => {
+  vitest.it(
+    'are refused beyond the limit of all connections, and close their own beyond its limit',
+    () => {
+      const { tables, begin } = createFull();
+      begin('a', 10);
+      begin('a', 11);
+      vitest.expect(tables.beginRequest('a', 12)).toBe('pipelined');
+      vitest.expect(tables.beginRequest('b', 13)).toBe('overloaded');
+      tables.closeConnection('a');
+      vitest.expect(tables.count().requests).toBe(0);
+      vitest.expect(tables.beginRequest('b', 14)).not.toBeTypeOf('string');
+    },
+  );
+
+  vitest.it(
+    'still count for their connection while their answers are unread (guards against answers that fill the memory)',
+    () => {
+      const { tables, begin } = createFull();
+      for (let count = 0; count < 2; count += 1) {
+        const request = begin('a', 10);
+        tables.completeBody(request);
+        tables.endRequest(request, 10);
+      }
+      vitest.expect(tables.beginRequest('a', 11)).toBe('pipelined');
+      tables.recordWritten('a');
+      vitest.expect(tables.beginRequest('a', 12)).not.toBe('pipelined');
+    },
+  );
+});
+
+vitest.describe('a connection whose time is over', () => {
+  vitest.it(
+    'is closed: without a request, with an incomplete header or an incomplete body',
+    () => {
+      const { tables, readBytes, begin } = createFull();
+      begin('a', 10);
+      vitest.expect(tables.listExpired(500, timeouts)).toEqual([]);
+      readBytes.set('b', 5);
+      vitest.expect(tables.listExpired(600, timeouts)).toEqual([]);
+      vitest
+        .expect(tables.listExpired(900, timeouts))
+        .toEqual([{ connection: 'b', reason: 'header-timeout' }]);
+      tables.closeConnection('b');
+      vitest
+        .expect(tables.listExpired(1_010, timeouts))
+        .toEqual([{ connection: 'a', reason: 'body-timeout' }]);
+      tables.closeConnection('a');
+      vitest
+        .expect(tables.listExpired(2_002, timeouts))
+        .toEqual([{ connection: 'c', reason: 'idle-timeout' }]);
+    },
+  );
+});
+
+vitest.describe('the limits of a machine', () => {
+  vitest.it(
+    'leave most descriptors to outgoing connections, and room for some hundred callers',
+    () => {
+      for (const [memoryMb, maxDescriptors, maxConnections] of [
+        [250, 4_100, 975],
+        [602, 8_192, 1_998],
+        [250, 8_192, 1_600],
+      ] as const)
+        vitest
+          .expect(
+            intake.computeIntakeLimits({ memoryMb, maxDescriptors })
+              .maxConnections,
+          )
+          .toBe(maxConnections);
+    },
+  );
+});
--- a/packages/cluster/test/settings.test.ts
+++ b/packages/cluster/test/settings.test.ts
@@ -79,6 +79,31 @@
     },
   );
 
+  vitest.it(
+    'take the memory and the descriptors of the machine, which have defaults (guards against a node that does not start without them)',
+    () => {
+      for (const [lines, expected] of [
+        [
+          'memory_mb = 602\nmax_descriptors = 8192',
+          { memoryMb: 602, maxDescriptors: 8_192 },
+        ],
+        [
+          'memory_mb =\nmax_descriptors =',
+          { memoryMb: 250, maxDescriptors: 4_096 },
+        ],
+        ['', { memoryMb: 250, maxDescriptors: 4_096 }],
+      ] as const)
+        vitest
+          .expect(
+            settings.parseNodeSettings(
+              `${complete}\n[machine]\n${lines}\n`,
+              'file',
+            ),
+          )
+          .toMatchObject({ settings: expected });
+    },
+  );
+
   vitest.it(
     'report all faults at once, each with its file, section, key and expected value (guards against a start that fails on one fault at a time)',
     () => {
