Daemon: collect bodies of callers in one buffer each

Cause: readBody of the callers' server kept a buffer for each chunk too. It already has deadlines for headers and bodies, and refuses malformed input with a reason.

Change: the body buffer moves to the core package, and readBody uses it. A bound over all bodies and connections of that server isn't part of this change.

--- a/platform/src/bodyBuffer.ts
+++ b/packages/core/src/bodyBuffer.ts
@@ -45,8 +45,10 @@
   release(): void;
 }
 
-/** Creates an empty body. */
-export function createBodyBuffer(pool: BufferPool): BodyBuffer {
+/** Creates an empty body; without a pool, its buffers are used once. */
+export function createBodyBuffer(
+  pool: BufferPool = createBufferPool(0),
+): BodyBuffer {
   let buffer: Buffer = Buffer.alloc(0);
   let bytes = 0;
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -14,6 +14,8 @@
 export type { FaultCode, FaultInfo, FaultOrigin } from './errors.js';
 export { createSubject } from './events.js';
 export type { Subject } from './events.js';
+export { createBodyBuffer, createBufferPool } from './bodyBuffer.js';
+export type { BodyBuffer, BufferPool } from './bodyBuffer.js';
 export { waitFor } from './time/timers.js';
 export type {
   TimerRequest,
--- a/packages/daemon/src/callers/exchange.ts
+++ b/packages/daemon/src/callers/exchange.ts
@@ -147,7 +147,7 @@
     if (isTooLarge && request.headers.expect !== undefined)
       return Promise.resolve({ outcome: 'too-large' });
     return new Promise((resolve) => {
-      const chunks: Buffer[] = [];
+      const body = core.createBodyBuffer();
       let receivedBytes = 0;
       const startTimer = (delayMs: number, outcome: 'too-large' | 'too-slow') =>
         timers.subscribe(
@@ -159,12 +159,13 @@
       const finish = (result: BodyResult) => {
         timer.end();
         request.off('data', receiveChunk);
+        body.release();
         resolve(result);
       };
       const receiveChunk = (chunk: Buffer) => {
         receivedBytes += chunk.byteLength;
         if (receivedBytes <= maxBytes && !isTooLarge) {
-          chunks.push(chunk);
+          body.add(chunk);
           return;
         }
         if (!isTooLarge) {
@@ -172,7 +173,7 @@
           timer.end();
           timer = startTimer(MAX_DISCARD_MS, 'too-large');
         }
-        chunks.length = 0;
+        body.release();
         if (receivedBytes > maxBytes + MAX_DISCARD_BYTES)
           finish({ outcome: 'too-large' });
       };
@@ -187,7 +188,7 @@
         finish(
           isTooLarge
             ? { outcome: 'too-large' }
-            : { outcome: 'complete', body: Buffer.concat(chunks) },
+            : { outcome: 'complete', body: body.get() },
         );
       });
       request.once('close', () => {
