--- a/packages/cluster/src/intake.ts
+++ b/packages/cluster/src/intake.ts
@@ -69,6 +69,23 @@
   };
 }
 
+/** Descriptors for links between nodes, the store, the advice service, readiness and metrics. */
+const OTHER_CONNECTIONS = 100;
+
+/** Computes how many outgoing connections to VMs are kept; callers and others have the rest. */
+export function computeMaxOutgoing(machine: {
+  readonly memoryMb: number;
+  readonly maxDescriptors: number;
+}): number {
+  return Math.max(
+    1,
+    machine.maxDescriptors -
+      RESERVED_DESCRIPTORS -
+      OTHER_CONNECTIONS -
+      computeIntakeLimits(machine).maxConnections,
+  );
+}
+
 /** Reason for which a connection is closed. */
 export type ClosingReason =
   'idle' | 'header-timeout' | 'idle-timeout' | 'body' | 'body-timeout';
