--- a/packages/core/src/bodyBuffer.ts
+++ b/packages/core/src/bodyBuffer.ts
@@ -1,8 +1,8 @@
 /**
  * Collects bodies whose chunks may be as small as one byte. A buffer for each chunk takes
  * some hundred bytes for one byte of content, and a slice of a read keeps the whole read.
- * Buffers are used again: the memory of one that is dropped is freed only by a later garbage
- * collection, which Node.js begins after 32 to 64 MB of such memory.
+ * Buffers are used again, since the memory of one that is dropped is freed only by a later
+ * garbage collection.
  */
 
 /** Size of the smallest buffer, in bytes; each larger one has twice the size. */
