--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -501,6 +501,10 @@
     renderDump,
     getMaxBodyBytes: () =>
       configuration.getCurrent()?.maxBodyBytes ?? MAX_FRAME_BYTES,
+    getConnectionLimits: () => configuration.getCurrent()?.connectionLimits,
+    recordShed(reason) {
+      metrics.count('callers_shed', { reason });
+    },
   });
 
   /** Renders the tables of this node's owner, or which owner this node follows. */
