Learn run times of queues and lasting speeds of VMs

Declared estimates are off by up to 0.9 for half of the queues, and some VMs run at 0.8 or 1.25 of the usual speed. Ranking, reservations, headroom, stalls and the measurement of speed relied on est_ms alone.

runTimes.ts estimates the median time of a step from the declared time, earlier steps of its queue and image, and the step's own finished and running tasks, weighted by their measured accuracy. It also gives the expected remaining time of a run and quantiles of a task's time. speed.ts learns a lasting speed of each VM and kind beside the passing one; urgent steps and the longest tasks prefer faster VMs, without a preference for empty ones. Without samples the declared time is used.

--- a/packages/core/src/workloads/ends.ts
+++ b/packages/core/src/workloads/ends.ts
@@ -6,6 +6,7 @@
 import * as blame from './blame.js';
 import * as names from './names.js';
 import * as removals from './removals.js';
+import * as speeds from './speed.js';
 import * as states from './state.js';
 import type * as tables from './tables.js';
 import type * as types from './types.js';
@@ -38,7 +39,10 @@
     state.unrecordedStartsBatch = state.nextBatch;
   if (run === undefined) recordLateEnd(state, task, vm, end, nowMs);
   recordVmOutcome(vm, end.how, run, nowMs);
-  if (run !== undefined) states.removeRun(state, run, end.how, nowMs);
+  if (run !== undefined) {
+    speeds.observeEnd(state, run, end.how, nowMs);
+    states.removeRun(state, run, end.how, nowMs);
+  }
   if (end.saved !== '') saveProgress(task, end.saved);
   switch (end.how) {
     case 'done':
--- a/packages/core/src/workloads/headroom.ts
+++ b/packages/core/src/workloads/headroom.ts
@@ -4,6 +4,7 @@
  * run, which takes most of the time that its objective allows. The headroom follows the
  * recent peak of urgent use, up to a fixed share of the pool.
  */
+import * as runTimes from './runTimes.js';
 import type * as states from './state.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
@@ -31,11 +32,16 @@
 }
 
 /** Returns whether a step is urgent. */
-export function isUrgent(step: tables.StepRow): boolean {
+export function isUrgent(
+  state: states.State,
+  step: tables.StepRow,
+  nowMs: number,
+): boolean {
+  if (step.spec.lasts) return false;
   const { policy } = step.occurrence.job;
-  const allowedWaitMs =
-    (policy.stretch - 1) * step.spec.estimateMs + policy.slackMs;
-  return !step.spec.lasts && allowedWaitMs < URGENT_WAIT_MS;
+  const takesMs = runTimes.estimateStepMs(state.runTimes, step, nowMs);
+  const allowedWaitMs = (policy.stretch - 1) * takesMs + policy.slackMs;
+  return allowedWaitMs < URGENT_WAIT_MS;
 }
 
 /** Measures the free resources of every pool and the cores reserved for urgent steps. */
@@ -73,7 +79,7 @@
     pool.largestCores = Math.max(pool.largestCores, free.cores);
     pool.largestGpus = Math.max(pool.largestGpus, free.gpus);
     for (const run of vm.runs)
-      if (run.phase !== 'stopping' && isUrgent(run.task.step))
+      if (run.phase !== 'stopping' && isUrgent(state, run.task.step, nowMs))
         pool.urgentCores += tables.getNeed(run.task.step.spec).cores;
   }
   const rooms = new Map<types.PoolName, PoolRoom>();
@@ -119,8 +125,13 @@
 }
 
 /** Returns whether a task may use its cores. Service tasks may use reserved ones: they are few and must be replaced at once. */
-export function canUseCores(room: PoolRoom, step: tables.StepRow): boolean {
-  if (isUrgent(step) || step.spec.lasts) return true;
+export function canUseCores(
+  state: states.State,
+  room: PoolRoom,
+  step: tables.StepRow,
+  nowMs: number,
+): boolean {
+  if (step.spec.lasts || isUrgent(state, step, nowMs)) return true;
   const { cores } = tables.getNeed(step.spec);
   return cores === 0 || room.freeCores - cores >= room.reservedCores;
 }
--- a/packages/core/src/workloads/owed.ts
+++ b/packages/core/src/workloads/owed.ts
@@ -264,7 +264,7 @@
   const isOwed =
     !step.occurrence.done &&
     tables.isStepOpen(step) &&
-    isBoundOver(step, turnMs, nowMs);
+    isBoundOver(state, step, turnMs, nowMs);
   const waitingTasks: WaitingStep['tasks'] = [];
   for (const row of step.tasks) {
     if (row.state === 'done') continue;
@@ -293,6 +293,7 @@
 }
 
 function isBoundOver(
+  state: states.State,
   step: tables.StepRow,
   turnMs: number,
   nowMs: number,
@@ -301,7 +302,7 @@
   return (
     step.spec.lasts ||
     step.spec.gang ||
-    nowMs > ranking.computeObjectiveMs(step.occurrence)
+    nowMs > ranking.computeObjectiveMs(state.runTimes, step.occurrence, nowMs)
   );
 }
 
--- a/packages/core/src/workloads/placement.ts
+++ b/packages/core/src/workloads/placement.ts
@@ -24,6 +24,8 @@
   readonly ticket: string | undefined;
   /** Number of tasks of the step on the VM, if the step limits them. */
   sameStep: number;
+  /** What the lasting speed of the VM adds to its score, if the step prefers speed. */
+  readonly speedScore?: number;
 }
 
 /** Returns whether a VM may run tasks of a step now, regardless of free room and tickets. */
@@ -141,7 +143,7 @@
   if (spec.dataRack !== undefined && vm.entry?.rack !== spec.dataRack)
     score += OTHER_RACK_PENALTY;
   if (vm.hasSuspect) score += SUSPECT_PENALTY;
-  score += speeds.scoreSpeed(vm, nowMs);
+  score += speeds.scoreSpeed(vm, nowMs) + (candidate.speedScore ?? 0);
   if (spec.fills && hasLatencyBoundTask(vm))
     score += FILLER_BESIDE_SERVICE_PENALTY;
   if (spec.targetMs !== undefined && hasFiller(vm))
--- a/packages/core/src/workloads/ranking.ts
+++ b/packages/core/src/workloads/ranking.ts
@@ -6,6 +6,7 @@
  * starve, so one overdue job per pool at a time keeps its priority until it expires,
  * that is, until its result is worth nothing to its caller.
  */
+import * as runTimes from './runTimes.js';
 import type * as types from './types.js';
 import * as tables from './tables.js';
 
@@ -35,42 +36,60 @@
 }
 
 /** Estimates the longest chain of dependent steps, in ms. Steps for which `isLeft` is false take no time. */
-export function estimateChainMs(
-  specs: readonly types.StepSpec[],
+function estimateChainMs(
+  times: runTimes.RunTimes,
+  steps: readonly tables.StepRow[],
   advice: types.AdvicePolicy | undefined,
-  isLeft: (index: number) => boolean,
+  isLeft: (step: tables.StepRow) => boolean,
+  nowMs: number,
 ): number {
   const adviceMs = estimateAdviceMs(advice, ESTIMATED_ADVICE_VMS);
   const endsMs: number[] = [];
-  specs.forEach((spec, index) => {
+  for (const step of steps) {
     const startMs = Math.max(
       0,
-      ...spec.after.map((dependency) => endsMs[dependency] ?? 0),
+      ...step.spec.after.map((dependency) => endsMs[dependency] ?? 0),
     );
-    endsMs.push(startMs + (isLeft(index) ? spec.estimateMs + adviceMs : 0));
-  });
+    const takesMs = isLeft(step)
+      ? runTimes.estimateStepMs(times, step, nowMs) + adviceMs
+      : 0;
+    endsMs.push(startMs + takesMs);
+  }
   return Math.max(0, ...endsMs);
 }
 
 /** Returns the monotonic time by which an occurrence should be done. */
-export function computeObjectiveMs(occurrence: tables.OccurrenceRow): number {
-  const { job, policy } = occurrence.job;
-  const chainMs = estimateChainMs(job.steps, policy.advice, () => true);
+export function computeObjectiveMs(
+  times: runTimes.RunTimes,
+  occurrence: tables.OccurrenceRow,
+  nowMs: number,
+): number {
+  const { policy } = occurrence.job;
+  const chainMs = estimateChainMs(
+    times,
+    occurrence.steps,
+    policy.advice,
+    () => true,
+    nowMs,
+  );
   return occurrence.dueMs + policy.stretch * chainMs + policy.slackMs;
 }
 
 /** Ranks a step; a lower rank comes first. */
-export function rankStep(step: tables.StepRow, nowMs: number): RankedStep {
+export function rankStep(
+  times: runTimes.RunTimes,
+  step: tables.StepRow,
+  nowMs: number,
+): RankedStep {
   const { occurrence } = step;
   const { policy } = occurrence.job;
-  const objectiveMs = computeObjectiveMs(occurrence);
+  const objectiveMs = computeObjectiveMs(times, occurrence, nowMs);
   const leftMs = estimateChainMs(
-    occurrence.job.job.steps,
+    times,
+    occurrence.steps,
     undefined,
-    (index) => {
-      const row = occurrence.steps[index];
-      return row !== undefined && row.doneCount < row.spec.count;
-    },
+    (row) => row.doneCount < row.spec.count,
+    nowMs,
   );
   const lasts = step.spec.lasts;
   const expiryMs =
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -12,6 +12,7 @@
 import * as crashes from './crashes.js';
 import * as ends from './ends.js';
 import type * as removals from './removals.js';
+import * as runTimes from './runTimes.js';
 import * as resizing from './resizing.js';
 import * as speeds from './speed.js';
 import * as states from './state.js';
@@ -192,7 +193,13 @@
     run.progressChangedMs = nowMs;
   }
   run.load = entry.load;
-  speeds.measureSpeed(run, nowMs);
+  runTimes.observeProgress(
+    state.runTimes,
+    run,
+    speeds.estimateLastingLog(state, vm, nowMs),
+    nowMs,
+  );
+  speeds.measureSpeed(state, run, nowMs);
   if (entry.saved !== '' && task?.step.spec.savesProgress === true)
     task.saved = entry.saved;
 }
--- a/packages/core/src/workloads/reservation.ts
+++ b/packages/core/src/workloads/reservation.ts
@@ -7,13 +7,15 @@
 import * as advice from './advice.js';
 import * as openVms from './openVms.js';
 import * as placement from './placement.js';
+import * as runTimes from './runTimes.js';
+import * as speeds from './speed.js';
 import type * as states from './state.js';
 import * as tables from './tables.js';
 
 /** Time after which a reservation expires unless it is renewed, in ms: several ticks. */
 const RESERVATION_MS = 400;
-/** Declared run times are wrong by up to half in either direction. */
-const ESTIMATE_ERROR_FACTOR = 1.5;
+/** Share of the tasks that must be expected to end before a reserved VM is ready, for their step to use it. */
+const BACKFILL_SHARE = 0.9;
 
 /** Reserves VMs for all members of a gang; returns false when there are too few suitable VMs. */
 export function reserveForGang(
@@ -50,7 +52,7 @@
     for (const vm of candidates) {
       const tasks = (planned.get(vm) ?? 0) + 1;
       if (tasks > (step.spec.maxPerVm ?? Infinity)) continue;
-      const readyMs = estimateReady(vm, step, tasks, nowMs);
+      const readyMs = estimateReady(state, vm, step, tasks, nowMs);
       if (readyMs === undefined || readyMs >= bestMs) continue;
       best = vm;
       bestMs = readyMs;
@@ -64,6 +66,7 @@
 
 /** Estimates the time at which a VM has room for a number of tasks; undefined when it never has. */
 function estimateReady(
+  state: states.State,
   vm: tables.VmRow,
   step: tables.StepRow,
   tasks: number,
@@ -75,7 +78,7 @@
   if (tables.hasRoom(free, need)) return nowMs;
   const ends = [...vm.runs]
     .filter((run) => !run.task.step.spec.lasts)
-    .map((run) => ({ run, endMs: estimateEnd(run, nowMs) }))
+    .map((run) => ({ run, endMs: estimateEnd(state, run, nowMs) }))
     .sort((a, b) => a.endMs - b.endMs);
   for (const { run, endMs } of ends) {
     tables.addAmount(free, tables.getNeed(run.task.step.spec), 1);
@@ -84,19 +87,31 @@
   return undefined;
 }
 
-function estimateEnd(run: tables.RunRow, nowMs: number): number {
-  const remainingShare = 1 - run.percent / 100;
-  return nowMs + remainingShare * run.task.step.spec.estimateMs;
+function estimateEnd(
+  state: states.State,
+  run: tables.RunRow,
+  nowMs: number,
+): number {
+  const speed = Math.exp(speeds.estimateLastingLog(state, run.vm, nowMs));
+  return (
+    nowMs + runTimes.estimateRemainingMs(state.runTimes, run, speed, nowMs)
+  );
 }
 
 /** Returns whether tasks of a step are likely to end before a reserved VM is ready for the other step. */
 export function isOverBeforeReady(
+  state: states.State,
   vm: tables.VmRow,
   step: tables.StepRow,
   nowMs: number,
 ): boolean {
+  if (step.spec.lasts) return false;
+  const leftMs = vm.reservedReadyMs - nowMs;
+  // The quantile is above the median and takes longer to compute.
+  if (runTimes.estimateStepMs(state.runTimes, step, nowMs) >= leftMs)
+    return false;
   return (
-    !step.spec.lasts &&
-    nowMs + step.spec.estimateMs * ESTIMATE_ERROR_FACTOR < vm.reservedReadyMs
+    runTimes.estimateQuantileMs(state.runTimes, step, BACKFILL_SHARE, nowMs) <
+    leftMs
   );
 }
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -301,7 +301,9 @@
     hasJob: (id) => state.jobs.has(id),
     getTiming(id, nowMs) {
       const job = state.jobs.get(id);
-      return job === undefined ? undefined : views.measureTiming(job, nowMs);
+      return job === undefined
+        ? undefined
+        : views.measureTiming(state, job, nowMs);
     },
     countWaiting: (nowMs) => begins.countUnstarted(state, nowMs),
     measureStarts: (nowMs) => begins.measureStarts(state, nowMs),
--- a/packages/core/src/workloads/stalls.ts
+++ b/packages/core/src/workloads/stalls.ts
@@ -4,6 +4,7 @@
  * a row must show no progress.
  */
 import * as placement from './placement.js';
+import * as runTimes from './runTimes.js';
 import * as states from './state.js';
 import type * as tables from './tables.js';
 
@@ -19,7 +20,7 @@
   for (const vm of state.vms.values()) {
     if (!vm.usable) continue;
     for (const run of vm.runs) {
-      if (!isStalled(run, vm, nowMs)) continue;
+      if (!isStalled(state, run, vm, nowMs)) continue;
       run.task.avoidedVms.add(vm.id);
       vm.avoidUntilMs = Math.max(vm.avoidUntilMs, nowMs + STALL_BACKOFF_MS);
       states.stopRun(state, run, 'stalled', nowMs);
@@ -28,6 +29,7 @@
 }
 
 function isStalled(
+  state: states.State,
   run: tables.RunRow,
   vm: tables.VmRow,
   nowMs: number,
@@ -35,11 +37,9 @@
   if (run.phase !== 'running' || run.percent === 100) return false;
   const { spec } = run.task.step;
   const noProgressMs = nowMs - run.progressChangedMs;
-  const timeoutMs = Math.max(
-    STALL_TIMEOUT_MS,
-    STALL_TIMEOUT_SHARE * spec.estimateMs,
-  );
-  if (noProgressMs <= timeoutMs) return false;
+  if (noProgressMs <= STALL_TIMEOUT_MS) return false;
+  const takesMs = runTimes.estimateStepMs(state.runTimes, run.task.step, nowMs);
+  if (noProgressMs <= STALL_TIMEOUT_SHARE * takesMs) return false;
   // Filler tasks may get no processor time for a while.
   return !spec.fills && !placement.hasLatencyBoundTask(vm);
 }
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -5,6 +5,8 @@
 import * as names from './names.js';
 import type * as openVms from './openVms.js';
 import * as removals from './removals.js';
+import * as runTimes from './runTimes.js';
+import * as speeds from './speed.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
 
@@ -148,6 +150,10 @@
     { readonly asked: number; readonly approved: number }
   >;
   readonly counts: Map<string, number>;
+  /** Learned run times of the queues. */
+  readonly runTimes: runTimes.RunTimes;
+  /** Learned speeds of the kinds of VMs. */
+  readonly speeds: speeds.Speeds;
   /** Decaying peak of the cores used by urgent steps, by pool. */
   readonly urgentPeaks: Map<
     types.PoolName,
@@ -196,6 +202,8 @@
     adviceSlots: adviceSlots.createAdviceSlots(),
     approvedShares: new Map(),
     counts: new Map(),
+    runTimes: runTimes.createRunTimes(),
+    speeds: speeds.createSpeeds(),
     urgentPeaks: new Map(),
   };
 }
@@ -266,6 +274,7 @@
     paceSentMs: 0,
     incarnation: run.incarnation ?? vm.incarnation,
     startedEarlier: run.phase !== 'recording',
+    resumed: task.saved !== '',
     hasBegun: run.hasBegun ?? false,
     settled: false,
     ticket: run.ticket,
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -1,6 +1,8 @@
 /** Rows of the workload scheduler's tables: VMs, jobs, occurrences, steps, tasks and runs. */
 import type * as ids from '../types/ids.js';
 import type * as resources from '../types/resources.js';
+import type * as runTimes from './runTimes.js';
+import type * as speeds from './speed.js';
 import type * as types from './types.js';
 
 /** State of a run. */
@@ -55,6 +57,8 @@
   incarnation: types.VmIncarnation | undefined;
   /** Whether a previous owner started it. */
   readonly startedEarlier: boolean;
+  /** Whether it resumed from saved progress. */
+  readonly resumed: boolean;
   /** Whether its VM has shown, to this owner or an earlier one, that the run began. */
   hasBegun: boolean;
   /** Whether its VM has reported it for so long that it can't be the cause of a later crash. */
@@ -130,6 +134,8 @@
   doneMs: number | undefined;
   waitingCount: number;
   readonly advice: AdviceRow;
+  /** What is known of the run times of its tasks; undefined before the first estimate. */
+  times: runTimes.StepTimes | undefined;
   /** Run number of all members of the gang; 0 before the first run. */
   gangRun: number;
   /** Numbers of the gang's runs that failed. */
@@ -231,7 +237,10 @@
   recentFailures: number;
   /** Time before which the VM gets no new runs, because runs failed, stalled or were refused there. */
   avoidUntilMs: number;
-  /** Moving average of the speed of its runs relative to their estimates; 1 is as estimated. */
+  /** Measured lasting speed, and the incarnation that it is about. */
+  lasting: speeds.MeasuredSpeed;
+  lastingIncarnation: types.VmIncarnation | undefined;
+  /** Moving average of the passing speed of its runs relative to their expected times; 1 is as expected. */
   speed: number;
   /** Time of the last measurement of `speed`. */
   speedAtMs: number;
@@ -345,6 +354,8 @@
     durableEnd: 0,
     recentFailures: 0,
     avoidUntilMs: 0,
+    lasting: { precision: 0, sum: 0, atMs: nowMs },
+    lastingIncarnation: undefined,
     speed: 1,
     speedAtMs: nowMs,
     reservedFor: undefined,
@@ -389,6 +400,7 @@
         tickets: new Map(),
         askedVms: new Set(),
       },
+      times: undefined,
       gangRun: 0,
       gangFailures: [],
       gangCrashes: [],
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -16,6 +16,7 @@
 import * as ranking from './ranking.js';
 import * as reports from './reports.js';
 import * as reservation from './reservation.js';
+import * as speeds from './speed.js';
 import * as stalls from './stalls.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
@@ -49,7 +50,7 @@
     jobs.createDueOccurrences(job, nowMs, nowUnixMs);
     // After a change of owner, its tasks may already run without a record.
     if (states.canHaveUnrecordedStart(job, unrecorded)) continue;
-    collectSteps(job, ranked, nowMs);
+    collectSteps(state, job, ranked, nowMs);
   }
   const order = ranking.rankOverdue(ranked).sort(ranking.compareRanked);
   startSteps(state, order, nowMs);
@@ -58,6 +59,7 @@
 }
 
 function collectSteps(
+  state: states.State,
   job: tables.JobRow,
   ranked: ranking.RankedStep[],
   nowMs: number,
@@ -66,7 +68,7 @@
     if (occurrence.done) continue;
     for (const step of occurrence.steps)
       if (step.waitingCount > 0 && tables.isStepOpen(step))
-        ranked.push(ranking.rankStep(step, nowMs));
+        ranked.push(ranking.rankStep(state.runTimes, step, nowMs));
   }
 }
 
@@ -93,7 +95,7 @@
     const allowed = {
       // VMs that are reserved for a gang will have room for it soon.
       start:
-        headroom.canUseCores(room, step) &&
+        headroom.canUseCores(state, room, step, nowMs) &&
         (step.spec.gang || headroom.canFitOnVm(room, step)),
       askAhead: blocked < LOOKAHEAD_STEPS + room.vms / VMS_PER_LOOKAHEAD_STEP,
     };
@@ -169,7 +171,7 @@
   let withoutTrial = trials.selectWithoutTrial(candidates, nowMs);
   for (const task of step.tasks) {
     if (task.state !== 'waiting' || task.strayRunVms.size > 0) continue;
-    if (!headroom.canUseCores(room, step)) return;
+    if (!headroom.canUseCores(state, room, step, nowMs)) return;
     if (blame.isOnTrial(task)) {
       if (blame.isGivenUp(task)) {
         crashes.failTask(state, task, nowMs);
@@ -210,6 +212,7 @@
   const needsTicket = step.occurrence.job.policy.advice !== undefined;
   if (needsTicket && step.advice.tickets.size === 0) return [];
   const candidates: placement.Candidate[] = [];
+  const prefersSpeed = speeds.isSpeedPreferred(state, step, nowMs);
   const vms = needsTicket
     ? openVms.listApproved(state.openVms, step)
     : openVms.listForStep(state.openVms, step);
@@ -220,7 +223,7 @@
     if (needsTicket && ticket === undefined) continue;
     if (
       placement.isReservedForOther(vm, step, nowMs) &&
-      !reservation.isOverBeforeReady(vm, step, nowMs)
+      !reservation.isOverBeforeReady(state, vm, step, nowMs)
     )
       continue;
     candidates.push({
@@ -228,6 +231,9 @@
       ticket,
       free: { ...tables.getFree(vm) },
       sameStep: placement.countSameStep(vm, step),
+      ...(prefersSpeed
+        ? { speedScore: speeds.scoreLasting(state, vm, nowMs) }
+        : {}),
     });
   }
   return candidates;
--- a/packages/core/src/workloads/views.ts
+++ b/packages/core/src/workloads/views.ts
@@ -22,13 +22,14 @@
   readonly queue: types.QueueName;
   /** Time since the first occurrence was due (for an unscheduled job, since its acceptance), in ms. */
   readonly tookMs: number;
-  /** Time that the objective allows, computed from the declared run times, in ms. */
+  /** Time that the objective allows, computed from the estimated run times, in ms. */
   readonly objectiveMs: number;
   readonly preemptions: number;
 }
 
 /** Measures the time of a job's first occurrence; undefined when none is due yet. */
 export function measureTiming(
+  state: states.State,
   job: tables.JobRow,
   nowMs: number,
 ): JobTiming | undefined {
@@ -40,7 +41,9 @@
   return {
     queue: job.job.queue,
     tookMs: Math.round(nowMs - first.dueMs),
-    objectiveMs: Math.round(ranking.computeObjectiveMs(first) - first.dueMs),
+    objectiveMs: Math.round(
+      ranking.computeObjectiveMs(state.runTimes, first, nowMs) - first.dueMs,
+    ),
     preemptions,
   };
 }
