Learn from other steps of a job, add metrics and the comparison of run times

A declared time is wrong for a whole job, so later steps follow the ratio of earlier ones. Metrics tell samples, keys and the errors of declared and learned times; the dump tells the lasting speed of VMs.

--- a/packages/core/src/workloads/runTimes.ts
+++ b/packages/core/src/workloads/runTimes.ts
@@ -7,17 +7,14 @@
  * others.
  */
 import * as distribution from './runTimeDistribution.js';
+import * as keyed from './runTimeMoments.js';
 import type * as tables from './tables.js';
 import type * as types from './types.js';
 
 /** Spread of declared estimates around true times before any is measured, as a standard deviation of logarithms. */
 const DECLARED_SPREAD = 0.3;
-/** Number of measured steps at which a learned value counts as much as the one that it is shrunk towards. */
-const SHRINKAGE_STEPS = 4;
-/** Number of steps that a key remembers; older ones lose weight as others are added. */
-const MAX_KEY_STEPS = 100;
-/** Smallest variance that is assumed of a source; more accuracy than 5% is not needed. */
-const MIN_VARIANCE = 0.05 ** 2;
+/** Spread of the ratio of actual to declared times between the steps of one job; assumed, as errors of one caller are alike. */
+const JOB_RATIO_SPREAD = 0.3;
 /** Spread between the tasks of a step before it is measured, and the number of tasks that this counts as. */
 const TASK_SPREAD = 0.25;
 const TASK_SPREAD_WEIGHT = 20;
@@ -54,18 +51,6 @@
 const PRIOR_KEPT_MS = 1_000;
 /** Relative change of an estimate below which the previous one is kept. */
 const MIN_CHANGE = 0.05;
-/** Maximum number of keys; the least recently used one is removed. */
-const MAX_KEYS = 2_000;
-
-/** Weighted moments of a logarithm, over steps. */
-interface Moments {
-  weight: number;
-  sum: number;
-  squares: number;
-  /** Weighted sum of the reciprocal of the number of tasks behind each value. */
-  noise: number;
-}
-
 /** Deviations of tasks from the median of their step, by queue. */
 interface Deviations {
   tasks: number;
@@ -83,19 +68,13 @@
   readonly ranMs: number;
 }
 
-/** A normal distribution of the logarithm of a time in ms. */
-interface Belief {
-  readonly log: number;
-  readonly variance: number;
-}
-
 /** What is known of the run times of one step. */
 export interface StepTimes {
   /** Latest sample of each task, by index. */
   readonly samples: Map<number, Sample>;
-  prior: Belief;
+  prior: keyed.Belief;
   priorAtMs: number;
-  belief: Belief;
+  belief: keyed.Belief;
   /** Estimate in use, in ms; follows `belief` when that differs enough. */
   medianMs: number;
   /** Largest number of samples that the keys have counted. */
@@ -104,7 +83,7 @@
 
 /** Learned run times of all queues. */
 export interface RunTimes {
-  readonly keys: Map<string, Moments>;
+  readonly keys: Map<string, keyed.Moments>;
   readonly queues: Map<types.QueueName, Deviations>;
   samples: number;
   /** Sums of absolute logarithms of the ratio of actual to expected times: with declared and with learned estimates. */
@@ -272,7 +251,7 @@
   times: RunTimes,
   step: tables.StepRow,
   log: number,
-  expected: Belief,
+  expected: keyed.Belief,
   siblings: number,
 ): void {
   const declaredLog = Math.log(step.spec.estimateMs);
@@ -374,8 +353,10 @@
   const ratio = log - Math.log(step.spec.estimateMs);
   const keys = buildKeys(step);
   if (weight <= 0) return;
-  for (const key of keys.times) addMoment(times, key, log, weight, tasks);
-  for (const key of keys.ratios) addMoment(times, key, ratio, weight, tasks);
+  for (const key of keys.times)
+    keyed.addMoment(times.keys, key, log, weight, tasks);
+  for (const key of keys.ratios)
+    keyed.addMoment(times.keys, key, ratio, weight, tasks);
 }
 
 /**
@@ -404,20 +385,20 @@
 function computeBelief(
   times: RunTimes,
   step: tables.StepRow,
-  prior: Belief,
+  prior: keyed.Belief,
   samples: readonly Sample[],
-): Belief {
+): keyed.Belief {
   if (samples.length === 0) return prior;
   const { spread } = estimateTaskSpread(times, step);
   const weight = samples.reduce((sum, sample) => sum + sample.weight, 0);
-  const variance = Math.max(MIN_VARIANCE, spread ** 2 / weight);
+  const variance = Math.max(keyed.MIN_VARIANCE, spread ** 2 / weight);
   const log = computeLimitedMedian(prior, samples, variance, MAX_DEVIATIONS);
-  return mergeBeliefs(prior, { log, variance });
+  return keyed.mergeBeliefs(prior, { log, variance });
 }
 
 /** Computes the median of the samples of a step; a few samples are limited to what is plausible. */
 function computeLimitedMedian(
-  prior: Belief,
+  prior: keyed.Belief,
   samples: readonly Sample[],
   variance: number,
   deviations: number,
@@ -428,14 +409,6 @@
   return Math.min(prior.log + limit, Math.max(prior.log - limit, log));
 }
 
-function mergeBeliefs(a: Belief, b: Belief): Belief {
-  const precision = 1 / a.variance + 1 / b.variance;
-  return {
-    log: (a.log / a.variance + b.log / b.variance) / precision,
-    variance: 1 / precision,
-  };
-}
-
 function computeMedian(samples: readonly Sample[]): number {
   const logs = samples.map(({ log }) => log).sort((a, b) => a - b);
   const middle = (logs.length - 1) / 2;
@@ -445,92 +418,48 @@
 }
 
 /** Estimates the time of a step before any of its tasks has run. */
-function estimatePrior(times: RunTimes, step: tables.StepRow): Belief {
+function estimatePrior(times: RunTimes, step: tables.StepRow): keyed.Belief {
   const keys = buildKeys(step);
   const noise = estimateTaskSpread(times, step).spread ** 2;
-  let ratio: Belief = { log: 0, variance: DECLARED_SPREAD ** 2 };
+  let ratio: keyed.Belief = { log: 0, variance: DECLARED_SPREAD ** 2 };
   for (const key of keys.ratios)
-    ratio = mergeMoments(times.keys.get(key), ratio, noise);
+    ratio = keyed.mergeMoments(times.keys.get(key), ratio, noise);
+  const jobRatio = measureJobRatio(step);
+  if (jobRatio !== undefined) ratio = keyed.mergeBeliefs(ratio, jobRatio);
   const declared = {
     log: Math.log(step.spec.estimateMs) + ratio.log,
-    variance: Math.max(MIN_VARIANCE, ratio.variance),
+    variance: Math.max(keyed.MIN_VARIANCE, ratio.variance),
   };
-  let known: Belief | undefined;
+  let known: keyed.Belief | undefined;
   for (const key of keys.times) {
     const moments = times.keys.get(key);
     if (moments === undefined || moments.weight < 1) continue;
-    const own = measureMoments(moments, noise);
+    const own = keyed.measureMoments(moments, noise);
     // With few steps, the variance between them is nearly unknown and taken to be large.
     const base = known ?? { log: own.log, variance: 1 };
-    known = mergeMoments(moments, base, noise);
+    known = keyed.mergeMoments(moments, base, noise);
   }
-  return known === undefined ? declared : mergeBeliefs(declared, known);
-}
-
-/** Returns the mean and variance of a key, shrunk towards those of a coarser one. */
-function mergeMoments(
-  moments: Moments | undefined,
-  base: Belief,
-  noise: number,
-): Belief {
-  if (moments === undefined || moments.weight === 0) return base;
-  const own = measureMoments(moments, noise);
-  const share = moments.weight / (moments.weight + SHRINKAGE_STEPS);
-  const log = base.log + share * (own.log - base.log);
-  return {
-    log,
-    variance: Math.max(
-      MIN_VARIANCE,
-      share * (own.variance + (own.log - log) ** 2) +
-        (1 - share) * base.variance,
-    ),
-  };
-}
-
-function measureMoments(moments: Moments, noise: number): Belief {
-  const log = moments.sum / moments.weight;
-  const variance = moments.squares / moments.weight - log ** 2;
-  return {
-    log,
-    // The noise of single tasks is no difference between steps.
-    variance: Math.max(
-      MIN_VARIANCE,
-      variance - (noise * moments.noise) / moments.weight,
-    ),
-  };
-}
-
-function addMoment(
-  times: RunTimes,
-  key: string,
-  value: number,
-  weight: number,
-  tasks: number,
-): void {
-  const moments = times.keys.get(key) ?? {
-    weight: 0,
-    sum: 0,
-    squares: 0,
-    noise: 0,
-  };
-  // Keys are kept in the order of their last use.
-  times.keys.delete(key);
-  times.keys.set(key, moments);
-  if (times.keys.size > MAX_KEYS)
-    for (const oldest of times.keys.keys()) {
-      times.keys.delete(oldest);
-      break;
-    }
-  moments.weight += weight;
-  moments.sum += weight * value;
-  moments.squares += weight * value ** 2;
-  moments.noise += weight / tasks;
-  if (moments.weight <= MAX_KEY_STEPS) return;
-  const factor = MAX_KEY_STEPS / moments.weight;
-  moments.weight *= factor;
-  moments.sum *= factor;
-  moments.squares *= factor;
-  moments.noise *= factor;
+  return known === undefined ? declared : keyed.mergeBeliefs(declared, known);
+}
+
+/** Measures the ratio of actual to declared times of the other steps of a job; undefined before one has run. */
+function measureJobRatio(step: tables.StepRow): keyed.Belief | undefined {
+  const { occurrence } = step;
+  const { occurrences } = occurrence.job;
+  const other = occurrences.findLast((row) => row !== occurrence);
+  let sum = 0;
+  let count = 0;
+  for (const row of [...occurrence.steps, ...(other?.steps ?? [])]) {
+    const { spec } = row;
+    const samples = row.times?.samples.size ?? 0;
+    if (row === step || row.times === undefined || spec.estimateMs <= 0)
+      continue;
+    if (samples < Math.min(MIN_SIBLINGS, spec.gang ? 1 : spec.count)) continue;
+    sum += row.times.belief.log - Math.log(spec.estimateMs);
+    count += 1;
+  }
+  if (count === 0) return undefined;
+  return { log: sum / count, variance: JOB_RATIO_SPREAD ** 2 };
 }
 
 /**
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -307,7 +307,10 @@
     },
     countWaiting: (nowMs) => begins.countUnstarted(state, nowMs),
     measureStarts: (nowMs) => begins.measureStarts(state, nowMs),
-    getCounts: () => state.counts,
+    getCounts() {
+      views.countRunTimes(state);
+      return state.counts;
+    },
     findOwed(query) {
       const found = owed.findOwed(state, query);
       for (const { cause } of found)
--- a/packages/core/src/workloads/views.ts
+++ b/packages/core/src/workloads/views.ts
@@ -1,6 +1,7 @@
 /** Views of the tables for callers, metrics and operators. */
 import * as begins from './begins.js';
 import * as ranking from './ranking.js';
+import * as speeds from './speed.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
@@ -48,6 +49,23 @@
   };
 }
 
+/** Adds what is learned of run times to the counts of the metrics. */
+export function countRunTimes({ counts, runTimes }: states.State): void {
+  const { samples, keys, declaredError, learnedError } = runTimes;
+  counts.set('run-times.samples', samples);
+  counts.set('run-times.keys', keys.size);
+  // Mean absolute errors of the logarithm, in percent: about the relative errors.
+  const divisor = Math.max(1, samples);
+  counts.set(
+    'run-times.declared-error-percent',
+    Math.round((declaredError / divisor) * 100),
+  );
+  counts.set(
+    'run-times.learned-error-percent',
+    Math.round((learnedError / divisor) * 100),
+  );
+}
+
 /** Returns a plain copy of the tables for operators. */
 export function dumpState(state: states.State, nowMs: number): unknown {
   const unknown = begins.findUnknownBegins(state, nowMs);
@@ -60,6 +78,7 @@
       hasCurrentEntry: tables.hasCurrentEntry(vm),
       used: vm.used,
       capacity: vm.entry?.capacity,
+      lastingSpeed: Math.exp(speeds.estimateLastingLog(state, vm, nowMs)),
       runs: [...vm.runs].map(
         (run) => `${states.formatRun(run)} ${run.phase} ${run.percent}%`,
       ),
--- a/packages/core/test/workloads/runTimes.test.ts
+++ b/packages/core/test/workloads/runTimes.test.ts
@@ -207,6 +207,27 @@
     },
   );
 
+  vitest.it(
+    'follows the other steps of its job (guards against declared times of a whole job that are wrong by a factor)',
+    () => {
+      const world = createWorld();
+      const vm = world.addVm('vm');
+      const spec = harnesses.createStep({ count: 4, estimateMs: 500 });
+      const first = world.addStep(spec, {
+        steps: [spec, { ...spec, after: [0] }],
+      });
+      for (let index = 0; index < 4; index += 1)
+        world.end(world.begin(first, index, vm), 2_000);
+      world.advance(2_000);
+      const secondMs = world.estimate(first.occurrence.steps[1]!);
+      vitest.expect(secondMs).toBeGreaterThan(900);
+      vitest.expect(secondMs).toBeLessThan(2_200);
+      // Metrics tell the error before and after: three tasks were expected from their siblings.
+      const { declaredError, learnedError } = world.state.runTimes;
+      vitest.expect(learnedError).toBeLessThan(0.7 * declaredError);
+    },
+  );
+
   vitest.it(
     'rises when running siblings pass it without progress (guards against the bias of short runs that end first)',
     () => {
