--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -188,6 +188,7 @@
     },
     unrecordedStarts: previous.unrecorded,
     unlistedUntilMs: options.storeLostMs + RELISTED_WITHIN_MS,
+    runTimes: context.settings.runTimes,
     nowMs: createdMs,
   });
   const owedReporter = owedReporters.createOwedReporter(context, {
--- a/packages/cluster/src/settings.ts
+++ b/packages/cluster/src/settings.ts
@@ -1,4 +1,5 @@
 /** Settings of a node: an INI file, validated as a whole so that all faults are reported at once. */
+import type * as core from '@flamingoward/core';
 import * as ini from 'ini';
 import * as zod from 'zod';
 import * as intake from './intake.js';
@@ -100,6 +101,16 @@
       memory_mb: intake.DEFAULT_MEMORY_MB,
       max_descriptors: intake.DEFAULT_MAX_DESCRIPTORS,
     }),
+  scheduling: zod
+    .object({
+      run_times: zod.preprocess(
+        dropEmpty,
+        zod
+          .enum(['declared', 'learned'], 'expected declared or learned')
+          .default('declared'),
+      ),
+    })
+    .default({ run_times: 'declared' }),
   terms: zod.object({
     lease_ms: milliseconds,
     stop_s: seconds,
@@ -135,6 +146,8 @@
   readonly adviceAddress: string;
   /** Processor capacity of this VM, in cores of usual speed. */
   readonly cores: number;
+  /** Source of the expected run times of tasks. */
+  readonly runTimes: core.workloads.RunTimeSource;
   /** Memory of this VM, in MB. */
   readonly memoryMb: number;
   /** Most open descriptors of the process. */
@@ -166,7 +179,8 @@
           `${file}: [${String(issue.path[0] ?? '')}] ${issue.path.slice(1).join('.')}: ${issue.message}`,
       ),
     };
-  const { process, listen, log_store, advice, machine, terms } = result.data;
+  const { process, listen, log_store, advice, machine, scheduling, terms } =
+    result.data;
   const keyBoundMs = computeKeyBound(terms);
   return {
     settings: {
@@ -180,6 +194,7 @@
       maxRecordBytes: log_store.max_record_bytes,
       adviceAddress: advice.address,
       cores: machine.core_share * machine.core_speed,
+      runTimes: scheduling.run_times,
       memoryMb: machine.memory_mb,
       maxDescriptors: machine.max_descriptors,
       leaseMs: terms.lease_ms,
--- a/packages/cluster/test/fakes.ts
+++ b/packages/cluster/test/fakes.ts
@@ -178,6 +178,7 @@
       maxRecordBytes: 262_144,
       adviceAddress: '',
       cores: 1,
+      runTimes: 'declared',
       memoryMb: 250,
       maxDescriptors: 4_096,
       leaseMs: 6_000,
--- a/packages/core/src/workloads/index.ts
+++ b/packages/core/src/workloads/index.ts
@@ -4,6 +4,7 @@
 export type { StartSummary, UnstartedJobs } from './begins.js';
 export { splitByJob as splitProgress } from './progress.js';
 export type { WorkspaceSummary, WorkspaceView } from './shares.js';
+export type { RunTimeSource } from './runTimes.js';
 export { createWorkloadScheduler } from './scheduler.js';
 export type { Decision, WorkloadScheduler } from './scheduler.js';
 export type {
--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -12,6 +12,7 @@
 import * as crashes from './crashes.js';
 import * as ends from './ends.js';
 import type * as removals from './removals.js';
+import * as runTimes from './runTimes.js';
 import * as resizing from './resizing.js';
 import * as speeds from './speed.js';
 import * as states from './state.js';
@@ -51,8 +52,9 @@
   vm.knownEmpty = false;
   applyEnds(state, vm, report, nowMs);
   const listed = new Set<tables.RunRow>();
+  const logSpeed = speeds.estimateLastingLog(state, vm, nowMs);
   for (const entry of report.running)
-    applyRunning(state, vm, entry, listed, nowMs);
+    applyRunning(state, vm, entry, logSpeed, listed, nowMs);
   strays.removeEnded(state, vm, report, nowMs);
   const unlisted = [...vm.runs].filter((run) => !listed.has(run));
   const isWhole = report.mayHaveMoreEnds !== true;
@@ -168,6 +170,7 @@
   state: states.State,
   vm: tables.VmRow,
   entry: types.ReportedRun,
+  logSpeed: number,
   listed: Set<tables.RunRow>,
   nowMs: number,
 ): void {
@@ -192,7 +195,8 @@
     run.progressChangedMs = nowMs;
   }
   run.load = entry.load;
-  speeds.measureSpeed(run, nowMs);
+  runTimes.observeProgress(state.runTimes, run, logSpeed, nowMs);
+  speeds.measureSpeed(state, run, logSpeed, nowMs);
   if (entry.saved !== '' && task?.step.spec.savesProgress === true)
     task.saved = entry.saved;
 }
--- a/packages/core/src/workloads/scheduler.ts
+++ b/packages/core/src/workloads/scheduler.ts
@@ -310,11 +310,16 @@
     hasJob: (id) => state.jobs.has(id),
     getTiming(id, nowMs) {
       const job = state.jobs.get(id);
-      return job === undefined ? undefined : views.measureTiming(job, nowMs);
+      return job === undefined
+        ? undefined
+        : views.measureTiming(state, job, nowMs);
     },
     countWaiting: (nowMs) => begins.countUnstarted(state, nowMs),
     measureStarts: (nowMs) => begins.measureStarts(state, nowMs),
-    getCounts: () => state.counts,
+    getCounts() {
+      views.countRunTimes(state);
+      return state.counts;
+    },
     listWorkspaceUse: () => workspaceLimits.listUse(state.workspaceAccounts),
     listWorkspaces: () => shares.listWorkspaces(state),
     findOwed(query) {
--- a/packages/core/src/workloads/state.ts
+++ b/packages/core/src/workloads/state.ts
@@ -6,7 +6,9 @@
 import type * as openVms from './openVms.js';
 import type * as ranking from './ranking.js';
 import * as removals from './removals.js';
+import * as runTimes from './runTimes.js';
 import type * as shares from './shares.js';
+import * as speeds from './speed.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
 import * as workspaceLimits from './workspaceLimits.js';
@@ -166,6 +168,10 @@
     { readonly asked: number; readonly approved: number }
   >;
   readonly counts: Map<string, number>;
+  /** Learned run times of the queues. */
+  readonly runTimes: runTimes.RunTimes;
+  /** Learned speeds of the kinds of VMs. */
+  readonly speeds: speeds.Speeds;
   /** Decaying peak of the cores used by urgent steps, by pool. */
   readonly urgentPeaks: Map<
     types.PoolName,
@@ -180,6 +186,8 @@
   readonly unrecordedStarts: boolean;
   /** Monotonic time until which VMs with runs may be missing from the VM list; absent when none can be. */
   readonly unlistedUntilMs?: number;
+  /** Source of the expected run times of tasks; `declared` when absent. */
+  readonly runTimes?: runTimes.RunTimeSource;
   readonly nowMs: number;
 }
 
@@ -220,6 +228,8 @@
     adviceSlots: adviceSlots.createAdviceSlots(),
     approvedShares: new Map(),
     counts: new Map(),
+    runTimes: runTimes.createRunTimes(options.runTimes ?? 'declared'),
+    speeds: speeds.createSpeeds(),
     urgentPeaks: new Map(),
   };
 }
@@ -290,6 +300,7 @@
     paceSentMs: 0,
     incarnation: run.incarnation ?? vm.incarnation,
     startedEarlier: run.phase !== 'recording',
+    resumed: task.saved !== '',
     hasBegun: run.hasBegun ?? false,
     settled: false,
     ticket: run.ticket,
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -17,6 +17,7 @@
 import * as reports from './reports.js';
 import * as reservation from './reservation.js';
 import * as shares from './shares.js';
+import * as speeds from './speed.js';
 import * as stalls from './stalls.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
@@ -58,7 +59,7 @@
     else waitingJobs.push(job);
   }
   const ranked: ranking.RankedStep[] = [];
-  for (const job of waitingJobs) collectSteps(job, ranked, nowMs);
+  for (const job of waitingJobs) collectSteps(state, job, ranked, nowMs);
   const rooms = headroom.measureRooms(state, nowMs);
   startSteps(state, rankSteps(state, ranked, rooms, nowMs), rooms, nowMs);
   for (const vm of state.vms.values())
@@ -66,6 +67,7 @@
 }
 
 function collectSteps(
+  state: states.State,
   job: tables.JobRow,
   ranked: ranking.RankedStep[],
   nowMs: number,
@@ -75,7 +77,7 @@
     for (const step of occurrence.steps)
       if (step.waitingCount > 0 && tables.isStepOpen(step)) {
         if (workspaceLimits.canRank(step))
-          ranked.push(ranking.rankStep(step, nowMs));
+          ranked.push(ranking.rankStep(state.runTimes, step, nowMs));
         else workspaceLimits.markBlocked(step);
       }
   }
@@ -158,7 +160,7 @@
     const allowed = {
       // VMs that are reserved for a gang will have room for it soon.
       start:
-        headroom.canUseCores(room, step) &&
+        headroom.canUseCores(state, room, step, nowMs) &&
         (step.spec.gang || headroom.canFitOnVm(room, step)),
       askAhead: blocked < LOOKAHEAD_STEPS + room.vms / VMS_PER_LOOKAHEAD_STEP,
     };
@@ -238,7 +240,7 @@
   let withoutTrial = trials.selectWithoutTrial(candidates, nowMs);
   for (const task of step.tasks) {
     if (task.state !== 'waiting' || task.strayRunVms.size > 0) continue;
-    if (!headroom.canUseCores(room, step)) return;
+    if (!headroom.canUseCores(state, room, step, nowMs)) return;
     if (!workspaceLimits.canStart(step)) return;
     if (blame.isOnTrial(task)) {
       if (blame.isGivenUp(task)) {
@@ -280,6 +282,7 @@
   const needsTicket = step.occurrence.job.policy.advice !== undefined;
   if (needsTicket && step.advice.tickets.size === 0) return [];
   const candidates: placement.Candidate[] = [];
+  const prefersSpeed = speeds.isSpeedPreferred(state, step, nowMs);
   const vms = needsTicket
     ? openVms.listApproved(state.openVms, step)
     : openVms.listForStep(state.openVms, step);
@@ -290,7 +293,7 @@
     if (needsTicket && ticket === undefined) continue;
     if (
       placement.isReservedForOther(vm, step, nowMs) &&
-      !reservation.isOverBeforeReady(vm, step, nowMs)
+      !reservation.isOverBeforeReady(state, vm, step, nowMs)
     )
       continue;
     candidates.push({
@@ -298,6 +301,9 @@
       ticket,
       free: { ...tables.getFree(vm) },
       sameStep: placement.countSameStep(vm, step),
+      ...(prefersSpeed
+        ? { speedScore: speeds.scoreLasting(state, vm, nowMs) }
+        : {}),
     });
   }
   return candidates;
--- a/packages/core/src/workloads/views.ts
+++ b/packages/core/src/workloads/views.ts
@@ -2,6 +2,7 @@
 import * as begins from './begins.js';
 import * as ranking from './ranking.js';
 import * as shares from './shares.js';
+import * as speeds from './speed.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
@@ -24,13 +25,14 @@
   readonly queue: types.QueueName;
   /** Time since the first occurrence was due (for an unscheduled job, since its acceptance), in ms. */
   readonly tookMs: number;
-  /** Time that the objective allows, computed from the declared run times, in ms. */
+  /** Time that the objective allows, computed from the estimated run times, in ms. */
   readonly objectiveMs: number;
   readonly preemptions: number;
 }
 
 /** Measures the time of a job's first occurrence; undefined when none is due yet. */
 export function measureTiming(
+  state: states.State,
   job: tables.JobRow,
   nowMs: number,
 ): JobTiming | undefined {
@@ -42,11 +44,30 @@
   return {
     queue: job.job.queue,
     tookMs: Math.round(nowMs - first.dueMs),
-    objectiveMs: Math.round(ranking.computeObjectiveMs(first) - first.dueMs),
+    objectiveMs: Math.round(
+      ranking.computeObjectiveMs(state.runTimes, first, nowMs) - first.dueMs,
+    ),
     preemptions,
   };
 }
 
+/** Adds what is learned of run times to the counts of the metrics. */
+export function countRunTimes({ counts, runTimes }: states.State): void {
+  const { samples, keys, declaredError, learnedError } = runTimes;
+  counts.set('run-times.samples', samples);
+  counts.set('run-times.keys', keys.size);
+  // Mean absolute errors of the logarithm, in percent: about the relative errors.
+  const divisor = Math.max(1, samples);
+  counts.set(
+    'run-times.declared-error-percent',
+    Math.round((declaredError / divisor) * 100),
+  );
+  counts.set(
+    'run-times.learned-error-percent',
+    Math.round((learnedError / divisor) * 100),
+  );
+}
+
 /** Returns a plain copy of the tables for operators. */
 export function dumpState(state: states.State, nowMs: number): unknown {
   const unknown = begins.findUnknownBegins(state, nowMs);
@@ -59,6 +80,7 @@
       hasCurrentEntry: tables.hasCurrentEntry(vm),
       used: vm.used,
       capacity: vm.entry?.capacity,
+      lastingSpeed: Math.exp(speeds.estimateLastingLog(state, vm, nowMs)),
       runs: [...vm.runs].map(
         (run) => `${states.formatRun(run)} ${run.phase} ${run.percent}%`,
       ),
--- a/packages/core/test/workloads/harness.ts
+++ b/packages/core/test/workloads/harness.ts
@@ -79,8 +79,13 @@
 }
 
 /** Creates a scheduler whose tables the test can examine. */
-export function createOpenScheduler(nowMs: number, unrecordedStarts = false) {
+export function createOpenScheduler(
+  nowMs: number,
+  unrecordedStarts = false,
+  runTimes: core.workloads.RunTimeSource = 'declared',
+) {
   const options = {
+    runTimes,
     bounds: {
       inheritedRunTimeoutMs: 16_000,
       longestStopMs: LONGEST_STOP_MS,
