Check a configuration before it is sent: flamingoward configuration check

Cause: an operator learns of a faulty configuration only from configuration.unreadable at the nodes, which names one error, and of entries without effect not at all.

Change: `flamingoward configuration check FILE [--against FILE]` lists all errors and warnings with their paths, and what differs from the version in force.

The linter allows no import of the adapter in packages/ outside nodeMain.ts. The command is therefore in platform/, which depends on packages/cli (no cycle: cli depends on core only). The program `flamingoward` moves to platform/src/commandMain.ts with all commands; packages/cli/dist/main.js has all but this one. The linter's rules and existing tests are unchanged.

--- a/packages/cli/src/cli.ts
+++ b/packages/cli/src/cli.ts
@@ -29,17 +29,22 @@
   clipanion.Builtins.HelpCommand,
 ];
 
-/** Runs a command line, given without the program's name, and returns the exit code. */
+/**
+ * Runs a command line, given without the program's name, and returns the exit code.
+ * `extraCommands` are those of programs that know more than this package.
+ */
 export async function runCommand(
   args: readonly string[],
   context: clipanion.BaseContext,
+  extraCommands: readonly clipanion.CommandClass[] = [],
 ): Promise<number> {
   const cli = new clipanion.Cli({
     binaryName: 'flamingoward',
     binaryLabel: 'The command for operators of flamingoward',
     enableColors: (context.stdout as Partial<tty.WriteStream>).isTTY === true,
   });
-  for (const commandClass of commands) cli.register(commandClass);
+  for (const commandClass of [...commands, ...extraCommands])
+    cli.register(commandClass);
   try {
     return await cli.run(cli.process([...args], context), context);
   } catch (error) {
@@ -47,3 +52,19 @@
     return command.exitCodes.usage;
   }
 }
+
+/** Runs the program's own command line and sets the exit code of the process. */
+export async function runProgram(
+  extraCommands: readonly clipanion.CommandClass[] = [],
+): Promise<void> {
+  // A reader of the output, such as `head`, may close the pipe early; that isn't an error.
+  process.stdout.on('error', (error: NodeJS.ErrnoException) => {
+    if (error.code !== 'EPIPE') throw error;
+    process.exit();
+  });
+  process.exitCode = await runCommand(
+    process.argv.slice(2),
+    clipanion.Cli.defaultContext,
+    extraCommands,
+  );
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,3 +1,4 @@
 /** The command line for operators. */
-export { runCommand } from './cli.js';
-export { exitCodes } from './command.js';
+export { runCommand, runProgram } from './cli.js';
+export { BaseCommand, UsageError, exitCodes } from './command.js';
+export { readText } from './files.js';
