Keep the watched calls of a node beside their tracker

Change: the function that wraps the ports moves to storeSilence.ts. Measured: storeSilence and storeOutages pass (43 tests).

--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -42,29 +42,9 @@
   stop(): Promise<void>;
 }
 
-function watchStoreCalls(context: contexts.NodeContext): contexts.NodeContext {
-  const { ports, timers } = context;
-  const silence = storeSilence.createSilenceTracker(timers);
-  return {
-    ...context,
-    ports: {
-      ...ports,
-      store: silence.watchStore(ports.store),
-      configuration: {
-        ...silence.watchSource(ports.configuration),
-        decode: (record) => ports.configuration.decode(record),
-      },
-      vms: {
-        ...silence.watchSource(ports.vms),
-        decode: (record) => ports.vms.decode(record),
-      },
-    },
-  };
-}
-
 /** Creates a node. */
 export function createClusterNode(options: contexts.NodeContext): ClusterNode {
-  const context = watchStoreCalls(options);
+  const context = storeSilence.watchStoreCalls(options);
   const { timers, log, metrics, settings, instance } = context;
   const configuration = configurations.createConfigurationView(context);
   const jobs = jobStores.createJobStore(context);
--- a/packages/cluster/src/storeSilence.ts
+++ b/packages/cluster/src/storeSilence.ts
@@ -7,6 +7,7 @@
  * answers calls in between, so its calls keep their timeouts.
  */
 import type * as core from '@flamingoward/core';
+import type * as contexts from './context.js';
 import type * as ports from './ports.js';
 
 /** Shortest time without any answer that counts as silence, in ms; several times the answer time of a store in another region. */
@@ -23,7 +24,7 @@
 }
 
 /** Watches the calls to one store, which together show whether it answers. */
-export interface SilenceTracker {
+interface SilenceTracker {
   watchStore(store: ports.LogStore): ports.LogStore;
   watchSource(source: ports.StreamSource): ports.StreamSource;
 }
@@ -113,3 +114,26 @@
     }),
   };
 }
+
+/** Returns a context whose calls to the store are watched together. */
+export function watchStoreCalls(
+  context: contexts.NodeContext,
+): contexts.NodeContext {
+  const { ports, timers } = context;
+  const silence = createSilenceTracker(timers);
+  return {
+    ...context,
+    ports: {
+      ...ports,
+      store: silence.watchStore(ports.store),
+      configuration: {
+        ...silence.watchSource(ports.configuration),
+        decode: (record) => ports.configuration.decode(record),
+      },
+      vms: {
+        ...silence.watchSource(ports.vms),
+        decode: (record) => ports.vms.decode(record),
+      },
+    },
+  };
+}
