Ask for advice about ending services of excess jobs like any others

Cause: a service task of an excess job whose VM is silent was asked about in the pass of excess jobs, and only while fewer than half of the advice nodes worked for such jobs. It has to run again within 6 s wherever there is room, and counts as overdue only 2 s after its run has ended. Change: requests for ending tasks go out in the first pass and use the slots of overdue services, whoever submitted the job.

--- a/packages/core/src/workloads/advice.ts
+++ b/packages/core/src/workloads/advice.ts
@@ -137,13 +137,11 @@
 
 /**
  * Requests advice for service tasks on VMs that don't answer, so that the answer arrives
- * shortly before their runs have ended and may be replaced; for those of excess jobs or
- * for the others.
+ * shortly before their runs have ended and may be replaced.
  */
 export function requestForEndingTasks(
   state: states.State,
   nowMs: number,
-  forExcess = false,
 ): void {
   const endingTasks = new Map<tables.StepRow, number>();
   for (const vm of state.vms.values()) {
@@ -153,7 +151,6 @@
       const { step } = task;
       const { job } = step.occurrence;
       const policy = job.policy.advice;
-      if (job.yields !== forExcess) continue;
       if (!step.spec.lasts || policy === undefined) continue;
       const answerMs =
         nowMs +
@@ -192,9 +189,10 @@
   nowMs: number,
   endingTasks = 0,
 ): adviceSlots.SlotUse {
-  if (step.occurrence.job.yields) return 'excess';
+  // The task has to run again as soon as its old run has ended, whoever submitted it.
   if (endingTasks > 0 || waits.isServiceOverdue(step, nowMs))
     return 'overdue-service';
+  if (step.occurrence.job.yields) return 'excess';
   return step.spec.lasts ? 'service' : 'usual';
 }
 
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -115,7 +115,7 @@
   for (const forExcess of [false, true]) {
     const entries = ranked.filter(({ isExcess }) => isExcess === forExcess);
     askForOverdueServices(state, entries, nowMs);
-    advice.requestForEndingTasks(state, nowMs, forExcess);
+    if (!forExcess) advice.requestForEndingTasks(state, nowMs);
     startInOrder(state, entries, rooms, blocked, nowMs);
   }
 }
