Limits: let an overdue service use capacity that is reserved for a gang

Cause: capacity under a limit that is reserved for a gang held back service tasks of the same workspace for up to the 30 s that the gang may wait for running tasks, also beside idle VMs; they must run again within 6 s. Backfilling never covers them, since they don't end. Change: an overdue service may start, as with VMs reserved for a gang.

--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -147,7 +147,7 @@
         reservation.canHoldGang(state, step, nowMs),
       );
     };
-    if (!workspaceLimits.canStart(step)) {
+    if (!workspaceLimits.canStart(step, nowMs)) {
       workspaceLimits.markBlocked(step);
       reserveLimit();
       continue;
@@ -227,7 +227,7 @@
   room: headroom.PoolRoom,
   nowMs: number,
 ): void {
-  if (!workspaceLimits.canStart(step)) return;
+  if (!workspaceLimits.canStart(step, nowMs)) return;
   if (!headroom.canFitOnVm(room, step)) return;
   const candidates = collectCandidates(state, step, nowMs);
   if (candidates.length === 0) return;
@@ -239,7 +239,7 @@
   for (const task of step.tasks) {
     if (task.state !== 'waiting' || task.strayRunVms.size > 0) continue;
     if (!headroom.canUseCores(room, step)) return;
-    if (!workspaceLimits.canStart(step)) return;
+    if (!workspaceLimits.canStart(step, nowMs)) return;
     if (blame.isOnTrial(task)) {
       if (blame.isGivenUp(task)) {
         crashes.failTask(state, task, nowMs);
--- a/packages/core/src/workloads/workspaceLimits.ts
+++ b/packages/core/src/workloads/workspaceLimits.ts
@@ -8,6 +8,7 @@
 import * as resources from '../types/resources.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
+import * as waits from './waits.js';
 
 /**
  * Expected remaining time above which a run counts as long-running, in ms. Small tasks
@@ -222,13 +223,17 @@
   return isWithinLimit(step) || canReserve(step);
 }
 
-/** Returns whether the next task of a step, or its whole gang, may start in this round. */
-export function canStart(step: tables.StepRow): boolean {
+/**
+ * Returns whether the next task of a step, or its whole gang, may start in this round. An
+ * overdue service may use what is reserved for a gang, which may wait for much longer.
+ */
+export function canStart(step: tables.StepRow, nowMs: number): boolean {
   const account = getAccount(step);
   if (account === undefined) return true;
   if (!isWithinLimit(step)) return false;
   const { reservedFor } = account;
   if (reservedFor === undefined || reservedFor === step) return true;
+  if (waits.isServiceOverdue(step, nowMs)) return true;
   const { size, lasts, estimateMs } = step.spec;
   if (!lasts && estimateMs * ESTIMATE_ERROR_FACTOR < account.reservedReadyMs)
     return true;
--- a/packages/core/test/workloads/workspaceGuarantees.test.ts
+++ b/packages/core/test/workloads/workspaceGuarantees.test.ts
@@ -1,8 +1,61 @@
 /** Service guarantees that limits and shares of workspaces must not break. */
 import * as vitest from 'vitest';
+import type * as core from '../../src/index.js';
 import * as advice from '../../src/workloads/advice.js';
 import * as harnesses from './harness.js';
 
+const UNLIMITED = { cores: Infinity, memoryMb: Infinity, gpus: Infinity };
+
+function createWorkspaces(
+  cores: number,
+): ReadonlyMap<string, core.workloads.WorkspacePolicy> {
+  const limit = { ...UNLIMITED, cores };
+  return new Map([['small', { name: 'small', weight: 1, priority: 0, limit }]]);
+}
+
+function addJob(
+  harness: harnesses.Harness,
+  id: string,
+  step: Partial<core.workloads.StepSpec>,
+  policy: Partial<core.workloads.QueuePolicy> = {},
+): void {
+  harness.addJob(
+    id,
+    [harnesses.createStep(step)],
+    harnesses.createPolicy(policy),
+    undefined,
+    'small',
+  );
+}
+
+/** Advances the clock by a number of seconds and returns the jobs with runs. */
+function listJobsAfter(
+  harness: harnesses.Harness,
+  seconds: number,
+): readonly string[] {
+  for (let round = 0; round < seconds * 10; round += 1) harness.advance(100);
+  return harness.listRuns().map(({ task }) => task.split('.')[0] ?? '');
+}
+
+vitest.describe('capacity under a limit that is reserved for a gang', () => {
+  vitest.it(
+    'is open to an overdue service task (guards against a service that stays down beside idle VMs until the gang has started)',
+    () => {
+      const harness = harnesses.createHarness();
+      harness.scheduler.setWorkspaces(createWorkspaces(10));
+      for (const id of ['a', 'b', 'c']) harness.addVm(id);
+      addJob(harness, 'long', {
+        size: { cores: 4, memoryMb: 100, gpus: 0 },
+        estimateMs: 29_000,
+      });
+      harness.advance(20);
+      addJob(harness, 'gang', { gang: true, count: 7 }, { slackMs: 60_000 });
+      addJob(harness, 'service', { lasts: true }, { priority: 2 });
+      vitest.expect(listJobsAfter(harness, 4)).toContain('service');
+    },
+  );
+});
+
 vitest.describe('a service of an excess job', () => {
   vitest.it(
     'asks for advice like any service (guards against one that waits for the slots of excess jobs once its VM is silent)',
