Limits: reserve nothing for a gang whose VMs others use for long

Cause: capacity under a limit was reserved for a gang if idle VMs could hold it. Where long tasks of others fill its pool, steps of its workspace waited in other, idle pools for as long as the gang kept its rank. Measured: the new test (a task of an hour fills the gang's pool, another pool is idle, the limit is unused) fails before the change; the task starts within 3 s after it.

--- a/packages/core/src/workloads/reservation.ts
+++ b/packages/core/src/workloads/reservation.ts
@@ -29,17 +29,22 @@
   return true;
 }
 
-/** Returns whether the VMs that may run a gang now could hold it if they were idle. */
+/** Returns whether the VMs that may run a gang could hold it once all runs have ended but those that `isLong` selects. */
 export function canHoldGang(
   state: states.State,
   step: tables.StepRow,
+  isLong: (run: tables.RunRow) => boolean,
   nowMs: number,
 ): boolean {
   let places = 0;
   for (const vm of openVms.listForStep(state.openVms, step)) {
     if (vm.entry === undefined || !placement.isEligible(vm, step, nowMs))
       continue;
-    places += admission.countTasksThatFit(vm.entry, step.spec);
+    const capacity = { ...vm.entry.capacity };
+    for (const run of vm.runs)
+      if (isLong(run))
+        tables.addAmount(capacity, tables.getNeed(run.task.step.spec), -1);
+    places += admission.countTasksThatFit({ ...vm.entry, capacity }, step.spec);
     if (places >= step.spec.count) return true;
   }
   return false;
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -144,7 +144,7 @@
     if (step.waitingCount === 0) continue;
     const reserveLimit = (): void => {
       workspaceLimits.reserveForGang(step, () =>
-        reservation.canHoldGang(state, step, nowMs),
+        reservation.canHoldGang(state, step, workspaceLimits.isLong, nowMs),
       );
     };
     if (!workspaceLimits.canStart(step, nowMs)) {
--- a/packages/core/src/workloads/workspaceLimits.ts
+++ b/packages/core/src/workloads/workspaceLimits.ts
@@ -292,7 +292,7 @@
 /**
  * Reserves capacity under the limit for a waiting gang, unless an earlier one in this
  * round has it or long-running tasks alone leave too little. `canHold` returns whether
- * the VMs of the pool could hold the gang.
+ * the VMs of the pool could hold the gang beside long-running tasks.
  */
 export function reserveForGang(
   step: tables.StepRow,
@@ -304,8 +304,7 @@
   account.examinedGangs += 1;
   const left = { ...account.limit };
   for (const run of account.runs)
-    if (estimateLeftMs(run) > LONG_RUN_MS)
-      tables.addAmount(left, run.task.step.spec.size, -1);
+    if (isLong(run)) tables.addAmount(left, run.task.step.spec.size, -1);
   if (countTasks(left, step.spec.size) < step.spec.count) return;
   if (!canHold()) return;
   account.reservedFor = step;
@@ -331,6 +330,11 @@
   return 0;
 }
 
+/** Returns whether a run is long-running, so that no gang waits for its end. */
+export function isLong(run: tables.RunRow): boolean {
+  return estimateLeftMs(run) > LONG_RUN_MS;
+}
+
 /** Estimates the time until a run ends, in ms; Infinity for a service task. */
 function estimateLeftMs({ task, phase, percent }: tables.RunRow): number {
   const { lasts, estimateMs } = task.step.spec;
--- a/packages/core/test/workloads/workspaceGuarantees.test.ts
+++ b/packages/core/test/workloads/workspaceGuarantees.test.ts
@@ -54,6 +54,32 @@
       vitest.expect(listJobsAfter(harness, 4)).toContain('service');
     },
   );
+
+  vitest.it(
+    'is not reserved where tasks of others keep the VMs for long (guards against a workspace that waits beside an idle pool)',
+    () => {
+      const harness = harnesses.createHarness();
+      harness.scheduler.setWorkspaces(createWorkspaces(10));
+      harness.addVm('full');
+      harness.addVm('idle', { pool: 'other' });
+      harness.addJob('hour', [
+        harnesses.createStep({
+          size: { cores: 8, memoryMb: 100, gpus: 0 },
+          estimateMs: 3_600_000,
+        }),
+      ]);
+      harness.advance(20);
+      addJob(harness, 'gang', { gang: true, count: 8 }, { slackMs: 60_000 });
+      harness.advance(20);
+      addJob(
+        harness,
+        'task',
+        { size: { cores: 3, memoryMb: 100, gpus: 0 }, estimateMs: 60_000 },
+        { pool: 'other' },
+      );
+      vitest.expect(listJobsAfter(harness, 3)).toContain('task');
+    },
+  );
 });
 
 vitest.describe('a service of an excess job', () => {
