Limits: let short tasks use what is reserved until a gang's VMs are ready

Cause: where the limit covers a gang that waits for its VMs, the time until it can start was taken as 0, so no step of its workspace could use the reserved capacity meanwhile, up to 30 s, also beside idle VMs. Change: the time at which the reserved VMs are expected to be ready counts too; tasks that end before it may start, as those that end before the limit covers the gang. Measured: the new test fails before the change and passes after it; tests of limits pass (27 of 27 with the new file).

--- a/packages/core/src/workloads/reservation.ts
+++ b/packages/core/src/workloads/reservation.ts
@@ -16,17 +16,17 @@
 /** Declared run times are wrong by up to half in either direction. */
 const ESTIMATE_ERROR_FACTOR = 1.5;
 
-/** Reserves VMs for all members of a gang; returns false when there are too few suitable VMs. */
+/** Reserves VMs for all members of a gang; returns the estimated time at which all are ready, or undefined when there are too few suitable VMs. */
 export function reserveForGang(
   state: states.State,
   step: tables.StepRow,
   nowMs: number,
-): boolean {
+): number | undefined {
   const ready = chooseEarliestVms(state, step, nowMs);
-  if (ready === undefined) return false;
+  if (ready === undefined) return undefined;
   for (const [vm, readyMs] of ready)
     placement.reserveVm(vm, step, { untilMs: nowMs + RESERVATION_MS, readyMs });
-  return true;
+  return Math.max(...ready.values());
 }
 
 /** Returns whether the VMs that may run a gang could hold it once all runs have ended but those that `isLong` selects. */
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -142,9 +142,12 @@
     if (room === undefined) continue;
     placeStep(state, step, room, nowMs);
     if (step.waitingCount === 0) continue;
-    const reserveLimit = (): void => {
-      workspaceLimits.reserveForGang(step, () =>
-        reservation.canHoldGang(state, step, workspaceLimits.isLong, nowMs),
+    const reserveLimit = (vmsReadyMs?: number): void => {
+      workspaceLimits.reserveForGang(
+        step,
+        () =>
+          reservation.canHoldGang(state, step, workspaceLimits.isLong, nowMs),
+        vmsReadyMs,
       );
     };
     if (!workspaceLimits.canStart(step, nowMs)) {
@@ -175,14 +178,14 @@
         !trials.isPrepared(state, step, nowMs)
       )
         preemption.preemptForStep(state, step, nowMs);
-      if (
-        step.spec.gang &&
-        !poolsWithReservation.has(pool) &&
-        reservation.reserveForGang(state, step, nowMs)
-      ) {
+      const readyMs =
+        step.spec.gang && !poolsWithReservation.has(pool)
+          ? reservation.reserveForGang(state, step, nowMs)
+          : undefined;
+      if (readyMs !== undefined) {
         poolsWithReservation.add(pool);
         // Without it, small tasks take the limit again before the VMs are ready.
-        reserveLimit();
+        reserveLimit(readyMs - nowMs);
       }
     } else reserveLimit();
   }
--- a/packages/core/src/workloads/workspaceLimits.ts
+++ b/packages/core/src/workloads/workspaceLimits.ts
@@ -41,7 +41,7 @@
   readonly unrecorded: Amount;
   /** Gang for which capacity under the limit is reserved, as of this round. */
   reservedFor: tables.StepRow | undefined;
-  /** Expected time until the limit covers that gang, in ms; 0 when it does or when this isn't known. */
+  /** Expected time until the limit and the VMs cover that gang, in ms; 0 when they do or when this isn't known. */
   reservedReadyMs: number;
   /** Gangs whose VMs were examined in this round. */
   examinedGangs: number;
@@ -292,11 +292,13 @@
 /**
  * Reserves capacity under the limit for a waiting gang, unless an earlier one in this
  * round has it or long-running tasks alone leave too little. `canHold` returns whether
- * the VMs of the pool could hold the gang beside long-running tasks.
+ * the VMs of the pool could hold the gang beside long-running tasks; `vmsReadyMs` is the
+ * expected time until they do, 0 where it isn't known.
  */
 export function reserveForGang(
   step: tables.StepRow,
   canHold: () => boolean,
+  vmsReadyMs = 0,
 ): void {
   const account = getAccount(step);
   if (account === undefined || account.reservedFor !== undefined) return;
@@ -308,7 +310,10 @@
   if (countTasks(left, step.spec.size) < step.spec.count) return;
   if (!canHold()) return;
   account.reservedFor = step;
-  account.reservedReadyMs = estimateReadyMs(account, step.spec);
+  account.reservedReadyMs = Math.max(
+    vmsReadyMs,
+    estimateReadyMs(account, step.spec),
+  );
 }
 
 /** Estimates the time until the limit covers a gang, in ms; 0 when it does, or when not only runs in the tables keep it from that. */
--- a/packages/core/test/workloads/workspaceGuarantees.test.ts
+++ b/packages/core/test/workloads/workspaceGuarantees.test.ts
@@ -80,6 +80,32 @@
       vitest.expect(listJobsAfter(harness, 3)).toContain('task');
     },
   );
+
+  vitest.it(
+    'is open to tasks that end before the VMs of the gang are ready (guards against a workspace that waits beside an idle pool)',
+    () => {
+      const harness = harnesses.createHarness();
+      harness.scheduler.setWorkspaces(createWorkspaces(10));
+      harness.addVm('full');
+      harness.addVm('idle', { pool: 'other' });
+      harness.addJob('other', [
+        harnesses.createStep({
+          size: { cores: 8, memoryMb: 100, gpus: 0 },
+          estimateMs: 29_000,
+        }),
+      ]);
+      harness.advance(20);
+      addJob(harness, 'gang', { gang: true, count: 8 }, { slackMs: 60_000 });
+      harness.advance(20);
+      addJob(
+        harness,
+        'task',
+        { size: { cores: 3, memoryMb: 100, gpus: 0 }, estimateMs: 5_000 },
+        { pool: 'other', slackMs: 60_000 },
+      );
+      vitest.expect(listJobsAfter(harness, 0.5)).toContain('task');
+    },
+  );
 });
 
 vitest.describe('a service of an excess job', () => {
