Ranking: promote an overdue job that can start beside one at its limit

Cause: the overdue job that each pool promotes could be a gang that waits for the limit of its workspace. Until it expired, no other overdue job of the pool kept its priority, although the gang used none of the room. Change: if that job doesn't fit within its limit, the one that expires first among those that do is promoted too.

--- a/packages/core/src/workloads/ranking.ts
+++ b/packages/core/src/workloads/ranking.ts
@@ -13,6 +13,7 @@
 import type * as types from './types.js';
 import * as tables from './tables.js';
 import * as waits from './waits.js';
+import * as workspaceLimits from './workspaceLimits.js';
 
 /** Number of VMs in an advice request that is assumed in the estimate of a chain of steps. */
 const ESTIMATED_ADVICE_VMS = 30;
@@ -126,25 +127,25 @@
 
 /**
  * In each pool, gives the overdue job that expires first its own priority as rank, whatever
- * its workspace uses, and likewise one excess job whose objective has passed.
+ * its workspace uses, and likewise one excess job whose objective has passed. If the limit
+ * of its workspace keeps that overdue job from starting, the first one that it doesn't
+ * keep has its own priority as well.
  */
 export function rankOverdue(
   state: states.State,
   ranked: readonly RankedStep[],
   nowMs: number,
 ): RankedStep[] {
-  const promoted = new Map<types.PoolName, RankedStep>();
-  for (const entry of ranked) {
-    if (entry.isExcess || entry.overdueExpiryMs === undefined) continue;
-    const { pool } = entry.step.occurrence.job.policy;
-    const earliestMs = promoted.get(pool)?.overdueExpiryMs ?? Infinity;
-    if (entry.overdueExpiryMs < earliestMs) promoted.set(pool, entry);
-  }
+  const promoted = findEarliestOverdue(ranked, () => true);
+  const startable = findEarliestOverdue(ranked, ({ step }) =>
+    workspaceLimits.isWithinLimit(step),
+  );
   updatePromotedExcess(state, ranked, nowMs);
   return ranked.map((entry) => {
     const { occurrence } = entry.step;
     const { pool, priority } = occurrence.job.policy;
     return promoted.get(pool)?.step.occurrence === occurrence ||
+      startable.get(pool)?.step.occurrence === occurrence ||
       state.promotedExcess.get(pool)?.occurrence === occurrence
       ? {
           ...entry,
@@ -156,6 +157,22 @@
   });
 }
 
+/** Finds the overdue step of each pool that expires first among those for which `isCounted` holds. */
+function findEarliestOverdue(
+  ranked: readonly RankedStep[],
+  isCounted: (entry: RankedStep) => boolean,
+): ReadonlyMap<types.PoolName, RankedStep> {
+  const found = new Map<types.PoolName, RankedStep>();
+  for (const entry of ranked) {
+    if (entry.isExcess || entry.overdueExpiryMs === undefined) continue;
+    const { pool } = entry.step.occurrence.job.policy;
+    const earliestMs = found.get(pool)?.overdueExpiryMs ?? Infinity;
+    if (entry.overdueExpiryMs < earliestMs && isCounted(entry))
+      found.set(pool, entry);
+  }
+  return found;
+}
+
 /** In each pool, promotes the excess occurrence with the earliest objective, each once before the next turn of all. */
 function updatePromotedExcess(
   state: states.State,
--- a/packages/core/test/workloads/workspaceGuarantees.test.ts
+++ b/packages/core/test/workloads/workspaceGuarantees.test.ts
@@ -2,6 +2,7 @@
 import * as vitest from 'vitest';
 import type * as core from '../../src/index.js';
 import * as advice from '../../src/workloads/advice.js';
+import * as ranking from '../../src/workloads/ranking.js';
 import * as harnesses from './harness.js';
 
 const UNLIMITED = { cores: Infinity, memoryMb: Infinity, gpus: Infinity };
@@ -108,6 +109,45 @@
   );
 });
 
+vitest.describe(
+  'an overdue job that waits for the limit of its workspace',
+  () => {
+    vitest.it(
+      'leaves the promotion of its pool to one that can start (guards against a late job that starves behind a gang without room under its limit)',
+      () => {
+        const { state, scheduler } = harnesses.createOpenScheduler(1_000);
+        scheduler.setWorkspaces(createWorkspaces(4));
+        const addGang = (id: string, workspace: string | undefined): void => {
+          scheduler.acceptJob(
+            harnesses.createJob({
+              id,
+              steps: [harnesses.createStep({ gang: true, count: 3 })],
+              ...(workspace === undefined ? {} : { workspace }),
+            }),
+            0,
+            1_000,
+            1_000,
+          );
+        };
+        addGang('blocked', 'small');
+        addGang('free', undefined);
+        state.workspaceAccounts.get('small')!.used.cores = 2;
+        const ranked = ranking.rankOverdue(
+          state,
+          [...state.jobs.values()].map((job) =>
+            ranking.rankStep(job.occurrences[0]!.steps[0]!, 4_500),
+          ),
+          4_500,
+        );
+        const promoted = ranked
+          .filter(({ rank }) => rank === 1)
+          .map(({ step }) => step.occurrence.job.job.id);
+        vitest.expect(promoted).toEqual(['blocked', 'free']);
+      },
+    );
+  },
+);
+
 vitest.describe('a service of an excess job', () => {
   vitest.it(
     'asks for advice like any service (guards against one that waits for the slots of excess jobs once its VM is silent)',
