Configuration: tell version 0 from no configuration

Cause: an owner took version 0 for a missing configuration, so with one of that version it knew no limits, and accepted jobs of workspaces never started. Change: without a configuration, the view tells version -1 and no workspaces. The setup of owner.test.ts takes workspaces; no check changed.

--- a/packages/cluster/src/configuration.ts
+++ b/packages/cluster/src/configuration.ts
@@ -9,6 +9,8 @@
 
 /** Longest wait of a read, in ms; with its timeout, an unresponsive connection is detected before a new version must be in force. */
 const FOLLOW_WAIT_MS = 1_200;
+/** Version of a node that knows no configuration; those of configurations begin at 0. */
+const NO_VERSION = -1;
 /** Age of the last answer from which a missing route may only be unknown to this node, in ms. */
 const STALE_AFTER_MS = 2_600;
 /** Delay before the next attempt after a failed read, in ms. */
@@ -29,7 +31,9 @@
     path: string,
   ): { readonly route: ports.Route; readonly rest: string } | undefined;
   getPolicies(): {
+    /** -1 before a configuration is known. */
     readonly version: number;
+    /** Undefined before a configuration is known. */
     readonly workspaces?: ReadonlyMap<
       core.workloads.WorkspaceName,
       core.workloads.WorkspacePolicy
@@ -144,9 +148,9 @@
         : { route: best, rest: path.slice(best.pathPrefix.length) };
     },
     getPolicies: () => ({
-      version: current?.version ?? 0,
+      version: current?.version ?? NO_VERSION,
       policies,
-      workspaces,
+      ...(current === undefined ? {} : { workspaces }),
     }),
     open() {
       void follow();
--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -510,8 +510,9 @@
     if (version === policyVersion) return;
     policyVersion = version;
     scheduler.setPolicies(policies);
-    // Version 0 stands for no configuration, so that no limit is known yet.
-    if (version > 0) scheduler.setWorkspaces(workspaces ?? new Map());
+    // Without a configuration, no limit is known yet.
+    if (workspaces !== undefined || version > 0)
+      scheduler.setWorkspaces(workspaces ?? new Map());
   }
 
   /**
--- a/packages/cluster/test/owner.test.ts
+++ b/packages/cluster/test/owner.test.ts
@@ -70,7 +70,12 @@
   const claim = { confirmedMs: undefined as number | undefined };
   const fenced = vitest.vi.fn();
   const failed = vitest.vi.fn();
-  const policies = { failure: undefined as Error | undefined, version: 1 };
+  const policies = {
+    failure: undefined as Error | undefined,
+    version: 1,
+    workspaces: undefined as
+      ReadonlyMap<string, core.workloads.WorkspacePolicy> | undefined,
+  };
   const vmCalls: ports.VmCalls = {
     ...context.ports.vmCalls,
     async hold(_, { waitMs }, timeoutMs) {
@@ -126,7 +131,12 @@
     },
     getPolicies() {
       if (policies.failure !== undefined) throw policies.failure;
-      return { version: policies.version, policies: new Map() };
+      const { version, workspaces } = policies;
+      return {
+        version,
+        policies: new Map(),
+        ...(workspaces === undefined ? {} : { workspaces }),
+      };
     },
     getConfirmedAge: getClaimAge,
     getLongestConfirmedAge: getClaimAge,
@@ -165,6 +175,17 @@
       vitest.expect(running.size).toBe(1);
     },
   );
+
+  vitest.it(
+    'starts them with a configuration of version 0 (guards against accepted jobs that never start)',
+    async () => {
+      const { policies, running, timers } = createSetup(undefined, {}, 'small');
+      policies.version = 0;
+      policies.workspaces = new Map();
+      await fakes.advance(timers, 1_000);
+      vitest.expect(running.size).toBe(1);
+    },
+  );
 });
 
 vitest.describe('the counts of an owner', () => {
