Shares: order an overdue service as one below its share

Cause: in a full pool, steps of a workspace above its share come after those of others of the same rank, whatever their objectives. Its services may run forever, so it stays above, and services are never promoted as overdue jobs: a service task starved under a steady load of others. Change: the share doesn't count for an overdue service. Measured: the new test (steady load for 7 s in a full pool) fails before the change and passes after it; tests of shares, load and owed tasks pass (59 of 59 with the new file).

--- a/packages/core/src/workloads/ranking.ts
+++ b/packages/core/src/workloads/ranking.ts
@@ -105,16 +105,18 @@
   };
 }
 
-/** Adds what the shares of the workspaces decide to ranked steps. */
+/** Adds what the shares of the workspaces decide to ranked steps, but to overdue services: these aren't promoted, and would starve. */
 export function rankByShares(
   state: states.State,
   ranked: readonly RankedStep[],
+  nowMs: number,
 ): readonly RankedStep[] {
   if (state.workspaces.size === 0) return ranked;
-  return ranked.map((entry) => ({
-    ...entry,
-    turn: shares.findTurn(state, entry.step.occurrence.job),
-  }));
+  return ranked.map((entry) =>
+    waits.isServiceOverdue(entry.step, nowMs)
+      ? entry
+      : { ...entry, turn: shares.findTurn(state, entry.step.occurrence.job) },
+  );
 }
 
 /** An occurrence of an excess job that comes before those of jobs within their rate. */
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -94,7 +94,7 @@
     rooms.keys(),
   );
   const order = ranking
-    .rankOverdue(state, ranking.rankByShares(state, ranked), nowMs)
+    .rankOverdue(state, ranking.rankByShares(state, ranked, nowMs), nowMs)
     .sort(ranking.compareRanked);
   for (const { step, isExcess } of order)
     step.occurrence.job.yields &&= isExcess;
--- a/packages/core/test/workloads/workspaceGuarantees.test.ts
+++ b/packages/core/test/workloads/workspaceGuarantees.test.ts
@@ -169,3 +169,40 @@
     },
   );
 });
+
+vitest.describe('a service of a workspace above its share', () => {
+  vitest.it(
+    'runs again under a steady load of others in a full pool (guards against a service that starves because it is never promoted)',
+    () => {
+      const size = { cores: 8, memoryMb: 100, gpus: 0 };
+      const harness = harnesses.createHarness();
+      harness.scheduler.setWorkspaces(
+        new Map(
+          ['small', 'other'].map((name) => [
+            name,
+            { name, weight: 100, priority: 0, limit: UNLIMITED },
+          ]),
+        ),
+      );
+      for (const id of ['a', 'b', 'c']) harness.addVm(id);
+      addJob(harness, 'first', { size, lasts: true, count: 2 });
+      harness.addJob('next', [harnesses.createStep({ size })]);
+      harness.advance(20);
+      addJob(harness, 'service', { size, lasts: true });
+      for (let round = 0; round < 70; round += 1) {
+        for (const { vm, run, task } of harness.listRuns())
+          if (round % 5 === 0 && task.startsWith('next'))
+            harness.endRun(vm, run, 'done');
+        harness.addJob(
+          `next${round}`,
+          [harnesses.createStep({ size })],
+          harnesses.createPolicy({ slackMs: 60_000 }),
+          undefined,
+          'other',
+        );
+        harness.advance(100);
+      }
+      vitest.expect(listJobsAfter(harness, 0)).toContain('service');
+    },
+  );
+});
