Shares: keep the turn of an excess gang while VMs are reserved for it

Cause: a promoted excess job gives way to the next late one after 10 s. A gang that was promoted lost its reserved VMs with that, so where the tasks of a full pool end more than 10 s apart, it never started. Change: a gang with reserved VMs keeps its turn for up to 60 s. Measured: in the new test (two VMs, tasks of 24 s that end 12 s apart, two other late excess jobs) the gang doesn't start within 300 s before the change and does after it; tests of shares and limits pass.

--- a/packages/core/src/workloads/ranking.ts
+++ b/packages/core/src/workloads/ranking.ts
@@ -8,6 +8,7 @@
  * come after all others, and in a full pool, steps of one rank go by the shares of their
  * workspaces; one excess job per pool at a time is promoted too once its objective has passed.
  */
+import * as placement from './placement.js';
 import * as shares from './shares.js';
 import type * as states from './state.js';
 import type * as types from './types.js';
@@ -26,6 +27,8 @@
 const EXCESS_INTERVAL_MS = 2_000;
 /** Time after which another excess job is promoted although the last one still waits, in ms: it may need a VM that isn't there. */
 const MAX_EXCESS_PROMOTION_MS = 10_000;
+/** The same for a gang with reserved VMs, in ms: twice the 30 s of a long task. With 10 s, a gang loses its VMs before the last of them is ready. */
+const MAX_EXCESS_GANG_PROMOTION_MS = 60_000;
 
 /** A step with waiting tasks and its rank. */
 export interface RankedStep {
@@ -199,10 +202,7 @@
     const last = state.promotedExcess.get(pool);
     const next = earliest.get(pool)?.step.occurrence;
     if (last !== undefined) {
-      const minimumMs = waiting.has(last.occurrence)
-        ? MAX_EXCESS_PROMOTION_MS
-        : EXCESS_INTERVAL_MS;
-      if (nowMs - last.sinceMs < minimumMs) continue;
+      if (isPromotionKept(state, last, waiting, nowMs)) continue;
       if (next === undefined)
         state.promotedExcess.set(pool, { ...last, served: new WeakSet() });
     }
@@ -217,6 +217,25 @@
   }
 }
 
+/** Returns whether a promoted excess occurrence comes before others for longer. */
+function isPromotionKept(
+  state: states.State,
+  { occurrence, sinceMs }: PromotedExcess,
+  waiting: ReadonlySet<tables.OccurrenceRow>,
+  nowMs: number,
+): boolean {
+  const ageMs = nowMs - sinceMs;
+  if (!waiting.has(occurrence)) return ageMs < EXCESS_INTERVAL_MS;
+  if (ageMs < MAX_EXCESS_PROMOTION_MS) return true;
+  if (ageMs >= MAX_EXCESS_GANG_PROMOTION_MS) return false;
+  for (const vm of state.vms.values()) {
+    const reserved = placement.getReservedStep(vm, nowMs);
+    if (reserved?.spec.gang === true && reserved.occurrence === occurrence)
+      return true;
+  }
+  return false;
+}
+
 /** Orders ranked steps. */
 export function compareRanked(a: RankedStep, b: RankedStep): number {
   return (
--- a/packages/core/test/workloads/workspaceGuarantees.test.ts
+++ b/packages/core/test/workloads/workspaceGuarantees.test.ts
@@ -206,3 +206,68 @@
     },
   );
 });
+
+vitest.describe('an excess gang', () => {
+  vitest.it(
+    'starts in a full pool whose tasks take longer than the promotion of one task (guards against a gang that loses its VMs with each turn of another excess job)',
+    () => {
+      const step = harnesses.createStep({
+        size: { cores: 8, memoryMb: 10, gpus: 0 },
+        estimateMs: 24_000,
+      });
+      const harness = harnesses.createHarness();
+      harness.scheduler.setWorkspaces(
+        new Map(
+          ['hot', 'other'].map((name) => [
+            name,
+            {
+              name,
+              weight: name === 'hot' ? 0 : 100,
+              priority: 0,
+              limit: UNLIMITED,
+            },
+          ]),
+        ),
+      );
+      const add = (
+        id: string,
+        workspace: string,
+        given: Partial<core.workloads.StepSpec> = {},
+      ) =>
+        harness.addJob(
+          id,
+          [{ ...step, ...given }],
+          harnesses.createPolicy(),
+          undefined,
+          workspace,
+        );
+      // They take the tokens of the workspace.
+      for (let index = 0; index < 10; index += 1) {
+        add(`spent${index}`, 'hot');
+        harness.scheduler.cancelJob(`spent${index}`, harness.getNow());
+      }
+      harness.settle();
+      harness.addVm('a');
+      add('next', 'other');
+      harness.advance(10);
+      // Two that no VM can run, so that the gang's turns end.
+      for (const id of ['stuck0', 'stuck1']) add(id, 'hot', { label: 'none' });
+      add('gang', 'hot', { gang: true, count: 2 });
+      let hasStarted = false;
+      for (let second = 0; second < 300 && !hasStarted; second += 1) {
+        // The tasks of the two VMs end 12 s apart.
+        if (second === 12) harness.addVm('b');
+        if (second % 10 === 0) add(`next${second}`, 'other');
+        for (const { vm, run } of harness.listRuns())
+          if (second % 24 === (vm === 'a' ? 0 : 12))
+            harness.endRun(vm, run, 'done');
+        // Reservations last for 400 ms.
+        for (let part = 0; part < 5; part += 1) harness.advance(200);
+        hasStarted = harness
+          .listRuns()
+          .some(({ task }) => task.startsWith('gang'));
+      }
+      vitest.expect(hasStarted).toBe(true);
+    },
+  );
+});
