--- a/packages/core/src/workloads/ranking.ts
+++ b/packages/core/src/workloads/ranking.ts
@@ -8,12 +8,14 @@
  * come after all others, and in a full pool, steps of one rank go by the shares of their
  * workspaces; one excess job per pool at a time is promoted too once its objective has passed.
  */
+import * as placement from './placement.js';
 import * as runTimes from './runTimes.js';
 import * as shares from './shares.js';
 import type * as states from './state.js';
 import type * as types from './types.js';
 import * as tables from './tables.js';
 import * as waits from './waits.js';
+import * as workspaceLimits from './workspaceLimits.js';
 
 /** Number of VMs in an advice request that is assumed in the estimate of a chain of steps. */
 const ESTIMATED_ADVICE_VMS = 30;
@@ -26,6 +28,8 @@
 const EXCESS_INTERVAL_MS = 2_000;
 /** Time after which another excess job is promoted although the last one still waits, in ms: it may need a VM that isn't there. */
 const MAX_EXCESS_PROMOTION_MS = 10_000;
+/** The same for a gang with reserved VMs, in ms: twice the 30 s of a long task. With 10 s, a gang loses its VMs before the last of them is ready. */
+const MAX_EXCESS_GANG_PROMOTION_MS = 60_000;
 
 /** A step with waiting tasks and its rank. */
 export interface RankedStep {
@@ -123,16 +127,18 @@
   };
 }
 
-/** Adds what the shares of the workspaces decide to ranked steps. */
+/** Adds what the shares of the workspaces decide to ranked steps, but to overdue services: these aren't promoted, and would starve. */
 export function rankByShares(
   state: states.State,
   ranked: readonly RankedStep[],
+  nowMs: number,
 ): readonly RankedStep[] {
   if (state.workspaces.size === 0) return ranked;
-  return ranked.map((entry) => ({
-    ...entry,
-    turn: shares.findTurn(state, entry.step.occurrence.job),
-  }));
+  return ranked.map((entry) =>
+    waits.isServiceOverdue(entry.step, nowMs)
+      ? entry
+      : { ...entry, turn: shares.findTurn(state, entry.step.occurrence.job) },
+  );
 }
 
 /** An occurrence of an excess job that comes before those of jobs within their rate. */
@@ -145,25 +151,25 @@
 
 /**
  * In each pool, gives the overdue job that expires first its own priority as rank, whatever
- * its workspace uses, and likewise one excess job whose objective has passed.
+ * its workspace uses, and likewise one excess job whose objective has passed. If the limit
+ * of its workspace keeps that overdue job from starting, the first one that it doesn't
+ * keep has its own priority as well.
  */
 export function rankOverdue(
   state: states.State,
   ranked: readonly RankedStep[],
   nowMs: number,
 ): RankedStep[] {
-  const promoted = new Map<types.PoolName, RankedStep>();
-  for (const entry of ranked) {
-    if (entry.isExcess || entry.overdueExpiryMs === undefined) continue;
-    const { pool } = entry.step.occurrence.job.policy;
-    const earliestMs = promoted.get(pool)?.overdueExpiryMs ?? Infinity;
-    if (entry.overdueExpiryMs < earliestMs) promoted.set(pool, entry);
-  }
+  const promoted = findEarliestOverdue(ranked, () => true);
+  const startable = findEarliestOverdue(ranked, ({ step }) =>
+    workspaceLimits.isWithinLimit(step),
+  );
   updatePromotedExcess(state, ranked, nowMs);
   return ranked.map((entry) => {
     const { occurrence } = entry.step;
     const { pool, priority } = occurrence.job.policy;
     return promoted.get(pool)?.step.occurrence === occurrence ||
+      startable.get(pool)?.step.occurrence === occurrence ||
       state.promotedExcess.get(pool)?.occurrence === occurrence
       ? {
           ...entry,
@@ -175,6 +181,22 @@
   });
 }
 
+/** Finds the overdue step of each pool that expires first among those for which `isCounted` holds. */
+function findEarliestOverdue(
+  ranked: readonly RankedStep[],
+  isCounted: (entry: RankedStep) => boolean,
+): ReadonlyMap<types.PoolName, RankedStep> {
+  const found = new Map<types.PoolName, RankedStep>();
+  for (const entry of ranked) {
+    if (entry.isExcess || entry.overdueExpiryMs === undefined) continue;
+    const { pool } = entry.step.occurrence.job.policy;
+    const earliestMs = found.get(pool)?.overdueExpiryMs ?? Infinity;
+    if (entry.overdueExpiryMs < earliestMs && isCounted(entry))
+      found.set(pool, entry);
+  }
+  return found;
+}
+
 /** In each pool, promotes the excess occurrence with the earliest objective, each once before the next turn of all. */
 function updatePromotedExcess(
   state: states.State,
@@ -199,10 +221,7 @@
     const last = state.promotedExcess.get(pool);
     const next = earliest.get(pool)?.step.occurrence;
     if (last !== undefined) {
-      const minimumMs = waiting.has(last.occurrence)
-        ? MAX_EXCESS_PROMOTION_MS
-        : EXCESS_INTERVAL_MS;
-      if (nowMs - last.sinceMs < minimumMs) continue;
+      if (isPromotionKept(state, last, waiting, nowMs)) continue;
       if (next === undefined)
         state.promotedExcess.set(pool, { ...last, served: new WeakSet() });
     }
@@ -217,6 +236,25 @@
   }
 }
 
+/** Returns whether a promoted excess occurrence comes before others for longer. */
+function isPromotionKept(
+  state: states.State,
+  { occurrence, sinceMs }: PromotedExcess,
+  waiting: ReadonlySet<tables.OccurrenceRow>,
+  nowMs: number,
+): boolean {
+  const ageMs = nowMs - sinceMs;
+  if (!waiting.has(occurrence)) return ageMs < EXCESS_INTERVAL_MS;
+  if (ageMs < MAX_EXCESS_PROMOTION_MS) return true;
+  if (ageMs >= MAX_EXCESS_GANG_PROMOTION_MS) return false;
+  for (const vm of state.vms.values()) {
+    const reserved = placement.getReservedStep(vm, nowMs);
+    if (reserved?.spec.gang === true && reserved.occurrence === occurrence)
+      return true;
+  }
+  return false;
+}
+
 /** Orders ranked steps. */
 export function compareRanked(a: RankedStep, b: RankedStep): number {
   return (
--- a/packages/core/src/workloads/reservation.ts
+++ b/packages/core/src/workloads/reservation.ts
@@ -18,30 +18,35 @@
 /** Share of the tasks that must be expected to end before a reserved VM is ready, for their step to use it. */
 const BACKFILL_SHARE = 0.9;
 
-/** Reserves VMs for all members of a gang; returns false when there are too few suitable VMs. */
+/** Reserves VMs for all members of a gang; returns the estimated time at which all are ready, or undefined when there are too few suitable VMs. */
 export function reserveForGang(
   state: states.State,
   step: tables.StepRow,
   nowMs: number,
-): boolean {
+): number | undefined {
   const ready = chooseEarliestVms(state, step, nowMs);
-  if (ready === undefined) return false;
+  if (ready === undefined) return undefined;
   for (const [vm, readyMs] of ready)
     placement.reserveVm(vm, step, { untilMs: nowMs + RESERVATION_MS, readyMs });
-  return true;
+  return Math.max(...ready.values());
 }
 
-/** Returns whether the VMs that may run a gang now could hold it if they were idle. */
+/** Returns whether the VMs that may run a gang could hold it once all runs have ended but those that `isLong` selects. */
 export function canHoldGang(
   state: states.State,
   step: tables.StepRow,
+  isLong: (run: tables.RunRow) => boolean,
   nowMs: number,
 ): boolean {
   let places = 0;
   for (const vm of openVms.listForStep(state.openVms, step)) {
     if (vm.entry === undefined || !placement.isEligible(vm, step, nowMs))
       continue;
-    places += admission.countTasksThatFit(vm.entry, step.spec);
+    const capacity = { ...vm.entry.capacity };
+    for (const run of vm.runs)
+      if (isLong(run))
+        tables.addAmount(capacity, tables.getNeed(run.task.step.spec), -1);
+    places += admission.countTasksThatFit({ ...vm.entry, capacity }, step.spec);
     if (places >= step.spec.count) return true;
   }
   return false;
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -96,7 +96,7 @@
     rooms.keys(),
   );
   const order = ranking
-    .rankOverdue(state, ranking.rankByShares(state, ranked), nowMs)
+    .rankOverdue(state, ranking.rankByShares(state, ranked, nowMs), nowMs)
     .sort(ranking.compareRanked);
   for (const { step, isExcess } of order)
     step.occurrence.job.yields &&= isExcess;
@@ -117,7 +117,7 @@
   for (const forExcess of [false, true]) {
     const entries = ranked.filter(({ isExcess }) => isExcess === forExcess);
     askForOverdueServices(state, entries, nowMs);
-    advice.requestForEndingTasks(state, nowMs, forExcess);
+    if (!forExcess) advice.requestForEndingTasks(state, nowMs);
     startInOrder(state, entries, rooms, blocked, nowMs);
   }
 }
@@ -144,12 +144,15 @@
     if (room === undefined) continue;
     placeStep(state, step, room, nowMs);
     if (step.waitingCount === 0) continue;
-    const reserveLimit = (): void => {
-      workspaceLimits.reserveForGang(step, () =>
-        reservation.canHoldGang(state, step, nowMs),
+    const reserveLimit = (vmsReadyMs?: number): void => {
+      workspaceLimits.reserveForGang(
+        step,
+        () =>
+          reservation.canHoldGang(state, step, workspaceLimits.isLong, nowMs),
+        vmsReadyMs,
       );
     };
-    if (!workspaceLimits.canStart(step)) {
+    if (!workspaceLimits.canStart(step, nowMs)) {
       workspaceLimits.markBlocked(step);
       reserveLimit();
       continue;
@@ -177,14 +180,14 @@
         !trials.isPrepared(state, step, nowMs)
       )
         preemption.preemptForStep(state, step, nowMs);
-      if (
-        step.spec.gang &&
-        !poolsWithReservation.has(pool) &&
-        reservation.reserveForGang(state, step, nowMs)
-      ) {
+      const readyMs =
+        step.spec.gang && !poolsWithReservation.has(pool)
+          ? reservation.reserveForGang(state, step, nowMs)
+          : undefined;
+      if (readyMs !== undefined) {
         poolsWithReservation.add(pool);
         // Without it, small tasks take the limit again before the VMs are ready.
-        reserveLimit();
+        reserveLimit(readyMs - nowMs);
       }
     } else reserveLimit();
   }
@@ -229,7 +232,7 @@
   room: headroom.PoolRoom,
   nowMs: number,
 ): void {
-  if (!workspaceLimits.canStart(step)) return;
+  if (!workspaceLimits.canStart(step, nowMs)) return;
   if (!headroom.canFitOnVm(room, step)) return;
   const candidates = collectCandidates(state, step, nowMs);
   if (candidates.length === 0) return;
@@ -241,7 +244,7 @@
   for (const task of step.tasks) {
     if (task.state !== 'waiting' || task.strayRunVms.size > 0) continue;
     if (!headroom.canUseCores(state, room, step, nowMs)) return;
-    if (!workspaceLimits.canStart(step)) return;
+    if (!workspaceLimits.canStart(step, nowMs)) return;
     if (blame.isOnTrial(task)) {
       if (blame.isGivenUp(task)) {
         crashes.failTask(state, task, nowMs);
--- a/packages/core/src/workloads/workspaceLimits.ts
+++ b/packages/core/src/workloads/workspaceLimits.ts
@@ -8,6 +8,7 @@
 import * as resources from '../types/resources.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
+import * as waits from './waits.js';
 
 /**
  * Expected remaining time above which a run counts as long-running, in ms. Small tasks
@@ -40,7 +41,7 @@
   readonly unrecorded: Amount;
   /** Gang for which capacity under the limit is reserved, as of this round. */
   reservedFor: tables.StepRow | undefined;
-  /** Expected time until the limit covers that gang, in ms; 0 when it does or when this isn't known. */
+  /** Expected time until the limit and the VMs cover that gang, in ms; 0 when they do or when this isn't known. */
   reservedReadyMs: number;
   /** Gangs whose VMs were examined in this round. */
   examinedGangs: number;
@@ -222,13 +223,17 @@
   return isWithinLimit(step) || canReserve(step);
 }
 
-/** Returns whether the next task of a step, or its whole gang, may start in this round. */
-export function canStart(step: tables.StepRow): boolean {
+/**
+ * Returns whether the next task of a step, or its whole gang, may start in this round. An
+ * overdue service may use what is reserved for a gang, which may wait for much longer.
+ */
+export function canStart(step: tables.StepRow, nowMs: number): boolean {
   const account = getAccount(step);
   if (account === undefined) return true;
   if (!isWithinLimit(step)) return false;
   const { reservedFor } = account;
   if (reservedFor === undefined || reservedFor === step) return true;
+  if (waits.isServiceOverdue(step, nowMs)) return true;
   const { size, lasts, estimateMs } = step.spec;
   if (!lasts && estimateMs * ESTIMATE_ERROR_FACTOR < account.reservedReadyMs)
     return true;
@@ -287,11 +292,13 @@
 /**
  * Reserves capacity under the limit for a waiting gang, unless an earlier one in this
  * round has it or long-running tasks alone leave too little. `canHold` returns whether
- * the VMs of the pool could hold the gang.
+ * the VMs of the pool could hold the gang beside long-running tasks; `vmsReadyMs` is the
+ * expected time until they do, 0 where it isn't known.
  */
 export function reserveForGang(
   step: tables.StepRow,
   canHold: () => boolean,
+  vmsReadyMs = 0,
 ): void {
   const account = getAccount(step);
   if (account === undefined || account.reservedFor !== undefined) return;
@@ -299,12 +306,14 @@
   account.examinedGangs += 1;
   const left = { ...account.limit };
   for (const run of account.runs)
-    if (estimateLeftMs(run) > LONG_RUN_MS)
-      tables.addAmount(left, run.task.step.spec.size, -1);
+    if (isLong(run)) tables.addAmount(left, run.task.step.spec.size, -1);
   if (countTasks(left, step.spec.size) < step.spec.count) return;
   if (!canHold()) return;
   account.reservedFor = step;
-  account.reservedReadyMs = estimateReadyMs(account, step.spec);
+  account.reservedReadyMs = Math.max(
+    vmsReadyMs,
+    estimateReadyMs(account, step.spec),
+  );
 }
 
 /** Estimates the time until the limit covers a gang, in ms; 0 when it does, or when not only runs in the tables keep it from that. */
@@ -326,6 +335,11 @@
   return 0;
 }
 
+/** Returns whether a run is long-running, so that no gang waits for its end. */
+export function isLong(run: tables.RunRow): boolean {
+  return estimateLeftMs(run) > LONG_RUN_MS;
+}
+
 /** Estimates the time until a run ends, in ms; Infinity for a service task. */
 function estimateLeftMs({ task, phase, percent }: tables.RunRow): number {
   const { lasts, estimateMs } = task.step.spec;
