--- a/packages/core/src/workloads/preemption.ts
+++ b/packages/core/src/workloads/preemption.ts
@@ -208,7 +208,8 @@
   return job.policy.priority > other.policy.priority;
 }
 
-function isVictim(
+/** Returns whether a run may be preempted for a step. */
+export function isVictim(
   run: tables.RunRow,
   step: tables.StepRow,
   nowMs: number,
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -9,6 +9,7 @@
 import * as draining from './draining.js';
 import * as headroom from './headroom.js';
 import * as jobs from './jobs.js';
+import * as limitPreemption from './limitPreemption.js';
 import * as openVms from './openVms.js';
 import * as pacing from './pacing.js';
 import * as placement from './placement.js';
@@ -59,8 +60,12 @@
     else waitingJobs.push(job);
   }
   const ranked: ranking.RankedStep[] = [];
-  for (const job of waitingJobs) collectSteps(state, job, ranked, nowMs);
+  const blocked: tables.StepRow[] = [];
+  for (const job of waitingJobs)
+    collectSteps(state, job, { ranked, blocked }, nowMs);
   const rooms = headroom.measureRooms(state, nowMs);
+  if (!batches.isOverdue(state, nowMs))
+    limitPreemption.preemptForLimits(state, blocked, rooms, nowMs);
   startSteps(state, rankSteps(state, ranked, rooms, nowMs), rooms, nowMs);
   for (const vm of state.vms.values())
     if (vm.waitingStarts.length > 0) batches.sendWaitingStarts(state, vm);
@@ -69,7 +74,14 @@
 function collectSteps(
   state: states.State,
   job: tables.JobRow,
-  ranked: ranking.RankedStep[],
+  {
+    ranked,
+    blocked,
+  }: {
+    readonly ranked: ranking.RankedStep[];
+    /** Steps that the limit of their workspace leaves out. */
+    readonly blocked: tables.StepRow[];
+  },
   nowMs: number,
 ): void {
   for (const occurrence of job.occurrences) {
@@ -78,7 +90,10 @@
       if (step.waitingCount > 0 && tables.isStepOpen(step)) {
         if (workspaceLimits.canRank(step))
           ranked.push(ranking.rankStep(state.runTimes, step, nowMs));
-        else workspaceLimits.markBlocked(step);
+        else {
+          workspaceLimits.markBlocked(step);
+          blocked.push(step);
+        }
       }
   }
 }
