End calls to the store no more while late answers show that it is slow

On a node with few calls, the only answer beside a slow append is that of the probe which the job store sends after 350 ms. With 60 ms between regions, each append that takes over 410 ms was ended by it and repeated, up to the deadline of its request, so callers got 504 although each append was answered within its timeout of 700 ms.

A late answer to a call that was ended now shows that calls take that long: for a minute, none is ended before twice that time. The first such append is still repeated.

Measured: the new test of storeSilence.test.ts fails before (the second append is ended) and passes now; storeSilence, storeOutages, claims and jobStore tests: 82 passed.

--- a/packages/cluster/src/storeSilence.ts
+++ b/packages/cluster/src/storeSilence.ts
@@ -4,7 +4,8 @@
  * call would wait for its timeout, which grows with each retry, so starts and acceptances
  * would go on being held up after the store is back. A call counts as swallowed once nothing
  * was answered for a while after it was sent and a later call is answered. A slow store
- * answers calls in between, so its calls keep their timeouts.
+ * answers calls in between, so its calls keep their timeouts. On a node with few calls, a
+ * slow append looks swallowed once a probe is answered; its late answer shows that it wasn't.
  */
 import type * as core from '@flamingoward/core';
 import type * as ports from './ports.js';
@@ -13,6 +14,10 @@
 const MIN_SILENCE_MS = 400;
 /** Time by which the answered call was sent later, in ms; answers may overtake each other by less. */
 const MIN_OVERTAKE_MS = 150;
+/** Calls aren't ended before this multiple of the time of a late answer; the times of appends of one kind differ by less. */
+const SLOW_ANSWER_FACTOR = 2;
+/** Time for which a late answer shows that calls are slow, in ms; without a limit, one slow call would switch the tracker off. */
+const SLOW_ANSWER_KEPT_MS = 60_000;
 const WHY = 'the store was silent and answers later calls';
 
 /** A call that waits for its answer. */
@@ -34,6 +39,14 @@
 ): SilenceTracker {
   const pending = new Set<PendingCall>();
   let lastAnswerMs = timers.getNow();
+  /** Time that the last call took that was ended although it was answered, and the time of its answer. */
+  let slow: { readonly tookMs: number; readonly atMs: number } | undefined;
+
+  function computeMinAge(nowMs: number): number {
+    if (slow === undefined || nowMs - slow.atMs >= SLOW_ANSWER_KEPT_MS)
+      return MIN_SILENCE_MS;
+    return Math.max(MIN_SILENCE_MS, SLOW_ANSWER_FACTOR * slow.tookMs);
+  }
 
   /** Applies an answer to a call that was sent at a time. */
   function recordAnswer(sentMs: number): void {
@@ -41,14 +54,21 @@
     const silenceMs = nowMs - lastAnswerMs;
     lastAnswerMs = nowMs;
     if (silenceMs < MIN_SILENCE_MS) return;
+    const minAgeMs = computeMinAge(nowMs);
     for (const call of [...pending])
       if (
-        nowMs - call.dueMs >= MIN_SILENCE_MS &&
+        nowMs - call.dueMs >= minAgeMs &&
         sentMs - call.dueMs >= MIN_OVERTAKE_MS
       )
         call.giveUp();
   }
 
+  /** Applies an answer to a call that has been ended; it shows nothing about calls sent since but their likely time. */
+  function recordLateAnswer(dueMs: number): void {
+    const nowMs = timers.getNow();
+    slow = { tookMs: nowMs - dueMs, atMs: nowMs };
+  }
+
   function watchCall<Result>(
     call: Promise<Result>,
     waitMs: number,
@@ -67,9 +87,12 @@
       pending.add(entry);
       call.then(
         (result) => {
-          // A late answer to a call that was given up shows nothing about calls sent since.
-          if (!pending.delete(entry)) return;
-          if (isAnswer(result)) recordAnswer(sentMs);
+          const isPending = pending.delete(entry);
+          if (isAnswer(result)) {
+            if (isPending) recordAnswer(sentMs);
+            else recordLateAnswer(entry.dueMs);
+          }
+          if (!isPending) return;
           resolve(result);
         },
         (cause: unknown) => {
--- a/packages/cluster/test/storeSilence.test.ts
+++ b/packages/cluster/test/storeSilence.test.ts
@@ -82,4 +82,53 @@
       vitest.expect(outcomes).toEqual(['first unknown', 'probe appended']);
     },
   );
+
+  vitest.it(
+    'are ended once only if the store is slow with appends but not with probes (guards against appends that are never confirmed)',
+    async () => {
+      const { timers, append, answer, outcomes } = setUp();
+      timers.advance(10_000);
+      // A probe is sent after 350 ms and takes the 60 ms between two regions; each append takes 500 ms.
+      append('first');
+      timers.advance(350);
+      append('probe 1');
+      timers.advance(60);
+      await answer(1);
+      append('second');
+      timers.advance(90);
+      await answer(0);
+      timers.advance(260);
+      append('probe 2');
+      timers.advance(160);
+      await answer(3);
+      await answer(2);
+      vitest
+        .expect(outcomes)
+        .toEqual([
+          'first unknown',
+          'probe 1 appended',
+          'probe 2 appended',
+          'second appended',
+        ]);
+    },
+  );
+
+  vitest.it(
+    'are ended again a minute after a late answer (guards against a tracker that one slow call switches off)',
+    async () => {
+      const { timers, append, answer, outcomes } = setUp();
+      append('first');
+      timers.advance(2_000);
+      append('probe 1');
+      await answer(1);
+      timers.advance(2_000);
+      await answer(0);
+      timers.advance(60_000);
+      append('second');
+      timers.advance(2_000);
+      append('probe 2');
+      await answer(3);
+      vitest.expect(outcomes).toContain('second unknown');
+    },
+  );
 });
