Take an empty line after a body not for the begin of a header

Some old clients send an empty line after a body; RFC 9112, section 2.2, asks servers to ignore it. The deadline now begins after more than two bytes; fewer are bounded by the deadline of idle connections.

Measured: the new test of intake.test.ts fails before and passes now.

--- a/packages/cluster/src/intake.ts
+++ b/packages/cluster/src/intake.ts
@@ -69,6 +69,9 @@
   };
 }
 
+/** Bytes of an empty line, which some clients send after a body and servers ignore (RFC 9112, section 2.2). */
+const EMPTY_LINE_BYTES = 2;
+
 /** Descriptors for links between nodes, the store, the advice service, readiness and metrics. */
 const OTHER_CONNECTIONS = 100;
 
@@ -309,7 +312,7 @@
         closing.push({ connection, reason: 'body-timeout' });
       }
       for (const [connection, entry] of idle) {
-        if (getReadBytes(connection) !== entry.readBytes)
+        if (getReadBytes(connection) - entry.readBytes > EMPTY_LINE_BYTES)
           entry.headerMs ??= nowMs;
         const headerAgeMs = nowMs - (entry.headerMs ?? nowMs);
         if (headerAgeMs >= timeouts.headerMs)
--- a/packages/cluster/test/intake.test.ts
+++ b/packages/cluster/test/intake.test.ts
@@ -115,6 +115,23 @@
 });
 
 vitest.describe('a connection whose time is over', () => {
+  vitest.it(
+    'isn’t one that has sent an empty line after its body (guards against keep-alive connections that are closed while their next request is on its way)',
+    () => {
+      const { tables, readBytes, begin } = createFull();
+      const request = begin('a', 10);
+      tables.completeBody(request);
+      tables.endRequest(request, 20);
+      // RFC 9112, section 2.2: some old clients do so, and servers should ignore it.
+      readBytes.set('a', 2);
+      vitest.expect(tables.listExpired(500, timeouts)).toEqual([]);
+      vitest.expect(tables.listExpired(1_900, timeouts)).toEqual([]);
+      vitest
+        .expect(tables.listExpired(2_020, timeouts))
+        .toContainEqual({ connection: 'a', reason: 'idle-timeout' });
+    },
+  );
+
   vitest.it(
     'is closed: without a request, with an incomplete header or an incomplete body',
     () => {
