Never end reads of a whole stream for a silent store

A new owner reads each stream page by page as one call to the silence tracker. While it does, little else than its renewals each 500 ms may be answered, so a read that took longer than about 0.9 s counted as swallowed and was begun again, possibly without end, beside the first one, which went on. Such reads are now never ended by the tracker; the call for each page has its own timeout of 1 s (600 ms for a probe).

Measured: the new test of storeSilence.test.ts fails before ('whole stream failed') and passes now; storeSilence, storeOutages, claims, jobStore and owner tests: 104 passed.

--- a/packages/cluster/src/storeSilence.ts
+++ b/packages/cluster/src/storeSilence.ts
@@ -22,7 +22,7 @@
 
 /** A call that waits for its answer. */
 interface PendingCall {
-  /** Time from which an answer is due; for a long-polling read that is the end of its wait. */
+  /** Time from which an answer is due; for a long-polling read that is the end of its wait, and Infinity for a call that is never ended. */
   readonly dueMs: number;
   readonly giveUp: () => void;
 }
@@ -115,7 +115,8 @@
       readNewest: (timeoutMs) =>
         watchCall<ports.NewestResult>(
           source.readNewest(timeoutMs),
-          0,
+          // It consists of calls for single pages, which may take long together and have timeouts of their own.
+          Infinity,
           ({ outcome }) => outcome !== 'failed',
           { outcome: 'failed', why: WHY },
         ),
--- a/packages/cluster/test/storeSilence.test.ts
+++ b/packages/cluster/test/storeSilence.test.ts
@@ -6,6 +6,7 @@
 /** A store whose calls are answered by the test, in the order in which they were sent. */
 function createManualStore() {
   const answers: ((result: ports.AppendResult) => void)[] = [];
+  const newest: ((result: ports.NewestResult) => void)[] = [];
   const store: ports.LogStore = {
     append: () =>
       new Promise((resolve) => {
@@ -13,17 +14,20 @@
       }),
     openStream: () => ({
       read: () => Promise.resolve({ outcome: 'trimmed' }),
-      readNewest: () => Promise.resolve({ outcome: 'failed', why: 'unused' }),
+      readNewest: () =>
+        new Promise((resolve) => {
+          newest.push(resolve);
+        }),
     }),
   };
-  return { store, answers };
+  return { store, answers, newest };
 }
 
 const appended: ports.AppendResult = { outcome: 'appended', offset: 0, end: 1 };
 
 function setUp() {
   const timers = core.createVirtualTimers();
-  const { store, answers } = createManualStore();
+  const { store, answers, newest } = createManualStore();
   const wrapped = storeSilence.createSilenceTracker(timers).watchStore(store);
   const outcomes: string[] = [];
   const append = (name: string): void => {
@@ -37,7 +41,21 @@
     await Promise.resolve();
     await Promise.resolve();
   };
-  return { timers, append, answer, outcomes };
+  const readNewest = (): void => {
+    void wrapped
+      .openStream('jobs')
+      .readNewest(1_000)
+      .then(({ outcome }) => {
+        outcomes.push(`whole stream ${outcome}`);
+      });
+  };
+  const finishNewest = async (): Promise<void> => {
+    newest[0]?.({ outcome: 'newest', records: [], next: 0 });
+    await Promise.resolve();
+    await Promise.resolve();
+    await Promise.resolve();
+  };
+  return { timers, append, answer, outcomes, readNewest, finishNewest };
 }
 
 vitest.describe('calls to a store that was silent', () => {
@@ -131,4 +149,23 @@
       vitest.expect(outcomes).toContain('second unknown');
     },
   );
+
+  vitest.it(
+    'aren’t those that read a whole stream in pages (guards against a new owner that never finishes restoring its jobs)',
+    async () => {
+      const { timers, append, answer, outcomes, readNewest, finishNewest } =
+        setUp();
+      readNewest();
+      // Renewals of the claim are the only other calls meanwhile.
+      for (let renewal = 0; renewal < 5; renewal += 1) {
+        timers.advance(500);
+        append(`renewal ${renewal}`);
+        timers.advance(4);
+        await answer(renewal);
+      }
+      await finishNewest();
+      vitest.expect(outcomes.at(-1)).toBe('whole stream newest');
+      vitest.expect(outcomes).not.toContain('whole stream failed');
+    },
+  );
 });
