Look for unused connections only while there are any

Cause: beyond the budget of outgoing connections, each end of a call walked all pools, also while all of them had calls. An owner of 3,000 VMs has some 6,000 pools and over 1,000 calls a second. Change: the budget counts the pools without a call and walks none while that is 0.

--- a/packages/cluster/src/connectionBudget.ts
+++ b/packages/cluster/src/connectionBudget.ts
@@ -34,47 +34,63 @@
   /** Pools in the order of their last call. */
   const entries = new Map<BudgetedPool, Entry>();
   let connections = 0;
+  /** Number of pools with connections and no call. */
+  let unusedPools = 0;
+
+  function isUnused({ calls, connections: count }: Entry): boolean {
+    return calls === 0 && count > 0;
+  }
+
+  /** Applies a change to a pool. */
+  function applyChange(entry: Entry, by: Partial<Entry>): void {
+    if (isUnused(entry)) unusedPools -= 1;
+    entry.calls += by.calls ?? 0;
+    entry.connections += by.connections ?? 0;
+    connections += by.connections ?? 0;
+    if (isUnused(entry)) unusedPools += 1;
+  }
 
   function removePool(pool: BudgetedPool): void {
-    connections -= entries.get(pool)?.connections ?? 0;
+    const entry = entries.get(pool);
+    if (entry === undefined) return;
+    applyChange(entry, { connections: -entry.connections });
     entries.delete(pool);
   }
 
   function closeUnused(): void {
-    if (connections <= maxConnections) return;
-    for (const [pool, { calls, connections: count }] of entries) {
-      if (calls > 0 || count === 0) continue;
+    // With thousands of pools that all have calls, a search at each call would keep an owner busy.
+    if (unusedPools === 0 || connections <= maxConnections) return;
+    for (const [pool, entry] of entries) {
+      if (!isUnused(entry)) continue;
       removePool(pool);
       pool.close();
-      if (connections <= maxConnections) return;
+      if (unusedPools === 0 || connections <= maxConnections) return;
     }
   }
 
   return {
     beginCall(pool) {
       const entry = entries.get(pool) ?? { calls: 0, connections: 0 };
-      entry.calls += 1;
+      applyChange(entry, { calls: 1 });
       entries.delete(pool);
       entries.set(pool, entry);
     },
     endCall(pool) {
       const entry = entries.get(pool);
       if (entry === undefined) return;
-      entry.calls -= 1;
+      applyChange(entry, { calls: -1 });
       closeUnused();
     },
     addConnection(pool) {
       const entry = entries.get(pool);
       if (entry === undefined) return;
-      entry.connections += 1;
-      connections += 1;
+      applyChange(entry, { connections: 1 });
       closeUnused();
     },
     removeConnection(pool) {
       const entry = entries.get(pool);
       if (entry === undefined) return;
-      entry.connections -= 1;
-      connections -= 1;
+      applyChange(entry, { connections: -1 });
     },
     removePool,
     countConnections: () => connections,
