Read-through: one sum of what a limit leaves, one type of amounts, one error factor

Cause: the free amount under a limit was computed in four places, the type of a changing amount written in three, and the error factor of declared run times in two. Three comments needed their neighbours.

--- a/packages/core/src/workloads/limitPreemption.ts
+++ b/packages/core/src/workloads/limitPreemption.ts
@@ -3,12 +3,13 @@
  * stopping runs of the same workspace that preemption allows. Without it, an urgent task
  * waits for tasks of its own workspace that run many times as long, beside idle VMs.
  */
-import type * as resources from '../types/resources.js';
+import * as resources from '../types/resources.js';
 import * as headroom from './headroom.js';
 import * as preemption from './preemption.js';
 import * as states from './state.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
+import * as workspaceLimits from './workspaceLimits.js';
 
 /** Maximum number of runs that are being stopped in one workspace for its limit at the same time. */
 const MAX_STOPPING_RUNS = 6;
@@ -48,9 +49,7 @@
 ): void {
   const account = step.occurrence.job.workspace;
   if (account === undefined) return;
-  const free = { ...account.limit };
-  tables.addAmount(free, account.used, -1);
-  tables.addAmount(free, account.unrecorded, -1);
+  const free = workspaceLimits.computeFree(account);
   const victims: tables.RunRow[] = [];
   let stopping = 0;
   for (const run of account.runs)
@@ -86,9 +85,7 @@
   { task }: tables.RunRow,
 ): boolean {
   const { size } = task.step.spec;
-  return (
-    (free.cores < need.cores && size.cores > 0) ||
-    (free.memoryMb < need.memoryMb && size.memoryMb > 0) ||
-    (free.gpus < need.gpus && size.gpus > 0)
+  return resources.resourceNames.some(
+    (name) => free[name] < need[name] && size[name] > 0,
   );
 }
--- a/packages/core/src/workloads/ranking.ts
+++ b/packages/core/src/workloads/ranking.ts
@@ -28,7 +28,7 @@
 const EXCESS_INTERVAL_MS = 2_000;
 /** Time after which another excess job is promoted although the last one still waits, in ms: it may need a VM that isn't there. */
 const MAX_EXCESS_PROMOTION_MS = 10_000;
-/** The same for a gang with reserved VMs, in ms: twice the 30 s of a long task. With 10 s, a gang loses its VMs before the last of them is ready. */
+/** Time after which another excess job is promoted although the last one is a gang with reserved VMs, in ms: twice the 30 s of a long task. With 10 s, a gang loses its VMs before the last of them is ready. */
 const MAX_EXCESS_GANG_PROMOTION_MS = 60_000;
 
 /** A step with waiting tasks and its rank. */
@@ -127,7 +127,7 @@
   };
 }
 
-/** Adds what the shares of the workspaces decide to ranked steps, but to overdue services: these aren't promoted, and would starve. */
+/** Adds what the shares of the workspaces decide to ranked steps. Overdue services are left out: they are never promoted, so they would starve. */
 export function rankByShares(
   state: states.State,
   ranked: readonly RankedStep[],
@@ -161,9 +161,12 @@
   nowMs: number,
 ): RankedStep[] {
   const promoted = findEarliestOverdue(ranked, () => true);
-  const startable = findEarliestOverdue(ranked, ({ step }) =>
-    workspaceLimits.isWithinLimit(step),
-  );
+  const startable =
+    state.workspaceAccounts.size === 0
+      ? promoted
+      : findEarliestOverdue(ranked, ({ step }) =>
+          workspaceLimits.isWithinLimit(step),
+        );
   updatePromotedExcess(state, ranked, nowMs);
   return ranked.map((entry) => {
     const { occurrence } = entry.step;
--- a/packages/core/src/workloads/runTimes.ts
+++ b/packages/core/src/workloads/runTimes.ts
@@ -93,7 +93,7 @@
 }
 
 /** Declared run times are wrong by up to half in either direction; bounds the time of a task that isn't learned. */
-const DECLARED_ERROR_FACTOR = 1.5;
+export const DECLARED_ERROR_FACTOR = 1.5;
 
 /** Source of the expected run times of tasks. */
 export type RunTimeSource =
--- a/packages/core/src/workloads/shares.ts
+++ b/packages/core/src/workloads/shares.ts
@@ -5,7 +5,7 @@
  * (dominant resource fairness, Ghodsi et al., NSDI 2011), so that jobs within the rate
  * that are large or long can't take the room of others either.
  */
-import type * as resources from '../types/resources.js';
+import * as resources from '../types/resources.js';
 import type * as states from './state.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
@@ -156,33 +156,27 @@
   return shares;
 }
 
-type Amount = Parameters<typeof tables.addAmount>[0];
-
 /** Sums of a pool's resources. */
 interface PoolSums {
-  readonly capacity: Amount;
-  readonly used: Amount;
-  readonly waiting: Amount;
-  readonly waitingExcess: Amount;
-  readonly useByWorkspace: Map<types.WorkspaceName, Amount>;
+  readonly capacity: tables.Amount;
+  readonly used: tables.Amount;
+  readonly waiting: tables.Amount;
+  readonly waitingExcess: tables.Amount;
+  readonly useByWorkspace: Map<types.WorkspaceName, tables.Amount>;
 }
 
 function createPoolSums(): PoolSums {
   return {
-    capacity: createAmount(),
-    used: createAmount(),
-    waiting: createAmount(),
-    waitingExcess: createAmount(),
+    capacity: { ...resources.noResources },
+    used: { ...resources.noResources },
+    waiting: { ...resources.noResources },
+    waitingExcess: { ...resources.noResources },
     useByWorkspace: new Map(),
   };
 }
 
-function createAmount(): Amount {
-  return { cores: 0, memoryMb: 0, gpus: 0 };
-}
-
-function getUse(pool: PoolSums, name: types.WorkspaceName): Amount {
-  const use = pool.useByWorkspace.get(name) ?? createAmount();
+function getUse(pool: PoolSums, name: types.WorkspaceName): tables.Amount {
+  const use = pool.useByWorkspace.get(name) ?? { ...resources.noResources };
   pool.useByWorkspace.set(name, use);
   return use;
 }
@@ -233,7 +227,7 @@
   capacity: resources.Resources,
 ): number {
   let dominant = 0;
-  for (const kind of ['cores', 'memoryMb', 'gpus'] as const)
+  for (const kind of resources.resourceNames)
     if (capacity[kind] > 0)
       dominant = Math.max(dominant, amount[kind] / capacity[kind]);
   return dominant;
--- a/packages/core/src/workloads/tables.ts
+++ b/packages/core/src/workloads/tables.ts
@@ -221,7 +221,7 @@
   readonly runs: Set<RunRow>;
   /** Starts that may be sent once fewer are on their way to it, in the order in which they were decided. */
   waitingStarts: RunRow[];
-  used: { cores: number; memoryMb: number; gpus: number };
+  used: Amount;
   /** Runs that ended with its lease while it was silent, until it reports again or is known to have crashed. */
   silentRuns: RunRow[];
   /** Incarnation whose crash tasks have been marked for. */
@@ -323,9 +323,16 @@
   );
 }
 
+/** A sum of resources that changes. */
+export interface Amount {
+  cores: number;
+  memoryMb: number;
+  gpus: number;
+}
+
 /** Adds a multiple of an amount of resources to another amount, in place. */
 export function addAmount(
-  to: { cores: number; memoryMb: number; gpus: number },
+  to: Amount,
   amount: resources.Resources,
   times: number,
 ): void {
--- a/packages/core/src/workloads/tick.ts
+++ b/packages/core/src/workloads/tick.ts
@@ -201,7 +201,7 @@
           : undefined;
       if (readyMs !== undefined) {
         poolsWithReservation.add(pool);
-        // Without it, small tasks take the limit again before the VMs are ready.
+        // Without a reservation under the limit, small tasks use it up again before the VMs are ready.
         reserveLimit(readyMs - nowMs);
       }
     } else reserveLimit();
--- a/packages/core/src/workloads/workspaceLimits.ts
+++ b/packages/core/src/workloads/workspaceLimits.ts
@@ -6,6 +6,7 @@
  * are expected to end before the gang can start may use it meanwhile (backfilling).
  */
 import * as resources from '../types/resources.js';
+import * as runTimes from './runTimes.js';
 import * as tables from './tables.js';
 import type * as types from './types.js';
 import * as waits from './waits.js';
@@ -15,30 +16,21 @@
  * don't wait for a gang that such runs keep from starting anyway.
  */
 const LONG_RUN_MS = 30_000;
-/** Declared run times are wrong by up to half in either direction. */
-const ESTIMATE_ERROR_FACTOR = 1.5;
 /** Waiting gangs of one workspace whose VMs are examined in one round; examining all of a thousand gangs would slow the round. */
 const MAX_EXAMINED_GANGS = 4;
 
-/** A sum of resources that changes. */
-interface Amount {
-  cores: number;
-  memoryMb: number;
-  gpus: number;
-}
-
 /** What a workspace uses, and what waits for its limit. */
 export interface WorkspaceAccount {
   readonly name: types.WorkspaceName;
   /** Limit in the last configuration that named the workspace, Infinity for a resource without one; `UNKNOWN_LIMIT` before the first configuration. */
   limit: resources.Resources;
   /** Sizes of its runs in the tables and of its stray runs. */
-  readonly used: Amount;
+  readonly used: tables.Amount;
   readonly runs: Set<tables.RunRow>;
   /** Number of its stray runs that may not have ended. */
   strayRuns: number;
   /** Sizes of the tasks that an earlier owner may have started without a record, as of this round. */
-  readonly unrecorded: Amount;
+  readonly unrecorded: tables.Amount;
   /** Gang for which capacity under the limit is reserved, as of this round. */
   reservedFor: tables.StepRow | undefined;
   /** Expected time until the limit and the VMs cover that gang, in ms; 0 when they do or when this isn't known. */
@@ -170,6 +162,14 @@
   return step.occurrence.job.workspace;
 }
 
+/** Computes what the limit of a workspace leaves, without reservations; negative where it is overdrawn. */
+export function computeFree(account: WorkspaceAccount): tables.Amount {
+  const free = { ...account.limit };
+  tables.addAmount(free, account.used, -1);
+  tables.addAmount(free, account.unrecorded, -1);
+  return free;
+}
+
 /** Counts the tasks of a step that start at once. */
 function countTogether({ gang, count }: types.StepSpec): number {
   return gang ? count : 1;
@@ -178,11 +178,9 @@
 /** Returns the largest number of tasks of a step that may start under the limit alone, without reservations. */
 export function countStartable(step: tables.StepRow): number {
   const account = getAccount(step);
-  if (account === undefined) return Infinity;
-  const free = { ...account.limit };
-  tables.addAmount(free, account.used, -1);
-  tables.addAmount(free, account.unrecorded, -1);
-  return countTasks(free, step.spec.size);
+  return account === undefined
+    ? Infinity
+    : countTasks(computeFree(account), step.spec.size);
 }
 
 /** Counts the tasks of a size for which an amount suffices; 0 where any resource is overdrawn. */
@@ -235,7 +233,10 @@
   if (reservedFor === undefined || reservedFor === step) return true;
   if (waits.isServiceOverdue(step, nowMs)) return true;
   const { size, lasts, estimateMs } = step.spec;
-  if (!lasts && estimateMs * ESTIMATE_ERROR_FACTOR < account.reservedReadyMs)
+  if (
+    !lasts &&
+    estimateMs * runTimes.DECLARED_ERROR_FACTOR < account.reservedReadyMs
+  )
     return true;
   const gang = reservedFor.spec;
   const count = countTogether(step.spec);
@@ -255,9 +256,7 @@
 export function canRestart(step: tables.StepRow, tasks: number): boolean {
   const account = getAccount(step);
   if (account === undefined) return true;
-  const free = { ...account.limit };
-  tables.addAmount(free, account.used, -1);
-  tables.addAmount(free, account.unrecorded, -1);
+  const free = computeFree(account);
   tables.addAmount(free, step.spec.size, tasks);
   return tables.hasRoom(free, step.spec.size);
 }
@@ -321,9 +320,7 @@
   account: WorkspaceAccount,
   { size, count }: types.StepSpec,
 ): number {
-  const free = { ...account.limit };
-  tables.addAmount(free, account.used, -1);
-  tables.addAmount(free, account.unrecorded, -1);
+  const free = computeFree(account);
   if (countTasks(free, size) >= count) return 0;
   const ends = [...account.runs]
     .map((run) => ({ run, leftMs: estimateLeftMs(run) }))
