Move the bounds on clients into a package of their own

The daemon of a cell needs the same bounds as a node and must not import platform/, where the guard of connections was. The decisions and the guard move to packages/intake; cluster, platform and daemon depend on it. No change of behaviour: the tests of both parts pass unchanged but for imports.

--- a/deploy/build.js
+++ b/deploy/build.js
@@ -18,6 +18,7 @@
   alias: {
     '@flamingoward/platform': './platform/src/index.ts',
     '@flamingoward/core': './packages/core/src/index.ts',
+    '@flamingoward/intake': './packages/intake/src/index.ts',
     '@flamingoward/link': './packages/link/src/index.ts',
     '@flamingoward/clients': './packages/clients/src/index.ts',
     '@flamingoward/cluster': './packages/cluster/src/index.ts',
--- a/packages/cluster/src/index.ts
+++ b/packages/cluster/src/index.ts
@@ -5,5 +5,4 @@
 export { parseNodeSettings } from './settings.js';
 export type { NodeSettings, NodeSettingsResult } from './settings.js';
 export * as connectionBudget from './connectionBudget.js';
-export * as intake from './intake.js';
 export type * as ports from './ports.js';
--- a/packages/cluster/src/settings.ts
+++ b/packages/cluster/src/settings.ts
@@ -1,8 +1,8 @@
 /** Settings of a node: an INI file, validated as a whole so that all faults are reported at once. */
 import type * as core from '@flamingoward/core';
+import * as intake from '@flamingoward/intake';
 import * as ini from 'ini';
 import * as zod from 'zod';
-import * as intake from './intake.js';
 
 const address = zod.string().regex(/^[\w.-]+:\d{1,5}$/, 'expected HOST:PORT');
 const name = zod.string().min(1, 'expected a name');
--- a/platform/src/connectionGuard.ts
+++ b/packages/intake/src/connectionGuard.ts
@@ -1,12 +1,12 @@
 /**
  * Bounds what the connections of an HTTP server take in memory, descriptors and processor
- * time. `cluster.intake` decides what to close or refuse; this module reports to it what
+ * time. `intake` decides what to close or refuse; this module reports to it what
  * happens on the connections, collects the bodies and closes connections.
  */
 import * as http from 'node:http';
 import type * as net from 'node:net';
-import * as cluster from '@flamingoward/cluster';
 import * as core from '@flamingoward/core';
+import * as intakes from './intake.js';
 
 const SWEEP_INTERVAL_MS = 500;
 /**
@@ -30,8 +30,8 @@
 /** Events and limits of a guarded server. */
 export interface GuardOptions {
   readonly timers: core.TimerService;
-  readonly limits: cluster.intake.IntakeLimits;
-  getTimeouts(): cluster.intake.IdleTimeouts;
+  readonly limits: intakes.IntakeLimits;
+  getTimeouts(): intakes.IdleTimeouts;
   recordShed(reason: string): void;
   /** Answers a request that hasn't run and never will. */
   refuse(response: http.ServerResponse, why: string): void;
@@ -67,7 +67,7 @@
   options: GuardOptions,
 ): ConnectionGuard {
   const { timers, limits } = options;
-  const intake = cluster.intake.createIntake<net.Socket>(
+  const intake = intakes.createIntake<net.Socket>(
     limits,
     (socket) => socket.bytesRead,
   );
@@ -115,7 +115,7 @@
   function closeConnection({
     connection: socket,
     reason,
-  }: cluster.intake.Closing<net.Socket>): void {
+  }: intakes.Closing<net.Socket>): void {
     options.recordShed(reason);
     const reader = readers.get(socket);
     reader?.release();
@@ -187,7 +187,7 @@
   function beginRequest(
     request: http.IncomingMessage,
     response: http.ServerResponse,
-  ): cluster.intake.IntakeRequest<net.Socket> | undefined {
+  ): intakes.IntakeRequest<net.Socket> | undefined {
     const { socket } = request;
     // What follows on a connection that is being closed is dropped with it.
     if (socket.destroyed || refused.has(socket)) return undefined;
