Count requests that Node.js answered by itself

Cause: the HTTP server of Node.js answers such requests itself (400, 417). They never reached the guard of connections, so nothing counted them, no connection was closed for them, and every answer waited in memory.

The guard now takes the events checkContinue and checkExpectation, and the check of the Host header, and refuses such requests itself (400, 417). They count like others, and their connection closes after the refusal.

--- a/packages/intake/src/connectionGuard.ts
+++ b/packages/intake/src/connectionGuard.ts
@@ -26,6 +26,7 @@
  */
 const MAX_DISCARDED_BYTES = 4_194_304;
 const RETRY_AFTER_S = 1;
+const CONTINUE_PATTERN = /^100-continue$/i;
 
 /** Events and limits of a guarded server. */
 export interface GuardOptions {
@@ -34,7 +35,13 @@
   getTimeouts(): intakes.IdleTimeouts;
   recordShed(reason: string): void;
   /** Answers a request that hasn't run and never will. */
-  refuse(response: http.ServerResponse, why: string): void;
+  refuse(response: http.ServerResponse, refusal: Refusal): void;
+}
+
+/** Why a request isn't handled. */
+export interface Refusal {
+  readonly status: 400 | 417 | 429;
+  readonly why: string;
 }
 
 /** A request with its whole body; `too-large` when it is over the limit. */
@@ -100,6 +107,14 @@
       waiting.delete(socket);
     });
   });
+  // Without listeners, Node.js answers these by itself, and nothing counts the answers.
+  for (const event of ['checkContinue', 'checkExpectation'])
+    server.on(
+      event,
+      (request: http.IncomingMessage, response: http.ServerResponse) => {
+        server.emit('request', request, response);
+      },
+    );
   server.on('clientError', (error: NodeJS.ErrnoException, duplex: unknown) => {
     const socket = duplex as net.Socket;
     // While a request is being handled, the caller would take a refusal for its answer.
@@ -123,7 +138,10 @@
       (reason === 'body' || reason === 'body-timeout') &&
       reader?.response.headersSent === false
     )
-      options.refuse(reader.response, 'the body did not arrive in time');
+      options.refuse(reader.response, {
+        status: 429,
+        why: 'the body did not arrive in time',
+      });
     socket.destroy();
   }
 
@@ -190,32 +208,46 @@
   ): intakes.IntakeRequest<net.Socket> | undefined {
     const { socket } = request;
     // What follows on a connection that is being closed is dropped with it.
-    if (socket.destroyed || refused.has(socket)) return undefined;
+    if (socket.destroyed) return undefined;
     const begun = intake.beginRequest(socket, timers.getNow());
     if (begun === 'pipelined') {
       closePipelined(socket);
       return undefined;
     }
+    if (refused.has(socket)) {
+      if (begun !== 'overloaded') intake.endRequest(begun, timers.getNow());
+      return undefined;
+    }
     response.once('close', () => {
       intake.recordWritten(socket);
     });
     if (begun === 'overloaded') {
       options.recordShed('request');
-      refuseUnread(response, 'too many requests are being handled');
+      refuseUnread(response, {
+        status: 429,
+        why: 'too many requests are being handled',
+      });
+      return undefined;
+    }
+    const refusal = checkHeaders(request);
+    if (refusal !== undefined) {
+      intake.endRequest(begun, timers.getNow());
+      refuseUnread(response, refusal);
       return undefined;
     }
+    if (request.headers.expect !== undefined) response.writeContinue();
     return begun;
   }
 
   /** Refuses a request whose body hasn't been read, and closes its connection. */
-  function refuseUnread(response: http.ServerResponse, why: string): void {
+  function refuseUnread(response: http.ServerResponse, refusal: Refusal): void {
     const { socket } = response.req;
     // Answers to earlier requests of the connection are written first.
     response.once('finish', () => {
       socket.destroySoon();
     });
     refused.add(socket);
-    options.refuse(response, why);
+    options.refuse(response, refusal);
   }
 
   return {
@@ -261,7 +293,10 @@
         reader.release();
         options.recordShed('body-memory');
         intake.endRequest(entry, timers.getNow());
-        refuseUnread(response, 'too many bodies are being received');
+        refuseUnread(response, {
+          status: 429,
+          why: 'too many bodies are being received',
+        });
       }
 
       // By default, the stream resumes the connection after each read.
@@ -302,6 +337,18 @@
   };
 }
 
+/** Returns why the header of a request is refused: the checks that Node.js would answer by itself. */
+function checkHeaders({
+  httpVersion,
+  headers,
+}: http.IncomingMessage): Refusal | undefined {
+  if (httpVersion === '1.1' && headers.host === undefined)
+    return { status: 400, why: 'the header Host is missing' };
+  if (headers.expect !== undefined && !CONTINUE_PATTERN.test(headers.expect))
+    return { status: 417, why: 'only Expect: 100-continue is supported' };
+  return undefined;
+}
+
 function formatClientError(code: string | undefined): string {
   return code === 'HPE_HEADER_OVERFLOW'
     ? formatRefusal(431, 'the header is too large')
--- a/packages/intake/src/index.ts
+++ b/packages/intake/src/index.ts
@@ -8,4 +8,8 @@
 } from './intake.js';
 export type { IdleTimeouts, IntakeLimits } from './intake.js';
 export { createConnectionGuard } from './connectionGuard.js';
-export type { ConnectionGuard, GuardOptions } from './connectionGuard.js';
+export type {
+  ConnectionGuard,
+  GuardOptions,
+  Refusal,
+} from './connectionGuard.js';
