Bound links whose peer is not authenticated

Cause: an accepted connection could send a frame of up to 1 MB before its peer was known, sending a byte now and then kept it open for good, and nothing bounded the number of such connections.

Until a peer has proved that it has the key, its messages are now bounded to 4,096 bytes and its handshake to 5 s, and only a 32nd of the descriptors may be in that state; the oldest one is closed for a new one, so that a peer gets through a flood. What is closed is counted by reason in links_shed. The descriptors are taken from those for VMs (2,822 to 2,694 with default settings).

A flood of handshakes faster than 128 in two round trips can still delay peers, which dial again.

--- a/packages/cluster/src/node.ts
+++ b/packages/cluster/src/node.ts
@@ -4,6 +4,7 @@
  * which they request job states and writes, and the owner sends advice requests.
  */
 import * as core from '@flamingoward/core';
+import * as intake from '@flamingoward/intake';
 import * as link from '@flamingoward/link';
 import * as adviceRouters from './adviceRouter.js';
 import * as claims from './claims.js';
@@ -72,12 +73,16 @@
     // The log store's address serves as the key, since the nodes of a cluster share one store.
     key: settings.logStoreAddress,
     maxFrameBytes: MAX_FRAME_BYTES,
+    maxHandshakes: intake.computeMaxHandshakes(settings),
     timers,
     getRandom: context.getRandom,
     onQuestion: answerQuestion,
     onNotice: receiveNotice,
     onOpen: handleLinkOpen,
     onClose: handleLinkClosed,
+    onShed: (reason) => {
+      metrics.count('links_shed', { reason });
+    },
   });
 
   const adviceRouter = adviceRouters.createAdviceRouter(
--- a/packages/daemon/src/links/links.ts
+++ b/packages/daemon/src/links/links.ts
@@ -69,6 +69,9 @@
       opened.push(peer);
     },
     onClose: handleClose,
+    onShed: (reason) => {
+      context.metrics.count('links_shed_total', { reason });
+    },
   });
 
   async function answerQuestion(
--- a/packages/intake/src/index.ts
+++ b/packages/intake/src/index.ts
@@ -4,6 +4,7 @@
   DEFAULT_MAX_DESCRIPTORS,
   DEFAULT_MEMORY_MB,
   computeIntakeLimits,
+  computeMaxHandshakes,
   computeMaxOutgoing,
 } from './intake.js';
 export type { IdleTimeouts, IntakeLimits } from './intake.js';
--- a/packages/intake/src/intake.ts
+++ b/packages/intake/src/intake.ts
@@ -75,6 +75,19 @@
 /** Descriptors for links between nodes, the store, the advice service, readiness and metrics. */
 const OTHER_CONNECTIONS = 100;
 
+/** Share of the descriptors for links whose peer isn't authenticated yet; the nodes of a cluster open them all at once after a change of owner. */
+const HANDSHAKE_DESCRIPTOR_SHARE = 1 / 32;
+
+/** Computes how many connections between nodes may wait for their handshake. */
+export function computeMaxHandshakes(machine: {
+  readonly maxDescriptors: number;
+}): number {
+  return Math.max(
+    1,
+    Math.floor(machine.maxDescriptors * HANDSHAKE_DESCRIPTOR_SHARE),
+  );
+}
+
 /** Computes how many outgoing connections to VMs are kept; callers and others have the rest. */
 export function computeMaxOutgoing(machine: {
   readonly memoryMb: number;
@@ -85,6 +98,7 @@
     machine.maxDescriptors -
       RESERVED_DESCRIPTORS -
       OTHER_CONNECTIONS -
+      computeMaxHandshakes(machine) -
       computeIntakeLimits(machine).maxConnections,
   );
 }
--- a/packages/link/src/connection.ts
+++ b/packages/link/src/connection.ts
@@ -69,7 +69,10 @@
 export function createConnection(options: ConnectionOptions): Connection {
   const { socket, timers } = options;
   const frameReader = frames.createFrameReader(
-    options.maxFrameBytes,
+    () =>
+      authenticated
+        ? options.maxFrameBytes
+        : Math.min(options.maxFrameBytes, handshake.MAX_HANDSHAKE_FRAME_BYTES),
     options.peer,
   );
   const ownHello = handshake.buildHello(options.identity);
--- a/packages/link/src/frames.ts
+++ b/packages/link/src/frames.ts
@@ -29,17 +29,24 @@
 
 /** Buffers received bytes and decodes complete frames. */
 export interface FrameReader {
-  /** Adds bytes and returns the messages completed by them. Throws `bad-frame` or `too-large`. */
-  read(bytes: Buffer): unknown[];
+  /**
+   * Adds bytes and yields the messages completed by them. Throws `bad-frame` or `too-large`.
+   * The limit of a message applies that was returned when the one before it was handled.
+   */
+  read(bytes: Buffer): Iterable<unknown>;
 }
 
 /** Creates the frame reader of one connection. */
-export function createFrameReader(maxBytes: number, peer: string): FrameReader {
+export function createFrameReader(
+  getMaxBytes: () => number,
+  peer: string,
+): FrameReader {
   let buffered: Buffer = Buffer.alloc(0);
 
   function readBodyLength(): number | undefined {
     if (buffered.length < HEADER_BYTES) return undefined;
     const length = buffered.readUInt32BE(0);
+    const maxBytes = getMaxBytes();
     if (length > maxBytes)
       throw core.createFault(
         'too-large',
@@ -49,15 +56,15 @@
     return buffered.length < HEADER_BYTES + length ? undefined : length;
   }
 
-  function read(bytes: Buffer): unknown[] {
+  function* read(bytes: Buffer): Iterable<unknown> {
     buffered = buffered.length === 0 ? bytes : Buffer.concat([buffered, bytes]);
-    const messages: unknown[] = [];
     for (;;) {
       const length = readBodyLength();
-      if (length === undefined) return messages;
+      if (length === undefined) return;
       const end = HEADER_BYTES + length;
-      messages.push(decodeBody(buffered.subarray(HEADER_BYTES, end), peer));
+      const body = buffered.subarray(HEADER_BYTES, end);
       buffered = buffered.subarray(end);
+      yield decodeBody(body, peer);
     }
   }
 
--- a/packages/link/src/handshake.ts
+++ b/packages/link/src/handshake.ts
@@ -15,6 +15,8 @@
 }
 
 const NONCE_BYTES = 16;
+/** Longest message that is read before the peer is authenticated, in bytes; a `hello` takes a few hundred. */
+export const MAX_HANDSHAKE_FRAME_BYTES = 4_096;
 
 /** Builds the `hello` of this process with a fresh nonce. */
 export function buildHello(identity: LinkIdentity): core.messages.Hello {
--- a/packages/link/src/hub.ts
+++ b/packages/link/src/hub.ts
@@ -8,6 +8,7 @@
 import * as core from '@flamingoward/core';
 import * as connections from './connection.js';
 import type * as handshake from './handshake.js';
+import * as handshakes from './handshakes.js';
 
 const RECONNECT_INITIAL_MS = 100;
 const RECONNECT_MAX_MS = 2_000;
@@ -22,6 +23,8 @@
   readonly timers: core.TimerService;
   /** Returns a random number from 0 to 1, for the jitter of reconnects. */
   readonly getRandom: () => number;
+  /** Most accepted connections whose peer isn't authenticated yet. */
+  readonly maxHandshakes?: number;
   readonly onQuestion: connections.QuestionHandler;
   readonly onNotice: (
     notice: core.messages.Notice,
@@ -33,6 +36,8 @@
   readonly onOpen: (peer: core.messages.Hello) => void;
   /** Called when a connection ended or couldn't be opened. */
   readonly onClose: (event: LinkClosed) => void;
+  /** Called when a connection is closed to bound those whose peer isn't authenticated. */
+  readonly onShed?: (reason: handshakes.HandshakeShedReason) => void;
 }
 
 /** Which connection ended or couldn't be opened, and why. */
@@ -87,6 +92,11 @@
 export function createHub(options: HubOptions): Hub {
   const dialledByAddress = new Map<core.ids.Address, DialledPeer>();
   const acceptedConnections = new Set<connections.Connection>();
+  const unauthenticated = handshakes.createHandshakes(
+    options.timers,
+    options.maxHandshakes ?? handshakes.DEFAULT_MAX_HANDSHAKES,
+    recordShed,
+  );
   const sockets = new Set<net.Socket>();
   const dialledByInstance = new Map<
     core.ids.InstanceId,
@@ -110,7 +120,12 @@
     checkProgress,
   );
 
+  function recordShed(reason: handshakes.HandshakeShedReason): void {
+    options.onShed?.(reason);
+  }
+
   function checkProgress(nowMs: number): void {
+    unauthenticated.closeExpired(nowMs);
     for (const entry of [...dialledByAddress.values()])
       entry.connection?.checkProgress(nowMs);
     for (const connection of [...acceptedConnections])
@@ -154,14 +169,18 @@
       socket,
       address,
       (opened, peerHello) => {
+        unauthenticated.remove(opened);
         acceptedByInstance.set(peerHello.instance, opened);
         if (!dialledByInstance.has(peerHello.instance))
           options.onOpen(peerHello);
       },
       (ended, cause) => {
         acceptedConnections.delete(ended);
+        unauthenticated.remove(ended);
         const peer = ended.getPeerHello();
         dropConnection(acceptedByInstance, ended);
+        if (peer === undefined && isTooLarge(cause))
+          recordShed('handshake-frame');
         options.onClose({
           address,
           peer,
@@ -172,6 +191,7 @@
       },
     );
     acceptedConnections.add(connection);
+    unauthenticated.add(connection);
   }
 
   function connectPeer(entry: DialledPeer): void {
@@ -372,6 +392,10 @@
     table.delete(peer.instance);
 }
 
+function isTooLarge(cause: Error | undefined): boolean {
+  return core.getFaultInfo(cause)?.code === 'too-large';
+}
+
 function toEndpoint(address: core.ids.Address): {
   host: string;
   port: number;
--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -1,6 +1,5 @@
 /** Authenticated message connections between the processes of a cluster. */
-export { createFrameReader, encodeFrame } from './frames.js';
-export type { FrameReader } from './frames.js';
+export { encodeFrame } from './frames.js';
 export { createHub } from './hub.js';
 export type { Hub, HubOptions, LinkClosed, LinkTraffic } from './hub.js';
 export type { LinkIdentity } from './handshake.js';
