Let one guard read bodies and refuse requests for nodes and daemons

The guard of connections called its server only with whole bodies and in the format of a node. It now hands over each admitted request, reads its body on demand and gets the form of a refusal from the server, so that the daemon's routes, which refuse many requests before their body, can use it. Bytes that aren't valid HTTP now close a connection only after the answers to its earlier requests; a node dropped those answers before, and a daemon kept them.

A header that doesn't arrive in time is answered with 408, since what is refused is told so; the connection was closed in silence before.

The memory and the descriptors that a process assumes move to core, where the settings of a cell get them as [machine] memory_mb and max_descriptors.

--- a/packages/cluster/src/settings.ts
+++ b/packages/cluster/src/settings.ts
@@ -1,6 +1,5 @@
 /** Settings of a node: an INI file, validated as a whole so that all faults are reported at once. */
-import type * as core from '@flamingoward/core';
-import * as intake from '@flamingoward/intake';
+import * as core from '@flamingoward/core';
 import * as ini from 'ini';
 import * as zod from 'zod';
 
@@ -58,14 +57,14 @@
   zod.coerce
     .number({ error: 'expected a number of MB' })
     .positive('expected a positive number of MB')
-    .default(intake.DEFAULT_MEMORY_MB),
+    .default(core.DEFAULT_MEMORY_MB),
 );
 const maxDescriptors = zod.preprocess(
   dropEmpty,
   zod.coerce
     .number({ error: 'expected a number of descriptors' })
     .positive('expected a positive number of descriptors')
-    .default(intake.DEFAULT_MAX_DESCRIPTORS),
+    .default(core.DEFAULT_MAX_DESCRIPTORS),
 );
 
 const schema = zod.object({
@@ -98,8 +97,8 @@
     .default({
       core_share: 1,
       core_speed: 1,
-      memory_mb: intake.DEFAULT_MEMORY_MB,
-      max_descriptors: intake.DEFAULT_MAX_DESCRIPTORS,
+      memory_mb: core.DEFAULT_MEMORY_MB,
+      max_descriptors: core.DEFAULT_MAX_DESCRIPTORS,
     }),
   scheduling: zod
     .object({
--- a/packages/core/src/bodyBuffer.ts
+++ b/packages/core/src/bodyBuffer.ts
@@ -45,6 +45,16 @@
   release(): void;
 }
 
+/** Returns the size of the buffer that holds a body. */
+export function computeBodyCapacity(
+  bodyBytes: number,
+  minBytes = MIN_CAPACITY_BYTES,
+): number {
+  let capacity = minBytes;
+  while (capacity < bodyBytes) capacity *= 2;
+  return capacity;
+}
+
 /** Creates an empty body; without a pool, its buffers are used once. */
 export function createBodyBuffer(
   pool: BufferPool = createBufferPool(0),
@@ -53,10 +63,10 @@
   let bytes = 0;
 
   function computeBytes(chunkBytes: number): number {
-    const needed = bytes + chunkBytes;
-    let capacity = Math.max(buffer.length, MIN_CAPACITY_BYTES);
-    while (capacity < needed) capacity *= 2;
-    return capacity;
+    return computeBodyCapacity(
+      bytes + chunkBytes,
+      Math.max(buffer.length, MIN_CAPACITY_BYTES),
+    );
   }
 
   return {
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -14,7 +14,11 @@
 export type { FaultCode, FaultInfo, FaultOrigin } from './errors.js';
 export { createSubject } from './events.js';
 export type { Subject } from './events.js';
-export { createBodyBuffer, createBufferPool } from './bodyBuffer.js';
+export {
+  computeBodyCapacity,
+  createBodyBuffer,
+  createBufferPool,
+} from './bodyBuffer.js';
 export type { BodyBuffer, BufferPool } from './bodyBuffer.js';
 export { waitFor } from './time/timers.js';
 export type {
@@ -43,6 +47,10 @@
 export { parseSettings, printSettings } from './settings/settings.js';
 export type { SettingsResult } from './settings/settings.js';
 export type * as settings from './settings/types.js';
+export {
+  DEFAULT_MAX_DESCRIPTORS,
+  DEFAULT_MEMORY_MB,
+} from './settings/machine.js';
 export { createSlotScheduler } from './slots/scheduler.js';
 export { describeRequestReason } from './slots/reasons.js';
 export { defaultFloors } from './slots/types.js';
--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -1,6 +1,7 @@
 /** The sections and keys of a settings file: allowed values, defaults and messages. */
 import * as net from 'node:net';
 import * as zod from 'zod';
+import * as machine from './machine.js';
 import * as names from './names.js';
 
 /** Default of `max_processes`. */
@@ -89,6 +90,20 @@
     max_frame_bytes: createWholeNumber('bytes', 65_536, 16_777_216, 1_048_576),
     append_buffer_records: createWholeNumber('records', 10, 100_000, 1_000),
   }),
+  machine: zod.strictObject({
+    memory_mb: createWholeNumber(
+      'MB',
+      64,
+      1_048_576,
+      machine.DEFAULT_MEMORY_MB,
+    ),
+    max_descriptors: createWholeNumber(
+      'descriptors',
+      256,
+      1_048_576,
+      machine.DEFAULT_MAX_DESCRIPTORS,
+    ),
+  }),
   log: zod.strictObject({
     level: zod
       .enum(levels, `expected one of ${levels.join(', ')}`)
--- a/packages/core/src/settings/settings.ts
+++ b/packages/core/src/settings/settings.ts
@@ -34,7 +34,7 @@
 
 /** Formats settings as a settings file in which the authentication keys are masked. */
 export function printSettings(settings: types.Settings): string {
-  const { process, limits, platform } = settings;
+  const { process, limits, machine, platform } = settings;
   const lines = [
     '[process]',
     `name = ${process.name}`,
@@ -66,6 +66,10 @@
     `max_frame_bytes = ${limits.maxFrameBytes}`,
     `append_buffer_records = ${limits.appendBufferRecords}`,
     '',
+    '[machine]',
+    `memory_mb = ${machine.memoryMb}`,
+    `max_descriptors = ${machine.maxDescriptors}`,
+    '',
     '[log]',
     `level = ${settings.log.level}`,
   ];
@@ -289,6 +293,10 @@
       maxFrameBytes: data.limits.max_frame_bytes,
       appendBufferRecords: data.limits.append_buffer_records,
     },
+    machine: {
+      memoryMb: data.machine.memory_mb,
+      maxDescriptors: data.machine.max_descriptors,
+    },
     log: data.log,
   };
 }
--- a/packages/core/src/settings/types.ts
+++ b/packages/core/src/settings/types.ts
@@ -14,6 +14,7 @@
   readonly peers: readonly PeerSetting[];
   readonly platform: PlatformSettings;
   readonly limits: LimitSettings;
+  readonly machine: MachineSettings;
   readonly log: { readonly level: 'error' | 'warn' | 'info' | 'debug' };
 }
 
@@ -46,6 +47,12 @@
   readonly vmList: string;
 }
 
+/** What the process may use of its machine. */
+export interface MachineSettings {
+  readonly memoryMb: number;
+  readonly maxDescriptors: number;
+}
+
 /** Limits that bound the memory use. */
 export interface LimitSettings {
   /** Largest request body from callers and operators, in bytes. */
--- a/packages/intake/src/connectionGuard.ts
+++ b/packages/intake/src/connectionGuard.ts
@@ -1,74 +1,57 @@
 /**
  * Bounds what the connections of an HTTP server take in memory, descriptors and processor
- * time. `intake` decides what to close or refuse; this module reports to it what
- * happens on the connections, collects the bodies and closes connections.
+ * time. `intake` decides what to close or refuse; this module reports to it what happens on
+ * the connections, and carries out its decisions. What Node.js would answer by itself is
+ * answered here, so that it counts like other requests.
  */
-import * as http from 'node:http';
+import type * as http from 'node:http';
 import * as core from '@flamingoward/core';
 import * as intakes from './intake.js';
 import * as piecewise from './piecewise.js';
 import * as readTurns from './readTurns.js';
+import * as refusals from './refusals.js';
+import * as requestBody from './requestBody.js';
 
 const SWEEP_INTERVAL_MS = 500;
-/**
- * Chunks of a body after which its connection pauses for the others. Ordinary bodies have a
- * chunk for each piece of a read; a read of 64 KB holds 11,000 chunks of one byte and takes
- * 12 to 18 ms.
- */
-const MAX_CHUNKS_PER_TURN = 1_000;
-/** Connections with larger reads wait for turns while bodies exceed their limit, in bytes; ordinary bodies are smaller. */
-const MAX_UNHELD_BYTES = 16_384;
-/**
- * Most bytes beyond the limit that are discarded, so that the caller gets its 413: a
- * connection that is closed with unread bytes is reset.
- */
-const MAX_DISCARDED_BYTES = 4_194_304;
-const RETRY_AFTER_S = 1;
 const CONTINUE_PATTERN = /^100-continue$/i;
 
 /** Events and limits of a guarded server. */
 export interface GuardOptions {
   readonly timers: core.TimerService;
   readonly limits: intakes.IntakeLimits;
+  /** Whether requests of HTTP/1.1 without a Host header are refused (RFC 9112, section 3.2). */
+  readonly requiresHost: boolean;
   getTimeouts(): intakes.IdleTimeouts;
   recordShed(reason: string): void;
-  /** Answers a request that hasn't run and never will. */
-  refuse(response: http.ServerResponse, refusal: Refusal): void;
+  /**
+   * Handles a request. The body is read, if at all, before anything else is done: until it
+   * is complete, the request may be shed. Its memory is held until the promise settles.
+   */
+  handle(request: GuardedRequest): Promise<void> | void;
+  encodeRefusal(refusal: refusals.Refusal): refusals.EncodedRefusal;
 }
 
-/** Why a request isn't handled. */
-export interface Refusal {
-  readonly status: 400 | 417 | 429;
-  readonly why: string;
+/** A request that has been admitted. */
+export interface GuardedRequest {
+  readonly request: http.IncomingMessage;
+  readonly response: http.ServerResponse;
+  /** Reads the body; called at most once. */
+  readBody(maxBytes: number): Promise<requestBody.ReceivedBody>;
 }
 
-/** A request with its whole body; `too-large` when it is over the limit. */
-export type ReceivedBody =
-  | { readonly outcome: 'complete'; readonly body: Buffer }
-  | { readonly outcome: 'too-large' };
-
 /** A guarded server. */
 export interface ConnectionGuard {
-  /** Reads a request within the limits; calls `handle` once the body is complete. */
-  receive(
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-    maxBodyBytes: number,
-    handle: (received: ReceivedBody) => Promise<void> | void,
-  ): void;
+  /** Answers a request that hasn't run and never will, and closes its connection. */
+  refuse(response: http.ServerResponse, refusal: refusals.Refusal): void;
   close(): void;
 }
 
-/** A request whose body is being read. */
-interface Reader {
-  readonly response: http.ServerResponse;
-  /** Frees the memory of the body. */
-  release(): void;
-}
-
 type Stream = piecewise.PiecewiseStream;
 
-/** Creates the guard of a server that hasn't accepted a connection yet. */
+/**
+ * Creates the guard of a server that hasn't accepted a connection yet, and that has no
+ * listener for requests and no limits of time or for the Host header of its own.
+ */
 export function createConnectionGuard(
   server: http.Server,
   options: GuardOptions,
@@ -78,12 +61,13 @@
     stream.getReadBytes(),
   );
   /** The request whose body is being read. */
-  const readers = new WeakMap<Stream, Reader>();
+  const readers = new WeakMap<Stream, requestBody.BodyReader>();
   const pool = core.createBufferPool(limits.maxBodiesBytes);
-  /** Connections whose body arrives in many small chunks. */
   const turns = readTurns.createReadTurns(timers);
   /** Connections that close after the answer to a refused request. */
   const refused = new WeakSet<Stream>();
+  /** Connections with bytes that aren't valid HTTP, which close after the answers to earlier requests. */
+  const malformed = new WeakSet<Stream>();
 
   // The listener of the server itself parses the connection.
   const parsers = server.listeners('connection');
@@ -94,7 +78,7 @@
     for (const closing of decision.closing) closeConnection(closing);
     if (!decision.accepted) {
       options.recordShed('connection');
-      socket.write(formatRefusal(503, 'too many connections'));
+      socket.write(formatRefusal(refusals.tooManyConnections));
       socket.destroySoon();
       return;
     }
@@ -104,54 +88,111 @@
     });
     for (const parse of parsers) parse.call(server, stream);
   });
+  server.on('request', receive);
   // Without listeners, Node.js answers these by itself, and nothing counts the answers.
-  for (const event of ['checkContinue', 'checkExpectation'])
-    server.on(
-      event,
-      (request: http.IncomingMessage, response: http.ServerResponse) => {
-        server.emit('request', request, response);
-      },
-    );
+  server.on('checkContinue', receive);
+  server.on('checkExpectation', receive);
   server.on('clientError', (error: NodeJS.ErrnoException, duplex: unknown) => {
-    const stream = duplex as Stream;
-    // While a request is being handled, the caller would take a refusal for its answer.
-    if (
-      error.code !== 'ECONNRESET' &&
-      stream.writable &&
-      intake.canRefuse(stream)
-    )
-      stream.write(formatClientError(error.code));
-    stream.destroy();
+    refuseMalformed(duplex as Stream, error.code);
   });
 
+  const sweepTimer = timers.subscribe(
+    { name: 'intake.sweep', delayMs: SWEEP_INTERVAL_MS, repeat: 'periodic' },
+    () => {
+      const nowMs = timers.getNow();
+      for (const closing of intake.listExpired(nowMs, options.getTimeouts()))
+        closeConnection(closing);
+    },
+  );
+
+  function formatRefusal(refusal: refusals.Refusal): string {
+    return refusals.formatRefusal(refusal, options.encodeRefusal(refusal));
+  }
+
   function closeConnection({
     connection: stream,
     reason,
   }: intakes.Closing<Stream>): void {
     options.recordShed(reason);
-    const reader = readers.get(stream);
-    reader?.release();
-    if (
-      (reason === 'body' || reason === 'body-timeout') &&
-      reader?.response.headersSent === false
-    )
-      options.refuse(reader.response, {
-        status: 429,
-        why: 'the body did not arrive in time',
-      });
+    switch (reason) {
+      case 'body':
+      case 'body-timeout':
+        refuseReading(stream, refusals.slowBody);
+        break;
+      case 'header-timeout':
+        if (stream.writable && !intake.hasUnanswered(stream))
+          stream.write(formatRefusal(refusals.slowHeader));
+        break;
+      case 'idle':
+      case 'idle-timeout':
+        break;
+    }
     stream.destroy();
   }
 
-  const sweepTimer = timers.subscribe(
-    { name: 'server.sweep', delayMs: SWEEP_INTERVAL_MS, repeat: 'periodic' },
-    () => {
-      const nowMs = timers.getNow();
-      for (const closing of intake.listExpired(nowMs, options.getTimeouts()))
-        closeConnection(closing);
-    },
-  );
+  /** Refuses the request whose body is being read. */
+  function refuseReading(stream: Stream, refusal: refusals.Refusal): void {
+    const reader = readers.get(stream);
+    if (reader === undefined) return;
+    if (!reader.response.headersSent) sendRefusal(reader.response, refusal);
+    reader.finish({ outcome: 'ended' });
+  }
+
+  function sendRefusal(
+    response: http.ServerResponse,
+    refusal: refusals.Refusal,
+  ): void {
+    refusals.sendRefusal(response, refusal, options.encodeRefusal(refusal));
+  }
+
+  /**
+   * Refuses bytes that aren't valid HTTP. While earlier requests of the connection are
+   * unanswered, the caller would take the refusal for one of their answers; then the
+   * connection is closed after those answers instead.
+   */
+  function refuseMalformed(stream: Stream, code: string | undefined): void {
+    if (code === 'ECONNRESET' || !stream.writable) {
+      stream.destroy();
+      return;
+    }
+    options.recordShed('malformed');
+    turns.remove(stream);
+    stream.holdReads();
+    if (!intake.hasUnanswered(stream)) {
+      stream.end(formatRefusal(refusals.describeParseError(code)));
+      stream.destroySoon();
+      return;
+    }
+    malformed.add(stream);
+    const reader = readers.get(stream);
+    // A complete body is still delivered.
+    if (reader?.response.req.complete === false)
+      reader.finish({ outcome: 'malformed' });
+  }
 
-  function beginRequest(
+  function receive(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): void {
+    const entry = acceptRequest(request, response);
+    if (entry === undefined) return;
+    const body = { isRead: false };
+    const handled = options.handle({
+      request,
+      response,
+      readBody(maxBytes) {
+        body.isRead = true;
+        return readBody(entry, request, response, maxBytes);
+      },
+    });
+    // From now on the request may have an effect, so it is no longer shed.
+    if (!body.isRead) intake.completeBody(entry);
+    void Promise.resolve(handled).finally(() => {
+      intake.endRequest(entry, timers.getNow());
+    });
+  }
+
+  function acceptRequest(
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): intakes.IntakeRequest<Stream> | undefined {
@@ -169,115 +210,90 @@
       return undefined;
     }
     response.once('close', () => {
-      intake.recordWritten(stream);
+      endResponse(stream, request);
     });
     if (begun === 'overloaded') {
       options.recordShed('request');
-      refuseUnread(response, {
-        status: 429,
-        why: 'too many requests are being handled',
-      });
+      refuse(response, refusals.tooManyRequests);
       return undefined;
     }
-    const refusal = checkHeaders(request);
+    const refusal = checkHeaders(request, options.requiresHost);
     if (refusal !== undefined) {
       intake.endRequest(begun, timers.getNow());
-      refuseUnread(response, refusal);
+      refuse(response, refusal);
       return undefined;
     }
-    if (request.headers.expect !== undefined) response.writeContinue();
     return begun;
   }
 
-  /** Refuses a request whose body hasn't been read, and closes its connection. */
-  function refuseUnread(response: http.ServerResponse, refusal: Refusal): void {
+  function endResponse(stream: Stream, request: http.IncomingMessage): void {
+    intake.recordWritten(stream);
+    // A connection with an unread body can't carry another request.
+    const isLast = malformed.has(stream) && !intake.hasUnanswered(stream);
+    if (!request.complete || isLast) stream.destroySoon();
+  }
+
+  /** Refuses a request, and closes its connection once earlier answers are written, too. */
+  function refuse(
+    response: http.ServerResponse,
+    refusal: refusals.Refusal,
+  ): void {
     const stream = getStream(response.req);
-    // Answers to earlier requests of the connection are written first.
+    refused.add(stream);
     response.once('finish', () => {
       stream.destroySoon();
     });
-    refused.add(stream);
-    options.refuse(response, refusal);
+    sendRefusal(response, refusal);
   }
 
-  return {
-    receive(request, response, maxBodyBytes, handle) {
-      const stream = getStream(request);
-      const entry = beginRequest(request, response);
-      if (entry === undefined) return;
-      const body = core.createBodyBuffer(pool);
-      const reader: Reader = {
-        response,
-        release() {
-          collecting = false;
-          body.release();
+  function readBody(
+    entry: intakes.IntakeRequest<Stream>,
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    maxBytes: number,
+  ): Promise<requestBody.ReceivedBody> {
+    const stream = getStream(request);
+    const declaredBytes = Number(request.headers['content-length'] ?? 0);
+    // A caller that waits to be asked for its body sends none after a refusal.
+    if (request.headers.expect !== undefined && declaredBytes > maxBytes) {
+      intake.completeBody(entry);
+      return Promise.resolve({ outcome: 'too-large' });
+    }
+    return new Promise((resolve) => {
+      const reader = requestBody.readRequestBody(request, response, {
+        timers,
+        pool,
+        turns,
+        stream,
+        maxBytes,
+        reserve: (bytes) => reserveBody(entry, response, bytes),
+        onFinish(received) {
+          if (readers.get(stream) === reader) readers.delete(stream);
+          intake.completeBody(entry);
+          resolve(received);
         },
-      };
+      });
       readers.set(stream, reader);
-      let collecting = true;
-      let bytes = 0;
-      let chunks = 0;
+    });
+  }
 
-      function addChunk(chunk: Buffer): void {
-        if (entry === undefined || stream.destroyed) return;
-        bytes += chunk.length;
-        if (bytes > maxBodyBytes) {
-          reader.release();
-          intake.reserveBody(entry, 0);
-          if (bytes > maxBodyBytes + MAX_DISCARDED_BYTES) stream.destroy();
-          return;
-        }
-        if (!collecting) return;
-        const decision = intake.reserveBody(
-          entry,
-          body.computeBytes(chunk.length),
-        );
-        for (const closing of decision.closing) closeConnection(closing);
-        if (decision.granted) {
-          body.add(chunk);
-          // Large reads would leave more memory behind than the bodies that they replace.
-          if (
-            decision.closing.length > 0 &&
-            stream.getLatestReadBytes() > MAX_UNHELD_BYTES
-          )
-            turns.add(stream);
-          return;
-        }
-        reader.release();
-        options.recordShed('body-memory');
-        intake.endRequest(entry, timers.getNow());
-        refuseUnread(response, {
-          status: 429,
-          why: 'too many bodies are being received',
-        });
-      }
+  function reserveBody(
+    entry: intakes.IntakeRequest<Stream>,
+    response: http.ServerResponse,
+    bytes: number,
+  ): ReturnType<typeof intake.reserveBody> {
+    const decision = intake.reserveBody(entry, bytes);
+    for (const closing of decision.closing) closeConnection(closing);
+    if (!decision.granted) {
+      options.recordShed('body-memory');
+      intake.endRequest(entry, timers.getNow());
+      if (!response.headersSent) refuse(response, refusals.tooManyBodies);
+    }
+    return decision;
+  }
 
-      request.on('data', (chunk: Buffer) => {
-        addChunk(chunk);
-        chunks += 1;
-        if (chunks % MAX_CHUNKS_PER_TURN === 0) turns.add(stream);
-      });
-      request.on('end', () => {
-        turns.release(stream);
-        if (readers.get(stream) === reader) readers.delete(stream);
-        if (stream.destroyed || response.headersSent) return;
-        intake.completeBody(entry);
-        const received: ReceivedBody = collecting
-          ? { outcome: 'complete', body: body.get() }
-          : { outcome: 'too-large' };
-        reader.release();
-        void Promise.resolve(handle(received)).finally(() => {
-          intake.endRequest(entry, timers.getNow());
-        });
-      });
-      request.on('close', () => {
-        reader.release();
-      });
-      request.on('error', () => {
-        // The caller disconnected before the whole body was read, so nothing has been done.
-        response.destroy();
-      });
-    },
+  return {
+    refuse,
     close() {
       sweepTimer.end();
       turns.close();
@@ -290,34 +306,14 @@
   return request.socket as unknown as Stream;
 }
 
-/** Returns why the header of a request is refused: the checks that Node.js would answer by itself. */
-function checkHeaders({
-  httpVersion,
-  headers,
-}: http.IncomingMessage): Refusal | undefined {
-  if (httpVersion === '1.1' && headers.host === undefined)
-    return { status: 400, why: 'the header Host is missing' };
+/** Returns why the header of a request is refused, if it is. */
+function checkHeaders(
+  { httpVersion, headers }: http.IncomingMessage,
+  requiresHost: boolean,
+): refusals.Refusal | undefined {
+  if (requiresHost && httpVersion === '1.1' && headers.host === undefined)
+    return refusals.missingHost;
   if (headers.expect !== undefined && !CONTINUE_PATTERN.test(headers.expect))
-    return { status: 417, why: 'only Expect: 100-continue is supported' };
+    return refusals.unknownExpectation;
   return undefined;
 }
-
-function formatClientError(code: string | undefined): string {
-  return code === 'HPE_HEADER_OVERFLOW'
-    ? formatRefusal(431, 'the header is too large')
-    : formatRefusal(400, 'the bytes sent are not a valid HTTP request');
-}
-
-/** Builds the complete HTTP answer to what can't be received as a request. */
-function formatRefusal(status: number, why: string): string {
-  const body = JSON.stringify({ error: why });
-  return [
-    `HTTP/1.1 ${status} ${http.STATUS_CODES[status] ?? ''}`,
-    'content-type: application/json',
-    ...(status === 503 ? [`retry-after: ${RETRY_AFTER_S}`] : []),
-    `content-length: ${Buffer.byteLength(body)}`,
-    'connection: close',
-    '',
-    body,
-  ].join('\r\n');
-}
--- a/packages/intake/src/index.ts
+++ b/packages/intake/src/index.ts
@@ -1,8 +1,6 @@
 /** Bounds what clients take of a process: connections, requests, bodies and processor time. */
 export {
   DEFAULT_HEADER_TIMEOUT_MS,
-  DEFAULT_MAX_DESCRIPTORS,
-  DEFAULT_MEMORY_MB,
   computeIntakeLimits,
   computeMaxHandshakes,
   computeMaxOutgoing,
@@ -12,5 +10,7 @@
 export type {
   ConnectionGuard,
   GuardOptions,
-  Refusal,
+  GuardedRequest,
 } from './connectionGuard.js';
+export type { EncodedRefusal, Refusal } from './refusals.js';
+export type { ReceivedBody } from './requestBody.js';
--- a/packages/intake/src/intake.ts
+++ b/packages/intake/src/intake.ts
@@ -6,6 +6,8 @@
  * bodies that have waited longest; then new connections and requests.
  */
 
+import * as core from '@flamingoward/core';
+
 const BYTES_PER_MB = 1_048_576;
 /** Descriptors for files, listening sockets, pipes and timers of the process. */
 const RESERVED_DESCRIPTORS = 200;
@@ -17,10 +19,6 @@
 const CONNECTION_BYTES = 32_768;
 /** Share of the memory that bodies of all requests may take together. */
 const BODY_MEMORY_SHARE = 0.05;
-/** Memory of the machine when the settings name none, in MB; the smallest that is deployed. */
-export const DEFAULT_MEMORY_MB = 250;
-/** Descriptors of the process when the settings name none; below the smallest that is deployed. */
-export const DEFAULT_MAX_DESCRIPTORS = 4_096;
 /** Most requests of one connection without a completely written answer; clients rarely pipeline any. */
 const MAX_PIPELINED = 16;
 /** Time from the end of the header in which a body must arrive, in ms; callers give up after about 3 s. */
@@ -40,11 +38,20 @@
   readonly bodyTimeoutMs: number;
 }
 
-/** Computes the limits from the memory and the descriptors of a process. */
-export function computeIntakeLimits(machine: {
+/** What a process may use of its machine. */
+export interface Machine {
   readonly memoryMb: number;
   readonly maxDescriptors: number;
-}): IntakeLimits {
+}
+
+/**
+ * Computes the limits from the memory and the descriptors of a process; a single body of
+ * `maxBodyBytes` is always within them.
+ */
+export function computeIntakeLimits(
+  machine: Machine,
+  maxBodyBytes = 0,
+): IntakeLimits {
   const memoryBytes = machine.memoryMb * BYTES_PER_MB;
   const descriptors = Math.max(
     0,
@@ -64,7 +71,10 @@
     // A caller has one request at a time on a connection.
     maxRequests: maxConnections,
     maxPipelined: MAX_PIPELINED,
-    maxBodiesBytes: Math.floor(memoryBytes * BODY_MEMORY_SHARE),
+    maxBodiesBytes: Math.max(
+      Math.floor(memoryBytes * BODY_MEMORY_SHARE),
+      core.computeBodyCapacity(maxBodyBytes),
+    ),
     bodyTimeoutMs: BODY_TIMEOUT_MS,
   };
 }
@@ -79,9 +89,9 @@
 const HANDSHAKE_DESCRIPTOR_SHARE = 1 / 32;
 
 /** Computes how many connections between nodes may wait for their handshake. */
-export function computeMaxHandshakes(machine: {
-  readonly maxDescriptors: number;
-}): number {
+export function computeMaxHandshakes(
+  machine: Pick<Machine, 'maxDescriptors'>,
+): number {
   return Math.max(
     1,
     Math.floor(machine.maxDescriptors * HANDSHAKE_DESCRIPTOR_SHARE),
@@ -89,10 +99,7 @@
 }
 
 /** Computes how many outgoing connections to VMs are kept; callers and others have the rest. */
-export function computeMaxOutgoing(machine: {
-  readonly memoryMb: number;
-  readonly maxDescriptors: number;
-}): number {
+export function computeMaxOutgoing(machine: Machine): number {
   return Math.max(
     1,
     machine.maxDescriptors -
@@ -152,8 +159,8 @@
   completeBody(request: IntakeRequest<Connection>): void;
   /** Applies that a request has got its answer or has ended without one. */
   endRequest(request: IntakeRequest<Connection>, nowMs: number): void;
-  /** Returns whether nothing that the connection has sent has been handed to the handler without an answer. */
-  canRefuse(connection: Connection): boolean;
+  /** Returns whether a request of the connection has no completely written answer. */
+  hasUnanswered(connection: Connection): boolean;
   /** Applies that an answer has been written completely. */
   recordWritten(connection: Connection): void;
   /** Lists the connections whose time is over. */
@@ -311,10 +318,8 @@
       entry.active -= 1;
       if (entry.active === 0) addIdle(request.connection, nowMs);
     },
-    canRefuse(connection) {
-      const entry = connections.get(connection);
-      return entry?.unwritten === entry?.reading.size;
-    },
+    hasUnanswered: (connection) =>
+      (connections.get(connection)?.unwritten ?? 0) > 0,
     recordWritten(connection) {
       const entry = connections.get(connection);
       if (entry !== undefined) entry.unwritten -= 1;
--- a/packages/intake/src/piecewise.ts
+++ b/packages/intake/src/piecewise.ts
@@ -84,6 +84,7 @@
     getReadBytes: () => socket.bytesRead,
     getLatestReadBytes: () => latestReadBytes,
     destroySoon() {
+      if (duplex.destroyed) return;
       if (duplex.writableFinished) duplex.destroy();
       else {
         duplex.end();
