Bound the callers of a daemon over all connections

Cause: the daemon had deadlines and a limit for one request, and no bound over all connections, requests of a connection, or bodies.

Its server for callers now has the guard of the nodes, with limits computed from the memory and the descriptors of its machine. A body of the largest size is always within them. The metric callers_shed_total counts by reason, and replaces malformed_total.

--- a/packages/daemon/src/callers/exchange.ts
+++ b/packages/daemon/src/callers/exchange.ts
@@ -4,24 +4,12 @@
  */
 import type * as http from 'node:http';
 import * as core from '@flamingoward/core';
+import type * as intake from '@flamingoward/intake';
 import type * as requests from '../requests/types.js';
 import * as headers from './headers.js';
 
-/**
- * The rest of an oversized body is read and discarded up to these limits. Closing a
- * connection with unread bytes resets it, and the caller would not get the 413 answer.
- */
-const MAX_DISCARD_MS = 1_000;
-const MAX_DISCARD_BYTES = 16 * 1024 * 1024;
-
 /** Result of reading a request body. */
-export type BodyResult =
-  | { readonly outcome: 'complete'; readonly body: Buffer }
-  | { readonly outcome: 'too-large' }
-  | { readonly outcome: 'too-slow' }
-  | { readonly outcome: 'malformed' }
-  /** The caller closed the connection before the body was complete. */
-  | { readonly outcome: 'disconnected' };
+export type BodyResult = intake.ReceivedBody | { readonly outcome: 'too-slow' };
 
 /** One request and its answer. */
 export interface Exchange {
@@ -38,8 +26,6 @@
   ): void;
   /** Cancels the request; it is dropped unless it has been sent to a backend server. */
   cancel(): void;
-  /** Ends the reading of an incomplete body as `malformed`, because its bytes can't be parsed. */
-  failBody(): void;
 }
 
 /**
@@ -48,14 +34,13 @@
  */
 export function createExchange(
   timers: core.TimerService,
-  request: http.IncomingMessage,
-  response: http.ServerResponse,
+  guarded: intake.GuardedRequest,
   shouldCloseConnection: () => boolean,
 ): Exchange {
+  const { request, response } = guarded;
   const id = headers.chooseRequestId(request.headers);
   const controller = new AbortController();
   let answered = false;
-  let failBody: (() => void) | undefined;
   response.on('close', () => {
     if (!response.writableFinished) controller.abort();
   });
@@ -67,7 +52,7 @@
     body: Uint8Array,
   ): void {
     // The caller would match a second answer to its next request on the connection.
-    if (answered) return;
+    if (answered || response.headersSent) return;
     const closesConnection = shouldCloseConnection() || !request.complete;
     const headerFields: Record<string, string | string[]> = {
       ...pickDefined(fields),
@@ -141,61 +126,16 @@
   }
 
   function readBody(maxBytes: number, timeoutMs: number): Promise<BodyResult> {
-    const declaredBytes = Number(request.headers['content-length'] ?? 0);
-    let isTooLarge = declaredBytes > maxBytes;
-    // A caller that sent `Expect: 100-continue` sends no body when it is refused.
-    if (isTooLarge && request.headers.expect !== undefined)
-      return Promise.resolve({ outcome: 'too-large' });
     return new Promise((resolve) => {
-      const body = core.createBodyBuffer();
-      let receivedBytes = 0;
-      const startTimer = (delayMs: number, outcome: 'too-large' | 'too-slow') =>
-        timers.subscribe(
-          { name: 'callers.body', delayMs, repeat: 'once' },
-          () => {
-            finish({ outcome });
-          },
-        );
-      const finish = (result: BodyResult) => {
+      const timer = timers.subscribe(
+        { name: 'callers.body', delayMs: timeoutMs, repeat: 'once' },
+        () => {
+          resolve({ outcome: 'too-slow' });
+        },
+      );
+      void guarded.readBody(maxBytes).then((received) => {
         timer.end();
-        request.off('data', receiveChunk);
-        body.release();
-        resolve(result);
-      };
-      const receiveChunk = (chunk: Buffer) => {
-        receivedBytes += chunk.byteLength;
-        if (receivedBytes <= maxBytes && !isTooLarge) {
-          body.add(chunk);
-          return;
-        }
-        if (!isTooLarge) {
-          isTooLarge = true;
-          timer.end();
-          timer = startTimer(MAX_DISCARD_MS, 'too-large');
-        }
-        body.release();
-        if (receivedBytes > maxBytes + MAX_DISCARD_BYTES)
-          finish({ outcome: 'too-large' });
-      };
-      let timer = isTooLarge
-        ? startTimer(MAX_DISCARD_MS, 'too-large')
-        : startTimer(timeoutMs, 'too-slow');
-      failBody = () => {
-        finish({ outcome: 'malformed' });
-      };
-      request.on('data', receiveChunk);
-      request.once('end', () => {
-        finish(
-          isTooLarge
-            ? { outcome: 'too-large' }
-            : { outcome: 'complete', body: body.get() },
-        );
-      });
-      request.once('close', () => {
-        finish({ outcome: 'disconnected' });
-      });
-      request.once('error', () => {
-        finish({ outcome: 'disconnected' });
+        resolve(received);
       });
     });
   }
@@ -210,10 +150,6 @@
     cancel() {
       controller.abort();
     },
-    failBody() {
-      // A complete body is still delivered by the stream, so it isn't failed.
-      if (!request.complete) failBody?.();
-    },
   };
 }
 
--- a/packages/daemon/src/callers/routes.ts
+++ b/packages/daemon/src/callers/routes.ts
@@ -151,7 +151,7 @@
     case 'malformed':
       refuse(exchange, 400, 'the bytes of the body are not valid HTTP');
       return undefined;
-    case 'disconnected':
+    case 'ended':
       return undefined;
   }
 }
--- a/packages/daemon/src/callers/server.ts
+++ b/packages/daemon/src/callers/server.ts
@@ -3,8 +3,8 @@
  * malformed input with a reason, and on a planned stop answers every request in flight.
  */
 import * as http from 'node:http';
-import type * as net from 'node:net';
 import * as core from '@flamingoward/core';
+import * as intake from '@flamingoward/intake';
 import type * as types from '../types.js';
 import type * as requests from '../requests/types.js';
 import * as exchanges from './exchange.js';
@@ -12,9 +12,12 @@
 
 const MAX_HEADER_BYTES = 16 * 1024;
 const MAX_HEADERS = 100;
+const MS_PER_S = 1_000;
 const HEADERS_TIMEOUT_MS = 5_000;
 const KEEP_ALIVE_TIMEOUT_MS = 30_000;
 const DEFAULT_BODY_TIMEOUT_MS = 10_000;
+/** Time after the body timeout, which is answered with a reason, in which the answer is written. */
+const BODY_TIMEOUT_MARGIN_MS = 5_000;
 /** Time for the remaining answers of a stop to be written after the requests were cancelled. */
 const FINAL_ANSWERS_TIMEOUT_MS = 200;
 
@@ -29,6 +32,8 @@
   readonly maxBodyBytes: number;
   /** Longest time until a body has arrived completely. */
   readonly bodyTimeoutMs?: number;
+  /** Limits of all connections; those of a machine with default settings unless given. */
+  readonly limits?: intake.IntakeLimits;
 }
 
 /** HTTP server for callers. */
@@ -56,10 +61,6 @@
   const { context, path } = options;
   const { timers, log, metrics } = context;
   const inFlight = new Set<exchanges.Exchange>();
-  // Requests of each connection that have not been answered yet.
-  const unansweredBySocket = new WeakMap<net.Socket, Set<exchanges.Exchange>>();
-  // Connections on which bytes arrived that aren't valid HTTP.
-  const malformedSockets = new WeakSet<net.Socket>();
   let ready = true;
   let draining = false;
   let onAllAnswered: (() => void) | undefined;
@@ -73,44 +74,41 @@
     isDraining: () => draining,
   };
 
-  const server = http.createServer(
-    {
-      maxHeaderSize: MAX_HEADER_BYTES,
-      headersTimeout: HEADERS_TIMEOUT_MS,
-      // Longer than the body timeout, which is answered with a reason before Node cuts in.
-      requestTimeout: routeDependencies.bodyTimeoutMs + HEADERS_TIMEOUT_MS,
-      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
-      connectionsCheckingInterval: 1_000,
-      // Callers that use an IP address and old clients don't always send `Host`.
-      requireHostHeader: false,
-    },
-    (request, response) => {
-      void serve(request, response);
-    },
-  );
+  const server = http.createServer({
+    maxHeaderSize: MAX_HEADER_BYTES,
+    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+    // The guard has deadlines of its own.
+    headersTimeout: 0,
+    requestTimeout: 0,
+    requireHostHeader: false,
+  });
   // Unlimited: Node would silently drop fields over its limit, so they are counted in `serve`.
   server.maxHeadersCount = 0;
-  server.on('clientError', refuseMalformed);
-  server.on('checkContinue', (request, response) => {
-    const declared = Number(request.headers['content-length'] ?? 0);
-    if (declared <= options.maxBodyBytes) response.writeContinue();
-    void serve(request, response);
+  const guard = intake.createConnectionGuard(server, {
+    timers,
+    limits: {
+      ...(options.limits ?? buildDefaultLimits(options.maxBodyBytes)),
+      bodyTimeoutMs: routeDependencies.bodyTimeoutMs + BODY_TIMEOUT_MARGIN_MS,
+    },
+    // Callers that use an IP address and old clients don't always send `Host`.
+    requiresHost: false,
+    getTimeouts: () => ({
+      headerMs: HEADERS_TIMEOUT_MS,
+      idleMs: KEEP_ALIVE_TIMEOUT_MS,
+    }),
+    recordShed(reason) {
+      metrics.count('callers_shed_total', { reason });
+    },
+    handle: serve,
+    encodeRefusal,
   });
 
-  async function serve(
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-  ): Promise<void> {
-    const exchange = exchanges.createExchange(
-      timers,
-      request,
-      response,
-      () => draining,
-    );
+  async function serve(guarded: intake.GuardedRequest): Promise<void> {
+    const { request, response } = guarded;
+    const exchange = exchanges.createExchange(timers, guarded, () => draining);
     inFlight.add(exchange);
-    getUnanswered(request.socket).add(exchange);
     response.on('close', () => {
-      endExchange(exchange, request.socket);
+      endExchange(exchange);
     });
     try {
       if (request.rawHeaders.length > 2 * MAX_HEADERS)
@@ -119,7 +117,6 @@
     } catch (error) {
       failExchange(exchange, error);
     }
-    if (!request.complete) closeAfterAnswer(request, response);
   }
 
   function failExchange(exchange: exchanges.Exchange, error: unknown): void {
@@ -135,57 +132,11 @@
     });
   }
 
-  /** Closes a connection with an unread body once its answer is written: it can't carry another request. */
-  function closeAfterAnswer(
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-  ): void {
-    if (response.writableFinished) request.socket.destroySoon();
-    else
-      response.once('finish', () => {
-        request.socket.destroySoon();
-      });
-  }
-
-  function getUnanswered(socket: net.Socket): Set<exchanges.Exchange> {
-    const known = unansweredBySocket.get(socket) ?? new Set();
-    unansweredBySocket.set(socket, known);
-    return known;
-  }
-
-  function endExchange(exchange: exchanges.Exchange, socket: net.Socket): void {
-    if (!inFlight.delete(exchange)) return;
-    const unanswered = getUnanswered(socket);
-    unanswered.delete(exchange);
-    if (unanswered.size === 0 && malformedSockets.has(socket))
-      socket.destroySoon();
+  function endExchange(exchange: exchanges.Exchange): void {
+    inFlight.delete(exchange);
     if (inFlight.size === 0) onAllAnswered?.();
   }
 
-  /**
-   * Refuses input that isn't valid HTTP. While earlier requests of the connection are
-   * unanswered, the caller would take the refusal for one of their answers; then the
-   * connection is closed after those answers instead.
-   */
-  function refuseMalformed(
-    error: Error & { code?: string },
-    duplex: unknown,
-  ): void {
-    const socket = duplex as net.Socket;
-    metrics.count('malformed_total', { code: error.code ?? 'unknown' });
-    if (!socket.writable || error.code === 'ECONNRESET') {
-      socket.destroy();
-      return;
-    }
-    const unanswered = getUnanswered(socket);
-    if (unanswered.size > 0) {
-      malformedSockets.add(socket);
-      for (const exchange of unanswered) exchange.failBody();
-      return;
-    }
-    socket.end(formatMalformedAnswer(error.code));
-  }
-
   function start(): Promise<core.ids.Address> {
     const [host, port] = splitAddress(options.listen);
     return new Promise((resolve, reject) => {
@@ -230,6 +181,7 @@
       });
     await waitForAllAnswered(FINAL_ANSWERS_TIMEOUT_MS);
     server.closeAllConnections();
+    guard.close();
   }
 
   async function waitForAllAnswered(timeoutMs: number): Promise<void> {
@@ -264,30 +216,31 @@
   return [address.slice(0, colon), Number(address.slice(colon + 1))];
 }
 
-/** Builds the complete HTTP answer to input that can't be parsed as a request. */
-function formatMalformedAnswer(code: string | undefined): string {
-  const [status, reason] = describeParseError(code);
-  const body = `${JSON.stringify({ answer: 'not-run', reason, requestId: '' })}\n`;
-  return [
-    `HTTP/1.1 ${status}`,
-    'content-type: application/json',
-    `${core.requests.answerHeader}: not-run`,
-    `content-length: ${Buffer.byteLength(body)}`,
-    'connection: close',
-    '',
-    body,
-  ].join('\r\n');
+function buildDefaultLimits(maxBodyBytes: number): intake.IntakeLimits {
+  return intake.computeIntakeLimits(
+    {
+      memoryMb: core.DEFAULT_MEMORY_MB,
+      maxDescriptors: core.DEFAULT_MAX_DESCRIPTORS,
+    },
+    maxBodyBytes,
+  );
 }
 
-function describeParseError(
-  code: string | undefined,
-): readonly [string, string] {
-  if (code === 'HPE_HEADER_OVERFLOW')
-    return [
-      '431 Request Header Fields Too Large',
-      `the header is larger than ${MAX_HEADER_BYTES} bytes`,
-    ];
-  if (code === 'ERR_HTTP_REQUEST_TIMEOUT')
-    return ['408 Request Timeout', 'the request did not arrive in time'];
-  return ['400 Bad Request', 'the bytes sent are not a valid HTTP request'];
+/** Builds the answer to what isn't handed to the routes, and so has no request id. */
+function encodeRefusal({
+  why,
+  retryAfterS,
+}: intake.Refusal): intake.EncodedRefusal {
+  const body: core.requests.AnswerBody = {
+    answer: 'not-run',
+    reason: why,
+    requestId: '',
+    ...(retryAfterS === undefined
+      ? {}
+      : { retryAfterMs: retryAfterS * MS_PER_S }),
+  };
+  return {
+    headers: { [core.requests.answerHeader]: 'not-run' },
+    body: `${JSON.stringify(body)}\n`,
+  };
 }
