Refuse bodies at once, and read on until the caller has the answer

A body over the limit was read for up to a second, or to its end, before the caller got 413, although it was known not to be served. An answer that is followed by a close with unread bytes is reset and may never arrive.

A body that is too large, too slow or malformed is now answered at once. What still arrives is discarded, and the connection closes when the caller has closed it, after 1 s or after 16 MB. Nothing that follows a refused request on its connection is handled any more.

--- a/packages/daemon/src/callers/exchange.ts
+++ b/packages/daemon/src/callers/exchange.ts
@@ -8,16 +8,13 @@
 import type * as requests from '../requests/types.js';
 import * as headers from './headers.js';
 
-/** Result of reading a request body. */
-export type BodyResult = intake.ReceivedBody | { readonly outcome: 'too-slow' };
-
 /** One request and its answer. */
 export interface Exchange {
   readonly id: string;
   readonly request: http.IncomingMessage;
   /** Aborted when the caller disconnects before it has its answer, or when the process stops. */
   readonly signal: AbortSignal;
-  readBody(maxBytes: number, timeoutMs: number): Promise<BodyResult>;
+  readBody(maxBytes: number, timeoutMs: number): Promise<intake.ReceivedBody>;
   sendAnswer(answer: requests.CallerAnswer): void;
   sendJson(
     status: number,
@@ -33,7 +30,6 @@
  * answer is the last one on its connection.
  */
 export function createExchange(
-  timers: core.TimerService,
   guarded: intake.GuardedRequest,
   shouldCloseConnection: () => boolean,
 ): Exchange {
@@ -125,26 +121,11 @@
     sendJson(answer.status, body, 'not-run');
   }
 
-  function readBody(maxBytes: number, timeoutMs: number): Promise<BodyResult> {
-    return new Promise((resolve) => {
-      const timer = timers.subscribe(
-        { name: 'callers.body', delayMs: timeoutMs, repeat: 'once' },
-        () => {
-          resolve({ outcome: 'too-slow' });
-        },
-      );
-      void guarded.readBody(maxBytes).then((received) => {
-        timer.end();
-        resolve(received);
-      });
-    });
-  }
-
   return {
     id,
     request,
     signal: controller.signal,
-    readBody,
+    readBody: guarded.readBody,
     sendAnswer,
     sendJson,
     cancel() {
--- a/packages/daemon/src/callers/server.ts
+++ b/packages/daemon/src/callers/server.ts
@@ -32,8 +32,8 @@
   readonly maxBodyBytes: number;
   /** Longest time until a body has arrived completely. */
   readonly bodyTimeoutMs?: number;
-  /** Limits of all connections; those of a machine with default settings unless given. */
-  readonly limits?: intake.IntakeLimits;
+  /** What the process may use of its machine. */
+  readonly machine: core.settings.MachineSettings;
 }
 
 /** HTTP server for callers. */
@@ -87,7 +87,7 @@
   const guard = intake.createConnectionGuard(server, {
     timers,
     limits: {
-      ...(options.limits ?? buildDefaultLimits(options.maxBodyBytes)),
+      ...intake.computeIntakeLimits(options.machine, options.maxBodyBytes),
       bodyTimeoutMs: routeDependencies.bodyTimeoutMs + BODY_TIMEOUT_MARGIN_MS,
     },
     // Callers that use an IP address and old clients don't always send `Host`.
@@ -105,7 +105,7 @@
 
   async function serve(guarded: intake.GuardedRequest): Promise<void> {
     const { request, response } = guarded;
-    const exchange = exchanges.createExchange(timers, guarded, () => draining);
+    const exchange = exchanges.createExchange(guarded, () => draining);
     inFlight.add(exchange);
     response.on('close', () => {
       endExchange(exchange);
@@ -216,16 +216,6 @@
   return [address.slice(0, colon), Number(address.slice(colon + 1))];
 }
 
-function buildDefaultLimits(maxBodyBytes: number): intake.IntakeLimits {
-  return intake.computeIntakeLimits(
-    {
-      memoryMb: core.DEFAULT_MEMORY_MB,
-      maxDescriptors: core.DEFAULT_MAX_DESCRIPTORS,
-    },
-    maxBodyBytes,
-  );
-}
-
 /** Builds the answer to what isn't handed to the routes, and so has no request id. */
 function encodeRefusal({
   why,
--- a/packages/daemon/src/links/links.ts
+++ b/packages/daemon/src/links/links.ts
@@ -14,6 +14,8 @@
   readonly listen: core.ids.Address;
   readonly key: string;
   readonly maxFrameBytes: number;
+  /** Most accepted connections whose peer isn't authenticated yet. */
+  readonly maxHandshakes: number;
   /** Random number from 0 to 1. */
   readonly getRandom: () => number;
 }
@@ -52,6 +54,7 @@
     listen: options.listen,
     key: options.key,
     maxFrameBytes: options.maxFrameBytes,
+    maxHandshakes: options.maxHandshakes,
     timers: context.timers,
     getRandom: options.getRandom,
     onQuestion: answerQuestion,
--- a/packages/daemon/src/process/process.ts
+++ b/packages/daemon/src/process/process.ts
@@ -5,6 +5,7 @@
 import * as crypto from 'node:crypto';
 import * as core from '@flamingoward/core';
 import * as clients from '@flamingoward/clients';
+import * as intake from '@flamingoward/intake';
 import * as callers from '../callers/server.js';
 import * as jobCheck from '../jobs/check.js';
 import * as jobs from '../jobs/jobs.js';
@@ -72,6 +73,7 @@
     listen: settings.links.listen,
     key: settings.links.key,
     maxFrameBytes: settings.limits.maxFrameBytes,
+    maxHandshakes: intake.computeMaxHandshakes(settings.machine),
     getRandom: options.getRandom,
   });
   const vmListClient = clients.createVmListClient({
@@ -184,6 +186,7 @@
     releases: releasesPart,
     listen: settings.callers.listen,
     maxBodyBytes: settings.limits.maxBodyBytes,
+    machine: settings.machine,
   });
   const gauges = resourceGauges.createResourceGauges(context, linksPart);
   let operatorsServer: operators.OperatorsServer | undefined;
--- a/packages/daemon/test/callers.test.ts
+++ b/packages/daemon/test/callers.test.ts
@@ -64,6 +64,7 @@
     listen: '127.0.0.1:0',
     maxBodyBytes: 1_000,
     bodyTimeoutMs: 200,
+    machine: { memoryMb: 250, maxDescriptors: 4_096 },
   };
   return { options, submitted };
 }
--- a/packages/intake/src/connectionGuard.ts
+++ b/packages/intake/src/connectionGuard.ts
@@ -35,8 +35,14 @@
 export interface GuardedRequest {
   readonly request: http.IncomingMessage;
   readonly response: http.ServerResponse;
-  /** Reads the body; called at most once. */
-  readBody(maxBytes: number): Promise<requestBody.ReceivedBody>;
+  /**
+   * Reads the body; called at most once. After any outcome but `complete`, the answer must
+   * be the last one on its connection.
+   */
+  readonly readBody: (
+    maxBytes: number,
+    timeoutMs?: number,
+  ) => Promise<requestBody.ReceivedBody>;
 }
 
 /** A guarded server. */
@@ -64,8 +70,6 @@
   const readers = new WeakMap<Stream, requestBody.BodyReader>();
   const pool = core.createBufferPool(limits.maxBodiesBytes);
   const turns = readTurns.createReadTurns(timers);
-  /** Connections that close after the answer to a refused request. */
-  const refused = new WeakSet<Stream>();
   /** Connections with bytes that aren't valid HTTP, which close after the answers to earlier requests. */
   const malformed = new WeakSet<Stream>();
 
@@ -73,7 +77,7 @@
   const parsers = server.listeners('connection');
   server.removeAllListeners('connection');
   server.on('connection', (socket) => {
-    const stream = piecewise.createPiecewiseStream(socket);
+    const stream = piecewise.createPiecewiseStream(socket, timers);
     const decision = intake.openConnection(stream, timers.getNow());
     for (const closing of decision.closing) closeConnection(closing);
     if (!decision.accepted) {
@@ -157,14 +161,15 @@
     }
     options.recordShed('malformed');
     turns.remove(stream);
-    stream.holdReads();
     if (!intake.hasUnanswered(stream)) {
+      stream.dropInput();
       stream.end(formatRefusal(refusals.describeParseError(code)));
       stream.destroySoon();
       return;
     }
     malformed.add(stream);
     const reader = readers.get(stream);
+    stream.dropInput();
     // A complete body is still delivered.
     if (reader?.response.req.complete === false)
       reader.finish({ outcome: 'malformed' });
@@ -180,9 +185,9 @@
     const handled = options.handle({
       request,
       response,
-      readBody(maxBytes) {
+      readBody(maxBytes, timeoutMs) {
         body.isRead = true;
-        return readBody(entry, request, response, maxBytes);
+        return readBody(entry, response, maxBytes, timeoutMs);
       },
     });
     // From now on the request may have an effect, so it is no longer shed.
@@ -198,17 +203,13 @@
   ): intakes.IntakeRequest<Stream> | undefined {
     const stream = getStream(request);
     // What follows on a connection that is being closed is dropped with it.
-    if (stream.destroyed) return undefined;
+    if (stream.destroyed || stream.isInputDropped()) return undefined;
     const begun = intake.beginRequest(stream, timers.getNow());
     if (begun === 'pipelined') {
       options.recordShed('pipelined');
       stream.destroy();
       return undefined;
     }
-    if (refused.has(stream)) {
-      if (begun !== 'overloaded') intake.endRequest(begun, timers.getNow());
-      return undefined;
-    }
     response.once('close', () => {
       endResponse(stream, request);
     });
@@ -239,7 +240,7 @@
     refusal: refusals.Refusal,
   ): void {
     const stream = getStream(response.req);
-    refused.add(stream);
+    stream.dropInput();
     response.once('finish', () => {
       stream.destroySoon();
     });
@@ -248,14 +249,15 @@
 
   function readBody(
     entry: intakes.IntakeRequest<Stream>,
-    request: http.IncomingMessage,
     response: http.ServerResponse,
     maxBytes: number,
+    timeoutMs: number | undefined,
   ): Promise<requestBody.ReceivedBody> {
+    const request = response.req;
     const stream = getStream(request);
     const declaredBytes = Number(request.headers['content-length'] ?? 0);
-    // A caller that waits to be asked for its body sends none after a refusal.
-    if (request.headers.expect !== undefined && declaredBytes > maxBytes) {
+    if (declaredBytes > maxBytes) {
+      markLast(response);
       intake.completeBody(entry);
       return Promise.resolve({ outcome: 'too-large' });
     }
@@ -266,9 +268,11 @@
         turns,
         stream,
         maxBytes,
+        timeoutMs,
         reserve: (bytes) => reserveBody(entry, response, bytes),
         onFinish(received) {
           if (readers.get(stream) === reader) readers.delete(stream);
+          if (received.outcome !== 'complete') markLast(response);
           intake.completeBody(entry);
           resolve(received);
         },
@@ -277,6 +281,12 @@
     });
   }
 
+  /** Makes an answer the last one on its connection, since the body of its request stays unread. */
+  function markLast(response: http.ServerResponse): void {
+    if (!response.headersSent) response.setHeader('connection', 'close');
+    getStream(response.req).dropInput();
+  }
+
   function reserveBody(
     entry: intakes.IntakeRequest<Stream>,
     response: http.ServerResponse,
--- a/packages/intake/src/index.ts
+++ b/packages/intake/src/index.ts
@@ -12,5 +12,6 @@
   GuardOptions,
   GuardedRequest,
 } from './connectionGuard.js';
+export { slowBody } from './refusals.js';
 export type { EncodedRefusal, Refusal } from './refusals.js';
 export type { ReceivedBody } from './requestBody.js';
--- a/packages/intake/src/piecewise.ts
+++ b/packages/intake/src/piecewise.ts
@@ -5,9 +5,16 @@
  */
 import type * as net from 'node:net';
 import * as stream from 'node:stream';
+import type * as core from '@flamingoward/core';
 
 /** Size of a piece, in bytes: at most about a hundred requests. */
 const PIECE_BYTES = 2_048;
+/**
+ * What still arrives after the last answer is read and discarded up to these limits. A
+ * connection that is closed with unread bytes is reset, and the answer would be lost.
+ */
+const MAX_LINGER_MS = 1_000;
+const MAX_LINGER_BYTES = 16 * 1_024 * 1_024;
 
 /** The stream that an HTTP server parses in place of a socket. */
 export interface PiecewiseStream extends stream.Duplex {
@@ -18,13 +25,22 @@
   getReadBytes(): number;
   /** Returns the size of the latest read, in bytes. */
   getLatestReadBytes(): number;
+  /** Discards what still arrives; the connection lingers when it is closed. */
+  dropInput(): void;
+  isInputDropped(): boolean;
   /** Closes the connection once everything is written. */
   destroySoon(): void;
 }
 
 /** Creates the stream of an open socket. */
-export function createPiecewiseStream(socket: net.Socket): PiecewiseStream {
+export function createPiecewiseStream(
+  socket: net.Socket,
+  timers: core.TimerService,
+): PiecewiseStream {
   let isHeld = false;
+  let isDropped = false;
+  let droppedBytes = 0;
+  let lingerTimer: core.TimerSubscription | undefined;
   let latestReadBytes = 0;
   const duplex = new stream.Duplex({
     read() {
@@ -48,6 +64,7 @@
       socket.end(done);
     },
     destroy(error, done) {
+      lingerTimer?.end();
       socket.destroy();
       done(error);
     },
@@ -55,15 +72,12 @@
 
   socket.on('data', (bytes: Buffer) => {
     latestReadBytes = bytes.length;
-    let isFull = false;
-    for (let at = 0; at < bytes.length; at += PIECE_BYTES) {
-      if (duplex.destroyed) return;
-      isFull = !duplex.push(bytes.subarray(at, at + PIECE_BYTES));
-    }
-    if (isFull) socket.pause();
+    if (isDropped) dropBytes(bytes.length);
+    else pushPieces(bytes);
   });
   socket.on('end', () => {
-    duplex.push(null);
+    if (!isDropped) duplex.push(null);
+    else if (duplex.writableFinished) duplex.destroy();
   });
   socket.on('error', (error) => {
     duplex.destroy(error);
@@ -72,6 +86,44 @@
     duplex.destroy();
   });
 
+  function isInputDropped(): boolean {
+    return isDropped;
+  }
+
+  function pushPieces(bytes: Buffer): void {
+    let isFull = false;
+    for (let at = 0; at < bytes.length; at += PIECE_BYTES) {
+      if (duplex.destroyed || isInputDropped()) return;
+      isFull = !duplex.push(bytes.subarray(at, at + PIECE_BYTES));
+    }
+    if (isFull) socket.pause();
+  }
+
+  function dropBytes(bytes: number): void {
+    droppedBytes += bytes;
+    if (droppedBytes > MAX_LINGER_BYTES) duplex.destroy();
+  }
+
+  /** Closes the connection once the peer has, or after a while. */
+  function startLingering(): void {
+    if (socket.readableEnded) {
+      duplex.destroy();
+      return;
+    }
+    socket.resume();
+    lingerTimer ??= timers.subscribe(
+      { name: 'intake.linger', delayMs: MAX_LINGER_MS, repeat: 'once' },
+      () => {
+        duplex.destroy();
+      },
+    );
+  }
+
+  function finishClose(): void {
+    if (isDropped) startLingering();
+    else duplex.destroy();
+  }
+
   return Object.assign(duplex, {
     holdReads() {
       isHeld = true;
@@ -81,16 +133,20 @@
       isHeld = false;
       socket.resume();
     },
+    isInputDropped,
     getReadBytes: () => socket.bytesRead,
     getLatestReadBytes: () => latestReadBytes,
+    dropInput() {
+      isDropped = true;
+      isHeld = false;
+      socket.resume();
+    },
     destroySoon() {
       if (duplex.destroyed) return;
-      if (duplex.writableFinished) duplex.destroy();
+      if (duplex.writableFinished) finishClose();
       else {
         duplex.end();
-        duplex.once('finish', () => {
-          duplex.destroy();
-        });
+        duplex.once('finish', finishClose);
       }
     },
   });
--- a/packages/intake/src/requestBody.ts
+++ b/packages/intake/src/requestBody.ts
@@ -15,17 +15,12 @@
 const MAX_CHUNKS_PER_TURN = 1_000;
 /** Connections with larger reads wait for turns while bodies exceed their limit, in bytes; ordinary bodies are smaller. */
 const MAX_UNHELD_BYTES = 16_384;
-/**
- * The rest of an oversized body is read and discarded up to these limits. Closing a
- * connection with unread bytes resets it, and the caller would not get the 413 answer.
- */
-const MAX_DISCARD_MS = 1_000;
-const MAX_DISCARD_BYTES = 16 * 1_024 * 1_024;
 
 /** Result of reading a body. */
 export type ReceivedBody =
   | { readonly outcome: 'complete'; readonly body: Buffer }
   | { readonly outcome: 'too-large' }
+  | { readonly outcome: 'too-slow' }
   | { readonly outcome: 'malformed' }
   /** The connection has ended, or the request has been refused; there is nothing left to answer. */
   | { readonly outcome: 'ended' };
@@ -44,6 +39,8 @@
   readonly turns: readTurns.ReadTurns;
   readonly stream: piecewise.PiecewiseStream;
   readonly maxBytes: number;
+  /** Time in which the body must arrive, in ms; without one, the limit of the guard applies. */
+  readonly timeoutMs: number | undefined;
   /** Reserves the memory of the body; its connection is closed or refused when this returns false. */
   reserve(
     bytes: number,
@@ -58,42 +55,35 @@
   response: http.ServerResponse,
   options: ReadOptions,
 ): BodyReader {
-  const { timers, turns, stream, maxBytes } = options;
+  const { timers, turns, stream, maxBytes, timeoutMs } = options;
   const body = core.createBodyBuffer(options.pool);
   let receivedBytes = 0;
   let chunks = 0;
   let isFinished = false;
-  let isTooLarge = Number(request.headers['content-length'] ?? 0) > maxBytes;
-  let discardTimer: core.TimerSubscription | undefined;
+  const timer =
+    timeoutMs === undefined
+      ? undefined
+      : timers.subscribe(
+          { name: 'intake.body', delayMs: timeoutMs, repeat: 'once' },
+          () => {
+            finish({ outcome: 'too-slow' });
+          },
+        );
   const reader: BodyReader = { response, finish };
 
   function finish(received: ReceivedBody): void {
     if (isFinished) return;
     isFinished = true;
-    discardTimer?.end();
+    timer?.end();
     body.release();
     turns.release(stream);
     options.onFinish(received);
   }
 
-  function dropRest(): void {
-    isTooLarge = true;
-    body.release();
-    options.reserve(0);
-    discardTimer ??= timers.subscribe(
-      { name: 'intake.discard', delayMs: MAX_DISCARD_MS, repeat: 'once' },
-      () => {
-        finish({ outcome: 'too-large' });
-      },
-    );
-  }
-
   function addChunk(chunk: Buffer): void {
     receivedBytes += chunk.length;
-    if (!isTooLarge && receivedBytes > maxBytes) dropRest();
-    if (isTooLarge) {
-      if (receivedBytes > maxBytes + MAX_DISCARD_BYTES)
-        finish({ outcome: 'too-large' });
+    if (receivedBytes > maxBytes) {
+      finish({ outcome: 'too-large' });
       return;
     }
     const decision = options.reserve(body.computeBytes(chunk.length));
@@ -108,23 +98,23 @@
       stream.getLatestReadBytes() > MAX_UNHELD_BYTES
     )
       turns.add(stream);
+    chunks += 1;
+    if (chunks % MAX_CHUNKS_PER_TURN === 0) turns.add(stream);
   }
 
   request.on('data', (chunk: Buffer) => {
-    if (isFinished) return;
-    addChunk(chunk);
-    chunks += 1;
-    if (chunks % MAX_CHUNKS_PER_TURN === 0) turns.add(stream);
+    if (!isFinished) addChunk(chunk);
   });
   request.once('end', () => {
-    if (stream.destroyed) finish({ outcome: 'ended' });
-    else if (isTooLarge) finish({ outcome: 'too-large' });
-    else finish({ outcome: 'complete', body: body.get() });
+    finish(
+      stream.destroyed
+        ? { outcome: 'ended' }
+        : { outcome: 'complete', body: body.get() },
+    );
   });
   request.once('close', () => {
     finish({ outcome: 'ended' });
   });
-  if (isTooLarge) dropRest();
-  else if (request.headers.expect !== undefined) response.writeContinue();
+  if (request.headers.expect !== undefined) response.writeContinue();
   return reader;
 }
