Bound the operators' address of a daemon

Cause: nothing bounded connections, requests of a connection or bodies, and each chunk of a body was kept in a buffer of its own.

The server now has the guard of the callers' address, with at most 64 connections. The metric operators_shed_total counts by reason.

--- a/packages/daemon/src/operators/http.ts
+++ b/packages/daemon/src/operators/http.ts
@@ -93,25 +93,6 @@
   return crypto.createHash('sha256').update(text).digest();
 }
 
-/** Reads a body; undefined when it is larger than the limit. Rejects when the connection closes early. */
-export async function readBody(
-  request: http.IncomingMessage,
-  limitBytes: number,
-): Promise<string | undefined> {
-  if (Number(request.headers['content-length'] ?? 0) > limitBytes)
-    return undefined;
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  // Destroying the request would close the connection before the refusal is sent.
-  const chunkIterator = request.iterator({ destroyOnReturn: false });
-  for await (const chunk of chunkIterator as AsyncIterable<Buffer>) {
-    bytes += chunk.length;
-    if (bytes > limitBytes) return undefined;
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks).toString('utf8');
-}
-
 /** Sends a reply and ends the response. */
 export function sendReply(response: http.ServerResponse, reply: Reply): void {
   if ('text' in reply) {
--- a/packages/daemon/src/operators/server.ts
+++ b/packages/daemon/src/operators/server.ts
@@ -5,6 +5,7 @@
 import * as nodeHttp from 'node:http';
 import type * as net from 'node:net';
 import * as core from '@flamingoward/core';
+import * as intake from '@flamingoward/intake';
 import type * as types from '../types.js';
 import * as http from './http.js';
 import * as jobs from './jobs.js';
@@ -13,6 +14,13 @@
 
 /** Time for open requests to finish when the server closes; then their connections are destroyed. */
 export const CLOSE_TIMEOUT_MS = 1_000;
+/** Connections of operators and of the programs that read the metrics; a cell has a few of them. */
+const MAX_CONNECTIONS = 64;
+const HEADER_TIMEOUT_MS = 10_000;
+/** Time in which a body must arrive, in ms; operators may sit behind slow links. */
+const BODY_TIMEOUT_MS = 30_000;
+/** Time for which an idle connection is kept, in ms. */
+const IDLE_TIMEOUT_MS = 5_000;
 
 /** Dependencies and limits of the operators' server. */
 export interface OperatorsOptions {
@@ -20,6 +28,8 @@
   readonly listen: core.ids.Address;
   readonly key: string;
   readonly maxBodyBytes: number;
+  /** What the process may use of its machine. */
+  readonly machine: core.settings.MachineSettings;
   readonly releases: types.Releases;
   readonly jobs: types.Jobs;
   readonly membership: types.Membership;
@@ -48,7 +58,7 @@
 export async function startOperatorsServer(
   options: OperatorsOptions,
 ): Promise<OperatorsServer> {
-  const server = createOperatorsServer(options);
+  const { server, guard } = createOperatorsServer(options);
   const { host, port } = splitAddress(options.listen);
   await new Promise<void>((resolve, reject) => {
     server.once('error', (cause: NodeJS.ErrnoException) => {
@@ -64,29 +74,56 @@
   const bound = server.address() as net.AddressInfo;
   return {
     address: `${host.includes(':') ? `[${host}]` : host}:${bound.port}`,
-    close: () => closeServer(server, options.context.timers),
+    async close() {
+      await closeServer(server, options.context.timers);
+      guard.close();
+    },
   };
 }
 
 /** Creates the server; it doesn't listen yet. */
-export function createOperatorsServer(
-  options: OperatorsOptions,
-): nodeHttp.Server {
+function createOperatorsServer(options: OperatorsOptions): {
+  readonly server: nodeHttp.Server;
+  readonly guard: intake.ConnectionGuard;
+} {
+  const { timers, metrics } = options.context;
   const routes = buildRoutes(options);
   const isAuthorized = http.createKeyCheck(options.key);
-  const server = nodeHttp.createServer((request, response) => {
-    void respond(request, response);
+  const server = nodeHttp.createServer({
+    keepAliveTimeout: IDLE_TIMEOUT_MS,
+    // The guard has deadlines of its own, and refuses requests without a host.
+    headersTimeout: 0,
+    requestTimeout: 0,
+    requireHostHeader: false,
+  });
+  const guard = intake.createConnectionGuard(server, {
+    timers,
+    limits: {
+      ...intake.computeIntakeLimits(options.machine, options.maxBodyBytes),
+      maxConnections: MAX_CONNECTIONS,
+      bodyTimeoutMs: BODY_TIMEOUT_MS,
+    },
+    requiresHost: true,
+    getTimeouts: () => ({
+      headerMs: HEADER_TIMEOUT_MS,
+      idleMs: IDLE_TIMEOUT_MS,
+    }),
+    recordShed(reason) {
+      metrics.count('operators_shed_total', { reason });
+    },
+    handle: respond,
+    encodeRefusal: ({ why }) => ({
+      headers: {},
+      body: `${JSON.stringify({ error: why })}\n`,
+    }),
   });
-  server.requestTimeout = 30_000;
-  server.headersTimeout = 10_000;
 
-  async function respond(
-    request: nodeHttp.IncomingMessage,
-    response: nodeHttp.ServerResponse,
-  ): Promise<void> {
+  async function respond(guarded: intake.GuardedRequest): Promise<void> {
+    const { request, response } = guarded;
     const [path = '/', search = ''] = (request.url ?? '/').split('?', 2);
     try {
-      const reply = await buildReply(request, path, search);
+      const reply = await buildReply(guarded, path, search);
+      if (reply === undefined) return;
       // The unread rest of a refused body would be parsed as the next request.
       if (!request.complete || !server.listening)
         response.setHeader('connection', 'close');
@@ -97,11 +134,12 @@
     }
   }
 
+  /** Returns undefined when there is no one left to reply to. */
   async function buildReply(
-    request: nodeHttp.IncomingMessage,
+    { request, readBody }: intake.GuardedRequest,
     path: string,
     search: string,
-  ): Promise<http.Reply> {
+  ): Promise<http.Reply | undefined> {
     if (!isAuthorized(request.headers.authorization))
       return http.refuse(
         401,
@@ -121,18 +159,27 @@
         body: { error: `${path} allows ${match.allowed.join(', ')}` },
         headers: { allow: match.allowed.join(', ') },
       };
-    const body = await http.readBody(request, options.maxBodyBytes);
-    if (body === undefined)
-      return http.refuse(
-        413,
-        `the body is larger than ${options.maxBodyBytes} bytes`,
-      );
-    return match.route.handle({
-      params: match.params,
-      query: new URLSearchParams(search),
-      headers: request.headers,
-      body,
-    });
+    const received = await readBody(options.maxBodyBytes);
+    switch (received.outcome) {
+      case 'complete':
+        return match.route.handle({
+          params: match.params,
+          query: new URLSearchParams(search),
+          headers: request.headers,
+          body: received.body.toString('utf8'),
+        });
+      case 'too-large':
+        return http.refuse(
+          413,
+          `the body is larger than ${options.maxBodyBytes} bytes`,
+        );
+      case 'too-slow':
+        return http.refuse(408, 'the body did not arrive in time');
+      case 'malformed':
+        return http.refuse(400, 'the bytes of the body are not valid HTTP');
+      case 'ended':
+        return undefined;
+    }
   }
 
   function findRoute(
@@ -179,7 +226,7 @@
     );
   }
 
-  return server;
+  return { server, guard };
 }
 
 function buildRoutes(options: OperatorsOptions): readonly http.Route[] {
--- a/packages/daemon/src/process/process.ts
+++ b/packages/daemon/src/process/process.ts
@@ -229,6 +229,7 @@
       listen: settings.operators.listen,
       key: settings.operators.key,
       maxBodyBytes: settings.limits.maxBodyBytes,
+      machine: settings.machine,
       releases: releasesPart,
       jobs: jobsPart,
       membership: membershipPart,
--- a/packages/daemon/test/operators.test.ts
+++ b/packages/daemon/test/operators.test.ts
@@ -95,6 +95,7 @@
     listen: '127.0.0.1:0',
     key,
     maxBodyBytes: 4_096,
+    machine: { memoryMb: 250, maxDescriptors: 4_096 },
     releases: releasesPart,
     jobs: createFakeJobs(),
     membership,
