Cancel all pipelined requests of a caller that disconnects

A daemon kept requests in hand whose caller had gone, and a planned stop waited for them until its limit. Their answers stayed in memory: clients that pipelined requests for large answers and were closed left about 1 MB for each of them, 750 MB after 6 s.

Cause: a response that waits for earlier ones of its connection emits no close event when the connection closes, so the exchange of a pipelined request never ended.

The guard calls back when the answer is written or the connection has closed, whichever comes first, and the exchanges use that.

--- a/packages/daemon/src/callers/exchange.ts
+++ b/packages/daemon/src/callers/exchange.ts
@@ -37,7 +37,7 @@
   const id = headers.chooseRequestId(request.headers);
   const controller = new AbortController();
   let answered = false;
-  response.on('close', () => {
+  guarded.onClose(() => {
     if (!response.writableFinished) controller.abort();
   });
 
--- a/packages/daemon/src/callers/server.ts
+++ b/packages/daemon/src/callers/server.ts
@@ -104,10 +104,10 @@
   });
 
   async function serve(guarded: intake.GuardedRequest): Promise<void> {
-    const { request, response } = guarded;
+    const { request } = guarded;
     const exchange = exchanges.createExchange(guarded, () => draining);
     inFlight.add(exchange);
-    response.on('close', () => {
+    guarded.onClose(() => {
       endExchange(exchange);
     });
     try {
--- a/packages/daemon/test/callers.test.ts
+++ b/packages/daemon/test/callers.test.ts
@@ -291,6 +291,30 @@
   });
 });
 
+test('cancels all pipelined requests of a caller that disconnects (guards against requests that stay in hand, so that a stop waits for them)', async () => {
+  let aborted = 0;
+  const hold: Handle = (request) =>
+    new Promise((resolve) => {
+      request.signal.addEventListener('abort', () => {
+        aborted += 1;
+        resolve({ answer: 'not-run', status: 503, reason: 'cancelled' });
+      });
+    });
+  await withServer(hold, async (port, server) => {
+    const socket = net.connect(port, '127.0.0.1', () =>
+      socket.write('GET /services/desk/x HTTP/1.1\r\n\r\n'.repeat(3)),
+    );
+    await vitest.vi.waitFor(() => {
+      expect(server.dump()).toMatchObject({ inHand: 3 });
+    });
+    socket.destroy();
+    await vitest.vi.waitFor(() => {
+      expect(aborted).toBe(3);
+      expect(server.dump()).toMatchObject({ inHand: 0 });
+    });
+  });
+});
+
 test('lists every fault of a job, refuses unknown teams, and reports task counts and the reason for waiting', async () => {
   await withServer(echo, async (port, _, submitted) => {
     const bad = await call(
--- a/packages/intake/src/connectionGuard.ts
+++ b/packages/intake/src/connectionGuard.ts
@@ -35,6 +35,11 @@
 export interface GuardedRequest {
   readonly request: http.IncomingMessage;
   readonly response: http.ServerResponse;
+  /**
+   * Calls back once the answer is written or its connection has closed. A response that
+   * waits for earlier ones of its connection emits no `close` when the connection closes.
+   */
+  readonly onClose: (listener: () => void) => void;
   /**
    * Reads the body; called at most once. After any outcome but `complete`, the answer must
    * be the last one on its connection.
@@ -182,9 +187,19 @@
     const entry = acceptRequest(request, response);
     if (entry === undefined) return;
     const body = { isRead: false };
+    const stream = getStream(request);
     const handled = options.handle({
       request,
       response,
+      onClose(listener) {
+        const close = () => {
+          response.off('close', close);
+          stream.off('close', close);
+          listener();
+        };
+        response.once('close', close);
+        stream.once('close', close);
+      },
       readBody(maxBytes, timeoutMs) {
         body.isRead = true;
         return readBody(entry, response, maxBytes, timeoutMs);
