Bound answers that clients don't read

Cause: answers wait in memory until their clients read them, and only their number was bounded for each connection.

All answers that aren't completely written may now take a tenth of the memory. Beyond that, the connection with the oldest of them is closed, never the one that got the last: a client that reads slowly gets its answer when others don't press. The reason in the metrics is `unread`.

--- a/packages/intake/src/connectionGuard.ts
+++ b/packages/intake/src/connectionGuard.ts
@@ -75,6 +75,8 @@
   const readers = new WeakMap<Stream, requestBody.BodyReader>();
   const pool = core.createBufferPool(limits.maxBodiesBytes);
   const turns = readTurns.createReadTurns(timers);
+  /** Size of answers that are handed over and not written completely, in bytes. */
+  const unreadBytes = new WeakMap<http.ServerResponse, number>();
   /** Connections with bytes that aren't valid HTTP, which close after the answers to earlier requests. */
   const malformed = new WeakSet<Stream>();
 
@@ -134,6 +136,7 @@
         break;
       case 'idle':
       case 'idle-timeout':
+      case 'unread':
         break;
     }
     stream.destroy();
@@ -209,9 +212,20 @@
     if (!body.isRead) intake.completeBody(entry);
     void Promise.resolve(handled).finally(() => {
       intake.endRequest(entry, timers.getNow());
+      countUnread(response);
     });
   }
 
+  /** Counts an answer that has been handed over and not been written completely. */
+  function countUnread(response: http.ServerResponse): void {
+    const bytes = response.writableLength;
+    if (!response.writableEnded || response.closed || bytes === 0) return;
+    const stream = getStream(response.req);
+    unreadBytes.set(response, bytes);
+    for (const closing of intake.addUnread(stream, bytes))
+      closeConnection(closing);
+  }
+
   function acceptRequest(
     request: http.IncomingMessage,
     response: http.ServerResponse,
@@ -226,7 +240,7 @@
       return undefined;
     }
     response.once('close', () => {
-      endResponse(stream, request);
+      endResponse(stream, response);
     });
     if (begun === 'overloaded') {
       options.recordShed('request');
@@ -242,11 +256,11 @@
     return begun;
   }
 
-  function endResponse(stream: Stream, request: http.IncomingMessage): void {
-    intake.recordWritten(stream);
+  function endResponse(stream: Stream, response: http.ServerResponse): void {
+    intake.recordWritten(stream, unreadBytes.get(response) ?? 0);
     // A connection with an unread body can't carry another request.
     const isLast = malformed.has(stream) && !intake.hasUnanswered(stream);
-    if (!request.complete || isLast) stream.destroySoon();
+    if (!response.req.complete || isLast) stream.destroySoon();
   }
 
   /** Refuses a request, and closes its connection once earlier answers are written, too. */
--- a/packages/intake/src/intake.ts
+++ b/packages/intake/src/intake.ts
@@ -19,6 +19,8 @@
 const CONNECTION_BYTES = 32_768;
 /** Share of the memory that bodies of all requests may take together. */
 const BODY_MEMORY_SHARE = 0.05;
+/** Share of the memory that answers may take whose clients haven't read them. */
+const UNREAD_MEMORY_SHARE = 0.1;
 /** Most requests of one connection without a completely written answer; clients rarely pipeline any. */
 const MAX_PIPELINED = 16;
 /** Time from the end of the header in which a body must arrive, in ms; callers give up after about 3 s. */
@@ -35,6 +37,8 @@
   readonly maxPipelined: number;
   /** Most memory of the bodies of all requests, in bytes. */
   readonly maxBodiesBytes: number;
+  /** Most memory of answers of all connections that aren't completely written, in bytes. */
+  readonly maxUnreadBytes: number;
   readonly bodyTimeoutMs: number;
 }
 
@@ -75,6 +79,7 @@
       Math.floor(memoryBytes * BODY_MEMORY_SHARE),
       core.computeBodyCapacity(maxBodyBytes),
     ),
+    maxUnreadBytes: Math.floor(memoryBytes * UNREAD_MEMORY_SHARE),
     bodyTimeoutMs: BODY_TIMEOUT_MS,
   };
 }
@@ -112,7 +117,12 @@
 
 /** Reason for which a connection is closed. */
 export type ClosingReason =
-  'idle' | 'header-timeout' | 'idle-timeout' | 'body' | 'body-timeout';
+  | 'idle'
+  | 'header-timeout'
+  | 'idle-timeout'
+  | 'body'
+  | 'body-timeout'
+  | 'unread';
 
 /** A connection to close. */
 export interface Closing<Connection> {
@@ -161,8 +171,16 @@
   endRequest(request: IntakeRequest<Connection>, nowMs: number): void;
   /** Returns whether a request of the connection has no completely written answer. */
   hasUnanswered(connection: Connection): boolean;
-  /** Applies that an answer has been written completely. */
-  recordWritten(connection: Connection): void;
+  /**
+   * Adds an answer that its client hasn't read, in bytes. While all of them exceed their
+   * limit, other connections must be closed, the one with the oldest unread answer first.
+   */
+  addUnread(
+    connection: Connection,
+    bytes: number,
+  ): readonly Closing<Connection>[];
+  /** Applies that an answer has been written completely, of which `unreadBytes` were added. */
+  recordWritten(connection: Connection, unreadBytes: number): void;
   /** Lists the connections whose time is over. */
   listExpired(
     nowMs: number,
@@ -186,6 +204,8 @@
   active: number;
   /** Requests without a completely written answer. */
   unwritten: number;
+  /** Memory of answers that the client hasn't read, in bytes. */
+  unreadBytes: number;
   /** Requests that aren't completely received; several when they arrive in one read. */
   readonly reading: Set<RequestEntry<Connection>>;
 }
@@ -208,8 +228,11 @@
   const idle = new Map<Connection, IdleEntry>();
   /** Requests whose body is incomplete, the oldest first. */
   const reading = new Set<RequestEntry<Connection>>();
+  /** Connections with unread answers, the one with the oldest first. */
+  const unread = new Set<Connection>();
   let requests = 0;
   let bodiesBytes = 0;
+  let unreadBytes = 0;
 
   function addIdle(connection: Connection, nowMs: number): void {
     idle.set(connection, {
@@ -236,10 +259,19 @@
     // Requests that are being handled hold their memory until the handler has ended.
     for (const request of connections.get(connection)?.reading ?? [])
       removeRequest(request);
+    removeUnread(connection, connections.get(connection)?.unreadBytes ?? 0);
     connections.delete(connection);
     idle.delete(connection);
   }
 
+  function removeUnread(connection: Connection, bytes: number): void {
+    const entry = connections.get(connection);
+    if (entry === undefined) return;
+    entry.unreadBytes -= bytes;
+    unreadBytes -= bytes;
+    if (entry.unreadBytes === 0) unread.delete(connection);
+  }
+
   function pickIdle(): Closing<Connection> | undefined {
     for (const connection of idle.keys()) return { connection, reason: 'idle' };
     return undefined;
@@ -263,6 +295,7 @@
       connections.set(connection, {
         active: 0,
         unwritten: 0,
+        unreadBytes: 0,
         reading: new Set(),
       });
       addIdle(connection, nowMs);
@@ -320,9 +353,26 @@
     },
     hasUnanswered: (connection) =>
       (connections.get(connection)?.unwritten ?? 0) > 0,
-    recordWritten(connection) {
+    addUnread(connection, bytes) {
+      const closing: Closing<Connection>[] = [];
       const entry = connections.get(connection);
-      if (entry !== undefined) entry.unwritten -= 1;
+      if (entry === undefined) return closing;
+      entry.unreadBytes += bytes;
+      unreadBytes += bytes;
+      unread.add(connection);
+      for (const other of unread) {
+        if (unreadBytes <= limits.maxUnreadBytes) break;
+        if (other === connection) continue;
+        closeConnection(other);
+        closing.push({ connection: other, reason: 'unread' });
+      }
+      return closing;
+    },
+    recordWritten(connection, writtenBytes) {
+      const entry = connections.get(connection);
+      if (entry === undefined) return;
+      entry.unwritten -= 1;
+      removeUnread(connection, writtenBytes);
     },
     listExpired(nowMs, timeouts) {
       const closing: Closing<Connection>[] = [];
--- a/packages/intake/test/intake.test.ts
+++ b/packages/intake/test/intake.test.ts
@@ -7,6 +7,7 @@
   maxRequests: 2,
   maxPipelined: 2,
   maxBodiesBytes: 100,
+  maxUnreadBytes: 1_000,
   bodyTimeoutMs: 1_000,
 };
 const timeouts = { headerMs: 300, idleMs: 2_000 };
@@ -108,7 +109,7 @@
         tables.endRequest(request, 10);
       }
       vitest.expect(tables.beginRequest('a', 11)).toBe('pipelined');
-      tables.recordWritten('a');
+      tables.recordWritten('a', 0);
       vitest.expect(tables.beginRequest('a', 12)).not.toBe('pipelined');
     },
   );
@@ -155,6 +156,25 @@
   );
 });
 
+vitest.describe('answers that clients do not read', () => {
+  vitest.it(
+    'cost the connection with the oldest of them its place, never the one that got the last (guards against memory that grows with the answers)',
+    () => {
+      const { tables } = createFull();
+      vitest.expect(tables.addUnread('b', 600)).toEqual([]);
+      vitest.expect(tables.addUnread('a', 400)).toEqual([]);
+      vitest
+        .expect(tables.addUnread('c', 300))
+        .toEqual([{ connection: 'b', reason: 'unread' }]);
+      tables.recordWritten('a', 400);
+      vitest.expect(tables.addUnread('c', 700)).toEqual([]);
+      vitest.expect(tables.addUnread('c', 5_000)).toEqual([]);
+      tables.recordWritten('c', 6_000);
+      vitest.expect(tables.addUnread('a', 1_000)).toEqual([]);
+    },
+  );
+});
+
 vitest.describe('the limits of a machine', () => {
   vitest.it(
     'leave most descriptors to outgoing connections, and room for some hundred callers',
