Answer health checks beyond the limit of requests

With the limit of requests, clients that hold as many requests as a daemon handles would make it refuse /readyz and /healthz as well, and a balancer would take all daemons out. Probes are answered at once and hold nothing, so they are accepted beyond that limit. The new test holds 14 of 14 requests: others get 429 as not run, probes 200.

--- a/packages/daemon/src/callers/routes.ts
+++ b/packages/daemon/src/callers/routes.ts
@@ -9,6 +9,9 @@
 const DEFAULT_TEAM = 'default';
 const RETRY_AFTER_MS = 1_000;
 
+/** Paths of the health checks of load balancers. */
+export const probePaths: ReadonlySet<string> = new Set(['/healthz', '/readyz']);
+
 /** What the routes depend on. */
 export interface RouteDependencies {
   readonly path: requests.RequestPath;
--- a/packages/daemon/src/callers/server.ts
+++ b/packages/daemon/src/callers/server.ts
@@ -92,6 +92,7 @@
     },
     // Callers that use an IP address and old clients don't always send `Host`.
     requiresHost: false,
+    isProbe: ({ url = '' }) => routes.probePaths.has(url),
     getTimeouts: () => ({
       headerMs: HEADERS_TIMEOUT_MS,
       idleMs: KEEP_ALIVE_TIMEOUT_MS,
--- a/packages/daemon/test/callers.test.ts
+++ b/packages/daemon/test/callers.test.ts
@@ -315,6 +315,32 @@
   });
 });
 
+test('answers health checks while it refuses requests beyond its limit (guards against a load balancer that takes a busy process out)', async () => {
+  const hold: Handle = () => new Promise(() => undefined);
+  const machine = { memoryMb: 250, maxDescriptors: 256 };
+  await withServer(
+    hold,
+    async (port, server) => {
+      const socket = net.connect(port, '127.0.0.1', () =>
+        socket.write('GET /services/desk/x HTTP/1.1\r\n\r\n'.repeat(14)),
+      );
+      await vitest.vi.waitFor(() => {
+        expect(server.dump()).toMatchObject({ inHand: 14 });
+      });
+      const refused = await call(port, 'GET', '/services/desk/x');
+      expect(refused.status).toBe(429);
+      expect(refused.headers).toMatchObject({
+        'flamingoward-answer': 'not-run',
+        'retry-after': '1',
+      });
+      expect((await call(port, 'GET', '/readyz')).status).toBe(200);
+      expect((await call(port, 'GET', '/healthz')).status).toBe(200);
+      socket.destroy();
+    },
+    { machine },
+  );
+});
+
 test('lists every fault of a job, refuses unknown teams, and reports task counts and the reason for waiting', async () => {
   await withServer(echo, async (port, _, submitted) => {
     const bad = await call(
--- a/packages/intake/src/connectionGuard.ts
+++ b/packages/intake/src/connectionGuard.ts
@@ -21,6 +21,11 @@
   readonly limits: intakes.IntakeLimits;
   /** Whether requests of HTTP/1.1 without a Host header are refused (RFC 9112, section 3.2). */
   readonly requiresHost: boolean;
+  /**
+   * Returns whether a request asks for the state of the process and is answered at once; a
+   * load balancer that gets no answer would take a busy process out.
+   */
+  isProbe?(request: http.IncomingMessage): boolean;
   getTimeouts(): intakes.IdleTimeouts;
   recordShed(reason: string): void;
   /**
@@ -233,7 +238,11 @@
     const stream = getStream(request);
     // What follows on a connection that is being closed is dropped with it.
     if (stream.destroyed || stream.isInputDropped()) return undefined;
-    const begun = intake.beginRequest(stream, timers.getNow());
+    const begun = intake.beginRequest(
+      stream,
+      timers.getNow(),
+      options.isProbe?.(request),
+    );
     if (begun === 'pipelined') {
       options.recordShed('pipelined');
       stream.destroy();
--- a/packages/intake/src/intake.ts
+++ b/packages/intake/src/intake.ts
@@ -152,10 +152,14 @@
     readonly closing: readonly Closing<Connection>[];
   };
   closeConnection(connection: Connection): void;
-  /** Begins to read a request; `pipelined` means that its connection must be closed. */
+  /**
+   * Begins to read a request; `pipelined` means that its connection must be closed. A probe
+   * is accepted beyond the limit of requests.
+   */
   beginRequest(
     connection: Connection,
     nowMs: number,
+    isProbe?: boolean,
   ): IntakeRequest<Connection> | 'overloaded' | 'pipelined';
   /** Sets the memory of a body, in bytes; the request must be refused when it isn't granted. */
   reserveBody(
@@ -302,13 +306,13 @@
       return { accepted: true, closing };
     },
     closeConnection,
-    beginRequest(connection, nowMs) {
+    beginRequest(connection, nowMs, isProbe = false) {
       const entry = connections.get(connection);
       // Further requests of a connection that is being closed are dropped with it.
       if (entry === undefined || entry.unwritten >= limits.maxPipelined)
         return 'pipelined';
       entry.unwritten += 1;
-      if (requests >= limits.maxRequests) return 'overloaded';
+      if (requests >= limits.maxRequests && !isProbe) return 'overloaded';
       entry.active += 1;
       idle.delete(connection);
       const request: RequestEntry<Connection> = {
