Read-through: limits and pending handshakes in modules of their own

The limits of a machine were computed in the middle of the module that decides about connections, and handshakes.ts stood beside handshake.ts. No change of behaviour.

--- a/packages/intake/src/connectionGuard.ts
+++ b/packages/intake/src/connectionGuard.ts
@@ -7,6 +7,7 @@
 import type * as http from 'node:http';
 import * as core from '@flamingoward/core';
 import * as intakes from './intake.js';
+import type * as limitTypes from './limits.js';
 import * as piecewise from './piecewise.js';
 import * as readTurns from './readTurns.js';
 import * as refusals from './refusals.js';
@@ -18,7 +19,7 @@
 /** Events and limits of a guarded server. */
 export interface GuardOptions {
   readonly timers: core.TimerService;
-  readonly limits: intakes.IntakeLimits;
+  readonly limits: limitTypes.IntakeLimits;
   /** Whether requests of HTTP/1.1 without a Host header are refused (RFC 9112, section 3.2). */
   readonly requiresHost: boolean;
   /**
--- a/packages/intake/src/index.ts
+++ b/packages/intake/src/index.ts
@@ -4,8 +4,9 @@
   computeIntakeLimits,
   computeMaxHandshakes,
   computeMaxOutgoing,
-} from './intake.js';
-export type { IdleTimeouts, IntakeLimits } from './intake.js';
+} from './limits.js';
+export type { IntakeLimits } from './limits.js';
+export type { IdleTimeouts } from './intake.js';
 export { createConnectionGuard } from './connectionGuard.js';
 export type {
   ConnectionGuard,
--- a/packages/intake/test/intake.test.ts
+++ b/packages/intake/test/intake.test.ts
@@ -1,8 +1,9 @@
 /** What is closed or refused when connections, requests or bodies exceed their limits. */
 import * as vitest from 'vitest';
 import * as intake from '../src/intake.js';
+import * as machineLimits from '../src/limits.js';
 
-const limits: intake.IntakeLimits = {
+const limits: machineLimits.IntakeLimits = {
   maxConnections: 3,
   maxRequests: 2,
   maxPipelined: 2,
@@ -13,7 +14,7 @@
 const timeouts = { headerMs: 300, idleMs: 2_000 };
 
 /** Creates an intake with connections a, b and c, opened at 0, 1 and 2 ms. */
-function createFull(chosen: Partial<intake.IntakeLimits> = {}) {
+function createFull(chosen: Partial<machineLimits.IntakeLimits> = {}) {
   const readBytes = new Map<string, number>();
   const tables = intake.createIntake<string>(
     { ...limits, ...chosen },
@@ -186,7 +187,7 @@
       ] as const)
         vitest
           .expect(
-            intake.computeIntakeLimits({ memoryMb, maxDescriptors })
+            machineLimits.computeIntakeLimits({ memoryMb, maxDescriptors })
               .maxConnections,
           )
           .toBe(maxConnections);
--- a/packages/link/src/hub.ts
+++ b/packages/link/src/hub.ts
@@ -8,7 +8,7 @@
 import * as core from '@flamingoward/core';
 import * as connections from './connection.js';
 import type * as handshake from './handshake.js';
-import * as handshakes from './handshakes.js';
+import * as pendingHandshakes from './pendingHandshakes.js';
 
 const RECONNECT_INITIAL_MS = 100;
 const RECONNECT_MAX_MS = 2_000;
@@ -37,7 +37,7 @@
   /** Called when a connection ended or couldn't be opened. */
   readonly onClose: (event: LinkClosed) => void;
   /** Called when a connection is closed to bound those whose peer isn't authenticated. */
-  readonly onShed?: (reason: handshakes.HandshakeShedReason) => void;
+  readonly onShed?: (reason: pendingHandshakes.HandshakeShedReason) => void;
 }
 
 /** Which connection ended or couldn't be opened, and why. */
@@ -92,9 +92,9 @@
 export function createHub(options: HubOptions): Hub {
   const dialledByAddress = new Map<core.ids.Address, DialledPeer>();
   const acceptedConnections = new Set<connections.Connection>();
-  const unauthenticated = handshakes.createHandshakes(
+  const unauthenticated = pendingHandshakes.createPendingHandshakes(
     options.timers,
-    options.maxHandshakes ?? handshakes.DEFAULT_MAX_HANDSHAKES,
+    options.maxHandshakes ?? pendingHandshakes.DEFAULT_MAX_HANDSHAKES,
     recordShed,
   );
   const sockets = new Set<net.Socket>();
@@ -120,7 +120,7 @@
     checkProgress,
   );
 
-  function recordShed(reason: handshakes.HandshakeShedReason): void {
+  function recordShed(reason: pendingHandshakes.HandshakeShedReason): void {
     options.onShed?.(reason);
   }
 
--- a/packages/link/src/handshakes.ts
+++ b/packages/link/src/pendingHandshakes.ts
@@ -18,7 +18,7 @@
   'handshake' | 'handshake-timeout' | 'handshake-frame';
 
 /** Accepted connections without a proof. */
-export interface Handshakes {
+export interface PendingHandshakes {
   /** Adds a connection, and closes the oldest one when there are too many. */
   add(connection: connections.Connection): void;
   /** Removes a connection that has its proof or has ended. */
@@ -27,11 +27,11 @@
 }
 
 /** Creates the table; `recordShed` counts what is closed. */
-export function createHandshakes(
+export function createPendingHandshakes(
   timers: core.TimerService,
   maxHandshakes: number,
   recordShed: (reason: HandshakeShedReason) => void,
-): Handshakes {
+): PendingHandshakes {
   /** When each connection was accepted, the oldest first. */
   const acceptedMs = new Map<connections.Connection, number>();
 
