--- a/packages/intake/src/connectionGuard.ts
+++ b/packages/intake/src/connectionGuard.ts
@@ -274,9 +274,9 @@
 
   function endResponse(stream: Stream, response: http.ServerResponse): void {
     intake.recordWritten(stream, unreadBytes.get(response) ?? 0);
-    // A connection with an unread body can't carry another request.
     handleNext(stream);
     const isLast = malformed.has(stream) && !intake.hasUnanswered(stream);
+    // A connection with an unread body can't carry another request.
     if (!response.req.complete || isLast) stream.destroySoon();
   }
 
