--- a/packages/core/src/settings/schema.ts
+++ b/packages/core/src/settings/schema.ts
@@ -1,6 +1,6 @@
 /** The sections and keys of a settings file: allowed values, defaults and messages. */
-import * as net from 'node:net';
 import * as zod from 'zod';
+import * as addresses from '../addresses.js';
 import * as machine from './machine.js';
 import * as names from './names.js';
 
@@ -10,22 +10,6 @@
 /** Shortest authentication key of processes and operators, in characters. */
 export const MIN_KEY_CHARACTERS = 16;
 
-/** Splits `ip:port` into its parts; undefined if the text does not have this form. */
-export function decodeAddress(
-  text: string,
-): { readonly host: string; readonly port: number } | undefined {
-  const match = /^(?:\[([0-9A-Fa-f:.]+)\]|([0-9.]+)):([1-9][0-9]{0,4})$/.exec(
-    text,
-  );
-  if (match === null) return undefined;
-  const host = match[1] ?? match[2] ?? '';
-  const port = Number(match[3]);
-  const family = match[1] === undefined ? 4 : 6;
-  return net.isIP(host) === family && port <= 65_535
-    ? { host, port }
-    : undefined;
-}
-
 const addressText = 'expected an ip:port such as 10.0.0.1:7001';
 
 const name = zod
@@ -34,7 +18,7 @@
 
 const address = zod
   .string(`the key is missing; ${addressText}`)
-  .refine((text) => decodeAddress(text) !== undefined, addressText);
+  .refine((text) => addresses.decodeAddress(text) !== undefined, addressText);
 
 const keyText = `expected ${MIN_KEY_CHARACTERS} to 256 visible ASCII characters without spaces`;
 const key = zod
@@ -46,7 +30,7 @@
 const url = zod
   .string(`the key is missing; ${urlText}`)
   .transform((text) => text.replace(/^http:\/\//, '').replace(/\/$/, ''))
-  .refine((text) => decodeAddress(text) !== undefined, urlText)
+  .refine((text) => addresses.decodeAddress(text) !== undefined, urlText)
   .transform((text) => `http://${text}`);
 
 function createWholeNumber(
--- a/packages/core/src/settings/settings.ts
+++ b/packages/core/src/settings/settings.ts
@@ -4,6 +4,7 @@
  * with an incomplete configuration.
  */
 import type * as zod from 'zod';
+import * as addresses from '../addresses.js';
 import type * as releases from '../types/release.js';
 import * as ini from './ini.js';
 import * as names from './names.js';
@@ -163,8 +164,8 @@
 function decodeListenAddress(
   raw: RawSections,
   section: string,
-): ReturnType<typeof schema.decodeAddress> {
-  return schema.decodeAddress(raw[section]?.listen ?? '');
+): addresses.Endpoint | undefined {
+  return addresses.decodeAddress(raw[section]?.listen ?? '');
 }
 
 function isWildcard(host: string): boolean {
@@ -200,9 +201,10 @@
   return faults;
 }
 
-type ListenAddress = ReturnType<typeof schema.decodeAddress>;
-
-function isShared(one: ListenAddress, other: ListenAddress): boolean {
+function isShared(
+  one: addresses.Endpoint | undefined,
+  other: addresses.Endpoint | undefined,
+): boolean {
   if (one === undefined || other === undefined) return false;
   const isSameHost =
     one.host === other.host || isWildcard(one.host) || isWildcard(other.host);
