VM entries: skip those that name no VM, with one line and a count by reason

Callers saw nothing of this by itself; operators saw a VM with 16 cores listed that nobody can reach, and jobs were admitted on its capacity.

Cause: an entry was checked for the end of its address only. Bytes that aren't UTF-8 became replacement characters, which later checks accept; keys that no header can carry and negative sizes passed too. An entry that replaced that of a sound VM took the VM out of use until it wrote again.

Change: the decoder returns why an entry is skipped (encoding, fields, address, id). The fleet logs vm.skipped once for each entry, counts vm_entries_skipped by reason, and keeps a VM whose entry was replaced for 4.5 s, the time for which the platform keeps entries of silent VMs. The store's adapter reads a value that isn't UTF-8 as empty. An address is IP:PORT: the platform has no name lookups.

--- a/packages/cluster/src/fleet.ts
+++ b/packages/cluster/src/fleet.ts
@@ -10,6 +10,13 @@
 /** Time between reads, in ms; a draining VM must stop getting new work within seconds. */
 const POLL_INTERVAL_MS = 250;
 
+/**
+ * Time for which a VM stays listed after its entry was replaced by one that names no VM,
+ * in ms. The platform keeps the entry of a silent VM for three heartbeats of 1.5 s, and a VM
+ * that is alive writes its entry again before that.
+ */
+const KEEP_REPLACED_MS = 4_500;
+
 /** Called with each change of a VM's entry; `vm` is undefined once the entry has been removed. */
 export type FleetObserver = (
   id: core.ids.VmId,
@@ -30,7 +37,8 @@
   const { timers, log, metrics } = context;
   const source = context.ports.vms;
   const vms = new Map<core.ids.VmId, core.workloads.VmEntry>();
-  const unreadableKeys = new Set<string>();
+  /** Entries that name no VM to use, with the time since which they don't. */
+  const skippedSinceMs = new Map<string, number>();
   let observer: FleetObserver | undefined;
 
   const tail = tails.createTail({
@@ -39,6 +47,8 @@
     reset: (keys) => {
       for (const id of [...vms.keys()])
         if (!keys.has(id)) update(id, undefined);
+      for (const key of [...skippedSinceMs.keys()])
+        if (!keys.has(key)) skippedSinceMs.delete(key);
     },
     onFailed: (why) => {
       log.write('debug', 'fleet.read-failed', { why });
@@ -47,20 +57,35 @@
 
   function applyRecord(record: ports.KeyedRecord): void {
     if (record.value === undefined) {
+      skippedSinceMs.delete(record.key);
       update(record.key, undefined);
       return;
     }
     const decoded = source.decode(record);
     if (decoded.readable) {
-      unreadableKeys.delete(record.key);
+      skippedSinceMs.delete(record.key);
       update(record.key, decoded.value);
       return;
     }
-    metrics.count('vm_entries_unreadable', {});
-    if (!unreadableKeys.has(record.key))
-      log.write('warn', 'vm.unreadable', { vm: record.key, why: decoded.why });
-    unreadableKeys.add(record.key);
-    update(record.key, undefined);
+    const { reason, why } = decoded;
+    metrics.count('vm_entries_skipped', { reason });
+    if (skippedSinceMs.has(record.key)) return;
+    log.write('warn', 'vm.skipped', { vm: record.key, reason, why });
+    skippedSinceMs.set(record.key, timers.getNow());
+  }
+
+  /** Removes VMs whose entries another writer has replaced and that haven't written theirs since. */
+  function removeReplaced(): void {
+    const replacedBeforeMs = timers.getNow() - KEEP_REPLACED_MS;
+    for (const [key, sinceMs] of skippedSinceMs)
+      if (sinceMs < replacedBeforeMs) update(key, undefined);
+  }
+
+  async function refresh(): Promise<boolean> {
+    const answered = await tail.refresh();
+    // While the store is away, no VM can write its entry again.
+    if (answered) removeReplaced();
+    return answered;
   }
 
   function update(
@@ -87,12 +112,12 @@
   const poll = timers.subscribe(
     { name: 'fleet.poll', delayMs: POLL_INTERVAL_MS, repeat: 'periodic' },
     () => {
-      if (observer !== undefined) void tail.refresh();
+      if (observer !== undefined) void refresh();
     },
   );
 
   return {
-    refresh: () => tail.refresh(),
+    refresh,
     list: () => vms.values(),
     find: (id) => vms.get(id),
     setObserver(next) {
--- a/packages/cluster/src/ports.ts
+++ b/packages/cluster/src/ports.ts
@@ -14,7 +14,7 @@
   readonly value: string | undefined;
 }
 
-/** A record that was read. */
+/** A record that was read. A value that isn't UTF-8 is read as an empty one, which no reader accepts. */
 export interface KeyedRecord extends NewRecord {
   readonly offset: core.ids.Offset;
 }
@@ -149,9 +149,29 @@
   decode(record: KeyedRecord): Decoded<Configuration> | undefined;
 }
 
+/** Why an entry names no VM that can be used. */
+export type VmEntryFault =
+  /** The value isn't text, or isn't in the format of entries. */
+  | 'encoding'
+  /** A field is missing, of another type or out of range. */
+  | 'fields'
+  /** No connection can be opened to its address. */
+  | 'address'
+  /** Its key can't be sent as the id of a VM. */
+  | 'id';
+
+/** A decoded entry of a VM, or the reason why it names none that can be used. */
+export type DecodedVm =
+  | { readonly readable: true; readonly value: core.workloads.VmEntry }
+  | {
+      readonly readable: false;
+      readonly reason: VmEntryFault;
+      readonly why: string;
+    };
+
 /** The stream of entries that VMs write about themselves. */
 export interface VmSource extends StreamSource {
-  decode(record: KeyedRecord): Decoded<core.workloads.VmEntry>;
+  decode(record: KeyedRecord): DecodedVm;
 }
 
 /** The VM to which a call is sent. */
--- a/packages/cluster/test/fakes.ts
+++ b/packages/cluster/test/fakes.ts
@@ -201,7 +201,11 @@
       },
       vms: {
         ...createFakeStream(fakeTimers),
-        decode: () => ({ readable: false, why: 'not used' }),
+        decode: () => ({
+          readable: false,
+          reason: 'fields',
+          why: 'not used',
+        }),
       },
       vmCalls: {
         hold: unused,
