--- a/packages/cluster/src/ports.ts
+++ b/packages/cluster/src/ports.ts
@@ -195,7 +195,12 @@
   | { readonly outcome: 'other-life' }
   /** No process listens at the VM's address, so nothing that ran there is left. */
   | { readonly outcome: 'refused'; readonly why: string }
-  | { readonly outcome: 'failed'; readonly why: string };
+  | {
+      readonly outcome: 'failed';
+      readonly why: string;
+      /** There is an answer, but it is longer than any report or isn't one. */
+      readonly unreadable?: boolean;
+    };
 
 /** Fields of every order about a run. */
 export interface RunOrder {
--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -15,6 +15,9 @@
 const HOLD_TIMEOUT_MARGIN_MS = 400;
 /** Delay before the next hold after a failed one, in ms. */
 const RETRY_DELAY_MS = 250;
+const NO_DELAY_MS = 0;
+/** Longest delay after answers that aren't reports, in ms; it doubles with each of them in a row. */
+const MAX_UNREADABLE_DELAY_MS = 10_000;
 /** Time between holds while reported ends aren't durable, in ms; such holds are answered without waiting. */
 const NOT_DURABLE_WAIT_MS = 400;
 /** Longest time by which answers overtake each other, in ms; a clock further back is that of a new incarnation. */
@@ -127,6 +130,8 @@
   let responseMissed = false;
   /** The connection for the last hold was refused. */
   let refused = false;
+  /** Answers in a row that weren't reports. */
+  let unreadableAnswers = 0;
   let unresponsive = options.silentBefore;
   let lost = false;
   let replaced = false;
@@ -242,7 +247,8 @@
     if (result.outcome === 'held') receiveReport(result, askedMs);
   }
 
-  async function holdOnce(): Promise<boolean> {
+  /** Resolves with the delay before the next hold, in ms. */
+  async function holdOnce(): Promise<number> {
     const askedMs = timers.getNow();
     // An unresponsive VM may carry out holds without answering them. Holds that extend the
     // lease would keep postponing its end, so they don't until the VM answers again.
@@ -255,17 +261,20 @@
     }
     const lastSeen = answers ? chooseAcknowledged() : NO_END;
     const result = await callHold(untilMs, waitMs, lastSeen);
-    if (isClosed()) return false;
+    if (isClosed()) return NO_DELAY_MS;
     refused = result.outcome === 'refused';
+    const isUnreadable =
+      result.outcome === 'failed' && result.unreadable === true;
+    unreadableAnswers = isUnreadable ? unreadableAnswers + 1 : 0;
     switch (result.outcome) {
       case 'held':
         if (result.report.incarnation === newestReport.incarnation)
           acknowledgedEnd = Math.max(acknowledgedEnd, lastSeen);
         receiveReport(result, askedMs);
-        return true;
+        return NO_DELAY_MS;
       case 'fenced':
         events.onFenced(target.id);
-        return false;
+        return RETRY_DELAY_MS;
       case 'other-life':
         if (!replaced) {
           log.write('warn', 'vm.lost', {
@@ -277,7 +286,7 @@
         }
         lost = true;
         replaced = true;
-        return false;
+        return RETRY_DELAY_MS;
       case 'refused':
       case 'failed': {
         metrics.count('holds', { outcome: result.outcome });
@@ -285,7 +294,8 @@
         const missedBefore = responseMissed;
         responseMissed = true;
         if (missedBefore) handleNoResponse(result.why);
-        return !missedBefore && !refused;
+        if (isUnreadable) return computeUnreadableDelay(unreadableAnswers);
+        return missedBefore || refused ? RETRY_DELAY_MS : NO_DELAY_MS;
       }
     }
   }
@@ -393,20 +403,19 @@
   }
 
   /** Without further holds the lease of the VM would end, and with it its runs. */
-  function handleFailure(cause: unknown): false {
+  function handleFailure(cause: unknown): number {
     log.write('error', 'vm.session-failed', {
       vm: target.id,
       cause: cause instanceof Error ? cause.stack : String(cause),
     });
-    return false;
+    return RETRY_DELAY_MS;
   }
 
   async function run(): Promise<void> {
     while (!isClosed()) {
-      const answered = await holdOnce().catch(handleFailure);
+      const delayMs = await holdOnce().catch(handleFailure);
       if (isClosed()) return;
-      if (!answered)
-        await core.waitFor(timers, 'contacts.retry', RETRY_DELAY_MS);
+      if (delayMs > 0) await core.waitFor(timers, 'contacts.retry', delayMs);
       else if (
         !responseMissed &&
         events.getDurableEnd(target.id) < highestEndNumber
@@ -445,3 +454,10 @@
     },
   };
 }
+
+function computeUnreadableDelay(answersInRow: number): number {
+  return Math.min(
+    RETRY_DELAY_MS * 2 ** (answersInRow - 1),
+    MAX_UNREADABLE_DELAY_MS,
+  );
+}
--- a/packages/cluster/test/vmSessions.test.ts
+++ b/packages/cluster/test/vmSessions.test.ts
@@ -122,6 +122,26 @@
     },
   );
 
+  vitest.it(
+    'calls a server whose answers are no reports ever less often (guards against an owner that only reads long answers)',
+    async () => {
+      const { setup, holds, session, timers } = createSetup({
+        outcome: 'failed',
+        why: 'the answer exceeds 2097152 bytes',
+        unreadable: true,
+      });
+      await fakes.advance(timers, 60_000);
+      vitest.expect(holds.length).toBeLessThan(13);
+      setup.answer = buildHeld(1);
+      await fakes.advance(timers, 10_000);
+      const before = holds.length;
+      setup.answer = { outcome: 'failed', why: 'status 503' };
+      await fakes.advance(timers, 4_000);
+      vitest.expect(holds.length - before).toBeGreaterThan(5);
+      session.close();
+    },
+  );
+
   vitest.it(
     'reads the clock of the VM before it extends the lease',
     async () => {
