Links: report a peer address that no connection can be opened to

Callers would lose their node: the address of a peer comes from a record of another process, and net.connect throws for a port above 65,535. From setPeers it threw through the reader of that record; in the timer of a reconnect nothing would have caught it.

Change: the hub asks core.splitAddress. An unusable address is reported in onClose like a connection that couldn't be opened, in a turn of its own, and tried again with the usual backoff. A listen address of that form rejects.

Such a record wasn't played with real processes.

--- a/packages/link/src/hub.ts
+++ b/packages/link/src/hub.ts
@@ -195,7 +195,12 @@
   }
 
   function connectPeer(entry: DialledPeer): void {
-    const socket = net.connect(toEndpoint(entry.address));
+    const endpoint = core.splitAddress(entry.address);
+    if (endpoint === undefined) {
+      scheduleUnusable(entry);
+      return;
+    }
+    const socket = net.connect(endpoint);
     entry.socket = socket;
     trackTraffic(socket);
     const connectTimer = options.timers.subscribe(
@@ -227,6 +232,17 @@
     });
   }
 
+  /** Fails like a connection that couldn't be opened, and not while the caller sets the peers. */
+  function scheduleUnusable(entry: DialledPeer): void {
+    entry.reconnectTimer = options.timers.subscribe(
+      { name: 'links.unusable', delayMs: 0, repeat: 'once' },
+      () => {
+        const cause = createAddressFault('links.connect', entry.address);
+        handleDialledEnd(entry, undefined, cause);
+      },
+    );
+  }
+
   function handleDialledOpen(
     entry: DialledPeer,
     connection: connections.Connection,
@@ -338,11 +354,14 @@
   }
 
   function open(): Promise<void> {
+    const endpoint = core.splitAddress(options.listen);
+    if (endpoint === undefined)
+      return Promise.reject(createAddressFault('links.listen', options.listen));
     return new Promise((resolve, reject) => {
       server.once('error', (cause) => {
         reject(toListenFault(cause, options.listen));
       });
-      server.listen(toEndpoint(options.listen), resolve);
+      server.listen(endpoint, resolve);
     });
   }
 
@@ -396,15 +415,12 @@
   return core.getFaultInfo(cause)?.code === 'too-large';
 }
 
-function toEndpoint(address: core.ids.Address): {
-  host: string;
-  port: number;
-} {
-  const colonIndex = address.lastIndexOf(':');
-  return {
-    host: address.slice(0, colonIndex),
-    port: Number(address.slice(colonIndex + 1)),
-  };
+function createAddressFault(step: string, address: core.ids.Address): Error {
+  return core.createFault(
+    'bad-setting',
+    { step, peer: address },
+    `${address} is not HOST:PORT with a port up to 65535`,
+  );
 }
 
 function toListenFault(cause: Error, address: string): Error {
--- a/packages/link/test/hub.test.ts
+++ b/packages/link/test/hub.test.ts
@@ -265,3 +265,28 @@
       .toEqual({ kind: 'job.explain.answer', lines: ['fresh'] });
   },
 );
+
+vitest.test.each(['127.0.0.1:70000', '127.0.0.1:', '', 'a b:1', '[::1:1'])(
+  'reports a peer address that no connection can be opened to, %j, and links the other peers (guards against a record of another process that ends this one)',
+  async (address) => {
+    const timers = core.createVirtualTimers();
+    const peer = await startNode('peer', timers);
+    const node = await startNode('node', timers);
+    node.hub.setPeers([address, peer.address]);
+    await advanceUntil(
+      timers,
+      () => node.opened.includes('peer') && node.closed.length >= 2,
+    );
+    vitest.expect(node.closed[0]).toMatchObject({
+      address,
+      direction: 'dialled',
+      peer: undefined,
+    });
+    node.hub.setPeers([peer.address]);
+    const countReports = () =>
+      node.closed.filter((event) => event.address === address).length;
+    const before = countReports();
+    timers.advance(10_000);
+    vitest.expect(countReports()).toBe(before);
+  },
+);
