Pools: tell requests to an unusable address as not sent

Callers of a service with such a server got a rejection where a result is promised, and its pool had no connection left after a few of them.

Cause: the connection was counted before it was created, and undici throws for an address that no URL can name; the timer of the request stayed.

Change: a pool whose address can't be split answers at once, and a connection is counted once it exists.

Evidence: four tests in backend.test.ts failed before and pass.

--- a/packages/clients/src/pool.ts
+++ b/packages/clients/src/pool.ts
@@ -45,6 +45,7 @@
 
 /** Creates a pool; it opens connections as requests need them. */
 export function createPool(options: PoolOptions): Pool {
+  const canConnect = core.splitAddress(options.address) !== undefined;
   const idleConnections: httpConnections.HttpConnection[] = [];
   const waitingRequests: PooledRequest[] = [];
   const activeRequests = new Set<PooledRequest>();
@@ -56,11 +57,12 @@
     const connection = idleConnections.pop();
     if (connection !== undefined) return connection;
     if (openConnections >= options.connections) return undefined;
-    openConnections += 1;
-    return httpConnections.createHttpConnection(
+    const created = httpConnections.createHttpConnection(
       options.address,
       options.connectTimeoutMs,
     );
+    openConnections += 1;
+    return created;
   }
 
   function returnConnection(
@@ -116,6 +118,11 @@
     step: string,
   ): Promise<types.HttpResult> {
     const origin = { step, peer: options.address };
+    if (!canConnect) {
+      const why = `${options.address} is not HOST:PORT`;
+      const cause = core.createFault('bad-setting', origin, why);
+      return Promise.resolve({ result: 'not-sent', cause });
+    }
     return new Promise((resolve) => {
       const pooled: PooledRequest = {
         request,
--- a/packages/clients/test/backend.test.ts
+++ b/packages/clients/test/backend.test.ts
@@ -202,3 +202,21 @@
     vitest.expect(server.count.connections).toBe(3);
   },
 );
+
+vitest.test.each(['127.0.0.\ufffd:80', '127.0.0.1:70000', ':1', 'a/b:80'])(
+  'tells requests to a server whose address no connection can be opened to as not sent, %j (guards against requests that reject, and a pool that counts connections that it never had)',
+  async (address) => {
+    const virtualTimers = core.createVirtualTimers();
+    const client = clients.createBackendClient({
+      timers: virtualTimers,
+      connections: 2,
+    });
+    for (let count = 0; count < 5; count += 1)
+      vitest
+        .expect((await client.send(address, request, limits)).result)
+        .toBe('not-sent');
+    vitest.expect(virtualTimers.getNextDueMs()).toBeUndefined();
+    client.drop(address);
+    await client.close();
+  },
+);
