--- a/packages/cluster/src/tail.ts
+++ b/packages/cluster/src/tail.ts
@@ -2,7 +2,7 @@
  * Follows a stream: reads the records after the last read or, once those have been
  * trimmed, the newest record of every key. Records are applied in order, at least once.
  */
-import type * as core from '@flamingoward/core';
+import * as core from '@flamingoward/core';
 import type * as ports from './ports.js';
 
 /** Timeout of a read beyond its wait, in ms; far above the round-trip time between regions. */
@@ -51,6 +51,16 @@
 
   /** Resolves with whether there is more to read; undefined when the read failed. */
   async function readOnce(waitMs: number): Promise<boolean | undefined> {
+    try {
+      return await readRecords(waitMs);
+    } catch (cause) {
+      // A rejected read would be the one that all later reads wait for.
+      options.onFailed(core.describeError(cause));
+      return undefined;
+    }
+  }
+
+  async function readRecords(waitMs: number): Promise<boolean | undefined> {
     if (nextOffset === undefined)
       return (await readNewest()) ? true : undefined;
     const result = await options.source.read(nextOffset, {
@@ -60,7 +70,9 @@
     switch (result.outcome) {
       case 'records':
         for (const record of result.records) options.apply(record);
-        nextOffset = Math.max(getNextOffset(), result.next);
+        // A store that tells an end which it has no records up to isn't asked again at once.
+        if (result.next <= getNextOffset()) return false;
+        nextOffset = result.next;
         return nextOffset < result.end;
       case 'trimmed':
         nextOffset = undefined;
