VM list: skip VMs that can't be used, with one line and a count by reason

Callers of a daemon saw requests to such a server rejected; a list with an unusable address of an entry VM reached the links, which threw.

Cause: the platform's list was taken as it came.

Change: the membership selects the VMs with an id, a role, a state, places, sizes of 0 or more, and an address that a connection can be opened to. Others are skipped whole, logged once as vm.skipped and counted in vms_skipped_total.

Evidence: ten tests of the new module; that the list had no check is read, what a daemon did with each form wasn't run.

--- a/packages/daemon/src/membership/membership.ts
+++ b/packages/daemon/src/membership/membership.ts
@@ -7,6 +7,7 @@
 import type * as links from '../links/links.js';
 import type * as types from '../types.js';
 import * as peerTable from './peers.js';
+import * as vmRecords from './vmRecords.js';
 
 const VM_POLL_INTERVAL_MS = 1_000;
 const HEALTH_CHECK_INTERVAL_MS = 100;
@@ -47,6 +48,7 @@
 export function createMembership(options: MembershipOptions): MembershipPart {
   const { context, links } = options;
   const { timers, identity } = context;
+  const selector = vmRecords.createVmSelector(context);
   const knownPeers = peerTable.createPeerTable(identity.region);
   const changes = core.createSubject<'vms' | 'peers'>();
   const leavingVms = new Set<core.ids.VmId>();
@@ -113,7 +115,7 @@
     try {
       const list = await options.readVmList();
       lastPollFailed = false;
-      applyVmList(list.vms);
+      applyVmList(selector.select(list.vms));
     } catch (cause) {
       if (!lastPollFailed)
         context.log.write('warn', 'vmlist.away', {
