Processes: log an uncaught exception before they end with it

On-call engineers saw starts without ends: an exception in a timer or an event ended the process with a stack on standard error, no line in the log, and the lines that waited for the writer were lost.

--- a/packages/daemon/src/nodeMain.ts
+++ b/packages/daemon/src/nodeMain.ts
@@ -111,6 +111,11 @@
   process.on('unhandledRejection', (cause) => {
     logFailure('node.unhandled', cause);
   });
+  process.on('uncaughtException', (cause) => {
+    // What the exception has left half done can't be known, so the process ends.
+    logFailure('node.uncaught', cause);
+    flushAndExit(EXIT_FAILED);
+  });
   try {
     await node.open();
     return true;
--- a/packages/daemon/src/processMain.ts
+++ b/packages/daemon/src/processMain.ts
@@ -72,6 +72,13 @@
       cause: core.describeError(cause),
     });
   });
+  process.on('uncaughtException', (cause) => {
+    // What the exception has left half done can't be known, so the process ends.
+    log.write('error', 'process.uncaught', {
+      cause: cause.stack ?? cause.message,
+    });
+    process.exit(EXIT_FAILED);
+  });
   try {
     await daemonProcess.open();
   } catch (cause) {
