Nodes: exit when an address can't be opened

Cause: the exit code was set, and the servers that were open already kept the process alive.

Change: the node writes the lines that wait and exits with code 1.

--- a/packages/daemon/src/nodeMain.ts
+++ b/packages/daemon/src/nodeMain.ts
@@ -35,7 +35,10 @@
   return true;
 }
 
-/** Starts a node that runs until a signal stops it; returns false when it can't start. */
+/**
+ * Starts a node that runs until a signal stops it; returns false when its settings are
+ * invalid. A node that can't open its addresses exits, so that it is started again.
+ */
 export async function runNode(text: string, file: string): Promise<boolean> {
   const settings = loadSettings(text, file);
   if (settings === undefined) return false;
@@ -118,10 +121,10 @@
   });
   try {
     await node.open();
-    return true;
   } catch (cause) {
+    // The addresses that are open already would keep a process running that never serves.
     logFailure('node.start-failed', cause);
-    lineWriter.flush();
-    return false;
+    flushAndExit(EXIT_FAILED);
   }
+  return true;
 }
