VM sessions: log errors in a row once

Operators saw one line with a whole stack each 250 ms for each VM whose session failed, for ever: the log grew with what others write.

Change: a session logs the first error, counts all of them in vm_session_errors, and logs again once a report has been applied since.

Evidence: the test in vmSessions.test.ts failed before and passes.

--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -132,6 +132,8 @@
   let refused = false;
   /** Answers in a row that weren't reports. */
   let unreadableAnswers = 0;
+  /** An error has been logged and no report applied since. */
+  let failing = false;
   let unresponsive = options.silentBefore;
   let lost = false;
   let replaced = false;
@@ -271,6 +273,7 @@
         if (result.report.incarnation === newestReport.incarnation)
           acknowledgedEnd = Math.max(acknowledgedEnd, lastSeen);
         receiveReport(result, askedMs);
+        failing = false;
         return NO_DELAY_MS;
       case 'fenced':
         events.onFenced(target.id);
@@ -404,10 +407,13 @@
 
   /** Without further holds the lease of the VM would end, and with it its runs. */
   function handleFailure(cause: unknown): number {
-    log.write('error', 'vm.session-failed', {
-      vm: target.id,
-      cause: cause instanceof Error ? cause.stack : String(cause),
-    });
+    metrics.count('vm_session_errors', {});
+    if (!failing)
+      log.write('error', 'vm.session-failed', {
+        vm: target.id,
+        cause: cause instanceof Error ? cause.stack : String(cause),
+      });
+    failing = true;
     return RETRY_DELAY_MS;
   }
 
--- a/packages/cluster/test/vmSessions.test.ts
+++ b/packages/cluster/test/vmSessions.test.ts
@@ -122,6 +122,24 @@
     },
   );
 
+  vitest.it(
+    'logs errors in a row once, and again after a report that was applied (guards against a log that is full of one VM)',
+    async () => {
+      const { setup, session, timers, context } = createSetup(buildHeld(1));
+      const countLines = () =>
+        context.lines.filter(({ event }) => event === 'vm.session-failed')
+          .length;
+      for (const lines of [1, 2]) {
+        setup.failsReports = true;
+        await fakes.advance(timers, 10_000);
+        vitest.expect(countLines()).toBe(lines);
+        setup.failsReports = false;
+        await fakes.advance(timers, 4_000);
+      }
+      session.close();
+    },
+  );
+
   vitest.it(
     'calls a server whose answers are no reports ever less often (guards against an owner that only reads long answers)',
     async () => {
