Owner: end the session with a lost VM when its entry is removed

Operators would see calls to addresses that nobody lists any more, and claims that grow with them, until the owner changes.

Cause: a session ended only when its VM was lost after its entry had gone. One that was lost first, such as an address where another VM answers, went on.

Change: the removal of the entry ends the session of a lost VM. The connections to its address stay open while another VM is listed there.

Evidence: one of three tests in unlistedSessions.test.ts failed before; all pass.

--- a/packages/cluster/src/owner.ts
+++ b/packages/cluster/src/owner.ts
@@ -347,6 +347,10 @@
     if (vm === undefined) {
       // The VM may still have runs, so its session stays open until the lease has expired.
       if (session !== undefined) log.write('info', 'vm.unlisted', { vm: id });
+      if (session?.isLost() === true) {
+        scheduler.loseVm(id, timers.getNow());
+        endSession(id);
+      }
       requestTick();
       return;
     }
@@ -376,6 +380,19 @@
     );
   }
 
+  /** Ends the session with a VM that is neither listed nor may have runs. */
+  function endSession(id: core.ids.VmId): void {
+    const session = sessionsByVm.get(id);
+    if (session === undefined) return;
+    session.close();
+    sessionsByVm.delete(id);
+    const { address } = session.target;
+    // Another VM may have taken the address, and would lose its calls with the connections.
+    for (const { target } of sessionsByVm.values())
+      if (target.address === address) return;
+    dependencies.vmCalls.drop(address);
+  }
+
   const sessionEvents: vmSessions.VmSessionEvents = {
     onReport(id, report) {
       if (isClosed()) return;
@@ -389,13 +406,7 @@
     },
     onLost(id, why) {
       scheduler.loseVm(id, timers.getNow(), chooseCrashEvidence(why));
-      if (fleet.find(id) === undefined) {
-        const session = sessionsByVm.get(id);
-        session?.close();
-        if (session !== undefined)
-          dependencies.vmCalls.drop(session.target.address);
-        sessionsByVm.delete(id);
-      }
+      if (fleet.find(id) === undefined) endSession(id);
       requestTick();
     },
     onFenced: options.onFenced,
--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -92,6 +92,8 @@
   getLeaseEnd(): number;
   /** Returns whether the VM doesn't answer. */
   isSilent(): boolean;
+  /** Returns whether the VM was reported as lost and hasn't answered since. */
+  isLost(): boolean;
   /** Applies that the leases of earlier owners end sooner than was known. */
   updateEarlierLeases(): void;
   close(): void;
@@ -463,6 +465,7 @@
     recordStartClock,
     getLeaseEnd,
     isSilent: () => unresponsive,
+    isLost: () => lost,
     updateEarlierLeases: checkLeaseEnd,
     poll() {
       void pollVm();
