Settings: refuse addresses that no connection can be opened to

Change: the settings ask core.splitAddress, as all that dial do.

Evidence: two of four forms in settings.test.ts failed before (a port of 99999 and 1.2.3.4.5); all pass.

--- a/packages/cluster/src/settings.ts
+++ b/packages/cluster/src/settings.ts
@@ -3,7 +3,12 @@
 import * as ini from 'ini';
 import * as zod from 'zod';
 
-const address = zod.string().regex(/^[\w.-]+:\d{1,5}$/, 'expected HOST:PORT');
+const address = zod
+  .string()
+  .refine(
+    (text) => core.splitAddress(text) !== undefined,
+    'expected HOST:PORT',
+  );
 const name = zod.string().min(1, 'expected a name');
 const milliseconds = zod.coerce
   .number({ error: 'expected a number of milliseconds' })
--- a/packages/cluster/test/settings.test.ts
+++ b/packages/cluster/test/settings.test.ts
@@ -37,6 +37,16 @@
     },
   );
 
+  vitest.it.each(['10.0.0.9:99999', '1.2.3.4.5:84', 'a b:84', ':84'])(
+    'refuse an address that no connection can be opened to, %j (guards against a node that starts and reaches nothing)',
+    (address) => {
+      const text = complete.replace('10.0.0.9:84', address);
+      vitest.expect(settings.parseNodeSettings(text, 'file')).toEqual({
+        faults: ['file: [log_store] address: expected HOST:PORT'],
+      });
+    },
+  );
+
   vitest.it(
     'multiply the share of a core by its speed to get the capacity',
     () => {
