Reports: stop 100 stray runs at most after one report

Callers got no answer, and jobs didn't go on: one address of another writer whose answers list 15,000 runs that the owner doesn't know kept it busy.

Cause: each report made the owner send a stop for every one of them, again and again.

Change: 100 stops at most after a report; the others follow after the next.

Evidence: strayStops.test.ts failed before and passes.

--- a/packages/core/src/workloads/reports.ts
+++ b/packages/core/src/workloads/reports.ts
@@ -22,6 +22,17 @@
 
 /** Time after which an unanswered stop command is sent again, in ms. */
 const STOP_RETRY_MS = 700;
+/**
+ * Most stray runs that are stopped after one report; the others follow after the next ones.
+ * A list may have thousands of them, and each order takes time of the owner.
+ */
+const MAX_STRAY_STOPS = 100;
+
+/** What a report has listed so far. */
+interface Listing {
+  readonly runs: Set<tables.RunRow>;
+  strayStops: number;
+}
 
 /** Applies the report of a VM; returns whether it changes what can start. */
 export function applyReport(
@@ -51,12 +62,12 @@
   vm.answeredMs = nowMs;
   vm.knownEmpty = false;
   applyEnds(state, vm, report, nowMs);
-  const listed = new Set<tables.RunRow>();
+  const listing: Listing = { runs: new Set(), strayStops: 0 };
   const logSpeed = speeds.estimateLastingLog(state, vm, nowMs);
   for (const entry of report.running)
-    applyRunning(state, vm, entry, logSpeed, listed, nowMs);
+    applyRunning(state, vm, entry, logSpeed, listing, nowMs);
   strays.removeEnded(state, vm, report, nowMs);
-  const unlisted = [...vm.runs].filter((run) => !listed.has(run));
+  const unlisted = [...vm.runs].filter((run) => !listing.runs.has(run));
   const isWhole = report.mayHaveMoreEnds !== true;
   if (isWhole) vm.hasListedAll = true;
   // A run whose end isn't listed yet shows no progress, but doesn't stand still.
@@ -171,7 +182,7 @@
   vm: tables.VmRow,
   entry: types.ReportedRun,
   logSpeed: number,
-  listed: Set<tables.RunRow>,
+  listing: Listing,
   nowMs: number,
 ): void {
   begins.recordBegin(state, entry.task.job);
@@ -179,9 +190,9 @@
   const own = [...vm.runs].find(
     (run) => run.task === task && run.number === entry.run,
   );
-  const run = own ?? adoptRun(state, vm, task, entry, nowMs);
+  const run = own ?? adoptRun(state, vm, task, entry, listing, nowMs);
   if (run === undefined) return;
-  listed.add(run);
+  listing.runs.add(run);
   run.listedMs = nowMs;
   run.incarnation = vm.incarnation;
   if (run.phase === 'stopping') return;
@@ -207,6 +218,7 @@
   vm: tables.VmRow,
   task: tables.TaskRow | undefined,
   entry: types.ReportedRun,
+  listing: Listing,
   nowMs: number,
 ): tables.RunRow | undefined {
   // The previous owner started this run without a record after the recorded run had ended.
@@ -234,6 +246,8 @@
     );
   }
   strays.addStray(vm, entry, task);
+  if (listing.strayStops >= MAX_STRAY_STOPS) return undefined;
+  listing.strayStops += 1;
   states.countEvent(state, 'stop.not-wanted');
   state.commands.push({
     command: 'stop',
