VM sessions: hold again at once when an end is repeated

A sound VM repeats an end that becomes durable while the hold is on its way, and each such answer delayed the next report by 100 ms.

Change: 20 such answers in a row are followed at once, within the 50 early ones a second that the pace allows.

--- a/packages/cluster/src/holdPacing.ts
+++ b/packages/cluster/src/holdPacing.ts
@@ -3,10 +3,15 @@
  * so when it lists a new end. A server that always does would be called without a pause.
  */
 
-/** Delay after an early answer without a new end, in ms; it doubles with each of them in a row. */
-const EARLY_DELAY_MS = 100;
-const MAX_EARLY_DELAY_MS = 1_000;
-/** Early answers with new ends that are followed by another hold at once: on average, and in a burst. */
+/**
+ * Early answers without a new end in a row that are followed by another hold at once. A sound
+ * VM repeats an end that becomes durable, or that a poll has learned, while the hold is on its way.
+ */
+const MAX_REPEATED = 20;
+/** Delay after a further one, in ms; it doubles with each of them. */
+const REPEATED_DELAY_MS = 100;
+const MAX_REPEATED_DELAY_MS = 1_000;
+/** Early answers that are followed by another hold at once: on average, and in a burst. */
 const MAX_EARLY_PER_S = 50;
 const EARLY_BURST = 50;
 /** Share of the wait after which an answer isn't early; the clock of the VM may be slower. */
@@ -29,7 +34,7 @@
 
 /** Creates the pace. */
 export function createHoldPacing(): HoldPacing {
-  let earlyInRow = 0;
+  let repeated = 0;
   let tokens = EARLY_BURST;
   let refilledMs = -Infinity;
 
@@ -43,13 +48,17 @@
   return {
     recordAnswer({ askedMs, answeredMs, waitMs, hasNewEnd }) {
       const isEarly = answeredMs - askedMs < waitMs * EARLY_SHARE;
-      earlyInRow = isEarly && !hasNewEnd ? earlyInRow + 1 : 0;
+      repeated = isEarly && !hasNewEnd ? repeated + 1 : 0;
       if (!isEarly) return 0;
-      if (hasNewEnd) return takeToken(answeredMs);
-      return Math.min(
-        EARLY_DELAY_MS * 2 ** (earlyInRow - 1),
-        MAX_EARLY_DELAY_MS,
-      );
+      return Math.max(takeToken(answeredMs), computeRepeatedDelay(repeated));
     },
   };
 }
+
+function computeRepeatedDelay(repeated: number): number {
+  if (repeated <= MAX_REPEATED) return 0;
+  return Math.min(
+    REPEATED_DELAY_MS * 2 ** (repeated - MAX_REPEATED - 1),
+    MAX_REPEATED_DELAY_MS,
+  );
+}
