VM sessions: withdraw the pace of holds

Cause: sound VMs answer holds before their wait is over far more often than the pace allowed, also after the change that let 20 repeated ends pass.

--- a/packages/cluster/src/vmSessions.ts
+++ b/packages/cluster/src/vmSessions.ts
@@ -7,7 +7,6 @@
 import * as core from '@flamingoward/core';
 import type * as observability from '@flamingoward/observability';
 import type * as contexts from './context.js';
-import * as holdPacings from './holdPacing.js';
 import * as leases from './leases.js';
 import type * as timeouts from './timeouts.js';
 import type * as ports from './ports.js';
@@ -133,7 +132,6 @@
   let responseMissed = false;
   /** The connection for the last hold was refused. */
   let refused = false;
-  const pacing = holdPacings.createHoldPacing();
   /** Answers in a row that weren't reports. */
   let unreadableAnswers = 0;
   /** An error has been logged and no report applied since. */
@@ -276,7 +274,9 @@
       case 'held':
         if (result.report.incarnation === newestReport.incarnation)
           acknowledgedEnd = Math.max(acknowledgedEnd, lastSeen);
-        return handleHeld(result, askedMs, waitMs);
+        receiveReport(result, askedMs);
+        failing = false;
+        return NO_DELAY_MS;
       case 'fenced':
         events.onFenced(target.id);
         return RETRY_DELAY_MS;
@@ -305,22 +305,6 @@
     }
   }
 
-  /** Applies a report and returns the delay before the next hold, in ms. */
-  function handleHeld(
-    result: Extract<ports.HoldResult, { outcome: 'held' }>,
-    askedMs: number,
-    waitMs: number,
-  ): number {
-    const knownEnd = highestEndNumber;
-    const answeredMs = timers.getNow();
-    receiveReport(result, askedMs);
-    failing = false;
-    // The next hold waits for the ends to become durable instead.
-    if (events.getDurableEnd(target.id) < highestEndNumber) return NO_DELAY_MS;
-    const hasNewEnd = highestEndNumber > knownEnd;
-    return pacing.recordAnswer({ askedMs, answeredMs, waitMs, hasNewEnd });
-  }
-
   function receiveReport(
     result: Extract<ports.HoldResult, { outcome: 'held' }>,
     askedMs: number,
