--- a/packages/standins/test/cell/unusableVms.test.ts
+++ b/packages/standins/test/cell/unusableVms.test.ts
@@ -12,7 +12,7 @@
 } as const;
 
 vitest.test(
-  'VMs with addresses that no connection can be opened to are skipped, and the load goes on (guards P3-P5, and against a list that ends a process)',
+  'VMs with addresses that no connection can be opened to are skipped, and the load goes on (guards P3-P5, and against faults of the list that nobody sees)',
   async () => {
     await cells.runCell({}, async (cell) => {
       const load = new loads.Load(cell, { seed: 904 });
