Tails: read to the end also beside a read that is answered first

Callers could be told of an outdated state: a refresh promises to read to the end of its stream, and since it stopped early when another read had been answered meanwhile.

Change: the comparison is with the offset of the read, and the rest is as before.

Evidence: the new test in tail.test.ts failed before and passes; that of a store that sends nothing still passes.

--- a/packages/cluster/src/tail.ts
+++ b/packages/cluster/src/tail.ts
@@ -63,17 +63,17 @@
   async function readRecords(waitMs: number): Promise<boolean | undefined> {
     if (nextOffset === undefined)
       return (await readNewest()) ? true : undefined;
-    const result = await options.source.read(nextOffset, {
+    const from = nextOffset;
+    const result = await options.source.read(from, {
       waitMs,
       timeoutMs: READ_TIMEOUT_MS,
     });
     switch (result.outcome) {
       case 'records':
         for (const record of result.records) options.apply(record);
-        // A store that tells an end which it has no records up to isn't asked again at once.
-        if (result.next <= getNextOffset()) return false;
-        nextOffset = result.next;
-        return nextOffset < result.end;
+        nextOffset = Math.max(getNextOffset(), result.next);
+        // A store that tells an end and sends no records up to it isn't asked again at once.
+        return result.next > from && nextOffset < result.end;
       case 'trimmed':
         nextOffset = undefined;
         return true;
--- a/packages/cluster/test/tail.test.ts
+++ b/packages/cluster/test/tail.test.ts
@@ -59,3 +59,35 @@
     vitest.expect(reads).toBe(1);
   },
 );
+
+vitest.it(
+  'reads to the end beside a read that is answered first (guards against a refresh that ends before the last record)',
+  async () => {
+    const { stream, source, tail, applied } = createSetup();
+    await tail.refresh();
+    for (const key of ['a', 'b', 'c']) stream.add(key, '1');
+    const { read } = source;
+    let answer = (): void => undefined;
+    const answered = new Promise<void>((resolve) => (answer = resolve));
+    // An answer with the first record only, as if the others didn't fit.
+    const readFirst: typeof read = async (from, options) => {
+      const result = await read(from, options);
+      return result.outcome === 'records'
+        ? { ...result, records: result.records.slice(0, 1), next: from + 1 }
+        : result;
+    };
+    source.read = async (from, options) => {
+      await answered;
+      return readFirst(from, options);
+    };
+    const refreshed = tail.refresh();
+    await new Promise((resolve) => setImmediate(resolve));
+    source.read = readFirst;
+    await tail.follow(0);
+    source.read = read;
+    answer();
+    vitest.expect(await refreshed).toBe(true);
+    vitest.expect(tail.getNextOffset()).toBe(3);
+    vitest.expect(applied).toEqual(['a', 'a', 'b', 'c']);
+  },
+);
