Daemon: keep the port of a log service or VM list at port 80

Change: core.getUrlAddress keeps the port.

Found by reading; no daemon was run at port 80, and no test failed before.

--- a/packages/core/src/addresses.ts
+++ b/packages/core/src/addresses.ts
@@ -2,6 +2,7 @@
 import * as net from 'node:net';
 
 const MAX_PORT = 65_535;
+const HTTP_PORT = 80;
 const ADDRESS = /^(?:\[([\dA-Fa-f:.]+)\]|([\w.-]+)):(0|[1-9]\d{0,4})$/;
 
 /** Host, without the brackets of an IPv6 address, and port. */
@@ -27,3 +28,9 @@
   if (endpoint === undefined || endpoint.port === 0) return undefined;
   return net.isIP(endpoint.host) === 0 ? undefined : endpoint;
 }
+
+/** Returns the address of an `http://host:port` URL with its port; the host of a parsed URL lacks port 80. */
+export function getUrlAddress(url: string): string {
+  const { hostname, port } = new URL(url);
+  return `${hostname}:${port === '' ? HTTP_PORT : port}`;
+}
--- a/packages/daemon/src/process/process.ts
+++ b/packages/daemon/src/process/process.ts
@@ -77,7 +77,7 @@
     getRandom: options.getRandom,
   });
   const vmListClient = clients.createVmListClient({
-    address: toAddress(settings.platform.vmList),
+    address: core.getUrlAddress(settings.platform.vmList),
     timers,
   });
   const membershipPart = membership.createMembership({
@@ -90,7 +90,7 @@
     getRandom: options.getRandom,
   });
   const logClient = clients.createLogClient({
-    address: toAddress(settings.platform.log),
+    address: core.getUrlAddress(settings.platform.log),
     timers,
   });
   const relay = relays.createRelay({
@@ -333,7 +333,3 @@
     linksAddress: settings.links.listen,
   };
 }
-
-function toAddress(url: string): core.ids.Address {
-  return new URL(url).host;
-}
