Addresses: one function parses those that are listened on or dialled

core.parseAddress serves them, with the fault of core.createAddressFault. An IPv6 address of callers or of a node's servers is now listened on without its brackets, which the operators' server removed already. The line of a VM that the daemon skips says HOST:PORT, which is what is checked.

--- a/packages/clients/src/pool.ts
+++ b/packages/clients/src/pool.ts
@@ -119,8 +119,7 @@
   ): Promise<types.HttpResult> {
     const origin = { step, peer: options.address };
     if (!canConnect) {
-      const why = `${options.address} is not HOST:PORT`;
-      const cause = core.createFault('bad-setting', origin, why);
+      const cause = core.createAddressFault(options.address, step);
       return Promise.resolve({ result: 'not-sent', cause });
     }
     return new Promise((resolve) => {
--- a/packages/core/src/addresses.ts
+++ b/packages/core/src/addresses.ts
@@ -1,5 +1,6 @@
 /** Network addresses in the form `host:port`: which of them a connection can be opened to. */
 import * as net from 'node:net';
+import * as errors from './errors.js';
 
 const MAX_PORT = 65_535;
 const HTTP_PORT = 80;
@@ -22,6 +23,22 @@
   return { host: bracketed ?? plain, port };
 }
 
+/** Splits an address as `splitAddress` does; throws `bad-setting` when no connection can be opened to it. */
+export function parseAddress(text: string, step: string): Endpoint {
+  const endpoint = splitAddress(text);
+  if (endpoint === undefined) throw createAddressFault(text, step);
+  return endpoint;
+}
+
+/** Creates the fault of an address that no connection can be opened to. */
+export function createAddressFault(address: string, step: string): Error {
+  return errors.createFault(
+    'bad-setting',
+    { step, peer: address },
+    `${address} is not HOST:PORT with a port up to ${MAX_PORT}`,
+  );
+}
+
 /** Splits `ip:port`; undefined when the host is a name or the port is 0. */
 export function decodeAddress(text: string): Endpoint | undefined {
   const endpoint = splitAddress(text);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -10,7 +10,13 @@
 export type * as records from './types/records.js';
 export * as messages from './types/messages.js';
 export type * as clusterMessages from './types/clusterMessages.js';
-export { decodeAddress, getUrlAddress, splitAddress } from './addresses.js';
+export {
+  createAddressFault,
+  decodeAddress,
+  getUrlAddress,
+  parseAddress,
+  splitAddress,
+} from './addresses.js';
 export type { Endpoint } from './addresses.js';
 export { createFault, describeError, getFaultInfo } from './errors.js';
 export type { FaultCode, FaultInfo, FaultOrigin } from './errors.js';
--- a/packages/daemon/src/callers/server.ts
+++ b/packages/daemon/src/callers/server.ts
@@ -138,8 +138,8 @@
     if (inFlight.size === 0) onAllAnswered?.();
   }
 
-  function start(): Promise<core.ids.Address> {
-    const [host, port] = splitAddress(options.listen);
+  async function start(): Promise<core.ids.Address> {
+    const { host, port } = core.parseAddress(options.listen, 'callers.listen');
     return new Promise((resolve, reject) => {
       server.once('error', (cause: NodeJS.ErrnoException) => {
         const origin = { step: 'callers.listen', peer: 'self', cause };
@@ -212,11 +212,6 @@
   };
 }
 
-function splitAddress(address: core.ids.Address): [string, number] {
-  const colon = address.lastIndexOf(':');
-  return [address.slice(0, colon), Number(address.slice(colon + 1))];
-}
-
 /** Builds the answer to what isn't handed to the routes, and so has no request id. */
 function encodeRefusal({
   why,
--- a/packages/daemon/src/membership/vmRecords.ts
+++ b/packages/daemon/src/membership/vmRecords.ts
@@ -24,7 +24,7 @@
     .string()
     .refine(
       (text) => core.splitAddress(text) !== undefined,
-      'expected IP:PORT',
+      'expected HOST:PORT',
     ),
   availabilityZone: zod.string(),
   region: zod.string(),
--- a/packages/daemon/src/operators/server.ts
+++ b/packages/daemon/src/operators/server.ts
@@ -59,7 +59,7 @@
   options: OperatorsOptions,
 ): Promise<OperatorsServer> {
   const { server, guard } = createOperatorsServer(options);
-  const { host, port } = splitAddress(options.listen);
+  const { host, port } = core.parseAddress(options.listen, 'operators.listen');
   await new Promise<void>((resolve, reject) => {
     server.once('error', (cause: NodeJS.ErrnoException) => {
       const origin = { step: 'operators.listen', peer: options.listen, cause };
@@ -310,15 +310,6 @@
   };
 }
 
-function splitAddress(address: core.ids.Address): {
-  readonly host: string;
-  readonly port: number;
-} {
-  const colon = address.lastIndexOf(':');
-  const host = address.slice(0, colon).replace(/^\[|\]$/g, '');
-  return { host, port: Number(address.slice(colon + 1)) };
-}
-
 function closeServer(
   server: nodeHttp.Server,
   timers: core.TimerService,
--- a/packages/link/src/hub.ts
+++ b/packages/link/src/hub.ts
@@ -237,7 +237,7 @@
     entry.reconnectTimer = options.timers.subscribe(
       { name: 'links.unusable', delayMs: 0, repeat: 'once' },
       () => {
-        const cause = createAddressFault('links.connect', entry.address);
+        const cause = core.createAddressFault(entry.address, 'links.connect');
         handleDialledEnd(entry, undefined, cause);
       },
     );
@@ -353,11 +353,9 @@
     return connection.ask(question, timeoutMs);
   }
 
-  function open(): Promise<void> {
-    const endpoint = core.splitAddress(options.listen);
-    if (endpoint === undefined)
-      return Promise.reject(createAddressFault('links.listen', options.listen));
-    return new Promise((resolve, reject) => {
+  async function open(): Promise<void> {
+    const endpoint = core.parseAddress(options.listen, 'links.listen');
+    await new Promise<void>((resolve, reject) => {
       server.once('error', (cause) => {
         reject(toListenFault(cause, options.listen));
       });
@@ -415,14 +413,6 @@
   return core.getFaultInfo(cause)?.code === 'too-large';
 }
 
-function createAddressFault(step: string, address: core.ids.Address): Error {
-  return core.createFault(
-    'bad-setting',
-    { step, peer: address },
-    `${address} is not HOST:PORT with a port up to 65535`,
-  );
-}
-
 function toListenFault(cause: Error, address: string): Error {
   const code = (cause as NodeJS.ErrnoException).code;
   if (code !== 'EADDRINUSE') return cause;
