--- a/packages/cluster/test/departedVms.test.ts
+++ b/packages/cluster/test/departedVms.test.ts
@@ -41,20 +41,6 @@
   policy: fakes.queuePolicy,
 };
 
-function buildEntry(id: string): core.workloads.VmEntry {
-  return {
-    id,
-    address: `${id}:1`,
-    incarnation: 1,
-    pool: 'pool',
-    availabilityZone: 'zone',
-    rack: undefined,
-    labels: [],
-    capacity: { cores: 4, memoryMb: 4_000, gpus: 0 },
-    draining: false,
-  };
-}
-
 /** Longest time for which the previous owner may go on without a confirmed claim, in ms. */
 const UNCONFIRMED_LIMIT_MS = 10_000;
 
@@ -78,7 +64,8 @@
     }),
   );
   const vmStream = fakes.createFakeStream(timers);
-  for (const id of ['a', 'b']) vmStream.add(id, JSON.stringify(buildEntry(id)));
+  for (const id of ['a', 'b'])
+    vmStream.add(id, JSON.stringify(fakes.buildVmEntry(id)));
   const vmCalls: ports.VmCalls = {
     ...context.ports.vmCalls,
     async hold(vm, { waitMs }, timeoutMs) {
@@ -119,28 +106,18 @@
   const jobs = jobStores.createJobStore(nodeContext);
   const fleet = fleets.createFleet(nodeContext);
   const owner = owners.createOwner(nodeContext, {
+    ...fakes.ownerDependencies,
     fence: 9,
     previous: fakes.createPreviousOwner(
       { inactive: previous === 'stopped' },
       timers.getNow() + (previous === 'stopped' ? 0 : UNCONFIRMED_LIMIT_MS),
     ),
-    storeLostMs: -Infinity,
-    unconfirmedLimitMs: 10_000,
     jobs,
     fleet,
-    adviceRouter: {
-      ask: () => Promise.resolve(undefined),
-      listHelpers: () => [],
-    },
     getPolicies: () => ({
       version: 1,
       policies: new Map([['queue', fakes.queuePolicy]]),
     }),
-    getConfirmedAge: () => 0,
-    getLongestConfirmedAge: () => 0,
-    onAppendFailed: () => undefined,
-    onFenced: () => undefined,
-    onFailed: () => undefined,
   });
   return {
     started,
--- a/packages/cluster/test/fakes.ts
+++ b/packages/cluster/test/fakes.ts
@@ -2,6 +2,7 @@
 import * as core from '@flamingoward/core';
 import type * as claims from '../src/claims.js';
 import type * as contexts from '../src/context.js';
+import type * as owners from '../src/owner.js';
 import type * as ports from '../src/ports.js';
 
 /** A keyed stream in memory; reads wait for records as those of the store do. */
@@ -266,3 +267,38 @@
     for (let turn = 0; turn < 20; turn += 1) await Promise.resolve();
   }
 }
+
+/** Builds the entry of a sound VM with the address `<id>:1`. */
+export function buildVmEntry(
+  id: core.ids.VmId,
+  given: Partial<core.workloads.VmEntry> = {},
+): core.workloads.VmEntry {
+  return {
+    id,
+    address: `${id}:1`,
+    incarnation: 1,
+    pool: 'pool',
+    availabilityZone: 'zone',
+    rack: undefined,
+    labels: [],
+    capacity: { cores: 4, memoryMb: 4_000, gpus: 0 },
+    draining: false,
+    ...given,
+  };
+}
+
+/** Dependencies of an owner whose claim is always confirmed, without advice and queues. */
+export const ownerDependencies = {
+  storeLostMs: -Infinity,
+  unconfirmedLimitMs: 10_000,
+  adviceRouter: {
+    ask: () => Promise.resolve(undefined),
+    listHelpers: () => [],
+  },
+  getPolicies: () => ({ version: 1, policies: new Map() }),
+  getConfirmedAge: () => 0,
+  getLongestConfirmedAge: () => 0,
+  onAppendFailed: () => undefined,
+  onFenced: () => undefined,
+  onFailed: () => undefined,
+} satisfies Partial<owners.OwnerOptions>;
--- a/packages/cluster/test/leaseGrants.test.ts
+++ b/packages/cluster/test/leaseGrants.test.ts
@@ -44,20 +44,6 @@
   };
 }
 
-function buildEntry(id: string, draining: boolean): core.workloads.VmEntry {
-  return {
-    id,
-    address: `${id}:1`,
-    incarnation: 1,
-    pool: 'pool',
-    availabilityZone: 'zone',
-    rack: undefined,
-    labels: [],
-    capacity: { cores: 4, memoryMb: 4_000, gpus: 0 },
-    draining,
-  };
-}
-
 /** Creates an owner of one VM that ends its runs when its lease expires, and records the orders. */
 function createSetup() {
   const base = fakes.createFakeContext();
@@ -66,7 +52,8 @@
     [];
   const vm = {
     silent: false,
-    entry: buildEntry('vm', false) as core.workloads.VmEntry | undefined,
+    entry: fakes.buildVmEntry('vm', { draining: false }) as
+      core.workloads.VmEntry | undefined,
   };
   const running: core.workloads.ReportedRun[] = [];
   const vmCalls: ports.VmCalls = {
@@ -107,13 +94,12 @@
   let observer: fleets.FleetObserver | undefined;
   const jobs = jobStores.createJobStore(context);
   const owner = owners.createOwner(context, {
+    ...fakes.ownerDependencies,
     fence: 7,
     previous: fakes.createPreviousOwner(
       { inactive: true },
       context.timers.getNow(),
     ),
-    storeLostMs: -Infinity,
-    unconfirmedLimitMs: 10_000,
     jobs,
     fleet: {
       refresh: () => Promise.resolve(true),
@@ -124,16 +110,6 @@
       },
       close: () => undefined,
     },
-    adviceRouter: {
-      ask: () => Promise.resolve(undefined),
-      listHelpers: () => [],
-    },
-    getPolicies: () => ({ version: 1, policies: new Map() }),
-    getConfirmedAge: () => 0,
-    getLongestConfirmedAge: () => 0,
-    onAppendFailed: () => undefined,
-    onFenced: () => undefined,
-    onFailed: () => undefined,
   });
   return {
     granted,
@@ -199,7 +175,7 @@
       const { vm, timers, submit, setEntry, close } = setup;
       submit('1111111111111111');
       await fakes.advance(timers, 3_000);
-      setEntry(buildEntry('vm', true));
+      setEntry(fakes.buildVmEntry('vm', { draining: true }));
       // A VM that is told to leave goes on for 4 s and longer.
       await fakes.advance(timers, 8_000);
       vm.silent = true;
@@ -219,7 +195,7 @@
       const leftMs =
         Math.max(...granted.map(({ untilMs }) => untilMs)) - timers.getNow();
       vm.silent = true;
-      setEntry(buildEntry('vm', true));
+      setEntry(fakes.buildVmEntry('vm', { draining: true }));
       vitest.expect(await measureLoss(setup)).toBeGreaterThan(leftMs);
       close();
     },
@@ -231,7 +207,7 @@
       const setup = createSetup();
       const { granted, vm, timers, submit, setEntry, close } = setup;
       submit('1111111111111111');
-      setEntry(buildEntry('vm', true));
+      setEntry(fakes.buildVmEntry('vm', { draining: true }));
       await fakes.advance(timers, 3_000);
       vm.silent = true;
       await fakes.advance(timers, 2_500);
@@ -246,9 +222,9 @@
   vitest.it('is whole again when a VM no longer drains', async () => {
     const setup = createSetup();
     const { granted, timers, setEntry, close } = setup;
-    setEntry(buildEntry('vm', true));
+    setEntry(fakes.buildVmEntry('vm', { draining: true }));
     await fakes.advance(timers, 3_000);
-    setEntry(buildEntry('vm', false));
+    setEntry(fakes.buildVmEntry('vm', { draining: false }));
     await fakes.advance(timers, 3_000);
     vitest
       .expect(granted.at(-1)!.untilMs)
--- a/packages/cluster/test/owner.test.ts
+++ b/packages/cluster/test/owner.test.ts
@@ -8,17 +8,7 @@
 import * as records from '../src/records.js';
 import * as fakes from './fakes.js';
 
-const entry: core.workloads.VmEntry = {
-  id: 'vm-1',
-  address: 'vm-1:1',
-  incarnation: 1,
-  pool: 'pool',
-  availabilityZone: 'zone',
-  rack: undefined,
-  labels: [],
-  capacity: { cores: 4, memoryMb: 4_000, gpus: 0 },
-  draining: false,
-};
+const entry = fakes.buildVmEntry('vm-1');
 
 const JOB_ID = '27aa65599c0db4e2';
 
@@ -113,10 +103,9 @@
   const getClaimAge = () =>
     timers.getNow() - (claim.confirmedMs ?? timers.getNow());
   const owner = owners.createOwner(ownerContext, {
+    ...fakes.ownerDependencies,
     fence: 7,
     previous: fakes.createPreviousOwner(previous, ownerContext.timers.getNow()),
-    storeLostMs: -Infinity,
-    unconfirmedLimitMs: 10_000,
     jobs: jobStores.createJobStore(ownerContext),
     fleet: {
       refresh: () => Promise.resolve(true),
@@ -125,10 +114,6 @@
       setObserver: () => undefined,
       close: () => undefined,
     },
-    adviceRouter: {
-      ask: () => Promise.resolve(undefined),
-      listHelpers: () => [],
-    },
     getPolicies() {
       if (policies.failure !== undefined) throw policies.failure;
       const { version, workspaces } = policies;
@@ -140,7 +125,6 @@
     },
     getConfirmedAge: getClaimAge,
     getLongestConfirmedAge: getClaimAge,
-    onAppendFailed: () => undefined,
     onFenced: fenced,
     onFailed: failed,
   });
--- a/packages/cluster/test/unlistedSessions.test.ts
+++ b/packages/cluster/test/unlistedSessions.test.ts
@@ -45,17 +45,7 @@
         ...vmStream,
         decode: ({ key, value }: ports.KeyedRecord) => ({
           readable: true as const,
-          value: {
-            id: key,
-            address: value ?? '',
-            incarnation: 1,
-            pool: 'pool',
-            availabilityZone: 'zone',
-            rack: undefined,
-            labels: [],
-            capacity: { cores: 4, memoryMb: 4_000, gpus: 0 },
-            draining: false,
-          },
+          value: fakes.buildVmEntry(key, { address: value ?? '' }),
         }),
       },
     },
@@ -63,22 +53,11 @@
   const jobs = jobStores.createJobStore(nodeContext);
   const fleet = fleets.createFleet(nodeContext);
   const owner = owners.createOwner(nodeContext, {
+    ...fakes.ownerDependencies,
     fence: 9,
     previous: fakes.createPreviousOwner({ inactive: true }, timers.getNow()),
-    storeLostMs: -Infinity,
-    unconfirmedLimitMs: 10_000,
     jobs,
     fleet,
-    adviceRouter: {
-      ask: () => Promise.resolve(undefined),
-      listHelpers: () => [],
-    },
-    getPolicies: () => ({ version: 1, policies: new Map() }),
-    getConfirmedAge: () => 0,
-    getLongestConfirmedAge: () => 0,
-    onAppendFailed: () => undefined,
-    onFenced: () => undefined,
-    onFailed: () => undefined,
   });
   return {
     vmStream,
